--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,57 @@
+//! Every decision of gooseberryarch, as state machines without input or output.
+//!
+//! The kernel has no sockets, no threads and no system time. Whoever drives it
+//! tells it what has happened and what time it is, and does what it answers.
+//! So a test can drive several daemons' kernels with messages that are lost,
+//! doubled and late, and check after each step that what must hold does hold.
+//!
+//! [`node::Node`] puts all decisions of one daemon together. The modules below
+//! it have one job each:
+//!
+//! - [`settings`] checks what operators say, and [`roster`] holds the list of
+//!   instances and targets that the platform publishes.
+//! - [`tenure`] decides who may send work to a target or start a key.
+//! - [`route`] picks a target; [`slot`] and [`warmth`] count what it bears.
+//! - [`admission`], [`retry`] and [`quarantine`] keep load and faults in bounds.
+//! - [`once`] runs a non-idempotent request at most once.
+//! - [`answer`] is the closed list of ways in which a request can fail.
+//!
+//! # Example
+//!
+//! ```
+//! use gooseberry_kernel::clock::Millis;
+//! use gooseberry_kernel::id;
+//! use gooseberry_kernel::node::Identity;
+//! use gooseberry_kernel::node::Node;
+//!
+//! # fn main() -> Result<(), id::Invalid> {
+//! let me = Identity {
+//!     instance: id::Instance::new("entry-1")?,
+//!     domain: id::Domain::new("huaraz")?,
+//! };
+//! let node = Node::new(me, 7, Millis::ZERO);
+//! assert!(node.ready().is_err(), "a node without a list refuses requests");
+//! # Ok(())
+//! # }
+//! ```
+
+mod derive;
+
+pub mod admission;
+pub mod answer;
+pub mod clock;
+pub mod cost;
+pub mod drain;
+pub mod hash;
+pub mod id;
+pub mod node;
+pub mod once;
+pub mod peer;
+pub mod quarantine;
+pub mod retry;
+pub mod roster;
+pub mod route;
+pub mod settings;
+pub mod slot;
+pub mod tenure;
+pub mod warmth;
--- /dev/null
+++ b/crates/kernel/src/node_entry.rs
@@ -0,0 +1,191 @@
+//! A caller's request and its stages, at the daemon that serves it.
+
+use super::Node;
+use crate::answer::Failure;
+use crate::answer::Kind;
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::hash;
+use crate::id;
+use crate::retry;
+use crate::roster::Entry;
+use crate::roster::Member;
+use crate::route;
+use crate::route::Ask;
+use crate::settings::Pipeline;
+use crate::settings::Stage;
+use crate::settings::Workspace;
+use crate::tenure::Thing;
+
+value! {
+    /// A request as it arrives.
+    pub struct Arrival {
+        /// The workspace that it names.
+        pub workspace: id::Workspace,
+        /// The pipeline that it names.
+        pub pipeline: id::Pipeline,
+        /// The digest of the credential that it shows.
+        pub credential: id::Digest,
+        /// The time that the caller gives it, if it says so.
+        pub timeout: Option<Millis>,
+        /// The digest of the workspace and the body, by which a request that
+        /// crashes targets is known again.
+        pub digest: id::Digest,
+    }
+
+    /// A request that was taken on.
+    pub struct Admission {
+        /// The workspace.
+        pub workspace: Workspace,
+        /// The pipeline.
+        pub pipeline: Pipeline,
+        /// When the answer is due.
+        pub deadline: Millis,
+    }
+
+    /// Where an attempt goes.
+    pub struct Choice {
+        /// The target.
+        pub target: Entry,
+        /// The daemon that owns it.
+        pub owner: Member,
+    }
+
+    /// What follows a failed attempt.
+    pub enum Step {
+        /// Try again after the pause.
+        Again {
+            /// Why.
+            reason: retry::Reason,
+            /// How long to wait first.
+            pause: Millis,
+        },
+        /// Give the request up.
+        GiveUp(Failure),
+    }
+}
+
+impl Node {
+    /// Checks who is calling, without taking the request on.
+    ///
+    /// # Errors
+    /// Returns [`Kind::BadCredential`] alike for a wrong credential and for a
+    /// workspace that does not exist, so that a stranger learns of neither.
+    pub fn authenticate(
+        &self,
+        workspace: &id::Workspace,
+        credential: &id::Digest,
+    ) -> Result<&Workspace, Kind> {
+        let found = self.book.workspace(workspace);
+        // An unknown workspace is compared as well, to take the same time.
+        let expected = found.map_or(id::Digest([0; 32]), |one| one.credential);
+        let is_match = expected.matches(credential);
+        found.filter(|_| is_match).ok_or(Kind::BadCredential)
+    }
+
+    /// Decides whether to take a request on.
+    ///
+    /// Each admission is ended by [`Self::leave`].
+    ///
+    /// # Errors
+    /// Returns the reason of the refusal; nothing was run.
+    pub fn admit(&mut self, arrival: &Arrival, now: Millis) -> Result<Admission, Failure> {
+        self.ready()?;
+        let found = self.authenticate(&arrival.workspace, &arrival.credential)?;
+        let workspace = found.clone();
+        let pipeline = self.book.pipeline(&workspace, &arrival.pipeline);
+        let pipeline = pipeline.ok_or(Kind::NoPipeline)?.clone();
+        if self.ward.holds(&arrival.digest, now) {
+            return Err(Kind::Quarantined.into());
+        }
+        let limit = usize::from(self.book.fleet().max_requests);
+        self.room.enter(&workspace.id, workspace.weight, limit)?;
+        let timeout = arrival.timeout.unwrap_or(pipeline.deadline);
+        let deadline = now + timeout.min(pipeline.deadline);
+        Ok(Admission {
+            workspace,
+            pipeline,
+            deadline,
+        })
+    }
+
+    /// Ends an admission.
+    pub fn leave(&mut self, workspace: &id::Workspace) {
+        self.room.leave(workspace);
+    }
+
+    /// Returns when a stage must be done, by its part of the remaining time.
+    #[must_use]
+    pub fn stage_deadline(admission: &Admission, stage: usize, now: Millis) -> Millis {
+        let weights = |stages: &[Stage]| stages.iter().map(|one| u64::from(one.weight)).sum();
+        let left: u64 = weights(&admission.pipeline.stages[stage..]);
+        let mine: u64 = weights(&admission.pipeline.stages[stage..=stage]);
+        let remaining = admission.deadline - now;
+        // A stage may also use time that the stages after it can spare.
+        let fair = remaining.0 * mine / left.max(1);
+        let generous = remaining.0.midpoint(fair);
+        now + Millis(generous)
+    }
+
+    /// Chooses the target of the next attempt.
+    ///
+    /// # Errors
+    /// Returns [`Kind::NoTarget`] if none may be given work, and
+    /// [`Kind::NoOwner`] if the list names no owner.
+    pub fn choose(&mut self, ask: &Ask, now: Millis) -> Result<Choice, Failure> {
+        let list = self.tenure.list().ok_or(Kind::NotReady)?;
+        let fleet = self.book.fleet();
+        let target = route::choose(list, fleet, &self.loads, ask, now).ok_or(Kind::NoTarget)?;
+        let owner = list.owner_of_target(target).ok_or(Kind::NoOwner)?;
+        Ok(Choice {
+            target: target.clone(),
+            owner: owner.clone(),
+        })
+    }
+
+    /// Returns the hash by which a stage's target is chosen.
+    #[must_use]
+    pub fn affinity(workspace: &id::Workspace, prefix: &[u8]) -> u64 {
+        hash::mix(hash::text(workspace.as_str()), hash::bytes(prefix))
+    }
+
+    /// Notes the first attempt of a stage, which earns a part of a retry.
+    pub fn note_first_attempt(&mut self) {
+        self.budget.earn();
+    }
+
+    /// Notes the load that a reply carried, in calls for each hundred places.
+    pub fn note_load(&mut self, target: &id::Target, percent: u32, now: Millis) {
+        self.loads.note(target, percent, now);
+    }
+
+    /// Decides what follows a failed attempt.
+    pub fn after_failure(
+        &mut self,
+        failure: &Failure,
+        bounds: retry::Bounds,
+        deadline: Millis,
+        now: Millis,
+    ) -> Step {
+        let Some(reason) = retry::reason(failure, bounds) else {
+            return Step::GiveUp(failure.clone());
+        };
+        let random = self.draw();
+        let pause = retry::pause(bounds.made, random);
+        if now + pause >= deadline || !self.budget.spend() {
+            return Step::GiveUp(failure.clone());
+        }
+        Step::Again { reason, pause }
+    }
+
+    /// Names the daemon that owns a key.
+    ///
+    /// # Errors
+    /// Returns [`Kind::NoOwner`] if the list names none.
+    pub fn key_owner(&self, hash: u64) -> Result<Member, Failure> {
+        let list = self.tenure.list().ok_or(Kind::NotReady)?;
+        let id = crate::tenure::owner(list, &Thing::Key(hash)).ok_or(Kind::NoOwner)?;
+        let member = list.member(id).ok_or(Kind::NoOwner)?;
+        Ok(member.clone())
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/node_owner.rs
@@ -0,0 +1,204 @@
+//! The targets and keys that one node owns.
+
+use super::Node;
+use crate::answer::Failure;
+use crate::answer::Kind;
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::id;
+use crate::once::Claim;
+use crate::once::End;
+use crate::once::Key;
+use crate::once::Verdict;
+use crate::roster::Entry;
+use crate::route;
+use crate::settings::Pool;
+use crate::slot::Call;
+use crate::slot::Start;
+use crate::slot::Wake;
+use crate::tenure::Right;
+use crate::tenure::Thing;
+use crate::warmth::Report;
+use crate::warmth::Sign;
+
+value! {
+    /// The leave to send one call.
+    pub struct Grant {
+        /// Where the call goes.
+        pub target: Entry,
+        /// The pool of the target.
+        pub pool: Pool,
+        /// When the leave ends; the sender checks it directly before it sends.
+        pub valid_until: Millis,
+    }
+}
+
+impl Node {
+    // Targets
+
+    /// Decides about a call to a target that this node owns.
+    ///
+    /// # Errors
+    /// Returns the reason of the refusal; the call was not sent.
+    pub fn start(&mut self, call: &Call, now: Millis) -> Result<Start, Failure> {
+        let (entry, pool) = self.may_use(&call.target)?;
+        let since = self.target_right(&entry.id, now)?.0;
+        match self.slots.start(call, &pool, since, now) {
+            Start::Refused(kind) => Err(kind.into()),
+            start => Ok(start),
+        }
+    }
+
+    /// Gives the leave to send a call that [`Self::start`] or a wake granted.
+    ///
+    /// The right is checked again here, directly before the send. A call that
+    /// may not be sent any more gives its place back.
+    ///
+    /// # Errors
+    /// Returns the reason of the refusal; the call was not sent.
+    pub fn grant(
+        &mut self,
+        target: &id::Target,
+        attempt: id::Attempt,
+        now: Millis,
+    ) -> Result<Grant, Failure> {
+        let checked = self.may_use(target).and_then(|(entry, pool)| {
+            let until = self.target_right(target, now)?.1;
+            Ok(Grant {
+                target: entry,
+                pool,
+                valid_until: until,
+            })
+        });
+        if checked.is_err() {
+            self.slots.cancel(target, attempt);
+            self.slots.release(target, attempt);
+        }
+        checked
+    }
+
+    /// Notes that a target has let go of a call, and what the call showed.
+    ///
+    /// `digest` is the request's; a broken connection makes it a suspect.
+    pub fn finish(
+        &mut self,
+        target: &id::Target,
+        attempt: id::Attempt,
+        sign: Sign,
+        digest: id::Digest,
+        now: Millis,
+    ) -> Vec<Wake> {
+        match sign {
+            Sign::Broken => self.ward.note_crash(digest, now),
+            Sign::Answered(_) => self.ward.note_answer(digest),
+            Sign::Refused(_) | Sign::Slow => {}
+        }
+        if let Sign::Answered(Some(Report::Leaving)) | Sign::Refused(Some(Report::Leaving)) = sign {
+            self.loads.note_leaving(target);
+        }
+        let Some(pool) = self.pool_of(target) else {
+            self.slots.release(target, attempt);
+            return Vec::new();
+        };
+        self.slots.finish(target, attempt, sign, &pool, now)
+    }
+
+    /// Takes a call out of the queue, when its caller has gone.
+    pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
+        self.slots.cancel(target, attempt);
+    }
+
+    /// Returns a target's calls in flight for each hundred places.
+    #[must_use]
+    pub fn load_percent(&self, target: &id::Target) -> u32 {
+        let Some((in_flight, limit)) = self.slots.load(target) else {
+            return 0;
+        };
+        let percent = in_flight * 100 / usize::from(limit).max(1);
+        u32::try_from(percent).unwrap_or(u32::MAX)
+    }
+
+    /// Wakes calls that wait: those that may start, and those that waited too
+    /// long or whose target is out.
+    pub(super) fn wake(&mut self, now: Millis) -> Vec<Wake> {
+        let Some(list) = self.tenure.list() else {
+            return Vec::new();
+        };
+        let book = &self.book;
+        let loads = &self.loads;
+        let tenure = &self.tenure;
+        self.slots.tick(now, |id| {
+            let entry = list.target(id)?;
+            let thing = Thing::Target(id.clone());
+            let is_held = matches!(tenure.right(&thing, now), Right::Held { .. });
+            let is_out = route::why_out(entry, book.fleet(), loads).is_some();
+            book.pool(&entry.pool).filter(|_| is_held && !is_out)
+        })
+    }
+
+    fn may_use(&self, target: &id::Target) -> Result<(Entry, Pool), Failure> {
+        let list = self.tenure.list().ok_or(Kind::NotReady)?;
+        let entry = list.target(target).ok_or(Kind::NoTarget)?;
+        if route::why_out(entry, self.book.fleet(), &self.loads).is_some() {
+            return Err(Kind::NoTarget.into());
+        }
+        let pool = self.book.pool(&entry.pool).ok_or(Kind::NoTarget)?;
+        Ok((entry.clone(), pool.clone()))
+    }
+
+    fn pool_of(&self, target: &id::Target) -> Option<Pool> {
+        let entry = self.tenure.list()?.target(target)?;
+        self.book.pool(&entry.pool).cloned()
+    }
+
+    /// Returns when the tenure over a target began, and when the right ends.
+    fn target_right(&self, target: &id::Target, now: Millis) -> Result<(Millis, Millis), Failure> {
+        match self.tenure.right(&Thing::Target(target.clone()), now) {
+            Right::Held { since, until } => Ok((since, until)),
+            Right::Elsewhere(_) | Right::Nobody => Err(Kind::NoOwner.into()),
+            Right::Resting(_) => Err(Kind::NoRight.into()),
+        }
+    }
+
+    // Keys
+
+    /// Decides about a request with a key that this node owns.
+    ///
+    /// # Errors
+    /// Returns the reason of the refusal; nothing was run by this node.
+    pub fn begin(
+        &mut self,
+        key: &Key,
+        digest: id::Digest,
+        is_first_attempt: bool,
+        now: Millis,
+    ) -> Result<Verdict, Failure> {
+        let since = match self.tenure.right(&Thing::Key(key.hash()), now) {
+            Right::Held { since, .. } => since,
+            Right::Elsewhere(_) | Right::Nobody => return Err(Kind::NoOwner.into()),
+            Right::Resting(_) => return Err(Kind::NoRight.into()),
+        };
+        let trusts = self.book.workspace(&key.workspace);
+        let trusts = trusts.is_some_and(|one| one.trusts_attempt_number);
+        let claim = Claim {
+            digest,
+            since,
+            is_first_attempt: is_first_attempt && trusts,
+        };
+        let horizon = self.book.fleet().horizon;
+        Ok(self.keys.begin(key, &claim, horizon, now))
+    }
+
+    /// Tells whether the right to a key still holds, directly before its
+    /// non-idempotent stage is sent.
+    #[must_use]
+    pub fn holds_key(&self, key: &Key, now: Millis) -> bool {
+        let right = self.tenure.right(&Thing::Key(key.hash()), now);
+        matches!(right, Right::Held { .. })
+    }
+
+    /// Notes how the request that took a key has ended.
+    pub fn end(&mut self, key: &Key, end: End, now: Millis) {
+        self.keys.finish(key, end, now);
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/once.rs
@@ -0,0 +1,198 @@
+//! At most one run of each non-idempotent request.
+//!
+//! The owner of a key remembers what became of it. A new owner has no memory
+//! of its predecessor's keys, so for the horizon it says "unknown" of every
+//! key that may have been sent before its tenure began, unless something
+//! vouches that the key is new. See `docs/design/once.md`.
+
+use std::sync::Arc;
+
+use crate::answer::Kind;
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::hash;
+use crate::id;
+
+value! {
+    /// An idempotency key, within the workspace and pipeline it was sent to.
+    #[derive(PartialOrd, Ord)]
+    pub struct Key {
+        /// The workspace.
+        pub workspace: id::Workspace,
+        /// The pipeline.
+        pub pipeline: id::Pipeline,
+        /// The caller's text.
+        pub text: String,
+    }
+
+    /// A recorded answer.
+    pub struct Record {
+        /// The status.
+        pub status: u16,
+        /// The headers of the answer, by name.
+        pub headers: Vec<(String, String)>,
+        /// The body.
+        pub body: Arc<[u8]>,
+    }
+
+    /// What is to be done with a request that carries a key.
+    pub enum Verdict {
+        /// Run it; the key is taken.
+        Run,
+        /// Wait for the request that runs with this key.
+        Join,
+        /// Give the recorded answer.
+        Replay(Record),
+        /// Refuse it.
+        Refuse(Kind),
+    }
+
+    /// How a request with a key ended.
+    pub enum End {
+        /// It has an answer, which is recorded.
+        Answered(Record),
+        /// No target was given the work, so the key is free again.
+        NotRun,
+        /// A target may have been given the work.
+        Unknown,
+    }
+
+    /// What the asker knows about a key and its owner's tenure.
+    pub struct Claim {
+        /// The SHA-256 of the request's body.
+        pub digest: id::Digest,
+        /// When the owner's tenure over the key began.
+        pub since: Millis,
+        /// Whether the caller says truthfully that the key was never sent.
+        pub is_first_attempt: bool,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    key: Key,
+    digest: id::Digest,
+    state: Progress,
+    /// When the entry was last changed.
+    at: Millis,
+}
+
+#[derive(Clone, Debug)]
+enum Progress {
+    Running,
+    Answered(Record),
+    Unknown,
+}
+
+/// What one daemon remembers of the keys that it owns or has owned.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    entries: Vec<Entry>,
+    bytes: usize,
+}
+
+/// The most bytes of recorded answers that are kept.
+///
+/// Beyond it new keys are refused: forgetting a record early could run a
+/// request twice.
+pub const MEMORY_MAX_BYTES: usize = 16 << 20;
+
+/// What one entry takes beside its answer, in bytes.
+const ENTRY_BYTES: usize = 256;
+
+impl Key {
+    /// Hashes the key, to find its owner.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        let place = hash::mix(
+            hash::text(self.workspace.as_str()),
+            hash::text(self.pipeline.as_str()),
+        );
+        hash::mix(place, hash::text(&self.text))
+    }
+}
+
+impl Memory {
+    /// Decides about a request with a key, and takes the key if it may run.
+    pub fn begin(&mut self, key: &Key, claim: &Claim, horizon: Millis, now: Millis) -> Verdict {
+        let found = self.entries.binary_search_by(|one| one.key.cmp(key));
+        match found {
+            Ok(index) => self.known(index, claim),
+            Err(_) if now < claim.since + horizon && !claim.is_first_attempt => {
+                Verdict::Refuse(Kind::KeyUnknown)
+            }
+            Err(_) if self.bytes >= MEMORY_MAX_BYTES => Verdict::Refuse(Kind::Overloaded),
+            Err(index) => {
+                let entry = Entry {
+                    key: key.clone(),
+                    digest: claim.digest,
+                    state: Progress::Running,
+                    at: now,
+                };
+                self.entries.insert(index, entry);
+                self.bytes += ENTRY_BYTES;
+                Verdict::Run
+            }
+        }
+    }
+
+    /// Notes how the request that took the key has ended.
+    pub fn finish(&mut self, key: &Key, end: End, now: Millis) {
+        let Ok(index) = self.entries.binary_search_by(|one| one.key.cmp(key)) else {
+            return;
+        };
+        let entry = &mut self.entries[index];
+        entry.at = now;
+        match end {
+            End::Answered(record) => {
+                self.bytes += record.body.len();
+                entry.state = Progress::Answered(record);
+            }
+            End::Unknown => entry.state = Progress::Unknown,
+            End::NotRun => {
+                self.entries.remove(index);
+                self.bytes = self.bytes.saturating_sub(ENTRY_BYTES);
+            }
+        }
+    }
+
+    /// Forgets keys that no caller may send again.
+    pub fn tick(&mut self, horizon: Millis, now: Millis) {
+        // Twice the horizon covers a first try that arrived a horizon late.
+        let memory = horizon + horizon;
+        let is_kept = |one: &Entry| matches!(one.state, Progress::Running) || one.at + memory > now;
+        self.entries.retain(is_kept);
+        self.bytes = self.entries.iter().map(entry_bytes).sum();
+    }
+
+    /// Returns how many keys are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no key is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn known(&self, index: usize, claim: &Claim) -> Verdict {
+        let entry = &self.entries[index];
+        if entry.digest != claim.digest {
+            return Verdict::Refuse(Kind::KeyMismatch);
+        }
+        match &entry.state {
+            Progress::Running => Verdict::Join,
+            Progress::Answered(record) => Verdict::Replay(record.clone()),
+            Progress::Unknown => Verdict::Refuse(Kind::KeyUnknown),
+        }
+    }
+}
+
+fn entry_bytes(entry: &Entry) -> usize {
+    match &entry.state {
+        Progress::Answered(record) => ENTRY_BYTES + record.body.len(),
+        Progress::Running | Progress::Unknown => ENTRY_BYTES,
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/settings.rs
@@ -0,0 +1,35 @@
+//! Settings: what operators say, checked before it is in force.
+//!
+//! A document is JSON with comments. Its verdict is a pure function of its
+//! text, so every daemon accepts and refuses the same documents. All faults of
+//! a document are reported at once, each with its path, its line and what was
+//! expected there.
+//!
+//! - [`Local`] is the file that one process is started with.
+//! - [`Fleet`] is the document at `/fleet`, which rules the whole fleet.
+//! - [`Document`] is one team's subtree, at `/teams/NAME`.
+//! - [`Book`] holds what was read and decides what is in force.
+
+mod book;
+mod fault;
+mod fleet;
+mod local;
+mod reader;
+mod team;
+
+pub use book::Book;
+pub use book::Holding;
+pub use book::Source;
+pub use book::Tree;
+pub use fault::Fault;
+pub use fault::Faults;
+pub use fleet::Fleet;
+pub use fleet::Policy;
+pub use local::Local;
+pub use local::LogFormat;
+pub use team::Document;
+pub use team::Kind;
+pub use team::Pipeline;
+pub use team::Pool;
+pub use team::Stage;
+pub use team::Workspace;
--- /dev/null
+++ b/crates/kernel/src/settings/book.rs
@@ -0,0 +1,233 @@
+//! What was read of the settings, and what of it is in force.
+//!
+//! Only a higher revision replaces a document, whoever brings it, so settings
+//! never revert: not when the service serves an old state, and not when a
+//! peer is behind. A faulty document leaves the last good one of its path in
+//! force and touches no other path.
+
+use std::sync::Arc;
+
+use super::fault::Faults;
+use super::fleet::Fleet;
+use super::team::Document;
+use super::team::Pipeline;
+use super::team::Pool;
+use super::team::Workspace;
+use crate::derive::value;
+use crate::id;
+use crate::roster::Revision;
+
+/// The path of the document that rules the fleet.
+pub const FLEET_PATH: &str = "/fleet";
+/// The path under which each team has its document.
+pub const TEAMS_PATH: &str = "/teams/";
+
+value! {
+    /// One document as it was published.
+    pub struct Source {
+        /// The path.
+        pub path: String,
+        /// The revision at which it was last changed.
+        pub revision: Revision,
+        /// The text.
+        pub text: Arc<str>,
+    }
+
+    /// Everything that was published, or that a peer holds.
+    #[derive(Default)]
+    pub struct Tree {
+        /// The revision of the whole.
+        pub revision: Revision,
+        /// The documents, in any order. A peer may send two for one path: the
+        /// one in force and a newer, faulty one.
+        pub sources: Vec<Source>,
+    }
+
+    /// What is held for one path.
+    pub struct Holding {
+        /// The path.
+        pub path: String,
+        /// The document in force, if a good one was ever read.
+        pub in_force: Option<Source>,
+        /// The newest document and its faults, if it is faulty.
+        pub refused: Option<(Source, Faults)>,
+    }
+}
+
+/// The settings that a daemon holds.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    revision: Revision,
+    holdings: Vec<Holding>,
+    fleet: Fleet,
+    teams: Vec<Document>,
+}
+
+impl Book {
+    /// Returns the highest revision that was read.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the document that rules the fleet, or its defaults.
+    #[must_use]
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Returns the teams' documents in force, sorted by team.
+    #[must_use]
+    pub fn teams(&self) -> &[Document] {
+        &self.teams
+    }
+
+    /// Returns what is held, sorted by path.
+    #[must_use]
+    pub fn holdings(&self) -> &[Holding] {
+        &self.holdings
+    }
+
+    /// Finds a pool of any team.
+    #[must_use]
+    pub fn pool(&self, id: &id::Pool) -> Option<&Pool> {
+        self.team_of(id.as_str())?.pool(id)
+    }
+
+    /// Finds a workspace of any team.
+    #[must_use]
+    pub fn workspace(&self, id: &id::Workspace) -> Option<&Workspace> {
+        self.team_of(id.as_str())?.workspace(id)
+    }
+
+    /// Finds a pipeline that the workspace may call.
+    #[must_use]
+    pub fn pipeline(&self, workspace: &Workspace, id: &id::Pipeline) -> Option<&Pipeline> {
+        workspace.pipelines.binary_search(id).ok()?;
+        self.team_of(workspace.id.as_str())?.pipeline(id)
+    }
+
+    /// Takes in a tree and tells whether anything changed.
+    ///
+    /// A tree of a lower revision is ignored as a whole. One of the same
+    /// revision may still bring a good document that this book never saw.
+    pub fn adopt(&mut self, tree: &Tree) -> bool {
+        if tree.revision < self.revision {
+            return false;
+        }
+        let mut is_changed = tree.revision > self.revision;
+        if is_changed {
+            self.drop_absent(tree);
+        }
+        self.revision = tree.revision;
+        for source in &tree.sources {
+            is_changed |= self.take(source);
+        }
+        if is_changed {
+            self.rebuild();
+        }
+        is_changed
+    }
+
+    /// Returns all that is held, for a peer.
+    #[must_use]
+    pub fn tree(&self) -> Tree {
+        let mut sources = Vec::new();
+        for holding in &self.holdings {
+            sources.extend(holding.in_force.clone());
+            sources.extend(holding.refused.as_ref().map(|(source, _)| source.clone()));
+        }
+        Tree {
+            revision: self.revision,
+            sources,
+        }
+    }
+
+    fn team_of(&self, qualified: &str) -> Option<&Document> {
+        let (team, _) = qualified.split_once('.')?;
+        let found = self
+            .teams
+            .binary_search_by(|one| one.team.as_str().cmp(team));
+        found.ok().map(|index| &self.teams[index])
+    }
+
+    fn drop_absent(&mut self, tree: &Tree) {
+        let is_listed = |path: &str| tree.sources.iter().any(|source| source.path == path);
+        self.holdings.retain(|holding| is_listed(&holding.path));
+    }
+
+    fn take(&mut self, source: &Source) -> bool {
+        let holding = self.holding(&source.path);
+        let held = holding.in_force.as_ref().map(|held| held.revision);
+        if held.is_some_and(|held| held >= source.revision) {
+            return false;
+        }
+        match check(source) {
+            Ok(()) => {
+                holding.in_force = Some(source.clone());
+                let is_overtaken =
+                    |(refused, _): &mut (Source, Faults)| refused.revision < source.revision;
+                holding.refused.take_if(is_overtaken);
+                true
+            }
+            Err(faults) => {
+                let known = holding.refused.as_ref().map(|(known, _)| known.revision);
+                if known.is_some_and(|known| known >= source.revision) {
+                    return false;
+                }
+                holding.refused = Some((source.clone(), faults));
+                true
+            }
+        }
+    }
+
+    fn holding(&mut self, path: &str) -> &mut Holding {
+        let found = self
+            .holdings
+            .binary_search_by(|one| one.path.as_str().cmp(path));
+        let index = found.unwrap_or_else(|index| {
+            let empty = Holding {
+                path: path.to_owned(),
+                in_force: None,
+                refused: None,
+            };
+            self.holdings.insert(index, empty);
+            index
+        });
+        &mut self.holdings[index]
+    }
+
+    fn rebuild(&mut self) {
+        self.fleet = Fleet::default();
+        self.teams.clear();
+        for source in self.holdings.iter().filter_map(|one| one.in_force.as_ref()) {
+            if source.path == FLEET_PATH {
+                self.fleet = Fleet::parse(&source.text).unwrap_or_default();
+            }
+            let team = team_name(&source.path);
+            let document = team.and_then(|team| Document::parse(&team, &source.text).ok());
+            self.teams.extend(document);
+        }
+        self.teams.sort_by(|one, other| one.team.cmp(&other.team));
+    }
+}
+
+/// Judges a document by its path and text alone.
+fn check(source: &Source) -> Result<(), Faults> {
+    if source.path == FLEET_PATH {
+        return Fleet::parse(&source.text).map(|_| ());
+    }
+    match team_name(&source.path) {
+        Some(team) => Document::parse(&team, &source.text).map(|_| ()),
+        None => Err(Faults(vec![super::Fault {
+            path: source.path.clone(),
+            line: 1,
+            message: "expected /fleet or /teams/NAME".to_owned(),
+        }])),
+    }
+}
+
+fn team_name(path: &str) -> Option<id::Team> {
+    let name = path.strip_prefix(TEAMS_PATH)?;
+    id::Team::new(name).ok().filter(|_| !name.contains('.'))
+}
--- /dev/null
+++ b/crates/kernel/src/settings/fleet.rs
@@ -0,0 +1,147 @@
+//! The document at `/fleet`, which rules the whole fleet.
+
+use std::str::FromStr;
+
+use super::fault::Faults;
+use super::reader;
+use super::reader::Range;
+use crate::clock::Millis;
+use crate::derive::scalar;
+use crate::derive::value;
+use crate::id;
+
+scalar! {
+    /// How the daemons decide.
+    pub enum Policy {
+        /// The policy of the project, as `docs/design/` describes it.
+        Adaptive,
+        /// The simplest policy, kept to measure against: a random target, a
+        /// fixed limit, two retries, first come first served.
+        Baseline,
+    }
+}
+
+impl FromStr for Policy {
+    type Err = id::Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "adaptive" => Ok(Self::Adaptive),
+            "baseline" => Ok(Self::Baseline),
+            _ => Err(id::Invalid { text: text.into() }),
+        }
+    }
+}
+
+value! {
+    /// What holds for every daemon.
+    pub struct Fleet {
+        /// The failure domains that operators have taken out.
+        pub out: Vec<id::Domain>,
+        /// How long an acknowledgement by a peer counts.
+        pub freshness: Millis,
+        /// How long after its first try a caller may send a key again.
+        pub horizon: Millis,
+        /// How long a daemon that the list has dropped still counts as one.
+        pub dropped_memory: Millis,
+        /// How often a daemon greets each peer.
+        pub exchange: Millis,
+        /// How many daemons of each failure domain read the platform.
+        pub readers: u16,
+        /// How many requests one daemon serves at a time.
+        pub max_requests: u16,
+        /// The largest body of a request, in bytes.
+        pub max_body_bytes: u32,
+        /// The largest answer of a target, in bytes.
+        pub max_answer_bytes: u32,
+        /// How long a caller may take to send a request whole.
+        pub send_timeout: Millis,
+        /// How the daemons decide.
+        pub policy: Policy,
+    }
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            out: Vec::new(),
+            freshness: Millis(2000),
+            horizon: Millis(60_000),
+            dropped_memory: Millis(60_000),
+            exchange: Millis(500),
+            readers: 2,
+            max_requests: 512,
+            max_body_bytes: 1 << 20,
+            max_answer_bytes: 4 << 20,
+            send_timeout: Millis(5000),
+            policy: Policy::Adaptive,
+        }
+    }
+}
+
+impl Fleet {
+    /// Reads and checks the document.
+    ///
+    /// # Errors
+    /// Returns every fault of the document.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        reader::parse(text, |reader, top| {
+            let usual = Self::default();
+            let mut millis = |name: &str, min: u64, max: u64, usual: Millis| {
+                Millis(reader.number(top, name, Range { min, max }, usual.0))
+            };
+            let freshness = millis("freshness_ms", 200, 60_000, usual.freshness);
+            let horizon = millis("horizon_ms", 1000, 3_600_000, usual.horizon);
+            let dropped_memory = millis("dropped_memory_ms", 1000, 3_600_000, usual.dropped_memory);
+            let exchange = millis("exchange_ms", 20, 10_000, usual.exchange);
+            let send_timeout = millis("send_timeout_ms", 100, 60_000, usual.send_timeout);
+            let mut count = |name: &str, max: u64, usual: u64| {
+                reader.number(top, name, Range { min: 1, max }, usual)
+            };
+            let readers = count("readers", 64, u64::from(usual.readers));
+            let max_requests = count("max_requests", 60_000, u64::from(usual.max_requests));
+            let max_body = count("max_body_bytes", 64 << 20, u64::from(usual.max_body_bytes));
+            let max_answer = count(
+                "max_answer_bytes",
+                64 << 20,
+                u64::from(usual.max_answer_bytes),
+            );
+            if exchange.0.saturating_mul(2) > freshness.0 {
+                let (path, start) = top.place("exchange_ms");
+                let message = "expected at most half of freshness_ms".to_owned();
+                reader.note(&path, start, message);
+            }
+            let mut out: Vec<id::Domain> = reader.texts(top, "out", "the name of a failure domain");
+            out.sort();
+            out.dedup();
+            let policy = reader.optional_text(top, "policy", "\"adaptive\" or \"baseline\"");
+            Self {
+                out,
+                freshness,
+                horizon,
+                dropped_memory,
+                exchange,
+                readers: narrow16(readers),
+                max_requests: narrow16(max_requests),
+                max_body_bytes: narrow32(max_body),
+                max_answer_bytes: narrow32(max_answer),
+                send_timeout,
+                policy: policy.unwrap_or(usual.policy),
+            }
+        })
+    }
+
+    /// Tells whether operators have taken the failure domain out.
+    #[must_use]
+    pub fn is_out(&self, domain: &id::Domain) -> bool {
+        self.out.binary_search(domain).is_ok()
+    }
+}
+
+pub(super) fn narrow16(number: u64) -> u16 {
+    u16::try_from(number).unwrap_or(u16::MAX)
+}
+
+fn narrow32(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/kernel/src/settings/local.rs
@@ -0,0 +1,108 @@
+//! The file that one process is started with.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use super::fault::Faults;
+use super::reader;
+use super::reader::Range;
+use crate::clock::Millis;
+use crate::derive::scalar;
+use crate::derive::value;
+use crate::id;
+
+scalar! {
+    /// How log lines look.
+    pub enum LogFormat {
+        /// Lines for people.
+        Text,
+        /// One JSON object a line.
+        Json,
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = id::Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(id::Invalid { text: text.into() }),
+        }
+    }
+}
+
+value! {
+    /// Who a process is and where it listens.
+    pub struct Local {
+        /// The name under which the platform lists this run of the daemon.
+        pub instance: id::Instance,
+        /// The failure domain it runs in.
+        pub domain: id::Domain,
+        /// Where callers send requests.
+        pub callers: SocketAddr,
+        /// Where peers send stage calls.
+        pub data: SocketAddr,
+        /// Where peers send control messages.
+        pub control: SocketAddr,
+        /// Where operators read metrics and state.
+        pub operators: SocketAddr,
+        /// The platform's service.
+        pub platform: SocketAddr,
+        /// The least severity that is logged, as `log` names it.
+        pub log_level: String,
+        /// How log lines look.
+        pub log_format: LogFormat,
+        /// How long a graceful shutdown may take.
+        pub shutdown_limit: Millis,
+    }
+}
+
+const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+impl Local {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    /// Returns every fault of the file.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        let read = reader::parse(text, |reader, top| {
+            let instance = reader.text(top, "instance", "an id of an instance");
+            let domain = reader.text(top, "domain", "the name of a failure domain");
+            let mut address =
+                |name| reader.text(top, name, "an address such as \"127.0.0.1:8080\"");
+            let callers = address("callers");
+            let data = address("data");
+            let control = address("control");
+            let operators = address("operators");
+            let platform = address("platform");
+            let log_level = reader.optional_text(top, "log_level", "a level");
+            let log_level = log_level.unwrap_or_else(|| "info".to_owned());
+            if !LOG_LEVELS.contains(&log_level.as_str()) {
+                let (path, start) = top.place("log_level");
+                reader.note(&path, start, format!("expected one of {LOG_LEVELS:?}"));
+            }
+            let format = reader.optional_text(top, "log_format", "\"text\" or \"json\"");
+            let range = Range {
+                min: 100,
+                max: 600_000,
+            };
+            let shutdown_limit = reader.number(top, "shutdown_limit_ms", range, 15_000);
+            Some(Self {
+                instance: instance?,
+                domain: domain?,
+                callers: callers?,
+                data: data?,
+                control: control?,
+                operators: operators?,
+                platform: platform?,
+                log_level,
+                log_format: format.unwrap_or(LogFormat::Text),
+                shutdown_limit: Millis(shutdown_limit),
+            })
+        })?;
+        // A field that could not be read has been noted as a fault above.
+        read.ok_or(Faults(Vec::new()))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/settings/reader.rs
@@ -0,0 +1,295 @@
+//! Reads typed values from a JSON document with comments and collects faults.
+//!
+//! A reader never stops at the first fault. A value that cannot be read is
+//! noted and replaced by the default of its field, so that the rest of the
+//! document is checked as well; the caller must not use the result unless
+//! [`Reader::finish`] says that there were no faults.
+
+use std::str::FromStr;
+
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::Object;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+
+use super::fault::Fault;
+use super::fault::Faults;
+
+/// Collects the faults of one document.
+pub struct Reader<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
+}
+
+/// The fields of one object, read by name.
+pub struct Fields<'a> {
+    path: String,
+    start: usize,
+    fields: Vec<Field<'a>>,
+}
+
+struct Field<'a> {
+    name: String,
+    start: usize,
+    value: &'a Value<'a>,
+    is_read: bool,
+}
+
+/// The widths of a whole number that a field may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Range {
+    /// The least value.
+    pub min: u64,
+    /// The greatest value.
+    pub max: u64,
+}
+
+/// Parses the text and hands its top object to `read`.
+pub fn parse<T>(
+    text: &str,
+    read: impl for<'a> FnOnce(&mut Reader<'a>, &mut Fields<'a>) -> T,
+) -> Result<T, Faults> {
+    let options = ParseOptions {
+        allow_loose_object_property_names: false,
+        ..ParseOptions::default()
+    };
+    let parsed = match jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            let line = line_of(text, error.range().start);
+            return Err(Faults(vec![Fault {
+                path: "$".to_owned(),
+                line,
+                message: format!("expected JSON with comments: {}", error.kind()),
+            }]));
+        }
+    };
+    let mut reader = Reader {
+        text,
+        faults: Vec::new(),
+    };
+    let Some(Value::Object(object)) = &parsed.value else {
+        reader.note("$", 0, "expected an object".to_owned());
+        return Err(Faults(reader.faults));
+    };
+    let mut fields = reader.fields("$".to_owned(), object);
+    let result = read(&mut reader, &mut fields);
+    reader.close(fields);
+    reader.finish(result)
+}
+
+impl<'a> Reader<'a> {
+    /// Notes a fault at a byte offset of the document.
+    pub fn note(&mut self, path: &str, start: usize, message: String) {
+        self.faults.push(Fault {
+            path: path.to_owned(),
+            line: line_of(self.text, start),
+            message,
+        });
+    }
+
+    /// Notes every field that nobody read as unknown.
+    pub fn close(&mut self, fields: Fields<'_>) {
+        for field in fields.fields.iter().filter(|field| !field.is_read) {
+            let path = format!("{}.{}", fields.path, field.name);
+            self.note(&path, field.start, "unknown field".to_owned());
+        }
+    }
+
+    /// Reads a whole number, or the default if the field is absent.
+    pub fn number(&mut self, of: &mut Fields<'a>, name: &str, range: Range, default: u64) -> u64 {
+        match of.take(name) {
+            None => default,
+            Some((path, value)) => self.whole(&path, value, range).unwrap_or(default),
+        }
+    }
+
+    /// Reads a truth value, or the default if the field is absent.
+    pub fn truth(&mut self, of: &mut Fields<'a>, name: &str, default: bool) -> bool {
+        match of.take(name) {
+            None => default,
+            Some((_, Value::BooleanLit(lit))) => lit.value,
+            Some((path, value)) => {
+                self.note(&path, value.start(), "expected true or false".to_owned());
+                default
+            }
+        }
+    }
+
+    /// Reads a text that must parse; notes a fault if the field is absent.
+    pub fn text<T: FromStr>(&mut self, of: &mut Fields<'a>, name: &str, want: &str) -> Option<T> {
+        if of.has(name) {
+            return self.optional_text(of, name, want);
+        }
+        let path = format!("{}.{name}", of.path);
+        self.note(&path, of.start, format!("missing: expected {want}"));
+        None
+    }
+
+    /// Reads a text that must parse, if the field is there.
+    pub fn optional_text<T: FromStr>(
+        &mut self,
+        of: &mut Fields<'a>,
+        name: &str,
+        want: &str,
+    ) -> Option<T> {
+        let (path, value) = of.take(name)?;
+        self.parse_text(&path, value, want)
+    }
+
+    /// Reads a list of texts; an absent field is an empty list.
+    pub fn texts<T: FromStr>(&mut self, of: &mut Fields<'a>, name: &str, want: &str) -> Vec<T> {
+        let mut found = Vec::new();
+        for (path, value) in self.items(of, name) {
+            found.extend(self.parse_text(&path, value, want));
+        }
+        found
+    }
+
+    /// Reads a list of objects; an absent field is an empty list.
+    pub fn list(&mut self, of: &mut Fields<'a>, name: &str) -> Vec<Fields<'a>> {
+        let items = self.items(of, name);
+        let read = |(path, value): (String, &'a Value<'a>)| self.object(path, value);
+        items.into_iter().filter_map(read).collect()
+    }
+
+    /// Reads an object whose field names are chosen by the operator.
+    pub fn map(&mut self, of: &mut Fields<'a>, name: &str) -> Vec<(String, Fields<'a>)> {
+        let Some(mut entries) = self.section(of, name) else {
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        for field in &mut entries.fields {
+            field.is_read = true;
+            let path = format!("{}.{}", entries.path, field.name);
+            let inner = self.object(path, field.value);
+            found.extend(inner.map(|inner| (field.name.clone(), inner)));
+        }
+        found
+    }
+
+    /// Reads an object with fixed fields, if the field is there.
+    pub fn section(&mut self, of: &mut Fields<'a>, name: &str) -> Option<Fields<'a>> {
+        let (path, value) = of.take(name)?;
+        self.object(path, value)
+    }
+
+    fn finish<T>(mut self, result: T) -> Result<T, Faults> {
+        if self.faults.is_empty() {
+            return Ok(result);
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        Err(Faults(self.faults))
+    }
+
+    fn items(&mut self, of: &mut Fields<'a>, name: &str) -> Vec<(String, &'a Value<'a>)> {
+        match of.take(name) {
+            None => Vec::new(),
+            Some((path, Value::Array(array))) => {
+                let indexed = array.elements.iter().enumerate();
+                let with_path = |(index, value)| (format!("{path}[{index}]"), value);
+                indexed.map(with_path).collect()
+            }
+            Some((path, value)) => {
+                self.note(&path, value.start(), "expected a list".to_owned());
+                Vec::new()
+            }
+        }
+    }
+
+    fn object(&mut self, path: String, value: &'a Value<'a>) -> Option<Fields<'a>> {
+        if let Value::Object(object) = value {
+            return Some(self.fields(path, object));
+        }
+        self.note(&path, value.start(), "expected an object".to_owned());
+        None
+    }
+
+    fn fields(&mut self, path: String, object: &'a Object<'a>) -> Fields<'a> {
+        let mut fields: Vec<Field<'a>> = Vec::new();
+        for property in &object.properties {
+            let name = property.name.as_str().to_owned();
+            let start = property.start();
+            if fields.iter().any(|field| field.name == name) {
+                self.note(&format!("{path}.{name}"), start, "given twice".to_owned());
+                continue;
+            }
+            fields.push(Field {
+                name,
+                start,
+                value: &property.value,
+                is_read: false,
+            });
+        }
+        Fields {
+            path,
+            start: object.start(),
+            fields,
+        }
+    }
+
+    fn whole(&mut self, path: &str, value: &Value<'_>, range: Range) -> Option<u64> {
+        let parsed = match value {
+            Value::NumberLit(lit) => lit.value.parse().ok(),
+            _ => None,
+        };
+        match parsed.filter(|number| (range.min..=range.max).contains(number)) {
+            Some(number) => Some(number),
+            None => {
+                let Range { min, max } = range;
+                let message = format!("expected a whole number from {min} to {max}");
+                self.note(path, value.start(), message);
+                None
+            }
+        }
+    }
+
+    fn parse_text<T: FromStr>(&mut self, path: &str, value: &Value<'_>, want: &str) -> Option<T> {
+        let parsed = match value {
+            Value::StringLit(lit) => lit.value.parse().ok(),
+            _ => None,
+        };
+        if parsed.is_none() {
+            self.note(path, value.start(), format!("expected {want}"));
+        }
+        parsed
+    }
+}
+
+impl<'a> Fields<'a> {
+    /// Returns the path of the object, for faults about the whole of it.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
+    /// Returns where the object starts, for faults about the whole of it.
+    #[must_use]
+    pub fn start(&self) -> usize {
+        self.start
+    }
+
+    /// Returns the path and start of a field, or of the object without it.
+    #[must_use]
+    pub fn place(&self, name: &str) -> (String, usize) {
+        let field = self.fields.iter().find(|field| field.name == name);
+        let start = field.map_or(self.start, |field| field.value.start());
+        (format!("{}.{name}", self.path), start)
+    }
+
+    fn has(&self, name: &str) -> bool {
+        self.fields.iter().any(|field| field.name == name)
+    }
+
+    fn take(&mut self, name: &str) -> Option<(String, &'a Value<'a>)> {
+        let field = self.fields.iter_mut().find(|field| field.name == name)?;
+        field.is_read = true;
+        Some((format!("{}.{name}", self.path), field.value))
+    }
+}
+
+fn line_of(text: &str, start: usize) -> usize {
+    let head = &text.as_bytes()[..start.min(text.len())];
+    1 + head.iter().filter(|byte| **byte == b'\n').count()
+}
--- /dev/null
+++ b/crates/kernel/src/settings/team.rs
@@ -0,0 +1,398 @@
+//! One team's subtree: its pools, pipelines and workspaces.
+
+use std::fmt;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+
+use super::fault::Faults;
+use super::fleet::narrow16;
+use super::reader;
+use super::reader::Fields;
+use super::reader::Range;
+use super::reader::Reader;
+use crate::clock::Millis;
+use crate::derive::scalar;
+use crate::derive::value;
+use crate::id;
+
+/// The most stages that a pipeline may have.
+pub const STAGES_MAX: usize = 6;
+
+scalar! {
+    /// The kind of a target, which decides the connector that calls it.
+    pub enum Kind {
+        /// A model engine, which generates text.
+        Engine,
+        /// An encoder, which turns text into vectors.
+        Encoder,
+        /// A retriever, which finds passages.
+        Retriever,
+        /// A reranker, which orders passages.
+        Reranker,
+        /// A plain service.
+        Service,
+    }
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 5] = [
+        Self::Engine,
+        Self::Encoder,
+        Self::Retriever,
+        Self::Reranker,
+        Self::Service,
+    ];
+
+    /// Returns the kind as it stands in settings and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Engine => "engine",
+            Self::Encoder => "encoder",
+            Self::Retriever => "retriever",
+            Self::Reranker => "reranker",
+            Self::Service => "service",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(self.label())
+    }
+}
+
+impl FromStr for Kind {
+    type Err = id::Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|one| one.label() == text);
+        found.ok_or_else(|| id::Invalid { text: text.into() })
+    }
+}
+
+value! {
+    /// A pool of targets that are alike.
+    pub struct Pool {
+        /// The id, as `team.name`.
+        pub id: id::Pool,
+        /// The kind of its targets.
+        pub kind: Kind,
+        /// The model that its targets serve; empty for a plain service.
+        pub model: CompactString,
+        /// How many calls a target bears in cold start.
+        pub cold_limit: u16,
+        /// How many calls a warm target bears.
+        pub warm_limit: u16,
+        /// How many calls may wait for one target.
+        pub queue_limit: u16,
+        /// How long a call may last at the target.
+        pub longest_call: Millis,
+        /// How many answers in a row make a target warm.
+        pub warm_after: u16,
+        /// How many bytes at the start of a body count as its prompt prefix.
+        pub prefix_bytes: u32,
+    }
+
+    /// One step of a pipeline.
+    pub struct Stage {
+        /// The id within the pipeline.
+        pub id: id::Stage,
+        /// The pool that serves it.
+        pub pool: id::Pool,
+        /// Whether a second run does no harm.
+        pub is_idempotent: bool,
+        /// Its part of the deadline, against the weights of the other stages.
+        pub weight: u16,
+        /// How often it may be tried.
+        pub attempts: u16,
+    }
+
+    /// A chain of stages.
+    pub struct Pipeline {
+        /// The id within the team.
+        pub id: id::Pipeline,
+        /// The longest time that a request may take.
+        pub deadline: Millis,
+        /// The stages in their order; never empty.
+        pub stages: Vec<Stage>,
+    }
+
+    /// A customer.
+    pub struct Workspace {
+        /// The id, as `team.name`.
+        pub id: id::Workspace,
+        /// The SHA-256 of the credential.
+        pub credential: id::Digest,
+        /// Its share, against the weights of the other workspaces.
+        pub weight: u16,
+        /// The pipelines that it may call, sorted.
+        pub pipelines: Vec<id::Pipeline>,
+        /// Whether an answer that comes after the deadline is delivered, with
+        /// a flag, in place of being given up.
+        pub wants_late_answers: bool,
+        /// Whether its attempt numbers say truthfully that a key is new.
+        pub trusts_attempt_number: bool,
+    }
+
+    /// One team's subtree.
+    pub struct Document {
+        /// The team.
+        pub team: id::Team,
+        /// The pools, sorted by id.
+        pub pools: Vec<Pool>,
+        /// The pipelines, sorted by id.
+        pub pipelines: Vec<Pipeline>,
+        /// The workspaces, sorted by id.
+        pub workspaces: Vec<Workspace>,
+    }
+}
+
+impl Pipeline {
+    /// Tells whether a second run of the whole pipeline does no harm.
+    #[must_use]
+    pub fn is_idempotent(&self) -> bool {
+        self.stages.iter().all(|stage| stage.is_idempotent)
+    }
+}
+
+impl Document {
+    /// Reads and checks a team's document.
+    ///
+    /// # Errors
+    /// Returns every fault of the document.
+    pub fn parse(team: &id::Team, text: &str) -> Result<Self, Faults> {
+        reader::parse(text, |reader, top| {
+            let pools = read_pools(reader, top, team);
+            let pipelines = read_pipelines(reader, top, team, &pools);
+            let workspaces = read_workspaces(reader, top, team, &pipelines);
+            Self {
+                team: team.clone(),
+                pools,
+                pipelines,
+                workspaces,
+            }
+        })
+    }
+
+    /// Finds a pool.
+    #[must_use]
+    pub fn pool(&self, id: &id::Pool) -> Option<&Pool> {
+        let found = self.pools.binary_search_by(|one| one.id.cmp(id));
+        found.ok().map(|index| &self.pools[index])
+    }
+
+    /// Finds a pipeline.
+    #[must_use]
+    pub fn pipeline(&self, id: &id::Pipeline) -> Option<&Pipeline> {
+        let found = self.pipelines.binary_search_by(|one| one.id.cmp(id));
+        found.ok().map(|index| &self.pipelines[index])
+    }
+
+    /// Finds a workspace.
+    #[must_use]
+    pub fn workspace(&self, id: &id::Workspace) -> Option<&Workspace> {
+        let found = self.workspaces.binary_search_by(|one| one.id.cmp(id));
+        found.ok().map(|index| &self.workspaces[index])
+    }
+}
+
+fn read_pools<'a>(reader: &mut Reader<'a>, top: &mut Fields<'a>, team: &id::Team) -> Vec<Pool> {
+    let mut pools = Vec::new();
+    for (name, mut fields) in reader.map(top, "pools") {
+        pools.extend(read_pool(reader, &mut fields, team, &name));
+        reader.close(fields);
+    }
+    pools.sort_by(|one: &Pool, other| one.id.cmp(&other.id));
+    pools
+}
+
+fn read_pool<'a>(
+    reader: &mut Reader<'a>,
+    fields: &mut Fields<'a>,
+    team: &id::Team,
+    name: &str,
+) -> Option<Pool> {
+    let id = read_name(reader, fields, name).and_then(|()| qualify(team, name));
+    let kind = reader.text(
+        fields,
+        "kind",
+        "engine, encoder, retriever, reranker or service",
+    );
+    let model: Option<CompactString> = reader.optional_text(fields, "model", "a model's name");
+    let mut number = |name: &str, min: u64, max: u64, default: u64| {
+        reader.number(fields, name, Range { min, max }, default)
+    };
+    let cold_limit = number("cold_limit", 1, 1000, 1);
+    let warm_limit = number("warm_limit", 1, 10_000, 16);
+    let queue_limit = number("queue_limit", 0, 10_000, 32);
+    let longest_call = number("longest_call_ms", 1, 3_600_000, 10_000);
+    let warm_after = number("warm_after", 1, 1000, 5);
+    let prefix_bytes = number("prefix_bytes", 0, 1 << 20, 256);
+    if cold_limit > warm_limit {
+        let (path, start) = fields.place("cold_limit");
+        let message = format!("expected at most warm_limit, which is {warm_limit}");
+        reader.note(&path, start, message);
+    }
+    Some(Pool {
+        id: id?,
+        kind: kind?,
+        model: model.unwrap_or_default(),
+        cold_limit: narrow16(cold_limit),
+        warm_limit: narrow16(warm_limit),
+        queue_limit: narrow16(queue_limit),
+        longest_call: Millis(longest_call),
+        warm_after: narrow16(warm_after),
+        prefix_bytes: u32::try_from(prefix_bytes).unwrap_or(u32::MAX),
+    })
+}
+
+fn read_pipelines<'a>(
+    reader: &mut Reader<'a>,
+    top: &mut Fields<'a>,
+    team: &id::Team,
+    pools: &[Pool],
+) -> Vec<Pipeline> {
+    let mut pipelines = Vec::new();
+    for (name, mut fields) in reader.map(top, "pipelines") {
+        pipelines.extend(read_pipeline(reader, &mut fields, team, &name, pools));
+        reader.close(fields);
+    }
+    pipelines.sort_by(|one: &Pipeline, other| one.id.cmp(&other.id));
+    pipelines
+}
+
+fn read_pipeline<'a>(
+    reader: &mut Reader<'a>,
+    fields: &mut Fields<'a>,
+    team: &id::Team,
+    name: &str,
+    pools: &[Pool],
+) -> Option<Pipeline> {
+    let id = read_name(reader, fields, name).and_then(|()| id::Pipeline::new(name).ok());
+    let range = Range {
+        min: 1,
+        max: 600_000,
+    };
+    let deadline = Millis(reader.number(fields, "deadline_ms", range, 9000));
+    let (stages_path, stages_start) = fields.place("stages");
+    let mut stages: Vec<Stage> = Vec::new();
+    let listed = reader.list(fields, "stages");
+    let count = listed.len();
+    for mut stage in listed {
+        let (path, start) = stage.place("name");
+        let read = read_stage(reader, &mut stage, team, pools);
+        reader.close(stage);
+        let Some(read) = read else { continue };
+        if stages.iter().any(|one| one.id == read.id) {
+            reader.note(&path, start, "expected a name of its own".to_owned());
+        }
+        stages.push(read);
+    }
+    if count == 0 || count > STAGES_MAX {
+        let message = format!("expected 1 to {STAGES_MAX} stages, found {count}");
+        reader.note(&stages_path, stages_start, message);
+    }
+    if stages.iter().filter(|stage| !stage.is_idempotent).count() > 1 {
+        let message = "expected at most one stage that is not idempotent".to_owned();
+        reader.note(&stages_path, stages_start, message);
+    }
+    Some(Pipeline {
+        id: id?,
+        deadline,
+        stages,
+    })
+}
+
+fn read_stage<'a>(
+    reader: &mut Reader<'a>,
+    fields: &mut Fields<'a>,
+    team: &id::Team,
+    pools: &[Pool],
+) -> Option<Stage> {
+    let id = reader.text(fields, "name", "a name of a-z, 0-9 and '-'");
+    let (pool_path, pool_start) = fields.place("pool");
+    let pool: Option<String> = reader.text(fields, "pool", "the name of a pool");
+    let is_idempotent = reader.truth(fields, "idempotent", true);
+    let weight = reader.number(fields, "weight", Range { min: 1, max: 1000 }, 1);
+    let usual = if is_idempotent { 3 } else { 1 };
+    let attempts = reader.number(fields, "attempts", Range { min: 1, max: 10 }, usual);
+    let pool = pool?;
+    let qualified = qualify(team, &pool);
+    let known = qualified.filter(|id| pools.iter().any(|one| one.id == *id));
+    if known.is_none() {
+        let message = format!("expected a pool of this document, found `{pool}`");
+        reader.note(&pool_path, pool_start, message);
+    }
+    Some(Stage {
+        id: id?,
+        pool: known?,
+        is_idempotent,
+        weight: narrow16(weight),
+        attempts: narrow16(attempts),
+    })
+}
+
+fn read_workspaces<'a>(
+    reader: &mut Reader<'a>,
+    top: &mut Fields<'a>,
+    team: &id::Team,
+    pipelines: &[Pipeline],
+) -> Vec<Workspace> {
+    let mut workspaces = Vec::new();
+    for (name, mut fields) in reader.map(top, "workspaces") {
+        workspaces.extend(read_workspace(reader, &mut fields, team, &name, pipelines));
+        reader.close(fields);
+    }
+    workspaces.sort_by(|one: &Workspace, other| one.id.cmp(&other.id));
+    workspaces
+}
+
+fn read_workspace<'a>(
+    reader: &mut Reader<'a>,
+    fields: &mut Fields<'a>,
+    team: &id::Team,
+    name: &str,
+    pipelines: &[Pipeline],
+) -> Option<Workspace> {
+    let id = read_name(reader, fields, name).and_then(|()| qualify(team, name));
+    let credential = reader.text(fields, "credential_sha256", "64 hexadecimal digits");
+    let weight = reader.number(fields, "weight", Range { min: 1, max: 1000 }, 1);
+    let (path, start) = fields.place("pipelines");
+    let mut allowed: Vec<id::Pipeline> = reader.texts(fields, "pipelines", "a pipeline's name");
+    allowed.sort();
+    allowed.dedup();
+    for name in &allowed {
+        if !pipelines.iter().any(|one| one.id == *name) {
+            let message = format!("expected pipelines of this document, found `{name}`");
+            reader.note(&path, start, message);
+        }
+    }
+    let wants_late_answers = reader.truth(fields, "late_answers", false);
+    let trusts_attempt_number = reader.truth(fields, "trusts_attempt_number", false);
+    Some(Workspace {
+        id: id?,
+        credential: credential?,
+        weight: narrow16(weight),
+        pipelines: allowed,
+        wants_late_answers,
+        trusts_attempt_number,
+    })
+}
+
+/// Checks a name that the operator chose: ids are qualified by a dot, so a
+/// name may not hold one.
+fn read_name(reader: &mut Reader<'_>, fields: &Fields<'_>, name: &str) -> Option<()> {
+    let is_name = name.len() <= 40 && !name.contains('.') && id::Stage::new(name).is_ok();
+    if !is_name {
+        let message = "expected a name of 1 to 40 of a-z, 0-9 and '-'".to_owned();
+        reader.note(fields.path(), fields.start(), message);
+    }
+    is_name.then_some(())
+}
+
+fn qualify<T: FromStr>(team: &id::Team, name: &str) -> Option<T> {
+    format!("{team}.{name}").parse().ok()
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,26 @@
+//! The messages of gooseberryarch as they stand on the wire.
+//!
+//! Each protocol has types of its own here, apart from the kernel's, so that a
+//! change inside the kernel cannot change what another process reads. `From`
+//! leads from the kernel to the wire; `TryFrom` leads back and checks.
+//!
+//! - [`header`] names the HTTP headers that callers, daemons and targets use.
+//! - [`platform`] holds what the platform publishes, as JSON.
+//! - [`control`] holds what daemons tell each other, over tarpc.
+//!
+//! `docs/PROTOCOLS.md` writes the protocols down for others.
+//!
+//! # Example
+//!
+//! ```
+//! use gooseberry_wire::platform;
+//!
+//! let text = r#"{"revision": 3, "instances": [], "targets": []}"#;
+//! let list: platform::List = serde_json::from_str(text).unwrap();
+//! let list = gooseberry_kernel::roster::List::try_from(list).unwrap();
+//! assert_eq!(list.revision.0, 3);
+//! ```
+
+pub mod control;
+pub mod header;
+pub mod platform;
--- /dev/null
+++ b/crates/wire/src/platform.rs
@@ -0,0 +1,215 @@
+//! What the platform publishes, as JSON.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use gooseberry_kernel::id;
+use gooseberry_kernel::roster;
+use gooseberry_kernel::settings;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Whether a listed thing stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// It takes new work.
+    Live,
+    /// It takes nothing new.
+    Leaving,
+}
+
+/// A listed daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The id of this run of the daemon.
+    pub id: CompactString,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Where peers send control messages.
+    pub control: SocketAddr,
+    /// Where peers send stage calls.
+    pub data: SocketAddr,
+    /// Whether it stays.
+    pub state: State,
+}
+
+/// A listed target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Its id.
+    pub id: CompactString,
+    /// The pool it serves.
+    pub pool: CompactString,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Whether it stays.
+    pub state: State,
+}
+
+/// The published list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct List {
+    /// Its revision; each change adds one.
+    pub revision: u64,
+    /// The daemons.
+    pub instances: Vec<Instance>,
+    /// The targets.
+    pub targets: Vec<Target>,
+}
+
+/// One document of the settings.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Its path.
+    pub path: String,
+    /// The revision at which it was last changed.
+    pub revision: u64,
+    /// Its text: JSON with comments.
+    pub text: String,
+}
+
+/// The settings of the whole fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settings {
+    /// The revision of the whole; each change adds one.
+    pub revision: u64,
+    /// The documents.
+    pub documents: Vec<Document>,
+}
+
+/// A target's load as the platform reports it, with a lag.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The target.
+    pub target: CompactString,
+    /// The calls it has.
+    pub in_flight: u32,
+    /// Whether it is cold.
+    pub is_cold: bool,
+}
+
+impl From<roster::State> for State {
+    fn from(state: roster::State) -> Self {
+        match state {
+            roster::State::Live => Self::Live,
+            roster::State::Leaving => Self::Leaving,
+        }
+    }
+}
+
+impl From<State> for roster::State {
+    fn from(state: State) -> Self {
+        match state {
+            State::Live => Self::Live,
+            State::Leaving => Self::Leaving,
+        }
+    }
+}
+
+impl TryFrom<Instance> for roster::Member {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Instance) -> Result<Self, id::Invalid> {
+        Ok(Self {
+            id: wire.id.parse()?,
+            domain: wire.domain.parse()?,
+            control: wire.control,
+            data: wire.data,
+            state: wire.state.into(),
+        })
+    }
+}
+
+impl From<&roster::Member> for Instance {
+    fn from(member: &roster::Member) -> Self {
+        Self {
+            id: member.id.as_str().into(),
+            domain: member.domain.as_str().into(),
+            control: member.control,
+            data: member.data,
+            state: member.state.into(),
+        }
+    }
+}
+
+impl TryFrom<Target> for roster::Entry {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Target) -> Result<Self, id::Invalid> {
+        Ok(Self {
+            id: wire.id.parse()?,
+            pool: wire.pool.parse()?,
+            domain: wire.domain.parse()?,
+            address: wire.address,
+            state: wire.state.into(),
+        })
+    }
+}
+
+impl From<&roster::Entry> for Target {
+    fn from(entry: &roster::Entry) -> Self {
+        Self {
+            id: entry.id.as_str().into(),
+            pool: entry.pool.as_str().into(),
+            domain: entry.domain.as_str().into(),
+            address: entry.address,
+            state: entry.state.into(),
+        }
+    }
+}
+
+impl TryFrom<List> for roster::List {
+    type Error = id::Invalid;
+
+    fn try_from(wire: List) -> Result<Self, id::Invalid> {
+        let members = wire.instances.into_iter().map(TryInto::try_into);
+        let targets = wire.targets.into_iter().map(TryInto::try_into);
+        Ok(Self::new(
+            roster::Revision(wire.revision),
+            members.collect::<Result<_, _>>()?,
+            targets.collect::<Result<_, _>>()?,
+        ))
+    }
+}
+
+impl From<&roster::List> for List {
+    fn from(list: &roster::List) -> Self {
+        Self {
+            revision: list.revision.0,
+            instances: list.members.iter().map(Into::into).collect(),
+            targets: list.targets.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<Settings> for settings::Tree {
+    fn from(wire: Settings) -> Self {
+        let source = |document: Document| settings::Source {
+            path: document.path,
+            revision: roster::Revision(document.revision),
+            text: Arc::from(document.text),
+        };
+        Self {
+            revision: roster::Revision(wire.revision),
+            sources: wire.documents.into_iter().map(source).collect(),
+        }
+    }
+}
+
+impl From<&settings::Tree> for Settings {
+    fn from(tree: &settings::Tree) -> Self {
+        let document = |source: &settings::Source| Document {
+            path: source.path.clone(),
+            revision: source.revision.0,
+            text: source.text.to_string(),
+        };
+        Self {
+            revision: tree.revision.0,
+            documents: tree.sources.iter().map(document).collect(),
+        }
+    }
+}
