--- /dev/null
+++ b/crates/connectors/src/http_client.rs
@@ -0,0 +1,30 @@
+//! The HTTP client that every connection to the outside uses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+
+/// A pooled client for plain HTTP.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Makes a client with a pool of its own.
+#[must_use]
+pub fn new() -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .build(connector)
+}
--- /dev/null
+++ b/crates/connectors/src/platform.rs
@@ -0,0 +1,106 @@
+//! Reads what the platform publishes, and counts each call.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::bail;
+use bytes::Bytes;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::roster::List;
+use gooseberry_kernel::roster::Revision;
+use gooseberry_kernel::settings::Tree;
+use gooseberry_wire::platform;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use crate::http_client;
+use crate::http_client::HttpClient;
+
+/// The largest answer of the platform that is read, in bytes.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+/// How much longer than the wait that was asked for an answer may take.
+const GRACE: Duration = Duration::from_secs(2);
+
+/// Reads the platform over pooled connections.
+#[derive(Debug)]
+pub struct Client {
+    http: HttpClient,
+    address: SocketAddr,
+    calls: AtomicU64,
+}
+
+impl Client {
+    /// Makes a client for the platform at the address.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            http: http_client::new(),
+            address,
+            calls: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns how many calls were made; a waiting watch counts as one.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Waits for a list that is newer than `after`; `None` if there was none.
+    ///
+    /// # Errors
+    /// Returns an error if the platform cannot be reached or answers with
+    /// something that is not a list.
+    pub async fn list(&self, after: Revision, wait: Millis) -> anyhow::Result<Option<List>> {
+        let Some(body) = self.watch("/v1/list", after, wait).await? else {
+            return Ok(None);
+        };
+        let wire: platform::List = serde_json::from_slice(&body).context("not a list")?;
+        let list = List::try_from(wire).context("the list holds a bad id")?;
+        Ok(Some(list))
+    }
+
+    /// Waits for settings that are newer than `after`; `None` if there were none.
+    ///
+    /// # Errors
+    /// Returns an error if the platform cannot be reached or answers with
+    /// something that is not settings.
+    pub async fn settings(&self, after: Revision, wait: Millis) -> anyhow::Result<Option<Tree>> {
+        let Some(body) = self.watch("/v1/settings", after, wait).await? else {
+            return Ok(None);
+        };
+        let wire: platform::Settings = serde_json::from_slice(&body).context("not settings")?;
+        Ok(Some(wire.into()))
+    }
+
+    async fn watch(
+        &self,
+        path: &str,
+        after: Revision,
+        wait: Millis,
+    ) -> anyhow::Result<Option<Bytes>> {
+        let address = self.address;
+        let uri = format!("http://{address}{path}?after={}&wait_ms={wait}", after.0);
+        let request = http::Request::get(uri).body(Full::default())?;
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let limit = Duration::from_millis(wait.0) + GRACE;
+        let exchange = async {
+            let response = self.http.request(request).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+            let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
+            anyhow::Ok((status, body.to_bytes()))
+        };
+        let (status, body) = tokio::time::timeout(limit, exchange).await??;
+        match status {
+            StatusCode::OK => Ok(Some(body)),
+            StatusCode::NOT_MODIFIED => Ok(None),
+            other => bail!("the platform answered {other} at {path}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/connectors/src/target.rs
@@ -0,0 +1,176 @@
+//! Calls to targets, and what all kinds of them have in common.
+//!
+//! A reply counts only if it is whole and echoes the attempt that was sent.
+//! A connection that fails before it is made means that the call did not run;
+//! one that fails later means that it may have run.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::id;
+use gooseberry_kernel::settings;
+use gooseberry_kernel::warmth::Report;
+use gooseberry_kernel::warmth::Sign;
+use gooseberry_wire::header;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use crate::connector;
+use crate::http_client;
+use crate::http_client::HttpClient;
+
+/// One call to a target.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The kind of the target.
+    pub kind: settings::Kind,
+    /// Where the target takes calls.
+    pub address: SocketAddr,
+    /// The attempt that this is.
+    pub attempt: id::Attempt,
+    /// The workspace that it serves.
+    pub workspace: id::Workspace,
+    /// The time that remains, in milliseconds.
+    pub timeout_ms: u64,
+    /// The priority, from 0 (first) to 9.
+    pub priority: u8,
+    /// The largest answer that is taken, in bytes.
+    pub max_answer_bytes: usize,
+    /// The input of the stage.
+    pub body: Bytes,
+}
+
+/// What came of a call.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The answer, whole, or why there is none.
+    pub result: Result<Bytes, Failure>,
+    /// What the call showed about the target.
+    pub sign: Sign,
+    /// Whether the reply belonged to another attempt and was thrown away.
+    pub is_foreign: bool,
+}
+
+/// Calls targets over pooled connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: HttpClient,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self {
+            http: http_client::new(),
+        }
+    }
+}
+
+impl Client {
+    /// Calls a target and waits for its whole answer, without a time limit.
+    pub async fn call(&self, call: &Call) -> Reply {
+        let Some(request) = request(call) else {
+            return Reply::failed(Kind::Internal.into(), Sign::Refused(None));
+        };
+        match self.http.request(request).await {
+            Ok(response) => read(call, response).await,
+            Err(error) if error.is_connect() => {
+                let mut failure = Failure::from(Kind::TargetFailed);
+                failure.outcome = Outcome::NotRun;
+                Reply::failed(failure, Sign::Unreachable)
+            }
+            Err(_) => Reply::failed(Kind::TargetFailed.into(), Sign::Broken),
+        }
+    }
+}
+
+impl Reply {
+    fn failed(failure: Failure, sign: Sign) -> Self {
+        Self {
+            result: Err(failure),
+            sign,
+            is_foreign: false,
+        }
+    }
+}
+
+fn request(call: &Call) -> Option<Request<Full<Bytes>>> {
+    let connector = connector::find(call.kind)?;
+    let uri = format!("http://{}{}", call.address, connector.path());
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri(uri)
+        .header(header::ATTEMPT, call.attempt.to_string())
+        .header(header::TIMEOUT_MS, call.timeout_ms)
+        .header(header::WORKSPACE, call.workspace.as_str())
+        .body(Full::new(call.body.clone()))
+        .ok()?;
+    connector.prepare(call, request.headers_mut());
+    Some(request)
+}
+
+async fn read(call: &Call, response: http::Response<Incoming>) -> Reply {
+    let (head, body) = response.into_parts();
+    let report = report(&head.headers);
+    let echoed: Option<id::Attempt> = header::read(&head.headers, header::ATTEMPT);
+    if echoed != Some(call.attempt) {
+        let mut reply = Reply::failed(Kind::TargetFailed.into(), Sign::Broken);
+        reply.is_foreign = true;
+        return reply;
+    }
+    if head.status != StatusCode::OK {
+        return refused(&head.headers, report);
+    }
+    if !has_end(&head.headers) {
+        // A body that ends with its connection cannot be told from a cut one.
+        return Reply::failed(Kind::TargetFailed.into(), Sign::Answered(report));
+    }
+    match Limited::new(body, call.max_answer_bytes).collect().await {
+        Ok(whole) => Reply {
+            result: Ok(whole.to_bytes()),
+            sign: Sign::Answered(report),
+            is_foreign: false,
+        },
+        Err(error) if error.is::<LengthLimitError>() => {
+            Reply::failed(Kind::AnswerTooLarge.into(), Sign::Answered(report))
+        }
+        Err(_) => Reply::failed(Kind::TargetFailed.into(), Sign::Broken),
+    }
+}
+
+fn refused(headers: &HeaderMap, report: Option<Report>) -> Reply {
+    let mut failure = Failure::from(Kind::TargetFailed);
+    let outcome = header::read(headers, header::OUTCOME);
+    failure.outcome = outcome.unwrap_or(Outcome::Unknown);
+    let sign = match failure.outcome {
+        Outcome::NotRun => Sign::Refused(report),
+        Outcome::Run | Outcome::Unknown => Sign::Failed(report),
+    };
+    Reply::failed(failure, sign)
+}
+
+fn has_end(headers: &HeaderMap) -> bool {
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    headers.contains_key(CONTENT_LENGTH) || headers.get(TRANSFER_ENCODING).is_some_and(is_chunked)
+}
+
+fn report(headers: &HeaderMap) -> Option<Report> {
+    match header::text(headers, header::STATE)? {
+        "cold" => Some(Report::Cold),
+        "warm" => Some(Report::Warm),
+        "leaving" => Some(Report::Leaving),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/actor.rs
@@ -0,0 +1,366 @@
+//! The actor that owns the node.
+//!
+//! Everything that changes the node is a message to this actor, so decisions
+//! are made one after the other and never under a lock. The actor does no
+//! input or output; a message is answered in microseconds.
+
+use std::sync::Arc;
+
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::drain::Phase;
+use gooseberry_kernel::id;
+use gooseberry_kernel::node::Action;
+use gooseberry_kernel::node::Admission;
+use gooseberry_kernel::node::Arrival;
+use gooseberry_kernel::node::Choice;
+use gooseberry_kernel::node::Grant;
+use gooseberry_kernel::node::Need;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::node::Step;
+use gooseberry_kernel::once::End;
+use gooseberry_kernel::once::Key;
+use gooseberry_kernel::once::Verdict;
+use gooseberry_kernel::peer::Hello;
+use gooseberry_kernel::retry::Bounds;
+use gooseberry_kernel::roster::List;
+use gooseberry_kernel::roster::Member;
+use gooseberry_kernel::route::Ask;
+use gooseberry_kernel::settings::Tree;
+use gooseberry_kernel::slot::Call;
+use gooseberry_kernel::slot::Start;
+use gooseberry_kernel::slot::Wake;
+use gooseberry_kernel::warmth::Sign;
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use ractor::RpcReplyPort;
+use ractor::rpc::CallResult;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+
+/// Answers a question about the node without changing it.
+pub type Look = Box<dyn FnOnce(&Node, Millis) + Send>;
+
+/// What a call that asked for a place gets.
+#[derive(Debug)]
+pub enum Ticket {
+    /// It may be sent.
+    Go,
+    /// It waits; the channel says whether it was granted.
+    Wait(oneshot::Receiver<bool>),
+}
+
+/// What the actor is told.
+pub enum Message {
+    /// Time has passed; the reply names the peers to greet and with what.
+    Tick(RpcReplyPort<(Vec<Member>, Hello)>),
+    /// The platform answered about the list; `None` if nothing is newer.
+    ReadList(Option<List>),
+    /// The platform answered about the settings; `None` if nothing is newer.
+    ReadSettings(Option<Tree>),
+    /// A peer sent its list.
+    AdoptList(List),
+    /// A peer sent its settings.
+    AdoptSettings(Tree),
+    /// A peer greets.
+    Greeted(Hello, RpcReplyPort<(Hello, Need)>),
+    /// A peer answered a greeting that was sent at the moment.
+    Answered(Hello, Millis, RpcReplyPort<Need>),
+    /// A caller's request arrives.
+    Admit(Arrival, RpcReplyPort<Result<Admission, Failure>>),
+    /// A caller's request has ended.
+    Leave(id::Workspace),
+    /// A stage needs a target; the flag says whether it is its first attempt.
+    Choose(Ask, bool, RpcReplyPort<Result<Choice, Failure>>),
+    /// A reply carried a target's load.
+    NoteLoad(id::Target, u32),
+    /// An attempt failed; the moment is the latest for a retry.
+    AfterFailure(Failure, Bounds, Millis, RpcReplyPort<Step>),
+    /// A call wants a place at a target that this daemon owns.
+    Start(Call, RpcReplyPort<Result<Ticket, Failure>>),
+    /// A call with a place is about to be sent.
+    Grant(
+        id::Target,
+        id::Attempt,
+        RpcReplyPort<Result<Grant, Failure>>,
+    ),
+    /// A call was not sent after all.
+    Cancel(id::Target, id::Attempt),
+    /// A target has let go of a call; the reply is its load in percent.
+    Finish(id::Target, id::Attempt, Sign, id::Digest, RpcReplyPort<u32>),
+    /// A request with a key begins at the key's owner.
+    Begin(
+        Key,
+        id::Digest,
+        bool,
+        RpcReplyPort<Result<Verdict, Failure>>,
+    ),
+    /// A request with a key has ended.
+    End(Key, End),
+    /// A shutdown is asked for, with its limit.
+    ShutDown(Millis),
+    /// Every right is given up; the reply names the peers to tell, and how.
+    Goodbye(RpcReplyPort<(Vec<Member>, Hello)>),
+    /// Somebody asks about the node.
+    Look(Look),
+}
+
+/// The actor.
+#[derive(Debug)]
+pub struct NodeActor;
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub struct Arguments {
+    /// The node.
+    pub node: Node,
+    /// The clock.
+    pub clock: Clock,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+}
+
+/// The node and the calls that wait for a place.
+#[derive(Debug)]
+pub struct State {
+    node: Node,
+    clock: Clock,
+    metrics: Arc<Metrics>,
+    /// The calls that wait, sorted by attempt.
+    waiting: Vec<Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    attempt: id::Attempt,
+    sender: oneshot::Sender<bool>,
+}
+
+impl Actor for NodeActor {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Message>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        Ok(State {
+            node: arguments.node,
+            clock: arguments.clock,
+            metrics: arguments.metrics,
+            waiting: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = state.clock.now();
+        state.handle(message, now);
+        state.report_violations();
+        Ok(())
+    }
+}
+
+impl State {
+    fn handle(&mut self, message: Message, now: Millis) {
+        let node = &mut self.node;
+        match message {
+            Message::Tick(reply) => self.tick(reply, now),
+            Message::ReadList(Some(list)) => node.read_list(&list, now),
+            Message::ReadSettings(Some(tree)) => node.read_settings(&tree, now),
+            Message::ReadList(None) | Message::ReadSettings(None) => node.confirm(now),
+            Message::AdoptList(list) => node.adopt_list(&list, now),
+            Message::AdoptSettings(tree) => node.adopt_settings(&tree),
+            Message::Greeted(hello, reply) => {
+                let need = node.greeted(&hello, now);
+                send(reply, (node.hello(now), need));
+            }
+            Message::Answered(hello, sent_at, reply) => {
+                send(reply, node.answered(&hello, sent_at, now));
+            }
+            Message::Admit(arrival, reply) => send(reply, node.admit(&arrival, now)),
+            Message::Leave(workspace) => node.leave(&workspace),
+            Message::Choose(ask, is_first, reply) => {
+                if is_first {
+                    node.note_first_attempt();
+                }
+                send(reply, node.choose(&ask, now));
+            }
+            Message::NoteLoad(target, percent) => node.note_load(&target, percent, now),
+            Message::AfterFailure(failure, bounds, deadline, reply) => {
+                send(reply, node.after_failure(&failure, bounds, deadline, now));
+            }
+            Message::Start(call, reply) => self.start(&call, reply, now),
+            Message::Grant(target, attempt, reply) => {
+                send(reply, node.grant(&target, attempt, now));
+            }
+            Message::Cancel(target, attempt) => self.cancel(&target, attempt),
+            Message::Finish(target, attempt, sign, digest, reply) => {
+                let wakes = node.finish(&target, attempt, sign, digest, now);
+                send(reply, node.load_percent(&target));
+                self.wake(wakes);
+            }
+            Message::Begin(key, digest, is_first, reply) => {
+                send(reply, node.begin(&key, digest, is_first, now));
+            }
+            Message::End(key, end) => node.end(&key, end, now),
+            Message::ShutDown(limit) => node.shut_down(limit, now),
+            Message::Goodbye(reply) => {
+                let peers = node.say_goodbye();
+                send(reply, (peers, node.hello(now)));
+            }
+            Message::Look(look) => look(node, now),
+        }
+    }
+
+    fn tick(&mut self, reply: RpcReplyPort<(Vec<Member>, Hello)>, now: Millis) {
+        let mut peers = Vec::new();
+        let mut wakes = Vec::new();
+        for action in self.node.tick(now) {
+            match action {
+                Action::Greet(member) => peers.push(member),
+                Action::Wake(wake) => wakes.push(wake),
+            }
+        }
+        self.wake(wakes);
+        send(reply, (peers, self.node.hello(now)));
+    }
+
+    fn start(&mut self, call: &Call, reply: RpcReplyPort<Result<Ticket, Failure>>, now: Millis) {
+        let ticket = self.node.start(call, now).map(|start| match start {
+            Start::Queued => Ticket::Wait(self.queue(call.attempt)),
+            Start::Go | Start::Refused(_) => Ticket::Go,
+        });
+        send(reply, ticket);
+    }
+
+    fn queue(&mut self, attempt: id::Attempt) -> oneshot::Receiver<bool> {
+        let (sender, receiver) = oneshot::channel();
+        let found = self
+            .waiting
+            .binary_search_by(|one| one.attempt.cmp(&attempt));
+        let index = found.unwrap_or_else(|index| index);
+        self.waiting.insert(index, Waiting { attempt, sender });
+        receiver
+    }
+
+    fn wake(&mut self, wakes: Vec<Wake>) {
+        for wake in wakes {
+            let found = self
+                .waiting
+                .binary_search_by(|one| one.attempt.cmp(&wake.attempt));
+            let sender = found.ok().map(|index| self.waiting.remove(index).sender);
+            let is_told = sender.is_some_and(|sender| sender.send(wake.is_granted).is_ok());
+            if !is_told && wake.is_granted {
+                self.node.cancel(&wake.target, wake.attempt);
+            }
+        }
+    }
+
+    fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
+        self.node.cancel(target, attempt);
+        let found = self
+            .waiting
+            .binary_search_by(|one| one.attempt.cmp(&attempt));
+        if let Ok(index) = found {
+            self.waiting.remove(index);
+        }
+    }
+
+    fn report_violations(&mut self) {
+        for name in self.node.take_violations() {
+            log::error!("invariant violated: {name}: {:?}", self.node);
+            self.metrics.violation(name);
+        }
+    }
+}
+
+/// Sends a reply; an asker that has gone needs none.
+fn send<T: Send + 'static>(port: RpcReplyPort<T>, value: T) {
+    port.send(value).ok();
+}
+
+/// The way to the actor.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    actor: ActorRef<Message>,
+}
+
+impl Handle {
+    /// Starts the actor.
+    ///
+    /// # Errors
+    /// Returns an error if the actor cannot be started.
+    pub async fn spawn(arguments: Arguments) -> anyhow::Result<Self> {
+        let (actor, _) = Actor::spawn(None, NodeActor, arguments).await?;
+        Ok(Self { actor })
+    }
+
+    /// Tells the actor something.
+    pub fn tell(&self, message: Message) {
+        // The actor only ends with the process.
+        self.actor.cast(message).ok();
+    }
+
+    /// Asks the actor something.
+    ///
+    /// # Errors
+    /// Returns [`Kind::Internal`] if the actor has ended.
+    pub async fn ask<T: Send + 'static>(
+        &self,
+        message: impl FnOnce(RpcReplyPort<T>) -> Message,
+    ) -> Result<T, Failure> {
+        match self.actor.call(message, None).await {
+            Ok(CallResult::Success(value)) => Ok(value),
+            _ => Err(Kind::Internal.into()),
+        }
+    }
+
+    /// Asks a question that may be refused.
+    ///
+    /// # Errors
+    /// Returns the refusal, or [`Kind::Internal`] if the actor has ended.
+    pub async fn try_ask<T: Send + 'static>(
+        &self,
+        message: impl FnOnce(RpcReplyPort<Result<T, Failure>>) -> Message,
+    ) -> Result<T, Failure> {
+        self.ask(message).await?
+    }
+
+    /// Looks at the node.
+    ///
+    /// # Errors
+    /// Returns [`Kind::Internal`] if the actor has ended.
+    pub async fn look<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&Node, Millis) -> T + Send + 'static,
+    ) -> Result<T, Failure> {
+        let (sender, receiver) = oneshot::channel();
+        let look: Look = Box::new(move |node, now| {
+            sender.send(read(node, now)).ok();
+        });
+        self.tell(Message::Look(look));
+        receiver.await.map_err(|_| Kind::Internal.into())
+    }
+
+    /// Returns how far a shutdown has come.
+    pub async fn phase(&self) -> Phase {
+        let phase = self.look(Node::shutdown_phase).await;
+        phase.unwrap_or(Phase::Cut)
+    }
+
+    /// Ends the actor.
+    pub fn stop(&self) {
+        self.actor.stop(None);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/answer.rs
@@ -0,0 +1,145 @@
+//! The answer to a caller, and how it stands in HTTP.
+
+use bytes::Bytes;
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::cost::Cost;
+use gooseberry_kernel::id;
+use gooseberry_kernel::once;
+use gooseberry_wire::header;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+
+/// A whole answer, in memory.
+pub type HttpAnswer = Response<Full<Bytes>>;
+
+/// What a pipeline's run came to.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The request.
+    pub request: id::Request,
+    /// The body, or why there is none.
+    pub result: Result<Bytes, Failure>,
+    /// Whether it came after the deadline.
+    pub is_late: bool,
+    /// What each stage has cost.
+    pub costs: Vec<Cost>,
+}
+
+impl Answer {
+    /// Makes the answer of a request that failed before any stage.
+    #[must_use]
+    pub fn refusal(request: id::Request, failure: Failure) -> Self {
+        Self {
+            request,
+            result: Err(failure),
+            is_late: false,
+            costs: Vec::new(),
+        }
+    }
+
+    /// Returns what became of the work.
+    #[must_use]
+    pub fn outcome(&self) -> Outcome {
+        match &self.result {
+            Ok(_) => Outcome::Run,
+            Err(failure) => failure.outcome,
+        }
+    }
+
+    /// Returns the HTTP answer.
+    #[must_use]
+    pub fn to_http(&self) -> HttpAnswer {
+        let attempts: u32 = self.costs.iter().map(|one| u32::from(one.attempts)).sum();
+        let mut answer = match &self.result {
+            Ok(body) => whole(200, body.clone()),
+            Err(failure) => error(failure),
+        };
+        set(&mut answer, header::REQUEST, &self.request.to_string());
+        set(&mut answer, header::OUTCOME, self.outcome().label());
+        set(&mut answer, header::LATE, &self.is_late.to_string());
+        set(&mut answer, header::ATTEMPTS, &attempts.to_string());
+        set(&mut answer, header::COST, &costs(&self.costs));
+        answer
+    }
+
+    /// Returns the answer as it is recorded under a key.
+    #[must_use]
+    pub fn to_record(&self) -> once::Record {
+        let http = self.to_http();
+        let text = |value: &HeaderValue| value.to_str().unwrap_or_default().to_owned();
+        let headers = http.headers().iter();
+        let body = self.result.as_ref().map(|body| body.to_vec());
+        once::Record {
+            status: http.status().as_u16(),
+            headers: headers
+                .map(|(name, value)| (name.to_string(), text(value)))
+                .collect(),
+            body: body.unwrap_or_default().into(),
+        }
+    }
+}
+
+/// Makes an answer with a body.
+#[must_use]
+pub fn whole(status: u16, body: impl Into<Bytes>) -> HttpAnswer {
+    let mut answer = Response::new(Full::new(body.into()));
+    if let Ok(status) = http::StatusCode::from_u16(status) {
+        *answer.status_mut() = status;
+    }
+    answer
+}
+
+/// Makes the answer to a failure, with a JSON body for programs and people.
+#[must_use]
+pub fn error(failure: &Failure) -> HttpAnswer {
+    let row = failure.kind.row();
+    let body = serde_json::json!({
+        "error": row.label,
+        "message": row.text,
+        "outcome": failure.outcome.label(),
+    });
+    let mut answer = whole(row.status, body.to_string());
+    set(&mut answer, CONTENT_TYPE.as_str(), "application/json");
+    set(&mut answer, header::ERROR, row.label);
+    set(&mut answer, header::OUTCOME, failure.outcome.label());
+    if let Some(span) = failure.retry_after {
+        let secs = span.as_secs_ceil().to_string();
+        set(&mut answer, header::RETRY_AFTER, &secs);
+    }
+    answer
+}
+
+/// Makes the answer that was recorded under a key.
+#[must_use]
+pub fn replay(record: &once::Record) -> HttpAnswer {
+    let mut answer = whole(record.status, record.body.to_vec());
+    for (name, value) in &record.headers {
+        set(&mut answer, name, value);
+    }
+    set(&mut answer, header::REPLAYED, "true");
+    answer
+}
+
+/// Sets a header; a value that no header may hold is left out.
+pub fn set(answer: &mut HttpAnswer, name: &str, value: &str) {
+    let name = HeaderName::try_from(name);
+    let value = HeaderValue::try_from(value);
+    if let (Ok(name), Ok(value)) = (name, value) {
+        answer.headers_mut().insert(name, value);
+    }
+}
+
+/// Writes costs as `stage;attempts=1;target-ms=12;wasted-ms=0`, comma separated.
+fn costs(costs: &[Cost]) -> String {
+    let one = |cost: &Cost| {
+        format!(
+            "{};attempts={};target-ms={};wasted-ms={}",
+            cost.stage, cost.attempts, cost.target_time, cost.wasted_time
+        )
+    };
+    costs.iter().map(one).collect::<Vec<_>>().join(", ")
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,34 @@
+//! What all parts of one daemon share.
+
+use std::sync::Arc;
+
+use gooseberry_connectors::platform;
+use gooseberry_connectors::target;
+use gooseberry_kernel::settings::Local;
+
+use crate::actor::Handle;
+use crate::clock::Clock;
+use crate::keyed::Joins;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+
+/// What all parts of one daemon share.
+#[derive(Debug)]
+pub struct Context {
+    /// Who the daemon is and where it listens.
+    pub local: Local,
+    /// The clock.
+    pub clock: Clock,
+    /// The node's actor.
+    pub node: Handle,
+    /// The connections to peers.
+    pub peers: Peers,
+    /// The connections to targets.
+    pub targets: target::Client,
+    /// The connection to the platform.
+    pub platform: platform::Client,
+    /// The requests that wait for another one with the same key.
+    pub joins: Joins,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,177 @@
+//! Greetings between daemons, and what follows from them.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::Stream;
+use futures::StreamExt;
+use gooseberry_kernel::node::Need;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::peer;
+use gooseberry_kernel::roster;
+use gooseberry_kernel::roster::Member;
+use gooseberry_wire::control::Control;
+use gooseberry_wire::control::ControlRequest;
+use gooseberry_wire::control::ControlResponse;
+use gooseberry_wire::control::Hello;
+use gooseberry_wire::platform;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use tarpc::Transport;
+use tarpc::context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::sync::watch;
+
+use crate::actor::Message;
+use crate::context::Context;
+use crate::peers;
+
+/// How often the node is told that time has passed.
+const TICK: Duration = Duration::from_millis(20);
+
+#[derive(Clone)]
+struct Server {
+    context: Arc<Context>,
+}
+
+impl Control for Server {
+    async fn hello(self, _: context::Context, hello: Hello) -> Hello {
+        let node = &self.context.node;
+        let Ok(hello) = peer::Hello::try_from(hello) else {
+            return own_hello(&self.context).await;
+        };
+        let from = hello.from.clone();
+        let answered = node.ask(|reply| Message::Greeted(hello, reply)).await;
+        let Ok((answer, need)) = answered else {
+            return own_hello(&self.context).await;
+        };
+        if need != Need::Nothing {
+            let context = self.context.clone();
+            tokio::spawn(async move { fetch_from(&context, &from, need).await });
+        }
+        Hello::from(&answer)
+    }
+
+    async fn list(self, _: context::Context) -> platform::List {
+        let read = |node: &Node, _| node.tenure().list().map(Into::into);
+        let list = self.context.node.look(read).await;
+        list.ok().flatten().unwrap_or_default()
+    }
+
+    async fn settings(self, _: context::Context) -> platform::Settings {
+        let read = |node: &Node, _| platform::Settings::from(&node.book().tree());
+        self.context.node.look(read).await.unwrap_or_default()
+    }
+}
+
+async fn own_hello(context: &Context) -> Hello {
+    let hello = context.node.look(Node::hello).await;
+    // The node's actor only ends with the process.
+    hello.map_or_else(|_| Hello::default(), |hello| Hello::from(&hello))
+}
+
+/// Serves the peers until `stop` turns true.
+pub async fn serve<L, T>(context: Arc<Context>, mut listener: L, mut stop: watch::Receiver<bool>)
+where
+    L: Stream<Item = io::Result<T>> + Unpin,
+    T: Transport<Response<ControlResponse>, ClientMessage<ControlRequest>> + Send + 'static,
+{
+    loop {
+        let transport = tokio::select! {
+            transport = listener.next() => transport,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        let Some(Ok(transport)) = transport else {
+            continue;
+        };
+        let server = Server {
+            context: context.clone(),
+        };
+        let channel = BaseChannel::with_defaults(transport);
+        let requests = channel.execute(server.serve());
+        tokio::spawn(requests.for_each_concurrent(None, |request| request));
+    }
+}
+
+/// Greets the peers as often as the node asks for it, until `stop` turns true.
+pub async fn greet(context: Arc<Context>, mut stop: watch::Receiver<bool>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        let Ok((members, hello)) = context.node.ask(Message::Tick).await else {
+            return;
+        };
+        for member in members {
+            let context = context.clone();
+            let hello = Hello::from(&hello);
+            tokio::spawn(async move { greet_one(&context, &member, hello).await });
+        }
+    }
+}
+
+/// Says goodbye to every peer, and waits until they have heard it.
+pub async fn say_goodbye(context: &Arc<Context>) {
+    let Ok((members, hello)) = context.node.ask(Message::Goodbye).await else {
+        return;
+    };
+    let greetings = members.iter().map(|member| {
+        let hello = Hello::from(&hello);
+        greet_one(context, member, hello)
+    });
+    futures::future::join_all(greetings).await;
+}
+
+async fn greet_one(context: &Context, member: &Member, hello: Hello) {
+    let sent_at = context.clock.now();
+    let answer = async {
+        let client = context.peers.control(member.control).await?;
+        let answer = client.hello(peers::control_context(), hello).await?;
+        anyhow::Ok(peer::Hello::try_from(answer)?)
+    };
+    let answer = match answer.await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::debug!("{} did not answer: {error:#}", member.id);
+            context.peers.forget(member.control);
+            return;
+        }
+    };
+    let message = |reply| Message::Answered(answer, sent_at, reply);
+    if let Ok(need) = context.node.ask(message).await {
+        fetch(context, member, need).await;
+    }
+}
+
+async fn fetch_from(context: &Context, from: &gooseberry_kernel::id::Instance, need: Need) {
+    let from = from.clone();
+    let read = move |node: &Node, _| node.tenure().list()?.member(&from).cloned();
+    if let Ok(Some(member)) = context.node.look(read).await {
+        fetch(context, &member, need).await;
+    }
+}
+
+/// Fetches from a peer what this daemon lacks.
+async fn fetch(context: &Context, member: &Member, need: Need) {
+    let Ok(client) = context.peers.control(member.control).await else {
+        return;
+    };
+    if matches!(need, Need::List | Need::Both) {
+        let list = client.list(peers::control_context()).await;
+        let list = list.ok().and_then(|list| roster::List::try_from(list).ok());
+        if let Some(list) = list {
+            context.node.tell(Message::AdoptList(list));
+        }
+    }
+    if matches!(need, Need::Settings | Need::Both) {
+        let settings = client.settings(peers::control_context()).await;
+        if let Ok(settings) = settings {
+            context.node.tell(Message::AdoptSettings(settings.into()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/keyed.rs
@@ -0,0 +1,250 @@
+//! Requests with an idempotency key, at the daemon that owns the key.
+//!
+//! The owner runs the whole pipeline, so the record of its answer is where the
+//! key is decided. A run goes on when its caller hangs up, since the caller
+//! may ask again with the same key.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
+use gooseberry_kernel::node::Admission;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::once::End;
+use gooseberry_kernel::once::Key;
+use gooseberry_kernel::once::Verdict;
+use gooseberry_wire::header;
+use http::HeaderMap;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::actor::Message;
+use crate::answer;
+use crate::answer::Answer;
+use crate::answer::HttpAnswer;
+use crate::context::Context;
+use crate::owner;
+use crate::pipeline;
+use crate::pipeline::Job;
+
+/// The path at which the owner of a key takes a request.
+pub const PATH: &str = "/v1/keyed";
+
+type Waiter = watch::Receiver<Option<HttpAnswer>>;
+
+/// The requests that are being run, so that others with their key can wait.
+#[derive(Debug, Default)]
+pub struct Joins {
+    running: Mutex<Vec<(Key, Waiter)>>,
+}
+
+impl Joins {
+    fn find(&self, key: &Key) -> Option<Waiter> {
+        let running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = running.binary_search_by(|one| one.0.cmp(key));
+        found.ok().map(|index| running[index].1.clone())
+    }
+
+    fn insert(&self, key: Key, waiter: Waiter) {
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        match running.binary_search_by(|one| one.0.cmp(&key)) {
+            Ok(index) => running[index].1 = waiter,
+            Err(index) => running.insert(index, (key, waiter)),
+        }
+    }
+
+    fn remove(&self, key: &Key) {
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.retain(|one| one.0 != *key);
+    }
+}
+
+/// Serves a request whose key this daemon owns.
+pub async fn perform(context: &Arc<Context>, job: Job, is_first_attempt: bool) -> HttpAnswer {
+    let Some(key) = job.key.clone() else {
+        return refuse(context, job.request, Kind::KeyMissing.into());
+    };
+    let asked = key.clone();
+    let digest = job.digest;
+    let message = |reply| Message::Begin(asked, digest, is_first_attempt, reply);
+    match context.node.try_ask(message).await {
+        Err(failure) => refuse(context, job.request, failure),
+        Ok(Verdict::Refuse(kind)) => refuse(context, job.request, kind.into()),
+        Ok(Verdict::Replay(record)) => answer::replay(&record),
+        Ok(Verdict::Join) => join(context, &job, &key).await,
+        Ok(Verdict::Run) => {
+            start(context, job, key.clone());
+            wait(context, &key).await
+        }
+    }
+}
+
+fn start(context: &Arc<Context>, job: Job, key: Key) {
+    let (sender, waiter) = watch::channel(None);
+    context.joins.insert(key.clone(), waiter);
+    let context = context.clone();
+    tokio::spawn(async move {
+        let answer = pipeline::run(&context, &job).await;
+        let end = match answer.outcome() {
+            Outcome::Run => End::Answered(answer.to_record()),
+            Outcome::NotRun => End::NotRun,
+            Outcome::Unknown => End::Unknown,
+        };
+        context.node.tell(Message::End(key.clone(), end));
+        if let Err(failure) = &answer.result {
+            context.metrics.refusal(failure.kind);
+        }
+        sender.send_replace(Some(answer.to_http()));
+        context.joins.remove(&key);
+    });
+}
+
+async fn wait(context: &Context, key: &Key) -> HttpAnswer {
+    let Some(mut waiter) = context.joins.find(key) else {
+        return answer::error(&Kind::KeyBusy.into());
+    };
+    let answered = waiter.wait_for(Option::is_some).await;
+    let answer = answered.ok().and_then(|answer| answer.clone());
+    answer.unwrap_or_else(|| answer::error(&Failure::from(Kind::Internal)))
+}
+
+async fn join(context: &Context, job: &Job, key: &Key) -> HttpAnswer {
+    let left = context.clock.until(job.admission.deadline);
+    match timeout(left, wait(context, key)).await {
+        Ok(answer) => answer,
+        Err(_) => refuse(context, job.request, Kind::KeyBusy.into()),
+    }
+}
+
+fn refuse(context: &Context, request: id::Request, failure: Failure) -> HttpAnswer {
+    context.metrics.refusal(failure.kind);
+    Answer::refusal(request, failure).to_http()
+}
+
+// Between daemons
+
+/// Serves a peer that passes on a request with a key.
+pub async fn serve(context: Arc<Context>, request: Request<Incoming>) -> HttpAnswer {
+    let (head, body) = request.into_parts();
+    let body = match Limited::new(body, owner::BODY_MAX_BYTES).collect().await {
+        Ok(whole) => whole.to_bytes(),
+        Err(_) => return answer::error(&Kind::BadRequest.into()),
+    };
+    let is_first = is_first_attempt(&head.headers);
+    match read_job(&context, &head.headers, body).await {
+        Ok(job) => perform(&context, job, is_first).await,
+        Err(failure) => answer::error(&failure),
+    }
+}
+
+/// Passes a request on to the owner of its key.
+pub async fn ask(
+    context: &Context,
+    owner: std::net::SocketAddr,
+    job: &Job,
+    is_first_attempt: bool,
+) -> HttpAnswer {
+    let Some(request) = write_job(context, owner, job, is_first_attempt) else {
+        return refuse(context, job.request, Kind::Internal.into());
+    };
+    let grace = Duration::from_millis(500);
+    let left = context.clock.until(job.admission.deadline) + grace;
+    match timeout(left, exchange(context, request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(failure)) => refuse(context, job.request, failure),
+        Err(_) => refuse(context, job.request, Kind::DeadlinePassed.into()),
+    }
+}
+
+async fn exchange(context: &Context, request: Request<Full<Bytes>>) -> Result<HttpAnswer, Failure> {
+    let response = match context.peers.send(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return Err(Kind::NoOwner.into()),
+        Err(_) => return Err(Kind::KeyUnknown.into()),
+    };
+    let (head, body) = response.into_parts();
+    let whole = Limited::new(body, owner::BODY_MAX_BYTES).collect().await;
+    let whole = whole.map_err(|_| Failure::from(Kind::KeyUnknown))?;
+    let mut answer = answer::whole(head.status.as_u16(), whole.to_bytes());
+    for (name, value) in &head.headers {
+        let is_ours = name.as_str().starts_with("gooseberry-");
+        if is_ours || name == header::RETRY_AFTER || name == http::header::CONTENT_TYPE {
+            answer.headers_mut().insert(name, value.clone());
+        }
+    }
+    Ok(answer)
+}
+
+/// Tells whether the caller says that it sends its key for the first time.
+#[must_use]
+pub fn is_first_attempt(headers: &HeaderMap) -> bool {
+    header::read::<u32>(headers, header::IDEMPOTENCY_ATTEMPT) == Some(1)
+}
+
+async fn read_job(context: &Context, headers: &HeaderMap, body: Bytes) -> Result<Job, Failure> {
+    let read = |name| header::text(headers, name).ok_or(Kind::BadRequest);
+    let workspace: id::Workspace = parse(read(header::WORKSPACE)?)?;
+    let pipeline: id::Pipeline = parse(read(header::PIPELINE)?)?;
+    let timeout: Millis = parse(read(header::TIMEOUT_MS)?)?;
+    let key = Key {
+        workspace: workspace.clone(),
+        pipeline: pipeline.clone(),
+        text: read(header::IDEMPOTENCY_KEY)?.to_owned(),
+    };
+    let find = move |node: &Node, now| {
+        let workspace = node.book().workspace(&workspace).ok_or(Kind::NoPipeline)?;
+        let pipeline = node.book().pipeline(workspace, &pipeline);
+        Ok::<_, Kind>(Admission {
+            workspace: workspace.clone(),
+            pipeline: pipeline.ok_or(Kind::NoPipeline)?.clone(),
+            deadline: now + timeout,
+        })
+    };
+    let admission = context.node.look(find).await??;
+    Ok(Job {
+        request: parse(read(header::REQUEST)?)?,
+        admission,
+        key: Some(key),
+        digest: parse(read(header::DIGEST)?)?,
+        body,
+    })
+}
+
+fn parse<T: std::str::FromStr>(text: &str) -> Result<T, Kind> {
+    text.parse().map_err(|_| Kind::BadRequest)
+}
+
+fn write_job(
+    context: &Context,
+    owner: std::net::SocketAddr,
+    job: &Job,
+    is_first_attempt: bool,
+) -> Option<Request<Full<Bytes>>> {
+    let key = job.key.as_ref()?;
+    let left = job.admission.deadline - context.clock.now();
+    Request::post(format!("http://{owner}{PATH}"))
+        .header(header::REQUEST, job.request.to_string())
+        .header(header::WORKSPACE, key.workspace.as_str())
+        .header(header::PIPELINE, key.pipeline.as_str())
+        .header(header::IDEMPOTENCY_KEY, &key.text)
+        .header(
+            header::IDEMPOTENCY_ATTEMPT,
+            if is_first_attempt { 1 } else { 2 },
+        )
+        .header(header::DIGEST, job.digest.to_string())
+        .header(header::TIMEOUT_MS, left.0)
+        .body(Full::new(job.body.clone()))
+        .ok()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,44 @@
-//! Placeholder.
+//! The daemon: callers on one side, targets on the other, peers beside it.
+//!
+//! A [`daemon::Daemon`] is one process's worth of the system, and can also be
+//! started several times within one process, as the demo does. Around the
+//! kernel's [`Node`](gooseberry_kernel::node::Node) it has:
+//!
+//! - [`actor`], the one place that changes the node;
+//! - [`entry`], which serves callers, and [`pipeline`], which runs the stages;
+//! - [`keyed`], which serves requests with an idempotency key at their owner;
+//! - [`owner`], which sends calls to the targets that this daemon owns;
+//! - [`control`], which talks to the peers, and [`reader`], which reads what
+//!   the platform publishes;
+//! - [`operators`], where metrics and state are read.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use gooseberry_kernel::settings::Local;
+//! use gooseberryd::daemon::Daemon;
+//!
+//! # async fn run(text: &str) -> anyhow::Result<()> {
+//! let local = Local::parse(text)?;
+//! let daemon = Daemon::start(local).await?;
+//! daemon.shut_down().await;
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod actor;
+pub mod answer;
+pub mod clock;
+pub mod context;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod keyed;
+pub mod logs;
+pub mod metrics;
+pub mod operators;
+pub mod owner;
+pub mod peers;
+pub mod pipeline;
+pub mod reader;
+pub mod server;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,92 @@
+//! The binary of the daemon.
+
+use std::io::Read;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use bpaf::Bpaf;
+use gooseberry_kernel::settings::Local;
+use gooseberryd::daemon::Daemon;
+use gooseberryd::daemon::Ending;
+use gooseberryd::logs;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// The exit code for settings that cannot be used.
+const BAD_SETTINGS: u8 = 2;
+/// The exit code of a shutdown that cut requests.
+const CUT: u8 = 3;
+
+/// Serves multi-stage model pipelines between callers and targets.
+///
+/// Example: `gooseberryd --settings entry-1.jsonc`
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// The settings file of this process, or - for standard input
+    #[bpaf(long, argument("FILE"))]
+    settings: PathBuf,
+    /// Check the settings and exit
+    #[bpaf(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let local = match read(&options) {
+        Ok(local) => local,
+        Err(error) => {
+            eprintln!("gooseberryd: {}: {error:#}", options.settings.display());
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if options.check {
+        println!("{}: no faults", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(local) {
+        Ok(Ending::Clean) => ExitCode::SUCCESS,
+        Ok(Ending::Cut(count)) => {
+            log::warn!("the shutdown cut {count} requests and calls");
+            ExitCode::from(CUT)
+        }
+        Err(error) => {
+            eprintln!("gooseberryd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(options: &Options) -> anyhow::Result<Local> {
+    let mut text = String::new();
+    if options.settings.as_os_str() == "-" {
+        std::io::stdin().read_to_string(&mut text)?;
+    } else {
+        text = std::fs::read_to_string(&options.settings)?;
+    }
+    Local::parse(&text).context("the settings have faults")
+}
+
+#[tokio::main]
+async fn run(local: Local) -> anyhow::Result<Ending> {
+    logs::start(&local.log_level, local.log_format)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let daemon = Daemon::start(local).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("shutting down");
+    daemon.begin_shut_down();
+    let drained = daemon.drained();
+    tokio::pin!(drained);
+    loop {
+        tokio::select! {
+            ending = &mut drained => return Ok(ending),
+            _ = terminate.recv() => daemon.begin_shut_down(),
+            _ = interrupt.recv() => daemon.begin_shut_down(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/owner.rs
@@ -0,0 +1,291 @@
+//! Calls to the targets that this daemon owns.
+//!
+//! The owner alone sends its targets work. A call that was sent is followed to
+//! its end even if its asker has gone, since the target is still at work and
+//! its place is still taken.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use gooseberry_connectors::target;
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
+use gooseberry_kernel::node::Grant;
+use gooseberry_kernel::slot;
+use gooseberry_kernel::warmth::Sign;
+use gooseberry_wire::header;
+use http::HeaderMap;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::actor::Message;
+use crate::actor::Ticket;
+use crate::answer;
+use crate::answer::HttpAnswer;
+use crate::context::Context;
+
+/// The path at which an owner takes a call for one of its targets.
+pub const PATH: &str = "/v1/stage";
+/// The largest body that a peer may send, in bytes.
+pub const BODY_MAX_BYTES: usize = 64 << 20;
+
+/// A call that an owner is asked to make.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// The target.
+    pub target: id::Target,
+    /// The attempt that it is.
+    pub attempt: id::Attempt,
+    /// The workspace that it serves.
+    pub workspace: id::Workspace,
+    /// The digest of the request's workspace and body.
+    pub digest: id::Digest,
+    /// The time that remains.
+    pub timeout: Millis,
+    /// The input of the stage.
+    pub body: Bytes,
+}
+
+/// What came of a task.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The answer of the target, whole, or why there is none.
+    pub result: Result<Bytes, Failure>,
+    /// How long the target worked.
+    pub target_time: Millis,
+    /// The target's calls in flight for each hundred places.
+    pub load_percent: u32,
+}
+
+impl Report {
+    fn failed(failure: Failure) -> Self {
+        Self {
+            result: Err(failure),
+            target_time: Millis::ZERO,
+            load_percent: 0,
+        }
+    }
+}
+
+/// Makes a call to a target that this daemon owns.
+pub async fn perform(context: &Arc<Context>, task: Task) -> Report {
+    let deadline = context.clock.now() + task.timeout;
+    match place(context, &task, deadline).await {
+        Ok(()) => sent(context, task, deadline).await,
+        Err(failure) => Report::failed(failure),
+    }
+}
+
+/// Waits for a place at the target.
+async fn place(context: &Arc<Context>, task: &Task, deadline: Millis) -> Result<(), Failure> {
+    let call = slot::Call {
+        target: task.target.clone(),
+        attempt: task.attempt,
+        start_by: deadline,
+    };
+    let asked = context.node.try_ask(|reply| Message::Start(call, reply));
+    let Ticket::Wait(granted) = asked.await? else {
+        return Ok(());
+    };
+    match timeout(context.clock.until(deadline), granted).await {
+        Ok(Ok(true)) => Ok(()),
+        Ok(_) => Err(Kind::TooLate.into()),
+        Err(_) => {
+            let target = task.target.clone();
+            context.node.tell(Message::Cancel(target, task.attempt));
+            Err(Kind::TooLate.into())
+        }
+    }
+}
+
+/// Sends the call on a task of its own and waits for its report.
+async fn sent(context: &Arc<Context>, task: Task, deadline: Millis) -> Report {
+    let (sender, receiver) = oneshot::channel();
+    let follower = context.clone();
+    tokio::spawn(async move {
+        let report = follow(&follower, &task, deadline).await;
+        sender.send(report).ok();
+    });
+    match timeout(context.clock.until(deadline), receiver).await {
+        Ok(Ok(report)) => report,
+        Ok(Err(_)) => Report::failed(Kind::Internal.into()),
+        Err(_) => Report::failed(Kind::DeadlinePassed.into()),
+    }
+}
+
+async fn follow(context: &Arc<Context>, task: &Task, deadline: Millis) -> Report {
+    let target = task.target.clone();
+    let asked = context
+        .node
+        .try_ask(|reply| Message::Grant(target, task.attempt, reply));
+    let grant = match asked.await {
+        Ok(grant) => grant,
+        Err(failure) => return Report::failed(failure),
+    };
+    let now = context.clock.now();
+    // The process may have been paused since the leave was given.
+    if now >= grant.valid_until || now >= deadline {
+        let target = task.target.clone();
+        context.node.tell(Message::Cancel(target, task.attempt));
+        let kind = if now >= deadline {
+            Kind::TooLate
+        } else {
+            Kind::NoRight
+        };
+        return Report::failed(kind.into());
+    }
+    let call = call(&grant, task, deadline - now, context).await;
+    let started = Instant::now();
+    let longest = Duration::from_millis(grant.pool.longest_call.0);
+    let answered = timeout(longest, context.targets.call(&call)).await;
+    let (result, sign) = match answered {
+        Ok(reply) => {
+            if reply.is_foreign {
+                log::warn!(
+                    "{}: a reply to another attempt was thrown away",
+                    task.attempt
+                );
+                context.metrics.foreign(grant.pool.id.as_str());
+            }
+            (reply.result, reply.sign)
+        }
+        Err(_) => (Err(Kind::DeadlinePassed.into()), Sign::Slow),
+    };
+    let target_time = Millis(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+    let load_percent = finish(context, task, sign).await;
+    Report {
+        result,
+        target_time,
+        load_percent,
+    }
+}
+
+async fn call(grant: &Grant, task: &Task, left: Millis, context: &Context) -> target::Call {
+    let read = |node: &gooseberry_kernel::node::Node, _| node.book().fleet().max_answer_bytes;
+    let max = context.node.look(read).await.unwrap_or_default();
+    target::Call {
+        kind: grant.pool.kind,
+        address: grant.target.address,
+        attempt: task.attempt,
+        workspace: task.workspace.clone(),
+        timeout_ms: left.0,
+        priority: 5,
+        max_answer_bytes: usize::try_from(max).unwrap_or(usize::MAX),
+        body: task.body.clone(),
+    }
+}
+
+async fn finish(context: &Arc<Context>, task: &Task, sign: Sign) -> u32 {
+    let target = task.target.clone();
+    let message = |reply| Message::Finish(target, task.attempt, sign, task.digest, reply);
+    context.node.ask(message).await.unwrap_or_default()
+}
+
+// Between daemons
+
+/// Serves a peer that asks for a call.
+pub async fn serve(context: Arc<Context>, request: Request<Incoming>) -> HttpAnswer {
+    let (head, body) = request.into_parts();
+    let Some(mut task) = read_task(&head.headers) else {
+        return answer::error(&Kind::BadRequest.into());
+    };
+    match Limited::new(body, BODY_MAX_BYTES).collect().await {
+        Ok(whole) => task.body = whole.to_bytes(),
+        Err(_) => return answer::error(&Kind::BadRequest.into()),
+    }
+    let attempt = task.attempt;
+    let report = perform(&context, task).await;
+    let mut http = match &report.result {
+        Ok(body) => answer::whole(200, body.clone()),
+        Err(failure) => answer::error(failure),
+    };
+    answer::set(&mut http, header::ATTEMPT, &attempt.to_string());
+    answer::set(
+        &mut http,
+        header::TARGET_MS,
+        &report.target_time.to_string(),
+    );
+    answer::set(&mut http, header::LOAD, &report.load_percent.to_string());
+    http
+}
+
+/// Asks the owner of a target for a call.
+pub async fn ask(context: &Context, owner: std::net::SocketAddr, task: &Task) -> Report {
+    let Some(request) = write_task(owner, task) else {
+        return Report::failed(Kind::Internal.into());
+    };
+    let limit = Duration::from_millis(task.timeout.0);
+    match timeout(limit, exchange(context, request, task.attempt)).await {
+        Ok(report) => report,
+        Err(_) => Report::failed(Kind::DeadlinePassed.into()),
+    }
+}
+
+async fn exchange(
+    context: &Context,
+    request: Request<Full<Bytes>>,
+    attempt: id::Attempt,
+) -> Report {
+    let response = match context.peers.send(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return Report::failed(Kind::NoOwner.into()),
+        Err(_) => return Report::failed(Failure::from(Kind::NoOwner).unknown()),
+    };
+    let (head, body) = response.into_parts();
+    if header::read(&head.headers, header::ATTEMPT) != Some(attempt) {
+        return Report::failed(Failure::from(Kind::Internal).unknown());
+    }
+    let result = match read_failure(&head.headers) {
+        Some(failure) => Err(failure),
+        None => match Limited::new(body, BODY_MAX_BYTES).collect().await {
+            Ok(whole) => Ok(whole.to_bytes()),
+            Err(_) => Err(Failure::from(Kind::NoOwner).unknown()),
+        },
+    };
+    Report {
+        result,
+        target_time: header::read(&head.headers, header::TARGET_MS).unwrap_or_default(),
+        load_percent: header::read(&head.headers, header::LOAD).unwrap_or_default(),
+    }
+}
+
+/// Reads the failure that a peer's answer tells of, if it does.
+#[must_use]
+pub fn read_failure(headers: &HeaderMap) -> Option<Failure> {
+    let label = header::text(headers, header::ERROR)?;
+    let mut failure = Failure::from(label.parse().unwrap_or(Kind::Internal));
+    failure.outcome = header::read(headers, header::OUTCOME).unwrap_or(Outcome::Unknown);
+    Some(failure)
+}
+
+fn read_task(headers: &HeaderMap) -> Option<Task> {
+    Some(Task {
+        target: header::read(headers, header::TARGET)?,
+        attempt: header::read(headers, header::ATTEMPT)?,
+        workspace: header::read(headers, header::WORKSPACE)?,
+        digest: header::read(headers, header::DIGEST)?,
+        timeout: header::read(headers, header::TIMEOUT_MS)?,
+        body: Bytes::new(),
+    })
+}
+
+fn write_task(owner: std::net::SocketAddr, task: &Task) -> Option<Request<Full<Bytes>>> {
+    Request::post(format!("http://{owner}{PATH}"))
+        .header(header::TARGET, task.target.as_str())
+        .header(header::ATTEMPT, task.attempt.to_string())
+        .header(header::WORKSPACE, task.workspace.as_str())
+        .header(header::DIGEST, task.digest.to_string())
+        .header(header::TIMEOUT_MS, task.timeout.0)
+        .body(Full::new(task.body.clone()))
+        .ok()
+}
--- /dev/null
+++ b/crates/daemon/src/pipeline.rs
@@ -0,0 +1,247 @@
+//! Runs the stages of a request, one after the other.
+//!
+//! The daemon that runs them holds the request's state. Each attempt has an id
+//! of its own, so the answer of a former attempt cannot be taken for that of a
+//! later one, and each stage's result is used once.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::cost::Cost;
+use gooseberry_kernel::id;
+use gooseberry_kernel::node::Admission;
+use gooseberry_kernel::node::Choice;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::node::Step;
+use gooseberry_kernel::once::Key;
+use gooseberry_kernel::retry::Bounds;
+use gooseberry_kernel::route::Ask;
+use gooseberry_kernel::settings::Stage;
+
+use crate::actor::Message;
+use crate::answer::Answer;
+use crate::context::Context;
+use crate::owner;
+use crate::owner::Task;
+
+/// How much longer than its deadline a request may run if its workspace wants
+/// late answers.
+const LATE_LIMIT: Millis = Millis(60_000);
+
+/// A request that is to be run.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request.
+    pub request: id::Request,
+    /// What it was admitted as.
+    pub admission: Admission,
+    /// The key, if the pipeline is not idempotent.
+    pub key: Option<Key>,
+    /// The digest of the workspace and the body.
+    pub digest: id::Digest,
+    /// The body that the caller sent.
+    pub body: Bytes,
+}
+
+/// The progress of one request.
+struct Run<'a> {
+    context: &'a Arc<Context>,
+    job: &'a Job,
+    ends_by: Millis,
+    costs: Vec<Cost>,
+    attempts: u16,
+    /// What became of the stage that is not idempotent.
+    outcome: Outcome,
+}
+
+/// Runs a request to its answer.
+pub async fn run(context: &Arc<Context>, job: &Job) -> Answer {
+    let deadline = job.admission.deadline;
+    let extra = if job.admission.workspace.wants_late_answers {
+        LATE_LIMIT
+    } else {
+        Millis::ZERO
+    };
+    let mut run = Run {
+        context,
+        job,
+        ends_by: deadline + extra,
+        costs: Vec::new(),
+        attempts: 0,
+        outcome: Outcome::NotRun,
+    };
+    let started = Instant::now();
+    let result = run.stages().await;
+    let is_late = context.clock.now() > deadline;
+    let pipeline = job.admission.pipeline.id.as_str();
+    context.metrics.latency(pipeline, "all", started.elapsed());
+    Answer {
+        request: job.request,
+        result,
+        is_late,
+        costs: run.costs,
+    }
+}
+
+impl Run<'_> {
+    async fn stages(&mut self) -> Result<Bytes, Failure> {
+        let mut body = self.job.body.clone();
+        for (index, stage) in self.job.admission.pipeline.stages.iter().enumerate() {
+            let started = Instant::now();
+            self.costs.push(Cost::new(stage.id.clone()));
+            let result = self.stage(index, stage, &body).await;
+            self.count(stage, started);
+            body = result.map_err(|failure| self.judge(failure))?;
+            if !stage.is_idempotent {
+                self.outcome = Outcome::Unknown;
+            }
+        }
+        Ok(body)
+    }
+
+    async fn stage(&mut self, index: usize, stage: &Stage, body: &Bytes) -> Result<Bytes, Failure> {
+        let mut tried: Vec<id::Target> = Vec::new();
+        loop {
+            let made = self.costs[index].attempts;
+            let failure = match self.attempt(index, stage, body, &mut tried).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            if failure.outcome != Outcome::NotRun && !stage.is_idempotent {
+                self.outcome = Outcome::Unknown;
+            }
+            let bounds = Bounds {
+                is_idempotent: stage.is_idempotent,
+                attempts: stage.attempts,
+                made: made + 1,
+            };
+            let ends_by = self.ends_by;
+            let message = |reply| Message::AfterFailure(failure, bounds, ends_by, reply);
+            match self.context.node.ask(message).await? {
+                Step::GiveUp(failure) => return Err(failure),
+                Step::Again { reason, pause } => {
+                    self.context.metrics.retry(reason);
+                    log::debug!(
+                        "request={} workspace={} pipeline={} stage={} attempt={} retry={}",
+                        self.job.request,
+                        self.job.admission.workspace.id,
+                        self.job.admission.pipeline.id,
+                        stage.id,
+                        self.attempts,
+                        reason.label()
+                    );
+                    tokio::time::sleep(std::time::Duration::from_millis(pause.0)).await;
+                }
+            }
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        index: usize,
+        stage: &Stage,
+        body: &Bytes,
+        tried: &mut Vec<id::Target>,
+    ) -> Result<Bytes, Failure> {
+        let now = self.context.clock.now();
+        if now >= self.ends_by {
+            return Err(Kind::TooLate.into());
+        }
+        let choice = self.choose(stage, body, tried).await?;
+        tried.push(choice.target.id.clone());
+        self.check_key(stage).await?;
+        self.attempts += 1;
+        let ends_by = self.stage_deadline(index, now);
+        let task = Task {
+            target: choice.target.id.clone(),
+            attempt: id::Attempt {
+                request: self.job.request,
+                stage: u8::try_from(index).unwrap_or(u8::MAX),
+                number: self.attempts,
+            },
+            workspace: self.job.admission.workspace.id.clone(),
+            digest: self.job.digest,
+            timeout: ends_by - now,
+            body: body.clone(),
+        };
+        let report = if choice.owner.id == self.context.local.instance {
+            owner::perform(self.context, task).await
+        } else {
+            owner::ask(self.context, choice.owner.data, &task).await
+        };
+        self.costs[index].add(report.target_time, report.result.is_ok());
+        let note = Message::NoteLoad(choice.target.id, report.load_percent);
+        self.context.node.tell(note);
+        report.result
+    }
+
+    async fn choose(
+        &self,
+        stage: &Stage,
+        body: &Bytes,
+        tried: &[id::Target],
+    ) -> Result<Choice, Failure> {
+        let pool = stage.pool.clone();
+        let read = move |node: &Node, _| node.book().pool(&pool).map(|pool| pool.prefix_bytes);
+        let length = self.context.node.look(read).await?.unwrap_or(0);
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        let prefix = &body[..body.len().min(length)];
+        let ask = Ask {
+            pool: stage.pool.clone(),
+            prefix: Node::affinity(&self.job.admission.workspace.id, prefix),
+            tried: tried.to_vec(),
+        };
+        let is_first = tried.is_empty();
+        let message = |reply| Message::Choose(ask, is_first, reply);
+        self.context.node.try_ask(message).await
+    }
+
+    /// Checks the right to the key directly before the stage that needs it.
+    async fn check_key(&self, stage: &Stage) -> Result<(), Failure> {
+        let Some(key) = self.job.key.clone().filter(|_| !stage.is_idempotent) else {
+            return Ok(());
+        };
+        let read = move |node: &Node, now| node.holds_key(&key, now);
+        if self.context.node.look(read).await? {
+            Ok(())
+        } else {
+            Err(Kind::NoRight.into())
+        }
+    }
+
+    fn stage_deadline(&self, index: usize, now: Millis) -> Millis {
+        if self.ends_by > self.job.admission.deadline {
+            return self.ends_by;
+        }
+        Node::stage_deadline(&self.job.admission, index, now)
+    }
+
+    /// Gives a failure the outcome of the whole request.
+    ///
+    /// A request whose stages are all idempotent keeps the failure's own.
+    fn judge(&self, failure: Failure) -> Failure {
+        if self.job.key.is_none() {
+            return failure;
+        }
+        Failure {
+            outcome: self.outcome,
+            ..failure
+        }
+    }
+
+    fn count(&self, stage: &Stage, started: Instant) {
+        let admission = &self.job.admission;
+        let pipeline = admission.pipeline.id.as_str();
+        let metrics = &self.context.metrics;
+        metrics.latency(pipeline, stage.id.as_str(), started.elapsed());
+        if let Some(cost) = self.costs.last() {
+            let labels = [admission.workspace.id.as_str(), pipeline, stage.id.as_str()];
+            metrics.stage_cost(labels, cost.target_time.0, cost.wasted_time.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/reader.rs
@@ -0,0 +1,68 @@
+//! Reads what the platform publishes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::node::Node;
+use tokio::sync::watch;
+
+use crate::actor::Message;
+use crate::context::Context;
+
+/// How long the platform may hold a watch before it says that nothing is new.
+const WAIT: Millis = Millis(2000);
+/// How long to wait after the platform failed.
+const PAUSE: Duration = Duration::from_millis(200);
+/// How often a daemon that is not a reader looks whether it has become one.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// Watches the list until `stop` turns true.
+pub async fn watch_list(context: Arc<Context>, stop: watch::Receiver<bool>) {
+    watch(context, stop, read_list).await;
+}
+
+/// Watches the settings until `stop` turns true.
+pub async fn watch_settings(context: Arc<Context>, stop: watch::Receiver<bool>) {
+    watch(context, stop, read_settings).await;
+}
+
+async fn watch(
+    context: Arc<Context>,
+    mut stop: watch::Receiver<bool>,
+    read: impl AsyncFn(&Context) -> anyhow::Result<()>,
+) {
+    loop {
+        let round = async {
+            let is_reader = context.node.look(Node::is_reader).await;
+            if !is_reader.unwrap_or(false) {
+                return tokio::time::sleep(IDLE).await;
+            }
+            if let Err(error) = read(&context).await {
+                log::debug!("the platform could not be read: {error:#}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::select! {
+            () = round => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+async fn read_list(context: &Context) -> anyhow::Result<()> {
+    let after = context
+        .node
+        .look(|node, _| node.tenure().revision())
+        .await?;
+    let list = context.platform.list(after, WAIT).await?;
+    context.node.tell(Message::ReadList(list));
+    Ok(())
+}
+
+async fn read_settings(context: &Context) -> anyhow::Result<()> {
+    let after = context.node.look(|node, _| node.book().revision()).await?;
+    let tree = context.platform.settings(after, WAIT).await?;
+    context.node.tell(Message::ReadSettings(tree));
+    Ok(())
+}
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -91,6 +91,12 @@
         self.reach.confirmed_at = Some(now);
     }
 
+    /// Tells whether this node may use the rights that it owns now.
+    #[must_use]
+    pub fn holds_rights(&self, now: Millis) -> bool {
+        self.tenure.is_settled(now)
+    }
+
     /// Returns how long ago the platform confirmed what this node knows.
     #[must_use]
     pub fn read_age(&self, now: Millis) -> Option<Millis> {
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -71,8 +71,7 @@
             })
         });
         if checked.is_err() {
-            self.slots.cancel(target, attempt);
-            self.slots.release(target, attempt);
+            self.cancel(target, attempt);
         }
         checked
     }
@@ -91,9 +90,9 @@
         match sign {
             Sign::Broken => self.ward.note_crash(digest, now),
             Sign::Answered(_) => self.ward.note_answer(digest),
-            Sign::Refused(_) | Sign::Slow => {}
+            Sign::Refused(_) | Sign::Failed(_) | Sign::Unreachable | Sign::Slow => {}
         }
-        if let Sign::Answered(Some(Report::Leaving)) | Sign::Refused(Some(Report::Leaving)) = sign {
+        if sign.report() == Some(Report::Leaving) {
             self.loads.note_leaving(target);
         }
         let Some(pool) = self.pool_of(target) else {
@@ -103,9 +102,10 @@
         self.slots.finish(target, attempt, sign, &pool, now)
     }
 
-    /// Takes a call out of the queue, when its caller has gone.
+    /// Takes a call that was not sent out of the queue and off its place.
     pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
         self.slots.cancel(target, attempt);
+        self.slots.release(target, attempt);
     }
 
     /// Returns a target's calls in flight for each hundred places.
--- a/crates/kernel/src/settings/reader.rs
+++ b/crates/kernel/src/settings/reader.rs
@@ -26,7 +26,7 @@
 pub struct Fields<'a> {
     path: String,
     start: usize,
-    fields: Vec<Field<'a>>,
+    entries: Vec<Field<'a>>,
 }
 
 struct Field<'a> {
@@ -75,7 +75,7 @@
     };
     let mut fields = reader.fields("$".to_owned(), object);
     let result = read(&mut reader, &mut fields);
-    reader.close(fields);
+    reader.close(&fields);
     reader.finish(result)
 }
 
@@ -90,8 +90,8 @@
     }
 
     /// Notes every field that nobody read as unknown.
-    pub fn close(&mut self, fields: Fields<'_>) {
-        for field in fields.fields.iter().filter(|field| !field.is_read) {
+    pub fn close(&mut self, fields: &Fields<'_>) {
+        for field in fields.entries.iter().filter(|field| !field.is_read) {
             let path = format!("{}.{}", fields.path, field.name);
             self.note(&path, field.start, "unknown field".to_owned());
         }
@@ -160,7 +160,7 @@
             return Vec::new();
         };
         let mut found = Vec::new();
-        for field in &mut entries.fields {
+        for field in &mut entries.entries {
             field.is_read = true;
             let path = format!("{}.{}", entries.path, field.name);
             let inner = self.object(path, field.value);
@@ -225,7 +225,7 @@
         Fields {
             path,
             start: object.start(),
-            fields,
+            entries: fields,
         }
     }
 
@@ -234,15 +234,13 @@
             Value::NumberLit(lit) => lit.value.parse().ok(),
             _ => None,
         };
-        match parsed.filter(|number| (range.min..=range.max).contains(number)) {
-            Some(number) => Some(number),
-            None => {
-                let Range { min, max } = range;
-                let message = format!("expected a whole number from {min} to {max}");
-                self.note(path, value.start(), message);
-                None
-            }
+        let Range { min, max } = range;
+        let number = parsed.filter(|number| (min..=max).contains(number));
+        if number.is_none() {
+            let message = format!("expected a whole number from {min} to {max}");
+            self.note(path, value.start(), message);
         }
+        number
     }
 
     fn parse_text<T: FromStr>(&mut self, path: &str, value: &Value<'_>, want: &str) -> Option<T> {
@@ -273,23 +271,23 @@
     /// Returns the path and start of a field, or of the object without it.
     #[must_use]
     pub fn place(&self, name: &str) -> (String, usize) {
-        let field = self.fields.iter().find(|field| field.name == name);
+        let field = self.entries.iter().find(|field| field.name == name);
         let start = field.map_or(self.start, |field| field.value.start());
         (format!("{}.{name}", self.path), start)
     }
 
     fn has(&self, name: &str) -> bool {
-        self.fields.iter().any(|field| field.name == name)
+        self.entries.iter().any(|field| field.name == name)
     }
 
     fn take(&mut self, name: &str) -> Option<(String, &'a Value<'a>)> {
-        let field = self.fields.iter_mut().find(|field| field.name == name)?;
+        let field = self.entries.iter_mut().find(|field| field.name == name)?;
         field.is_read = true;
         Some((format!("{}.{name}", self.path), field.value))
     }
 }
 
 fn line_of(text: &str, start: usize) -> usize {
-    let head = &text.as_bytes()[..start.min(text.len())];
-    1 + head.iter().filter(|byte| **byte == b'\n').count()
+    let head = text.get(..start).unwrap_or(text);
+    1 + head.matches('\n').count()
 }
--- a/crates/kernel/src/settings/team.rs
+++ b/crates/kernel/src/settings/team.rs
@@ -203,7 +203,7 @@
     let mut pools = Vec::new();
     for (name, mut fields) in reader.map(top, "pools") {
         pools.extend(read_pool(reader, &mut fields, team, &name));
-        reader.close(fields);
+        reader.close(&fields);
     }
     pools.sort_by(|one: &Pool, other| one.id.cmp(&other.id));
     pools
@@ -258,7 +258,7 @@
     let mut pipelines = Vec::new();
     for (name, mut fields) in reader.map(top, "pipelines") {
         pipelines.extend(read_pipeline(reader, &mut fields, team, &name, pools));
-        reader.close(fields);
+        reader.close(&fields);
     }
     pipelines.sort_by(|one: &Pipeline, other| one.id.cmp(&other.id));
     pipelines
@@ -284,7 +284,7 @@
     for mut stage in listed {
         let (path, start) = stage.place("name");
         let read = read_stage(reader, &mut stage, team, pools);
-        reader.close(stage);
+        reader.close(&stage);
         let Some(read) = read else { continue };
         if stages.iter().any(|one| one.id == read.id) {
             reader.note(&path, start, "expected a name of its own".to_owned());
@@ -344,7 +344,7 @@
     let mut workspaces = Vec::new();
     for (name, mut fields) in reader.map(top, "workspaces") {
         workspaces.extend(read_workspace(reader, &mut fields, team, &name, pipelines));
-        reader.close(fields);
+        reader.close(&fields);
     }
     workspaces.sort_by(|one: &Workspace, other| one.id.cmp(&other.id));
     workspaces
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -35,6 +35,8 @@
 
     /// A call that was waiting and now has a place, or has waited too long.
     pub struct Wake {
+        /// The target it was waiting for.
+        pub target: id::Target,
         /// The call.
         pub attempt: id::Attempt,
         /// Whether it may be sent; otherwise it waited too long.
@@ -210,11 +212,12 @@
             .into_iter()
             .partition(|call| call.start_by > now);
         self.queue = waiting;
-        wakes.extend(refused(expired));
+        wakes.extend(refused(expired, &self.target));
         while !self.queue.is_empty() && self.has_room(now) {
             let call = self.queue.remove(0);
             self.send(call.attempt, pool, now);
             wakes.push(Wake {
+                target: self.target.clone(),
                 attempt: call.attempt,
                 is_granted: true,
             });
@@ -223,13 +226,15 @@
     }
 
     fn turn_away(&mut self) -> Vec<Wake> {
-        refused(std::mem::take(&mut self.queue)).collect()
+        refused(std::mem::take(&mut self.queue), &self.target)
     }
 }
 
-fn refused(calls: Vec<Call>) -> impl Iterator<Item = Wake> {
-    calls.into_iter().map(|call| Wake {
+fn refused(calls: Vec<Call>, target: &id::Target) -> Vec<Wake> {
+    let refuse = |call: Call| Wake {
+        target: target.clone(),
         attempt: call.attempt,
         is_granted: false,
-    })
+    };
+    calls.into_iter().map(refuse).collect()
 }
--- a/crates/kernel/src/tenure.rs
+++ b/crates/kernel/src/tenure.rs
@@ -254,6 +254,17 @@
         }
     }
 
+    /// Tells whether a right that moved with the newest list could be used now.
+    #[must_use]
+    pub fn is_settled(&self, now: Millis) -> bool {
+        let Some(last) = self.seen.last() else {
+            return false;
+        };
+        let is_past = |at: Millis| now >= at + self.timing.freshness;
+        let is_waited = last.majority_at.is_some_and(is_past);
+        is_waited && self.majority_until(self.seen.len() - 1, now).is_some()
+    }
+
     /// Drops what is too old to matter.
     pub fn tick(&mut self, now: Millis) {
         self.forget_departed(now);
--- a/crates/kernel/src/warmth.rs
+++ b/crates/kernel/src/warmth.rs
@@ -24,8 +24,12 @@
         Answered(Option<Report>),
         /// It refused the call without running it.
         Refused(Option<Report>),
-        /// Its connection failed, so its process may have died.
+        /// It took the call and failed on it, but its process lives.
+        Failed(Option<Report>),
+        /// Its connection failed during the call, so its process may have died.
         Broken,
+        /// No connection could be made, so it was not given the call.
+        Unreachable,
         /// It did not answer in time.
         Slow,
     }
@@ -37,6 +41,17 @@
     }
 }
 
+impl Sign {
+    /// Returns what the target said about itself, if it said anything.
+    #[must_use]
+    pub fn report(self) -> Option<Report> {
+        match self {
+            Self::Answered(report) | Self::Refused(report) | Self::Failed(report) => report,
+            Self::Broken | Self::Unreachable | Self::Slow => None,
+        }
+    }
+}
+
 impl Warmth {
     /// Starts cold.
     #[must_use]
@@ -66,9 +81,11 @@
         match sign {
             Sign::Answered(Some(Report::Cold))
             | Sign::Refused(Some(Report::Cold))
-            | Sign::Broken => self.chill(pool),
+            | Sign::Failed(Some(Report::Cold))
+            | Sign::Broken
+            | Sign::Unreachable => self.chill(pool),
             Sign::Answered(_) => self.warm(pool),
-            Sign::Refused(_) | Sign::Slow => self.answers = 0,
+            Sign::Refused(_) | Sign::Failed(_) | Sign::Slow => self.answers = 0,
         }
         self.limit = self.limit.clamp(pool.cold_limit, pool.warm_limit);
     }
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,265 @@
+//! A stand-in of the platform: the list and the settings, to read and watch.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use gooseberry_wire::platform;
+use gooseberry_wire::platform::Document;
+use gooseberry_wire::platform::Instance;
+use gooseberry_wire::platform::List;
+use gooseberry_wire::platform::Settings;
+use gooseberry_wire::platform::State;
+use gooseberry_wire::platform::Target;
+use http::Request;
+use hyper::body::Incoming;
+use tokio::sync::watch;
+
+use crate::server;
+use crate::server::Reply;
+use crate::server::Server;
+
+/// A fault of the platform.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It works.
+    #[default]
+    None,
+    /// It breaks each connection.
+    Down,
+    /// It answers each call so much later.
+    Slow(Duration),
+    /// It serves an old state, whatever is published.
+    Stale(Box<(List, Settings)>),
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    list: List,
+    settings: Settings,
+    fault: Fault,
+    calls: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    inner: Mutex<Inner>,
+    changed: watch::Sender<()>,
+}
+
+/// A running platform.
+#[derive(Debug)]
+pub struct Platform {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Platform {
+    /// Starts on any free port of the loopback.
+    ///
+    /// # Errors
+    /// Returns an error if no port can be bound.
+    pub async fn start() -> anyhow::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    /// Starts at an address.
+    ///
+    /// # Errors
+    /// Returns an error if the port cannot be bound.
+    pub async fn start_at(address: SocketAddr) -> anyhow::Result<Self> {
+        let shared = Arc::new(Shared {
+            inner: Mutex::default(),
+            changed: watch::Sender::new(()),
+        });
+        let state = shared.clone();
+        let handler = move |request| serve(state.clone(), request);
+        let server = Server::start(address, handler).await?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns where it serves.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns how many calls it has taken; a waiting watch counts as one.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+
+    /// Returns the published list.
+    #[must_use]
+    pub fn list(&self) -> List {
+        self.shared.lock().list.clone()
+    }
+
+    /// Returns the published settings.
+    #[must_use]
+    pub fn settings(&self) -> Settings {
+        self.shared.lock().settings.clone()
+    }
+
+    /// Publishes a document.
+    pub fn put(&self, path: &str, text: &str) {
+        self.shared.change(|inner| {
+            inner.settings.revision += 1;
+            let document = Document {
+                path: path.to_owned(),
+                revision: inner.settings.revision,
+                text: text.to_owned(),
+            };
+            inner.settings.documents.retain(|one| one.path != path);
+            inner.settings.documents.push(document);
+        });
+    }
+
+    /// Withdraws a document.
+    pub fn remove(&self, path: &str) {
+        self.shared.change(|inner| {
+            inner.settings.revision += 1;
+            inner.settings.documents.retain(|one| one.path != path);
+        });
+    }
+
+    /// Publishes a changed list under the next revision.
+    pub fn change_list(&self, change: impl FnOnce(&mut List)) {
+        self.shared.change(|inner| {
+            change(&mut inner.list);
+            inner.list.revision += 1;
+        });
+    }
+
+    /// Lists a daemon.
+    pub fn add_instance(&self, instance: Instance) {
+        self.change_list(|list| {
+            list.instances.retain(|one| one.id != instance.id);
+            list.instances.push(instance);
+        });
+    }
+
+    /// Lists targets, under one revision.
+    pub fn add_targets(&self, targets: Vec<Target>) {
+        self.change_list(|list| list.targets.extend(targets));
+    }
+
+    /// Marks a target as live or leaving.
+    pub fn set_target_state(&self, id: &str, state: State) {
+        self.change_list(|list| {
+            for one in list.targets.iter_mut().filter(|one| one.id == id) {
+                one.state = state;
+            }
+        });
+    }
+
+    /// Marks a daemon as live or leaving.
+    pub fn set_instance_state(&self, id: &str, state: State) {
+        self.change_list(|list| {
+            for one in list.instances.iter_mut().filter(|one| one.id == id) {
+                one.state = state;
+            }
+        });
+    }
+
+    /// Drops a daemon from the list.
+    pub fn remove_instance(&self, id: &str) {
+        self.change_list(|list| list.instances.retain(|one| one.id != id));
+    }
+
+    /// Switches a fault on, or off with [`Fault::None`].
+    pub fn set_fault(&self, fault: Fault) {
+        self.shared.change(|inner| inner.fault = fault);
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Inner)) {
+        change(&mut self.lock());
+        self.changed.send_replace(());
+    }
+}
+
+async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
+    let fault = {
+        let mut inner = shared.lock();
+        inner.calls += 1;
+        inner.fault.clone()
+    };
+    match fault {
+        Fault::Down => return Reply::Break,
+        Fault::Slow(delay) => tokio::time::sleep(delay).await,
+        Fault::None | Fault::Stale(_) => {}
+    }
+    let after = parameter(&request, "after").unwrap_or(0);
+    let wait = parameter(&request, "wait_ms").unwrap_or(0);
+    let path = request.uri().path().to_owned();
+    let mut changes = shared.changed.subscribe();
+    let look = async {
+        loop {
+            if let Some(reply) = newer(&shared, &path, after) {
+                return reply;
+            }
+            if changes.changed().await.is_err() {
+                return Reply::Break;
+            }
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_millis(wait), look).await;
+    waited.unwrap_or_else(|_| server::answer(304, &[], ""))
+}
+
+/// Returns the answer if something newer than `after` is published.
+fn newer(shared: &Shared, path: &str, after: u64) -> Option<Reply> {
+    let inner = shared.lock();
+    if inner.fault == Fault::Down {
+        return Some(Reply::Break);
+    }
+    let (list, settings) = match &inner.fault {
+        Fault::Stale(old) => (&old.0, &old.1),
+        _ => (&inner.list, &inner.settings),
+    };
+    match path {
+        "/v1/list" => (list.revision > after).then(|| json(list)),
+        "/v1/settings" => (settings.revision > after).then(|| json(settings)),
+        _ => Some(server::answer(404, &[], "")),
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> Reply {
+    match serde_json::to_vec(value) {
+        Ok(body) => server::answer(
+            200,
+            &[("content-type", "application/json".to_owned())],
+            body,
+        ),
+        Err(_) => Reply::Break,
+    }
+}
+
+fn parameter(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut found = pairs.filter(|(key, _)| *key == name);
+    found.next()?.1.parse().ok()
+}
+
+/// Makes the entry of a live target.
+#[must_use]
+pub fn live_target(id: &str, pool: &str, domain: &str, address: SocketAddr) -> Target {
+    Target {
+        id: id.into(),
+        pool: pool.into(),
+        domain: domain.into(),
+        address,
+        state: platform::State::Live,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,232 @@
+//! The two example sites, at their sizes of today.
+
+use std::time::Duration;
+
+use gooseberry_kernel::id;
+use gooseberry_kernel::settings::Document;
+use gooseberry_kernel::settings::Kind;
+use gooseberry_wire::platform;
+
+use crate::platform::Platform;
+use crate::target::Plan;
+use crate::target::Target;
+
+/// The targets of one pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Group {
+    /// The pool, as `team.name`.
+    pub pool: &'static str,
+    /// What its targets are.
+    pub kind: Kind,
+    /// How many there are, over all failure domains.
+    pub count: usize,
+    /// How long a call takes, in milliseconds.
+    pub work_ms: u64,
+}
+
+/// One kind of request that callers send.
+#[derive(Clone, Copy, Debug)]
+pub struct Traffic {
+    /// The workspace that sends it.
+    pub workspace: &'static str,
+    /// The pipeline that it calls.
+    pub pipeline: &'static str,
+    /// Its share of the requests, against the other shares.
+    pub share: u32,
+}
+
+/// One example site.
+#[derive(Clone, Copy, Debug)]
+pub struct Site {
+    /// Its name.
+    pub name: &'static str,
+    /// Its failure domains.
+    pub domains: [&'static str; 3],
+    /// How many entry instances it has.
+    pub daemons: usize,
+    /// Its settings, as path and text.
+    pub documents: &'static [(&'static str, &'static str)],
+    /// Its targets.
+    pub groups: &'static [Group],
+    /// Its traffic.
+    pub traffic: &'static [Traffic],
+}
+
+macro_rules! example {
+    ($path:literal) => {
+        include_str!(concat!("../../../examples/settings/", $path))
+    };
+}
+
+const fn group(pool: &'static str, kind: Kind, count: usize, work_ms: u64) -> Group {
+    Group {
+        pool,
+        kind,
+        count,
+        work_ms,
+    }
+}
+
+const fn traffic(workspace: &'static str, pipeline: &'static str, share: u32) -> Traffic {
+    Traffic {
+        workspace,
+        pipeline,
+        share,
+    }
+}
+
+/// The rental desk of Huaraz.
+pub const HUARAZ: Site = Site {
+    name: "huaraz",
+    domains: ["huaraz", "caraz", "chacas"],
+    daemons: 6,
+    documents: &[
+        ("/fleet", example!("huaraz/fleet.jsonc")),
+        ("/teams/desk", example!("huaraz/teams/desk.jsonc")),
+        ("/teams/field", example!("huaraz/teams/field.jsonc")),
+    ],
+    groups: &[
+        group("desk.llm", Kind::Engine, 20, 120),
+        group("desk.encoder", Kind::Encoder, 4, 4),
+        group("desk.retriever", Kind::Retriever, 4, 6),
+        group("desk.reranker", Kind::Reranker, 4, 5),
+        group("desk.ledger", Kind::Service, 3, 5),
+        group("field.permits", Kind::Service, 5, 5),
+        group("field.roster", Kind::Service, 5, 5),
+        group("field.inspection", Kind::Service, 5, 8),
+    ],
+    traffic: &[
+        traffic("desk.trekkers", "route-briefing", 30),
+        traffic("desk.guides", "route-briefing", 20),
+        traffic("desk.trekkers", "booking-ledger", 10),
+        traffic("desk.porters", "booking-ledger", 5),
+        traffic("desk.trekkers", "stock-lookup", 15),
+        traffic("desk.guides", "stock-lookup", 10),
+        traffic("field.rangers", "permit-check", 4),
+        traffic("field.rangers", "roster-read", 3),
+        traffic("field.inspectors", "return-inspection", 3),
+    ],
+};
+
+/// Wadi Rum Logic House.
+pub const WADI_RUM: Site = Site {
+    name: "wadi-rum",
+    domains: ["amman-a", "amman-b", "amman-c"],
+    daemons: 7,
+    documents: &[
+        ("/fleet", example!("wadi-rum/fleet.jsonc")),
+        ("/teams/planning", example!("wadi-rum/teams/planning.jsonc")),
+        (
+            "/teams/operations",
+            example!("wadi-rum/teams/operations.jsonc"),
+        ),
+    ],
+    groups: &[
+        group("planning.llm", Kind::Engine, 20, 120),
+        group("planning.encoder", Kind::Encoder, 4, 4),
+        group("planning.retriever", Kind::Retriever, 4, 6),
+        group("planning.reranker", Kind::Reranker, 4, 5),
+        group("operations.booking", Kind::Service, 3, 5),
+        group("operations.crew-roster", Kind::Service, 5, 5),
+        group("operations.weather-feed", Kind::Service, 5, 5),
+        group("operations.invoicing", Kind::Service, 5, 5),
+    ],
+    traffic: &[
+        traffic("planning.polar-one", "manifest-review", 20),
+        traffic("planning.ice-freight", "manifest-review", 10),
+        traffic("planning.polar-one", "cargo-question", 15),
+        traffic("planning.aqaba-air", "cargo-question", 5),
+        traffic("planning.ice-freight", "hazard-tag", 20),
+        traffic("planning.aqaba-air", "hazard-tag", 5),
+        traffic("operations.southern-charter", "booking", 8),
+        traffic("operations.southern-charter", "status", 8),
+        traffic("operations.dispatch", "departure-check", 6),
+        traffic("operations.southern-charter", "invoice", 3),
+    ],
+};
+
+impl Site {
+    /// Finds a site by its name.
+    #[must_use]
+    pub fn find(name: &str) -> Option<Self> {
+        [HUARAZ, WADI_RUM].into_iter().find(|one| one.name == name)
+    }
+
+    /// Publishes the settings.
+    pub fn publish(&self, platform: &Platform) {
+        for (path, text) in self.documents {
+            platform.put(path, text);
+        }
+    }
+
+    /// Starts the targets and lists them.
+    ///
+    /// # Errors
+    /// Returns an error if no port can be bound.
+    pub async fn start_targets(&self, platform: &Platform) -> anyhow::Result<Vec<Named>> {
+        let mut targets = Vec::new();
+        for group in self.groups {
+            let cold_limit = self.cold_limit(group.pool);
+            for index in 0..group.count {
+                let plan = Plan {
+                    kind: group.kind,
+                    work: Duration::from_millis(group.work_ms),
+                    cold_limit,
+                    ..Plan::default()
+                };
+                targets.push(Named {
+                    id: format!("{}-{}", group.pool.replace('.', "-"), index + 1),
+                    pool: group.pool,
+                    domain: self.domains[index % self.domains.len()],
+                    target: Target::start(plan).await?,
+                });
+            }
+        }
+        platform.add_targets(targets.iter().map(Named::entry).collect());
+        Ok(targets)
+    }
+
+    /// Returns a team's document, checked.
+    #[must_use]
+    pub fn document(&self, team: &str) -> Option<Document> {
+        let path = format!("/teams/{team}");
+        let found = self.documents.iter().find(|(known, _)| *known == path);
+        Document::parse(&id::Team::new(team).ok()?, found?.1).ok()
+    }
+
+    fn cold_limit(&self, pool: &str) -> usize {
+        let team = pool.split('.').next().unwrap_or_default();
+        let document = self.document(team);
+        let pool = id::Pool::new(pool).ok();
+        let found = pool.and_then(|pool| document.as_ref()?.pool(&pool).cloned());
+        found.map_or(1, |pool| usize::from(pool.cold_limit))
+    }
+}
+
+/// A target of a site, with the name under which it is listed.
+#[derive(Debug)]
+pub struct Named {
+    /// The id.
+    pub id: String,
+    /// The pool.
+    pub pool: &'static str,
+    /// The failure domain.
+    pub domain: &'static str,
+    /// The running target.
+    pub target: Target,
+}
+
+impl Named {
+    /// Returns the entry in the list.
+    #[must_use]
+    pub fn entry(&self) -> platform::Target {
+        let address = self.target.address();
+        crate::platform::live_target(&self.id, self.pool, self.domain, address)
+    }
+}
+
+/// Returns the credential of a workspace of the example sites.
+#[must_use]
+pub fn credential(workspace: &str) -> String {
+    format!("demo-{workspace}")
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -24,7 +24,7 @@
 }
 
 /// A greeting between two daemons, and the reply to it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// Who says it.
     pub from: CompactString,
