Publish load reports of a failure domain over the platform's protocol

Cause: the platform reports loads with a lag, and nothing read them. Change: wire type, client call and stand-in endpoint; nothing uses the reports yet. Not measured.

--- a/crates/connectors/src/platform.rs
+++ b/crates/connectors/src/platform.rs
@@ -9,6 +9,7 @@
 use anyhow::bail;
 use bytes::Bytes;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
 use gooseberry_kernel::roster::List;
 use gooseberry_kernel::roster::Revision;
 use gooseberry_kernel::settings::Tree;
@@ -78,14 +79,37 @@
         Ok(Some(wire.into()))
     }
 
+    /// Reads the load reports of a failure domain's targets.
+    ///
+    /// # Errors
+    /// Returns an error if the platform cannot be reached or answers with
+    /// something that is not load reports.
+    pub async fn loads(&self, domain: &id::Domain) -> anyhow::Result<platform::Loads> {
+        let path = format!("/v1/loads?domain={domain}");
+        let (status, body) = self.get(&path, Millis::ZERO).await?;
+        if status != StatusCode::OK {
+            bail!("the platform answered {status} at {path}");
+        }
+        serde_json::from_slice(&body).context("not load reports")
+    }
+
     async fn watch(
         &self,
         path: &str,
         after: Revision,
         wait: Millis,
     ) -> anyhow::Result<Option<Bytes>> {
-        let address = self.address;
-        let uri = format!("http://{address}{path}?after={}&wait_ms={wait}", after.0);
+        let path = format!("{path}?after={}&wait_ms={wait}", after.0);
+        let (status, body) = self.get(&path, wait).await?;
+        match status {
+            StatusCode::OK => Ok(Some(body)),
+            StatusCode::NOT_MODIFIED => Ok(None),
+            other => bail!("the platform answered {other} at {path}"),
+        }
+    }
+
+    async fn get(&self, path: &str, wait: Millis) -> anyhow::Result<(StatusCode, Bytes)> {
+        let uri = format!("http://{}{path}", self.address);
         let request = http::Request::get(uri).body(Full::default())?;
         self.calls.fetch_add(1, Ordering::Relaxed);
         let limit = Duration::from_millis(wait.0) + GRACE;
@@ -96,11 +120,6 @@
             let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
             anyhow::Ok((status, body.to_bytes()))
         };
-        let (status, body) = tokio::time::timeout(limit, exchange).await??;
-        match status {
-            StatusCode::OK => Ok(Some(body)),
-            StatusCode::NOT_MODIFIED => Ok(None),
-            other => bail!("the platform answered {other} at {path}"),
-        }
+        tokio::time::timeout(limit, exchange).await?
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,11 +6,14 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use gooseberry_wire::platform;
 use gooseberry_wire::platform::Document;
 use gooseberry_wire::platform::Instance;
 use gooseberry_wire::platform::List;
+use gooseberry_wire::platform::Load;
+use gooseberry_wire::platform::Loads;
 use gooseberry_wire::platform::Settings;
 use gooseberry_wire::platform::State;
 use gooseberry_wire::platform::Target;
@@ -36,10 +39,18 @@
     Stale(Box<(List, Settings)>),
 }
 
+/// A load report as the platform holds it.
+#[derive(Debug)]
+struct Report {
+    load: Load,
+    at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     list: List,
     settings: Settings,
+    reports: Vec<Report>,
     fault: Fault,
     calls: u64,
 }
@@ -171,6 +182,14 @@
         self.change_list(|list| list.instances.retain(|one| one.id != id));
     }
 
+    /// Publishes a target's load; its age counts from now.
+    pub fn report_load(&self, load: Load) {
+        let mut inner = self.shared.lock();
+        inner.reports.retain(|one| one.load.target != load.target);
+        let at = Instant::now();
+        inner.reports.push(Report { load, at });
+    }
+
     /// Switches a fault on, or off with [`Fault::None`].
     pub fn set_fault(&self, fault: Fault) {
         self.shared.change(|inner| inner.fault = fault);
@@ -199,6 +218,10 @@
         Fault::Slow(delay) => tokio::time::sleep(delay).await,
         Fault::None | Fault::Stale(_) => {}
     }
+    if request.uri().path() == "/v1/loads" {
+        let domain = text_parameter(&request, "domain").unwrap_or_default();
+        return json(&shared.lock().loads(domain));
+    }
     let after = parameter(&request, "after").unwrap_or(0);
     let wait = parameter(&request, "wait_ms").unwrap_or(0);
     let path = request.uri().path().to_owned();
@@ -245,11 +268,34 @@
     }
 }
 
+impl Inner {
+    fn loads(&self, domain: &str) -> Loads {
+        let is_near = |report: &&Report| {
+            let mut targets = self.list.targets.iter();
+            targets.any(|one| one.id == report.load.target && one.domain == domain)
+        };
+        let as_told = |report: &Report| {
+            let age = u64::try_from(report.at.elapsed().as_millis());
+            let mut load = report.load.clone();
+            load.age_ms += age.unwrap_or(u64::MAX);
+            load
+        };
+        let near = self.reports.iter().filter(is_near);
+        Loads {
+            loads: near.map(as_told).collect(),
+        }
+    }
+}
+
 fn parameter(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    text_parameter(request, name)?.parse().ok()
+}
+
+fn text_parameter<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     let query = request.uri().query()?;
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut found = pairs.filter(|(key, _)| *key == name);
-    found.next()?.1.parse().ok()
+    Some(found.next()?.1)
 }
 
 /// Makes the entry of a live target.
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -217,6 +217,17 @@
 }
 
 impl Named {
+    /// Publishes its load, as the platform would.
+    pub fn report_load(&self, platform: &Platform) {
+        let (in_flight, is_cold) = self.target.load();
+        platform.report_load(platform::Load {
+            target: self.id.as_str().into(),
+            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            is_cold,
+            age_ms: 0,
+        });
+    }
+
     /// Returns the entry in the list.
     #[must_use]
     pub fn entry(&self) -> platform::Target {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -144,6 +144,13 @@
         inner.answers = 0;
     }
 
+    /// Returns the calls it has, and whether it is cold.
+    #[must_use]
+    pub fn load(&self) -> (usize, bool) {
+        let inner = self.shared.lock();
+        (inner.in_flight, !inner.is_warm)
+    }
+
     /// Returns what it has run.
     #[must_use]
     pub fn journal(&self) -> Vec<Entry> {
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -90,6 +90,15 @@
     pub in_flight: u32,
     /// Whether it is cold.
     pub is_cold: bool,
+    /// How old the report is, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The load reports of one failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loads {
+    /// One report a target.
+    pub loads: Vec<Load>,
 }
 
 impl From<roster::State> for State {
