--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::drain::Phase;
+use gooseberry_kernel::handover::Parcel;
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Action;
 use gooseberry_kernel::node::Admission;
@@ -31,6 +32,7 @@
 use gooseberry_kernel::slot::Call;
 use gooseberry_kernel::slot::Start;
 use gooseberry_kernel::slot::Wake;
+use gooseberry_kernel::tenure::Past;
 use gooseberry_kernel::warmth::Sign;
 use ractor::Actor;
 use ractor::ActorProcessingErr;
@@ -58,10 +60,14 @@
 pub enum Message {
     /// Time has passed; the reply names the peers to greet and with what.
     Tick(RpcReplyPort<(Vec<Member>, Hello)>),
-    /// The platform answered about the list; `None` if nothing is newer.
-    ReadList(Option<List>),
-    /// The platform answered about the settings; `None` if nothing is newer.
-    ReadSettings(Option<Tree>),
+    /// The platform answered about the list, asked for at the moment; `None`
+    /// if nothing is newer.
+    ReadList(Option<List>, Millis),
+    /// The platform answered about the settings, asked for at the moment;
+    /// `None` if nothing is newer.
+    ReadSettings(Option<Tree>, Millis),
+    /// A peer sent the lists of late.
+    AdoptPast(Vec<Past>),
     /// A peer sent its list.
     AdoptList(List),
     /// A peer sent its settings.
@@ -103,6 +109,10 @@
     End(Key, End),
     /// A shutdown is asked for, with its limit.
     ShutDown(Millis),
+    /// Every right is given up; the reply is what each peer gets of them.
+    HandOver(RpcReplyPort<Vec<(Member, Vec<Parcel>)>>),
+    /// A peer that leaves hands over a part of what it owned.
+    Inherit(Parcel),
     /// Every right is given up; the reply names the peers to tell, and how.
     Goodbye(RpcReplyPort<(Vec<Member>, Hello)>),
     /// Somebody asks about the node.
@@ -176,9 +186,13 @@
         let node = &mut self.node;
         match message {
             Message::Tick(reply) => self.tick(reply, now),
-            Message::ReadList(Some(list)) => node.read_list(&list, now),
-            Message::ReadSettings(Some(tree)) => node.read_settings(&tree, now),
-            Message::ReadList(None) | Message::ReadSettings(None) => node.confirm(now),
+            Message::ReadList(Some(list), asked_at) => node.read_list(&list, asked_at, now),
+            Message::ReadList(None, asked_at) => node.confirm_list(asked_at),
+            Message::ReadSettings(Some(tree), asked_at) => {
+                node.read_settings(&tree, asked_at, now);
+            }
+            Message::ReadSettings(None, asked_at) => node.confirm_settings(asked_at),
+            Message::AdoptPast(past) => node.adopt_past(&past, now),
             Message::AdoptList(list) => node.adopt_list(&list, now),
             Message::AdoptSettings(tree) => node.adopt_settings(&tree, now),
             Message::Greeted(hello, reply) => {
@@ -215,6 +229,8 @@
             }
             Message::End(key, end) => node.end(&key, end, now),
             Message::ShutDown(limit) => node.shut_down(limit, now),
+            Message::HandOver(reply) => send(reply, node.hand_over(now)),
+            Message::Inherit(parcel) => node.inherit(&parcel, now),
             Message::Goodbye(reply) => {
                 let peers = node.say_goodbye();
                 send(reply, (peers, node.hello(now)));
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -6,15 +6,19 @@
 
 use futures::Stream;
 use futures::StreamExt;
+use gooseberry_kernel::handover;
 use gooseberry_kernel::node::Need;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::peer;
 use gooseberry_kernel::roster;
 use gooseberry_kernel::roster::Member;
+use gooseberry_kernel::tenure;
 use gooseberry_wire::control::Control;
 use gooseberry_wire::control::ControlRequest;
 use gooseberry_wire::control::ControlResponse;
 use gooseberry_wire::control::Hello;
+use gooseberry_wire::control::Parcel;
+use gooseberry_wire::control::Past;
 use gooseberry_wire::platform;
 use tarpc::ClientMessage;
 use tarpc::Response;
@@ -47,7 +51,7 @@
         let Ok((answer, need)) = answered else {
             return own_hello(&self.context).await;
         };
-        if need != Need::Nothing {
+        if need != Need::default() {
             let context = self.context.clone();
             tokio::spawn(async move { fetch_from(&context, &from, need).await });
         }
@@ -60,6 +64,19 @@
         list.ok().flatten().unwrap_or_default()
     }
 
+    async fn past(self, _: context::Context) -> Option<Vec<Past>> {
+        let read = |node: &Node, now| node.tenure().past(now);
+        let past = self.context.node.look(read).await.ok().flatten()?;
+        Some(past.iter().map(Into::into).collect())
+    }
+
+    async fn hand_over(self, _: context::Context, parcel: Parcel) {
+        match handover::Parcel::try_from(parcel) {
+            Ok(parcel) => self.context.node.tell(Message::Inherit(parcel)),
+            Err(error) => log::warn!("a hand-over was refused: {error}"),
+        }
+    }
+
     async fn settings(self, _: context::Context) -> platform::Settings {
         let read = |node: &Node, _| platform::Settings::from(&node.book().tree());
         self.context.node.look(read).await.unwrap_or_default()
@@ -115,6 +132,31 @@
     }
 }
 
+/// Gives up every right and hands the keys and targets to their next owners.
+pub async fn hand_over(context: &Arc<Context>) {
+    let Ok(parcels) = context.node.ask(Message::HandOver).await else {
+        return;
+    };
+    let deliveries = parcels
+        .iter()
+        .map(|(member, parcels)| deliver(context, member, parcels));
+    futures::future::join_all(deliveries).await;
+}
+
+async fn deliver(context: &Context, member: &Member, parcels: &[handover::Parcel]) {
+    let delivery = async {
+        let client = context.peers.control(member.control).await?;
+        for parcel in parcels {
+            let parcel = Parcel::from(parcel);
+            client.hand_over(peers::control_context(), parcel).await?;
+        }
+        anyhow::Ok(())
+    };
+    if let Err(error) = delivery.await {
+        log::warn!("{} did not take the hand-over: {error:#}", member.id);
+    }
+}
+
 /// Says goodbye to every peer, and waits until they have heard it.
 pub async fn say_goodbye(context: &Arc<Context>) {
     let Ok((members, hello)) = context.node.ask(Message::Goodbye).await else {
@@ -161,14 +203,21 @@
     let Ok(client) = context.peers.control(member.control).await else {
         return;
     };
-    if matches!(need, Need::List | Need::Both) {
+    if need.list {
         let list = client.list(peers::control_context()).await;
         let list = list.ok().and_then(|list| roster::List::try_from(list).ok());
         if let Some(list) = list {
             context.node.tell(Message::AdoptList(list));
         }
     }
-    if matches!(need, Need::Settings | Need::Both) {
+    if need.past {
+        let past = client.past(peers::control_context()).await.ok().flatten();
+        let past = past.map(|past| past.into_iter().map(tenure::Past::try_from).collect());
+        if let Some(Ok(past)) = past {
+            context.node.tell(Message::AdoptPast(past));
+        }
+    }
+    if need.settings {
         let settings = client.settings(peers::control_context()).await;
         if let Ok(settings) = settings {
             context.node.tell(Message::AdoptSettings(settings.into()));
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -139,6 +139,7 @@
                 }
             }
         }
+        control::hand_over(&self.context).await;
         control::say_goodbye(&self.context).await;
         self.stop_callers.send_replace(true);
         tokio::time::sleep(LINGER).await;
--- a/crates/daemon/src/reader.rs
+++ b/crates/daemon/src/reader.rs
@@ -11,30 +11,31 @@
 use crate::context::Context;
 
 /// How long the platform may hold a watch before it says that nothing is new.
-const WAIT: Millis = Millis(2000);
+const WAIT: Millis = Millis(1000);
 /// How long to wait after the platform failed.
 const PAUSE: Duration = Duration::from_millis(200);
 /// How often a daemon that is not a reader looks whether it has become one.
-const IDLE: Duration = Duration::from_millis(500);
+const IDLE: Duration = Duration::from_millis(200);
 
 /// Watches the list until `stop` turns true.
 pub async fn watch_list(context: Arc<Context>, stop: watch::Receiver<bool>) {
-    watch(context, stop, read_list).await;
+    watch(context, stop, Node::is_list_reader, read_list).await;
 }
 
 /// Watches the settings until `stop` turns true.
 pub async fn watch_settings(context: Arc<Context>, stop: watch::Receiver<bool>) {
-    watch(context, stop, read_settings).await;
+    watch(context, stop, Node::is_settings_reader, read_settings).await;
 }
 
 async fn watch(
     context: Arc<Context>,
     mut stop: watch::Receiver<bool>,
+    is_reader: fn(&Node, Millis) -> bool,
     read: impl AsyncFn(&Context) -> anyhow::Result<()>,
 ) {
     loop {
         let round = async {
-            let is_reader = context.node.look(Node::is_reader).await;
+            let is_reader = context.node.look(is_reader).await;
             if !is_reader.unwrap_or(false) {
                 return tokio::time::sleep(IDLE).await;
             }
@@ -55,14 +56,16 @@
         .node
         .look(|node, _| node.tenure().revision())
         .await?;
+    let asked_at = context.clock.now();
     let list = context.platform.list(after, WAIT).await?;
-    context.node.tell(Message::ReadList(list));
+    context.node.tell(Message::ReadList(list, asked_at));
     Ok(())
 }
 
 async fn read_settings(context: &Context) -> anyhow::Result<()> {
     let after = context.node.look(|node, _| node.book().revision()).await?;
+    let asked_at = context.clock.now();
     let tree = context.platform.settings(after, WAIT).await?;
-    context.node.tell(Message::ReadSettings(tree));
+    context.node.tell(Message::ReadSettings(tree, asked_at));
     Ok(())
 }
--- /dev/null
+++ b/crates/kernel/src/handover.rs
@@ -0,0 +1,211 @@
+//! What a daemon that leaves hands to the next owners of its targets and keys.
+//!
+//! The leaver gives up its rights first. It then sends each peer the records
+//! of the keys that the peer owns next, in parcels of bounded size, together
+//! with the lists under which it held its rights. A new owner that has every
+//! parcel knows all that the leaver knew of a thing, so its knowledge reaches
+//! back to the beginning of the leaver's tenure. See `docs/design/once.md`.
+
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::id;
+use crate::once::Item;
+use crate::roster::Entry;
+use crate::roster::List;
+use crate::roster::Member;
+use crate::roster::Revision;
+use crate::tenure;
+use crate::tenure::Thing;
+
+value! {
+    /// A list under which the leaver held rights.
+    pub struct Stretch {
+        /// Its revision.
+        pub revision: Revision,
+        /// Whether it follows the stretch before without a gap.
+        pub is_consecutive: bool,
+        /// How long ago rights under it began; `None` if they never did.
+        pub held_for: Option<Millis>,
+        /// Its daemons.
+        pub members: Vec<Member>,
+    }
+
+    /// One part of a hand-over.
+    pub struct Parcel {
+        /// The leaver.
+        pub from: id::Instance,
+        /// The number of this parcel, from 0.
+        pub index: u16,
+        /// How many parcels there are for this peer.
+        pub count: u16,
+        /// The lists of the leaver, oldest first; only in parcel 0.
+        pub stretches: Vec<Stretch>,
+        /// The targets that may still have calls of the leaver; only in parcel 0.
+        pub busy: Vec<id::Target>,
+        /// Keys and what became of them.
+        pub keys: Vec<Item>,
+    }
+}
+
+/// How many bytes of keys and answers one parcel holds, unless a single answer
+/// is larger.
+pub const PARCEL_BYTES: usize = 256 << 10;
+/// How many leavers are remembered at a time.
+const LEAVERS_MAX: usize = 16;
+
+#[derive(Clone, Debug)]
+struct Estate {
+    from: id::Instance,
+    at: Millis,
+    count: u16,
+    /// The numbers of the parcels that arrived, sorted.
+    arrived: Vec<u16>,
+    stretches: Vec<Stretch>,
+    busy: Vec<id::Target>,
+}
+
+/// What leavers have handed to one daemon.
+#[derive(Clone, Debug, Default)]
+pub struct Estates {
+    estates: Vec<Estate>,
+}
+
+impl Estates {
+    /// Takes in a parcel, apart from its keys.
+    pub fn take(&mut self, parcel: &Parcel, now: Millis) {
+        let found = self.estates.iter().position(|one| one.from == parcel.from);
+        let index = found.unwrap_or_else(|| {
+            self.estates.push(Estate {
+                from: parcel.from.clone(),
+                at: now,
+                count: parcel.count,
+                arrived: Vec::new(),
+                stretches: Vec::new(),
+                busy: Vec::new(),
+            });
+            self.estates.len() - 1
+        });
+        let estate = &mut self.estates[index];
+        if let Err(place) = estate.arrived.binary_search(&parcel.index) {
+            estate.arrived.insert(place, parcel.index);
+        }
+        if parcel.index == 0 {
+            // The ages in the parcel are by the time it was written, so that
+            // taking its arrival for it errs to the late side.
+            estate.at = now;
+            estate.stretches.clone_from(&parcel.stretches);
+            estate.busy.clone_from(&parcel.busy);
+        }
+        if self.estates.len() > LEAVERS_MAX {
+            self.estates.remove(0);
+        }
+    }
+
+    /// Forgets what was handed over longer ago than the memory.
+    pub fn tick(&mut self, memory: Millis, now: Millis) {
+        self.estates.retain(|one| one.at + memory > now);
+    }
+
+    /// Returns since when the leaver knew of a thing all that this daemon now
+    /// knows, if the leaver was its owner up to the list `until` and handed
+    /// it to this daemon.
+    #[must_use]
+    pub fn since(
+        &self,
+        thing: &Thing,
+        entry: Option<&Entry>,
+        leaver: &id::Instance,
+        until: Revision,
+        me: &id::Instance,
+    ) -> Option<Millis> {
+        let estate = self.estates.iter().find(|one| one.from == *leaver)?;
+        if estate.arrived.len() != usize::from(estate.count) || estate.is_busy(thing) {
+            return None;
+        }
+        let last = estate.stretches.last()?;
+        let next = owner_without(last, leaver, thing, entry)?;
+        (next == *me).then(|| estate.held_since(thing, entry, until))?
+    }
+}
+
+impl Estate {
+    fn is_busy(&self, thing: &Thing) -> bool {
+        match thing {
+            Thing::Target(id) => self.busy.binary_search(id).is_ok(),
+            Thing::Key(_) => false,
+        }
+    }
+
+    fn held_since(&self, thing: &Thing, entry: Option<&Entry>, until: Revision) -> Option<Millis> {
+        let is_last = |one: &Stretch| one.revision == until;
+        let mut first = self.stretches.iter().position(is_last)?;
+        let is_owner = |index: usize| {
+            let list = list_of(&self.stretches[index], entry);
+            tenure::owner(&list, thing) == Some(&self.from)
+        };
+        if !is_owner(first) {
+            return None;
+        }
+        while first > 0 && self.stretches[first].is_consecutive && is_owner(first - 1) {
+            first -= 1;
+        }
+        let held_for = self.stretches[first].held_for?;
+        Some(self.at - held_for)
+    }
+}
+
+/// Names the owner of a thing by a list, if the leaver were not in it.
+#[must_use]
+pub fn owner_without(
+    stretch: &Stretch,
+    leaver: &id::Instance,
+    thing: &Thing,
+    entry: Option<&Entry>,
+) -> Option<id::Instance> {
+    let mut list = list_of(stretch, entry);
+    list.members.retain(|one| one.id != *leaver);
+    tenure::owner(&list, thing).cloned()
+}
+
+fn list_of(stretch: &Stretch, entry: Option<&Entry>) -> List {
+    let targets = entry.into_iter().cloned().collect();
+    List::new(stretch.revision, stretch.members.clone(), targets)
+}
+
+/// Divides items into parcels of bounded size for one peer.
+#[must_use]
+pub fn pack(
+    from: &id::Instance,
+    stretches: &[Stretch],
+    busy: &[id::Target],
+    items: Vec<Item>,
+) -> Vec<Parcel> {
+    let parcel = |keys| Parcel {
+        from: from.clone(),
+        index: 0,
+        count: 0,
+        stretches: Vec::new(),
+        busy: Vec::new(),
+        keys,
+    };
+    let mut parcels = vec![parcel(Vec::new())];
+    let mut bytes = 0;
+    for item in items {
+        bytes += item.bytes();
+        if bytes > PARCEL_BYTES {
+            bytes = item.bytes();
+            parcels.push(parcel(Vec::new()));
+        }
+        if let Some(last) = parcels.last_mut() {
+            last.keys.push(item);
+        }
+    }
+    let count = u16::try_from(parcels.len()).unwrap_or(u16::MAX);
+    for (index, parcel) in (0..count).zip(&mut parcels) {
+        parcel.index = index;
+        parcel.count = count;
+    }
+    parcels[0].stretches = stretches.to_vec();
+    parcels[0].busy = busy.to_vec();
+    parcels
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`route`] picks a target; [`slot`] and [`warmth`] count what it bears.
 //! - [`admission`], [`retry`] and [`quarantine`] keep load and faults in bounds.
 //! - [`once`] runs a non-idempotent request at most once.
+//! - [`handover`] gives targets and keys to the next owner at a shutdown.
 //! - [`answer`] is the closed list of ways in which a request can fail.
 //!
 //! # Example
@@ -42,6 +43,7 @@
 pub mod clock;
 pub mod cost;
 pub mod drain;
+pub mod handover;
 pub mod hash;
 pub mod id;
 pub mod node;
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -6,6 +6,7 @@
 //!
 //! - `node_control.rs`: the platform and the peers;
 //! - `node_entry.rs`: a caller's request and its stages;
+//! - `node_handover.rs`: what a leaver gives to the next owners;
 //! - `node_owner.rs`: the targets and keys that this daemon owns.
 
 use crate::admission::Room;
@@ -13,6 +14,7 @@
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::drain::Drain;
+use crate::handover::Estates;
 use crate::hash;
 use crate::id;
 use crate::once;
@@ -30,6 +32,8 @@
 mod control;
 #[path = "node_entry.rs"]
 mod entry;
+#[path = "node_handover.rs"]
+mod handover;
 #[path = "node_owner.rs"]
 mod owner;
 
@@ -62,6 +66,7 @@
     room: Room,
     slots: slot::Table,
     keys: once::Memory,
+    estates: Estates,
     ward: Ward,
     budget: Budget,
     drain: Drain,
@@ -87,6 +92,7 @@
             room: Room::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
+            estates: Estates::default(),
             ward: Ward::default(),
             budget: Budget::default(),
             drain: Drain::default(),
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -11,21 +11,20 @@
 use crate::peer::Hello;
 use crate::roster::List;
 use crate::roster::Member;
-use crate::roster::Revision;
 use crate::settings::Tree;
 use crate::slot::Wake;
+use crate::tenure::Past;
 
 value! {
     /// What a peer has that this node lacks.
-    pub enum Need {
-        /// Nothing.
-        Nothing,
+    #[derive(Copy, Default)]
+    pub struct Need {
         /// A newer list.
-        List,
-        /// Newer settings.
-        Settings,
-        /// Both.
-        Both,
+        pub list: bool,
+        /// Newer settings, or a good document in place of a faulty one.
+        pub settings: bool,
+        /// The lists of late, which a fresh node does not know.
+        pub past: bool,
     }
 
     /// What the driver does after a tick.
@@ -37,15 +36,19 @@
     }
 }
 
-/// How long the platform may leave what was read unconfirmed before a node
-/// that is not a reader asks for itself.
-const CONFIRM_LIMIT: Millis = Millis(3000);
+/// How long the list may stay unconfirmed before a node that is not a reader
+/// asks the platform itself.
+const LIST_LIMIT: Millis = Millis(2000);
+/// The same for the settings.
+const SETTINGS_LIMIT: Millis = Millis(4000);
 
 /// When and how this node last heard from the platform and its peers.
 #[derive(Clone, Debug)]
 pub(super) struct Reach {
-    /// When the platform had last confirmed what this node knows.
-    confirmed_at: Option<Millis>,
+    /// When the platform had last confirmed the list that this node holds.
+    list_at: Option<Millis>,
+    /// When the platform had last confirmed the settings that it holds.
+    settings_at: Option<Millis>,
     next_greeting: Millis,
     goodbye: bool,
 }
@@ -53,7 +56,8 @@
 impl Reach {
     pub(super) fn new(now: Millis) -> Self {
         Self {
-            confirmed_at: None,
+            list_at: None,
+            settings_at: None,
             next_greeting: now,
             goodbye: false,
         }
@@ -63,32 +67,59 @@
 impl Node {
     // The platform
 
-    /// Tells whether this node should read the platform itself now.
+    /// Tells whether this node should read the list from the platform now.
     ///
     /// A few readers in each failure domain do, and pass on what they read.
     /// The others ask only if nobody has confirmed it for a while. So the
     /// platform's calls grow with the failure domains and not with the fleet.
     #[must_use]
-    pub fn is_reader(&self, now: Millis) -> bool {
-        let is_confirmed = self.read_age(now).is_some_and(|age| age < CONFIRM_LIMIT);
+    pub fn is_list_reader(&self, now: Millis) -> bool {
+        let is_confirmed = self.list_age(now).is_some_and(|age| age < LIST_LIMIT);
         !is_confirmed || self.is_elected_reader()
     }
 
-    /// Takes in the list that the platform published.
-    pub fn read_list(&mut self, list: &List, now: Millis) {
+    /// Tells whether this node should read the settings from the platform now.
+    ///
+    /// See also [`Self::is_list_reader`].
+    #[must_use]
+    pub fn is_settings_reader(&self, now: Millis) -> bool {
+        let age = self.settings_age(now);
+        let is_confirmed = age.is_some_and(|age| age < SETTINGS_LIMIT);
+        !is_confirmed || self.is_elected_reader()
+    }
+
+    /// Takes in the list that the platform published, asked for at `asked_at`.
+    ///
+    /// The question's time is what counts: the answer may have waited while
+    /// the process was paused. An older list than this node's confirms nothing.
+    pub fn read_list(&mut self, list: &List, asked_at: Millis, now: Millis) {
+        let is_current = list.revision >= self.tenure.revision();
         self.adopt_list(list, now);
-        self.confirm(now);
+        if is_current {
+            self.confirm_list(asked_at);
+        }
     }
 
     /// Takes in the settings that the platform published.
-    pub fn read_settings(&mut self, tree: &Tree, now: Millis) {
+    ///
+    /// See also [`Self::read_list`].
+    pub fn read_settings(&mut self, tree: &Tree, asked_at: Millis, now: Millis) {
+        let is_current = tree.revision >= self.book.revision();
         self.adopt_settings(tree, now);
-        self.confirm(now);
+        if is_current {
+            self.confirm_settings(asked_at);
+        }
+    }
+
+    /// Notes that the platform had no newer list when it was asked.
+    pub fn confirm_list(&mut self, asked_at: Millis) {
+        self.reach.list_at = self.reach.list_at.max(Some(asked_at));
+        self.tenure.confirm(asked_at);
     }
 
-    /// Notes that the platform has nothing newer.
-    pub fn confirm(&mut self, now: Millis) {
-        self.reach.confirmed_at = Some(now);
+    /// Notes that the platform had no newer settings when it was asked.
+    pub fn confirm_settings(&mut self, asked_at: Millis) {
+        self.reach.settings_at = self.reach.settings_at.max(Some(asked_at));
     }
 
     /// Tells whether this node may use the rights that it owns now.
@@ -97,10 +128,23 @@
         self.tenure.is_settled(now)
     }
 
-    /// Returns how long ago the platform confirmed what this node knows.
+    /// Returns how long ago the platform confirmed all that this node knows.
     #[must_use]
     pub fn read_age(&self, now: Millis) -> Option<Millis> {
-        self.reach.confirmed_at.map(|at| now - at)
+        let list = self.list_age(now)?;
+        Some(list.max(self.settings_age(now)?))
+    }
+
+    /// Returns how long ago the platform confirmed the list.
+    #[must_use]
+    pub fn list_age(&self, now: Millis) -> Option<Millis> {
+        self.reach.list_at.map(|at| now - at)
+    }
+
+    /// Returns how long ago the platform confirmed the settings.
+    #[must_use]
+    pub fn settings_age(&self, now: Millis) -> Option<Millis> {
+        self.reach.settings_at.map(|at| now - at)
     }
 
     // Peers
@@ -115,6 +159,11 @@
         self.assert(after >= before, "list-reverted");
     }
 
+    /// Takes in the lists of late from a peer that knows them.
+    pub fn adopt_past(&mut self, past: &[Past], now: Millis) {
+        self.tenure.learn_past(past, now);
+    }
+
     /// Takes in the settings that a peer holds.
     pub fn adopt_settings(&mut self, tree: &Tree, now: Millis) {
         let before = self.book.revision();
@@ -130,9 +179,10 @@
     pub fn hello(&self, now: Millis) -> Hello {
         Hello {
             from: self.me.instance.clone(),
-            list: self.tenure.revision(),
+            answer: self.tenure.answer(now),
             settings: self.book.revision(),
-            read_age: self.read_age(now).unwrap_or(Millis::NEVER),
+            list_age: self.list_age(now).unwrap_or(Millis::NEVER),
+            settings_age: self.settings_age(now).unwrap_or(Millis::NEVER),
             is_witness: self.tenure.is_witness(now),
             is_goodbye: self.reach.goodbye,
             departed: self.tenure.departed(now),
@@ -145,16 +195,17 @@
         self.tenure.merge_departed(&hello.departed, now);
         self.ward.merge(&hello.suspects, now);
         if hello.is_goodbye {
-            self.tenure.goodbye(&hello.from, now);
+            let revision = hello.answer.revision;
+            self.tenure.goodbye(&hello.from, revision, now);
         }
-        self.need(hello.list, hello.settings)
+        self.need(hello)
     }
 
     /// Takes in a peer's reply to a greeting sent at `sent_at`.
     pub fn answered(&mut self, hello: &Hello, sent_at: Millis, now: Millis) -> Need {
         if hello.is_witness && !hello.is_goodbye {
             self.tenure
-                .acknowledge(&hello.from, hello.list, sent_at, now);
+                .acknowledge(&hello.from, &hello.answer, sent_at, now);
         }
         self.learn_confirmation(hello, sent_at);
         self.greeted(hello, now)
@@ -167,6 +218,7 @@
         self.tenure.tick(now);
         self.ward.tick(now);
         self.keys.tick(self.book.fleet().horizon, now);
+        self.estates.tick(self.book.fleet().dropped_memory, now);
         let mut actions: Vec<Action> = Vec::new();
         actions.extend(self.wake(now).into_iter().map(Action::Wake));
         if now >= self.reach.next_greeting {
@@ -188,7 +240,7 @@
     pub fn shutdown_phase(&self, now: Millis) -> Phase {
         let load = Load {
             requests: self.room.total(),
-            calls: self.slots.in_flight() + self.slots.queued(),
+            calls: self.slots.in_flight() + self.slots.queued() + self.keys.running(),
         };
         self.drain.phase(load, now)
     }
@@ -196,39 +248,40 @@
     /// Gives up every right and returns the peers to say goodbye to.
     pub fn say_goodbye(&mut self) -> Vec<Member> {
         self.reach.goodbye = true;
+        self.tenure.give_up();
         self.peers().collect()
     }
 
-    fn peers(&self) -> impl Iterator<Item = Member> + use<> {
+    pub(super) fn peers(&self) -> impl Iterator<Item = Member> + use<> {
         let listed = self.tenure.list().map(|list| list.members.clone());
         let me = self.me.instance.clone();
         let others = listed.unwrap_or_default().into_iter();
         others.filter(move |one| one.id != me)
     }
 
-    fn need(&self, list: Revision, settings: Revision) -> Need {
-        let is_list = list > self.tenure.revision();
-        let is_settings = settings > self.book.revision();
-        match (is_list, is_settings) {
-            (false, false) => Need::Nothing,
-            (true, false) => Need::List,
-            (false, true) => Need::Settings,
-            (true, true) => Need::Both,
+    fn need(&self, hello: &Hello) -> Need {
+        let is_newer = hello.settings > self.book.revision();
+        let is_equal = hello.settings == self.book.revision();
+        Need {
+            list: hello.answer.revision > self.tenure.revision(),
+            settings: is_newer || (is_equal && self.book.is_lacking()),
+            past: hello.answer.knows_past && !self.tenure.knows_past(),
         }
     }
 
-    /// Learns that the platform confirmed what this node knows, from a peer
-    /// that knows nothing newer.
+    /// Learns what the platform has confirmed, from a peer that knows nothing
+    /// older.
+    ///
+    /// The reply was made after `sent_at`, so the ages err to the old side.
     fn learn_confirmation(&mut self, hello: &Hello, sent_at: Millis) {
-        let knows_all =
-            hello.list >= self.tenure.revision() && hello.settings >= self.book.revision();
-        if !knows_all || hello.read_age == Millis::NEVER {
-            return;
+        let is_current = hello.answer.revision >= self.tenure.revision();
+        if is_current && hello.list_age != Millis::NEVER {
+            self.confirm_list(sent_at - hello.list_age);
+        }
+        let is_current = hello.settings >= self.book.revision();
+        if is_current && hello.settings_age != Millis::NEVER {
+            self.confirm_settings(sent_at - hello.settings_age);
         }
-        // The reply was made after `sent_at`, so this age errs to the old side.
-        let at = sent_at - hello.read_age;
-        let known = self.reach.confirmed_at.unwrap_or(Millis::ZERO);
-        self.reach.confirmed_at = Some(known.max(at));
     }
 
     fn is_elected_reader(&self) -> bool {
--- /dev/null
+++ b/crates/kernel/src/node_handover.rs
@@ -0,0 +1,71 @@
+//! The hand-over of targets and keys when a node leaves.
+
+use super::Node;
+use crate::clock::Millis;
+use crate::handover;
+use crate::handover::Estates;
+use crate::handover::Parcel;
+use crate::handover::Stretch;
+use crate::id;
+use crate::once::Item;
+use crate::roster::Member;
+use crate::tenure::Tenure;
+use crate::tenure::Thing;
+
+impl Node {
+    /// Gives up every right, and returns the parcels for each peer.
+    ///
+    /// Nothing is started afterwards, so the parcels stay true.
+    pub fn hand_over(&mut self, now: Millis) -> Vec<(Member, Vec<Parcel>)> {
+        self.tenure.give_up();
+        let stretches = self.tenure.stretches(now);
+        let Some(last) = stretches.last() else {
+            return Vec::new();
+        };
+        let busy = self.slots.busy(now);
+        let mut items = self.keys.items(now);
+        let mut parcels = Vec::new();
+        for peer in self.peers() {
+            let is_next = |item: &Item| self.is_next_owner(last, item, &peer.id);
+            let (next, others): (Vec<Item>, Vec<Item>) = items.into_iter().partition(is_next);
+            items = others;
+            let packed = handover::pack(&self.me.instance, &stretches, &busy, next);
+            parcels.push((peer, packed));
+        }
+        parcels
+    }
+
+    /// Takes in a part of what a leaver hands over.
+    pub fn inherit(&mut self, parcel: &Parcel, now: Millis) {
+        for item in &parcel.keys {
+            self.keys.inherit(item, now);
+        }
+        self.estates.take(parcel, now);
+    }
+
+    /// Returns since when this node knows all about a thing that it owns.
+    ///
+    /// That is the beginning of its tenure, or of its predecessor's if that
+    /// one has handed the thing over.
+    pub(super) fn known_since(&self, thing: &Thing, since: Millis) -> Millis {
+        let inherited = inherited(&self.tenure, &self.estates, thing);
+        inherited.map_or(since, |at| at.min(since))
+    }
+
+    fn is_next_owner(&self, last: &Stretch, item: &Item, peer: &id::Instance) -> bool {
+        let thing = Thing::Key(item.key.hash());
+        handover::owner_without(last, &self.me.instance, &thing, None).as_ref() == Some(peer)
+    }
+}
+
+/// Returns since when the predecessor knew all about a thing, if it has handed
+/// the thing over.
+pub(super) fn inherited(tenure: &Tenure, estates: &Estates, thing: &Thing) -> Option<Millis> {
+    let (leaver, until) = tenure.predecessor(thing)?;
+    let list = tenure.list()?;
+    let entry = match thing {
+        Thing::Target(id) => Some(list.target(id)?),
+        Thing::Key(_) => None,
+    };
+    estates.since(thing, entry, &leaver, until, tenure.me())
+}
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -1,6 +1,7 @@
 //! The targets and keys that one node owns.
 
 use super::Node;
+use super::handover::inherited;
 use crate::answer::Failure;
 use crate::answer::Kind;
 use crate::clock::Millis;
@@ -152,12 +153,14 @@
         let book = &self.book;
         let loads = &self.loads;
         let tenure = &self.tenure;
+        let estates = &self.estates;
         self.slots.tick(now, |id| {
             let entry = list.target(id)?;
             let thing = Thing::Target(id.clone());
             let Right::Held { since, .. } = tenure.right(&thing, now) else {
                 return None;
             };
+            let since = inherited(tenure, estates, &thing).map_or(since, |at| at.min(since));
             let is_out = route::why_out(entry, book.fleet(), loads).is_some();
             let pool = book.pool(&entry.pool).filter(|_| !is_out)?;
             Some((pool, since))
@@ -184,7 +187,10 @@
         let rules = self.tenure.rules();
         match self.tenure.right(&Thing::Target(target.clone()), now) {
             Right::Held { until, .. } if !rules.full => Ok((Millis::ZERO, until)),
-            Right::Held { since, until } => Ok((since, until)),
+            Right::Held { since, until } => {
+                let thing = Thing::Target(target.clone());
+                Ok((self.known_since(&thing, since), until))
+            }
             Right::Elsewhere(_) | Right::Nobody => Err(Kind::NoOwner.into()),
             Right::Resting(_) => Err(Kind::NoRight.into()),
         }
@@ -208,6 +214,7 @@
             Right::Elsewhere(_) | Right::Nobody => return Err(Kind::NoOwner.into()),
             Right::Resting(_) => return Err(Kind::NoRight.into()),
         };
+        let since = self.known_since(&Thing::Key(key.hash()), since);
         let trusts = self.book.workspace(&key.workspace);
         let trusts = trusts.is_some_and(|one| one.trusts_attempt_number);
         let claim = Claim {
@@ -221,10 +228,17 @@
 
     /// Tells whether the right to a key still holds, directly before its
     /// non-idempotent stage is sent.
+    ///
+    /// It must be the tenure in which the key was taken: another daemon may
+    /// have owned the key in between.
     #[must_use]
     pub fn holds_key(&self, key: &Key, now: Millis) -> bool {
         let right = self.tenure.right(&Thing::Key(key.hash()), now);
-        matches!(right, Right::Held { .. }) || !self.tenure.rules().check
+        let is_held = match right {
+            Right::Held { since, .. } => self.keys.is_running(key, since),
+            Right::Elsewhere(_) | Right::Resting(_) | Right::Nobody => false,
+        };
+        is_held || !self.tenure.rules().check
     }
 
     /// Notes how the request that took a key has ended.
--- a/crates/kernel/src/once.rs
+++ b/crates/kernel/src/once.rs
@@ -57,6 +57,18 @@
         Unknown,
     }
 
+    /// A key and what became of it, as a leaver hands it over.
+    pub struct Item {
+        /// The key.
+        pub key: Key,
+        /// The digest of its request.
+        pub digest: id::Digest,
+        /// The recorded answer; `None` if its fate is not known.
+        pub record: Option<Record>,
+        /// How long ago it last changed.
+        pub age: Millis,
+    }
+
     /// What the asker knows about a key and its owner's tenure.
     pub struct Claim {
         /// The SHA-256 of the request's body.
@@ -112,6 +124,15 @@
     }
 }
 
+impl Item {
+    /// Returns about how many bytes the item takes in a message.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let body = self.record.as_ref().map_or(0, |record| record.body.len());
+        ENTRY_BYTES + self.key.text.len() + body
+    }
+}
+
 impl Memory {
     /// Decides about a request with a key, and takes the key if it may run.
     pub fn begin(&mut self, key: &Key, claim: &Claim, horizon: Millis, now: Millis) -> Verdict {
@@ -156,12 +177,72 @@
         }
     }
 
+    /// Tells whether a key was taken under a tenure that began at `since`, and
+    /// has not ended.
+    #[must_use]
+    pub fn is_running(&self, key: &Key, since: Millis) -> bool {
+        let found = self.entries.binary_search_by(|one| one.key.cmp(key));
+        found.is_ok_and(|index| {
+            let entry = &self.entries[index];
+            matches!(entry.state, Progress::Running) && entry.at >= since
+        })
+    }
+
+    /// Returns how many keys are running.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let is_running = |one: &&Entry| matches!(one.state, Progress::Running);
+        self.entries.iter().filter(is_running).count()
+    }
+
+    /// Returns every key, for its next owner.
+    ///
+    /// The fate of a key that is running is not known to that owner.
+    #[must_use]
+    pub fn items(&self, now: Millis) -> Vec<Item> {
+        let item = |entry: &Entry| Item {
+            key: entry.key.clone(),
+            digest: entry.digest,
+            record: match &entry.state {
+                Progress::Answered(record) => Some(record.clone()),
+                Progress::Running | Progress::Unknown => None,
+            },
+            age: now - entry.at,
+        };
+        self.entries.iter().map(item).collect()
+    }
+
+    /// Takes in a key from its former owner; one that is known stays.
+    pub fn inherit(&mut self, item: &Item, now: Millis) {
+        let found = self.entries.binary_search_by(|one| one.key.cmp(&item.key));
+        let Err(index) = found else { return };
+        let entry = Entry {
+            key: item.key.clone(),
+            digest: item.digest,
+            state: match &item.record {
+                Some(record) => Progress::Answered(record.clone()),
+                None => Progress::Unknown,
+            },
+            at: now - item.age,
+        };
+        self.bytes += entry_bytes(&entry);
+        self.entries.insert(index, entry);
+    }
+
     /// Forgets keys that no caller may send again.
+    ///
+    /// A key that has run for longer is not known to end: its task may have
+    /// been lost, so it is said to be unknown until it is forgotten.
     pub fn tick(&mut self, horizon: Millis, now: Millis) {
         // Twice the horizon covers a first try that arrived a horizon late.
         let memory = horizon + horizon;
-        let is_kept = |one: &Entry| matches!(one.state, Progress::Running) || one.at + memory > now;
-        self.entries.retain(is_kept);
+        for entry in &mut self.entries {
+            if matches!(entry.state, Progress::Running) && entry.at + memory <= now {
+                entry.state = Progress::Unknown;
+                entry.at = now;
+            }
+        }
+        self.entries.retain(|one| one.at + memory > now);
         self.bytes = self.entries.iter().map(entry_bytes).sum();
     }
 
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -8,6 +8,7 @@
 use crate::id;
 use crate::quarantine::Suspect;
 use crate::roster::Revision;
+use crate::tenure::Answer;
 use crate::tenure::Departed;
 
 value! {
@@ -15,12 +16,14 @@
     pub struct Hello {
         /// Who says it.
         pub from: id::Instance,
-        /// The newest list that it has read.
-        pub list: Revision,
+        /// The newest list that it has read, and how far its answer counts.
+        pub answer: Answer,
         /// The newest settings that it has read.
         pub settings: Revision,
-        /// How long ago the platform last confirmed what it has read.
-        pub read_age: Millis,
+        /// How long ago the platform last confirmed the list.
+        pub list_age: Millis,
+        /// How long ago the platform last confirmed the settings.
+        pub settings_age: Millis,
         /// Whether its answer counts as an acknowledgement; a fresh daemon's
         /// does not.
         pub is_witness: bool,
--- a/crates/kernel/src/settings/book.rs
+++ b/crates/kernel/src/settings/book.rs
@@ -129,6 +129,14 @@
         is_changed
     }
 
+    /// Tells whether some path has a faulty document and no good one, which a
+    /// peer may still hold.
+    #[must_use]
+    pub fn is_lacking(&self) -> bool {
+        let mut holdings = self.holdings.iter();
+        holdings.any(|one| one.in_force.is_none() && one.refused.is_some())
+    }
+
     /// Returns all that is held, for a peer.
     #[must_use]
     pub fn tree(&self) -> Tree {
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -186,6 +186,16 @@
         Some((place.sent.len(), place.warmth.limit()))
     }
 
+    /// Returns the targets that may have calls, of this owner or a former one.
+    #[must_use]
+    pub fn busy(&self, now: Millis) -> Vec<id::Target> {
+        let is_busy = |place: &&Place| {
+            now < place.full_until || place.sent.iter().any(|sent| sent.ends_by > now)
+        };
+        let busy = self.places.iter().filter(is_busy);
+        busy.map(|place| place.target.clone()).collect()
+    }
+
     /// Returns the calls in flight over all targets.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -223,9 +233,10 @@
 
 impl Place {
     /// Counts the target as full again when a new tenure over it began, since
-    /// another daemon may have sent it calls in between.
+    /// another daemon may have sent it calls in between. A hand-over moves the
+    /// beginning back to that of the former owner.
     fn renew(&mut self, pool: &Pool, since: Millis) {
-        if since > self.since {
+        if since != self.since {
             self.since = since;
             self.full_until = since + pool.longest_call;
         }
--- a/crates/kernel/src/tenure.rs
+++ b/crates/kernel/src/tenure.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::derive::scalar;
 use crate::derive::value;
+use crate::handover::Stretch;
 use crate::id;
 use crate::roster::List;
 use crate::roster::Revision;
@@ -46,23 +47,53 @@
         NoMajority,
         /// The former holder's right may not have ended yet.
         Waiting,
+        /// The platform has not confirmed the list for too long.
+        Unconfirmed,
+        /// This daemon is fresh and does not know the lists before its first.
+        NoPast,
+        /// This daemon has given up its rights to leave.
+        GivenUp,
     }
 
-    /// A daemon that the list has dropped.
+    /// A daemon that the list has dropped, or that has said goodbye.
     pub struct Departed {
         /// The daemon.
         pub id: id::Instance,
-        /// How long ago the list dropped it.
+        /// How long ago that was.
         pub age: Millis,
-        /// Whether it said goodbye, so that it holds no right any more.
-        pub is_goodbye: bool,
+        /// The list that dropped it; 0 if it is still listed.
+        pub dropped_by: Revision,
+        /// The newest list that it had seen when it said goodbye.
+        pub goodbye: Option<Revision>,
+    }
+
+    /// A list that was replaced lately, as a daemon tells it to a fresh one.
+    pub struct Past {
+        /// Its revision.
+        pub revision: Revision,
+        /// How long it still counts.
+        pub remaining: Millis,
+        /// Its daemons, sorted.
+        pub members: Vec<id::Instance>,
+    }
+
+    /// What a member's answer says about the rights of others.
+    pub struct Answer {
+        /// The newest list that it has seen.
+        pub revision: Revision,
+        /// How long its answer may be counted.
+        pub freshness: Millis,
+        /// How long answers that it gave before may still be counted.
+        pub owed: Millis,
+        /// Whether it knows the lists of late.
+        pub knows_past: bool,
     }
 
     /// The spans that the rules use.
     pub struct Timing {
         /// How long an acknowledgement counts, by the time its question was sent.
         pub freshness: Millis,
-        /// How long a dropped daemon still counts as a member.
+        /// How long a replaced list and a dropped daemon still count.
         pub dropped_memory: Millis,
     }
 }
@@ -93,6 +124,14 @@
         pub full: bool,
         /// The right is checked directly before a send.
         pub check: bool,
+        /// A fresh daemon learns the lists before its first.
+        pub past: bool,
+        /// A right rests when the platform has long not confirmed the list.
+        pub confirmed: bool,
+        /// An answer counts no longer than its giver says.
+        pub granted: bool,
+        /// A goodbye counts only for who has seen as new a list.
+        pub goodbye: bool,
     }
 }
 
@@ -109,6 +148,10 @@
             vouch: true,
             full: true,
             check: true,
+            past: true,
+            confirmed: true,
+            granted: true,
+            goodbye: true,
         }
     }
 }
@@ -121,15 +164,26 @@
     is_consecutive: bool,
     /// When a higher list replaced it.
     replaced_at: Option<Millis>,
-    /// When more than half of the members had first seen it or a later one.
-    majority_at: Option<Millis>,
+    /// When every right under the lists before it has ended.
+    settled_at: Option<Millis>,
+}
+
+/// The daemons of a list that was replaced.
+#[derive(Clone, Debug)]
+struct Group {
+    revision: Revision,
+    members: Vec<id::Instance>,
+    /// When it was replaced, or learned of.
+    at: Millis,
+    /// Until when it counts.
+    until: Millis,
 }
 
 /// The newest answer of one member.
 #[derive(Clone, Debug)]
 struct Ack {
     from: id::Instance,
-    revision: Revision,
+    answer: Answer,
     /// When the question was sent that this answers.
     sent_at: Millis,
 }
@@ -138,11 +192,13 @@
 struct Dropped {
     id: id::Instance,
     at: Millis,
-    is_goodbye: bool,
+    /// The list that dropped it; 0 if it is still listed.
+    by: Revision,
+    goodbye: Option<Revision>,
 }
 
 /// How many adopted lists are kept to tell how long a right has been owned.
-const SEEN_MAX: usize = 64;
+const SEEN_MAX: usize = 256;
 
 /// The rights of one daemon.
 #[derive(Clone, Debug)]
@@ -151,8 +207,16 @@
     timing: Timing,
     rules: Rules,
     started: Millis,
+    /// Until when answers count that were given under an earlier freshness.
+    owed_until: Millis,
+    /// When the platform had last confirmed the newest list.
+    confirmed_at: Option<Millis>,
+    knows_past: bool,
+    is_given_up: bool,
     /// The adopted lists, oldest first.
     seen: Vec<Seen>,
+    /// The lists that were replaced lately, sorted by revision.
+    past: Vec<Group>,
     /// The newest answers, sorted by member.
     acks: Vec<Ack>,
     /// The daemons that lists have dropped, sorted by id.
@@ -168,7 +232,12 @@
             timing,
             rules: Rules::default(),
             started: now,
+            owed_until: now,
+            confirmed_at: None,
+            knows_past: false,
+            is_given_up: false,
             seen: Vec::new(),
+            past: Vec::new(),
             acks: Vec::new(),
             dropped: Vec::new(),
         }
@@ -187,6 +256,12 @@
         self.rules
     }
 
+    /// Returns this daemon's own id.
+    #[must_use]
+    pub fn me(&self) -> &id::Instance {
+        &self.me
+    }
+
     /// Returns the newest list, if one was adopted.
     #[must_use]
     pub fn list(&self) -> Option<&List> {
@@ -201,8 +276,26 @@
     }
 
     /// Changes the spans, when settings change.
-    pub fn set_timing(&mut self, timing: Timing, _now: Millis) {
+    ///
+    /// Answers that were given under the former freshness still count for it,
+    /// so a new tenure has to wait for them; see [`Answer::owed`].
+    pub fn set_timing(&mut self, timing: Timing, now: Millis) {
+        self.owed_until = self.owed_until.max(now + self.timing.freshness);
         self.timing = timing;
+        for group in &mut self.past {
+            group.until = group.until.max(group.at + self.timing.dropped_memory);
+        }
+    }
+
+    /// Returns what this daemon answers to a member's question.
+    #[must_use]
+    pub fn answer(&self, now: Millis) -> Answer {
+        Answer {
+            revision: self.revision(),
+            freshness: self.timing.freshness,
+            owed: self.timing.freshness.max(self.owed_until - now),
+            knows_past: self.knows_past,
+        }
     }
 
     /// Tells whether this daemon may answer as a member.
@@ -214,6 +307,15 @@
         !self.rules.fresh || now >= self.started + self.timing.freshness
     }
 
+    /// Tells whether this daemon knows the lists of late.
+    ///
+    /// A fresh daemon does not: it learns them from a peer, so that fresh
+    /// daemons cannot outvote members that they have never heard of.
+    #[must_use]
+    pub fn knows_past(&self) -> bool {
+        self.knows_past
+    }
+
     /// Adopts a list if its revision is higher, and tells whether it did.
     pub fn adopt(&mut self, list: &List, now: Millis) -> bool {
         let is_refused = if self.rules.newest {
@@ -227,26 +329,31 @@
         let before = self.revision();
         if let Some(last) = self.seen.last_mut() {
             last.replaced_at = Some(now);
+            let group = Group::of(&last.list, now, self.timing.dropped_memory);
+            self.insert_group(group);
         }
         self.note_dropped(list, now);
         self.seen.push(Seen {
             list: list.clone(),
             is_consecutive: list.revision.0 == before.0 + 1,
             replaced_at: None,
-            majority_at: None,
+            settled_at: None,
         });
-        if self.seen.len() > SEEN_MAX {
-            self.seen.remove(0);
-        }
+        self.forget_seen(now);
         self.note_majority(now);
         true
     }
 
+    /// Notes that the platform's newest list was this daemon's at the moment.
+    pub fn confirm(&mut self, at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
     /// Notes a member's answer to a question sent at `sent_at`.
     pub fn acknowledge(
         &mut self,
         from: &id::Instance,
-        revision: Revision,
+        answer: &Answer,
         sent_at: Millis,
         now: Millis,
     ) {
@@ -255,47 +362,107 @@
             Ok(index) if self.acks[index].sent_at >= sent_at => return,
             Ok(index) => {
                 let ack = &mut self.acks[index];
-                ack.revision = ack.revision.max(revision);
+                let highest = ack.answer.revision.max(answer.revision);
+                ack.answer = answer.clone();
+                ack.answer.revision = highest;
                 ack.sent_at = sent_at;
             }
             Err(index) => self.acks.insert(
                 index,
                 Ack {
                     from: from.clone(),
-                    revision,
+                    answer: answer.clone(),
                     sent_at,
                 },
             ),
         }
+        self.note_first_lists(now);
         self.note_majority(now);
     }
 
     /// Takes in the daemons that a peer knows to have been dropped.
     pub fn merge_departed(&mut self, departed: &[Departed], now: Millis) {
         for one in departed {
-            let at = now - one.age;
-            self.note_departed(&one.id, at, one.is_goodbye);
+            let known = Dropped {
+                id: one.id.clone(),
+                at: now - one.age,
+                by: one.dropped_by,
+                goodbye: one.goodbye,
+            };
+            self.note_departed(known);
         }
         self.forget_departed(now);
     }
 
     /// Notes that a daemon said goodbye: it has given up every right.
-    pub fn goodbye(&mut self, id: &id::Instance, now: Millis) {
-        self.note_departed(id, now, true);
+    ///
+    /// `revision` is the newest list that it had seen.
+    pub fn goodbye(&mut self, id: &id::Instance, revision: Revision, now: Millis) {
+        self.note_departed(Dropped {
+            id: id.clone(),
+            at: now,
+            by: Revision::default(),
+            goodbye: Some(revision),
+        });
         self.note_majority(now);
     }
 
+    /// Gives up every right for good.
+    pub fn give_up(&mut self) {
+        self.is_given_up = true;
+    }
+
     /// Returns the dropped daemons that still count, for a peer.
     #[must_use]
     pub fn departed(&self, now: Millis) -> Vec<Departed> {
         let as_told = |one: &Dropped| Departed {
             id: one.id.clone(),
             age: now - one.at,
-            is_goodbye: one.is_goodbye,
+            dropped_by: one.by,
+            goodbye: one.goodbye,
         };
         self.dropped.iter().map(as_told).collect()
     }
 
+    /// Returns the lists of late, the newest included, for a fresh peer;
+    /// `None` if this daemon does not know them itself.
+    #[must_use]
+    pub fn past(&self, now: Millis) -> Option<Vec<Past>> {
+        if !self.knows_past {
+            return None;
+        }
+        let newest = self.list()?;
+        let newest = Group::of(newest, now, self.timing.dropped_memory);
+        let counting = self.past.iter().filter(|group| group.until > now);
+        let as_told = |group: &Group| Past {
+            revision: group.revision,
+            remaining: group.until - now,
+            members: group.members.clone(),
+        };
+        let told = counting.chain([&newest]).map(as_told);
+        Some(told.collect())
+    }
+
+    /// Takes in the lists of late from a peer that knows them.
+    pub fn learn_past(&mut self, past: &[Past], now: Millis) {
+        if !self.rules.past {
+            return;
+        }
+        for one in past {
+            let group = Group {
+                revision: one.revision,
+                members: one.members.clone(),
+                at: now,
+                until: now + one.remaining,
+            };
+            if one.revision < self.revision() && self.insert_group(group) {
+                self.unsettle(one.revision);
+            }
+        }
+        self.knows_past = true;
+        self.note_majority(now);
+    }
+
     /// Tells whether this daemon may use the right to the thing now.
     ///
     /// The caller asks directly before each use, so that a daemon which was
@@ -308,40 +475,110 @@
         if *owner != self.me {
             return Right::Elsewhere(owner.clone());
         }
-        let first = self.first_of_run(thing);
-        let Some(until) = self.majority_until(first, now) else {
-            return Right::Resting(Rest::NoMajority);
-        };
-        let since = self.seen[first].majority_at.map(|at| at + self.wait());
-        match since {
-            Some(since) if now >= since => Right::Held { since, until },
-            _ => Right::Resting(Rest::Waiting),
+        match self.usable(self.first_of_run(thing), now) {
+            Ok((since, until)) => Right::Held { since, until },
+            Err(rest) => Right::Resting(rest),
+        }
+    }
+
+    /// Returns the daemon that owned the thing before this daemon's tenure, and
+    /// the last list of its ownership, if no list was skipped in between.
+    #[must_use]
+    pub fn predecessor(&self, thing: &Thing) -> Option<(id::Instance, Revision)> {
+        let first = self
+            .seen
+            .len()
+            .checked_sub(1)
+            .map(|_| self.first_of_run(thing))?;
+        if !self.seen[first].is_consecutive {
+            return None;
         }
+        let before = &self.seen[first.checked_sub(1)?].list;
+        Some((owner(before, thing)?.clone(), before.revision))
+    }
+
+    /// Returns the lists under which this daemon held rights, oldest first.
+    #[must_use]
+    pub fn stretches(&self, now: Millis) -> Vec<Stretch> {
+        let stretch = |seen: &Seen| Stretch {
+            revision: seen.list.revision,
+            is_consecutive: seen.is_consecutive,
+            held_for: seen.settled_at.filter(|at| *at <= now).map(|at| now - at),
+            members: seen.list.members.clone(),
+        };
+        self.seen.iter().map(stretch).collect()
     }
 
     /// Tells whether a right that moved with the newest list could be used now.
     #[must_use]
     pub fn is_settled(&self, now: Millis) -> bool {
-        let Some(last) = self.seen.last() else {
-            return false;
-        };
-        let is_past = |at: Millis| now >= at + self.timing.freshness;
-        let is_waited = last.majority_at.is_some_and(is_past);
-        is_waited && self.majority_until(self.seen.len() - 1, now).is_some()
+        !self.seen.is_empty() && self.usable(self.seen.len() - 1, now).is_ok()
     }
 
     /// Drops what is too old to matter.
     pub fn tick(&mut self, now: Millis) {
         self.forget_departed(now);
-        let horizon = self.timing.freshness;
-        self.acks
-            .retain(|ack| ack.sent_at + horizon > now || ack.revision > Revision(0));
-        let members = self.members(now);
+        self.forget_seen(now);
+        self.past.retain(|group| group.until > now);
+        if now >= self.started + self.timing.dropped_memory {
+            self.knows_past = true;
+        }
+        let mut counted = self.groups(now).concat();
+        counted.sort();
         self.acks
-            .retain(|ack| members.binary_search(&ack.from).is_ok());
+            .retain(|ack| counted.binary_search(&ack.from).is_ok());
         self.note_majority(now);
     }
 
+    // Rights
+
+    /// Returns since when and until when a right may be used that this daemon
+    /// has owned since the list of the index.
+    fn usable(&self, first: usize, now: Millis) -> Result<(Millis, Millis), Rest> {
+        if self.is_given_up {
+            return Err(Rest::GivenUp);
+        }
+        if self.rules.past && !self.knows_past {
+            return Err(Rest::NoPast);
+        }
+        let confirmed_until = self.confirmed_until(now);
+        if confirmed_until <= now {
+            return Err(Rest::Unconfirmed);
+        }
+        let until = self.majority_until(first, now).ok_or(Rest::NoMajority)?;
+        match self.seen[first].settled_at {
+            Some(since) if now >= since => Ok((since, until.min(confirmed_until))),
+            _ => Err(Rest::Waiting),
+        }
+    }
+
+    /// Returns until when the platform's last confirmation is enough.
+    ///
+    /// Others forget this list when it was replaced for the dropped memory, so
+    /// a right under it has to end before that.
+    fn confirmed_until(&self, now: Millis) -> Millis {
+        if !self.rules.confirmed {
+            return now + self.timing.freshness;
+        }
+        let span = self.timing.dropped_memory - self.timing.freshness;
+        self.confirmed_at.map_or(Millis::ZERO, |at| at + span)
+    }
+
+    /// Returns the index of the first list of the unbroken run in which this
+    /// daemon has owned the thing up to now.
+    fn first_of_run(&self, thing: &Thing) -> usize {
+        let mut first = self.seen.len() - 1;
+        let is_unbroken = |seen: &Seen| seen.is_consecutive || !self.rules.consecutive;
+        while first > 0 && is_unbroken(&self.seen[first]) {
+            let before = &self.seen[first - 1].list;
+            if owner(before, thing) != Some(&self.me) {
+                break;
+            }
+            first -= 1;
+        }
+        first
+    }
+
     // Members
 
     /// Returns the listed daemons and those dropped lately, sorted, without
@@ -360,9 +597,37 @@
         members
     }
 
+    /// Returns the groups of which each needs a majority of its own.
+    ///
+    /// The union alone is not enough: many new members at once could outvote
+    /// all the former ones.
+    fn groups(&self, now: Millis) -> Vec<Vec<id::Instance>> {
+        let mut groups = vec![self.members(now)];
+        if !self.rules.joint {
+            return groups;
+        }
+        let newest = self.list().map(|list| {
+            let ids = list.members.iter().map(|one| one.id.clone());
+            ids.collect::<Vec<_>>()
+        });
+        groups.extend(newest);
+        let counting = self.past.iter().filter(|group| group.until > now);
+        groups.extend(counting.map(|group| group.members.clone()));
+        for group in &mut groups {
+            group.retain(|id| !self.is_goodbye(id));
+        }
+        groups.retain(|group| !group.is_empty());
+        groups
+    }
+
+    /// Tells whether a daemon's goodbye counts here.
+    ///
+    /// It counts only for who has seen as new a list as the leaver: others may
+    /// need the leaver's former answers to learn that their right has moved.
     fn is_goodbye(&self, id: &id::Instance) -> bool {
         let found = self.dropped.binary_search_by(|one| one.id.cmp(id));
-        found.is_ok_and(|index| self.dropped[index].is_goodbye)
+        let said = found.ok().and_then(|index| self.dropped[index].goodbye);
+        said.is_some_and(|revision| revision <= self.revision() || !self.rules.goodbye)
     }
 
     fn note_dropped(&mut self, list: &List, now: Millis) {
@@ -370,107 +635,146 @@
             return;
         };
         let is_gone = |id: &id::Instance| list.member(id).is_none();
-        let gone: Vec<id::Instance> = newest
-            .list
-            .members
-            .iter()
-            .map(|one| one.id.clone())
-            .filter(is_gone)
-            .collect();
+        let former = newest.list.members.iter().map(|one| one.id.clone());
+        let gone: Vec<id::Instance> = former.filter(is_gone).collect();
         for id in gone {
-            self.note_departed(&id, now, false);
+            self.note_departed(Dropped {
+                id,
+                at: now,
+                by: list.revision,
+                goodbye: None,
+            });
         }
     }
 
-    fn note_departed(&mut self, id: &id::Instance, at: Millis, is_goodbye: bool) {
-        match self.dropped.binary_search_by(|one| one.id.cmp(id)) {
+    /// Notes a departure. One that is known already keeps its time, unless a
+    /// later list dropped the daemon again: each telling is late by the travel
+    /// of its message, so that the newest time would never get old.
+    fn note_departed(&mut self, one: Dropped) {
+        match self.dropped.binary_search_by(|known| known.id.cmp(&one.id)) {
             Ok(index) => {
                 let known = &mut self.dropped[index];
-                known.at = known.at.max(at);
-                known.is_goodbye |= is_goodbye;
+                if one.by > known.by {
+                    known.by = one.by;
+                    known.at = known.at.max(one.at);
+                }
+                known.goodbye = known.goodbye.or(one.goodbye);
             }
-            Err(index) => self.dropped.insert(
-                index,
-                Dropped {
-                    id: id.clone(),
-                    at,
-                    is_goodbye,
-                },
-            ),
+            Err(index) => self.dropped.insert(index, one),
         }
     }
 
     fn forget_departed(&mut self, now: Millis) {
         let memory = self.timing.dropped_memory;
-        self.dropped.retain(|one| one.at + memory > now);
+        let list = self.seen.last().map(|seen| &seen.list);
+        let is_listed = |id: &id::Instance| list.is_some_and(|list| list.member(id).is_some());
+        let is_kept =
+            |one: &Dropped| one.at + memory > now || (one.goodbye.is_some() && is_listed(&one.id));
+        self.dropped.retain(is_kept);
     }
 
-    // Majorities
+    fn forget_seen(&mut self, now: Millis) {
+        let memory = self.timing.dropped_memory;
+        let is_old = |seen: &Seen| seen.replaced_at.is_some_and(|at| at + memory <= now);
+        let old = self.seen.iter().take_while(|seen| is_old(seen)).count();
+        let extra = self.seen.len().saturating_sub(SEEN_MAX);
+        self.seen.drain(..old.max(extra));
+    }
 
-    fn wait(&self) -> Millis {
-        if self.rules.wait {
-            self.timing.freshness
-        } else {
-            Millis::ZERO
+    /// Inserts a group and tells whether it is new.
+    fn insert_group(&mut self, group: Group) -> bool {
+        let key = group.revision;
+        match self.past.binary_search_by(|one| one.revision.cmp(&key)) {
+            Ok(index) => {
+                self.past[index].until = self.past[index].until.max(group.until);
+                false
+            }
+            Err(index) => {
+                self.past.insert(index, group);
+                true
+            }
+        }
+    }
+
+    /// Lets every list after the revision gain its majorities anew.
+    fn unsettle(&mut self, revision: Revision) {
+        for seen in &mut self.seen {
+            if seen.list.revision > revision {
+                seen.settled_at = None;
+            }
+        }
+    }
+
+    /// Notes that there are no lists of late when every listed daemon is as
+    /// fresh as this one, as at the first start of a site.
+    fn note_first_lists(&mut self, now: Millis) {
+        let Some(list) = self.seen.last().map(|seen| &seen.list) else {
+            return;
+        };
+        let is_fresh = |id: &id::Instance| {
+            let found = self.acks.binary_search_by(|one| one.from.cmp(id));
+            let ack = found.ok().map(|index| &self.acks[index]);
+            *id == self.me
+                || ack.is_some_and(|ack| {
+                    let is_current = ack.sent_at + self.timing.freshness > now;
+                    is_current && !ack.answer.knows_past
+                })
+        };
+        let is_listed = list.member(&self.me).is_some();
+        if is_listed && list.members.iter().all(|one| is_fresh(&one.id)) {
+            self.knows_past = true;
         }
     }
 
+    // Majorities
+
     fn note_majority(&mut self, now: Millis) {
-        let members = self.members(now);
+        if self.seen.iter().all(|seen| seen.settled_at.is_some()) {
+            return;
+        }
+        let groups = self.groups(now);
+        let wait = self.wait(now);
         for index in 0..self.seen.len() {
-            if self.seen[index].majority_at.is_some() {
-                continue;
-            }
             let revision = self.seen[index].list.revision;
             let has_seen = |id: &&id::Instance| **id == self.me || self.acked(id) >= Some(revision);
-            let count = members.iter().filter(has_seen).count();
-            if is_majority(count, members.len()) || !self.rules.majority {
-                self.seen[index].majority_at = Some(now);
+            let is_won = |group: &Vec<id::Instance>| {
+                let count = group.iter().filter(has_seen).count();
+                is_majority(count, group.len())
+            };
+            let is_settled = groups.iter().all(is_won) || !self.rules.majority;
+            let seen = &mut self.seen[index];
+            if seen.settled_at.is_none() && is_settled {
+                seen.settled_at = Some(now + wait);
             }
         }
     }
 
-    fn acked(&self, id: &id::Instance) -> Option<Revision> {
-        let found = self.acks.binary_search_by(|one| one.from.cmp(id));
-        found.ok().map(|index| self.acks[index].revision)
+    /// Returns how long answers may still count that members gave to others.
+    fn wait(&self, now: Millis) -> Millis {
+        if !self.rules.wait {
+            return Millis::ZERO;
+        }
+        if !self.rules.granted {
+            return self.timing.freshness;
+        }
+        let owed = self.acks.iter().map(|ack| ack.answer.owed).max();
+        owed.max(Some(self.answer(now).owed)).unwrap_or_default()
     }
 
-    /// Returns the index of the first list of the unbroken run in which this
-    /// daemon has owned the thing up to now.
-    fn first_of_run(&self, thing: &Thing) -> usize {
-        let mut first = self.seen.len() - 1;
-        let is_unbroken = |seen: &Seen| seen.is_consecutive || !self.rules.consecutive;
-        while first > 0 && is_unbroken(&self.seen[first]) {
-            let before = &self.seen[first - 1].list;
-            if owner(before, thing) != Some(&self.me) {
-                break;
-            }
-            first -= 1;
-        }
-        first
+    fn acked(&self, id: &id::Instance) -> Option<Revision> {
+        let found = self.acks.binary_search_by(|one| one.from.cmp(id));
+        found.ok().map(|index| self.acks[index].answer.revision)
     }
 
-    /// Returns when the majority ends that acknowledges the run from `first`,
-    /// or `None` if there is none now.
+    /// Returns when the majorities end that acknowledge the run from `first`,
+    /// or `None` if one is lacking now.
     fn majority_until(&self, first: usize, now: Millis) -> Option<Millis> {
+        let latest = now + self.timing.freshness;
         if !self.rules.majority {
-            return Some(now + self.timing.freshness);
-        }
-        let until = self.group_until(&self.members(now), first, now)?;
-        // Each list that was replaced lately needs its own majority, since
-        // many new members at once could outvote all the former ones.
-        let mut until = until;
-        for seen in &self.seen {
-            let memory_end = seen.replaced_at.map(|at| at + self.timing.dropped_memory);
-            if memory_end.is_none_or(|end| end <= now) || !self.rules.joint {
-                continue;
-            }
-            let mut group: Vec<id::Instance> =
-                seen.list.members.iter().map(|one| one.id.clone()).collect();
-            group.retain(|id| !self.is_goodbye(id));
-            if group.is_empty() {
-                continue;
-            }
+            return Some(latest);
+        }
+        let mut until = latest;
+        for group in self.groups(now) {
             until = until.min(self.group_until(&group, first, now)?);
         }
         Some(until)
@@ -488,8 +792,8 @@
             let found = self.acks.binary_search_by(|one| one.from.cmp(id));
             let Ok(index) = found else { continue };
             let ack = &self.acks[index];
-            let is_of_run = ack.revision >= low && ack.revision <= high;
-            let end = ack.sent_at + self.timing.freshness;
+            let is_of_run = ack.answer.revision >= low && ack.answer.revision <= high;
+            let end = self.end_of(ack);
             if is_of_run && end > now {
                 ends.push(end);
             }
@@ -499,7 +803,28 @@
             return None;
         }
         ends.sort_by(|one, other| other.cmp(one));
-        Some(ends[needed - 1].min(now + self.timing.freshness))
+        Some(ends[needed - 1])
+    }
+
+    fn end_of(&self, ack: &Ack) -> Millis {
+        let mine = self.timing.freshness;
+        let span = if self.rules.granted {
+            mine.min(ack.answer.freshness)
+        } else {
+            mine
+        };
+        ack.sent_at + span
+    }
+}
+
+impl Group {
+    fn of(list: &List, now: Millis, memory: Millis) -> Self {
+        Self {
+            revision: list.revision,
+            members: list.members.iter().map(|one| one.id.clone()).collect(),
+            at: now,
+            until: now + memory,
+        }
     }
 }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -2,7 +2,9 @@
 
 use compact_str::CompactString;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::handover;
 use gooseberry_kernel::id;
+use gooseberry_kernel::once;
 use gooseberry_kernel::peer;
 use gooseberry_kernel::quarantine;
 use gooseberry_kernel::roster::Revision;
@@ -19,6 +21,10 @@
     async fn hello(hello: Hello) -> Hello;
     /// Returns the newest list that the daemon has read.
     async fn list() -> platform::List;
+    /// Returns the lists of late, for a fresh daemon; none if it is fresh too.
+    async fn past() -> Option<Vec<Past>>;
+    /// Takes in a part of what a leaver hands over.
+    async fn hand_over(parcel: Parcel);
     /// Returns all settings that the daemon holds.
     async fn settings() -> platform::Settings;
 }
@@ -32,8 +38,16 @@
     pub list: u64,
     /// The newest settings that it has read.
     pub settings: u64,
-    /// How long ago the platform confirmed that, in milliseconds.
-    pub read_age_ms: Option<u64>,
+    /// How long ago the platform confirmed the list, in milliseconds.
+    pub list_age_ms: Option<u64>,
+    /// How long ago the platform confirmed the settings, in milliseconds.
+    pub settings_age_ms: Option<u64>,
+    /// How long its answer may be counted, in milliseconds.
+    pub freshness_ms: u64,
+    /// How long its earlier answers may still be counted, in milliseconds.
+    pub owed_ms: u64,
+    /// Whether it knows the lists of late.
+    pub knows_past: bool,
     /// Whether its answer counts as an acknowledgement.
     pub is_witness: bool,
     /// Whether it gives up every right and leaves.
@@ -51,8 +65,21 @@
     pub id: CompactString,
     /// How long ago it was dropped, in milliseconds.
     pub age_ms: u64,
-    /// Whether it said goodbye.
-    pub is_goodbye: bool,
+    /// The list that dropped it; 0 if it is still listed.
+    pub dropped_by: u64,
+    /// The newest list that it had seen when it said goodbye.
+    pub goodbye: Option<u64>,
+}
+
+/// A list that was replaced lately.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    /// Its revision.
+    pub revision: u64,
+    /// How long it still counts, in milliseconds.
+    pub remaining_ms: u64,
+    /// Its daemons.
+    pub members: Vec<CompactString>,
 }
 
 /// A request under suspicion.
@@ -66,14 +93,75 @@
     pub age_ms: u64,
 }
 
+/// One part of a hand-over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Parcel {
+    /// The leaver.
+    pub from: CompactString,
+    /// The number of this parcel, from 0.
+    pub index: u16,
+    /// How many parcels there are for this peer.
+    pub count: u16,
+    /// The lists of the leaver, oldest first; only in parcel 0.
+    pub stretches: Vec<Stretch>,
+    /// The targets that may still have calls; only in parcel 0.
+    pub busy: Vec<CompactString>,
+    /// Keys and what became of them.
+    pub keys: Vec<Item>,
+}
+
+/// A list under which a leaver held rights.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stretch {
+    /// Its revision.
+    pub revision: u64,
+    /// Whether it follows the stretch before without a gap.
+    pub is_consecutive: bool,
+    /// How long ago rights under it began, in milliseconds.
+    pub held_for_ms: Option<u64>,
+    /// Its daemons.
+    pub members: Vec<platform::Instance>,
+}
+
+/// A key and what became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// The workspace of the key.
+    pub workspace: CompactString,
+    /// The pipeline of the key.
+    pub pipeline: CompactString,
+    /// The caller's text.
+    pub text: String,
+    /// The digest of its request.
+    pub digest: [u8; 32],
+    /// The recorded answer.
+    pub record: Option<Record>,
+    /// How long ago it last changed, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A recorded answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The status.
+    pub status: u16,
+    /// The headers, by name.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
 impl From<&peer::Hello> for Hello {
     fn from(hello: &peer::Hello) -> Self {
-        let is_read = hello.read_age != Millis::NEVER;
         Self {
             from: hello.from.as_str().into(),
-            list: hello.list.0,
+            list: hello.answer.revision.0,
             settings: hello.settings.0,
-            read_age_ms: is_read.then_some(hello.read_age.0),
+            list_age_ms: age(hello.list_age),
+            settings_age_ms: age(hello.settings_age),
+            freshness_ms: hello.answer.freshness.0,
+            owed_ms: hello.answer.owed.0,
+            knows_past: hello.answer.knows_past,
             is_witness: hello.is_witness,
             is_goodbye: hello.is_goodbye,
             departed: hello.departed.iter().map(Into::into).collect(),
@@ -89,9 +177,15 @@
         let departed = wire.departed.into_iter().map(TryInto::try_into);
         Ok(Self {
             from: wire.from.parse()?,
-            list: Revision(wire.list),
+            answer: tenure::Answer {
+                revision: Revision(wire.list),
+                freshness: Millis(wire.freshness_ms),
+                owed: Millis(wire.owed_ms),
+                knows_past: wire.knows_past,
+            },
             settings: Revision(wire.settings),
-            read_age: wire.read_age_ms.map_or(Millis::NEVER, Millis),
+            list_age: wire.list_age_ms.map_or(Millis::NEVER, Millis),
+            settings_age: wire.settings_age_ms.map_or(Millis::NEVER, Millis),
             is_witness: wire.is_witness,
             is_goodbye: wire.is_goodbye,
             departed: departed.collect::<Result<_, _>>()?,
@@ -105,7 +199,8 @@
         Self {
             id: departed.id.as_str().into(),
             age_ms: departed.age.0,
-            is_goodbye: departed.is_goodbye,
+            dropped_by: departed.dropped_by.0,
+            goodbye: departed.goodbye.map(|revision| revision.0),
         }
     }
 }
@@ -117,11 +212,145 @@
         Ok(Self {
             id: wire.id.parse()?,
             age: Millis(wire.age_ms),
-            is_goodbye: wire.is_goodbye,
+            dropped_by: Revision(wire.dropped_by),
+            goodbye: wire.goodbye.map(Revision),
+        })
+    }
+}
+
+impl From<&tenure::Past> for Past {
+    fn from(past: &tenure::Past) -> Self {
+        Self {
+            revision: past.revision.0,
+            remaining_ms: past.remaining.0,
+            members: past.members.iter().map(|id| id.as_str().into()).collect(),
+        }
+    }
+}
+
+impl TryFrom<Past> for tenure::Past {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Past) -> Result<Self, id::Invalid> {
+        let members = wire.members.iter().map(|id| id.parse());
+        Ok(Self {
+            revision: Revision(wire.revision),
+            remaining: Millis(wire.remaining_ms),
+            members: members.collect::<Result<_, _>>()?,
         })
     }
 }
 
+impl From<&handover::Parcel> for Parcel {
+    fn from(parcel: &handover::Parcel) -> Self {
+        Self {
+            from: parcel.from.as_str().into(),
+            index: parcel.index,
+            count: parcel.count,
+            stretches: parcel.stretches.iter().map(Into::into).collect(),
+            busy: parcel.busy.iter().map(|id| id.as_str().into()).collect(),
+            keys: parcel.keys.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<Parcel> for handover::Parcel {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Parcel) -> Result<Self, id::Invalid> {
+        let stretches = wire.stretches.into_iter().map(TryInto::try_into);
+        let busy = wire.busy.iter().map(|id| id.parse());
+        let keys = wire.keys.into_iter().map(TryInto::try_into);
+        Ok(Self {
+            from: wire.from.parse()?,
+            index: wire.index,
+            count: wire.count,
+            stretches: stretches.collect::<Result<_, _>>()?,
+            busy: busy.collect::<Result<_, _>>()?,
+            keys: keys.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<&handover::Stretch> for Stretch {
+    fn from(stretch: &handover::Stretch) -> Self {
+        Self {
+            revision: stretch.revision.0,
+            is_consecutive: stretch.is_consecutive,
+            held_for_ms: stretch.held_for.map(|span| span.0),
+            members: stretch.members.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<Stretch> for handover::Stretch {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Stretch) -> Result<Self, id::Invalid> {
+        let members = wire.members.into_iter().map(TryInto::try_into);
+        Ok(Self {
+            revision: Revision(wire.revision),
+            is_consecutive: wire.is_consecutive,
+            held_for: wire.held_for_ms.map(Millis),
+            members: members.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<&once::Item> for Item {
+    fn from(item: &once::Item) -> Self {
+        Self {
+            workspace: item.key.workspace.as_str().into(),
+            pipeline: item.key.pipeline.as_str().into(),
+            text: item.key.text.clone(),
+            digest: item.digest.0,
+            record: item.record.as_ref().map(Into::into),
+            age_ms: item.age.0,
+        }
+    }
+}
+
+impl TryFrom<Item> for once::Item {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Item) -> Result<Self, id::Invalid> {
+        Ok(Self {
+            key: once::Key {
+                workspace: wire.workspace.parse()?,
+                pipeline: wire.pipeline.parse()?,
+                text: wire.text,
+            },
+            digest: id::Digest(wire.digest),
+            record: wire.record.map(Into::into),
+            age: Millis(wire.age_ms),
+        })
+    }
+}
+
+impl From<&once::Record> for Record {
+    fn from(record: &once::Record) -> Self {
+        Self {
+            status: record.status,
+            headers: record.headers.clone(),
+            body: record.body.to_vec(),
+        }
+    }
+}
+
+impl From<Record> for once::Record {
+    fn from(wire: Record) -> Self {
+        Self {
+            status: wire.status,
+            headers: wire.headers,
+            body: wire.body.into(),
+        }
+    }
+}
+
+fn age(age: Millis) -> Option<u64> {
+    (age != Millis::NEVER).then_some(age.0)
+}
+
 impl From<&quarantine::Suspect> for Suspect {
     fn from(suspect: &quarantine::Suspect) -> Self {
         Self {
