Let operators check settings, and ask a daemon for its state and ways

Cause: gooseberryctl only had the demo; faults of a tree and the reason why a target gets no work could not be seen. Ruled out: a checker with rules of its own, since it could differ from the daemon's verdict; it drives the same Book. A rank for later stages, since their input is not known before they run. Change: check, status and explain with tables, JSON and exit codes; Node::explain and POST /v1/explain; wire types for both. gooseberryd prints every fault as FILE:LINE. Before: no such commands. Conclusion: landed; the daemons' bad HTTP inputs are not covered yet.

--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,253 @@
+//! Checks settings before they are published.
+//!
+//! A directory is taken for a tree, laid out as the platform publishes it:
+//! `fleet.jsonc` stands for `/fleet` and `teams/NAME.jsonc` for `/teams/NAME`.
+//! The documents are judged by the same code that a daemon runs, so a tree
+//! without faults is accepted by every daemon of the same version.
+
+use std::fmt;
+use std::io::Read;
+use std::path::Path;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use gooseberry_kernel::id;
+use gooseberry_kernel::roster::Revision;
+use gooseberry_kernel::settings::Book;
+use gooseberry_kernel::settings::Fault;
+use gooseberry_kernel::settings::Faults;
+use gooseberry_kernel::settings::Local;
+use gooseberry_kernel::settings::Source;
+use gooseberry_kernel::settings::Tree;
+use serde_json::json;
+
+/// The endings of the names of settings files.
+const EXTENSIONS: [&str; 2] = ["jsonc", "json"];
+
+/// What a settings file holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The file that one process is started with.
+    Local,
+    /// The document at `/fleet`.
+    Fleet,
+    /// The document at `/teams/NAME`.
+    Team(id::Team),
+}
+
+impl FromStr for Role {
+    type Err = id::Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.split_once(':') {
+            None if text == "local" => Ok(Self::Local),
+            None if text == "fleet" => Ok(Self::Fleet),
+            Some(("team", name)) => name.parse().map(Self::Team),
+            _ => Err(id::Invalid { text: text.into() }),
+        }
+    }
+}
+
+impl Role {
+    /// Guesses the role of a file from where it stands.
+    #[must_use]
+    pub fn of_file(file: &Path) -> Self {
+        let parent = file.parent().and_then(Path::file_name);
+        let is_team = parent.is_some_and(|name| name == "teams");
+        let stem = file.file_stem().and_then(|stem| stem.to_str());
+        match stem {
+            Some("fleet") => Self::Fleet,
+            Some(name) if is_team => name.parse().map_or(Self::Local, Self::Team),
+            _ => Self::Local,
+        }
+    }
+
+    /// Returns the path under which the platform publishes the document, if it
+    /// publishes it.
+    #[must_use]
+    pub fn path(&self) -> Option<String> {
+        match self {
+            Self::Local => None,
+            Self::Fleet => Some("/fleet".to_owned()),
+            Self::Team(name) => Some(format!("/teams/{name}")),
+        }
+    }
+
+    /// Judges a document.
+    ///
+    /// # Errors
+    /// Returns every fault of the document.
+    pub fn check(&self, text: &str) -> Result<(), Faults> {
+        let Some(path) = self.path() else {
+            return Local::parse(text).map(|_| ());
+        };
+        let revision = Revision(1);
+        let source = Source {
+            path,
+            revision,
+            text: Arc::from(text),
+        };
+        let mut book = Book::default();
+        book.adopt(&Tree {
+            revision,
+            sources: vec![source],
+        });
+        let refused = book.holdings().iter().find_map(|one| one.refused.clone());
+        refused.map_or(Ok(()), |(_, faults)| Err(faults))
+    }
+}
+
+/// A fault and the file that it is in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The file.
+    pub file: PathBuf,
+    /// The fault.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault {
+            path,
+            line,
+            message,
+        } = &self.fault;
+        write!(out, "{}:{line}: {path}: {message}", self.file.display())
+    }
+}
+
+/// What a check came to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// How many files were checked.
+    pub files: usize,
+    /// Every fault of every file.
+    pub findings: Vec<Finding>,
+}
+
+impl Report {
+    /// Writes the report for people, with one fault a line.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut lines: Vec<String> = self.findings.iter().map(Finding::to_string).collect();
+        let count = self.findings.len();
+        lines.push(match (self.files, count) {
+            (files, 0) => format!("{files} checked, no faults"),
+            (files, count) => format!("{files} checked, faults: {count}"),
+        });
+        lines.join("\n") + "\n"
+    }
+
+    /// Writes the report for programs.
+    #[must_use]
+    pub fn json(&self) -> String {
+        let finding = |one: &Finding| {
+            json!({
+                "file": one.file.display().to_string(),
+                "line": one.fault.line,
+                "path": one.fault.path,
+                "message": one.fault.message,
+            })
+        };
+        let faults: Vec<_> = self.findings.iter().map(finding).collect();
+        format!("{}\n", json!({ "files": self.files, "faults": faults }))
+    }
+
+    fn add(&mut self, file: &Path, verdict: Result<(), Faults>) {
+        self.files += 1;
+        let faults = verdict.err().map(|faults| faults.0).unwrap_or_default();
+        let finding = |fault| Finding {
+            file: file.to_owned(),
+            fault,
+        };
+        self.findings.extend(faults.into_iter().map(finding));
+    }
+}
+
+/// Checks a file, a tree, or standard input if the path is `-`.
+///
+/// The role is guessed from the place of the file unless it is given; a tree
+/// has a role for each of its files.
+///
+/// # Errors
+/// Returns an error if something cannot be read.
+pub fn run(path: &Path, role: Option<&Role>) -> anyhow::Result<Report> {
+    let mut report = Report::default();
+    if path.is_dir() {
+        check_tree(path, &mut report)?;
+        return Ok(report);
+    }
+    let guessed = Role::of_file(path);
+    let verdict = role.unwrap_or(&guessed).check(&read(path)?);
+    report.add(path, verdict);
+    Ok(report)
+}
+
+/// Reads a file, or standard input if the path is `-`.
+///
+/// # Errors
+/// Returns an error if it cannot be read or is not UTF-8.
+pub fn read(path: &Path) -> anyhow::Result<String> {
+    if path.as_os_str() == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text)?;
+        return Ok(text);
+    }
+    std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+}
+
+fn check_tree(root: &Path, report: &mut Report) -> anyhow::Result<()> {
+    for file in files(root)? {
+        check_file(root, &file, report)?;
+    }
+    let teams = root.join("teams");
+    if teams.is_dir() {
+        for file in files(&teams)? {
+            check_file(root, &file, report)?;
+        }
+    }
+    if report.files == 0 {
+        let faults = Faults(vec![misplaced()]);
+        report.add(root, Err(faults));
+    }
+    Ok(())
+}
+
+fn check_file(root: &Path, file: &Path, report: &mut Report) -> anyhow::Result<()> {
+    let is_in_teams = file.parent() != Some(root);
+    let verdict = match Role::of_file(file) {
+        Role::Fleet if !is_in_teams => Role::Fleet.check(&read(file)?),
+        Role::Team(name) if is_in_teams => Role::Team(name).check(&read(file)?),
+        Role::Fleet | Role::Team(_) | Role::Local => Err(Faults(vec![misplaced()])),
+    };
+    report.add(file, verdict);
+    Ok(())
+}
+
+fn misplaced() -> Fault {
+    Fault {
+        path: "$".to_owned(),
+        line: 1,
+        message: "expected fleet.jsonc or teams/NAME.jsonc".to_owned(),
+    }
+}
+
+/// Returns the settings files that stand directly in the directory, sorted.
+fn files(directory: &Path) -> anyhow::Result<Vec<PathBuf>> {
+    let listed = std::fs::read_dir(directory);
+    let listed = listed.with_context(|| format!("cannot read {}", directory.display()))?;
+    let mut found = Vec::new();
+    for entry in listed {
+        let file = entry?.path();
+        let extension = file.extension().and_then(|one| one.to_str());
+        let is_settings = extension.is_some_and(|one| EXTENSIONS.contains(&one));
+        if is_settings && file.is_file() {
+            found.push(file);
+        }
+    }
+    found.sort();
+    Ok(found)
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,5 +1,8 @@
 //! The operators' tool: check settings, ask a daemon, run a load or the demo.
 //!
+//! - [`ask`] asks a daemon, [`status`] shows its state, and [`explain`] shows
+//!   where a request would go.
+//! - [`check`] checks settings before they are published.
 //! - [`embedded`] runs one example site on the loopback, within one process.
 //! - [`load`] sends requests at it and accounts for each.
 //! - [`report`] writes what came of them.
@@ -19,6 +22,10 @@
 //! # }
 //! ```
 
+pub mod ask;
+pub mod check;
 pub mod embedded;
+pub mod explain;
 pub mod load;
 pub mod report;
+pub mod status;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,22 +1,135 @@
 //! The binary of the operators' tool.
 
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use anyhow::Context;
 use bpaf::Bpaf;
+use gooseberry_kernel::id;
 use gooseberry_standin::site::Site;
+use gooseberryctl::check;
+use gooseberryctl::check::Role;
 use gooseberryctl::embedded::Embedded;
+use gooseberryctl::explain;
+use gooseberryctl::explain::Question;
 use gooseberryctl::load;
 use gooseberryctl::load::Plan;
 use gooseberryctl::report;
+use gooseberryctl::status;
 
-/// Operates gooseberryarch.
+/// The exit code for settings that have faults.
+const FAULTS: u8 = 2;
+
+/// The exit code if the daemon that was asked takes no requests.
+const NOT_READY: u8 = 3;
+/// The exit code if the request that was asked about would be refused.
+const REFUSED: u8 = 4;
+
+/// Operates gooseberryarch: checks settings, asks daemons, runs the demo.
+///
+///
+/// Examples:
+///   gooseberryctl check examples/settings/huaraz
+///   gooseberryctl status 127.0.0.1:8083
+///   gooseberryctl demo --site huaraz
+///
 ///
-/// Example: `gooseberryctl demo --site huaraz`
+/// Exit codes:
+///   0  done
+///   1  it could not be done, or the command line is wrong
+///   2  check: the settings have faults
+///   3  status: the daemon takes no requests
+///   4  explain: the request would be refused now
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 enum Command {
+    /// Check a settings file or a tree of settings, and print every fault
+    ///
+    ///
+    /// A directory is a tree: fleet.jsonc, and teams/NAME.jsonc for each team.
+    ///
+    ///
+    /// Examples:
+    ///   gooseberryctl check examples/settings/huaraz
+    ///   gooseberryctl check examples/settings/entry-1.jsonc
+    ///   gooseberryctl check --as team:desk - < desk.jsonc
+    /// Exit codes:
+    ///   0  no faults
+    ///   1  something could not be read
+    ///   2  faults
+    #[bpaf(command)]
+    Check {
+        /// What the file holds: local, fleet or team:NAME; guessed from its place otherwise
+        #[bpaf(long("as"), argument("ROLE"), optional)]
+        role: Option<Role>,
+        /// Print one JSON object
+        #[bpaf(long)]
+        json: bool,
+        /// A file, a directory, or - for standard input
+        #[bpaf(positional("PATH"))]
+        path: PathBuf,
+    },
+    /// Show the state of a daemon
+    ///
+    ///
+    /// The daemon is asked on its operators' port.
+    ///
+    ///
+    /// Examples:
+    ///   gooseberryctl status 127.0.0.1:8083
+    ///   gooseberryctl status 127.0.0.1:8083 --json
+    /// Exit codes:
+    ///   0  it takes requests
+    ///   1  it could not be asked
+    ///   3  it takes no requests
+    #[bpaf(command)]
+    Status {
+        /// Print one JSON object
+        #[bpaf(long)]
+        json: bool,
+        /// The operators' address of the daemon
+        #[bpaf(positional("ADDRESS"))]
+        daemon: SocketAddr,
+    },
+    /// Show which targets a request could go to now, and why others are out
+    ///
+    ///
+    /// The answer is the view of the daemon that is asked; the owner of a
+    /// target alone knows whether its right holds and how full the target is.
+    ///
+    ///
+    /// Examples:
+    ///   gooseberryctl explain 127.0.0.1:8083 --workspace desk.guides --pipeline route-briefing
+    ///   gooseberryctl explain 127.0.0.1:8083 --workspace desk.guides \
+    ///     --pipeline booking-ledger --key deposit-7
+    /// Exit codes:
+    ///   0  it would be served
+    ///   1  the daemon could not be asked, or knows no such pipeline
+    ///   4  it would be refused now
+    #[bpaf(command)]
+    Explain {
+        /// The workspace, as team.name
+        #[bpaf(long, argument("ID"))]
+        workspace: id::Workspace,
+        /// The pipeline
+        #[bpaf(long, argument("ID"))]
+        pipeline: id::Pipeline,
+        /// The idempotency key
+        #[bpaf(long, argument("KEY"), optional)]
+        key: Option<String>,
+        /// A file with the body, or - for standard input; empty otherwise
+        #[bpaf(long, argument("FILE"), optional)]
+        body: Option<PathBuf>,
+        /// Print one JSON object
+        #[bpaf(long)]
+        json: bool,
+        /// The operators' address of the daemon
+        #[bpaf(positional("ADDRESS"))]
+        daemon: SocketAddr,
+    },
     /// Run one example site on the loopback, with a load on it
     #[bpaf(command)]
     Demo {
@@ -48,6 +161,25 @@
 #[tokio::main]
 async fn run(command: Command) -> anyhow::Result<ExitCode> {
     match command {
+        Command::Check { role, json, path } => check_settings(&path, role.as_ref(), json),
+        Command::Status { json, daemon } => show_status(daemon, json).await,
+        Command::Explain {
+            workspace,
+            pipeline,
+            key,
+            body,
+            json,
+            daemon,
+        } => {
+            let body = body.map(|file| check::read(&file)).transpose()?;
+            let question = Question {
+                workspace,
+                pipeline,
+                key,
+                body: body.unwrap_or_default().into(),
+            };
+            show_explanation(daemon, question, json).await
+        }
         Command::Demo {
             site,
             rate,
@@ -64,6 +196,49 @@
     }
 }
 
+fn check_settings(path: &Path, role: Option<&Role>, json: bool) -> anyhow::Result<ExitCode> {
+    let report = check::run(path, role)?;
+    let text = if json { report.json() } else { report.text() };
+    print!("{text}");
+    if report.findings.is_empty() {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Ok(ExitCode::from(FAULTS))
+    }
+}
+
+async fn show_status(daemon: SocketAddr, json: bool) -> anyhow::Result<ExitCode> {
+    let status = status::fetch(daemon).await?;
+    if json {
+        println!("{}", serde_json::to_string(&status)?);
+    } else {
+        print!("{}", status::text(&status));
+    }
+    if status.ready {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Ok(ExitCode::from(NOT_READY))
+    }
+}
+
+async fn show_explanation(
+    daemon: SocketAddr,
+    question: Question,
+    json: bool,
+) -> anyhow::Result<ExitCode> {
+    let explanation = explain::fetch(daemon, question).await?;
+    if json {
+        println!("{}", serde_json::to_string(&explanation)?);
+    } else {
+        print!("{}", explain::text(&explanation));
+    }
+    if explanation.refusal.is_none() {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Ok(ExitCode::from(REFUSED))
+    }
+}
+
 async fn demo(site: &str, plan: &Plan) -> anyhow::Result<ExitCode> {
     let site = Site::find(site).with_context(|| format!("there is no example site `{site}`"))?;
     println!(
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -220,7 +220,8 @@
     }))
 }
 
-async fn read_body(context: &Context, body: Incoming) -> Result<Bytes, Failure> {
+/// Reads a body within the limits that the settings give.
+pub(crate) async fn read_body(context: &Context, body: Incoming) -> Result<Bytes, Failure> {
     let limits = |node: &Node, _| {
         let fleet = node.book().fleet();
         (fleet.max_body_bytes, fleet.send_timeout)
@@ -238,7 +239,7 @@
 
 /// Digests the workspace with the body, so that equal bodies of two customers
 /// are two requests.
-fn digest(workspace: &id::Workspace, body: &[u8]) -> id::Digest {
+pub(crate) fn digest(workspace: &id::Workspace, body: &[u8]) -> id::Digest {
     let mut text = workspace.as_str().as_bytes().to_vec();
     text.push(b'\n');
     text.extend_from_slice(body);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use anyhow::Context;
 use bpaf::Bpaf;
+use gooseberry_kernel::settings::Fault;
 use gooseberry_kernel::settings::Local;
 use gooseberryd::daemon::Daemon;
 use gooseberryd::daemon::Ending;
@@ -20,7 +20,18 @@
 
 /// Serves multi-stage model pipelines between callers and targets.
 ///
-/// Example: `gooseberryd --settings entry-1.jsonc`
+///
+/// Examples:
+///   gooseberryd --settings entry-1.jsonc
+///   gooseberryd --settings - < entry-1.jsonc
+///   gooseberryd --check --settings entry-1.jsonc
+///
+///
+/// Exit codes:
+///   0  the shutdown cut nothing, or --check found no fault
+///   1  it could not start, or the command line is wrong
+///   2  the settings cannot be read or have faults
+///   3  the shutdown cut requests
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 struct Options {
@@ -34,15 +45,27 @@
 
 fn main() -> ExitCode {
     let options = options().run();
-    let local = match read(&options) {
-        Ok(local) => local,
+    let file = options.settings.display();
+    let local = match read(&options).map(|text| Local::parse(&text)) {
+        Ok(Ok(local)) => local,
+        Ok(Err(faults)) => {
+            for Fault {
+                path,
+                line,
+                message,
+            } in faults.0
+            {
+                eprintln!("{file}:{line}: {path}: {message}");
+            }
+            return ExitCode::from(BAD_SETTINGS);
+        }
         Err(error) => {
-            eprintln!("gooseberryd: {}: {error:#}", options.settings.display());
+            eprintln!("gooseberryd: cannot read {file}: {error:#}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
     if options.check {
-        println!("{}: no faults", options.settings.display());
+        println!("{file}: no faults");
         return ExitCode::SUCCESS;
     }
     match run(local) {
@@ -58,14 +81,14 @@
     }
 }
 
-fn read(options: &Options) -> anyhow::Result<Local> {
+fn read(options: &Options) -> std::io::Result<String> {
     let mut text = String::new();
     if options.settings.as_os_str() == "-" {
         std::io::stdin().read_to_string(&mut text)?;
     } else {
         text = std::fs::read_to_string(&options.settings)?;
     }
-    Local::parse(&text).context("the settings have faults")
+    Ok(text)
 }
 
 #[tokio::main]
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -2,17 +2,23 @@
 
 use std::sync::Arc;
 
+use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::id;
 use gooseberry_kernel::node::Node;
+use gooseberry_kernel::node::Question;
+use gooseberry_wire::header;
+use gooseberry_wire::operators::Explanation;
+use gooseberry_wire::operators::Status;
+use http::Method;
 use http::Request;
 use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
-use serde_json::Value;
-use serde_json::json;
 
 use crate::answer;
 use crate::answer::HttpAnswer;
 use crate::context::Context;
+use crate::entry;
 
 /// Serves one request of an operator.
 pub async fn serve(context: Arc<Context>, request: Request<Incoming>) -> HttpAnswer {
@@ -21,6 +27,10 @@
         "/readyz" => ready(&context).await,
         "/metrics" => metrics(&context).await,
         "/v1/status" => status(&context).await,
+        "/v1/explain" => match explain(&context, request).await {
+            Ok(answer) => answer,
+            Err(failure) => answer::error(&failure),
+        },
         _ => answer::error(&Kind::NoPath.into()),
     }
 }
@@ -59,44 +69,43 @@
 }
 
 async fn status(context: &Context) -> HttpAnswer {
-    let Ok(status) = context.node.look(read_status).await else {
+    match context.node.look(Status::of).await {
+        Ok(status) => json(&status),
+        Err(failure) => answer::error(&failure),
+    }
+}
+
+async fn explain(context: &Context, request: Request<Incoming>) -> Result<HttpAnswer, Failure> {
+    if request.method() != Method::POST {
+        return Err(Kind::BadMethod.into());
+    }
+    let (head, body) = request.into_parts();
+    let workspace = header::read(&head.headers, header::WORKSPACE);
+    let workspace: id::Workspace = workspace.ok_or(Kind::BadRequest)?;
+    let pipeline = header::read(&head.headers, header::PIPELINE);
+    let key = header::text(&head.headers, header::IDEMPOTENCY_KEY);
+    let body = entry::read_body(context, body).await?;
+    let question = Question {
+        digest: entry::digest(&workspace, &body),
+        workspace,
+        pipeline: pipeline.ok_or(Kind::BadRequest)?,
+        key: key.map(ToOwned::to_owned),
+        body: body.to_vec(),
+    };
+    let read = move |node: &Node, now| node.explain(&question, now);
+    let explanation = context.node.look(read).await??;
+    Ok(json(&Explanation::from(&explanation)))
+}
+
+fn json(value: &impl serde::Serialize) -> HttpAnswer {
+    let Ok(text) = serde_json::to_string(value) else {
         return answer::error(&Kind::Internal.into());
     };
-    let mut answer = answer::whole(200, status.to_string());
+    let mut answer = answer::whole(200, text);
     answer::set(&mut answer, CONTENT_TYPE.as_str(), "application/json");
     answer
 }
 
-fn read_status(node: &Node, now: gooseberry_kernel::clock::Millis) -> Value {
-    let identity = node.identity();
-    let members = node.tenure().members(now);
-    let members: Vec<&str> = members
-        .iter()
-        .map(gooseberry_kernel::id::Instance::as_str)
-        .collect();
-    let refused = node.book().holdings().iter().filter_map(|holding| {
-        let (source, faults) = holding.refused.as_ref()?;
-        Some(json!({
-            "path": source.path,
-            "revision": source.revision.0,
-            "faults": faults.to_string(),
-        }))
-    });
-    json!({
-        "instance": identity.instance.as_str(),
-        "domain": identity.domain.as_str(),
-        "ready": node.ready().is_ok(),
-        "list_revision": node.tenure().revision().0,
-        "settings_revision": node.book().revision().0,
-        "read_age_ms": node.read_age(now).map(|age| age.0),
-        "members": members,
-        "requests": node.requests(),
-        "calls_in_flight": node.slots().in_flight(),
-        "calls_queued": node.slots().queued(),
-        "refused_documents": refused.collect::<Vec<_>>(),
-    })
-}
-
 fn clip(number: impl TryInto<i64>) -> i64 {
     number.try_into().unwrap_or(i64::MAX)
 }
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -6,7 +6,8 @@
 //!
 //! - `node_control.rs`: the platform and the peers;
 //! - `node_entry.rs`: a caller's request and its stages;
-//! - `node_owner.rs`: the targets and keys that this daemon owns.
+//! - `node_owner.rs`: the targets and keys that this daemon owns;
+//! - `node_explain.rs`: why a request would go where it goes, for operators.
 
 use crate::admission::Room;
 use crate::answer::Kind;
@@ -29,6 +30,8 @@
 mod control;
 #[path = "node_entry.rs"]
 mod entry;
+#[path = "node_explain.rs"]
+mod explain;
 #[path = "node_owner.rs"]
 mod owner;
 
@@ -38,6 +41,12 @@
 pub use entry::Arrival;
 pub use entry::Choice;
 pub use entry::Step;
+pub use explain::Candidate;
+pub use explain::Explanation;
+pub use explain::Holder;
+pub use explain::Plan;
+pub use explain::Question;
+pub use explain::Standing;
 pub use owner::Grant;
 
 value! {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`header`] names the HTTP headers that callers, daemons and targets use.
 //! - [`platform`] holds what the platform publishes, as JSON.
+//! - [`operators`] holds what a daemon tells its operators, as JSON.
 //! - [`control`] holds what daemons tell each other, over tarpc.
 //!
 //! `docs/PROTOCOLS.md` writes the protocols down for others.
@@ -23,4 +24,5 @@
 
 pub mod control;
 pub mod header;
+pub mod operators;
 pub mod platform;
--- /dev/null
+++ b/crates/wire/src/operators.rs
@@ -0,0 +1,233 @@
+//! What a daemon tells its operators, as JSON.
+
+use compact_str::CompactString;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::node;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::route::Out;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The state of one daemon.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The daemon.
+    pub instance: CompactString,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// The label of the kind with which it refuses requests otherwise.
+    pub not_ready: Option<String>,
+    /// Whether enough members have acknowledged lately for its rights to hold.
+    pub holds_rights: bool,
+    /// The newest list that it has read.
+    pub list_revision: u64,
+    /// The newest settings that it has read.
+    pub settings_revision: u64,
+    /// How long ago the platform confirmed both, in milliseconds.
+    pub read_age_ms: Option<u64>,
+    /// The daemons that count for a majority.
+    pub members: Vec<CompactString>,
+    /// The requests of callers in progress.
+    pub requests: usize,
+    /// The calls at the targets that it owns.
+    pub calls_in_flight: usize,
+    /// The calls that wait for a place.
+    pub calls_queued: usize,
+    /// The targets that it owns and has sent work.
+    pub owned: Vec<Owned>,
+    /// The documents that it refused.
+    pub refused_documents: Vec<Refused>,
+}
+
+/// A target that a daemon owns and has sent work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owned {
+    /// The target.
+    pub target: CompactString,
+    /// Its pool.
+    pub pool: CompactString,
+    /// The calls that it has.
+    pub in_flight: usize,
+    /// The calls that it bears now.
+    pub limit: u16,
+}
+
+/// A document that a daemon refused; the last good one stays in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The path of the document.
+    pub path: String,
+    /// Its revision.
+    pub revision: u64,
+    /// Its faults, one a line.
+    pub faults: String,
+}
+
+/// What would become of a request now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// The label of the kind with which it would be refused, if it would be.
+    pub refusal: Option<String>,
+    /// The owner of its key, if the pipeline needs one.
+    pub key: Option<Holder>,
+    /// Its stages in their order.
+    pub stages: Vec<Plan>,
+}
+
+/// The owner of a target or key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The owner by the list.
+    pub owner: Option<CompactString>,
+    /// Whether its right holds: held, no-majority, waiting, elsewhere, nobody.
+    pub right: String,
+}
+
+/// Where one stage may go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The stage.
+    pub stage: CompactString,
+    /// The pool that serves it.
+    pub pool: CompactString,
+    /// The targets of the pool, those that may be given work first.
+    pub targets: Vec<Candidate>,
+}
+
+/// A target of a stage's pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// The target.
+    pub target: CompactString,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Its owner.
+    pub holder: Holder,
+    /// Why it is given no work: leaving, said-leaving or domain-out.
+    pub out: Option<String>,
+    /// Its rank by the prompt prefix, from one; only the first stage has one.
+    pub rank: Option<usize>,
+    /// The calls that it has, if the daemon that was asked owns it.
+    pub in_flight: Option<usize>,
+    /// The calls that it bears, if the daemon that was asked owns it.
+    pub limit: Option<u16>,
+    /// The load that replies have last told of, in percent.
+    pub load_percent: u32,
+}
+
+impl Status {
+    /// Reads the state of a node.
+    #[must_use]
+    pub fn of(node: &Node, now: Millis) -> Self {
+        let identity = node.identity();
+        let members = node.tenure().members(now);
+        let not_ready = node.ready().err().map(Kind::row);
+        Self {
+            instance: identity.instance.as_str().into(),
+            domain: identity.domain.as_str().into(),
+            ready: not_ready.is_none(),
+            not_ready: not_ready.map(|row| row.label.to_owned()),
+            holds_rights: node.holds_rights(now),
+            list_revision: node.tenure().revision().0,
+            settings_revision: node.book().revision().0,
+            read_age_ms: node.read_age(now).map(|age| age.0),
+            members: members.iter().map(|id| id.as_str().into()).collect(),
+            requests: node.requests(),
+            calls_in_flight: node.slots().in_flight(),
+            calls_queued: node.slots().queued(),
+            owned: owned(node),
+            refused_documents: refused(node),
+        }
+    }
+}
+
+fn owned(node: &Node) -> Vec<Owned> {
+    let Some(list) = node.tenure().list() else {
+        return Vec::new();
+    };
+    let mut found = Vec::new();
+    for entry in &list.targets {
+        let Some((in_flight, limit)) = node.slots().load(&entry.id) else {
+            continue;
+        };
+        let owner = list.owner_of_target(entry);
+        if owner.is_some_and(|owner| owner.id == node.identity().instance) {
+            found.push(Owned {
+                target: entry.id.as_str().into(),
+                pool: entry.pool.as_str().into(),
+                in_flight,
+                limit,
+            });
+        }
+    }
+    found
+}
+
+fn refused(node: &Node) -> Vec<Refused> {
+    let refused = node.book().holdings().iter().filter_map(|holding| {
+        let (source, faults) = holding.refused.as_ref()?;
+        Some(Refused {
+            path: source.path.clone(),
+            revision: source.revision.0,
+            faults: faults.to_string(),
+        })
+    });
+    refused.collect()
+}
+
+impl From<&node::Explanation> for Explanation {
+    fn from(explanation: &node::Explanation) -> Self {
+        let refusal = explanation.refusal.map(|kind| kind.row().label.to_owned());
+        Self {
+            refusal,
+            key: explanation.key.as_ref().map(Into::into),
+            stages: explanation.stages.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<&node::Holder> for Holder {
+    fn from(holder: &node::Holder) -> Self {
+        Self {
+            owner: holder.owner.as_ref().map(|id| id.as_str().into()),
+            right: holder.standing.label().to_owned(),
+        }
+    }
+}
+
+impl From<&node::Plan> for Plan {
+    fn from(plan: &node::Plan) -> Self {
+        Self {
+            stage: plan.stage.as_str().into(),
+            pool: plan.pool.as_str().into(),
+            targets: plan.targets.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<&node::Candidate> for Candidate {
+    fn from(candidate: &node::Candidate) -> Self {
+        Self {
+            target: candidate.target.as_str().into(),
+            domain: candidate.domain.as_str().into(),
+            holder: (&candidate.holder).into(),
+            out: candidate.out.as_ref().map(|out| label(out).to_owned()),
+            rank: candidate.rank,
+            in_flight: candidate.places.map(|(in_flight, _)| in_flight),
+            limit: candidate.places.map(|(_, limit)| limit),
+            load_percent: candidate.load_percent,
+        }
+    }
+}
+
+/// Returns the reason for which a target is out, as operators read it.
+const fn label(out: &Out) -> &'static str {
+    match out {
+        Out::Leaving => "leaving",
+        Out::SaidLeaving => "said-leaving",
+        Out::DomainOut => "domain-out",
+    }
+}
