Check settings strictly, and keep a page of faulty ones

Cause: a sign in a digest, a missing comma, single quotes and hexadecimal numbers were accepted; a faulty pool made its stages faulty as well; names were repeated in faults unescaped and unbounded. Ruled out: judging leading zeros ourselves, since the parser refuses them. Change: JSON with comments and trailing commas only; bounds on text, fields and faults; names are escaped and cut; contradictions between ports, credentials, names in lists and spans are faults; a byte order mark is skipped. Before: no test.

--- a/crates/kernel/src/id.rs
+++ b/crates/kernel/src/id.rs
@@ -48,6 +48,11 @@
     !text.is_empty() && text.len() <= TEXT_MAX_BYTES && text.bytes().all(is_allowed)
 }
 
+/// The standard library's parsers take a sign before the digits as well.
+fn is_hexadecimal(text: &str) -> bool {
+    text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
 macro_rules! text_id {
     ($($(#[$meta:meta])* $name:ident)*) => {
         $(
@@ -169,7 +174,7 @@
     type Err = Invalid;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        if text.len() != 64 || !text.is_ascii() {
+        if text.len() != 64 || !is_hexadecimal(text) {
             return Err(invalid(text));
         }
         let mut bytes = [0; 32];
@@ -191,7 +196,7 @@
     type Err = Invalid;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        if text.len() != 32 {
+        if text.len() != 32 || !is_hexadecimal(text) {
             return Err(invalid(text));
         }
         u128::from_str_radix(text, 16)
--- a/crates/kernel/src/settings/fleet.rs
+++ b/crates/kernel/src/settings/fleet.rs
@@ -111,9 +111,12 @@
                 let message = "expected at most half of freshness_ms".to_owned();
                 reader.note(&path, start, message);
             }
-            let mut out: Vec<id::Domain> = reader.texts(top, "out", "the name of a failure domain");
-            out.sort();
-            out.dedup();
+            if dropped_memory < freshness {
+                let (path, start) = top.place("dropped_memory_ms");
+                let message = "expected at least freshness_ms".to_owned();
+                reader.note(&path, start, message);
+            }
+            let out = reader.texts(top, "out", "the name of a failure domain");
             let policy = reader.optional_text(top, "policy", "\"adaptive\" or \"baseline\"");
             Self {
                 out,
--- a/crates/kernel/src/settings/local.rs
+++ b/crates/kernel/src/settings/local.rs
@@ -5,7 +5,9 @@
 
 use super::fault::Faults;
 use super::reader;
+use super::reader::Fields;
 use super::reader::Range;
+use super::reader::Reader;
 use crate::clock::Millis;
 use crate::derive::scalar;
 use crate::derive::value;
@@ -77,6 +79,16 @@
             let control = address("control");
             let operators = address("operators");
             let platform = address("platform");
+            check_ports(
+                reader,
+                top,
+                &[
+                    ("callers", callers),
+                    ("data", data),
+                    ("control", control),
+                    ("operators", operators),
+                ],
+            );
             let log_level = reader.optional_text(top, "log_level", "a level");
             let log_level = log_level.unwrap_or_else(|| "info".to_owned());
             if !LOG_LEVELS.contains(&log_level.as_str()) {
@@ -106,3 +118,18 @@
         read.ok_or(Faults(Vec::new()))
     }
 }
+
+/// Notes ports that two services would bind; port 0 stands for any free one.
+fn check_ports(reader: &mut Reader<'_>, top: &Fields<'_>, ports: &[(&str, Option<SocketAddr>)]) {
+    for (index, (name, address)) in ports.iter().enumerate() {
+        let Some(address) = address.filter(|address| address.port() != 0) else {
+            continue;
+        };
+        let mut before = ports[..index].iter();
+        if let Some((other, _)) = before.find(|(_, one)| *one == Some(address)) {
+            let (path, start) = top.place(name);
+            let message = format!("expected an address other than that of {other}");
+            reader.note(&path, start, message);
+        }
+    }
+}
--- a/crates/kernel/src/settings/reader.rs
+++ b/crates/kernel/src/settings/reader.rs
@@ -16,6 +16,15 @@
 use super::fault::Fault;
 use super::fault::Faults;
 
+/// The longest document, in bytes; the platform holds no longer one.
+const TEXT_MAX_BYTES: usize = 1 << 20;
+/// The most fields that one object may have.
+const FIELDS_MAX: usize = 4096;
+/// The most faults that are kept of one document, so that a report stays small.
+const FAULTS_MAX: usize = 256;
+/// The longest part of a name or text that a fault repeats, in characters.
+const QUOTE_MAX_CHARS: usize = 64;
+
 /// Collects the faults of one document.
 pub struct Reader<'a> {
     text: &'a str,
@@ -50,19 +59,34 @@
     text: &str,
     read: impl for<'a> FnOnce(&mut Reader<'a>, &mut Fields<'a>) -> T,
 ) -> Result<T, Faults> {
+    if text.len() > TEXT_MAX_BYTES {
+        let message = format!(
+            "expected at most {TEXT_MAX_BYTES} bytes, found {}",
+            text.len()
+        );
+        return Err(Faults(vec![whole_document(1, message)]));
+    }
+    // Some editors put a byte order mark first.
+    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+    // Comments and trailing commas are all that is added to JSON.
     let options = ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
         allow_loose_object_property_names: false,
-        ..ParseOptions::default()
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
     };
     let parsed = match jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options) {
         Ok(parsed) => parsed,
         Err(error) => {
             let line = line_of(text, error.range().start);
-            return Err(Faults(vec![Fault {
-                path: "$".to_owned(),
-                line,
-                message: format!("expected JSON with comments: {}", error.kind()),
-            }]));
+            let message = format!("expected JSON with comments: {}", error.kind());
+            return Err(Faults(vec![whole_document(line, message)]));
         }
     };
     let mut reader = Reader {
@@ -79,9 +103,24 @@
     reader.finish(result)
 }
 
+fn whole_document(line: usize, message: String) -> Fault {
+    Fault {
+        path: "$".to_owned(),
+        line,
+        message,
+    }
+}
+
 impl<'a> Reader<'a> {
     /// Notes a fault at a byte offset of the document.
     pub fn note(&mut self, path: &str, start: usize, message: String) {
+        if self.faults.len() == FAULTS_MAX {
+            let message = format!("there are more than {FAULTS_MAX} faults");
+            self.faults.push(whole_document(usize::MAX, message));
+        }
+        if self.faults.len() > FAULTS_MAX {
+            return;
+        }
         self.faults.push(Fault {
             path: path.to_owned(),
             line: line_of(self.text, start),
@@ -92,7 +131,7 @@
     /// Notes every field that nobody read as unknown.
     pub fn close(&mut self, fields: &Fields<'_>) {
         for field in fields.entries.iter().filter(|field| !field.is_read) {
-            let path = format!("{}.{}", fields.path, field.name);
+            let path = format!("{}.{}", fields.path, quote(&field.name));
             self.note(&path, field.start, "unknown field".to_owned());
         }
     }
@@ -138,11 +177,21 @@
         self.parse_text(&path, value, want)
     }
 
-    /// Reads a list of texts; an absent field is an empty list.
-    pub fn texts<T: FromStr>(&mut self, of: &mut Fields<'a>, name: &str, want: &str) -> Vec<T> {
-        let mut found = Vec::new();
+    /// Reads a list of texts that must differ, and sorts it; an absent field
+    /// is an empty list.
+    pub fn texts<T>(&mut self, of: &mut Fields<'a>, name: &str, want: &str) -> Vec<T>
+    where
+        T: FromStr + Ord,
+    {
+        let mut found: Vec<T> = Vec::new();
         for (path, value) in self.items(of, name) {
-            found.extend(self.parse_text(&path, value, want));
+            let Some(text) = self.parse_text(&path, value, want) else {
+                continue;
+            };
+            match found.binary_search(&text) {
+                Ok(_) => self.note(&path, value.start(), "given twice".to_owned()),
+                Err(index) => found.insert(index, text),
+            }
         }
         found
     }
@@ -162,7 +211,7 @@
         let mut found = Vec::new();
         for field in &mut entries.entries {
             field.is_read = true;
-            let path = format!("{}.{}", entries.path, field.name);
+            let path = format!("{}.{}", entries.path, quote(&field.name));
             let inner = self.object(path, field.value);
             found.extend(inner.map(|inner| (field.name.clone(), inner)));
         }
@@ -180,6 +229,9 @@
             return Ok(result);
         }
         self.faults.sort_by_key(|fault| fault.line);
+        if let Some(last) = self.faults.last_mut() {
+            last.line = last.line.min(line_of(self.text, self.text.len()));
+        }
         Err(Faults(self.faults))
     }
 
@@ -208,11 +260,16 @@
 
     fn fields(&mut self, path: String, object: &'a Object<'a>) -> Fields<'a> {
         let mut fields: Vec<Field<'a>> = Vec::new();
-        for property in &object.properties {
+        if object.properties.len() > FIELDS_MAX {
+            let message = format!("expected at most {FIELDS_MAX} fields");
+            self.note(&path, object.start(), message);
+        }
+        for property in object.properties.iter().take(FIELDS_MAX) {
             let name = property.name.as_str().to_owned();
             let start = property.start();
             if fields.iter().any(|field| field.name == name) {
-                self.note(&format!("{path}.{name}"), start, "given twice".to_owned());
+                let path = format!("{path}.{}", quote(&name));
+                self.note(&path, start, "given twice".to_owned());
                 continue;
             }
             fields.push(Field {
@@ -276,6 +333,32 @@
         (format!("{}.{name}", self.path), start)
     }
 
+    /// Returns how many items a list has, if the field is absent or a list.
+    #[must_use]
+    pub fn count(&self, name: &str) -> Option<usize> {
+        let field = self.entries.iter().find(|field| field.name == name);
+        match field.map(|field| field.value) {
+            None => Some(0),
+            Some(Value::Array(array)) => Some(array.elements.len()),
+            Some(_) => None,
+        }
+    }
+
+    /// Returns the names of the fields of an inner object, faulty ones too.
+    #[must_use]
+    pub fn names(&self, name: &str) -> Vec<String> {
+        let field = self.entries.iter().find(|field| field.name == name);
+        let Some(Value::Object(object)) = field.map(|field| field.value) else {
+            return Vec::new();
+        };
+        let properties = object.properties.iter();
+        let mut names: Vec<String> = properties
+            .map(|property| property.name.as_str().to_owned())
+            .collect();
+        names.sort();
+        names
+    }
+
     fn has(&self, name: &str) -> bool {
         self.entries.iter().any(|field| field.name == name)
     }
@@ -287,6 +370,20 @@
     }
 }
 
+/// Cuts a text that an operator wrote and escapes what is not printable, so
+/// that a fault is one line of bounded length.
+pub fn quote(text: &str) -> String {
+    let mut quoted: String = text
+        .chars()
+        .take(QUOTE_MAX_CHARS)
+        .flat_map(char::escape_debug)
+        .collect();
+    if text.chars().nth(QUOTE_MAX_CHARS).is_some() {
+        quoted.push_str("...");
+    }
+    quoted
+}
+
 fn line_of(text: &str, start: usize) -> usize {
     let head = text.get(..start).unwrap_or(text);
     1 + head.matches('\n').count()
--- a/crates/kernel/src/settings/team.rs
+++ b/crates/kernel/src/settings/team.rs
@@ -11,6 +11,7 @@
 use super::reader::Fields;
 use super::reader::Range;
 use super::reader::Reader;
+use super::reader::quote;
 use crate::clock::Millis;
 use crate::derive::scalar;
 use crate::derive::value;
@@ -165,9 +166,12 @@
     /// Returns every fault of the document.
     pub fn parse(team: &id::Team, text: &str) -> Result<Self, Faults> {
         reader::parse(text, |reader, top| {
+            // A faulty pool is still a pool that stages may name.
+            let pool_names = top.names("pools");
+            let pipeline_names = top.names("pipelines");
             let pools = read_pools(reader, top, team);
-            let pipelines = read_pipelines(reader, top, team, &pools);
-            let workspaces = read_workspaces(reader, top, team, &pipelines);
+            let pipelines = read_pipelines(reader, top, team, &pool_names);
+            let workspaces = read_workspaces(reader, top, team, &pipeline_names);
             Self {
                 team: team.clone(),
                 pools,
@@ -253,7 +257,7 @@
     reader: &mut Reader<'a>,
     top: &mut Fields<'a>,
     team: &id::Team,
-    pools: &[Pool],
+    pools: &[String],
 ) -> Vec<Pipeline> {
     let mut pipelines = Vec::new();
     for (name, mut fields) in reader.map(top, "pipelines") {
@@ -269,7 +273,7 @@
     fields: &mut Fields<'a>,
     team: &id::Team,
     name: &str,
-    pools: &[Pool],
+    pools: &[String],
 ) -> Option<Pipeline> {
     let id = read_name(reader, fields, name).and_then(|()| id::Pipeline::new(name).ok());
     let range = Range {
@@ -279,8 +283,8 @@
     let deadline = Millis(reader.number(fields, "deadline_ms", range, 9000));
     let (stages_path, stages_start) = fields.place("stages");
     let mut stages: Vec<Stage> = Vec::new();
+    let count = fields.count("stages");
     let listed = reader.list(fields, "stages");
-    let count = listed.len();
     for mut stage in listed {
         let (path, start) = stage.place("name");
         let read = read_stage(reader, &mut stage, team, pools);
@@ -291,7 +295,7 @@
         }
         stages.push(read);
     }
-    if count == 0 || count > STAGES_MAX {
+    if let Some(count) = count.filter(|count| !(1..=STAGES_MAX).contains(count)) {
         let message = format!("expected 1 to {STAGES_MAX} stages, found {count}");
         reader.note(&stages_path, stages_start, message);
     }
@@ -310,7 +314,7 @@
     reader: &mut Reader<'a>,
     fields: &mut Fields<'a>,
     team: &id::Team,
-    pools: &[Pool],
+    pools: &[String],
 ) -> Option<Stage> {
     let id = reader.text(fields, "name", "a name of a-z, 0-9 and '-'");
     let (pool_path, pool_start) = fields.place("pool");
@@ -320,15 +324,13 @@
     let usual = if is_idempotent { 3 } else { 1 };
     let attempts = reader.number(fields, "attempts", Range { min: 1, max: 10 }, usual);
     let pool = pool?;
-    let qualified = qualify(team, &pool);
-    let known = qualified.filter(|id| pools.iter().any(|one| one.id == *id));
-    if known.is_none() {
-        let message = format!("expected a pool of this document, found `{pool}`");
+    if pools.binary_search(&pool).is_err() {
+        let message = format!("expected a pool of this document, found `{}`", quote(&pool));
         reader.note(&pool_path, pool_start, message);
     }
     Some(Stage {
         id: id?,
-        pool: known?,
+        pool: qualify(team, &pool)?,
         is_idempotent,
         weight: narrow16(weight),
         attempts: narrow16(attempts),
@@ -339,12 +341,21 @@
     reader: &mut Reader<'a>,
     top: &mut Fields<'a>,
     team: &id::Team,
-    pipelines: &[Pipeline],
+    pipelines: &[String],
 ) -> Vec<Workspace> {
-    let mut workspaces = Vec::new();
+    let mut workspaces: Vec<Workspace> = Vec::new();
     for (name, mut fields) in reader.map(top, "workspaces") {
-        workspaces.extend(read_workspace(reader, &mut fields, team, &name, pipelines));
+        let (path, start) = fields.place("credential_sha256");
+        let read = read_workspace(reader, &mut fields, team, &name, pipelines);
         reader.close(&fields);
+        let Some(read) = read else { continue };
+        if workspaces
+            .iter()
+            .any(|one| one.credential == read.credential)
+        {
+            reader.note(&path, start, "expected a credential of its own".to_owned());
+        }
+        workspaces.push(read);
     }
     workspaces.sort_by(|one: &Workspace, other| one.id.cmp(&other.id));
     workspaces
@@ -355,17 +366,16 @@
     fields: &mut Fields<'a>,
     team: &id::Team,
     name: &str,
-    pipelines: &[Pipeline],
+    pipelines: &[String],
 ) -> Option<Workspace> {
     let id = read_name(reader, fields, name).and_then(|()| qualify(team, name));
     let credential = reader.text(fields, "credential_sha256", "64 hexadecimal digits");
     let weight = reader.number(fields, "weight", Range { min: 1, max: 1000 }, 1);
     let (path, start) = fields.place("pipelines");
-    let mut allowed: Vec<id::Pipeline> = reader.texts(fields, "pipelines", "a pipeline's name");
-    allowed.sort();
-    allowed.dedup();
+    let allowed: Vec<id::Pipeline> = reader.texts(fields, "pipelines", "a pipeline's name");
     for name in &allowed {
-        if !pipelines.iter().any(|one| one.id == *name) {
+        let found = pipelines.binary_search_by(|one| one.as_str().cmp(name.as_str()));
+        if found.is_err() {
             let message = format!("expected pipelines of this document, found `{name}`");
             reader.note(&path, start, message);
         }
