Answer faulty requests exactly, and count each request once where it came in

Cause: repeated headers, a malformed attempt number and strange bytes in a key were read as if they were absent; refusals of keyed requests were counted at the owner and again or never at the entry, and their answers never; a caller in the middle of sending could lose its refusal to a closed connection. Ruled out: counting at the owner, since the entry may give up on it; draining every refused body, since a stranger could keep a connection busy. Change: one record for each request at the entry counts it as answered, refused or abandoned; headers are read strictly; 401 and 405 carry their headers; an unread body is taken for 200 ms at most, then the connection closes. Logs about requests use key-value fields.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::answer::Outcome;
 use gooseberry_kernel::cost::Cost;
 use gooseberry_kernel::id;
@@ -10,7 +11,9 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
+use http::header::ALLOW;
 use http::header::CONTENT_TYPE;
+use http::header::WWW_AUTHENTICATE;
 use http_body_util::Full;
 
 /// A whole answer, in memory.
@@ -106,6 +109,11 @@
     set(&mut answer, CONTENT_TYPE.as_str(), "application/json");
     set(&mut answer, header::ERROR, row.label);
     set(&mut answer, header::OUTCOME, failure.outcome.label());
+    match failure.kind {
+        Kind::BadCredential => set(&mut answer, WWW_AUTHENTICATE.as_str(), "Bearer"),
+        Kind::BadMethod => set(&mut answer, ALLOW.as_str(), "POST"),
+        _ => {}
+    }
     if let Some(span) = failure.retry_after {
         let secs = span.as_secs_ceil().to_string();
         set(&mut answer, header::RETRY_AFTER, &secs);
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -20,22 +20,32 @@
 use http::Method;
 use http::Request;
 use http::header::AUTHORIZATION;
+use http::header::CONNECTION;
+use http::header::EXPECT;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::actor::Message;
+use crate::answer;
 use crate::answer::Answer;
 use crate::answer::HttpAnswer;
 use crate::context::Context;
 use crate::keyed;
+use crate::owner;
 use crate::pipeline;
 use crate::pipeline::Job;
 
 /// The longest idempotency key, in bytes.
 const KEY_MAX_BYTES: usize = 128;
+/// How much is read of a body that is refused unread, in bytes.
+const DISCARD_MAX_BYTES: usize = 256 << 10;
+/// How long a body that is refused unread is read for.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Draws the ids of requests; they must differ over the whole fleet.
 #[derive(Debug)]
@@ -77,25 +87,95 @@
     }
 }
 
+/// Follows one request of a caller, so that it is counted and logged once,
+/// however it ends and whichever daemon did the work.
+struct Record<'a> {
+    context: &'a Context,
+    request: id::Request,
+    /// The workspace and pipeline, once the caller has proved who it is.
+    names: Option<(id::Workspace, id::Pipeline)>,
+    /// Whether the connection can serve another request.
+    is_body_read: bool,
+    is_ended: bool,
+}
+
+impl<'a> Record<'a> {
+    fn begin(context: &'a Context, request: id::Request) -> Self {
+        context.metrics.request();
+        Self {
+            context,
+            request,
+            names: None,
+            is_body_read: false,
+            is_ended: false,
+        }
+    }
+
+    fn end(mut self, answer: &mut HttpAnswer) {
+        self.is_ended = true;
+        if !answer.headers().contains_key(header::REQUEST) {
+            answer::set(answer, header::REQUEST, &self.request.to_string());
+        }
+        if !self.is_body_read {
+            answer::set(answer, CONNECTION.as_str(), "close");
+        }
+        let failure = owner::read_failure(answer.headers());
+        let is_late = header::read(answer.headers(), header::LATE).unwrap_or(false);
+        let (workspace, pipeline) = self.labels();
+        match &failure {
+            Some(failure) => self.context.metrics.refusal(failure.kind),
+            None => self.context.metrics.answer(workspace, pipeline, is_late),
+        }
+        let error = failure.as_ref().map_or("none", |one| one.kind.row().label);
+        let outcome = header::text(answer.headers(), header::OUTCOME).unwrap_or("none");
+        log::debug!(
+            request:% = self.request, workspace, pipeline, status = answer.status().as_u16(),
+            outcome, error, is_late;
+            "answered"
+        );
+    }
+
+    fn labels(&self) -> (&str, &str) {
+        let names = self.names.as_ref();
+        names.map_or(("none", "none"), |(workspace, pipeline)| {
+            (workspace.as_str(), pipeline.as_str())
+        })
+    }
+}
+
+impl Drop for Record<'_> {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        self.context.metrics.abandoned();
+        let (workspace, pipeline) = self.labels();
+        log::debug!(request:% = self.request, workspace, pipeline; "the caller hung up");
+    }
+}
+
 /// Serves one request of a caller.
 pub async fn serve(context: Arc<Context>, ids: Arc<Ids>, request: Request<Incoming>) -> HttpAnswer {
-    let id = ids.draw();
-    match handle(&context, id, request).await {
+    let mut record = Record::begin(&context, ids.draw());
+    let (head, mut body) = request.into_parts();
+    record.is_body_read = body.is_end_stream();
+    let mut answer = match handle(&context, &head, &mut body, &mut record).await {
         Ok(answer) => answer,
-        Err(failure) => {
-            context.metrics.refusal(failure.kind);
-            log::debug!("request={id} refused: {}", failure.kind);
-            Answer::refusal(id, failure).to_http()
-        }
+        Err(failure) => Answer::refusal(record.request, failure).to_http(),
+    };
+    if !record.is_body_read && !head.headers.contains_key(EXPECT) {
+        discard(&mut body).await;
     }
+    record.end(&mut answer);
+    answer
 }
 
 async fn handle(
     context: &Arc<Context>,
-    id: id::Request,
-    request: Request<Incoming>,
+    head: &Parts,
+    body: &mut Incoming,
+    record: &mut Record<'_>,
 ) -> Result<HttpAnswer, Failure> {
-    let (head, body) = request.into_parts();
     let (workspace, pipeline) = read_path(head.uri.path())?;
     if head.method != Method::POST {
         return Err(Kind::BadMethod.into());
@@ -103,54 +183,41 @@
     let credential = read_credential(&head.headers)?;
     authenticate(context, &workspace, credential).await?;
     let timeout = read_timeout(&head.headers)?;
+    let key = read_key(&head.headers)?;
+    let is_first = is_first_attempt(&head.headers)?;
     let body = read_body(context, body).await?;
+    record.is_body_read = true;
+    let digest = digest(&workspace, &body);
     let arrival = Arrival {
         workspace: workspace.clone(),
         pipeline,
         credential,
         timeout,
-        digest: digest(&workspace, &body),
+        digest,
     };
-    let digest = arrival.digest;
     let admission = context.node.try_ask(|reply| Message::Admit(arrival, reply));
     let admission = admission.await?;
     let place = Place { context, workspace };
-    let key = read_key(&head.headers, &admission)?;
+    let names = (
+        admission.workspace.id.clone(),
+        admission.pipeline.id.clone(),
+    );
+    record.names = Some(names);
     let job = Job {
-        request: id,
+        request: record.request,
+        key: choose_key(key, &admission)?,
         admission,
-        key,
         digest,
         body,
     };
     let answer = match job.key.as_ref().map(Key::hash) {
-        None => unkeyed(context, &job).await,
-        Some(hash) => {
-            let is_first = keyed::is_first_attempt(&head.headers);
-            route_keyed(context, job, hash, is_first).await?
-        }
+        None => pipeline::run(context, &job).await.to_http(),
+        Some(hash) => route_keyed(context, job, hash, is_first).await?,
     };
     drop(place);
     Ok(answer)
 }
 
-async fn unkeyed(context: &Arc<Context>, job: &Job) -> HttpAnswer {
-    let answer = pipeline::run(context, job).await;
-    let admission = &job.admission;
-    let workspace = admission.workspace.id.as_str();
-    let pipeline = admission.pipeline.id.as_str();
-    match &answer.result {
-        Ok(_) => context.metrics.answer(workspace, pipeline, answer.is_late),
-        Err(failure) => context.metrics.refusal(failure.kind),
-    }
-    log::debug!(
-        "request={} workspace={workspace} pipeline={pipeline} outcome={}",
-        job.request,
-        answer.outcome()
-    );
-    answer.to_http()
-}
-
 async fn route_keyed(
     context: &Arc<Context>,
     job: Job,
@@ -188,31 +255,62 @@
 }
 
 fn read_credential(headers: &HeaderMap) -> Result<id::Digest, Kind> {
-    let text = headers.get(AUTHORIZATION).and_then(|one| one.to_str().ok());
-    let token = text.and_then(|text| text.strip_prefix("Bearer "));
-    let token = token.ok_or(Kind::BadCredential)?;
+    let text = only(headers, AUTHORIZATION.as_str());
+    let text = text.ok().flatten().ok_or(Kind::BadCredential)?;
+    let (scheme, token) = text.split_once(' ').ok_or(Kind::BadCredential)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(Kind::BadCredential);
+    }
     Ok(id::Digest::of(token.trim().as_bytes()))
 }
 
 fn read_timeout(headers: &HeaderMap) -> Result<Option<Millis>, Kind> {
-    if !headers.contains_key(header::TIMEOUT_MS) {
+    let Some(text) = only(headers, header::TIMEOUT_MS)? else {
         return Ok(None);
+    };
+    let timeout: Millis = text.parse().map_err(|_| Kind::BadRequest)?;
+    if timeout == Millis::ZERO {
+        return Err(Kind::BadRequest);
     }
-    let timeout: Option<Millis> = header::read(headers, header::TIMEOUT_MS);
-    match timeout {
-        Some(timeout) if timeout > Millis::ZERO => Ok(Some(timeout)),
-        _ => Err(Kind::BadRequest),
+    Ok(Some(timeout))
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<&str>, Kind> {
+    let key = only(headers, header::IDEMPOTENCY_KEY)?;
+    if key.is_some_and(|text| text.is_empty() || text.len() > KEY_MAX_BYTES) {
+        return Err(Kind::BadRequest);
     }
+    Ok(key)
 }
 
-fn read_key(headers: &HeaderMap, admission: &Admission) -> Result<Option<Key>, Kind> {
-    if admission.pipeline.is_idempotent() {
-        return Ok(None);
+/// Tells whether the caller says that it sends its key for the first time.
+fn is_first_attempt(headers: &HeaderMap) -> Result<bool, Kind> {
+    let Some(text) = only(headers, header::IDEMPOTENCY_ATTEMPT)? else {
+        return Ok(false);
+    };
+    match text.parse::<u32>() {
+        Ok(0) | Err(_) => Err(Kind::BadRequest),
+        Ok(number) => Ok(number == 1),
     }
-    let text = header::text(headers, header::IDEMPOTENCY_KEY).ok_or(Kind::KeyMissing)?;
-    if text.is_empty() || text.len() > KEY_MAX_BYTES {
+}
+
+/// Reads a header that may stand only once, as visible ASCII.
+fn only<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Kind> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
         return Err(Kind::BadRequest);
     }
+    value.to_str().map(Some).map_err(|_| Kind::BadRequest)
+}
+
+fn choose_key(text: Option<&str>, admission: &Admission) -> Result<Option<Key>, Kind> {
+    if admission.pipeline.is_idempotent() {
+        return Ok(None);
+    }
+    let text = text.ok_or(Kind::KeyMissing)?;
     Ok(Some(Key {
         workspace: admission.workspace.id.clone(),
         pipeline: admission.pipeline.id.clone(),
@@ -221,12 +319,16 @@
 }
 
 /// Reads a body within the limits that the settings give.
-pub(crate) async fn read_body(context: &Context, body: Incoming) -> Result<Bytes, Failure> {
+pub(crate) async fn read_body(context: &Context, body: &mut Incoming) -> Result<Bytes, Failure> {
     let limits = |node: &Node, _| {
         let fleet = node.book().fleet();
         (fleet.max_body_bytes, fleet.send_timeout)
     };
     let (max, limit) = context.node.look(limits).await?;
+    // A body that says that it is too large need not be sent first.
+    if body.size_hint().lower() > u64::from(max) {
+        return Err(Kind::TooLarge.into());
+    }
     let max = usize::try_from(max).unwrap_or(usize::MAX);
     let limit = Duration::from_millis(limit.0);
     match timeout(limit, Limited::new(body, max).collect()).await {
@@ -237,6 +339,22 @@
     }
 }
 
+/// Takes what a caller is still sending, for a moment, so that closing the
+/// connection does not cost it the answer.
+async fn discard(body: &mut Incoming) {
+    let read = async {
+        let mut left = DISCARD_MAX_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            if length > left {
+                return;
+            }
+            left -= length;
+        }
+    };
+    timeout(DISCARD_TIMEOUT, read).await.ok();
+}
+
 /// Digests the workspace with the body, so that equal bodies of two customers
 /// are two requests.
 pub(crate) fn digest(workspace: &id::Workspace, body: &[u8]) -> id::Digest {
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -74,14 +74,14 @@
 /// Serves a request whose key this daemon owns.
 pub async fn perform(context: &Arc<Context>, job: Job, is_first_attempt: bool) -> HttpAnswer {
     let Some(key) = job.key.clone() else {
-        return refuse(context, job.request, Kind::KeyMissing.into());
+        return refuse(job.request, Kind::KeyMissing.into());
     };
     let asked = key.clone();
     let digest = job.digest;
     let message = |reply| Message::Begin(asked, digest, is_first_attempt, reply);
     match context.node.try_ask(message).await {
-        Err(failure) => refuse(context, job.request, failure),
-        Ok(Verdict::Refuse(kind)) => refuse(context, job.request, kind.into()),
+        Err(failure) => refuse(job.request, failure),
+        Ok(Verdict::Refuse(kind)) => refuse(job.request, kind.into()),
         Ok(Verdict::Replay(record)) => answer::replay(&record),
         Ok(Verdict::Join) => join(context, &job, &key).await,
         Ok(Verdict::Run) => {
@@ -103,9 +103,6 @@
             Outcome::Unknown => End::Unknown,
         };
         context.node.tell(Message::End(key.clone(), end));
-        if let Err(failure) = &answer.result {
-            context.metrics.refusal(failure.kind);
-        }
         sender.send_replace(Some(answer.to_http()));
         context.joins.remove(&key);
     });
@@ -124,12 +121,11 @@
     let left = context.clock.until(job.admission.deadline);
     match timeout(left, wait(context, key)).await {
         Ok(answer) => answer,
-        Err(_) => refuse(context, job.request, Kind::KeyBusy.into()),
+        Err(_) => refuse(job.request, Kind::KeyBusy.into()),
     }
 }
 
-fn refuse(context: &Context, request: id::Request, failure: Failure) -> HttpAnswer {
-    context.metrics.refusal(failure.kind);
+fn refuse(request: id::Request, failure: Failure) -> HttpAnswer {
     Answer::refusal(request, failure).to_http()
 }
 
@@ -157,14 +153,14 @@
     is_first_attempt: bool,
 ) -> HttpAnswer {
     let Some(request) = write_job(context, owner, job, is_first_attempt) else {
-        return refuse(context, job.request, Kind::Internal.into());
+        return refuse(job.request, Kind::Internal.into());
     };
     let grace = Duration::from_millis(500);
     let left = context.clock.until(job.admission.deadline) + grace;
     match timeout(left, exchange(context, request)).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(failure)) => refuse(context, job.request, failure),
-        Err(_) => refuse(context, job.request, Kind::DeadlinePassed.into()),
+        Ok(Err(failure)) => refuse(job.request, failure),
+        Err(_) => refuse(job.request, Kind::DeadlinePassed.into()),
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus::Encoder;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGaugeVec;
 use prometheus::Opts;
@@ -22,6 +23,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    requests: IntCounter,
+    abandoned: IntCounter,
     refusals: IntCounterVec,
     retries: IntCounterVec,
     violations: IntCounterVec,
@@ -44,9 +47,22 @@
             registry.register(Box::new(counter.clone()))?;
             prometheus::Result::Ok(counter)
         };
+        let plain = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let requests = plain(
+            "gooseberry_requests_total",
+            "Requests of callers that have come in at this daemon.",
+        )?;
+        let abandoned = plain(
+            "gooseberry_abandoned_total",
+            "Requests whose callers hung up before the answer.",
+        )?;
         let refusals = counter(
             "gooseberry_refusals_total",
-            "Failed requests by kind.",
+            "Refused and failed requests by kind, counted where they came in.",
             &["kind"],
         )?;
         let retries = counter(
@@ -61,7 +77,7 @@
         )?;
         let answers = counter(
             "gooseberry_answers_total",
-            "Answered requests.",
+            "Answered requests, counted where they came in.",
             &["workspace", "pipeline", "late"],
         )?;
         let foreign = counter(
@@ -88,6 +104,8 @@
         }
         Ok(Self {
             registry,
+            requests,
+            abandoned,
             refusals,
             retries,
             violations,
@@ -99,7 +117,17 @@
         })
     }
 
-    /// Counts a failed request.
+    /// Counts a request that has come in.
+    pub fn request(&self) {
+        self.requests.inc();
+    }
+
+    /// Counts a request whose caller hung up before the answer.
+    pub fn abandoned(&self) {
+        self.abandoned.inc();
+    }
+
+    /// Counts a refused or failed request.
     pub fn refusal(&self, kind: Kind) {
         self.refusals.with_label_values(&[kind.row().label]).inc();
     }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -12,6 +12,7 @@
 use gooseberry_wire::operators::Status;
 use http::Method;
 use http::Request;
+use http::header::ALLOW;
 use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
 
@@ -22,7 +23,13 @@
 
 /// Serves one request of an operator.
 pub async fn serve(context: Arc<Context>, request: Request<Incoming>) -> HttpAnswer {
+    let is_read = matches!(*request.method(), Method::GET | Method::HEAD);
     match request.uri().path() {
+        "/healthz" | "/readyz" | "/metrics" | "/v1/status" if !is_read => {
+            let mut answer = answer::error(&Kind::BadMethod.into());
+            answer::set(&mut answer, ALLOW.as_str(), "GET, HEAD");
+            answer
+        }
         "/healthz" => answer::whole(200, "alive\n"),
         "/readyz" => ready(&context).await,
         "/metrics" => metrics(&context).await,
@@ -79,12 +86,12 @@
     if request.method() != Method::POST {
         return Err(Kind::BadMethod.into());
     }
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let workspace = header::read(&head.headers, header::WORKSPACE);
     let workspace: id::Workspace = workspace.ok_or(Kind::BadRequest)?;
     let pipeline = header::read(&head.headers, header::PIPELINE);
     let key = header::text(&head.headers, header::IDEMPOTENCY_KEY);
-    let body = entry::read_body(context, body).await?;
+    let body = entry::read_body(context, &mut body).await?;
     let question = Question {
         digest: entry::digest(&workspace, &body),
         workspace,
