--- /dev/null
+++ b/crates/connectors/tests/protocol.rs
@@ -0,0 +1,20 @@
+//! The paths of targets in `docs/PROTOCOLS.md` and in the register.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::fs;
+use std::path::Path;
+
+use gooseberry_connectors::connector;
+use gooseberry_kernel::settings::Kind;
+
+#[test]
+fn the_documented_paths_are_those_of_the_connectors() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let text = fs::read_to_string(root.join("docs/PROTOCOLS.md")).unwrap();
+    for kind in Kind::ALL {
+        let path = connector::find(kind).unwrap().path();
+        let row = format!("| `{kind}` | `{path}` |");
+        assert!(text.contains(&row), "{row}");
+    }
+}
