--- a/crates/daemon/tests/single/metrics.rs
+++ b/crates/daemon/tests/single/metrics.rs
@@ -147,3 +147,16 @@
     assert_eq!(fleet.metric(abandoned).await, before + 1);
     fleet.daemon.shut_down().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_metric_is_documented() {
+    let fleet = Fleet::start().await;
+    let text = get(fleet.daemon.local().operators, "/metrics").await;
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let page = std::fs::read_to_string(root.join("docs/OPERATING.md")).unwrap();
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    for name in names.filter_map(|line| line.split(' ').next()) {
+        assert!(page.contains(&format!("`{name}`")), "{name}");
+    }
+    fleet.daemon.shut_down().await;
+}
