Test what callers see of each fate of a key

Change: tests of a refused, answered, failed, joined and impatient request with a key, by status, kind, outcome and Retry-After. Before: no test at a daemon.

--- /dev/null
+++ b/crates/daemon/tests/single/keys.rs
@@ -0,0 +1,99 @@
+//! Requests with an idempotency key, as their callers see them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gooseberry_standin::target::Fault;
+
+use crate::fleet::Fleet;
+use crate::fleet::LEDGER;
+use crate::fleet::field;
+use crate::fleet::request;
+use crate::fleet::send;
+use crate::fleet::status;
+
+async fn post(fleet: &Fleet, key: &str, headers: &[&str]) -> String {
+    let key = format!("Idempotency-Key: {key}");
+    let all = [&[key.as_str(), "Idempotency-Attempt: 1"], headers].concat();
+    let bytes = request(LEDGER, "desk.trekkers", &all, "a deposit");
+    send(fleet.callers(), &bytes, false).await
+}
+
+fn set_fault(fleet: &Fleet, fault: &Fault) {
+    for one in &fleet.targets {
+        one.target.set_fault(fault.clone());
+    }
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    let targets = fleet.targets.iter();
+    let deposits = targets.flat_map(|one| one.target.journal());
+    deposits.filter(|one| one.body == "a deposit").count()
+}
+
+/// Returns the status, error and outcome of an answer.
+fn ending(answer: &str) -> [&str; 3] {
+    let label = field(answer, "gooseberry-error").unwrap_or("none");
+    let outcome = field(answer, "gooseberry-outcome").unwrap_or("none");
+    [status(answer), label, outcome]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_fate_of_a_key_has_its_answer() {
+    let fleet = Fleet::start().await;
+
+    set_fault(&fleet, &Fault::Refuse);
+    let refused = post(&fleet, "one", &[]).await;
+    assert_eq!(ending(&refused)[2], "not-run", "{refused}");
+    assert_eq!(runs(&fleet), 0);
+
+    set_fault(&fleet, &Fault::None);
+    let served = post(&fleet, "one", &[]).await;
+    assert_eq!(
+        ending(&served),
+        ["200", "none", "run"],
+        "a refused key is free: {served}"
+    );
+    let replayed = post(&fleet, "one", &[]).await;
+    assert_eq!(ending(&replayed), ["200", "none", "run"]);
+    assert_eq!(field(&replayed, "gooseberry-replayed"), Some("true"));
+    let of = |answer| field(answer, "gooseberry-request").map(ToOwned::to_owned);
+    assert_eq!(of(&replayed), of(&served));
+    assert_eq!(runs(&fleet), 1);
+
+    set_fault(&fleet, &Fault::Fail);
+    let failed = post(&fleet, "two", &[]).await;
+    assert_eq!(ending(&failed), ["502", "target-failed", "unknown"]);
+    set_fault(&fleet, &Fault::None);
+    let unknown = post(&fleet, "two", &[]).await;
+    assert_eq!(ending(&unknown), ["409", "key-unknown", "unknown"]);
+    assert_eq!(field(&unknown, "retry-after"), Some("5"));
+    assert_eq!(runs(&fleet), 2);
+
+    fleet.daemon.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_request_waits_for_the_first_one_with_its_key() {
+    let fleet = Arc::new(Fleet::start().await);
+    let slow = Fault::Slow(Duration::from_secs(1));
+    set_fault(&fleet, &slow);
+    let first = fleet.clone();
+    let first = tokio::spawn(async move { post(&first, "three", &[]).await });
+    while runs(&fleet) == 0 {
+        tokio::task::yield_now().await;
+    }
+    let impatient = post(&fleet, "three", &["Gooseberry-Timeout-Ms: 50"]).await;
+    assert_eq!(ending(&impatient), ["409", "key-busy", "unknown"]);
+    assert_eq!(field(&impatient, "retry-after"), Some("1"));
+    let joined = post(&fleet, "three", &[]).await;
+    let first = first.await.unwrap();
+    assert_eq!(ending(&first), ["200", "none", "run"]);
+    assert_eq!(ending(&joined), ["200", "none", "run"]);
+    assert_eq!(
+        field(&joined, "gooseberry-request"),
+        field(&first, "gooseberry-request")
+    );
+    assert_eq!(runs(&fleet), 1);
+    fleet.daemon.shut_down().await;
+}
--- a/crates/daemon/tests/single/main.rs
+++ b/crates/daemon/tests/single/main.rs
@@ -4,4 +4,5 @@
 
 mod callers;
 mod fleet;
+mod keys;
 mod metrics;
