Part the entry into reading the head, counting, and serving

Change: head.rs reads a request's head and record.rs counts and logs it; no behaviour changes. Before and after: cargo test -p gooseberryd 18 passed.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -8,19 +8,14 @@
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
-use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Admission;
 use gooseberry_kernel::node::Arrival;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::once::Key;
-use gooseberry_wire::header;
-use http::HeaderMap;
 use http::Method;
 use http::Request;
-use http::header::AUTHORIZATION;
-use http::header::CONNECTION;
 use http::header::EXPECT;
 use http::request::Parts;
 use http_body_util::BodyExt;
@@ -31,17 +26,15 @@
 use tokio::time::timeout;
 
 use crate::actor::Message;
-use crate::answer;
 use crate::answer::Answer;
 use crate::answer::HttpAnswer;
 use crate::context::Context;
+use crate::head;
 use crate::keyed;
-use crate::owner;
 use crate::pipeline;
 use crate::pipeline::Job;
+use crate::record::Record;
 
-/// The longest idempotency key, in bytes.
-const KEY_MAX_BYTES: usize = 128;
 /// How much is read of a body that is refused unread, in bytes.
 const DISCARD_MAX_BYTES: usize = 256 << 10;
 /// How long a body that is refused unread is read for.
@@ -87,88 +80,6 @@
     }
 }
 
-/// Follows one request of a caller, so that it is counted and logged once,
-/// however it ends and whichever daemon did the work.
-struct Record<'a> {
-    context: &'a Context,
-    request: id::Request,
-    /// The workspace and pipeline, once the caller has proved who it is.
-    names: Option<(id::Workspace, id::Pipeline)>,
-    /// Whether the connection can serve another request.
-    is_body_read: bool,
-    is_ended: bool,
-}
-
-impl<'a> Record<'a> {
-    fn begin(context: &'a Context, request: id::Request) -> Self {
-        context.metrics.request();
-        Self {
-            context,
-            request,
-            names: None,
-            is_body_read: false,
-            is_ended: false,
-        }
-    }
-
-    fn end(mut self, answer: &mut HttpAnswer) {
-        self.is_ended = true;
-        if !answer.headers().contains_key(header::REQUEST) {
-            answer::set(answer, header::REQUEST, &self.request.to_string());
-        }
-        if !self.is_body_read {
-            answer::set(answer, CONNECTION.as_str(), "close");
-        }
-        let failure = owner::read_failure(answer.headers());
-        let is_late = header::read(answer.headers(), header::LATE).unwrap_or(false);
-        let (workspace, pipeline) = self.labels();
-        match &failure {
-            Some(failure) => self.context.metrics.refusal(failure.kind),
-            None => self.context.metrics.answer(workspace, pipeline, is_late),
-        }
-        let error = failure.as_ref().map_or("none", |one| one.kind.row().label);
-        let outcome = header::text(answer.headers(), header::OUTCOME).unwrap_or("none");
-        let attempts: u32 = header::read(answer.headers(), header::ATTEMPTS).unwrap_or(0);
-        log::debug!(
-            request:% = self.request,
-            workspace,
-            pipeline,
-            stage = "all",
-            attempt = attempts,
-            status = answer.status().as_u16(),
-            outcome,
-            error,
-            is_late;
-            "answered"
-        );
-    }
-
-    fn labels(&self) -> (&str, &str) {
-        let names = self.names.as_ref();
-        names.map_or(("none", "none"), |(workspace, pipeline)| {
-            (workspace.as_str(), pipeline.as_str())
-        })
-    }
-}
-
-impl Drop for Record<'_> {
-    fn drop(&mut self) {
-        if self.is_ended {
-            return;
-        }
-        self.context.metrics.abandoned();
-        let (workspace, pipeline) = self.labels();
-        log::debug!(
-            request:% = self.request,
-            workspace,
-            pipeline,
-            stage = "all",
-            attempt = 0;
-            "the caller hung up"
-        );
-    }
-}
-
 /// Serves one request of a caller.
 pub async fn serve(context: Arc<Context>, ids: Arc<Ids>, request: Request<Incoming>) -> HttpAnswer {
     let mut record = Record::begin(&context, ids.draw());
@@ -187,19 +98,19 @@
 
 async fn handle(
     context: &Arc<Context>,
-    head: &Parts,
+    request: &Parts,
     body: &mut Incoming,
     record: &mut Record<'_>,
 ) -> Result<HttpAnswer, Failure> {
-    let (workspace, pipeline) = read_path(head.uri.path())?;
-    if head.method != Method::POST {
+    let (workspace, pipeline) = head::read_path(request.uri.path())?;
+    if request.method != Method::POST {
         return Err(Kind::BadMethod.into());
     }
-    let credential = read_credential(&head.headers)?;
+    let credential = head::read_credential(&request.headers)?;
     authenticate(context, &workspace, credential).await?;
-    let timeout = read_timeout(&head.headers)?;
-    let key = read_key(&head.headers)?;
-    let is_first = is_first_attempt(&head.headers)?;
+    let timeout = head::read_timeout(&request.headers)?;
+    let key = head::read_key(&request.headers)?;
+    let is_first = head::is_first_attempt(&request.headers)?;
     let body = read_body(context, body).await?;
     record.is_body_read = true;
     let digest = digest(&workspace, &body);
@@ -261,66 +172,6 @@
     Ok(context.node.look(check).await??)
 }
 
-fn read_path(path: &str) -> Result<(id::Workspace, id::Pipeline), Kind> {
-    let rest = path.strip_prefix("/v1/workspaces/").ok_or(Kind::NoPath)?;
-    let (workspace, pipeline) = rest.split_once("/pipelines/").ok_or(Kind::NoPath)?;
-    let workspace = workspace.parse().map_err(|_| Kind::BadRequest)?;
-    let pipeline = pipeline.parse().map_err(|_| Kind::BadRequest)?;
-    Ok((workspace, pipeline))
-}
-
-fn read_credential(headers: &HeaderMap) -> Result<id::Digest, Kind> {
-    let text = only(headers, AUTHORIZATION.as_str());
-    let text = text.ok().flatten().ok_or(Kind::BadCredential)?;
-    let (scheme, token) = text.split_once(' ').ok_or(Kind::BadCredential)?;
-    if !scheme.eq_ignore_ascii_case("bearer") {
-        return Err(Kind::BadCredential);
-    }
-    Ok(id::Digest::of(token.trim().as_bytes()))
-}
-
-fn read_timeout(headers: &HeaderMap) -> Result<Option<Millis>, Kind> {
-    let Some(text) = only(headers, header::TIMEOUT_MS)? else {
-        return Ok(None);
-    };
-    let timeout: Millis = text.parse().map_err(|_| Kind::BadRequest)?;
-    if timeout == Millis::ZERO {
-        return Err(Kind::BadRequest);
-    }
-    Ok(Some(timeout))
-}
-
-fn read_key(headers: &HeaderMap) -> Result<Option<&str>, Kind> {
-    let key = only(headers, header::IDEMPOTENCY_KEY)?;
-    if key.is_some_and(|text| text.is_empty() || text.len() > KEY_MAX_BYTES) {
-        return Err(Kind::BadRequest);
-    }
-    Ok(key)
-}
-
-/// Tells whether the caller says that it sends its key for the first time.
-fn is_first_attempt(headers: &HeaderMap) -> Result<bool, Kind> {
-    let Some(text) = only(headers, header::IDEMPOTENCY_ATTEMPT)? else {
-        return Ok(false);
-    };
-    match text.parse::<u32>() {
-        Ok(0) | Err(_) => Err(Kind::BadRequest),
-        Ok(number) => Ok(number == 1),
-    }
-}
-
-/// Reads a header that may stand only once, as visible ASCII.
-fn only<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Kind> {
-    let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else {
-        return Ok(None);
-    };
-    if values.next().is_some() {
-        return Err(Kind::BadRequest);
-    }
-    value.to_str().map(Some).map_err(|_| Kind::BadRequest)
-}
-
 fn choose_key(text: Option<&str>, admission: &Admission) -> Result<Option<Key>, Kind> {
     if admission.pipeline.is_idempotent() {
         return Ok(None);
--- /dev/null
+++ b/crates/daemon/src/head.rs
@@ -0,0 +1,78 @@
+//! Reads the head of a caller's request.
+//!
+//! A header that stands twice or cannot be read is refused: taking it for
+//! absent could run a request under other terms than its caller meant.
+
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
+use gooseberry_wire::header;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+
+/// The longest idempotency key, in bytes.
+const KEY_MAX_BYTES: usize = 128;
+
+/// Reads which pipeline of which workspace is called.
+pub(crate) fn read_path(path: &str) -> Result<(id::Workspace, id::Pipeline), Kind> {
+    let rest = path.strip_prefix("/v1/workspaces/").ok_or(Kind::NoPath)?;
+    let (workspace, pipeline) = rest.split_once("/pipelines/").ok_or(Kind::NoPath)?;
+    let workspace = workspace.parse().map_err(|_| Kind::BadRequest)?;
+    let pipeline = pipeline.parse().map_err(|_| Kind::BadRequest)?;
+    Ok((workspace, pipeline))
+}
+
+/// Reads the digest of the credential; the credential itself goes no further.
+pub(crate) fn read_credential(headers: &HeaderMap) -> Result<id::Digest, Kind> {
+    let text = only(headers, AUTHORIZATION.as_str());
+    let text = text.ok().flatten().ok_or(Kind::BadCredential)?;
+    let (scheme, token) = text.split_once(' ').ok_or(Kind::BadCredential)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(Kind::BadCredential);
+    }
+    Ok(id::Digest::of(token.trim().as_bytes()))
+}
+
+/// Reads the time that the caller gives the request, if it says so.
+pub(crate) fn read_timeout(headers: &HeaderMap) -> Result<Option<Millis>, Kind> {
+    let Some(text) = only(headers, header::TIMEOUT_MS)? else {
+        return Ok(None);
+    };
+    let timeout: Millis = text.parse().map_err(|_| Kind::BadRequest)?;
+    if timeout == Millis::ZERO {
+        return Err(Kind::BadRequest);
+    }
+    Ok(Some(timeout))
+}
+
+/// Reads the idempotency key, if there is one.
+pub(crate) fn read_key(headers: &HeaderMap) -> Result<Option<&str>, Kind> {
+    let key = only(headers, header::IDEMPOTENCY_KEY)?;
+    if key.is_some_and(|text| text.is_empty() || text.len() > KEY_MAX_BYTES) {
+        return Err(Kind::BadRequest);
+    }
+    Ok(key)
+}
+
+/// Tells whether the caller says that it sends its key for the first time.
+pub(crate) fn is_first_attempt(headers: &HeaderMap) -> Result<bool, Kind> {
+    let Some(text) = only(headers, header::IDEMPOTENCY_ATTEMPT)? else {
+        return Ok(false);
+    };
+    match text.parse::<u32>() {
+        Ok(0) | Err(_) => Err(Kind::BadRequest),
+        Ok(number) => Ok(number == 1),
+    }
+}
+
+/// Reads a header that may stand only once, as visible ASCII.
+fn only<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Kind> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Kind::BadRequest);
+    }
+    value.to_str().map(Some).map_err(|_| Kind::BadRequest)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -42,3 +42,6 @@
 pub mod pipeline;
 pub mod reader;
 pub mod server;
+
+mod head;
+mod record;
--- /dev/null
+++ b/crates/daemon/src/record.rs
@@ -0,0 +1,95 @@
+//! What is counted and logged of each request, where it came in.
+
+use gooseberry_kernel::id;
+use gooseberry_wire::header;
+use http::header::CONNECTION;
+
+use crate::answer;
+use crate::answer::HttpAnswer;
+use crate::context::Context;
+use crate::owner;
+
+/// Follows one request of a caller, so that it is counted and logged once,
+/// however it ends and whichever daemon did the work.
+pub(crate) struct Record<'a> {
+    context: &'a Context,
+    /// The request.
+    pub(crate) request: id::Request,
+    /// The workspace and pipeline, once the caller has proved who it is.
+    pub(crate) names: Option<(id::Workspace, id::Pipeline)>,
+    /// Whether the connection can serve another request.
+    pub(crate) is_body_read: bool,
+    is_ended: bool,
+}
+
+impl<'a> Record<'a> {
+    /// Counts a request that has come in.
+    pub(crate) fn begin(context: &'a Context, request: id::Request) -> Self {
+        context.metrics.request();
+        Self {
+            context,
+            request,
+            names: None,
+            is_body_read: false,
+            is_ended: false,
+        }
+    }
+
+    /// Completes an answer, counts it and logs it.
+    pub(crate) fn end(mut self, answer: &mut HttpAnswer) {
+        self.is_ended = true;
+        if !answer.headers().contains_key(header::REQUEST) {
+            answer::set(answer, header::REQUEST, &self.request.to_string());
+        }
+        if !self.is_body_read {
+            answer::set(answer, CONNECTION.as_str(), "close");
+        }
+        let failure = owner::read_failure(answer.headers());
+        let is_late = header::read(answer.headers(), header::LATE).unwrap_or(false);
+        let (workspace, pipeline) = self.labels();
+        match &failure {
+            Some(failure) => self.context.metrics.refusal(failure.kind),
+            None => self.context.metrics.answer(workspace, pipeline, is_late),
+        }
+        let error = failure.as_ref().map_or("none", |one| one.kind.row().label);
+        let outcome = header::text(answer.headers(), header::OUTCOME).unwrap_or("none");
+        let attempts: u32 = header::read(answer.headers(), header::ATTEMPTS).unwrap_or(0);
+        log::debug!(
+            request:% = self.request,
+            workspace,
+            pipeline,
+            stage = "all",
+            attempt = attempts,
+            status = answer.status().as_u16(),
+            outcome,
+            error,
+            is_late;
+            "answered"
+        );
+    }
+
+    fn labels(&self) -> (&str, &str) {
+        let names = self.names.as_ref();
+        names.map_or(("none", "none"), |(workspace, pipeline)| {
+            (workspace.as_str(), pipeline.as_str())
+        })
+    }
+}
+
+impl Drop for Record<'_> {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        self.context.metrics.abandoned();
+        let (workspace, pipeline) = self.labels();
+        log::debug!(
+            request:% = self.request,
+            workspace,
+            pipeline,
+            stage = "all",
+            attempt = 0;
+            "the caller hung up"
+        );
+    }
+}
