--- a/crates/daemon/tests/single/callers.rs
+++ b/crates/daemon/tests/single/callers.rs
@@ -117,3 +117,33 @@
     }
     fleet.daemon.shut_down().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_bytes_at_the_other_ports_hurt_nobody() {
+    let fleet = Fleet::start().await;
+    let local = fleet.daemon.local().clone();
+    let long = vec![0xff; 64 << 10];
+    for port in [local.data, local.control, local.operators] {
+        for bytes in [
+            &b"\x16\x03\x01\x02\x00\x01\r\n\r\n"[..],
+            b"\0\0\0\x04oops",
+            &long,
+        ] {
+            send(port, bytes, true).await;
+        }
+    }
+    for (port, path, expected) in [
+        (local.data, "/v1/stage", "400"),
+        (local.data, "/v1/keyed", "400"),
+        (local.data, "/v1/other", "404"),
+        (local.operators, "/v1/other", "404"),
+        (local.operators, "/v1/status", "405"),
+        (local.operators, "/v1/explain", "400"),
+    ] {
+        let answer = send(port, &request(path, "desk.trekkers", &[], "x"), false).await;
+        assert_eq!(status(&answer), expected, "{path}: {answer}");
+    }
+    let next = request(STOCK, "desk.trekkers", &[], "7 tents");
+    assert_eq!(status(&send(fleet.callers(), &next, false).await), "200");
+    fleet.daemon.shut_down().await;
+}
