Make the baseline policy work end to end

Cause: the fleet document could name "baseline", but nothing read it, so no run could compare the policy with its simplest form. Ruled out: two kernels behind a trait; a closed set of two policies is an enum and one match at each decision. Change: under the baseline a stage goes to any target at random, the limit is the warm limit from the start and a new owner does not wait, a failed attempt is made again at most twice, at once and without a budget, each stage may use all the remaining time, admission knows no shares and no quarantine, and the queue stays first come first served. A send above a target's current limit is now counted in all builds through Node::assert (target-over-limit). Before: crates/kernel/tests/policy.rs could not be written (4 tests).

--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -21,6 +21,7 @@
 use gooseberry_kernel::once::Key;
 use gooseberry_kernel::retry::Bounds;
 use gooseberry_kernel::route::Ask;
+use gooseberry_kernel::settings::Policy;
 use gooseberry_kernel::settings::Stage;
 
 use crate::actor::Message;
@@ -152,11 +153,11 @@
         if now >= self.ends_by {
             return Err(Kind::TooLate.into());
         }
-        let choice = self.choose(stage, body, tried).await?;
+        let (choice, policy) = self.choose(stage, body, tried).await?;
         tried.push(choice.target.id.clone());
         self.check_key(stage).await?;
         self.attempts += 1;
-        let ends_by = self.stage_deadline(index, now);
+        let ends_by = self.stage_deadline(index, policy, now);
         let task = Task {
             target: choice.target.id.clone(),
             attempt: id::Attempt {
@@ -185,10 +186,14 @@
         stage: &Stage,
         body: &Bytes,
         tried: &[id::Target],
-    ) -> Result<Choice, Failure> {
+    ) -> Result<(Choice, Policy), Failure> {
         let pool = stage.pool.clone();
-        let read = move |node: &Node, _| node.book().pool(&pool).map(|pool| pool.prefix_bytes);
-        let length = self.context.node.look(read).await?.unwrap_or(0);
+        let read = move |node: &Node, _| {
+            let pool = node.book().pool(&pool);
+            let length = pool.map_or(0, |pool| pool.prefix_bytes);
+            (length, node.book().fleet().policy)
+        };
+        let (length, policy) = self.context.node.look(read).await?;
         let length = usize::try_from(length).unwrap_or(usize::MAX);
         let prefix = &body[..body.len().min(length)];
         let ask = Ask {
@@ -198,7 +203,8 @@
         };
         let is_first = tried.is_empty();
         let message = |reply| Message::Choose(ask, is_first, reply);
-        self.context.node.try_ask(message).await
+        let choice = self.context.node.try_ask(message).await?;
+        Ok((choice, policy))
     }
 
     /// Checks the right to the key directly before the stage that needs it.
@@ -214,11 +220,11 @@
         }
     }
 
-    fn stage_deadline(&self, index: usize, now: Millis) -> Millis {
+    fn stage_deadline(&self, index: usize, policy: Policy, now: Millis) -> Millis {
         if self.ends_by > self.job.admission.deadline {
             return self.ends_by;
         }
-        Node::stage_deadline(&self.job.admission, index, now)
+        Node::stage_deadline(&self.job.admission, index, policy, now)
     }
 
     /// Gives a failure the outcome of the whole request.
--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -42,18 +42,7 @@
         if self.total >= limit {
             return Err(Kind::Overloaded);
         }
-        let found = self
-            .uses
-            .binary_search_by(|one| one.workspace.cmp(workspace));
-        let index = found.unwrap_or_else(|index| {
-            let unused = Use {
-                workspace: workspace.clone(),
-                weight,
-                count: 0,
-            };
-            self.uses.insert(index, unused);
-            index
-        });
+        let index = self.index(workspace);
         self.uses[index].weight = weight;
         let is_crowded = self.total * 100 >= limit * FREE_PERCENT;
         if is_crowded && self.uses[index].count >= self.share(weight, limit) {
@@ -64,6 +53,20 @@
         Ok(())
     }
 
+    /// Takes a place without regard to shares, as the baseline does.
+    ///
+    /// # Errors
+    /// Returns [`Kind::Overloaded`] if the daemon is full.
+    pub fn enter_unshared(&mut self, workspace: &id::Workspace, limit: usize) -> Result<(), Kind> {
+        if self.total >= limit {
+            return Err(Kind::Overloaded);
+        }
+        let index = self.index(workspace);
+        self.uses[index].count += 1;
+        self.total += 1;
+        Ok(())
+    }
+
     /// Gives a place back.
     pub fn leave(&mut self, workspace: &id::Workspace) {
         let found = self
@@ -83,6 +86,21 @@
         self.total
     }
 
+    fn index(&mut self, workspace: &id::Workspace) -> usize {
+        let found = self
+            .uses
+            .binary_search_by(|one| one.workspace.cmp(workspace));
+        found.unwrap_or_else(|index| {
+            let unused = Use {
+                workspace: workspace.clone(),
+                weight: 1,
+                count: 0,
+            };
+            self.uses.insert(index, unused);
+            index
+        })
+    }
+
     /// Returns a workspace's share among those that are active now.
     fn share(&self, weight: u16, limit: usize) -> usize {
         let weights: usize = self.uses.iter().map(|one| usize::from(one.weight)).sum();
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -66,6 +66,8 @@
     drain: Drain,
     reach: control::Reach,
     violations: Vec<&'static str>,
+    /// How many sends above a target's limit have been noted as violations.
+    overruns: usize,
 }
 
 impl Node {
@@ -91,6 +93,7 @@
             drain: Drain::default(),
             reach: control::Reach::new(now),
             violations: Vec::new(),
+            overruns: 0,
         }
     }
 
--- a/crates/kernel/src/node_entry.rs
+++ b/crates/kernel/src/node_entry.rs
@@ -13,6 +13,7 @@
 use crate::route;
 use crate::route::Ask;
 use crate::settings::Pipeline;
+use crate::settings::Policy;
 use crate::settings::Stage;
 use crate::settings::Workspace;
 use crate::tenure::Thing;
@@ -95,11 +96,7 @@
         let workspace = found.clone();
         let pipeline = self.book.pipeline(&workspace, &arrival.pipeline);
         let pipeline = pipeline.ok_or(Kind::NoPipeline)?.clone();
-        if self.ward.holds(&arrival.digest, now) {
-            return Err(Kind::Quarantined.into());
-        }
-        let limit = usize::from(self.book.fleet().max_requests);
-        self.room.enter(&workspace.id, workspace.weight, limit)?;
+        self.enter(&workspace, arrival.digest, now)?;
         let timeout = arrival.timeout.unwrap_or(pipeline.deadline);
         let deadline = now + timeout.min(pipeline.deadline);
         Ok(Admission {
@@ -109,14 +106,39 @@
         })
     }
 
+    fn enter(
+        &mut self,
+        workspace: &Workspace,
+        digest: id::Digest,
+        now: Millis,
+    ) -> Result<(), Kind> {
+        let fleet = self.book.fleet();
+        let limit = usize::from(fleet.max_requests);
+        match fleet.policy {
+            Policy::Baseline => self.room.enter_unshared(&workspace.id, limit),
+            Policy::Adaptive if self.ward.holds(&digest, now) => Err(Kind::Quarantined),
+            Policy::Adaptive => self.room.enter(&workspace.id, workspace.weight, limit),
+        }
+    }
+
     /// Ends an admission.
     pub fn leave(&mut self, workspace: &id::Workspace) {
         self.room.leave(workspace);
     }
 
     /// Returns when a stage must be done, by its part of the remaining time.
+    ///
+    /// The baseline gives each stage all that remains.
     #[must_use]
-    pub fn stage_deadline(admission: &Admission, stage: usize, now: Millis) -> Millis {
+    pub fn stage_deadline(
+        admission: &Admission,
+        stage: usize,
+        policy: Policy,
+        now: Millis,
+    ) -> Millis {
+        if policy == Policy::Baseline {
+            return admission.deadline;
+        }
         let weights = |stages: &[Stage]| stages.iter().map(|one| u64::from(one.weight)).sum();
         let left: u64 = weights(&admission.pipeline.stages[stage..]);
         let mine: u64 = weights(&admission.pipeline.stages[stage..=stage]);
@@ -133,9 +155,15 @@
     /// Returns [`Kind::NoTarget`] if none may be given work, and
     /// [`Kind::NoOwner`] if the list names no owner.
     pub fn choose(&mut self, ask: &Ask, now: Millis) -> Result<Choice, Failure> {
+        let random = self.draw();
         let list = self.tenure.list().ok_or(Kind::NotReady)?;
         let fleet = self.book.fleet();
-        let target = route::choose(list, fleet, &self.loads, ask, now).ok_or(Kind::NoTarget)?;
+        let loads = &self.loads;
+        let target = match fleet.policy {
+            Policy::Adaptive => route::choose(list, fleet, loads, ask, now),
+            Policy::Baseline => route::choose_any(list, fleet, loads, ask, random),
+        };
+        let target = target.ok_or(Kind::NoTarget)?;
         let owner = list.owner_of_target(target).ok_or(Kind::NoOwner)?;
         Ok(Choice {
             target: target.clone(),
@@ -167,6 +195,9 @@
         deadline: Millis,
         now: Millis,
     ) -> Step {
+        if self.book.fleet().policy == Policy::Baseline {
+            return baseline_step(failure, bounds, deadline, now);
+        }
         let Some(reason) = retry::reason(failure, bounds) else {
             return Step::GiveUp(failure.clone());
         };
@@ -189,3 +220,17 @@
         Ok(member.clone())
     }
 }
+
+/// Decides what follows a failed attempt as the baseline does: at most two
+/// retries, at once, where a second run does no harm.
+fn baseline_step(failure: &Failure, bounds: retry::Bounds, deadline: Millis, now: Millis) -> Step {
+    let attempts = 1 + retry::BASELINE_RETRIES;
+    let is_left = bounds.made < attempts && now < deadline;
+    match retry::reason(failure, retry::Bounds { attempts, ..bounds }) {
+        Some(reason) if is_left => Step::Again {
+            reason,
+            pause: Millis::ZERO,
+        },
+        _ => Step::GiveUp(failure.clone()),
+    }
+}
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -15,6 +15,7 @@
 use crate::settings::Pool;
 use crate::slot::Call;
 use crate::slot::Start;
+use crate::slot::Terms;
 use crate::slot::Wake;
 use crate::tenure::Right;
 use crate::tenure::Thing;
@@ -43,7 +44,10 @@
     pub fn start(&mut self, call: &Call, now: Millis) -> Result<Start, Failure> {
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
-        match self.slots.start(call, &pool, since, now) {
+        let terms = self.terms(&pool);
+        let start = self.slots.start(call, terms, since, now);
+        self.check_limits();
+        match start {
             Start::Refused(kind) => Err(kind.into()),
             start => Ok(start),
         }
@@ -99,7 +103,10 @@
             self.slots.release(target, attempt);
             return Vec::new();
         };
-        self.slots.finish(target, attempt, sign, &pool, now)
+        let terms = self.terms(&pool);
+        let wakes = self.slots.finish(target, attempt, sign, terms, now);
+        self.check_limits();
+        wakes
     }
 
     /// Takes a call that was not sent out of the queue and off its place.
@@ -111,7 +118,9 @@
     /// Returns a target's calls in flight for each hundred places.
     #[must_use]
     pub fn load_percent(&self, target: &id::Target) -> u32 {
-        let Some((in_flight, limit)) = self.slots.load(target) else {
+        let pool = self.pool_of(target);
+        let load = pool.and_then(|pool| self.slots.load(target, self.terms(&pool)));
+        let Some((in_flight, limit)) = load else {
             return 0;
         };
         let percent = in_flight * 100 / usize::from(limit).max(1);
@@ -127,13 +136,30 @@
         let book = &self.book;
         let loads = &self.loads;
         let tenure = &self.tenure;
-        self.slots.tick(now, |id| {
+        let wakes = self.slots.tick(now, |id| {
             let entry = list.target(id)?;
             let thing = Thing::Target(id.clone());
             let is_held = matches!(tenure.right(&thing, now), Right::Held { .. });
             let is_out = route::why_out(entry, book.fleet(), loads).is_some();
-            book.pool(&entry.pool).filter(|_| is_held && !is_out)
-        })
+            let pool = book.pool(&entry.pool).filter(|_| is_held && !is_out)?;
+            let policy = book.fleet().policy;
+            Some(Terms { pool, policy })
+        });
+        self.check_limits();
+        wakes
+    }
+
+    fn terms<'a>(&self, pool: &'a Pool) -> Terms<'a> {
+        Terms {
+            pool,
+            policy: self.book.fleet().policy,
+        }
+    }
+
+    fn check_limits(&mut self) {
+        let overruns = self.slots.overruns();
+        self.assert(overruns == self.overruns, "target-over-limit");
+        self.overruns = overruns;
     }
 
     fn may_use(&self, target: &id::Target) -> Result<(Entry, Pool), Failure> {
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -63,6 +63,8 @@
     }
 }
 
+/// How often the baseline tries a stage again.
+pub const BASELINE_RETRIES: u16 = 2;
 /// How many thousandths of a retry each first attempt earns.
 const EARNED_MILLIS: u64 = 200;
 /// What one retry costs, in thousandths.
--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -132,6 +132,21 @@
     found
 }
 
+/// Chooses any target at random, as the baseline does.
+#[must_use]
+pub fn choose_any<'a>(
+    list: &'a List,
+    fleet: &Fleet,
+    loads: &Loads,
+    ask: &Ask,
+    random: u64,
+) -> Option<&'a Entry> {
+    let found = candidates(list, fleet, loads, ask);
+    let count = u64::try_from(found.len()).ok().filter(|count| *count > 0)?;
+    let index = usize::try_from(random % count).ok()?;
+    found.get(index).copied()
+}
+
 /// Chooses the target for a stage.
 #[must_use]
 pub fn choose<'a>(
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -8,6 +8,7 @@
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::id;
+use crate::settings::Policy;
 use crate::settings::Pool;
 use crate::warmth::Sign;
 use crate::warmth::Warmth;
@@ -44,6 +45,15 @@
     }
 }
 
+/// The rules by which the places of a target are counted.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms<'a> {
+    /// The pool of the target.
+    pub pool: &'a Pool,
+    /// How the daemons decide.
+    pub policy: Policy,
+}
+
 #[derive(Clone, Debug)]
 struct Sent {
     attempt: id::Attempt,
@@ -65,6 +75,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     places: Vec<Place>,
+    /// How often a send has raised a target above its limit.
+    overruns: usize,
 }
 
 impl Table {
@@ -72,14 +84,15 @@
     ///
     /// `since` is when the owner's tenure over the target began: until the
     /// longest call has passed from then, calls of a former owner may run.
-    pub fn start(&mut self, call: &Call, pool: &Pool, since: Millis, now: Millis) -> Start {
-        let place = self.place(&call.target, pool, since);
+    pub fn start(&mut self, call: &Call, terms: Terms<'_>, since: Millis, now: Millis) -> Start {
+        let index = self.place(&call.target, terms.pool, since);
+        let place = &mut self.places[index];
         place.sent.retain(|sent| sent.ends_by > now);
-        if place.queue.is_empty() && place.has_room(now) {
-            place.send(call.attempt, pool, now);
+        if place.queue.is_empty() && place.has_room(terms, now) {
+            self.overruns += usize::from(!place.send(call.attempt, terms, now));
             return Start::Go;
         }
-        if place.queue.len() >= usize::from(pool.queue_limit) {
+        if place.queue.len() >= usize::from(terms.pool.queue_limit) {
             return Start::Refused(Kind::QueueFull);
         }
         if call.start_by <= now {
@@ -95,7 +108,7 @@
         target: &id::Target,
         attempt: id::Attempt,
         sign: Sign,
-        pool: &Pool,
+        terms: Terms<'_>,
         now: Millis,
     ) -> Vec<Wake> {
         let Ok(index) = self.find(target) else {
@@ -103,8 +116,10 @@
         };
         let place = &mut self.places[index];
         place.sent.retain(|sent| sent.attempt != attempt);
-        place.warmth.note(sign, pool);
-        place.wake(pool, now)
+        place.warmth.note(sign, terms.pool);
+        let (wakes, overruns) = place.wake(terms, now);
+        self.overruns += overruns;
+        wakes
     }
 
     /// Takes a call out of the queue, when its caller has gone.
@@ -125,21 +140,25 @@
 
     /// Wakes what can start now and what has waited too long.
     ///
-    /// `pool_of` returns `None` if the target is not to be given work.
+    /// `terms_of` returns `None` if the target is not to be given work.
     pub fn tick<'a>(
         &mut self,
         now: Millis,
-        pool_of: impl Fn(&id::Target) -> Option<&'a Pool>,
+        terms_of: impl Fn(&id::Target) -> Option<Terms<'a>>,
     ) -> Vec<Wake> {
         let mut wakes = Vec::new();
         for place in &mut self.places {
-            match pool_of(&place.target) {
-                Some(pool) => wakes.extend(place.wake(pool, now)),
+            match terms_of(&place.target) {
+                Some(terms) => {
+                    let (woken, overruns) = place.wake(terms, now);
+                    wakes.extend(woken);
+                    self.overruns += overruns;
+                }
                 None => wakes.extend(place.turn_away()),
             }
         }
         let is_kept = |place: &Place| {
-            !place.sent.is_empty() || !place.queue.is_empty() || pool_of(&place.target).is_some()
+            !place.sent.is_empty() || !place.queue.is_empty() || terms_of(&place.target).is_some()
         };
         self.places.retain(is_kept);
         wakes
@@ -154,10 +173,17 @@
 
     /// Returns the calls in flight and the limit of a target.
     #[must_use]
-    pub fn load(&self, target: &id::Target) -> Option<(usize, u16)> {
+    pub fn load(&self, target: &id::Target, terms: Terms<'_>) -> Option<(usize, u16)> {
         let index = self.find(target).ok()?;
         let place = &self.places[index];
-        Some((place.sent.len(), place.warmth.limit()))
+        Some((place.sent.len(), place.limit(terms)))
+    }
+
+    /// Returns how often a send has raised a target above its limit; any is a
+    /// fault of the program.
+    #[must_use]
+    pub fn overruns(&self) -> usize {
+        self.overruns
     }
 
     /// Returns the calls in flight over all targets.
@@ -176,8 +202,8 @@
         self.places.binary_search_by(|one| one.target.cmp(target))
     }
 
-    fn place(&mut self, target: &id::Target, pool: &Pool, since: Millis) -> &mut Place {
-        let index = self.find(target).unwrap_or_else(|index| {
+    fn place(&mut self, target: &id::Target, pool: &Pool, since: Millis) -> usize {
+        self.find(target).unwrap_or_else(|index| {
             let place = Place {
                 target: target.clone(),
                 warmth: Warmth::new(pool),
@@ -187,42 +213,53 @@
             };
             self.places.insert(index, place);
             index
-        });
-        &mut self.places[index]
+        })
     }
 }
 
 impl Place {
-    fn has_room(&self, now: Millis) -> bool {
-        now >= self.full_until && self.sent.len() < usize::from(self.warmth.limit())
+    /// Returns how many calls the target may have at a time.
+    fn limit(&self, terms: Terms<'_>) -> u16 {
+        match terms.policy {
+            Policy::Adaptive => self.warmth.limit(),
+            Policy::Baseline => terms.pool.warm_limit,
+        }
     }
 
-    fn send(&mut self, attempt: id::Attempt, pool: &Pool, now: Millis) {
-        debug_assert!(self.sent.len() < usize::from(self.warmth.limit()));
+    fn has_room(&self, terms: Terms<'_>, now: Millis) -> bool {
+        let is_full = terms.policy == Policy::Adaptive && now < self.full_until;
+        !is_full && self.sent.len() < usize::from(self.limit(terms))
+    }
+
+    /// Takes a place, and tells whether the target is within its limit.
+    fn send(&mut self, attempt: id::Attempt, terms: Terms<'_>, now: Millis) -> bool {
         self.sent.push(Sent {
             attempt,
-            ends_by: now + pool.longest_call,
+            ends_by: now + terms.pool.longest_call,
         });
+        self.sent.len() <= usize::from(self.limit(terms))
     }
 
-    fn wake(&mut self, pool: &Pool, now: Millis) -> Vec<Wake> {
+    /// Wakes calls, and returns with them how many sends were above the limit.
+    fn wake(&mut self, terms: Terms<'_>, now: Millis) -> (Vec<Wake>, usize) {
         let mut wakes = Vec::new();
+        let mut overruns = 0;
         self.sent.retain(|sent| sent.ends_by > now);
         let (waiting, expired) = std::mem::take(&mut self.queue)
             .into_iter()
             .partition(|call| call.start_by > now);
         self.queue = waiting;
         wakes.extend(refused(expired, &self.target));
-        while !self.queue.is_empty() && self.has_room(now) {
+        while !self.queue.is_empty() && self.has_room(terms, now) {
             let call = self.queue.remove(0);
-            self.send(call.attempt, pool, now);
+            overruns += usize::from(!self.send(call.attempt, terms, now));
             wakes.push(Wake {
                 target: self.target.clone(),
                 attempt: call.attempt,
                 is_granted: true,
             });
         }
-        wakes
+        (wakes, overruns)
     }
 
     fn turn_away(&mut self) -> Vec<Wake> {
--- /dev/null
+++ b/crates/kernel/tests/policy.rs
@@ -0,0 +1,74 @@
+//! The baseline policy does what it is kept for.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod policy_site;
+
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::node::Step;
+use gooseberry_kernel::retry::Bounds;
+use gooseberry_kernel::slot::Start;
+use policy_site::READY;
+
+#[test]
+fn baseline_fills_a_cold_target_and_adaptive_does_not() {
+    let started = |policy| {
+        let mut node = policy_site::node(policy, 1);
+        let call = |number| policy_site::call(0, number, READY + READY);
+        let starts = (0..20).map(|number| node.start(&call(number), READY));
+        let count = starts.filter(|start| *start == Ok(Start::Go)).count();
+        assert!(node.take_violations().is_empty());
+        count
+    };
+    assert_eq!(started("baseline"), 16);
+    assert_eq!(started("adaptive"), 2);
+}
+
+#[test]
+fn baseline_spreads_one_prefix_over_all_targets() {
+    let mut node = policy_site::node("baseline", 20);
+    let ask = policy_site::ask(1);
+    let mut chosen = Vec::new();
+    for _ in 0..400 {
+        chosen.push(node.choose(&ask, READY).unwrap().target.id);
+    }
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen.len(), 20);
+}
+
+#[test]
+fn baseline_retries_twice_without_a_budget() {
+    let mut node = policy_site::node("baseline", 1);
+    let failure = Failure {
+        outcome: Outcome::NotRun,
+        ..Kind::TargetFailed.into()
+    };
+    let mut is_again = |made| {
+        let bounds = Bounds {
+            is_idempotent: true,
+            attempts: 3,
+            made,
+        };
+        let step = node.after_failure(&failure, bounds, READY + READY, READY);
+        matches!(step, Step::Again { .. })
+    };
+    for _ in 0..200 {
+        assert!(is_again(1));
+        assert!(is_again(2));
+        assert!(!is_again(3));
+    }
+}
+
+#[test]
+fn baseline_lends_one_workspace_all_the_room() {
+    let mut node = policy_site::node("baseline", 1);
+    for _ in 0..100 {
+        node.admit(&policy_site::arrival("desk.big", 1), READY)
+            .unwrap();
+    }
+    let refused = node.admit(&policy_site::arrival("desk.small", 2), READY);
+    assert_eq!(refused.unwrap_err().kind, Kind::Overloaded);
+}
--- /dev/null
+++ b/crates/kernel/tests/policy_site/mod.rs
@@ -0,0 +1,130 @@
+//! One node that owns every target of a small site, for the tests of policies.
+
+use std::net::SocketAddr;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
+use gooseberry_kernel::node::Arrival;
+use gooseberry_kernel::node::Identity;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::roster::Entry;
+use gooseberry_kernel::roster::List;
+use gooseberry_kernel::roster::Member;
+use gooseberry_kernel::roster::Revision;
+use gooseberry_kernel::roster::State;
+use gooseberry_kernel::route::Ask;
+use gooseberry_kernel::settings::Source;
+use gooseberry_kernel::settings::Tree;
+use gooseberry_kernel::slot::Call;
+
+/// When the node's rights hold and no former owner's call can be running.
+pub const READY: Millis = Millis(20_000);
+
+const TEAM: &str = r#"{
+  "pools": {
+    "llm": { "kind": "engine", "cold_limit": 2, "warm_limit": 16, "queue_limit": 8, "longest_call_ms": 8000, "warm_after": 4 }
+  },
+  "pipelines": {
+    "brief": { "deadline_ms": 9000, "stages": [{ "name": "generate", "pool": "llm", "weight": 1 }] }
+  },
+  "workspaces": {
+    "big": { "credential_sha256": "ZERO", "weight": 1, "pipelines": ["brief"] },
+    "small": { "credential_sha256": "ZERO", "weight": 1, "pipelines": ["brief"] }
+  }
+}"#;
+
+/// Returns a node of the policy with so many targets, ready at [`READY`].
+pub fn node(policy: &str, targets: usize) -> Node {
+    let me = Identity {
+        instance: id::Instance::new("entry-1").unwrap(),
+        domain: id::Domain::new("huaraz").unwrap(),
+    };
+    let mut node = Node::new(me, 7, Millis::ZERO);
+    let fleet = format!(r#"{{ "policy": "{policy}", "max_requests": 100 }}"#);
+    node.read_settings(&tree(&fleet), Millis::ZERO);
+    node.read_list(&list(1, targets), Millis::ZERO);
+    node
+}
+
+/// Returns the settings, with the given document for the fleet.
+pub fn tree(fleet: &str) -> Tree {
+    let zero = id::Digest([0; 32]).to_string();
+    let team = TEAM.replace("ZERO", &zero);
+    let source = |path: &str, text: &str| Source {
+        path: path.to_owned(),
+        revision: Revision(1),
+        text: text.into(),
+    };
+    Tree {
+        revision: Revision(1),
+        sources: vec![source("/fleet", fleet), source("/teams/desk", &team)],
+    }
+}
+
+/// Returns a list with one daemon and so many targets in three domains.
+pub fn list(revision: u64, targets: usize) -> List {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let member = Member {
+        id: id::Instance::new("entry-1").unwrap(),
+        domain: id::Domain::new("huaraz").unwrap(),
+        control: address,
+        data: address,
+        state: State::Live,
+    };
+    let domains = ["huaraz", "caraz", "chacas"];
+    let entry = |index: usize| Entry {
+        id: target(index),
+        pool: id::Pool::new("desk.llm").unwrap(),
+        domain: id::Domain::new(domains[index % domains.len()]).unwrap(),
+        address,
+        state: State::Live,
+    };
+    let targets = (0..targets).map(entry).collect();
+    List::new(Revision(revision), vec![member], targets)
+}
+
+/// Names a target.
+pub fn target(index: usize) -> id::Target {
+    id::Target::new(&format!("llm-{index}")).unwrap()
+}
+
+/// Names an attempt.
+pub fn attempt(number: u16) -> id::Attempt {
+    id::Attempt {
+        request: id::Request(u128::from(number)),
+        stage: 0,
+        number: 1,
+    }
+}
+
+/// Asks for a target by a prefix.
+#[allow(dead_code)]
+pub fn ask(prefix: u64) -> Ask {
+    Ask {
+        pool: id::Pool::new("desk.llm").unwrap(),
+        prefix,
+        tried: Vec::new(),
+    }
+}
+
+/// Calls a target.
+#[allow(dead_code)]
+pub fn call(index: usize, number: u16, start_by: Millis) -> Call {
+    Call {
+        target: target(index),
+        attempt: attempt(number),
+        start_by,
+    }
+}
+
+/// Returns a request as it arrives.
+#[allow(dead_code)]
+pub fn arrival(workspace: &str, digest: u8) -> Arrival {
+    Arrival {
+        workspace: id::Workspace::new(workspace).unwrap(),
+        pipeline: id::Pipeline::new("brief").unwrap(),
+        credential: id::Digest([0; 32]),
+        timeout: None,
+        digest: id::Digest([digest; 32]),
+    }
+}
