Rest a target's limit on evidence that can still be true

Cause: answers to calls sent before a target turned cold counted towards warming it up again; an idle or silent target kept its warm limit; latency and the target's own "warm" were not used; a call that was paused between its place and its send was sent although its place had passed to another call; a right that was lost and regained kept what was known under the former tenure (Table::forget had no caller). Ruled out: a latency gradient against the least latency seen, since a mix of short and long calls holds such a limit down for ever; comparing the start of the tenure for equality, since it moves when the oldest of the 64 kept lists is forgotten although the tenure goes on. Change: only calls sent after a fall are evidence of its end; a limit above the cold one needs an answer within 2 s (or 4 latencies), and within 4 latencies while calls are in flight; "warm" doubles the limit at each answer; the limit halves when recent latency passes twice the usual one, then climbs by one; grant confirms the place; a tenure that began after the right was last held starts cold and full, and Table::take_over ends that wait at a hand-over. A slot::Call names its workspace, when it is due and its deadline; a Wake says why it is refused.

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -50,8 +50,8 @@
 pub enum Ticket {
     /// It may be sent.
     Go,
-    /// It waits; the channel says whether it was granted.
-    Wait(oneshot::Receiver<bool>),
+    /// It waits; the channel says why it is refused, or `None` to send it.
+    Wait(oneshot::Receiver<Option<Kind>>),
 }
 
 /// What the actor is told.
@@ -137,7 +137,7 @@
 #[derive(Debug)]
 struct Waiting {
     attempt: id::Attempt,
-    sender: oneshot::Sender<bool>,
+    sender: oneshot::Sender<Option<Kind>>,
 }
 
 impl Actor for NodeActor {
@@ -207,7 +207,7 @@
             Message::Cancel(target, attempt) => self.cancel(&target, attempt),
             Message::Finish(target, attempt, sign, digest, reply) => {
                 let wakes = node.finish(&target, attempt, sign, digest, now);
-                send(reply, node.load_percent(&target));
+                send(reply, node.load_percent(&target, now));
                 self.wake(wakes);
             }
             Message::Begin(key, digest, is_first, reply) => {
@@ -244,7 +244,7 @@
         send(reply, ticket);
     }
 
-    fn queue(&mut self, attempt: id::Attempt) -> oneshot::Receiver<bool> {
+    fn queue(&mut self, attempt: id::Attempt) -> oneshot::Receiver<Option<Kind>> {
         let (sender, receiver) = oneshot::channel();
         let found = self
             .waiting
@@ -260,8 +260,8 @@
                 .waiting
                 .binary_search_by(|one| one.attempt.cmp(&wake.attempt));
             let sender = found.ok().map(|index| self.waiting.remove(index).sender);
-            let is_told = sender.is_some_and(|sender| sender.send(wake.is_granted).is_ok());
-            if !is_told && wake.is_granted {
+            let is_told = sender.is_some_and(|sender| sender.send(wake.refusal).is_ok());
+            if !is_told && wake.refusal.is_none() {
                 self.node.cancel(&wake.target, wake.attempt);
             }
         }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -50,7 +50,9 @@
     pub workspace: id::Workspace,
     /// The digest of the request's workspace and body.
     pub digest: id::Digest,
-    /// The time that remains.
+    /// The time that remains until the answer is late.
+    pub due: Millis,
+    /// The time that remains until the answer is of no use.
     pub timeout: Millis,
     /// The input of the stage.
     pub body: Bytes,
@@ -91,15 +93,18 @@
     let call = slot::Call {
         target: task.target.clone(),
         attempt: task.attempt,
-        start_by: deadline,
+        workspace: task.workspace.clone(),
+        due: context.clock.now() + task.due,
+        deadline,
     };
     let asked = context.node.try_ask(|reply| Message::Start(call, reply));
     let Ticket::Wait(granted) = asked.await? else {
         return Ok(());
     };
     match timeout(context.clock.until(deadline), granted).await {
-        Ok(Ok(true)) => Ok(()),
-        Ok(_) => Err(Kind::TooLate.into()),
+        Ok(Ok(None)) => Ok(()),
+        Ok(Ok(Some(kind))) => Err(kind.into()),
+        Ok(Err(_)) => Err(Kind::Internal.into()),
         Err(_) => {
             let target = task.target.clone();
             context.node.tell(Message::Cancel(target, task.attempt));
@@ -274,6 +279,7 @@
         attempt: header::read(headers, header::ATTEMPT)?,
         workspace: header::read(headers, header::WORKSPACE)?,
         digest: header::read(headers, header::DIGEST)?,
+        due: header::read(headers, header::DUE_MS)?,
         timeout: header::read(headers, header::TIMEOUT_MS)?,
         body: Bytes::new(),
     })
@@ -285,6 +291,7 @@
         .header(header::ATTEMPT, task.attempt.to_string())
         .header(header::WORKSPACE, task.workspace.as_str())
         .header(header::DIGEST, task.digest.to_string())
+        .header(header::DUE_MS, task.due.0)
         .header(header::TIMEOUT_MS, task.timeout.0)
         .body(Full::new(task.body.clone()))
         .ok()
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -167,6 +167,7 @@
             },
             workspace: self.job.admission.workspace.id.clone(),
             digest: self.job.digest,
+            due: self.job.admission.deadline - now,
             timeout: ends_by - now,
             body: body.clone(),
         };
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -68,6 +68,8 @@
     ) -> Result<Grant, Failure> {
         let checked = self.may_use(target).and_then(|(entry, pool)| {
             let until = self.target_right(target, now)?.1;
+            let terms = self.terms(&pool);
+            self.slots.confirm(target, attempt, terms, now)?;
             Ok(Grant {
                 target: entry,
                 pool,
@@ -115,11 +117,11 @@
         self.slots.release(target, attempt);
     }
 
-    /// Returns a target's calls in flight for each hundred places.
+    /// Returns a target's calls in flight and waiting for each hundred places.
     #[must_use]
-    pub fn load_percent(&self, target: &id::Target) -> u32 {
+    pub fn load_percent(&self, target: &id::Target, now: Millis) -> u32 {
         let pool = self.pool_of(target);
-        let load = pool.and_then(|pool| self.slots.load(target, self.terms(&pool)));
+        let load = pool.and_then(|pool| self.slots.load(target, self.terms(&pool), now));
         let Some((in_flight, limit)) = load else {
             return 0;
         };
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::settings::Policy;
 use crate::settings::Pool;
+use crate::warmth::Evidence;
 use crate::warmth::Sign;
 use crate::warmth::Warmth;
 
@@ -20,8 +21,12 @@
         pub target: id::Target,
         /// The attempt that it is.
         pub attempt: id::Attempt,
-        /// The latest moment at which it may start.
-        pub start_by: Millis,
+        /// The workspace that it serves.
+        pub workspace: id::Workspace,
+        /// When its answer is late.
+        pub due: Millis,
+        /// When its answer is of no use any more; not before it is due.
+        pub deadline: Millis,
     }
 
     /// What becomes of a call.
@@ -40,8 +45,8 @@
         pub target: id::Target,
         /// The call.
         pub attempt: id::Attempt,
-        /// Whether it may be sent; otherwise it waited too long.
-        pub is_granted: bool,
+        /// Why it is refused; `None` if it may be sent.
+        pub refusal: Option<Kind>,
     }
 }
 
@@ -57,6 +62,7 @@
 #[derive(Clone, Debug)]
 struct Sent {
     attempt: id::Attempt,
+    at: Millis,
     /// When the target must have let go of the call.
     ends_by: Millis,
 }
@@ -65,6 +71,8 @@
 struct Place {
     target: id::Target,
     warmth: Warmth,
+    /// When the owner's right to the target was last found to hold.
+    held_at: Millis,
     /// Until when calls of a former owner may be running, which fill it.
     full_until: Millis,
     sent: Vec<Sent>,
@@ -85,7 +93,7 @@
     /// `since` is when the owner's tenure over the target began: until the
     /// longest call has passed from then, calls of a former owner may run.
     pub fn start(&mut self, call: &Call, terms: Terms<'_>, since: Millis, now: Millis) -> Start {
-        let index = self.place(&call.target, terms.pool, since);
+        let index = self.place(&call.target, terms.pool, since, now);
         let place = &mut self.places[index];
         place.sent.retain(|sent| sent.ends_by > now);
         if place.queue.is_empty() && place.has_room(terms, now) {
@@ -95,7 +103,7 @@
         if place.queue.len() >= usize::from(terms.pool.queue_limit) {
             return Start::Refused(Kind::QueueFull);
         }
-        if call.start_by <= now {
+        if call.deadline <= now {
             return Start::Refused(Kind::TooLate);
         }
         place.queue.push(call.clone());
@@ -115,13 +123,65 @@
             return Vec::new();
         };
         let place = &mut self.places[index];
-        place.sent.retain(|sent| sent.attempt != attempt);
-        place.warmth.note(sign, terms.pool);
+        place.learn(attempt, sign, terms.pool, now);
         let (wakes, overruns) = place.wake(terms, now);
         self.overruns += overruns;
         wakes
     }
 
+    /// Confirms a call's place directly before the call is sent.
+    ///
+    /// The place may be gone or above the limit by now, if the process was
+    /// paused or the target turned cold since it was given. Otherwise the time
+    /// in which the target must let go of the call begins now.
+    ///
+    /// # Errors
+    /// Returns the kind with which the call is refused; its place is free.
+    pub fn confirm(
+        &mut self,
+        target: &id::Target,
+        attempt: id::Attempt,
+        terms: Terms<'_>,
+        now: Millis,
+    ) -> Result<(), Kind> {
+        let index = self.find(target).map_err(|_| Kind::NoRight)?;
+        let place = &mut self.places[index];
+        place.sent.retain(|sent| sent.ends_by > now);
+        let limit = usize::from(place.limit(terms, now));
+        let found = place.sent.iter_mut().find(|sent| sent.attempt == attempt);
+        let sent = found.ok_or(Kind::QueueFull)?;
+        sent.at = now;
+        sent.ends_by = now + terms.pool.longest_call;
+        if place.sent.len() <= limit {
+            return Ok(());
+        }
+        place.sent.retain(|sent| sent.attempt != attempt);
+        Err(Kind::QueueFull)
+    }
+
+    /// Ends the wait of a new owner, since the former one has handed over.
+    ///
+    /// `running` tells of each call that the former owner has at the target
+    /// how long it may last still.
+    pub fn take_over(
+        &mut self,
+        target: &id::Target,
+        running: &[(id::Attempt, Millis)],
+        pool: &Pool,
+        since: Millis,
+        now: Millis,
+    ) {
+        let index = self.place(target, pool, since, now);
+        let place = &mut self.places[index];
+        place.full_until = now;
+        let sent = running.iter().map(|&(attempt, left)| Sent {
+            attempt,
+            at: now,
+            ends_by: now + left,
+        });
+        place.sent.extend(sent);
+    }
+
     /// Takes a call out of the queue, when its caller has gone.
     pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
         if let Ok(index) = self.find(target) {
@@ -150,11 +210,12 @@
         for place in &mut self.places {
             match terms_of(&place.target) {
                 Some(terms) => {
+                    place.held_at = now;
                     let (woken, overruns) = place.wake(terms, now);
                     wakes.extend(woken);
                     self.overruns += overruns;
                 }
-                None => wakes.extend(place.turn_away()),
+                None => wakes.extend(place.turn_away(now)),
             }
         }
         let is_kept = |place: &Place| {
@@ -164,19 +225,32 @@
         wakes
     }
 
-    /// Forgets what a target bears, when its right was lost and regained.
-    pub fn forget(&mut self, target: &id::Target) {
-        if let Ok(index) = self.find(target) {
-            self.places.remove(index);
-        }
-    }
-
-    /// Returns the calls in flight and the limit of a target.
+    /// Returns the calls at and before a target, and its limit.
+    ///
+    /// A target that waits for the calls of a former owner counts as full.
     #[must_use]
-    pub fn load(&self, target: &id::Target, terms: Terms<'_>) -> Option<(usize, u16)> {
+    pub fn load(&self, target: &id::Target, terms: Terms<'_>, now: Millis) -> Option<(usize, u16)> {
         let index = self.find(target).ok()?;
         let place = &self.places[index];
-        Some((place.sent.len(), place.limit(terms)))
+        let limit = place.limit(terms, now);
+        let sent = if place.is_waiting(terms, now) {
+            usize::from(limit)
+        } else {
+            place.sent.len()
+        };
+        Some((sent + place.queue.len(), limit))
+    }
+
+    /// Returns the calls that a target has, and how long each may last still.
+    #[must_use]
+    pub fn running(&self, target: &id::Target, now: Millis) -> Vec<(id::Attempt, Millis)> {
+        let Ok(index) = self.find(target) else {
+            return Vec::new();
+        };
+        let sent = self.places[index].sent.iter();
+        let sent = sent.filter(|sent| sent.ends_by > now);
+        sent.map(|sent| (sent.attempt, sent.ends_by - now))
+            .collect()
     }
 
     /// Returns how often a send has raised a target above its limit; any is a
@@ -202,42 +276,81 @@
         self.places.binary_search_by(|one| one.target.cmp(target))
     }
 
-    fn place(&mut self, target: &id::Target, pool: &Pool, since: Millis) -> usize {
-        self.find(target).unwrap_or_else(|index| {
-            let place = Place {
-                target: target.clone(),
-                warmth: Warmth::new(pool),
-                full_until: since + pool.longest_call,
-                sent: Vec::new(),
-                queue: Vec::new(),
-            };
+    /// Finds the place of a target, as of the tenure that began at `since`.
+    ///
+    /// Between two tenures another daemon may have sent the target calls, so
+    /// what was known of it counts no more, but for the calls in flight.
+    fn place(&mut self, target: &id::Target, pool: &Pool, since: Millis, now: Millis) -> usize {
+        let index = self.find(target).unwrap_or_else(|index| {
+            let place = Place::new(target.clone(), pool, since);
             self.places.insert(index, place);
             index
-        })
+        });
+        let place = &mut self.places[index];
+        if since > place.held_at {
+            let fresh = Place::new(target.clone(), pool, since);
+            let former = std::mem::replace(place, fresh);
+            place.sent = former.sent;
+            place.queue = former.queue;
+        }
+        place.held_at = place.held_at.max(now);
+        index
     }
 }
 
 impl Place {
+    fn new(target: id::Target, pool: &Pool, since: Millis) -> Self {
+        Self {
+            target,
+            warmth: Warmth::new(pool),
+            held_at: since,
+            full_until: since + pool.longest_call,
+            sent: Vec::new(),
+            queue: Vec::new(),
+        }
+    }
+
     /// Returns how many calls the target may have at a time.
-    fn limit(&self, terms: Terms<'_>) -> u16 {
+    fn limit(&self, terms: Terms<'_>, now: Millis) -> u16 {
+        let oldest = self.sent.iter().map(|sent| sent.at).min();
         match terms.policy {
-            Policy::Adaptive => self.warmth.limit(),
+            Policy::Adaptive => self.warmth.limit(terms.pool, oldest, now),
             Policy::Baseline => terms.pool.warm_limit,
         }
     }
 
+    /// Tells whether calls of a former owner may still be running.
+    fn is_waiting(&self, terms: Terms<'_>, now: Millis) -> bool {
+        terms.policy == Policy::Adaptive && now < self.full_until
+    }
+
     fn has_room(&self, terms: Terms<'_>, now: Millis) -> bool {
-        let is_full = terms.policy == Policy::Adaptive && now < self.full_until;
-        !is_full && self.sent.len() < usize::from(self.limit(terms))
+        let limit = usize::from(self.limit(terms, now));
+        !self.is_waiting(terms, now) && self.sent.len() < limit
+    }
+
+    /// Lets go of a call, and takes in what it has shown.
+    fn learn(&mut self, attempt: id::Attempt, sign: Sign, pool: &Pool, now: Millis) {
+        let found = self.sent.iter().position(|sent| sent.attempt == attempt);
+        // A call that has lost its place by time was sent that long ago.
+        let oldest = now - pool.longest_call;
+        let evidence = Evidence {
+            sign,
+            sent_at: found.map_or(oldest, |index| self.sent[index].at),
+            in_flight: self.sent.len(),
+        };
+        self.sent.retain(|sent| sent.attempt != attempt);
+        self.warmth.note(evidence, pool, now);
     }
 
     /// Takes a place, and tells whether the target is within its limit.
     fn send(&mut self, attempt: id::Attempt, terms: Terms<'_>, now: Millis) -> bool {
         self.sent.push(Sent {
             attempt,
+            at: now,
             ends_by: now + terms.pool.longest_call,
         });
-        self.sent.len() <= usize::from(self.limit(terms))
+        self.sent.len() <= usize::from(self.limit(terms, now))
     }
 
     /// Wakes calls, and returns with them how many sends were above the limit.
@@ -247,31 +360,37 @@
         self.sent.retain(|sent| sent.ends_by > now);
         let (waiting, expired) = std::mem::take(&mut self.queue)
             .into_iter()
-            .partition(|call| call.start_by > now);
+            .partition(|call| call.deadline > now);
         self.queue = waiting;
-        wakes.extend(refused(expired, &self.target));
+        wakes.extend(refused(expired, &self.target, Kind::TooLate));
         while !self.queue.is_empty() && self.has_room(terms, now) {
             let call = self.queue.remove(0);
             overruns += usize::from(!self.send(call.attempt, terms, now));
             wakes.push(Wake {
                 target: self.target.clone(),
                 attempt: call.attempt,
-                is_granted: true,
+                refusal: None,
             });
         }
         (wakes, overruns)
     }
 
-    fn turn_away(&mut self) -> Vec<Wake> {
-        refused(std::mem::take(&mut self.queue), &self.target)
+    /// Refuses what waits, since the target is not to be given work.
+    fn turn_away(&mut self, now: Millis) -> Vec<Wake> {
+        self.sent.retain(|sent| sent.ends_by > now);
+        refused(
+            std::mem::take(&mut self.queue),
+            &self.target,
+            Kind::NoTarget,
+        )
     }
 }
 
-fn refused(calls: Vec<Call>, target: &id::Target) -> Vec<Wake> {
+fn refused(calls: Vec<Call>, target: &id::Target, kind: Kind) -> Vec<Wake> {
     let refuse = |call: Call| Wake {
         target: target.clone(),
         attempt: call.attempt,
-        is_granted: false,
+        refusal: Some(kind),
     };
     calls.into_iter().map(refuse).collect()
 }
--- a/crates/kernel/tests/policy_site/mod.rs
+++ b/crates/kernel/tests/policy_site/mod.rs
@@ -109,11 +109,13 @@
 
 /// Calls a target.
 #[allow(dead_code)]
-pub fn call(index: usize, number: u16, start_by: Millis) -> Call {
+pub fn call(index: usize, number: u16, deadline: Millis) -> Call {
     Call {
         target: target(index),
         attempt: attempt(number),
-        start_by,
+        workspace: id::Workspace::new("desk.big").unwrap(),
+        due: deadline,
+        deadline,
     }
 }
 
--- /dev/null
+++ b/crates/kernel/tests/slot.rs
@@ -0,0 +1,268 @@
+//! A target never gets more calls than what is known of it allows.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod policy_site;
+
+use arbitrary::Unstructured;
+use arbtest::arbtest;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::settings::Policy;
+use gooseberry_kernel::slot::Start;
+use gooseberry_kernel::slot::Table;
+use gooseberry_kernel::slot::Terms;
+use gooseberry_kernel::warmth::Report;
+use gooseberry_kernel::warmth::Sign;
+use policy_site::READY;
+
+const DIGEST: id::Digest = id::Digest([1; 32]);
+const WARM: Sign = Sign::Answered(Some(Report::Warm));
+const COLD: Sign = Sign::Answered(Some(Report::Cold));
+const LATENCY: Millis = Millis(100);
+/// How many random runs are made, each from its own seed.
+const RUNS: u64 = 200;
+/// How many random bytes each run may use.
+const RUN_BYTES: u64 = 4096;
+
+fn limit(node: &Node, now: Millis) -> u32 {
+    // One call in flight tells the limit by the percentage of it.
+    100 / node.load_percent(&policy_site::target(0), now).max(1)
+}
+
+/// Starts calls while the target takes them, and returns their numbers.
+fn fill(node: &mut Node, from: u16, now: Millis) -> Vec<u16> {
+    let is_started = |number: &u16| {
+        let call = policy_site::call(0, *number, now + Millis(9000));
+        let start = node.start(&call, now);
+        if start == Ok(Start::Queued) {
+            node.cancel(&call.target, call.attempt);
+        }
+        start == Ok(Start::Go) && node.grant(&call.target, call.attempt, now).is_ok()
+    };
+    (from..from + 40).take_while(is_started).collect()
+}
+
+fn finish(node: &mut Node, number: u16, sign: Sign, now: Millis) {
+    let attempt = policy_site::attempt(number);
+    node.finish(&policy_site::target(0), attempt, sign, DIGEST, now);
+}
+
+/// Warms the target up, and returns the node and the moment.
+fn warm_node() -> (Node, Millis) {
+    let mut node = policy_site::node("adaptive", 1);
+    let mut now = READY;
+    for round in 0..4 {
+        let sent = fill(&mut node, round * 40, now);
+        now = now + LATENCY;
+        for number in sent {
+            finish(&mut node, number, WARM, now);
+        }
+    }
+    (node, now)
+}
+
+#[test]
+fn warm_answers_open_the_target_within_four_rounds() {
+    let (mut node, now) = warm_node();
+    assert_eq!(fill(&mut node, 1000, now).len(), 16);
+    assert!(node.take_violations().is_empty());
+}
+
+#[test]
+fn answers_to_calls_sent_before_the_fall_do_not_end_it() {
+    let (mut node, now) = warm_node();
+    let sent = fill(&mut node, 1000, now);
+    let now = now + LATENCY;
+    finish(&mut node, sent[0], COLD, now);
+    for number in &sent[1..] {
+        finish(&mut node, *number, WARM, now);
+    }
+    assert_eq!(fill(&mut node, 2000, now).len(), 2);
+}
+
+#[test]
+fn a_target_that_was_not_asked_for_a_while_is_probed_at_its_cold_limit() {
+    let (mut node, now) = warm_node();
+    let now = now + Millis(5000);
+    let sent = fill(&mut node, 1000, now);
+    assert_eq!(sent.len(), 2);
+    finish(&mut node, sent[0], WARM, now + LATENCY);
+    assert_eq!(fill(&mut node, 2000, now + LATENCY).len(), 15);
+}
+
+#[test]
+fn a_busy_target_that_falls_silent_gets_nothing_above_its_cold_limit() {
+    let (mut node, now) = warm_node();
+    let sent = fill(&mut node, 1000, now);
+    finish(&mut node, sent[0], WARM, now + LATENCY);
+    let silent = now + LATENCY + Millis(501);
+    assert_eq!(fill(&mut node, 2000, silent).len(), 0);
+    finish(&mut node, sent[1], WARM, silent);
+    assert_eq!(fill(&mut node, 3000, silent).len(), 2);
+}
+
+#[test]
+fn a_call_whose_process_was_paused_before_the_send_finds_its_place_gone() {
+    let (mut node, now) = warm_node();
+    let call = policy_site::call(0, 1000, now + Millis(60_000));
+    assert_eq!(node.start(&call, now), Ok(Start::Go));
+    let woken = now + Millis(9000);
+    fill(&mut node, 2000, woken);
+    assert!(node.grant(&call.target, call.attempt, woken).is_err());
+    assert!(node.take_violations().is_empty());
+}
+
+#[test]
+fn an_abandoned_call_keeps_its_place_until_the_longest_call_has_passed() {
+    let mut node = policy_site::node("adaptive", 1);
+    assert_eq!(fill(&mut node, 1, READY).len(), 2);
+    assert_eq!(fill(&mut node, 100, READY + Millis(7999)).len(), 0);
+    assert_eq!(fill(&mut node, 200, READY + Millis(8000)).len(), 2);
+}
+
+#[test]
+fn growing_latency_lowers_the_limit_and_it_climbs_back() {
+    let (mut node, mut now) = warm_node();
+    let mut round = |node: &mut Node, from: u16, latency: Millis| {
+        let sent = fill(node, from, now);
+        now = now + latency;
+        for number in &sent {
+            finish(node, *number, WARM, now);
+        }
+        sent.len()
+    };
+    for index in 0..20 {
+        round(&mut node, 1000 + index * 40, LATENCY);
+    }
+    for index in 0..4 {
+        round(&mut node, 2000 + index * 40, Millis(450));
+    }
+    let lowered = round(&mut node, 3000, LATENCY);
+    assert!(lowered <= 8, "the limit is still {lowered}");
+    for index in 0..60 {
+        round(&mut node, 4000 + index * 40, LATENCY);
+    }
+    assert_eq!(round(&mut node, 8000, LATENCY), 16);
+}
+
+/// One target of the random runs, which turns cold once, at any moment.
+#[derive(Default)]
+struct Model {
+    is_cold: bool,
+    is_noticed: bool,
+    running: Vec<u16>,
+}
+
+impl Model {
+    fn send(&mut self, node: &mut Node, number: u16, now: Millis) {
+        let attempt = policy_site::attempt(number);
+        if node.grant(&policy_site::target(0), attempt, now).is_ok() {
+            self.running.push(number);
+            assert!(!self.is_noticed || self.running.len() <= 2);
+        }
+    }
+
+    fn answer(&mut self, node: &mut Node, index: usize, now: Millis) {
+        let attempt = policy_site::attempt(self.running.remove(index));
+        self.is_noticed = self.is_cold;
+        let sign = if self.is_cold { COLD } else { WARM };
+        for wake in node.finish(&policy_site::target(0), attempt, sign, DIGEST, now) {
+            let number = u16::try_from(wake.attempt.request.0).unwrap();
+            self.send(node, number, now);
+        }
+    }
+}
+
+fn random_run(bytes: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    let (mut node, mut now) = warm_node();
+    let mut model = Model::default();
+    for number in 0..200 {
+        now = now + Millis(bytes.int_in_range(0..=40)?);
+        match bytes.int_in_range(0..=9)? {
+            0 => model.is_cold |= bytes.ratio(1, 4)?,
+            1..=5 => {
+                let call = policy_site::call(0, number, now + Millis(9000));
+                if node.start(&call, now) == Ok(Start::Go) {
+                    model.send(&mut node, number, now);
+                }
+            }
+            _ if model.running.is_empty() => {}
+            _ => {
+                let index = bytes.choose_index(model.running.len())?;
+                model.answer(&mut node, index, now);
+            }
+        }
+        assert_eq!(node.take_violations(), Vec::<&str>::new());
+    }
+    Ok(())
+}
+
+#[test]
+fn no_send_raises_a_target_above_its_limit_in_random_runs() {
+    for seed in 0..RUNS {
+        arbtest(random_run).seed(seed << 32 | RUN_BYTES).run();
+    }
+}
+
+#[test]
+fn the_limit_is_told_by_the_load() {
+    let mut node = policy_site::node("adaptive", 1);
+    let call = policy_site::call(0, 1, READY + LATENCY);
+    node.start(&call, READY).unwrap();
+    assert_eq!(limit(&node, READY), 2);
+}
+
+#[test]
+fn a_tenure_that_began_anew_makes_the_target_cold_and_full() {
+    let (node, _) = warm_node();
+    let pool = node.book().pool(&policy_site::ask(0).pool).unwrap().clone();
+    let terms = Terms {
+        pool: &pool,
+        policy: Policy::Adaptive,
+    };
+    let mut table = Table::default();
+    let call = |number| policy_site::call(0, number, Millis::NEVER);
+    assert_eq!(
+        table.start(&call(1), terms, READY, READY + Millis(8000)),
+        Start::Go
+    );
+    // The start of the same tenure may be told as a later one, once its first
+    // lists are forgotten.
+    let still = READY + Millis(7000);
+    assert_eq!(
+        table.start(&call(2), terms, still, READY + Millis(8100)),
+        Start::Go
+    );
+    for number in [1, 2] {
+        let attempt = policy_site::attempt(number);
+        table.finish(&call(0).target, attempt, WARM, terms, READY + Millis(8200));
+    }
+    let again = READY + Millis(9000);
+    assert_eq!(table.start(&call(3), terms, again, again), Start::Queued);
+    assert_eq!(
+        table.load(&policy_site::target(0), terms, again),
+        Some((3, 2))
+    );
+    let woken = table.tick(again + Millis(8000), |_| Some(terms));
+    assert_eq!(woken.len(), 1);
+}
+
+#[test]
+fn a_hand_over_ends_the_wait_and_counts_the_calls_that_run() {
+    let (node, _) = warm_node();
+    let pool = node.book().pool(&policy_site::ask(0).pool).unwrap().clone();
+    let terms = Terms {
+        pool: &pool,
+        policy: Policy::Adaptive,
+    };
+    let mut table = Table::default();
+    let running = [(policy_site::attempt(90), Millis(500))];
+    let target = policy_site::target(0);
+    table.take_over(&target, &running, &pool, READY, READY);
+    let call = |number| policy_site::call(0, number, Millis::NEVER);
+    assert_eq!(table.start(&call(1), terms, READY, READY), Start::Go);
+    assert_eq!(table.start(&call(2), terms, READY, READY), Start::Queued);
+    assert_eq!(table.tick(READY + Millis(500), |_| Some(terms)).len(), 1);
+}
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -15,6 +15,8 @@
 pub const RETRY_AFTER: &str = "retry-after";
 /// The time that remains, in milliseconds.
 pub const TIMEOUT_MS: &str = "gooseberry-timeout-ms";
+/// The time that remains until the answer is late, in milliseconds.
+pub const DUE_MS: &str = "gooseberry-due-ms";
 /// The id of the request.
 pub const REQUEST: &str = "gooseberry-request";
 /// The id of the attempt, echoed in the reply.
