Queue by turns of workspaces, and refuse at once what cannot end in time

Cause: the queue before a target was first come first served, so a workspace in flood filled it and the others waited behind or were refused; a call waited until its deadline had passed; a late request waited before punctual ones; a call that waited for a target whose domain went out was answered too-late and never tried elsewhere. Change: module queue: start-time fair queueing by workspace, earliest due first within one, late ones last, a full queue gives way to a workspace with less in it. A call is refused with Retry-After when its wait and the measured latency pass its deadline. A queue is turned away with the true reason when the right rests (no-right) or the target is out (no-target).

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -166,6 +166,8 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.clock.now();
         state.handle(message, now);
+        let wakes = state.node.take_wakes();
+        state.wake(wakes);
         state.report_violations();
         Ok(())
     }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -270,6 +270,8 @@
     let label = header::text(headers, header::ERROR)?;
     let mut failure = Failure::from(label.parse().unwrap_or(Kind::Internal));
     failure.outcome = header::read(headers, header::OUTCOME).unwrap_or(Outcome::Unknown);
+    let retry_after = header::read(headers, header::RETRY_AFTER).map(Millis::from_secs);
+    failure.retry_after = retry_after.or(failure.retry_after);
     Some(failure)
 }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -11,7 +11,8 @@
 //! - [`settings`] checks what operators say, and [`roster`] holds the list of
 //!   instances and targets that the platform publishes.
 //! - [`tenure`] decides who may send work to a target or start a key.
-//! - [`route`] picks a target; [`slot`] and [`warmth`] count what it bears.
+//! - [`route`] picks a target; [`slot`], [`queue`] and [`warmth`] count what
+//!   it bears and who waits for it.
 //! - [`admission`], [`retry`] and [`quarantine`] keep load and faults in bounds.
 //! - [`once`] runs a non-idempotent request at most once.
 //! - [`answer`] is the closed list of ways in which a request can fail.
@@ -48,6 +49,7 @@
 pub mod once;
 pub mod peer;
 pub mod quarantine;
+pub mod queue;
 pub mod retry;
 pub mod roster;
 pub mod route;
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -10,8 +10,10 @@
 use crate::once::End;
 use crate::once::Key;
 use crate::once::Verdict;
+use crate::queue::Order;
 use crate::roster::Entry;
 use crate::route;
+use crate::settings::Fleet;
 use crate::settings::Pool;
 use crate::slot::Call;
 use crate::slot::Start;
@@ -45,10 +47,12 @@
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
         let terms = self.terms(&pool);
-        let start = self.slots.start(call, terms, since, now);
+        let workspace = self.book.workspace(&call.workspace);
+        let weight = workspace.map_or(1, |workspace| workspace.weight);
+        let start = self.slots.start(call, weight, terms, since, now);
         self.check_limits();
         match start {
-            Start::Refused(kind) => Err(kind.into()),
+            Start::Refused(failure) => Err(failure),
             start => Ok(start),
         }
     }
@@ -139,23 +143,29 @@
         let loads = &self.loads;
         let tenure = &self.tenure;
         let wakes = self.slots.tick(now, |id| {
-            let entry = list.target(id)?;
+            let entry = list.target(id).ok_or(Kind::NoTarget)?;
             let thing = Thing::Target(id.clone());
-            let is_held = matches!(tenure.right(&thing, now), Right::Held { .. });
-            let is_out = route::why_out(entry, book.fleet(), loads).is_some();
-            let pool = book.pool(&entry.pool).filter(|_| is_held && !is_out)?;
-            let policy = book.fleet().policy;
-            Some(Terms { pool, policy })
+            if !matches!(tenure.right(&thing, now), Right::Held { .. }) {
+                return Err(Kind::NoRight);
+            }
+            if route::why_out(entry, book.fleet(), loads).is_some() {
+                return Err(Kind::NoTarget);
+            }
+            let pool = book.pool(&entry.pool).ok_or(Kind::NoTarget)?;
+            Ok(terms(book.fleet(), pool))
         });
         self.check_limits();
         wakes
     }
 
+    /// Takes the wakes of calls that had to give way to others.
+    #[must_use]
+    pub fn take_wakes(&mut self) -> Vec<Wake> {
+        self.slots.take_wakes()
+    }
+
     fn terms<'a>(&self, pool: &'a Pool) -> Terms<'a> {
-        Terms {
-            pool,
-            policy: self.book.fleet().policy,
-        }
+        terms(self.book.fleet(), pool)
     }
 
     fn check_limits(&mut self) {
@@ -230,3 +240,11 @@
         self.keys.finish(key, end, now);
     }
 }
+
+fn terms<'a>(fleet: &Fleet, pool: &'a Pool) -> Terms<'a> {
+    Terms {
+        pool,
+        policy: fleet.policy,
+        order: Order::Earliest,
+    }
+}
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -4,10 +4,13 @@
 //! its place until the target has answered or the longest call has passed,
 //! also when the caller has given up, since the target may still be at work.
 
+use crate::answer::Failure;
 use crate::answer::Kind;
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::id;
+use crate::queue::Order;
+use crate::queue::Queue;
 use crate::settings::Policy;
 use crate::settings::Pool;
 use crate::warmth::Evidence;
@@ -36,7 +39,7 @@
         /// It waits for a place.
         Queued,
         /// It is refused, and was not run.
-        Refused(Kind),
+        Refused(Failure),
     }
 
     /// A call that was waiting and now has a place, or has waited too long.
@@ -57,6 +60,8 @@
     pub pool: &'a Pool,
     /// How the daemons decide.
     pub policy: Policy,
+    /// Which waiting call comes next.
+    pub order: Order,
 }
 
 #[derive(Clone, Debug)]
@@ -76,7 +81,7 @@
     /// Until when calls of a former owner may be running, which fill it.
     full_until: Millis,
     sent: Vec<Sent>,
-    queue: Vec<Call>,
+    queue: Queue,
 }
 
 /// The places of all targets that a daemon owns.
@@ -85,14 +90,23 @@
     places: Vec<Place>,
     /// How often a send has raised a target above its limit.
     overruns: usize,
+    /// The calls that had to give way, until the driver takes them.
+    wakes: Vec<Wake>,
 }
 
 impl Table {
-    /// Asks for a place for the call.
+    /// Asks for a place for the call of a workspace of the weight.
     ///
     /// `since` is when the owner's tenure over the target began: until the
     /// longest call has passed from then, calls of a former owner may run.
-    pub fn start(&mut self, call: &Call, terms: Terms<'_>, since: Millis, now: Millis) -> Start {
+    pub fn start(
+        &mut self,
+        call: &Call,
+        weight: u16,
+        terms: Terms<'_>,
+        since: Millis,
+        now: Millis,
+    ) -> Start {
         let index = self.place(&call.target, terms.pool, since, now);
         let place = &mut self.places[index];
         place.sent.retain(|sent| sent.ends_by > now);
@@ -100,16 +114,25 @@
             self.overruns += usize::from(!place.send(call.attempt, terms, now));
             return Start::Go;
         }
-        if place.queue.len() >= usize::from(terms.pool.queue_limit) {
-            return Start::Refused(Kind::QueueFull);
+        if let Err(failure) = place.judge(call, weight, terms, now) {
+            return Start::Refused(failure);
         }
-        if call.deadline <= now {
-            return Start::Refused(Kind::TooLate);
+        if place.queue.len() >= usize::from(terms.pool.queue_limit) {
+            match place.give_way(call, weight, terms, now) {
+                Some(victim) => self.wakes.extend(refused(vec![victim], Kind::QueueFull)),
+                None => return Start::Refused(place.full(call, weight, terms, now)),
+            }
         }
-        place.queue.push(call.clone());
+        place.queue.push(call.clone(), weight);
         Start::Queued
     }
 
+    /// Takes the wakes of calls that had to give way to others.
+    #[must_use]
+    pub fn take_wakes(&mut self) -> Vec<Wake> {
+        std::mem::take(&mut self.wakes)
+    }
+
     /// Notes that the target has let go of a call, and what the call showed.
     pub fn finish(
         &mut self,
@@ -186,7 +209,7 @@
     pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
         if let Ok(index) = self.find(target) {
             let place = &mut self.places[index];
-            place.queue.retain(|call| call.attempt != attempt);
+            place.queue.remove(attempt);
         }
     }
 
@@ -200,26 +223,26 @@
 
     /// Wakes what can start now and what has waited too long.
     ///
-    /// `terms_of` returns `None` if the target is not to be given work.
+    /// `terms_of` returns the reason if the target is not to be given work.
     pub fn tick<'a>(
         &mut self,
         now: Millis,
-        terms_of: impl Fn(&id::Target) -> Option<Terms<'a>>,
+        terms_of: impl Fn(&id::Target) -> Result<Terms<'a>, Kind>,
     ) -> Vec<Wake> {
-        let mut wakes = Vec::new();
+        let mut wakes = self.take_wakes();
         for place in &mut self.places {
             match terms_of(&place.target) {
-                Some(terms) => {
+                Ok(terms) => {
                     place.held_at = now;
                     let (woken, overruns) = place.wake(terms, now);
                     wakes.extend(woken);
                     self.overruns += overruns;
                 }
-                None => wakes.extend(place.turn_away(now)),
+                Err(kind) => wakes.extend(place.turn_away(kind, now)),
             }
         }
         let is_kept = |place: &Place| {
-            !place.sent.is_empty() || !place.queue.is_empty() || terms_of(&place.target).is_some()
+            !place.sent.is_empty() || !place.queue.is_empty() || terms_of(&place.target).is_ok()
         };
         self.places.retain(is_kept);
         wakes
@@ -306,7 +329,7 @@
             held_at: since,
             full_until: since + pool.longest_call,
             sent: Vec::new(),
-            queue: Vec::new(),
+            queue: Queue::default(),
         }
     }
 
@@ -358,13 +381,13 @@
         let mut wakes = Vec::new();
         let mut overruns = 0;
         self.sent.retain(|sent| sent.ends_by > now);
-        let (waiting, expired) = std::mem::take(&mut self.queue)
-            .into_iter()
-            .partition(|call| call.deadline > now);
-        self.queue = waiting;
-        wakes.extend(refused(expired, &self.target, Kind::TooLate));
-        while !self.queue.is_empty() && self.has_room(terms, now) {
-            let call = self.queue.remove(0);
+        wakes.extend(refused(self.hopeless(terms, now), Kind::TooLate));
+        while self.has_room(terms, now) {
+            let next = match terms.policy {
+                Policy::Adaptive => self.queue.pop(terms.order, now),
+                Policy::Baseline => self.queue.pop_first(),
+            };
+            let Some(call) = next else { break };
             overruns += usize::from(!self.send(call.attempt, terms, now));
             wakes.push(Wake {
                 target: self.target.clone(),
@@ -375,20 +398,84 @@
         (wakes, overruns)
     }
 
+    /// Takes out the calls that can no longer be answered in time.
+    ///
+    /// While the target has nothing to do they are only given up when their
+    /// time has passed, since the measured latency may be out of date.
+    fn hopeless(&mut self, terms: Terms<'_>, now: Millis) -> Vec<Call> {
+        let is_judged = terms.policy == Policy::Adaptive && !self.sent.is_empty();
+        let latency = if is_judged {
+            self.warmth.latency()
+        } else {
+            Millis::ZERO
+        };
+        self.queue.take_where(|call| call.deadline <= now + latency)
+    }
+
+    /// Refuses a call that must wait and cannot be answered in time.
+    fn judge(
+        &self,
+        call: &Call,
+        weight: u16,
+        terms: Terms<'_>,
+        now: Millis,
+    ) -> Result<(), Failure> {
+        if call.deadline <= now {
+            return Err(Kind::TooLate.into());
+        }
+        let is_waiting = self.is_waiting(terms, now);
+        if terms.policy == Policy::Baseline || (self.sent.is_empty() && !is_waiting) {
+            return Ok(());
+        }
+        let start = now + self.wait(call, weight, terms, now);
+        if start + self.warmth.latency() < call.deadline {
+            Ok(())
+        } else {
+            Err(self.full(call, weight, terms, now))
+        }
+    }
+
+    /// Returns the refusal of a call that finds too much before it.
+    fn full(&self, call: &Call, weight: u16, terms: Terms<'_>, now: Millis) -> Failure {
+        let wait = self.wait(call, weight, terms, now);
+        Failure::from(Kind::QueueFull).retry_after(wait)
+    }
+
+    /// Returns how long a new call would wait for its place.
+    fn wait(&self, call: &Call, weight: u16, terms: Terms<'_>, now: Millis) -> Millis {
+        let ahead = self.queue.ahead(&call.workspace, weight) + 1;
+        let limit = u64::from(self.limit(terms, now)).max(1);
+        let turns = Millis(self.warmth.latency().0 * ahead / limit);
+        if self.is_waiting(terms, now) {
+            turns + (self.full_until - now)
+        } else {
+            turns
+        }
+    }
+
+    fn give_way(
+        &mut self,
+        call: &Call,
+        weight: u16,
+        terms: Terms<'_>,
+        now: Millis,
+    ) -> Option<Call> {
+        match terms.policy {
+            Policy::Adaptive => self.queue.give_way(call, weight, now),
+            Policy::Baseline => None,
+        }
+    }
+
     /// Refuses what waits, since the target is not to be given work.
-    fn turn_away(&mut self, now: Millis) -> Vec<Wake> {
+    fn turn_away(&mut self, kind: Kind, now: Millis) -> Vec<Wake> {
         self.sent.retain(|sent| sent.ends_by > now);
-        refused(
-            std::mem::take(&mut self.queue),
-            &self.target,
-            Kind::NoTarget,
-        )
+        refused(self.queue.take_where(|_| true), kind)
     }
 }
 
-fn refused(calls: Vec<Call>, target: &id::Target, kind: Kind) -> Vec<Wake> {
+fn refused(calls: Vec<Call>, kind: Kind) -> Vec<Wake> {
     let refuse = |call: Call| Wake {
-        target: target.clone(),
+        target: call.target,
         attempt: call.attempt,
         refusal: Some(kind),
     };
--- /dev/null
+++ b/crates/kernel/tests/policy_order.rs
@@ -0,0 +1,188 @@
+//! Compares the orders of the queue before one target, under rising load.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod policy_site;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::hash;
+use gooseberry_kernel::id;
+use gooseberry_kernel::queue::Order;
+use gooseberry_kernel::settings::Policy;
+use gooseberry_kernel::settings::Pool;
+use gooseberry_kernel::slot::Call;
+use gooseberry_kernel::slot::Start;
+use gooseberry_kernel::slot::Table;
+use gooseberry_kernel::slot::Terms;
+use gooseberry_kernel::warmth::Report;
+use gooseberry_kernel::warmth::Sign;
+use policy_site::READY;
+
+/// Calls that arrive before are not counted, since the target warms up.
+const WARM_UP: u64 = 1000;
+/// How long calls arrive; the run lasts until the last of them is due.
+const SPAN: u64 = 6000;
+/// The time to the deadline of a call is one of these, drawn at random.
+const DEADLINES: [u64; 3] = [300, 1000, 4000];
+/// How long the target works on a call, from and to.
+const WORK: (u64, u64) = (50, 150);
+/// How many runs are made of each kind, from the seeds 0 on.
+const SEEDS: u64 = 2;
+
+#[derive(Debug, Default)]
+struct Score {
+    sent: u64,
+    in_time: u64,
+    work: u64,
+    wasted: u64,
+}
+
+impl Score {
+    fn missed_thousandths(&self) -> u64 {
+        1000 - self.in_time * 1000 / self.sent.max(1)
+    }
+
+    fn wasted_thousandths(&self) -> u64 {
+        self.wasted * 1000 / self.work.max(1)
+    }
+}
+
+struct Running {
+    call: Call,
+    work: u64,
+    ends: Millis,
+}
+
+struct Run<'a> {
+    table: Table,
+    terms: Terms<'a>,
+    waiting: Vec<Call>,
+    running: Vec<Running>,
+    score: Score,
+    random: u64,
+}
+
+impl Run<'_> {
+    fn draw(&mut self) -> u64 {
+        self.random = hash::mix(self.random, 1);
+        self.random
+    }
+
+    fn send(&mut self, call: Call, now: Millis) {
+        let work = WORK.0 + self.draw() % (WORK.1 - WORK.0);
+        let ends = now + Millis(work);
+        self.running.push(Running { call, work, ends });
+    }
+
+    fn arrive(&mut self, number: u64, now: Millis) {
+        let left = DEADLINES[usize::try_from(self.draw() % 3).unwrap()];
+        let mut call = policy_site::call(0, 0, now + Millis(left));
+        call.attempt.request = id::Request(number.into());
+        self.score.sent += u64::from(number >= WARM_UP);
+        match self.table.start(&call, 1, self.terms, Millis::ZERO, now) {
+            Start::Go => self.send(call, now),
+            Start::Queued => self.waiting.push(call),
+            Start::Refused(_) => {}
+        }
+    }
+
+    fn end(&mut self, now: Millis) {
+        let all = std::mem::take(&mut self.running);
+        let (ended, running): (Vec<_>, Vec<_>) = all.into_iter().partition(|one| one.ends <= now);
+        self.running = running;
+        for one in ended {
+            self.count(&one, now);
+            let sign = Sign::Answered(Some(Report::Warm));
+            let call = &one.call;
+            let wakes = self
+                .table
+                .finish(&call.target, call.attempt, sign, self.terms, now);
+            self.wake(wakes, now);
+        }
+    }
+
+    fn count(&mut self, one: &Running, now: Millis) {
+        if one.call.attempt.request.0 < u128::from(WARM_UP) {
+            return;
+        }
+        let is_in_time = now <= one.call.deadline;
+        self.score.in_time += u64::from(is_in_time);
+        self.score.work += one.work;
+        self.score.wasted += if is_in_time { 0 } else { one.work };
+    }
+
+    fn wake(&mut self, wakes: Vec<gooseberry_kernel::slot::Wake>, now: Millis) {
+        for wake in wakes {
+            let same = |call: &Call| call.attempt == wake.attempt;
+            let index = self.waiting.iter().position(same).unwrap();
+            let call = self.waiting.remove(index);
+            if wake.refusal.is_none() {
+                self.send(call, now);
+            }
+        }
+    }
+}
+
+/// Offers so many hundredths of what the warm target can do.
+fn run(pool: &Pool, policy: Policy, order: Order, percent: u64, seed: u64) -> Score {
+    let terms = Terms {
+        pool,
+        policy,
+        order,
+    };
+    let mut run = Run {
+        table: Table::default(),
+        terms,
+        waiting: Vec::new(),
+        running: Vec::new(),
+        score: Score::default(),
+        random: seed,
+    };
+    let per_sec = u64::from(pool.warm_limit) * 1000 / 100 * percent / 100;
+    for step in 0..SPAN + DEADLINES[2] {
+        let now = READY + Millis(step);
+        run.end(now);
+        if run.draw() % 1000 < per_sec && step < SPAN {
+            run.arrive(step, now);
+        }
+        let wakes = run.table.tick(now, |_| Ok(terms));
+        run.wake(wakes, now);
+    }
+    assert_eq!(run.table.overruns(), 0);
+    run.score
+}
+
+fn total(pool: &Pool, policy: Policy, order: Order, percent: u64) -> Score {
+    let mut total = Score::default();
+    for seed in 0..SEEDS {
+        let score = run(pool, policy, order, percent, seed);
+        total.sent += score.sent;
+        total.in_time += score.in_time;
+        total.work += score.work;
+        total.wasted += score.wasted;
+    }
+    total
+}
+
+#[test]
+fn the_order_in_use_misses_no_more_than_the_others_and_wastes_little() {
+    let node = policy_site::node("adaptive", 1);
+    let mut pool = node.book().pool(&policy_site::ask(0).pool).unwrap().clone();
+    pool.queue_limit = 64;
+    println!("load  policy and order      missed  wasted (thousandths)");
+    for percent in [80, 120, 300] {
+        let show = |name: &str, policy, order| {
+            let score = total(&pool, policy, order, percent);
+            let (missed, wasted) = (score.missed_thousandths(), score.wasted_thousandths());
+            println!("{percent:4}  {name:20} {missed:7} {wasted:7}");
+            (missed, wasted)
+        };
+        let baseline = show("baseline", Policy::Baseline, Order::First);
+        let first = show("first come", Policy::Adaptive, Order::First);
+        let newest = show("newest first", Policy::Adaptive, Order::Newest);
+        let earliest = show("earliest deadline", Policy::Adaptive, Order::Earliest);
+        assert!(earliest.0 <= first.0.max(newest.0));
+        assert!(earliest.0 <= baseline.0);
+        assert!(earliest.1 < 100);
+    }
+}
--- a/crates/kernel/tests/slot.rs
+++ b/crates/kernel/tests/slot.rs
@@ -9,6 +9,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Node;
+use gooseberry_kernel::queue::Order;
 use gooseberry_kernel::settings::Policy;
 use gooseberry_kernel::slot::Start;
 use gooseberry_kernel::slot::Table;
@@ -221,18 +222,19 @@
     let terms = Terms {
         pool: &pool,
         policy: Policy::Adaptive,
+        order: Order::First,
     };
     let mut table = Table::default();
     let call = |number| policy_site::call(0, number, Millis::NEVER);
     assert_eq!(
-        table.start(&call(1), terms, READY, READY + Millis(8000)),
+        table.start(&call(1), 1, terms, READY, READY + Millis(8000)),
         Start::Go
     );
     // The start of the same tenure may be told as a later one, once its first
     // lists are forgotten.
     let still = READY + Millis(7000);
     assert_eq!(
-        table.start(&call(2), terms, still, READY + Millis(8100)),
+        table.start(&call(2), 1, terms, still, READY + Millis(8100)),
         Start::Go
     );
     for number in [1, 2] {
@@ -240,12 +242,12 @@
         table.finish(&call(0).target, attempt, WARM, terms, READY + Millis(8200));
     }
     let again = READY + Millis(9000);
-    assert_eq!(table.start(&call(3), terms, again, again), Start::Queued);
+    assert_eq!(table.start(&call(3), 1, terms, again, again), Start::Queued);
     assert_eq!(
         table.load(&policy_site::target(0), terms, again),
         Some((3, 2))
     );
-    let woken = table.tick(again + Millis(8000), |_| Some(terms));
+    let woken = table.tick(again + Millis(8000), |_| Ok(terms));
     assert_eq!(woken.len(), 1);
 }
 
@@ -256,13 +258,14 @@
     let terms = Terms {
         pool: &pool,
         policy: Policy::Adaptive,
+        order: Order::First,
     };
     let mut table = Table::default();
     let running = [(policy_site::attempt(90), Millis(500))];
     let target = policy_site::target(0);
     table.take_over(&target, &running, &pool, READY, READY);
     let call = |number| policy_site::call(0, number, Millis::NEVER);
-    assert_eq!(table.start(&call(1), terms, READY, READY), Start::Go);
-    assert_eq!(table.start(&call(2), terms, READY, READY), Start::Queued);
-    assert_eq!(table.tick(READY + Millis(500), |_| Some(terms)).len(), 1);
+    assert_eq!(table.start(&call(1), 1, terms, READY, READY), Start::Go);
+    assert_eq!(table.start(&call(2), 1, terms, READY, READY), Start::Queued);
+    assert_eq!(table.tick(READY + Millis(500), |_| Ok(terms)).len(), 1);
 }
