Choose targets by caches, load, failure domain and past failures

Cause: the less loaded of two took no account of calls sent since the last report, took an unknown load and every refusal for an idle target, scanned the whole list, and went back to failing and slow targets; a retry went anywhere; an attempt that did not run could be made again without end; a stage whose targets were all tried asked again until its budget was gone; an attempt that was given up at its timeout cost nothing; a target that once said leaving was out until the list dropped it. Ruled out: a table of all targets' states in each daemon; probing by a timer. Attempts that did not run end after four more than the stage's own and cost a quarter of a retry; those that no owner decided are free and may start over until the deadline; denials are counted (gooseberry_retry_denials_total). An attempt that timed out counts its elapsed time as waste, and a failed request all of its time.

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -27,6 +27,7 @@
 use gooseberry_kernel::roster::List;
 use gooseberry_kernel::roster::Member;
 use gooseberry_kernel::route::Ask;
+use gooseberry_kernel::route::Reply;
 use gooseberry_kernel::settings::Tree;
 use gooseberry_kernel::slot::Call;
 use gooseberry_kernel::slot::Start;
@@ -76,8 +77,8 @@
     Leave(id::Workspace),
     /// A stage needs a target; the flag says whether it is its first attempt.
     Choose(Ask, bool, RpcReplyPort<Result<Choice, Failure>>),
-    /// A reply carried a target's load.
-    NoteLoad(id::Target, u32),
+    /// An attempt has shown something about its target.
+    NoteReply(Reply),
     /// An attempt failed; the moment is the latest for a retry.
     AfterFailure(Failure, Bounds, Millis, RpcReplyPort<Step>),
     /// A call wants a place at a target that this daemon owns.
@@ -90,8 +91,14 @@
     ),
     /// A call was not sent after all.
     Cancel(id::Target, id::Attempt),
-    /// A target has let go of a call; the reply is its load in percent.
-    Finish(id::Target, id::Attempt, Sign, id::Digest, RpcReplyPort<u32>),
+    /// A target has let go of a call; the reply is its load in percent, if known.
+    Finish(
+        id::Target,
+        id::Attempt,
+        Sign,
+        id::Digest,
+        RpcReplyPort<Option<u32>>,
+    ),
     /// A request with a key begins at the key's owner.
     Begin(
         Key,
@@ -198,7 +205,7 @@
                 }
                 send(reply, node.choose(&ask, now));
             }
-            Message::NoteLoad(target, percent) => node.note_load(&target, percent, now),
+            Message::NoteReply(reply) => node.note_reply(&reply, now),
             Message::AfterFailure(failure, bounds, deadline, reply) => {
                 send(reply, node.after_failure(&failure, bounds, deadline, now));
             }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::retry::Denial;
 use gooseberry_kernel::retry::Reason;
 use prometheus::Encoder;
 use prometheus::HistogramOpts;
@@ -24,6 +25,7 @@
     registry: Registry,
     refusals: IntCounterVec,
     retries: IntCounterVec,
+    denials: IntCounterVec,
     violations: IntCounterVec,
     answers: IntCounterVec,
     foreign: IntCounterVec,
@@ -54,6 +56,11 @@
             "Retries by reason.",
             &["reason"],
         )?;
+        let denials = counter(
+            "gooseberry_retry_denials_total",
+            "Failed attempts that were not made again, by reason.",
+            &["reason"],
+        )?;
         let violations = counter(
             "gooseberry_invariant_violations_total",
             "Violated invariants; any is a fault of the program.",
@@ -86,10 +93,14 @@
         for reason in Reason::ALL {
             retries.with_label_values(&[reason.label()]);
         }
+        for denial in Denial::ALL {
+            denials.with_label_values(&[denial.label()]);
+        }
         Ok(Self {
             registry,
             refusals,
             retries,
+            denials,
             violations,
             answers,
             foreign,
@@ -109,6 +120,11 @@
         self.retries.with_label_values(&[reason.label()]).inc();
     }
 
+    /// Counts a failed attempt that is not made again.
+    pub fn denial(&self, denial: Denial) {
+        self.denials.with_label_values(&[denial.label()]).inc();
+    }
+
     /// Counts a violated invariant.
     pub fn violation(&self, name: &str) {
         self.violations.with_label_values(&[name]).inc();
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -16,6 +16,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Grant;
+use gooseberry_kernel::node::Node;
 use gooseberry_kernel::slot;
 use gooseberry_kernel::warmth::Sign;
 use gooseberry_wire::header;
@@ -65,8 +66,8 @@
     pub result: Result<Bytes, Failure>,
     /// How long the target worked.
     pub target_time: Millis,
-    /// The target's calls in flight for each hundred places.
-    pub load_percent: u32,
+    /// The target's calls for each hundred places, if its owner knows.
+    pub load_percent: Option<u32>,
 }
 
 impl Report {
@@ -74,7 +75,16 @@
         Self {
             result: Err(failure),
             target_time: Millis::ZERO,
-            load_percent: 0,
+            load_percent: None,
+        }
+    }
+
+    /// Reports a call that was not followed to its end: the target may have
+    /// worked on it since it began.
+    fn cut(failure: Failure, started: Instant) -> Self {
+        Self {
+            target_time: millis(started.elapsed()),
+            ..Self::failed(failure)
         }
     }
 }
@@ -84,10 +94,23 @@
     let deadline = context.clock.now() + task.timeout;
     match place(context, &task, deadline).await {
         Ok(()) => sent(context, task, deadline).await,
-        Err(failure) => Report::failed(failure),
+        Err(failure) => Report {
+            load_percent: load(context, &task.target).await,
+            ..Report::failed(failure)
+        },
     }
 }
 
+async fn load(context: &Context, target: &id::Target) -> Option<u32> {
+    let target = target.clone();
+    let read = move |node: &Node, now| node.load_percent(&target, now);
+    context.node.look(read).await.ok().flatten()
+}
+
+fn millis(span: Duration) -> Millis {
+    Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Waits for a place at the target.
 async fn place(context: &Arc<Context>, task: &Task, deadline: Millis) -> Result<(), Failure> {
     let call = slot::Call {
@@ -117,6 +140,7 @@
 async fn sent(context: &Arc<Context>, task: Task, deadline: Millis) -> Report {
     let (sender, receiver) = oneshot::channel();
     let follower = context.clone();
+    let started = Instant::now();
     tokio::spawn(async move {
         let report = follow(&follower, &task, deadline).await;
         sender.send(report).ok();
@@ -124,7 +148,7 @@
     match timeout(context.clock.until(deadline), receiver).await {
         Ok(Ok(report)) => report,
         Ok(Err(_)) => Report::failed(Kind::Internal.into()),
-        Err(_) => Report::failed(Kind::DeadlinePassed.into()),
+        Err(_) => Report::cut(Kind::DeadlinePassed.into(), started),
     }
 }
 
@@ -166,7 +190,7 @@
         }
         Err(_) => (Err(Kind::DeadlinePassed.into()), Sign::Slow),
     };
-    let target_time = Millis(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+    let target_time = millis(started.elapsed());
     let load_percent = finish(context, task, sign).await;
     Report {
         result,
@@ -176,7 +200,7 @@
 }
 
 async fn call(grant: &Grant, task: &Task, left: Millis, context: &Context) -> target::Call {
-    let read = |node: &gooseberry_kernel::node::Node, _| node.book().fleet().max_answer_bytes;
+    let read = |node: &Node, _| node.book().fleet().max_answer_bytes;
     let max = context.node.look(read).await.unwrap_or_default();
     target::Call {
         kind: grant.pool.kind,
@@ -190,10 +214,10 @@
     }
 }
 
-async fn finish(context: &Arc<Context>, task: &Task, sign: Sign) -> u32 {
+async fn finish(context: &Arc<Context>, task: &Task, sign: Sign) -> Option<u32> {
     let target = task.target.clone();
     let message = |reply| Message::Finish(target, task.attempt, sign, task.digest, reply);
-    context.node.ask(message).await.unwrap_or_default()
+    context.node.ask(message).await.ok().flatten()
 }
 
 // Between daemons
@@ -220,7 +244,9 @@
         header::TARGET_MS,
         &report.target_time.to_string(),
     );
-    answer::set(&mut http, header::LOAD, &report.load_percent.to_string());
+    if let Some(percent) = report.load_percent {
+        answer::set(&mut http, header::LOAD, &percent.to_string());
+    }
     http
 }
 
@@ -230,9 +256,10 @@
         return Report::failed(Kind::Internal.into());
     };
     let limit = Duration::from_millis(task.timeout.0);
+    let started = Instant::now();
     match timeout(limit, exchange(context, request, task.attempt)).await {
         Ok(report) => report,
-        Err(_) => Report::failed(Kind::DeadlinePassed.into()),
+        Err(_) => Report::cut(Kind::DeadlinePassed.into(), started),
     }
 }
 
@@ -241,10 +268,11 @@
     request: Request<Full<Bytes>>,
     attempt: id::Attempt,
 ) -> Report {
+    let started = Instant::now();
     let response = match context.peers.send(request).await {
         Ok(response) => response,
         Err(error) if error.is_connect() => return Report::failed(Kind::NoOwner.into()),
-        Err(_) => return Report::failed(Failure::from(Kind::NoOwner).unknown()),
+        Err(_) => return Report::cut(Failure::from(Kind::NoOwner).unknown(), started),
     };
     let (head, body) = response.into_parts();
     if header::read(&head.headers, header::ATTEMPT) != Some(attempt) {
@@ -260,7 +288,7 @@
     Report {
         result,
         target_time: header::read(&head.headers, header::TARGET_MS).unwrap_or_default(),
-        load_percent: header::read(&head.headers, header::LOAD).unwrap_or_default(),
+        load_percent: header::read(&head.headers, header::LOAD),
     }
 }
 
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -5,6 +5,7 @@
 //! later one, and each stage's result is used once.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -19,8 +20,10 @@
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::node::Step;
 use gooseberry_kernel::once::Key;
+use gooseberry_kernel::retry;
 use gooseberry_kernel::retry::Bounds;
 use gooseberry_kernel::route::Ask;
+use gooseberry_kernel::route::Reply;
 use gooseberry_kernel::settings::Policy;
 use gooseberry_kernel::settings::Stage;
 
@@ -78,6 +81,7 @@
     };
     let started = Instant::now();
     let result = run.stages().await;
+    run.count_costs(result.is_ok());
     let is_late = context.clock.now() > deadline;
     let pipeline = job.admission.pipeline.id.as_str();
     context.metrics.latency(pipeline, "all", started.elapsed());
@@ -96,7 +100,7 @@
             let started = Instant::now();
             self.costs.push(Cost::new(stage.id.clone()));
             let result = self.stage(index, stage, &body).await;
-            self.count(stage, started);
+            self.note_latency(stage, started);
             body = result.map_err(|failure| self.judge(failure))?;
             if !stage.is_idempotent {
                 self.outcome = Outcome::Unknown;
@@ -107,37 +111,55 @@
 
     async fn stage(&mut self, index: usize, stage: &Stage, body: &Bytes) -> Result<Bytes, Failure> {
         let mut tried: Vec<id::Target> = Vec::new();
+        let mut last: Option<Failure> = None;
+        let mut bounds = Bounds {
+            is_idempotent: stage.is_idempotent,
+            attempts: stage.attempts,
+            made: 0,
+            rounds: 0,
+        };
         loop {
-            let made = self.costs[index].attempts;
-            let failure = match self.attempt(index, stage, body, &mut tried).await {
+            let before = tried.len();
+            let mut failure = match self.attempt(index, stage, body, &mut tried).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
             if failure.outcome != Outcome::NotRun && !stage.is_idempotent {
                 self.outcome = Outcome::Unknown;
             }
-            let bounds = Bounds {
-                is_idempotent: stage.is_idempotent,
-                attempts: stage.attempts,
-                made: made + 1,
-            };
-            let ends_by = self.ends_by;
-            let message = |reply| Message::AfterFailure(failure, bounds, ends_by, reply);
-            match self.context.node.ask(message).await? {
-                Step::GiveUp(failure) => return Err(failure),
-                Step::Again { reason, pause } => {
-                    self.context.metrics.retry(reason);
-                    log::debug!(
-                        "request={} workspace={} pipeline={} stage={} attempt={} retry={}",
-                        self.job.request,
-                        self.job.admission.workspace.id,
-                        self.job.admission.pipeline.id,
-                        stage.id,
-                        self.attempts,
-                        reason.label()
-                    );
-                    tokio::time::sleep(std::time::Duration::from_millis(pause.0)).await;
-                }
+            if failure.kind == Kind::NoTarget && tried.len() == before {
+                failure = exhausted(failure, last, &mut tried)?;
+            }
+            bounds.rounds += 1;
+            bounds.made += u16::from(!retry::may_start_over(&failure));
+            self.pause(stage, &failure, bounds).await?;
+            last = Some(failure);
+        }
+    }
+
+    /// Waits before the next attempt, or gives up.
+    async fn pause(&self, stage: &Stage, failure: &Failure, bounds: Bounds) -> Result<(), Failure> {
+        let failure = failure.clone();
+        let ends_by = self.ends_by;
+        let message = |reply| Message::AfterFailure(failure, bounds, ends_by, reply);
+        match self.context.node.ask(message).await? {
+            Step::GiveUp { failure, denial } => {
+                self.context.metrics.denial(denial);
+                Err(failure)
+            }
+            Step::Again { reason, pause } => {
+                self.context.metrics.retry(reason);
+                log::debug!(
+                    "request={} workspace={} pipeline={} stage={} attempt={} retry={}",
+                    self.job.request,
+                    self.job.admission.workspace.id,
+                    self.job.admission.pipeline.id,
+                    stage.id,
+                    self.attempts,
+                    reason.label()
+                );
+                tokio::time::sleep(Duration::from_millis(pause.0)).await;
+                Ok(())
             }
         }
     }
@@ -177,8 +199,14 @@
             owner::ask(self.context, choice.owner.data, &task).await
         };
         self.costs[index].add(report.target_time, report.result.is_ok());
-        let note = Message::NoteLoad(choice.target.id, report.load_percent);
-        self.context.node.tell(note);
+        let latency = report.result.is_ok().then_some(report.target_time);
+        self.context.node.tell(Message::NoteReply(Reply {
+            target: choice.target.id,
+            pool: choice.target.pool,
+            percent: report.load_percent,
+            latency,
+            failure: report.result.as_ref().err().map(|failure| failure.kind),
+        }));
         report.result
     }
 
@@ -241,14 +269,42 @@
         }
     }
 
-    fn count(&self, stage: &Stage, started: Instant) {
-        let admission = &self.job.admission;
-        let pipeline = admission.pipeline.id.as_str();
+    fn note_latency(&self, stage: &Stage, started: Instant) {
+        let pipeline = self.job.admission.pipeline.id.as_str();
         let metrics = &self.context.metrics;
         metrics.latency(pipeline, stage.id.as_str(), started.elapsed());
-        if let Some(cost) = self.costs.last() {
-            let labels = [admission.workspace.id.as_str(), pipeline, stage.id.as_str()];
+    }
+
+    /// Counts the cost of the request; all of it is waste if the request failed.
+    fn count_costs(&mut self, is_answered: bool) {
+        let admission = &self.job.admission;
+        for cost in &mut self.costs {
+            if !is_answered {
+                cost.waste();
+            }
+            let labels = [
+                admission.workspace.id.as_str(),
+                admission.pipeline.id.as_str(),
+                cost.stage.as_str(),
+            ];
+            let metrics = &self.context.metrics;
             metrics.stage_cost(labels, cost.target_time.0, cost.wasted_time.0);
         }
     }
 }
+
+/// Decides what follows when no target is left that was not tried.
+///
+/// Returns the last failure to go on with, and lets the stage start over.
+fn exhausted(
+    failure: Failure,
+    last: Option<Failure>,
+    tried: &mut Vec<id::Target>,
+) -> Result<Failure, Failure> {
+    let last = last.unwrap_or(failure);
+    if !retry::may_start_over(&last) {
+        return Err(last);
+    }
+    tried.clear();
+    Ok(last)
+}
--- a/crates/kernel/src/cost.rs
+++ b/crates/kernel/src/cost.rs
@@ -38,4 +38,9 @@
             self.wasted_time = self.wasted_time + target_time;
         }
     }
+
+    /// Counts all of it as of no use, since the request failed.
+    pub fn waste(&mut self) {
+        self.wasted_time = self.target_time;
+    }
 }
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -18,6 +18,7 @@
 use crate::once;
 use crate::quarantine::Ward;
 use crate::retry::Budget;
+use crate::route::Index;
 use crate::route::Loads;
 use crate::settings::Book;
 use crate::settings::Fleet;
@@ -58,6 +59,7 @@
     book: Book,
     tenure: Tenure,
     loads: Loads,
+    index: Index,
     room: Room,
     slots: slot::Table,
     keys: once::Memory,
@@ -85,6 +87,7 @@
             book: Book::default(),
             tenure,
             loads: Loads::default(),
+            index: Index::default(),
             room: Room::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
--- a/crates/kernel/src/node_entry.rs
+++ b/crates/kernel/src/node_entry.rs
@@ -8,10 +8,13 @@
 use crate::hash;
 use crate::id;
 use crate::retry;
+use crate::retry::Denial;
+use crate::retry::Reason;
 use crate::roster::Entry;
 use crate::roster::Member;
-use crate::route;
 use crate::route::Ask;
+use crate::route::Reply;
+use crate::route::View;
 use crate::settings::Pipeline;
 use crate::settings::Policy;
 use crate::settings::Stage;
@@ -62,7 +65,12 @@
             pause: Millis,
         },
         /// Give the request up.
-        GiveUp(Failure),
+        GiveUp {
+            /// What the caller is told.
+            failure: Failure,
+            /// Why it is not tried again.
+            denial: retry::Denial,
+        },
     }
 }
 
@@ -157,18 +165,28 @@
     pub fn choose(&mut self, ask: &Ask, now: Millis) -> Result<Choice, Failure> {
         let random = self.draw();
         let list = self.tenure.list().ok_or(Kind::NotReady)?;
+        self.index.update(list);
         let fleet = self.book.fleet();
-        let loads = &self.loads;
+        let view = View {
+            list,
+            index: &self.index,
+            fleet,
+            pool: self.book.pool(&ask.pool).ok_or(Kind::NoTarget)?,
+            loads: &self.loads,
+            domain: &self.me.domain,
+        };
         let target = match fleet.policy {
-            Policy::Adaptive => route::choose(list, fleet, loads, ask, now),
-            Policy::Baseline => route::choose_any(list, fleet, loads, ask, random),
+            Policy::Adaptive => view.choose(ask, random, now),
+            Policy::Baseline => view.choose_any(ask, random),
         };
         let target = target.ok_or(Kind::NoTarget)?;
         let owner = list.owner_of_target(target).ok_or(Kind::NoOwner)?;
-        Ok(Choice {
+        let choice = Choice {
             target: target.clone(),
             owner: owner.clone(),
-        })
+        };
+        self.loads.note_sent(&choice.target.id, now);
+        Ok(choice)
     }
 
     /// Returns the hash by which a stage's target is chosen.
@@ -182,9 +200,9 @@
         self.budget.earn();
     }
 
-    /// Notes the load that a reply carried, in calls for each hundred places.
-    pub fn note_load(&mut self, target: &id::Target, percent: u32, now: Millis) {
-        self.loads.note(target, percent, now);
+    /// Notes what an attempt has shown about its target.
+    pub fn note_reply(&mut self, reply: &Reply, now: Millis) {
+        self.loads.note(reply, now);
     }
 
     /// Decides what follows a failed attempt.
@@ -195,18 +213,33 @@
         deadline: Millis,
         now: Millis,
     ) -> Step {
-        if self.book.fleet().policy == Policy::Baseline {
-            return baseline_step(failure, bounds, deadline, now);
-        }
-        let Some(reason) = retry::reason(failure, bounds) else {
-            return Step::GiveUp(failure.clone());
+        let decided = match self.book.fleet().policy {
+            Policy::Baseline => baseline_retry(failure, bounds),
+            Policy::Adaptive => self.retry(failure, bounds),
         };
-        let random = self.draw();
-        let pause = retry::pause(bounds.made, random);
-        if now + pause >= deadline || !self.budget.spend() {
-            return Step::GiveUp(failure.clone());
+        match decided {
+            Ok((_, pause)) if now + pause >= deadline => Step::GiveUp {
+                failure: failure.clone(),
+                denial: Denial::Time,
+            },
+            Ok((reason, pause)) => Step::Again { reason, pause },
+            Err(denial) => Step::GiveUp {
+                failure: failure.clone(),
+                denial,
+            },
         }
-        Step::Again { reason, pause }
+    }
+
+    fn retry(
+        &mut self,
+        failure: &Failure,
+        bounds: retry::Bounds,
+    ) -> Result<(Reason, Millis), Denial> {
+        let reason = retry::reason(failure, bounds)?;
+        if !self.budget.spend(reason, failure.outcome) {
+            return Err(Denial::Budget);
+        }
+        Ok((reason, retry::pause(bounds.rounds, self.draw())))
     }
 
     /// Names the daemon that owns a key.
@@ -221,16 +254,13 @@
     }
 }
 
-/// Decides what follows a failed attempt as the baseline does: at most two
-/// retries, at once, where a second run does no harm.
-fn baseline_step(failure: &Failure, bounds: retry::Bounds, deadline: Millis, now: Millis) -> Step {
+/// Decides about a retry as the baseline does: at most two of them, at once,
+/// where a second run does no harm.
+fn baseline_retry(failure: &Failure, bounds: retry::Bounds) -> Result<(Reason, Millis), Denial> {
     let attempts = 1 + retry::BASELINE_RETRIES;
-    let is_left = bounds.made < attempts && now < deadline;
-    match retry::reason(failure, retry::Bounds { attempts, ..bounds }) {
-        Some(reason) if is_left => Step::Again {
-            reason,
-            pause: Millis::ZERO,
-        },
-        _ => Step::GiveUp(failure.clone()),
+    let reason = retry::reason(failure, retry::Bounds { attempts, ..bounds })?;
+    if bounds.rounds >= attempts {
+        return Err(Denial::Attempts);
     }
+    Ok((reason, Millis::ZERO))
 }
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -103,7 +103,8 @@
             Sign::Refused(_) | Sign::Failed(_) | Sign::Unreachable | Sign::Slow => {}
         }
         if sign.report() == Some(Report::Leaving) {
-            self.loads.note_leaving(target);
+            let revision = self.tenure.revision();
+            self.loads.note_leaving(target, revision, now);
         }
         let Some(pool) = self.pool_of(target) else {
             self.slots.release(target, attempt);
@@ -123,14 +124,11 @@
 
     /// Returns a target's calls in flight and waiting for each hundred places.
     #[must_use]
-    pub fn load_percent(&self, target: &id::Target, now: Millis) -> u32 {
-        let pool = self.pool_of(target);
-        let load = pool.and_then(|pool| self.slots.load(target, self.terms(&pool), now));
-        let Some((in_flight, limit)) = load else {
-            return 0;
-        };
-        let percent = in_flight * 100 / usize::from(limit).max(1);
-        u32::try_from(percent).unwrap_or(u32::MAX)
+    pub fn load_percent(&self, target: &id::Target, now: Millis) -> Option<u32> {
+        let pool = self.pool_of(target)?;
+        let (calls, limit) = self.slots.load(target, self.terms(&pool), now)?;
+        let percent = calls * 100 / usize::from(limit).max(1);
+        Some(u32::try_from(percent).unwrap_or(u32::MAX))
     }
 
     /// Wakes calls that wait: those that may start, and those that waited too
@@ -139,6 +137,7 @@
         let Some(list) = self.tenure.list() else {
             return Vec::new();
         };
+        self.loads.tick(list, now);
         let book = &self.book;
         let loads = &self.loads;
         let tenure = &self.tenure;
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -27,14 +27,30 @@
         Slow,
     }
 
+    /// Why an attempt is not made again.
+    pub enum Denial {
+        /// The way in which it failed is final.
+        Final,
+        /// It may have run, and the stage is not idempotent.
+        Unsafe,
+        /// The stage has had its attempts.
+        Attempts,
+        /// The daemon has made as many retries as its traffic allows.
+        Budget,
+        /// The deadline would pass first.
+        Time,
+    }
+
     /// A stage's own bounds on retries.
     pub struct Bounds {
         /// Whether a second run does no harm.
         pub is_idempotent: bool,
         /// How many attempts the stage may have.
         pub attempts: u16,
-        /// How many it has had.
+        /// How many it has had, without those that no owner decided.
         pub made: u16,
+        /// How often it was tried in any way.
+        pub rounds: u16,
     }
 }
 
@@ -63,18 +79,47 @@
     }
 }
 
+impl Denial {
+    /// Every denial.
+    pub const ALL: [Self; 5] = [
+        Self::Final,
+        Self::Unsafe,
+        Self::Attempts,
+        Self::Budget,
+        Self::Time,
+    ];
+
+    /// Returns the denial as it stands in metrics and logs.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Final => "final",
+            Self::Unsafe => "unsafe",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::Time => "time",
+        }
+    }
+}
+
 /// How often the baseline tries a stage again.
 pub const BASELINE_RETRIES: u16 = 2;
+/// How many attempts beyond its own a stage has while none of them ran.
+const NOT_RUN_EXTRA: u16 = 4;
 /// How many thousandths of a retry each first attempt earns.
 const EARNED_MILLIS: u64 = 200;
-/// What one retry costs, in thousandths.
+/// What a retry costs that may give a target work twice, in thousandths.
 const COST_MILLIS: u64 = 1000;
+/// What a retry costs after an attempt that did not run, in thousandths.
+const NOT_RUN_COST_MILLIS: u64 = 250;
 /// The most that can be saved up, in thousandths.
 const SAVED_MAX_MILLIS: u64 = 20_000;
 /// The pause before the first retry.
 const FIRST_PAUSE: Millis = Millis(10);
 /// The longest pause before a retry.
 const LONGEST_PAUSE: Millis = Millis(500);
+/// How often the pause doubles at most.
+const DOUBLINGS_MAX: u16 = 6;
 
 /// The retries that one daemon may still make.
 #[derive(Clone, Debug)]
@@ -96,41 +141,65 @@
         self.saved_millis = (self.saved_millis + EARNED_MILLIS).min(SAVED_MAX_MILLIS);
     }
 
-    /// Spends a retry, and tells whether there was one left.
+    /// Spends a retry after the failure, and tells whether there was one left.
+    ///
+    /// An attempt that no owner decided cost no target anything, so the next
+    /// one is free.
     #[must_use]
-    pub fn spend(&mut self) -> bool {
-        let is_enough = self.saved_millis >= COST_MILLIS;
+    pub fn spend(&mut self, reason: Reason, outcome: Outcome) -> bool {
+        let cost = match (outcome, reason) {
+            (Outcome::NotRun, Reason::NoOwner | Reason::NoRight) => 0,
+            (Outcome::NotRun, _) => NOT_RUN_COST_MILLIS,
+            (Outcome::Run | Outcome::Unknown, _) => COST_MILLIS,
+        };
+        let is_enough = self.saved_millis >= cost;
         if is_enough {
-            self.saved_millis -= COST_MILLIS;
+            self.saved_millis -= cost;
         }
         is_enough
     }
 }
 
-/// Returns why a failed attempt may be made again, or `None` if it may not.
-#[must_use]
-pub fn reason(failure: &Failure, bounds: Bounds) -> Option<Reason> {
-    if bounds.made >= bounds.attempts.max(1) && failure.outcome != Outcome::NotRun {
-        return None;
+/// Returns why a failed attempt may be made again.
+///
+/// # Errors
+/// Returns why it may not.
+pub fn reason(failure: &Failure, bounds: Bounds) -> Result<Reason, Denial> {
+    let reason = match failure.kind {
+        Kind::TargetFailed => Reason::TargetFailed,
+        Kind::DeadlinePassed => Reason::Slow,
+        Kind::QueueFull => Reason::QueueFull,
+        Kind::NoTarget => Reason::NoTarget,
+        Kind::NoOwner => Reason::NoOwner,
+        Kind::NoRight => Reason::NoRight,
+        _ => return Err(Denial::Final),
+    };
+    let is_not_run = failure.outcome == Outcome::NotRun;
+    if !is_not_run && !bounds.is_idempotent {
+        return Err(Denial::Unsafe);
     }
-    if failure.outcome != Outcome::NotRun && !bounds.is_idempotent {
-        return None;
+    if may_start_over(failure) {
+        return Ok(reason);
     }
-    match failure.kind {
-        Kind::TargetFailed => Some(Reason::TargetFailed),
-        Kind::DeadlinePassed => Some(Reason::Slow),
-        Kind::QueueFull => Some(Reason::QueueFull),
-        Kind::NoTarget => Some(Reason::NoTarget),
-        Kind::NoOwner => Some(Reason::NoOwner),
-        Kind::NoRight => Some(Reason::NoRight),
-        _ => None,
+    let extra = if is_not_run { NOT_RUN_EXTRA } else { 0 };
+    if bounds.made >= bounds.attempts.max(1) + extra {
+        return Err(Denial::Attempts);
     }
+    Ok(reason)
+}
+
+/// Tells whether a stage may go to targets again that it has tried, since no
+/// owner decided about the attempt and soon one may.
+#[must_use]
+pub fn may_start_over(failure: &Failure) -> bool {
+    let is_undecided = matches!(failure.kind, Kind::NoOwner | Kind::NoRight);
+    is_undecided && failure.outcome == Outcome::NotRun
 }
 
-/// Returns the pause before a retry: exponential, with full jitter.
+/// Returns the pause before a retry: exponential, with jitter.
 #[must_use]
-pub fn pause(made: u16, random: u64) -> Millis {
-    let doubled = FIRST_PAUSE.0 << u64::from(made.min(6));
+pub fn pause(rounds: u16, random: u64) -> Millis {
+    let doubled = FIRST_PAUSE.0 << u64::from(rounds.min(DOUBLINGS_MAX));
     let longest = doubled.min(LONGEST_PAUSE.0);
     Millis(longest / 2 + random % (longest / 2 + 1))
 }
--- a/crates/kernel/src/warmth.rs
+++ b/crates/kernel/src/warmth.rs
@@ -128,6 +128,13 @@
         Millis(self.recent_fine / FINE)
     }
 
+    /// Returns the latency over many answers; zero if nothing was measured.
+    #[inline]
+    #[must_use]
+    pub fn usual(&self) -> Millis {
+        Millis(self.usual_fine / FINE)
+    }
+
     /// Tells whether answers take much longer than they usually did.
     #[must_use]
     pub fn has_grown(&self) -> bool {
--- a/crates/kernel/tests/policy.rs
+++ b/crates/kernel/tests/policy.rs
@@ -51,6 +51,7 @@
             is_idempotent: true,
             attempts: 3,
             made,
+            rounds: made,
         };
         let step = node.after_failure(&failure, bounds, READY + READY, READY);
         matches!(step, Step::Again { .. })
--- a/crates/kernel/tests/policy_site/mod.rs
+++ b/crates/kernel/tests/policy_site/mod.rs
@@ -22,7 +22,8 @@
 
 const TEAM: &str = r#"{
   "pools": {
-    "llm": { "kind": "engine", "cold_limit": 2, "warm_limit": 16, "queue_limit": 8, "longest_call_ms": 8000, "warm_after": 4 }
+    "llm": { "kind": "engine", "cold_limit": 2, "warm_limit": 16, "queue_limit": 8, "longest_call_ms": 8000, "warm_after": 4 },
+    "ledger": { "kind": "service", "cold_limit": 2, "warm_limit": 16, "queue_limit": 8, "longest_call_ms": 8000, "prefix_bytes": 0 }
   },
   "pipelines": {
     "brief": { "deadline_ms": 9000, "stages": [{ "name": "generate", "pool": "llm", "weight": 1 }] }
@@ -79,7 +80,13 @@
         address,
         state: State::Live,
     };
-    let targets = (0..targets).map(entry).collect();
+    let ledger = |index: usize| Entry {
+        id: id::Target::new(&format!("ledger-{index}")).unwrap(),
+        pool: id::Pool::new("desk.ledger").unwrap(),
+        ..entry(index)
+    };
+    let engines = (0..targets).map(entry);
+    let targets = engines.chain((0..targets).map(ledger)).collect();
     List::new(Revision(revision), vec![member], targets)
 }
 
--- /dev/null
+++ b/crates/kernel/tests/retry.rs
@@ -0,0 +1,105 @@
+//! When a failed attempt is made again, and when it is not.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod policy_site;
+
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::node::Step;
+use gooseberry_kernel::retry;
+use gooseberry_kernel::retry::Bounds;
+use gooseberry_kernel::retry::Denial;
+use policy_site::READY;
+
+fn bounds(is_idempotent: bool, made: u16) -> Bounds {
+    Bounds {
+        is_idempotent,
+        attempts: 2,
+        made,
+        rounds: made,
+    }
+}
+
+fn not_run(kind: Kind) -> Failure {
+    Failure {
+        outcome: Outcome::NotRun,
+        ..kind.into()
+    }
+}
+
+fn denial(step: &Step) -> Option<Denial> {
+    match step {
+        Step::Again { .. } => None,
+        Step::GiveUp { denial, .. } => Some(*denial),
+    }
+}
+
+fn after(node: &mut Node, failure: &Failure, bounds: Bounds, left: Millis) -> Option<Denial> {
+    denial(&node.after_failure(failure, bounds, READY + left, READY))
+}
+
+#[test]
+fn nothing_that_may_have_run_runs_twice_unless_that_does_no_harm() {
+    for kind in Kind::ALL {
+        for outcome in [Outcome::Unknown, Outcome::Run] {
+            let failure = Failure {
+                outcome,
+                ..(*kind).into()
+            };
+            assert!(retry::reason(&failure, bounds(false, 1)).is_err());
+        }
+    }
+}
+
+#[test]
+fn attempts_that_did_not_run_end_as_well() {
+    let mut node = policy_site::node("adaptive", 1);
+    for kind in [Kind::TargetFailed, Kind::QueueFull, Kind::NoTarget] {
+        let mut made = 1;
+        while after(&mut node, &not_run(kind), bounds(false, made), READY).is_none() {
+            made += 1;
+        }
+        assert_eq!(made, 6);
+    }
+}
+
+#[test]
+fn an_attempt_that_no_owner_decided_is_tried_until_the_deadline() {
+    let mut node = policy_site::node("adaptive", 1);
+    let failure = not_run(Kind::NoRight);
+    for made in 1..1000 {
+        assert_eq!(after(&mut node, &failure, bounds(false, made), READY), None);
+    }
+    let late = after(&mut node, &failure, bounds(false, 1), Millis(5));
+    assert_eq!(late, Some(Denial::Time));
+}
+
+#[test]
+fn retries_are_a_share_of_the_traffic() {
+    let mut node = policy_site::node("adaptive", 1);
+    let failure = Failure::from(Kind::TargetFailed);
+    let mut retries = 0;
+    for _ in 0..1000 {
+        node.note_first_attempt();
+        let denied = after(&mut node, &failure, bounds(true, 1), READY);
+        retries += u32::from(denied.is_none());
+        assert!(matches!(denied, None | Some(Denial::Budget)));
+    }
+    assert!((200..=220).contains(&retries), "{retries} of 1000");
+}
+
+#[test]
+fn pauses_grow_and_differ() {
+    let mut before = Millis::ZERO;
+    for rounds in 1..=5 {
+        let least = retry::pause(rounds, 0);
+        assert!(least > before);
+        assert!(retry::pause(rounds, u64::MAX - 7) > least);
+        before = least;
+    }
+    assert!(retry::pause(u16::MAX, u64::MAX) <= Millis(500));
+}
--- a/crates/kernel/tests/slot.rs
+++ b/crates/kernel/tests/slot.rs
@@ -29,7 +29,7 @@
 
 fn limit(node: &Node, now: Millis) -> u32 {
     // One call in flight tells the limit by the percentage of it.
-    100 / node.load_percent(&policy_site::target(0), now).max(1)
+    100 / node.load_percent(&policy_site::target(0), now).unwrap()
 }
 
 /// Starts calls while the target takes them, and returns their numbers.
