--- a/crates/kernel/src/node_explain.rs
+++ b/crates/kernel/src/node_explain.rs
@@ -200,11 +200,10 @@
             tried: Vec::new(),
         };
         let fleet = self.book.fleet();
-        let ranked = route::candidates(list, fleet, &self.loads, &ask);
         let mut targets = Vec::new();
-        for (index, entry) in ranked.into_iter().enumerate() {
+        for (index, entry) in self.ranked(list, &ask, now).into_iter().enumerate() {
             let rank = prefix.map(|_| index + 1);
-            targets.push(self.candidate(list, entry, rank, now));
+            targets.push(self.candidate(list, &entry, rank, now));
         }
         let is_out = |one: &&Entry| route::why_out(one, fleet, &self.loads).is_some();
         let pool = list.targets.iter().filter(|one| one.pool == stage.pool);
@@ -218,15 +217,39 @@
         }
     }
 
+    /// Returns the candidates that a request would have now.
+    ///
+    /// For a pool without a prefix the choice is at random among equals, so
+    /// only one of its possible orders is shown.
+    fn ranked(&self, list: &List, ask: &Ask, now: Millis) -> Vec<Entry> {
+        let Some(pool) = self.book.pool(&ask.pool) else {
+            return Vec::new();
+        };
+        let mut index = route::Index::default();
+        index.update(list);
+        let view = route::View {
+            list,
+            index: &index,
+            fleet: self.book.fleet(),
+            pool,
+            loads: &self.loads,
+            domain: &self.me.domain,
+        };
+        let ranked = view.ranked(ask, ask.prefix, now);
+        ranked.into_iter().map(|(_, entry)| entry.clone()).collect()
+    }
+
     fn candidate(&self, list: &List, entry: &Entry, rank: Option<usize>, now: Millis) -> Candidate {
+        let pool = self.book.pool(&entry.pool);
+        let percent = pool.map(|pool| self.loads.percent(&entry.id, pool, now));
         Candidate {
             target: entry.id.clone(),
             domain: entry.domain.clone(),
             holder: self.holder(list, &Thing::Target(entry.id.clone()), now),
             out: route::why_out(entry, self.book.fleet(), &self.loads),
             rank,
-            places: self.slots.load(&entry.id),
-            load_percent: self.loads.percent(&entry.id, now),
+            places: self.places(&entry.id, now),
+            load_percent: percent.unwrap_or_default(),
         }
     }
 }
