Serve requests through three daemon processes

Change: a harness of real processes on a loopback address of their own, with settings over standard input, beside in-process stand-ins; the operators' status says whether the rights hold, so that a test can wait for them.

--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -86,6 +86,7 @@
         "instance": identity.instance.as_str(),
         "domain": identity.domain.as_str(),
         "ready": node.ready().is_ok(),
+        "holds_rights": node.holds_rights(now),
         "list_revision": node.tenure().revision().0,
         "settings_revision": node.book().revision().0,
         "read_age_ms": node.read_age(now).map(|age| age.0),
--- /dev/null
+++ b/crates/daemon/tests/process/fleet.rs
@@ -0,0 +1,315 @@
+//! Three daemon processes, a platform and targets, and callers for them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use gooseberry_connectors::http_client;
+use gooseberry_connectors::http_client::HttpClient;
+use gooseberry_kernel::settings::Kind;
+use gooseberry_standin::platform;
+use gooseberry_standin::platform::Platform;
+use gooseberry_standin::target;
+use gooseberry_standin::target::Plan;
+use gooseberry_standin::target::Target;
+use gooseberry_wire::header;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use serde_json::Value;
+
+use crate::process::Process;
+
+/// How long a test waits for something that must come.
+pub const LIMIT: Duration = Duration::from_secs(40);
+/// How often a test looks whether it has come.
+const LOOK: Duration = Duration::from_millis(20);
+/// The failure domains.
+pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// The document of the fleet, with short spans.
+pub const FLEET: &str = r#"{ "freshness_ms": 800, "exchange_ms": 100, "horizon_ms": 4000,
+  "dropped_memory_ms": 4000, "readers": 1, "out": [] }"#;
+
+/// The document of the team; both workspaces have the same rights, but only
+/// the attempt numbers of `one` are trusted.
+pub const TEAM: &str = r#"{
+  "pools": {
+    "ledger": { "kind": "service", "cold_limit": 2, "warm_limit": 8, "queue_limit": 64,
+      "longest_call_ms": 1500, "warm_after": 4, "prefix_bytes": 0 },
+    "llm": { "kind": "engine", "model": "m", "cold_limit": 2, "warm_limit": 8, "queue_limit": 64,
+      "longest_call_ms": 1500, "warm_after": 4, "prefix_bytes": 64 }
+  },
+  "pipelines": {
+    "post": { "deadline_ms": 5000,
+      "stages": [{ "name": "post", "pool": "ledger", "idempotent": false, "attempts": 1 }] },
+    "read": { "deadline_ms": 5000, "stages": [{ "name": "read", "pool": "ledger" }] },
+    "brief": { "deadline_ms": 8000, "stages": [
+      { "name": "encode", "pool": "ledger" }, { "name": "generate", "pool": "llm", "weight": 2 }] }
+  },
+  "workspaces": {
+    "one": { "credential_sha256": "535a38e776781038a8227164b34a9e40e53c87f6f7827e586a6480860bc2bf8e",
+      "weight": 1, "pipelines": ["post", "read", "brief"], "trusts_attempt_number": true },
+    "two": { "credential_sha256": "8acb653d8459094d9fecd5c5f4f42941e7d6b031d307e4755f1227cc954ecd27",
+      "weight": 1, "pipelines": ["post", "read", "brief"] }
+  }
+}"#;
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub workspace: &'static str,
+    pub pipeline: &'static str,
+    pub body: String,
+    pub key: Option<String>,
+    pub attempt: u32,
+}
+
+impl Call {
+    /// Makes a request without a key.
+    pub fn new(pipeline: &'static str, body: impl Into<String>) -> Self {
+        Self {
+            workspace: "one",
+            pipeline,
+            body: body.into(),
+            key: None,
+            attempt: 1,
+        }
+    }
+
+    /// Makes a request that may run only once; its key is its body.
+    pub fn post(body: impl Into<String>) -> Self {
+        let mut call = Self::new("post", body);
+        call.key = Some(call.body.clone());
+        call
+    }
+
+    /// Makes the caller's next try.
+    pub fn again(&self) -> Self {
+        let attempt = self.attempt + 1;
+        Self {
+            attempt,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the answer that the targets give.
+    pub fn expected(&self) -> Vec<u8> {
+        let first = target::output(Kind::Service, self.body.as_bytes());
+        match self.pipeline {
+            "brief" => target::output(Kind::Engine, &first),
+            _ => first,
+        }
+    }
+}
+
+/// The answer that a caller got.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Told {
+    pub fn outcome(&self) -> &str {
+        header::text(&self.headers, header::OUTCOME).unwrap_or_default()
+    }
+
+    pub fn error(&self) -> &str {
+        header::text(&self.headers, header::ERROR).unwrap_or_default()
+    }
+
+    pub fn is_replayed(&self) -> bool {
+        header::read(&self.headers, header::REPLAYED) == Some(true)
+    }
+}
+
+/// A target with the name under which it is listed.
+pub struct Named {
+    pub id: String,
+    pub domain: &'static str,
+    pub target: Target,
+}
+
+/// A running fleet; all of it ends when it is dropped.
+pub struct Fleet {
+    pub platform: Platform,
+    pub targets: Vec<Named>,
+    pub daemons: Vec<Process>,
+    pub client: HttpClient,
+}
+
+impl Fleet {
+    /// Starts the platform, one daemon and one target of each pool in each
+    /// failure domain, and waits until the rights hold.
+    pub async fn start(plan: Plan) -> Self {
+        let platform = Platform::start().await.unwrap();
+        platform.put("/fleet", FLEET);
+        platform.put("/teams/desk", TEAM);
+        let mut fleet = Self {
+            platform,
+            targets: Vec::new(),
+            daemons: Vec::new(),
+            client: http_client::new(),
+        };
+        for (pool, kind) in [("ledger", Kind::Service), ("llm", Kind::Engine)] {
+            for domain in DOMAINS {
+                let plan = Plan {
+                    kind,
+                    ..plan.clone()
+                };
+                fleet.add_target(pool, domain, plan).await;
+            }
+        }
+        for (index, domain) in DOMAINS.iter().enumerate() {
+            fleet.launch(&format!("entry-{}", index + 1), domain);
+        }
+        fleet.publish_daemons();
+        fleet.settled().await;
+        fleet
+    }
+
+    /// Starts a target and lists it.
+    pub async fn add_target(&mut self, pool: &str, domain: &'static str, plan: Plan) {
+        let target = Target::start(plan).await.unwrap();
+        let id = format!("{pool}-{domain}");
+        let address = target.address();
+        let entry = platform::live_target(&id, &format!("desk.{pool}"), domain, address);
+        self.platform.add_targets(vec![entry]);
+        self.targets.push(Named { id, domain, target });
+    }
+
+    /// Starts a daemon that is not yet listed.
+    pub fn launch(&mut self, id: &str, domain: &str) -> usize {
+        let daemon = Process::start(id, domain, self.platform.address());
+        self.daemons.push(daemon);
+        self.daemons.len() - 1
+    }
+
+    /// Lists every daemon that was started, under one revision.
+    pub fn publish_daemons(&self) {
+        let listed = self.daemons.iter().map(Process::listed).collect();
+        self.platform.change_list(|list| list.instances = listed);
+    }
+
+    /// Waits until every listed daemon has what is published and its rights.
+    pub async fn settled(&self) {
+        for index in 0..self.daemons.len() {
+            self.settled_one(index).await;
+        }
+    }
+
+    /// Waits until one daemon has what is published and its rights.
+    pub async fn settled_one(&self, index: usize) {
+        until("the daemon has settled", async || {
+            let Some(status) = self.status(index).await else {
+                return false;
+            };
+            status["ready"] == true
+                && status["holds_rights"] == true
+                && status["list_revision"] == self.platform.list().revision
+                && status["settings_revision"] == self.platform.settings().revision
+        })
+        .await;
+    }
+
+    /// Reads the state of a daemon, if it answers.
+    pub async fn status(&self, index: usize) -> Option<Value> {
+        let address = self.daemons[index].operators;
+        let request = Request::get(format!("http://{address}/v1/status"));
+        let request = request.body(Full::default()).unwrap();
+        let told = self.exchange(request).await.ok()?;
+        serde_json::from_slice(&told.body).ok()
+    }
+
+    /// Posts a JSON text to the operators' port of a daemon.
+    pub async fn operate(&self, index: usize, path: &str, body: &str) -> Told {
+        let address = self.daemons[index].operators;
+        let request = Request::post(format!("http://{address}{path}"));
+        let request = request.body(Full::from(body.to_owned())).unwrap();
+        self.exchange(request).await.unwrap()
+    }
+
+    /// Sends a request to a daemon.
+    pub async fn send(&self, index: usize, call: &Call) -> anyhow::Result<Told> {
+        let request = request(&self.daemons[index], call);
+        self.exchange(request).await
+    }
+
+    /// Sends a request to a daemon until it is answered with success; each
+    /// try counts as the caller's next.
+    pub async fn answered(&self, index: usize, call: &Call) -> Told {
+        let mut call = call.clone();
+        let begun = Instant::now();
+        loop {
+            let told = self.send(index, &call).await;
+            match told {
+                Ok(told) if told.status == 200 => return told,
+                other => assert!(begun.elapsed() < LIMIT, "{call:?} got {other:?}"),
+            }
+            call = call.again();
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> anyhow::Result<Told> {
+        let answer = tokio::time::timeout(LIMIT, self.client.request(request)).await??;
+        let (head, body) = answer.into_parts();
+        let body = tokio::time::timeout(LIMIT, body.collect()).await??;
+        Ok(Told {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    }
+
+    /// Returns how often targets of the fleet ran the body.
+    pub fn runs(&self, body: &str) -> usize {
+        let journals = self.targets.iter().map(|one| one.target.journal());
+        let entries = journals.flatten();
+        entries.filter(|one| one.body == body.as_bytes()).count()
+    }
+
+    /// Returns how many calls came above a cold limit, over all targets.
+    pub fn overruns(&self) -> usize {
+        self.targets.iter().map(|one| one.target.overruns()).sum()
+    }
+
+    /// Fails if a daemon has noted a violated invariant.
+    pub fn assert_invariants(&self) {
+        for daemon in &self.daemons {
+            let log = daemon.log();
+            assert!(!log.contains("invariant violated"), "{}: {log}", daemon.id);
+        }
+    }
+}
+
+/// Makes the HTTP request of a call.
+pub fn request(daemon: &Process, call: &Call) -> Request<Full<Bytes>> {
+    let address = daemon.callers;
+    let workspace = call.workspace;
+    let pipeline = call.pipeline;
+    let uri = format!("http://{address}/v1/workspaces/desk.{workspace}/pipelines/{pipeline}");
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri(uri)
+        .header("authorization", format!("Bearer demo-desk.{workspace}"));
+    if let Some(key) = &call.key {
+        builder = builder
+            .header(header::IDEMPOTENCY_KEY, key)
+            .header(header::IDEMPOTENCY_ATTEMPT, call.attempt);
+    }
+    builder.body(Full::from(call.body.clone())).unwrap()
+}
+
+/// Waits until the condition holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < LIMIT, "not in time: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/process/main.rs
@@ -0,0 +1,11 @@
+//! Real daemon processes beside in-process stand-ins, with faults.
+//!
+//! Each test names the point that it proves; `docs/PROOFS.md` lists them. The
+//! journals of the targets are the witness, never the word of a daemon.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod fleet;
+mod process;
+
+mod serve;
