Complete the stand-ins' faults and let tests cut peers off

Cause: process tests need crashes, cut bodies, a lagging or contradicting platform and partitions between chosen daemons; none could be made. Change: a target goes on working when its caller hangs up, journals start and end, crashes as a process and comes back cold; the platform can lag, contradict itself and cut off those behind one of its addresses; a daemon whose settings say fault_injection takes POST /v1/faults and loses messages to and from the peers named there. Ruled out: refusing instead of losing messages, since a partition gives no error.

--- a/crates/ctl/src/embedded.rs
+++ b/crates/ctl/src/embedded.rs
@@ -100,6 +100,7 @@
         log_level: "warn".to_owned(),
         log_format: LogFormat::Text,
         shutdown_limit: Millis::from_secs(15),
+        has_fault_injection: false,
     })
 }
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -38,6 +38,7 @@
 
 impl Control for Server {
     async fn hello(self, _: context::Context, hello: Hello) -> Hello {
+        self.context.peers.receive(&hello.from).await;
         let node = &self.context.node;
         let Ok(hello) = peer::Hello::try_from(hello) else {
             return own_hello(&self.context).await;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -12,6 +12,7 @@
 use gooseberry_kernel::node::Identity;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::settings::Local;
+use gooseberry_wire::header;
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
@@ -179,10 +180,10 @@
     };
     Ok(Context {
         platform: platform::Client::new(local.platform),
+        peers: Peers::new(local.instance.clone()),
         local,
         clock,
         node: Handle::spawn(arguments).await?,
-        peers: Peers::default(),
         targets: target::Client::default(),
         joins: Joins::default(),
         metrics,
@@ -193,6 +194,9 @@
     context: Arc<Context>,
     request: http::Request<hyper::body::Incoming>,
 ) -> answer::HttpAnswer {
+    if let Some(from) = header::text(request.headers(), header::FROM) {
+        context.peers.receive(from).await;
+    }
     match request.uri().path() {
         owner::PATH => owner::serve(context, request).await,
         keyed::PATH => keyed::serve(context, request).await,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`owner`], which sends calls to the targets that this daemon owns;
 //! - [`control`], which talks to the peers, and [`reader`], which reads what
 //!   the platform publishes;
-//! - [`operators`], where metrics and state are read.
+//! - [`operators`], where metrics and state are read, and [`faults`], which
+//!   tests switch on there.
 //!
 //! # Example
 //!
@@ -33,6 +34,7 @@
 pub mod control;
 pub mod daemon;
 pub mod entry;
+pub mod faults;
 pub mod keyed;
 pub mod logs;
 pub mod metrics;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -13,6 +13,7 @@
 use crate::answer;
 use crate::answer::HttpAnswer;
 use crate::context::Context;
+use crate::faults;
 
 /// Serves one request of an operator.
 pub async fn serve(context: Arc<Context>, request: Request<Incoming>) -> HttpAnswer {
@@ -21,6 +22,7 @@
         "/readyz" => ready(&context).await,
         "/metrics" => metrics(&context).await,
         "/v1/status" => status(&context).await,
+        faults::PATH => faults::serve(&context, request).await,
         _ => answer::error(&Kind::NoPath.into()),
     }
 }
--- a/crates/daemon/tests/process/process.rs
+++ b/crates/daemon/tests/process/process.rs
@@ -56,6 +56,7 @@
             "platform": platform,
             "log_level": "info",
             "shutdown_limit_ms": 10_000,
+            "fault_injection": true,
         });
         let mut child = Command::new(env!("CARGO_BIN_EXE_gooseberryd"))
             .args(["--settings", "-"])
--- a/crates/kernel/src/settings/local.rs
+++ b/crates/kernel/src/settings/local.rs
@@ -56,6 +56,8 @@
         pub log_format: LogFormat,
         /// How long a graceful shutdown may take.
         pub shutdown_limit: Millis,
+        /// Whether the operators' port may switch faults on, for tests.
+        pub has_fault_injection: bool,
     }
 }
 
@@ -89,6 +91,7 @@
                 max: 600_000,
             };
             let shutdown_limit = reader.number(top, "shutdown_limit_ms", range, 15_000);
+            let has_fault_injection = reader.truth(top, "fault_injection", false);
             Some(Self {
                 instance: instance?,
                 domain: domain?,
@@ -100,6 +103,7 @@
                 log_level,
                 log_format: format.unwrap_or(LogFormat::Text),
                 shutdown_limit: Millis(shutdown_limit),
+                has_fault_injection,
             })
         })?;
         // A field that could not be read has been noted as a fault above.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -34,6 +34,10 @@
     Slow(Duration),
     /// It serves an old state, whatever is published.
     Stale(Box<(List, Settings)>),
+    /// It serves an old list, beside the settings that are published.
+    Lagging(Box<List>),
+    /// It serves an old state and the published one in turn.
+    Contradicting(Box<(List, Settings)>),
 }
 
 #[derive(Debug, Default)]
@@ -50,6 +54,31 @@
     changed: watch::Sender<()>,
 }
 
+/// One more address of a platform, whose faults are its own, so that a part of
+/// the fleet can be cut off.
+#[derive(Debug)]
+pub struct Door {
+    fault: Arc<Mutex<Fault>>,
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Door {
+    /// Returns where it serves.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Switches a fault on, or off with [`Fault::None`].
+    pub fn set_fault(&self, fault: Fault) {
+        let mut own = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        *own = fault;
+        drop(own);
+        self.shared.changed.send_replace(());
+    }
+}
+
 /// A running platform.
 #[derive(Debug)]
 pub struct Platform {
@@ -75,12 +104,25 @@
             inner: Mutex::default(),
             changed: watch::Sender::new(()),
         });
-        let state = shared.clone();
-        let handler = move |request| serve(state.clone(), request);
-        let server = Server::start(address, handler).await?;
+        let server = open(&shared, address, Arc::default()).await?;
         Ok(Self { shared, server })
     }
 
+    /// Opens one more address, on any free port of the loopback.
+    ///
+    /// # Errors
+    /// Returns an error if no port can be bound.
+    pub async fn open_door(&self) -> anyhow::Result<Door> {
+        let fault: Arc<Mutex<Fault>> = Arc::default();
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = open(&self.shared, address, fault.clone()).await?;
+        Ok(Door {
+            fault,
+            shared: self.shared.clone(),
+            server,
+        })
+    }
+
     /// Returns where it serves.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -182,22 +224,39 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the fault of a door, or else that of the platform.
+    fn fault(&self, door: &Mutex<Fault>) -> Fault {
+        let own = door.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        match own {
+            Fault::None => self.lock().fault.clone(),
+            own => own,
+        }
+    }
+
     fn change(&self, change: impl FnOnce(&mut Inner)) {
         change(&mut self.lock());
         self.changed.send_replace(());
     }
 }
 
-async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
-    let fault = {
+async fn open(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+    door: Arc<Mutex<Fault>>,
+) -> anyhow::Result<Server> {
+    let shared = shared.clone();
+    let handler = move |request| serve(shared.clone(), door.clone(), request);
+    Server::start(address, handler).await
+}
+
+async fn serve(shared: Arc<Shared>, door: Arc<Mutex<Fault>>, request: Request<Incoming>) -> Reply {
+    let call = {
         let mut inner = shared.lock();
         inner.calls += 1;
-        inner.fault.clone()
+        inner.calls
     };
-    match fault {
-        Fault::Down => return Reply::Break,
-        Fault::Slow(delay) => tokio::time::sleep(delay).await,
-        Fault::None | Fault::Stale(_) => {}
+    if let Fault::Slow(delay) = shared.fault(&door) {
+        tokio::time::sleep(delay).await;
     }
     let after = parameter(&request, "after").unwrap_or(0);
     let wait = parameter(&request, "wait_ms").unwrap_or(0);
@@ -205,7 +264,7 @@
     let mut changes = shared.changed.subscribe();
     let look = async {
         loop {
-            if let Some(reply) = newer(&shared, &path, after) {
+            if let Some(reply) = newer(&shared, &door, call, &path, after) {
                 return reply;
             }
             if changes.changed().await.is_err() {
@@ -218,14 +277,16 @@
 }
 
 /// Returns the answer if something newer than `after` is published.
-fn newer(shared: &Shared, path: &str, after: u64) -> Option<Reply> {
+fn newer(shared: &Shared, door: &Mutex<Fault>, call: u64, path: &str, after: u64) -> Option<Reply> {
+    let fault = shared.fault(door);
     let inner = shared.lock();
-    if inner.fault == Fault::Down {
-        return Some(Reply::Break);
-    }
-    let (list, settings) = match &inner.fault {
+    let published = (&inner.list, &inner.settings);
+    let (list, settings) = match &fault {
+        Fault::Down => return Some(Reply::Break),
         Fault::Stale(old) => (&old.0, &old.1),
-        _ => (&inner.list, &inner.settings),
+        Fault::Contradicting(old) if call.is_multiple_of(2) => (&old.0, &old.1),
+        Fault::Lagging(old) => (&**old, &inner.settings),
+        Fault::None | Fault::Slow(_) | Fault::Contradicting(_) => published,
     };
     match path {
         "/v1/list" => (list.revision > after).then(|| json(list)),
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -2,26 +2,87 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// How long to wait before a port that is still in use is bound again.
+const BIND_PAUSE: Duration = Duration::from_millis(10);
 
 /// What a stand-in does with a request.
 pub enum Reply {
     /// It answers.
-    Answer(Response<Full<Bytes>>),
+    Answer(Response<Body>),
     /// Its connection breaks.
     Break,
+    /// All its connections break, and it refuses new ones for a while.
+    Crash(Duration),
+}
+
+/// The body of an answer, which may end before the length that it announces.
+#[derive(Debug)]
+pub struct Body {
+    rest: Option<Bytes>,
+    announced: u64,
+    is_cut: bool,
+}
+
+impl Body {
+    fn whole(bytes: Bytes) -> Self {
+        Self {
+            announced: bytes.len() as u64,
+            rest: Some(bytes),
+            is_cut: false,
+        }
+    }
+
+    /// Makes the connection break after the first half of the bytes.
+    fn cut(bytes: &Bytes) -> Self {
+        Self {
+            announced: bytes.len() as u64,
+            rest: Some(bytes.slice(..bytes.len() / 2)),
+            is_cut: true,
+        }
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let next = match self.rest.take() {
+            Some(bytes) => Some(Ok(Frame::data(bytes))),
+            None if self.is_cut => Some(Err(Broken)),
+            None => None,
+        };
+        Poll::Ready(next)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.announced)
+    }
 }
 
 /// A running server; it ends, with its connections, when it is dropped.
@@ -29,6 +90,7 @@
 pub struct Server {
     address: SocketAddr,
     task: JoinHandle<()>,
+    down_until: watch::Sender<Instant>,
 }
 
 impl Drop for Server {
@@ -49,9 +111,13 @@
     {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let handler = Arc::new(handler);
-        let task = tokio::spawn(accept(listener, handler));
-        Ok(Self { address, task })
+        let down_until = watch::Sender::new(Instant::now());
+        let task = tokio::spawn(run(listener, Arc::new(handler), down_until.clone()));
+        Ok(Self {
+            address,
+            task,
+            down_until,
+        })
     }
 
     /// Returns where it serves.
@@ -59,9 +125,44 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Breaks all connections, and refuses new ones for a while.
+    pub fn crash(&self, span: Duration) {
+        self.down_until.send_replace(Instant::now() + span);
+    }
 }
 
-async fn accept<H, F>(listener: TcpListener, handler: Arc<H>)
+async fn run<H, F>(mut listener: TcpListener, handler: Arc<H>, down_until: watch::Sender<Instant>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut crashes = down_until.subscribe();
+    loop {
+        tokio::select! {
+            () = accept(&listener, handler.clone(), down_until.clone()) => return,
+            _ = crashes.changed() => {}
+        }
+        drop(listener);
+        let until = *crashes.borrow_and_update();
+        tokio::time::sleep_until(until).await;
+        listener = bind_again(address).await;
+    }
+}
+
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+        }
+    }
+}
+
+async fn accept<H, F>(listener: &TcpListener, handler: Arc<H>, down_until: watch::Sender<Instant>)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
@@ -69,28 +170,38 @@
     // The set ends the connections together with the server.
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
-        stream.set_nodelay(true).ok();
-        let handler = handler.clone();
-        connections.spawn(async move {
-            let service = service_fn(move |request| {
-                let reply = handler(request);
-                async move {
-                    match reply.await {
-                        Reply::Answer(answer) => Ok(answer),
-                        Reply::Break => Err(Broken),
-                    }
-                }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            connection.await.ok();
-        });
+        connections.spawn(connection(stream, handler.clone(), down_until.clone()));
         while connections.try_join_next().is_some() {}
     }
 }
 
+async fn connection<H, F>(stream: TcpStream, handler: Arc<H>, down_until: watch::Sender<Instant>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    stream.set_nodelay(true).ok();
+    let service = service_fn(|request| {
+        let reply = handler(request);
+        let down_until = &down_until;
+        async move {
+            match reply.await {
+                Reply::Answer(answer) => Ok(answer),
+                Reply::Break => Err(Broken),
+                Reply::Crash(span) => {
+                    down_until.send_replace(Instant::now() + span);
+                    Err(Broken)
+                }
+            }
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    connection.await.ok();
+}
+
 /// Makes hyper drop the connection without an answer.
 #[derive(Debug)]
-struct Broken;
+pub struct Broken;
 
 impl std::fmt::Display for Broken {
     fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -109,12 +220,19 @@
 /// Makes an answer; a header that cannot be written is a fault of the caller.
 #[must_use]
 pub fn answer(status: u16, headers: &[(&str, String)], body: impl Into<Bytes>) -> Reply {
+    respond(status, headers, Body::whole(body.into()))
+}
+
+/// Makes an answer whose connection breaks in the middle of its body.
+#[must_use]
+pub fn cut_answer(status: u16, headers: &[(&str, String)], body: impl Into<Bytes>) -> Reply {
+    respond(status, headers, Body::cut(&body.into()))
+}
+
+fn respond(status: u16, headers: &[(&str, String)], body: Body) -> Reply {
     let mut builder = Response::builder().status(status);
     for (name, value) in headers {
         builder = builder.header(*name, value);
     }
-    match builder.body(Full::new(body.into())) {
-        Ok(answer) => Reply::Answer(answer),
-        Err(_) => Reply::Break,
-    }
+    builder.body(body).map_or(Reply::Break, Reply::Answer)
 }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use gooseberry_kernel::settings::Kind;
@@ -16,6 +17,7 @@
 use http::Request;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 
 use crate::server;
 use crate::server::Reply;
@@ -28,12 +30,16 @@
     pub kind: Kind,
     /// How long a call takes when it is warm.
     pub work: Duration,
-    /// How many calls it bears in cold start; more of them break it.
+    /// How many calls it bears in cold start.
     pub cold_limit: usize,
     /// How many answers make it warm.
     pub warm_after: usize,
     /// Whether it is warm from the start.
     pub is_warm: bool,
+    /// Whether a call above the cold limit crashes it while it is cold.
+    pub is_fragile: bool,
+    /// How long it refuses connections after a crash.
+    pub restart: Duration,
 }
 
 impl Default for Plan {
@@ -44,6 +50,8 @@
             cold_limit: 2,
             warm_after: 4,
             is_warm: false,
+            is_fragile: false,
+            restart: Duration::from_millis(300),
         }
     }
 }
@@ -56,15 +64,19 @@
     None,
     /// It refuses each call without running it.
     Refuse,
+    /// It says that it is leaving, and refuses each call without running it.
+    Leave,
     /// It runs each call and then fails on it.
     Fail,
     /// It runs each call and then breaks the connection.
     Break,
+    /// It runs each call and breaks the connection within the answer's body.
+    Truncate,
     /// It works so much longer.
     Slow(Duration),
     /// It answers with the id and the body of the call before.
     Cross,
-    /// Bodies that hold the text break its connections, all of them.
+    /// It crashes on bodies that hold the text.
     CrashOn(String),
 }
 
@@ -75,6 +87,12 @@
     pub attempt: String,
     /// The input.
     pub body: Bytes,
+    /// When the target began with it.
+    pub began: Instant,
+    /// When the target let go of it; `None` while it runs.
+    pub ended: Option<Instant>,
+    /// Whether it came above the cold limit of a cold target.
+    pub is_overrun: bool,
 }
 
 #[derive(Debug, Default)]
@@ -83,10 +101,10 @@
     is_warm: bool,
     answers: usize,
     in_flight: usize,
-    overruns: usize,
-    most_in_flight: usize,
     journal: Vec<Entry>,
+    /// The last answered call, for crossed answers.
     crossed: Option<Entry>,
+    /// How often the target has crashed; calls of an earlier life are gone.
     crashes: usize,
 }
 
@@ -94,7 +112,7 @@
 struct Shared {
     plan: Plan,
     inner: Mutex<Inner>,
-    crash: tokio::sync::Notify,
+    crashed: watch::Sender<()>,
 }
 
 /// A running target.
@@ -118,7 +136,7 @@
         let shared = Arc::new(Shared {
             plan,
             inner: Mutex::new(inner),
-            crash: tokio::sync::Notify::new(),
+            crashed: watch::Sender::new(()),
         });
         let state = shared.clone();
         let handler = move |request| serve(state.clone(), request);
@@ -139,9 +157,14 @@
 
     /// Makes it cold without warning.
     pub fn chill(&self) {
-        let mut inner = self.shared.lock();
-        inner.is_warm = false;
-        inner.answers = 0;
+        self.shared.lock().chill();
+    }
+
+    /// Crashes it: its connections break, its calls are gone, and it comes
+    /// back cold after its restart.
+    pub fn crash(&self) {
+        self.shared.crash();
+        self.server.crash(self.shared.plan.restart);
     }
 
     /// Returns what it has run.
@@ -153,7 +176,8 @@
     /// Returns how many calls came above its cold limit while it was cold.
     #[must_use]
     pub fn overruns(&self) -> usize {
-        self.shared.lock().overruns
+        let inner = self.shared.lock();
+        inner.journal.iter().filter(|one| one.is_overrun).count()
     }
 
     /// Returns how often it has crashed.
@@ -161,6 +185,19 @@
     pub fn crashes(&self) -> usize {
         self.shared.lock().crashes
     }
+
+    /// Tells whether it is warm.
+    #[must_use]
+    pub fn is_warm(&self) -> bool {
+        self.shared.lock().is_warm
+    }
+}
+
+impl Inner {
+    fn chill(&mut self) {
+        self.is_warm = false;
+        self.answers = 0;
+    }
 }
 
 impl Shared {
@@ -168,23 +205,44 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that a call begins, and returns whether it is refused.
-    fn begin(&self, entry: &Entry) -> bool {
+    fn crash(&self) {
         let mut inner = self.lock();
-        if inner.fault == Fault::Refuse {
-            return false;
+        inner.crashes += 1;
+        inner.in_flight = 0;
+        inner.chill();
+        let now = Instant::now();
+        for entry in inner.journal.iter_mut().filter(|one| one.ended.is_none()) {
+            entry.ended = Some(now);
         }
+        drop(inner);
+        self.crashed.send_replace(());
+    }
+
+    /// Notes that a call begins.
+    fn begin(&self, attempt: String, body: Bytes) -> Running {
+        let mut inner = self.lock();
         inner.in_flight += 1;
-        inner.most_in_flight = inner.most_in_flight.max(inner.in_flight);
-        if !inner.is_warm && inner.in_flight > self.plan.cold_limit {
-            inner.overruns += 1;
-        }
+        let entry = Entry {
+            attempt,
+            body,
+            began: Instant::now(),
+            ended: None,
+            is_overrun: !inner.is_warm && inner.in_flight > self.plan.cold_limit,
+        };
         inner.journal.push(entry.clone());
-        true
+        Running {
+            index: inner.journal.len() - 1,
+            life: inner.crashes,
+            entry,
+        }
     }
 
-    fn end(&self) {
+    fn end(&self, running: &Running) {
         let mut inner = self.lock();
+        if inner.crashes != running.life {
+            return;
+        }
+        inner.journal[running.index].ended = Some(Instant::now());
         inner.in_flight -= 1;
         inner.answers += 1;
         if inner.answers >= self.plan.warm_after {
@@ -193,13 +251,12 @@
     }
 }
 
-/// Ends a call also when its caller hangs up.
-struct Running<'a>(&'a Shared);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.0.end();
-    }
+/// A call at work.
+struct Running {
+    index: usize,
+    /// How many crashes had been before it began.
+    life: usize,
+    entry: Entry,
 }
 
 async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
@@ -209,34 +266,44 @@
     let Ok(body) = body.collect().await else {
         return Reply::Break;
     };
-    let entry = Entry {
-        attempt,
-        body: body.to_bytes(),
-    };
-    if !shared.begin(&entry) {
-        let headers = [
-            (header::ATTEMPT, entry.attempt),
-            (header::OUTCOME, "not-run".to_owned()),
-        ];
-        return server::answer(503, &headers, "");
-    }
-    let running = Running(&shared);
     let fault = shared.lock().fault.clone();
-    let mut work = shared.plan.work;
-    if let Fault::Slow(more) = fault {
-        work += more;
+    match fault {
+        Fault::Refuse => return refuse(attempt, None),
+        Fault::Leave => return refuse(attempt, Some("leaving")),
+        _ => {}
     }
-    if is_crash(&fault, &entry) {
-        shared.lock().crashes += 1;
-        shared.crash.notify_waiters();
-        return Reply::Break;
+    let running = shared.begin(attempt, body.to_bytes());
+    let is_fallen = shared.plan.is_fragile && running.entry.is_overrun;
+    if is_fallen || is_crash(&fault, &running.entry) {
+        shared.crash();
+        return Reply::Crash(shared.plan.restart);
+    }
+    // The work goes on when the caller hangs up, as it does at many targets.
+    let work = tokio::spawn(work(shared, fault, running));
+    work.await.unwrap_or(Reply::Break)
+}
+
+async fn work(shared: Arc<Shared>, fault: Fault, running: Running) -> Reply {
+    let mut crashed = shared.crashed.subscribe();
+    let mut span = shared.plan.work;
+    if let Fault::Slow(more) = fault {
+        span += more;
     }
     tokio::select! {
-        () = tokio::time::sleep(work) => {}
-        () = shared.crash.notified() => return Reply::Break,
+        () = tokio::time::sleep(span) => {}
+        _ = crashed.changed() => return Reply::Break,
     }
-    drop(running);
-    finish(&shared, &fault, entry)
+    shared.end(&running);
+    finish(&shared, &fault, running.entry)
+}
+
+fn refuse(attempt: String, state: Option<&str>) -> Reply {
+    let mut headers = vec![
+        (header::ATTEMPT, attempt),
+        (header::OUTCOME, "not-run".to_owned()),
+    ];
+    headers.extend(state.map(|state| (header::STATE, state.to_owned())));
+    server::answer(503, &headers, "")
 }
 
 fn is_crash(fault: &Fault, entry: &Entry) -> bool {
@@ -256,20 +323,24 @@
         }
         Fault::Cross => {
             let before = shared.lock().crossed.replace(entry.clone());
-            reply(shared, &before.unwrap_or(entry))
+            reply(shared, fault, &before.unwrap_or(entry))
         }
-        _ => reply(shared, &entry),
+        _ => reply(shared, fault, &entry),
     }
 }
 
-fn reply(shared: &Shared, entry: &Entry) -> Reply {
+fn reply(shared: &Shared, fault: &Fault, entry: &Entry) -> Reply {
     let is_warm = shared.lock().is_warm;
     let state = if is_warm { "warm" } else { "cold" };
     let headers = [
         (header::ATTEMPT, entry.attempt.clone()),
         (header::STATE, state.to_owned()),
     ];
-    server::answer(200, &headers, output(shared.plan.kind, &entry.body))
+    let body = output(shared.plan.kind, &entry.body);
+    match fault {
+        Fault::Truncate => server::cut_answer(200, &headers, body),
+        _ => server::answer(200, &headers, body),
+    }
 }
 
 /// Returns what a target of the kind answers to the input.
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -31,6 +31,8 @@
 pub const COST: &str = "gooseberry-cost";
 /// Whether the answer was recorded for an earlier request with the key.
 pub const REPLAYED: &str = "gooseberry-replayed";
+/// The daemon that sends a call to a peer.
+pub const FROM: &str = "gooseberry-from";
 /// The workspace of the request.
 pub const WORKSPACE: &str = "gooseberry-workspace";
 /// The pipeline of the request.
