Tell the caller of a key that may have run "unknown", never "not run"

Cause: a key whose owner was killed got 503 no-owner with outcome not-run on its next try, though the first had run; a caller who trusts that books twice with a new key. Seen failing first: at_most_once::a_key_whose_owner_was_killed_stays_unknown. Ruled out: a second run (the journals show one run for each key in all cases). Change: the refusal of a key that is not vouched to be new has the outcome unknown, at the entry and at the owner. Also seen: with prefix_bytes 0 all requests of a workspace go to the same two targets of a pool; the test's pool uses a prefix, the routing is another's part. Conclusion: at most once holds at process level for kill, pause, cut, graceful replacement and two faults at once, 40 keys each.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -80,9 +80,16 @@
 /// Serves one request of a caller.
 pub async fn serve(context: Arc<Context>, ids: Arc<Ids>, request: Request<Incoming>) -> HttpAnswer {
     let id = ids.draw();
+    let is_resend = request.headers().contains_key(header::IDEMPOTENCY_KEY)
+        && !keyed::is_first_attempt(request.headers());
     match handle(&context, id, request).await {
         Ok(answer) => answer,
         Err(failure) => {
+            let failure = if is_resend {
+                keyed::of_resend(failure)
+            } else {
+                failure
+            };
             context.metrics.refusal(failure.kind);
             log::debug!("request={id} refused: {}", failure.kind);
             Answer::refusal(id, failure).to_http()
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -74,14 +74,14 @@
 /// Serves a request whose key this daemon owns.
 pub async fn perform(context: &Arc<Context>, job: Job, is_first_attempt: bool) -> HttpAnswer {
     let Some(key) = job.key.clone() else {
-        return refuse(context, job.request, Kind::KeyMissing.into());
+        return refuse(context, &job, is_first_attempt, Kind::KeyMissing.into());
     };
     let asked = key.clone();
     let digest = job.digest;
     let message = |reply| Message::Begin(asked, digest, is_first_attempt, reply);
     match context.node.try_ask(message).await {
-        Err(failure) => refuse(context, job.request, failure),
-        Ok(Verdict::Refuse(kind)) => refuse(context, job.request, kind.into()),
+        Err(failure) => refuse(context, &job, is_first_attempt, failure),
+        Ok(Verdict::Refuse(kind)) => refuse(context, &job, is_first_attempt, kind.into()),
         Ok(Verdict::Replay(record)) => answer::replay(&record),
         Ok(Verdict::Join) => join(context, &job, &key).await,
         Ok(Verdict::Run) => {
@@ -124,13 +124,26 @@
     let left = context.clock.until(job.admission.deadline);
     match timeout(left, wait(context, key)).await {
         Ok(answer) => answer,
-        Err(_) => refuse(context, job.request, Kind::KeyBusy.into()),
+        Err(_) => refuse(context, job, false, Kind::KeyBusy.into()),
     }
 }
 
-fn refuse(context: &Context, request: id::Request, failure: Failure) -> HttpAnswer {
+fn refuse(context: &Context, job: &Job, is_first: bool, failure: Failure) -> HttpAnswer {
     context.metrics.refusal(failure.kind);
-    Answer::refusal(request, failure).to_http()
+    let is_new = is_first && job.admission.workspace.trusts_attempt_number;
+    let failure = if is_new { failure } else { of_resend(failure) };
+    Answer::refusal(job.request, failure).to_http()
+}
+
+/// Gives the refusal of a key that may have been sent before the outcome of
+/// the key: this try did not run, but an earlier one may have.
+#[must_use]
+pub fn of_resend(failure: Failure) -> Failure {
+    match failure.kind {
+        // The request is another one than the key's, so nothing of it ran.
+        Kind::KeyMismatch => failure,
+        _ => failure.unknown(),
+    }
 }
 
 // Between daemons
@@ -157,14 +170,14 @@
     is_first_attempt: bool,
 ) -> HttpAnswer {
     let Some(request) = write_job(context, owner, job, is_first_attempt) else {
-        return refuse(context, job.request, Kind::Internal.into());
+        return refuse(context, job, is_first_attempt, Kind::Internal.into());
     };
     let grace = Duration::from_millis(500);
     let left = context.clock.until(job.admission.deadline) + grace;
     match timeout(left, exchange(context, request)).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(failure)) => refuse(context, job.request, failure),
-        Err(_) => refuse(context, job.request, Kind::DeadlinePassed.into()),
+        Ok(Err(failure)) => refuse(context, job, is_first_attempt, failure),
+        Err(_) => refuse(context, job, is_first_attempt, Kind::DeadlinePassed.into()),
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/process/at_most_once.rs
@@ -0,0 +1,213 @@
+//! A request that is not idempotent runs at most once.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use gooseberry_standin::platform;
+use gooseberry_standin::target::Fault;
+use gooseberry_standin::target::Plan;
+
+use crate::fleet::Call;
+use crate::fleet::Fleet;
+use crate::fleet::until;
+use crate::storm;
+
+/// Long enough that every try of a test falls within it.
+const LONG_HORIZON: &str = r#"{ "freshness_ms": 800, "exchange_ms": 100, "horizon_ms": 40000,
+  "dropped_memory_ms": 4000, "readers": 1, "out": [] }"#;
+
+const KEYS: usize = 40;
+
+async fn start() -> Fleet {
+    let plan = Plan {
+        work: Duration::from_millis(30),
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(LONG_HORIZON, plan).await;
+    fleet.warm_up().await;
+    fleet
+}
+
+async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+fn check(fleet: &Fleet, tries: &[storm::Try]) {
+    storm::assert_once(fleet, tries);
+    fleet.assert_invariants();
+    let answered = storm::answered(tries);
+    println!(
+        "{answered} of {KEYS} keys answered in {} tries",
+        tries.len()
+    );
+    assert!(answered * 2 > KEYS, "only {answered} keys were answered");
+}
+
+#[tokio::test]
+async fn the_same_key_at_once_and_later_gets_one_answer() {
+    let fleet = start().await;
+    for one in &fleet.targets {
+        one.target
+            .set_fault(Fault::Slow(Duration::from_millis(300)));
+    }
+    let first = Call::post("deposit");
+    let again = first.again();
+    let fleet = &fleet;
+    let sends = (0..12).map(|number| {
+        let call = if number == 0 { &first } else { &again };
+        async move {
+            // The first try comes first, as its number says.
+            pause(if number == 0 { 0 } else { 100 }).await;
+            fleet.send(number % 3, call).await.unwrap()
+        }
+    });
+    let told = join_all(sends).await;
+    for one in &told {
+        assert_eq!(one.status, 200, "{one:?}");
+        assert_eq!(one.body, first.expected());
+    }
+    let mut other = again.clone();
+    other.body = "another deposit".to_owned();
+    for index in 0..3 {
+        let later = fleet.send(index, &again).await.unwrap();
+        assert!(later.status == 200 && later.is_replayed(), "{later:?}");
+        let refused = fleet.send(index, &other).await.unwrap();
+        assert_eq!(refused.status, 422);
+        assert_eq!(refused.error(), "key-mismatch");
+    }
+    assert_eq!(fleet.runs("deposit"), 1);
+    assert_eq!(fleet.runs("another deposit"), 0);
+    fleet.assert_invariants();
+}
+
+#[tokio::test]
+async fn a_key_whose_owner_was_killed_stays_unknown() {
+    let mut fleet = start().await;
+    for one in &fleet.targets {
+        one.target
+            .set_fault(Fault::Slow(Duration::from_millis(700)));
+    }
+    let call = Call::post("deposit");
+    let owner = fleet.key_owner(&call);
+    let entry = (owner + 1) % 3;
+    let killed = async {
+        until("the deposit runs", async || fleet.runs("deposit") == 1).await;
+        fleet.daemons[owner].kill();
+    };
+    let (told, ()) = tokio::join!(fleet.send(entry, &call), killed);
+    let told = told.unwrap();
+    assert_eq!((told.status, told.outcome()), (409, "unknown"));
+    let domain = fleet.daemons[owner].domain.clone();
+    fleet.daemons.remove(owner);
+    fleet.launch("entry-4", &domain);
+    fleet.publish_daemons();
+    for round in 0..40 {
+        if let Ok(told) = fleet.send(round % 3, &call.again()).await {
+            assert_ne!(told.status, 200, "{told:?}");
+            assert_eq!(told.outcome(), "unknown", "{told:?}");
+        }
+        pause(100).await;
+    }
+    assert_eq!(fleet.runs("deposit"), 1);
+}
+
+#[tokio::test]
+async fn keys_run_once_while_a_daemon_is_killed_and_replaced() {
+    let mut fleet = start().await;
+    fleet.launch("entry-4", "a");
+    let fault = async {
+        pause(700).await;
+        fleet.daemons[0].kill();
+        pause(700).await;
+        fleet.platform.change_list(|list| {
+            list.instances.retain(|one| one.id != "entry-1");
+            list.instances.push(fleet.daemons[3].listed());
+        });
+    };
+    let tries = storm::run(&fleet, KEYS, fault).await;
+    check(&fleet, &tries);
+}
+
+#[tokio::test]
+async fn keys_run_once_while_a_daemon_is_paused_and_woken() {
+    let fleet = start().await;
+    let fault = async {
+        for _ in 0..2 {
+            pause(500).await;
+            fleet.daemons[0].pause();
+            pause(600).await;
+            fleet.platform.remove_instance("entry-1");
+            pause(1200).await;
+            fleet.daemons[0].wake();
+            pause(300).await;
+            fleet.platform.add_instance(fleet.daemons[0].listed());
+        }
+    };
+    let tries = storm::run(&fleet, KEYS, fault).await;
+    check(&fleet, &tries);
+}
+
+#[tokio::test]
+async fn keys_run_once_while_a_daemon_is_cut_off() {
+    let fleet = start().await;
+    let fault = async {
+        pause(500).await;
+        fleet.cut_off(0).await;
+        pause(800).await;
+        fleet.platform.remove_instance("entry-1");
+        pause(1500).await;
+        fleet.heal().await;
+        pause(300).await;
+        fleet.platform.add_instance(fleet.daemons[0].listed());
+    };
+    let tries = storm::run(&fleet, KEYS, fault).await;
+    check(&fleet, &tries);
+}
+
+#[tokio::test]
+async fn keys_run_once_while_daemons_are_replaced_gracefully() {
+    let mut fleet = start().await;
+    fleet.launch("entry-4", "a");
+    let fault = async {
+        pause(700).await;
+        fleet.platform.add_instance(fleet.daemons[3].listed());
+        pause(500).await;
+        fleet.daemons[0].terminate();
+        until("it has ended", async || {
+            fleet.daemons[0].exit_code().is_some()
+        })
+        .await;
+        fleet.platform.remove_instance("entry-1");
+    };
+    let tries = storm::run(&fleet, KEYS, fault).await;
+    assert_eq!(fleet.daemons[0].exit_code(), Some(0));
+    check(&fleet, &tries);
+}
+
+#[tokio::test]
+async fn keys_run_once_under_two_faults_at_once() {
+    let mut fleet = start().await;
+    fleet.launch("entry-4", "a");
+    let fault = async {
+        pause(500).await;
+        let old = (fleet.platform.list(), fleet.platform.settings());
+        fleet.daemons[0].pause();
+        fleet.platform.change_list(|list| {
+            list.instances.retain(|one| one.id != "entry-1");
+            list.instances.push(fleet.daemons[3].listed());
+        });
+        let fault = platform::Fault::Contradicting(Box::new(old));
+        fleet.platform.set_fault(fault);
+        pause(700).await;
+        fleet.daemons[1].kill();
+        pause(300).await;
+        fleet.platform.set_fault(platform::Fault::Down);
+        fleet.daemons[0].wake();
+        pause(1000).await;
+        fleet.platform.set_fault(platform::Fault::None);
+        fleet.platform.remove_instance("entry-2");
+    };
+    let tries = storm::run(&fleet, KEYS, fault).await;
+    storm::assert_once(&fleet, &tries);
+    fleet.assert_invariants();
+}
--- a/crates/daemon/tests/process/fleet.rs
+++ b/crates/daemon/tests/process/fleet.rs
@@ -6,6 +6,8 @@
 use bytes::Bytes;
 use gooseberry_connectors::http_client;
 use gooseberry_connectors::http_client::HttpClient;
+use gooseberry_kernel::once::Key;
+use gooseberry_kernel::roster::List;
 use gooseberry_kernel::settings::Kind;
 use gooseberry_standin::platform;
 use gooseberry_standin::platform::Platform;
@@ -38,7 +40,7 @@
 pub const TEAM: &str = r#"{
   "pools": {
     "ledger": { "kind": "service", "cold_limit": 2, "warm_limit": 8, "queue_limit": 64,
-      "longest_call_ms": 1500, "warm_after": 4, "prefix_bytes": 0 },
+      "longest_call_ms": 1500, "warm_after": 4, "prefix_bytes": 64 },
     "llm": { "kind": "engine", "model": "m", "cold_limit": 2, "warm_limit": 8, "queue_limit": 64,
       "longest_call_ms": 1500, "warm_after": 4, "prefix_bytes": 64 }
   },
@@ -143,11 +145,16 @@
 }
 
 impl Fleet {
+    /// Starts with the usual documents, without a target that is fragile.
+    pub async fn usual() -> Self {
+        Self::start(FLEET, Plan::default()).await
+    }
+
     /// Starts the platform, one daemon and one target of each pool in each
     /// failure domain, and waits until the rights hold.
-    pub async fn start(plan: Plan) -> Self {
+    pub async fn start(document: &str, plan: Plan) -> Self {
         let platform = Platform::start().await.unwrap();
-        platform.put("/fleet", FLEET);
+        platform.put("/fleet", document);
         platform.put("/teams/desk", TEAM);
         let mut fleet = Self {
             platform,
@@ -182,6 +189,47 @@
         self.targets.push(Named { id, domain, target });
     }
 
+    /// Names the daemon that owns the key of a call, by the published list.
+    pub fn key_owner(&self, call: &Call) -> usize {
+        let key = Key {
+            workspace: format!("desk.{}", call.workspace).parse().unwrap(),
+            pipeline: call.pipeline.parse().unwrap(),
+            text: call.key.clone().unwrap(),
+        };
+        let list = List::try_from(self.platform.list()).unwrap();
+        let owner = list.owner_of_key(key.hash()).unwrap().id.clone();
+        let is_owner = |one: &Process| one.id == owner.as_str();
+        self.daemons.iter().position(is_owner).unwrap()
+    }
+
+    /// Cuts a daemon off from every other one, in both directions.
+    pub async fn cut_off(&self, index: usize) {
+        let others = self
+            .daemons
+            .iter()
+            .filter(|one| one.id != self.daemons[index].id);
+        let others: Vec<&str> = others.map(|one| one.id.as_str()).collect();
+        self.cut(index, &others).await;
+        for other in 0..self.daemons.len() {
+            if other != index {
+                self.cut(other, &[&self.daemons[index].id]).await;
+            }
+        }
+    }
+
+    /// Ends every cut.
+    pub async fn heal(&self) {
+        for index in 0..self.daemons.len() {
+            self.cut(index, &[]).await;
+        }
+    }
+
+    async fn cut(&self, index: usize, peers: &[&str]) {
+        let body = serde_json::json!({ "cut": peers }).to_string();
+        let told = self.operate(index, "/v1/faults", &body).await;
+        assert_eq!(told.status, 200);
+    }
+
     /// Starts a daemon that is not yet listed.
     pub fn launch(&mut self, id: &str, domain: &str) -> usize {
         let daemon = Process::start(id, domain, self.platform.address());
@@ -216,6 +264,18 @@
         .await;
     }
 
+    /// Sends requests until every target is warm.
+    pub async fn warm_up(&self) {
+        let mut number = 0;
+        until("every target is warm", async || {
+            number += 1;
+            let call = Call::new("brief", format!("warm-up-{number}"));
+            self.answered(number % 3, &call).await;
+            self.targets.iter().all(|one| one.target.is_warm())
+        })
+        .await;
+    }
+
     /// Reads the state of a daemon, if it answers.
     pub async fn status(&self, index: usize) -> Option<Value> {
         let address = self.daemons[index].operators;
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -8,4 +8,6 @@
 mod fleet;
 mod process;
 
+mod at_most_once;
 mod serve;
+mod storm;
--- a/crates/daemon/tests/process/process.rs
+++ b/crates/daemon/tests/process/process.rs
@@ -32,7 +32,7 @@
     pub data: SocketAddr,
     pub control: SocketAddr,
     pub operators: SocketAddr,
-    child: Child,
+    child: Mutex<Child>,
     log: Arc<Mutex<String>>,
 }
 
@@ -84,7 +84,7 @@
             data,
             control,
             operators,
-            child,
+            child: Mutex::new(child),
             log,
         }
     }
@@ -101,9 +101,10 @@
     }
 
     /// Ends the process at once; nothing of it is left.
-    pub fn kill(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
+    pub fn kill(&self) {
+        let mut child = self.child.lock().unwrap();
+        child.kill().ok();
+        child.wait().ok();
     }
 
     /// Stops the process where it stands.
@@ -122,8 +123,8 @@
     }
 
     /// Returns the exit code, once the process has ended.
-    pub fn exit_code(&mut self) -> Option<i32> {
-        let status = self.child.try_wait().unwrap()?;
+    pub fn exit_code(&self) -> Option<i32> {
+        let status = self.child.lock().unwrap().try_wait().unwrap()?;
         Some(status.code().unwrap_or(-1))
     }
 
@@ -133,7 +134,7 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
+        let pid = Pid::from_child(&self.child.lock().unwrap());
         kill_process(pid, signal).unwrap();
     }
 }
--- a/crates/daemon/tests/process/serve.rs
+++ b/crates/daemon/tests/process/serve.rs
@@ -1,13 +1,11 @@
 //! The path through separate processes.
 
-use gooseberry_standin::target::Plan;
-
 use crate::fleet::Call;
 use crate::fleet::Fleet;
 
 #[tokio::test]
 async fn three_processes_serve_requests() {
-    let fleet = Fleet::start(Plan::default()).await;
+    let fleet = Fleet::usual().await;
     for index in 0..3 {
         for pipeline in ["read", "brief"] {
             let call = Call::new(pipeline, format!("{pipeline}-{index}"));
--- /dev/null
+++ b/crates/daemon/tests/process/storm.rs
@@ -0,0 +1,93 @@
+//! Callers that send their keys again and again while faults happen.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::join_all;
+use gooseberry_standin::target::Entry;
+use gooseberry_wire::header;
+
+use crate::fleet::Call;
+use crate::fleet::Fleet;
+use crate::fleet::Told;
+
+/// How long a caller waits before it hangs up and sends again.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// How often a caller sends its key.
+const TRIES: u32 = 14;
+
+/// One try of a caller.
+#[derive(Debug)]
+pub struct Try {
+    pub call: Call,
+    pub ended: Instant,
+    pub told: Option<Told>,
+}
+
+/// Sends each key through one daemon after the other until it is answered,
+/// while the fault happens, and returns every try.
+pub async fn run(fleet: &Fleet, keys: usize, fault: impl Future<Output = ()>) -> Vec<Try> {
+    let callers = (0..keys).map(|number| caller(fleet, number));
+    let (tries, ()) = tokio::join!(join_all(callers), fault);
+    tries.into_iter().flatten().collect()
+}
+
+async fn caller(fleet: &Fleet, number: usize) -> Vec<Try> {
+    let gap = Duration::from_millis(150);
+    tokio::time::sleep(gap * u32::try_from(number % 20).unwrap()).await;
+    let mut call = Call::post(format!("key-{number}"));
+    let mut tries = Vec::new();
+    for round in 0..TRIES {
+        let index = (number + round as usize) % fleet.daemons.len();
+        let sent = tokio::time::timeout(PATIENCE, fleet.send(index, &call)).await;
+        let told = sent.ok().and_then(Result::ok);
+        let is_not_run = told
+            .as_ref()
+            .is_some_and(|told| told.outcome() == "not-run");
+        let is_answered = told.as_ref().is_some_and(|told| told.status == 200);
+        tries.push(Try {
+            call: call.clone(),
+            ended: Instant::now(),
+            told,
+        });
+        if is_answered {
+            break;
+        }
+        // A key of which every try was told "not run" is still new.
+        if !is_not_run {
+            call = call.again();
+        }
+        tokio::time::sleep(gap).await;
+    }
+    tries
+}
+
+/// Fails if a key ran twice, an answer was not the caller's own, or "not run"
+/// was said of a key that a target had begun with.
+pub fn assert_once(fleet: &Fleet, tries: &[Try]) {
+    let journals = fleet.targets.iter().map(|one| one.target.journal());
+    let ran: Vec<Entry> = journals.flatten().collect();
+    for one in tries {
+        let body = one.call.body.as_bytes();
+        let runs: Vec<&Entry> = ran.iter().filter(|run| run.body == body).collect();
+        assert!(runs.len() <= 1, "{} ran twice: {runs:?}", one.call.body);
+        let Some(told) = &one.told else { continue };
+        if told.status == 200 {
+            assert_eq!(told.body, one.call.expected());
+            assert_eq!(runs.len(), 1, "{} was answered but not run", one.call.body);
+        }
+        if told.outcome() == "not-run" {
+            let request = header::text(&told.headers, header::REQUEST).unwrap();
+            let is_before =
+                |run: &&Entry| run.began < one.ended || run.attempt.starts_with(request);
+            let lie = runs.iter().find(|run| is_before(run));
+            assert!(lie.is_none(), "{one:?} was told not run, but {lie:?}");
+        }
+    }
+}
+
+/// Returns how many callers got their answer in the end.
+pub fn answered(tries: &[Try]) -> usize {
+    let is_answered = |one: &&Try| one.told.as_ref().is_some_and(|told| told.status == 200);
+    tries.iter().filter(is_answered).count()
+}
