Cut no request on a graceful shutdown

Cause: a daemon was done as soon as nothing was in progress for a moment, and its peers went on asking it for stages; under steady load it was never done. Seen failing first: shutdown::a_shutdown_under_load_cuts_nothing exited 3 with 9 calls cut, shutdown::a_shutdown_that_the_list_never_hears_of_cuts_nothing exited 3 after its limit with 6 cut. Runs of keys for peers were not counted as in progress, and the process could end before the last answers were written. Ruled out: refusing peers from the first moment, since the list still names the leaver as the owner of targets that nobody else may use. Change: the drain closes when nothing is in progress or half of the limit has passed; then peers are refused before anything runs and try another target. Runs of keys count. Answers ask for the connection to be closed, and the process waits until each connection has ended. The cold limit (kill, pause, cut, contradicting list, crash) and what is taken out (domain, leaving by list, leaving by word) passed as the code stood.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,6 +13,8 @@
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::settings::Local;
 use gooseberry_wire::header;
+use http::Request;
+use hyper::body::Incoming;
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
@@ -22,6 +24,7 @@
 use crate::actor::Handle;
 use crate::actor::Message;
 use crate::answer;
+use crate::answer::HttpAnswer;
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::control;
@@ -40,6 +43,8 @@
 const SHUTDOWN_LOOK: Duration = Duration::from_millis(20);
 /// How long the peers and the balancer get to see a goodbye.
 const LINGER: Duration = Duration::from_millis(200);
+/// How long the last answers may take to be written.
+const END_LIMIT: Duration = Duration::from_secs(2);
 
 /// How a shutdown has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,8 +59,46 @@
 #[derive(Debug)]
 pub struct Daemon {
     context: Arc<Context>,
-    stop_callers: watch::Sender<bool>,
-    stop_peers: watch::Sender<bool>,
+    callers: Port,
+    data: Port,
+    operators: Port,
+    stop: watch::Sender<bool>,
+}
+
+/// A served port.
+#[derive(Debug)]
+struct Port {
+    phase: watch::Sender<server::Phase>,
+    /// Turns false when the last connection has ended.
+    is_open: watch::Receiver<bool>,
+}
+
+impl Port {
+    fn serve<H, F>(listener: TcpListener, handler: H) -> Self
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = HttpAnswer> + Send + 'static,
+    {
+        let (phase, phases) = watch::channel(server::Phase::Open);
+        let (open, is_open) = watch::channel(true);
+        tokio::spawn(async move {
+            server::serve(listener, phases, handler).await;
+            open.send_replace(false);
+        });
+        Self { phase, is_open }
+    }
+
+    fn set(&self, phase: server::Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Ends the connections and waits until the last answer is written.
+    async fn end(&self) {
+        self.set(server::Phase::Ended);
+        let mut is_open = self.is_open.clone();
+        let ended = is_open.wait_for(|is_open| !is_open);
+        tokio::time::timeout(END_LIMIT, ended).await.ok();
+    }
 }
 
 impl Daemon {
@@ -76,23 +119,22 @@
         local.control = control.local_addr();
         let seed = RandomState::new().hash_one(local.instance.as_str());
         let context = Arc::new(start_context(local, seed).await?);
-        let (stop_callers, callers_stop) = watch::channel(false);
-        let (stop_peers, peers_stop) = watch::channel(false);
+        let (stop, stopping) = watch::channel(false);
 
         let ids = Arc::new(Ids::new(seed));
         let shared = context.clone();
         let serve_caller = move |request| entry::serve(shared.clone(), ids.clone(), request);
-        tokio::spawn(server::serve(callers, callers_stop, serve_caller));
+        let callers = Port::serve(callers, serve_caller);
         let shared = context.clone();
         let serve_peer = move |request| serve_peer(shared.clone(), request);
-        tokio::spawn(server::serve(data, peers_stop.clone(), serve_peer));
+        let data = Port::serve(data, serve_peer);
         let shared = context.clone();
         let serve_operator = move |request| operators::serve(shared.clone(), request);
-        tokio::spawn(server::serve(operators, peers_stop.clone(), serve_operator));
-        tokio::spawn(control::serve(context.clone(), control, peers_stop.clone()));
-        tokio::spawn(control::greet(context.clone(), peers_stop.clone()));
-        tokio::spawn(reader::watch_list(context.clone(), peers_stop.clone()));
-        tokio::spawn(reader::watch_settings(context.clone(), peers_stop));
+        let operators = Port::serve(operators, serve_operator);
+        tokio::spawn(control::serve(context.clone(), control, stopping.clone()));
+        tokio::spawn(control::greet(context.clone(), stopping.clone()));
+        tokio::spawn(reader::watch_list(context.clone(), stopping.clone()));
+        tokio::spawn(reader::watch_settings(context.clone(), stopping));
         log::info!(
             "{} serves callers at {}",
             context.local.instance,
@@ -100,8 +142,10 @@
         );
         Ok(Self {
             context,
-            stop_callers,
-            stop_peers,
+            callers,
+            data,
+            operators,
+            stop,
         })
     }
 
@@ -121,6 +165,7 @@
     pub fn begin_shut_down(&self) {
         let limit = self.context.local.shutdown_limit;
         self.context.node.tell(Message::ShutDown(limit));
+        self.callers.set(server::Phase::Closing);
     }
 
     /// Shuts down and cuts no request that ends within the limit.
@@ -134,29 +179,51 @@
         loop {
             match self.context.node.phase().await {
                 Phase::Done => break,
-                Phase::Cut => return self.end().await,
+                Phase::Cut => {
+                    let left = self.left().await;
+                    self.stop();
+                    return Ending::Cut(left);
+                }
                 Phase::Serving | Phase::Draining => {
+                    if self.is_closed().await {
+                        self.data.set(server::Phase::Closing);
+                    }
                     tokio::time::sleep(SHUTDOWN_LOOK).await;
                 }
             }
         }
+        self.data.set(server::Phase::Closing);
         control::say_goodbye(&self.context).await;
-        self.stop_callers.send_replace(true);
         tokio::time::sleep(LINGER).await;
-        self.end().await
+        tokio::join!(self.callers.end(), self.data.end());
+        let left = self.left().await;
+        self.stop();
+        match left {
+            0 => Ending::Clean,
+            left => Ending::Cut(left),
+        }
+    }
+
+    async fn is_closed(&self) -> bool {
+        let closed = self.context.node.look(|node, _| node.is_closed()).await;
+        closed.unwrap_or(true)
+    }
+
+    /// Returns how many requests and calls are in progress.
+    async fn left(&self) -> usize {
+        let left = |node: &Node, _| {
+            let load = node.in_progress();
+            load.requests + load.calls
+        };
+        self.context.node.look(left).await.unwrap_or_default()
     }
 
-    async fn end(&self) -> Ending {
-        let left = |node: &Node, _| node.requests() + node.slots().in_flight();
-        let left = self.context.node.look(left).await.unwrap_or_default();
-        self.stop_callers.send_replace(true);
-        self.stop_peers.send_replace(true);
+    fn stop(&self) {
+        self.callers.set(server::Phase::Ended);
+        self.data.set(server::Phase::Ended);
+        self.operators.set(server::Phase::Ended);
+        self.stop.send_replace(true);
         self.context.node.stop();
-        if left == 0 {
-            Ending::Clean
-        } else {
-            Ending::Cut(left)
-        }
     }
 }
 
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::Request;
+use http::header::CONNECTION;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,6 +15,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use crate::answer;
 use crate::answer::HttpAnswer;
 
 /// The largest head of a request, in bytes.
@@ -23,19 +25,32 @@
 /// How many connections one port serves at a time.
 const CONNECTIONS_MAX: usize = 4096;
 
-/// Serves HTTP until `stop` turns true; then each connection ends after the
-/// request that it is serving.
-pub async fn serve<H, F>(listener: TcpListener, stop: watch::Receiver<bool>, handler: H)
+/// How far a server is from its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// It serves.
+    #[default]
+    Open,
+    /// It serves, and asks each client to close the connection after the
+    /// answer, so that no request is on its way when the connections end.
+    Closing,
+    /// Each connection ends after the request that it is serving.
+    Ended,
+}
+
+/// Serves HTTP until the phase is [`Phase::Ended`], and returns when each
+/// connection has ended.
+pub async fn serve<H, F>(listener: TcpListener, phase: watch::Receiver<Phase>, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = HttpAnswer> + Send + 'static,
 {
     let connections = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    let mut stopping = stop.clone();
+    let mut ending = phase.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopping.wait_for(|stop| *stop) => return,
+            _ = ending.wait_for(|phase| *phase == Phase::Ended) => break,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -50,23 +65,34 @@
             continue;
         };
         let handler = handler.clone();
-        let stop = stop.clone();
+        let phase = phase.clone();
         tokio::spawn(async move {
-            connection(stream, stop, handler).await;
+            connection(stream, phase, handler).await;
             drop(permit);
         });
     }
+    drop(listener);
+    let all = u32::try_from(CONNECTIONS_MAX).unwrap_or(u32::MAX);
+    connections.acquire_many(all).await.ok();
 }
 
-async fn connection<H, F>(stream: TcpStream, mut stop: watch::Receiver<bool>, handler: H)
+async fn connection<H, F>(stream: TcpStream, mut phase: watch::Receiver<Phase>, handler: H)
 where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = HttpAnswer>,
 {
     stream.set_nodelay(true).ok();
+    let now = phase.clone();
     let service = service_fn(|request| {
         let answer = handler(request);
-        async { Ok::<_, std::convert::Infallible>(answer.await) }
+        let now = now.clone();
+        async move {
+            let mut answer = answer.await;
+            if *now.borrow() != Phase::Open {
+                answer::set(&mut answer, CONNECTION.as_str(), "close");
+            }
+            Ok::<_, std::convert::Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -76,7 +102,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
-        _ = stop.wait_for(|stop| *stop) => None,
+        _ = phase.wait_for(|phase| *phase == Phase::Ended) => None,
     };
     let result = if let Some(result) = ended {
         result
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -9,5 +9,8 @@
 mod process;
 
 mod at_most_once;
+mod cold_limit;
 mod serve;
+mod shutdown;
 mod storm;
+mod taken_out;
--- a/crates/daemon/tests/process/storm.rs
+++ b/crates/daemon/tests/process/storm.rs
@@ -1,5 +1,6 @@
 //! Callers that send their keys again and again while faults happen.
 
+use std::cell::Cell;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -91,3 +92,55 @@
     let is_answered = |one: &&Try| one.told.as_ref().is_some_and(|told| told.status == 200);
     tries.iter().filter(is_answered).count()
 }
+
+/// One request of a steady load, with the daemon that ended it.
+#[derive(Debug)]
+pub struct Sent {
+    pub call: Call,
+    pub result: anyhow::Result<Told>,
+}
+
+/// Sends requests one after the other from each caller until the fault is
+/// over. A caller whose daemon leaves goes on with the next daemon.
+pub async fn steady(
+    fleet: &Fleet,
+    callers: usize,
+    call: impl Fn(usize) -> Call,
+    fault: impl Future<Output = ()>,
+) -> Vec<Sent> {
+    let is_over = Cell::new(false);
+    let count = Cell::new(0);
+    let one = async |mut index: usize| {
+        let mut sent = Vec::new();
+        while !is_over.get() {
+            count.set(count.get() + 1);
+            let call = call(count.get());
+            let sending = fleet.send(index % fleet.daemons.len(), &call);
+            let result = tokio::time::timeout(PATIENCE * 4, sending).await;
+            let result = result.map_err(Into::into).flatten();
+            if is_elsewhere(&result) {
+                index += 1;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            sent.push(Sent { call, result });
+        }
+        sent
+    };
+    let all = join_all((0..callers).map(one));
+    let over = async {
+        fault.await;
+        is_over.set(true);
+    };
+    let (sent, ()) = tokio::join!(all, over);
+    sent.into_iter().flatten().collect()
+}
+
+/// Tells whether a daemon turned the request away before taking it on.
+pub fn is_elsewhere(result: &anyhow::Result<Told>) -> bool {
+    match result {
+        Ok(told) => told.error() == "shutting-down",
+        Err(error) => error
+            .downcast_ref::<hyper_util::client::legacy::Error>()
+            .is_some_and(hyper_util::client::legacy::Error::is_connect),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/process/taken_out.rs
@@ -0,0 +1,127 @@
+//! What operators take out, and what leaves, gets no new work.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberry_standin::platform;
+use gooseberry_standin::target::Fault;
+use gooseberry_standin::target::Plan;
+use gooseberry_wire::platform::State;
+
+use crate::fleet::Call;
+use crate::fleet::FLEET;
+use crate::fleet::Fleet;
+use crate::fleet::Named;
+use crate::fleet::until;
+use crate::storm;
+
+/// From when on a target that was taken out gets no new work.
+const NOTICE: Duration = Duration::from_secs(3);
+
+async fn start() -> Fleet {
+    let plan = Plan {
+        work: Duration::from_millis(60),
+        is_fragile: true,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(FLEET, plan).await;
+    fleet.warm_up().await;
+    fleet
+}
+
+fn brief(number: usize) -> Call {
+    Call::new("brief", format!("brief-{number}"))
+}
+
+async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Returns how many calls the targets began within the span.
+fn begun(targets: &[&Named], from: Instant, to: Instant) -> usize {
+    let journals = targets.iter().map(|one| one.target.journal());
+    let entries = journals.flatten();
+    entries
+        .filter(|one| one.began > from && one.began < to)
+        .count()
+}
+
+#[tokio::test]
+async fn a_failure_domain_that_is_out_gets_nothing_new_and_comes_back_slowly() {
+    let fleet = start().await;
+    let is_out = |one: &&Named| one.domain == "a";
+    let out: Vec<&Named> = fleet.targets.iter().filter(is_out).collect();
+    let fault = async {
+        let started = Instant::now();
+        pause(500).await;
+        // Retries and a slow platform, beside a list that lags.
+        fleet.targets[1].target.set_fault(Fault::Fail);
+        let old = fleet.platform.list();
+        fleet
+            .platform
+            .set_fault(platform::Fault::Slow(Duration::from_millis(400)));
+        let published = Instant::now();
+        fleet
+            .platform
+            .put("/fleet", &FLEET.replace("[]", "[\"a\"]"));
+        pause(1500).await;
+        fleet
+            .platform
+            .set_fault(platform::Fault::Lagging(Box::new(old)));
+        pause(3500).await;
+        assert_eq!(begun(&out, published + NOTICE, Instant::now()), 0);
+        assert!(begun(&out, started, published) > 0);
+        fleet.targets[1].target.set_fault(Fault::None);
+        fleet.platform.set_fault(platform::Fault::None);
+        // The domain comes back with targets that were restarted.
+        for one in &out {
+            one.target.chill();
+        }
+        let back = Instant::now();
+        fleet.platform.put("/fleet", FLEET);
+        until("the domain works again", async || {
+            begun(&out, back, Instant::now()) > 30 && out.iter().all(|one| one.target.is_warm())
+        })
+        .await;
+    };
+    storm::steady(&fleet, 30, brief, fault).await;
+    assert_eq!(fleet.overruns(), 0);
+    fleet.assert_invariants();
+}
+
+#[tokio::test]
+async fn a_target_that_the_list_says_is_leaving_gets_nothing_new() {
+    let fleet = start().await;
+    let leaving = &fleet.targets[0];
+    let fault = async {
+        pause(500).await;
+        let old = (fleet.platform.list(), fleet.platform.settings());
+        let published = Instant::now();
+        fleet.platform.set_target_state(&leaving.id, State::Leaving);
+        let fault = platform::Fault::Contradicting(Box::new(old));
+        fleet.platform.set_fault(fault);
+        pause(5000).await;
+        assert_eq!(begun(&[leaving], published + NOTICE, Instant::now()), 0);
+    };
+    storm::steady(&fleet, 30, brief, fault).await;
+    assert!(!leaving.target.journal().is_empty());
+    fleet.assert_invariants();
+}
+
+#[tokio::test]
+async fn a_target_that_says_it_is_leaving_is_not_asked_again() {
+    let fleet = start().await;
+    let leaving = &fleet.targets[0];
+    let fault = async {
+        pause(500).await;
+        leaving.target.set_fault(Fault::Leave);
+        pause(3000).await;
+        // It would run whatever it is given from now on.
+        leaving.target.set_fault(Fault::None);
+        let since = Instant::now();
+        pause(2000).await;
+        assert_eq!(begun(&[leaving], since, Instant::now()), 0);
+    };
+    storm::steady(&fleet, 30, brief, fault).await;
+    fleet.assert_invariants();
+}
--- a/crates/kernel/src/drain.rs
+++ b/crates/kernel/src/drain.rs
@@ -1,8 +1,10 @@
 //! Graceful shutdown.
 //!
-//! A daemon that is asked to stop takes no new requests, says goodbye to its
-//! peers once its owned work has ended, and exits when nothing is in progress
-//! or when its limit has passed.
+//! A daemon that is asked to stop takes no new requests of callers. It goes on
+//! serving its peers, since the list still names it as an owner, until nothing
+//! is in progress or half of its limit has passed. Then it closes: peers are
+//! refused as well, and it exits once the rest has ended or its limit has
+//! passed.
 
 use crate::clock::Millis;
 use crate::derive::scalar;
@@ -24,24 +26,35 @@
     pub struct Load {
         /// Requests that callers wait for.
         pub requests: usize,
-        /// Calls at targets, and calls that wait for a place.
+        /// Calls at targets, calls that wait for a place, and runs of keys.
         pub calls: usize,
     }
 }
 
+impl Load {
+    fn is_none(self) -> bool {
+        self.requests == 0 && self.calls == 0
+    }
+}
+
 /// The shutdown of one daemon.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Drain {
     ends_by: Option<Millis>,
+    closes_at: Millis,
+    is_closed: bool,
 }
 
 impl Drain {
     /// Begins to shut down; a second call ends it at once.
     pub fn begin(&mut self, limit: Millis, now: Millis) {
-        self.ends_by = match self.ends_by {
-            None => Some(now + limit),
-            Some(_) => Some(now),
-        };
+        match self.ends_by {
+            None => {
+                self.ends_by = Some(now + limit);
+                self.closes_at = now + Millis(limit.0 / 2);
+            }
+            Some(_) => self.ends_by = Some(now),
+        }
     }
 
     /// Tells whether a shutdown has begun.
@@ -51,12 +64,25 @@
         self.ends_by.is_some()
     }
 
+    /// Closes when it is due; from then on peers are refused.
+    pub fn tick(&mut self, load: Load, now: Millis) {
+        let is_due = load.is_none() || now >= self.closes_at;
+        self.is_closed |= self.is_begun() && is_due;
+    }
+
+    /// Tells whether peers are refused.
+    #[inline]
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.is_closed
+    }
+
     /// Returns how far the shutdown has come.
     #[must_use]
     pub fn phase(&self, load: Load, now: Millis) -> Phase {
         match self.ends_by {
             None => Phase::Serving,
-            Some(_) if load.requests == 0 && load.calls == 0 => Phase::Done,
+            Some(_) if self.is_closed && load.is_none() => Phase::Done,
             Some(ends_by) if now >= ends_by => Phase::Cut,
             Some(_) => Phase::Draining,
         }
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -166,6 +166,9 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.tenure.tick(now);
         self.ward.tick(now);
+        if self.drain.is_begun() {
+            self.drain.tick(self.in_progress(), now);
+        }
         self.keys.tick(self.book.fleet().horizon, now);
         let mut actions: Vec<Action> = Vec::new();
         actions.extend(self.wake(now).into_iter().map(Action::Wake));
@@ -186,11 +189,22 @@
     /// Returns how far the shutdown has come.
     #[must_use]
     pub fn shutdown_phase(&self, now: Millis) -> Phase {
-        let load = Load {
+        self.drain.phase(self.in_progress(), now)
+    }
+
+    /// Tells whether this node shuts down and refuses its peers' calls.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.drain.is_closed()
+    }
+
+    /// Returns what a shutdown would cut now.
+    #[must_use]
+    pub fn in_progress(&self) -> Load {
+        Load {
             requests: self.room.total(),
-            calls: self.slots.in_flight() + self.slots.queued(),
-        };
-        self.drain.phase(load, now)
+            calls: self.slots.in_flight() + self.slots.queued() + self.keys.running(),
+        }
     }
 
     /// Gives up every right and returns the peers to say goodbye to.
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -41,6 +41,11 @@
     /// # Errors
     /// Returns the reason of the refusal; the call was not sent.
     pub fn start(&mut self, call: &Call, now: Millis) -> Result<Start, Failure> {
+        // Without a request of its own, the call is a peer's, which would keep
+        // the shutdown from ending.
+        if self.is_closed() && self.room.total() == 0 && self.keys.running() == 0 {
+            return Err(Kind::NoOwner.into());
+        }
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
         match self.slots.start(call, &pool, since, now) {
@@ -173,6 +178,9 @@
         is_first_attempt: bool,
         now: Millis,
     ) -> Result<Verdict, Failure> {
+        if self.is_closed() {
+            return Err(Kind::NoOwner.into());
+        }
         let since = match self.tenure.right(&Thing::Key(key.hash()), now) {
             Right::Held { since, .. } => since,
             Right::Elsewhere(_) | Right::Nobody => return Err(Kind::NoOwner.into()),
--- a/crates/kernel/src/once.rs
+++ b/crates/kernel/src/once.rs
@@ -171,6 +171,13 @@
         self.entries.len()
     }
 
+    /// Returns how many keys are being run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let is_running = |one: &&Entry| matches!(one.state, Progress::Running);
+        self.entries.iter().filter(is_running).count()
+    }
+
     /// Tells whether no key is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
