--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -152,8 +152,12 @@
         Ok(reply) => {
             if reply.is_foreign {
                 log::warn!(
-                    "{}: a reply to another attempt was thrown away",
-                    task.attempt
+                    request:% = task.attempt.request,
+                    workspace:% = task.workspace,
+                    stage = task.attempt.stage,
+                    attempt = task.attempt.number,
+                    target:% = task.target;
+                    "a reply to another attempt was thrown away"
                 );
                 context.metrics.foreign(grant.pool.id.as_str());
             }
@@ -224,6 +228,10 @@
     let Some(request) = write_task(owner, task) else {
         return Report::failed(Kind::Internal.into());
     };
+    let has_left = context.node.look(move |node, _| node.has_left(owner));
+    if has_left.await.unwrap_or(false) {
+        return Report::failed(Kind::NoOwner.into());
+    }
     let limit = Duration::from_millis(task.timeout.0);
     match timeout(limit, exchange(context, request, task.attempt)).await {
         Ok(report) => report,
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -79,7 +79,9 @@
     let result = run.stages().await;
     let is_late = context.clock.now() > deadline;
     let pipeline = job.admission.pipeline.id.as_str();
-    context.metrics.latency(pipeline, "all", started.elapsed());
+    let workspace = job.admission.workspace.id.as_str();
+    let metrics = &context.metrics;
+    metrics.latency(workspace, pipeline, "all", started.elapsed());
     Answer {
         request: job.request,
         result,
@@ -127,13 +129,13 @@
                 Step::Again { reason, pause } => {
                     self.context.metrics.retry(reason);
                     log::debug!(
-                        "request={} workspace={} pipeline={} stage={} attempt={} retry={}",
-                        self.job.request,
-                        self.job.admission.workspace.id,
-                        self.job.admission.pipeline.id,
-                        stage.id,
-                        self.attempts,
-                        reason.label()
+                        request:% = self.job.request,
+                        workspace:% = self.job.admission.workspace.id,
+                        pipeline:% = self.job.admission.pipeline.id,
+                        stage:% = stage.id,
+                        attempt = self.attempts,
+                        reason = reason.label();
+                        "retrying"
                     );
                     tokio::time::sleep(std::time::Duration::from_millis(pause.0)).await;
                 }
@@ -238,9 +240,10 @@
         let admission = &self.job.admission;
         let pipeline = admission.pipeline.id.as_str();
         let metrics = &self.context.metrics;
-        metrics.latency(pipeline, stage.id.as_str(), started.elapsed());
+        let workspace = admission.workspace.id.as_str();
+        metrics.latency(workspace, pipeline, stage.id.as_str(), started.elapsed());
         if let Some(cost) = self.costs.last() {
-            let labels = [admission.workspace.id.as_str(), pipeline, stage.id.as_str()];
+            let labels = [workspace, pipeline, stage.id.as_str()];
             metrics.stage_cost(labels, cost.target_time.0, cost.wasted_time.0);
         }
     }
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -1,5 +1,7 @@
 //! The platform and the peers, as one node sees them.
 
+use std::net::SocketAddr;
+
 use super::Node;
 use super::timing;
 use crate::clock::Millis;
@@ -192,6 +194,14 @@
         self.drain.phase(self.in_progress(), now)
     }
 
+    /// Tells whether the peer with the data port said goodbye.
+    #[must_use]
+    pub fn has_left(&self, data: SocketAddr) -> bool {
+        let listed = self.tenure.list().into_iter();
+        let mut members = listed.flat_map(|list| &list.members);
+        members.any(|one| one.data == data && self.tenure.is_goodbye(&one.id))
+    }
+
     /// Tells whether this node shuts down and refuses its peers' calls.
     #[must_use]
     pub fn is_closed(&self) -> bool {
