--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -259,6 +259,10 @@
     let Some(request) = write_task(owner, task) else {
         return Report::failed(Kind::Internal.into());
     };
+    let has_left = context.node.look(move |node, _| node.has_left(owner));
+    if has_left.await.unwrap_or(false) {
+        return Report::failed(Kind::NoOwner.into());
+    }
     let limit = Duration::from_millis(task.timeout.0);
     let started = Instant::now();
     match timeout(limit, exchange(context, request, task.attempt)).await {
