--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
-use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Admission;
@@ -16,13 +15,14 @@
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::once::Key;
 use gooseberry_wire::header;
-use http::HeaderMap;
 use http::Method;
 use http::Request;
-use http::header::AUTHORIZATION;
+use http::header::EXPECT;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -30,12 +30,16 @@
 use crate::answer::Answer;
 use crate::answer::HttpAnswer;
 use crate::context::Context;
+use crate::head;
 use crate::keyed;
 use crate::pipeline;
 use crate::pipeline::Job;
+use crate::record::Record;
 
-/// The longest idempotency key, in bytes.
-const KEY_MAX_BYTES: usize = 128;
+/// How much is read of a body that is refused unread, in bytes.
+const DISCARD_MAX_BYTES: usize = 256 << 10;
+/// How long a body that is refused unread is read for.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Draws the ids of requests; they must differ over the whole fleet.
 #[derive(Debug)]
@@ -79,78 +83,75 @@
 
 /// Serves one request of a caller.
 pub async fn serve(context: Arc<Context>, ids: Arc<Ids>, request: Request<Incoming>) -> HttpAnswer {
-    let id = ids.draw();
-    match handle(&context, id, request).await {
+    let mut record = Record::begin(&context, ids.draw());
+    let (head, mut body) = request.into_parts();
+    record.is_body_read = body.is_end_stream();
+    let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
+    let mut answer = match handle(&context, &head, &mut body, &mut record).await {
         Ok(answer) => answer,
         Err(failure) => {
-            context.metrics.refusal(failure.kind);
-            log::debug!("request={id} refused: {}", failure.kind);
-            Answer::refusal(id, failure).to_http()
+            let failure = match head::is_first_attempt(&head.headers) {
+                Ok(false) if has_key => keyed::of_resend(failure),
+                _ => failure,
+            };
+            Answer::refusal(record.request, failure).to_http()
         }
+    };
+    if !record.is_body_read && !head.headers.contains_key(EXPECT) {
+        discard(&mut body).await;
     }
+    record.end(&mut answer);
+    answer
 }
 
 async fn handle(
     context: &Arc<Context>,
-    id: id::Request,
-    request: Request<Incoming>,
+    request: &Parts,
+    body: &mut Incoming,
+    record: &mut Record<'_>,
 ) -> Result<HttpAnswer, Failure> {
-    let (head, body) = request.into_parts();
-    let (workspace, pipeline) = read_path(head.uri.path())?;
-    if head.method != Method::POST {
+    let (workspace, pipeline) = head::read_path(request.uri.path())?;
+    if request.method != Method::POST {
         return Err(Kind::BadMethod.into());
     }
-    let credential = read_credential(&head.headers)?;
+    let credential = head::read_credential(&request.headers)?;
     authenticate(context, &workspace, credential).await?;
-    let timeout = read_timeout(&head.headers)?;
+    let timeout = head::read_timeout(&request.headers)?;
+    let key = head::read_key(&request.headers)?;
+    let is_first = head::is_first_attempt(&request.headers)?;
     let body = read_body(context, body).await?;
+    record.is_body_read = true;
+    let digest = digest(&workspace, &body);
     let arrival = Arrival {
         workspace: workspace.clone(),
         pipeline,
         credential,
         timeout,
-        digest: digest(&workspace, &body),
+        digest,
     };
-    let digest = arrival.digest;
     let admission = context.node.try_ask(|reply| Message::Admit(arrival, reply));
     let admission = admission.await?;
     let place = Place { context, workspace };
-    let key = read_key(&head.headers, &admission)?;
+    let names = (
+        admission.workspace.id.clone(),
+        admission.pipeline.id.clone(),
+    );
+    record.names = Some(names);
     let job = Job {
-        request: id,
+        request: record.request,
+        key: choose_key(key, &admission)?,
         admission,
-        key,
         digest,
         body,
     };
     let answer = match job.key.as_ref().map(Key::hash) {
-        None => unkeyed(context, &job).await,
-        Some(hash) => {
-            let is_first = keyed::is_first_attempt(&head.headers);
-            route_keyed(context, job, hash, is_first).await?
-        }
+        None => pipeline::run(context, &job).await.to_http(),
+        Some(hash) => route_keyed(context, job, hash, is_first).await?,
     };
     drop(place);
     Ok(answer)
 }
 
-async fn unkeyed(context: &Arc<Context>, job: &Job) -> HttpAnswer {
-    let answer = pipeline::run(context, job).await;
-    let admission = &job.admission;
-    let workspace = admission.workspace.id.as_str();
-    let pipeline = admission.pipeline.id.as_str();
-    match &answer.result {
-        Ok(_) => context.metrics.answer(workspace, pipeline, answer.is_late),
-        Err(failure) => context.metrics.refusal(failure.kind),
-    }
-    log::debug!(
-        "request={} workspace={workspace} pipeline={pipeline} outcome={}",
-        job.request,
-        answer.outcome()
-    );
-    answer.to_http()
-}
-
 async fn route_keyed(
     context: &Arc<Context>,
     job: Job,
@@ -179,40 +180,11 @@
     Ok(context.node.look(check).await??)
 }
 
-fn read_path(path: &str) -> Result<(id::Workspace, id::Pipeline), Kind> {
-    let rest = path.strip_prefix("/v1/workspaces/").ok_or(Kind::NoPath)?;
-    let (workspace, pipeline) = rest.split_once("/pipelines/").ok_or(Kind::NoPath)?;
-    let workspace = workspace.parse().map_err(|_| Kind::BadRequest)?;
-    let pipeline = pipeline.parse().map_err(|_| Kind::BadRequest)?;
-    Ok((workspace, pipeline))
-}
-
-fn read_credential(headers: &HeaderMap) -> Result<id::Digest, Kind> {
-    let text = headers.get(AUTHORIZATION).and_then(|one| one.to_str().ok());
-    let token = text.and_then(|text| text.strip_prefix("Bearer "));
-    let token = token.ok_or(Kind::BadCredential)?;
-    Ok(id::Digest::of(token.trim().as_bytes()))
-}
-
-fn read_timeout(headers: &HeaderMap) -> Result<Option<Millis>, Kind> {
-    if !headers.contains_key(header::TIMEOUT_MS) {
-        return Ok(None);
-    }
-    let timeout: Option<Millis> = header::read(headers, header::TIMEOUT_MS);
-    match timeout {
-        Some(timeout) if timeout > Millis::ZERO => Ok(Some(timeout)),
-        _ => Err(Kind::BadRequest),
-    }
-}
-
-fn read_key(headers: &HeaderMap, admission: &Admission) -> Result<Option<Key>, Kind> {
+fn choose_key(text: Option<&str>, admission: &Admission) -> Result<Option<Key>, Kind> {
     if admission.pipeline.is_idempotent() {
         return Ok(None);
     }
-    let text = header::text(headers, header::IDEMPOTENCY_KEY).ok_or(Kind::KeyMissing)?;
-    if text.is_empty() || text.len() > KEY_MAX_BYTES {
-        return Err(Kind::BadRequest);
-    }
+    let text = text.ok_or(Kind::KeyMissing)?;
     Ok(Some(Key {
         workspace: admission.workspace.id.clone(),
         pipeline: admission.pipeline.id.clone(),
@@ -220,12 +192,17 @@
     }))
 }
 
-async fn read_body(context: &Context, body: Incoming) -> Result<Bytes, Failure> {
+/// Reads a body within the limits that the settings give.
+pub(crate) async fn read_body(context: &Context, body: &mut Incoming) -> Result<Bytes, Failure> {
     let limits = |node: &Node, _| {
         let fleet = node.book().fleet();
         (fleet.max_body_bytes, fleet.send_timeout)
     };
     let (max, limit) = context.node.look(limits).await?;
+    // A body that says that it is too large need not be sent first.
+    if body.size_hint().lower() > u64::from(max) {
+        return Err(Kind::TooLarge.into());
+    }
     let max = usize::try_from(max).unwrap_or(usize::MAX);
     let limit = Duration::from_millis(limit.0);
     match timeout(limit, Limited::new(body, max).collect()).await {
@@ -236,9 +213,25 @@
     }
 }
 
+/// Takes what a caller is still sending, for a moment, so that closing the
+/// connection does not cost it the answer.
+async fn discard(body: &mut Incoming) {
+    let read = async {
+        let mut left = DISCARD_MAX_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            if length > left {
+                return;
+            }
+            left -= length;
+        }
+    };
+    timeout(DISCARD_TIMEOUT, read).await.ok();
+}
+
 /// Digests the workspace with the body, so that equal bodies of two customers
 /// are two requests.
-fn digest(workspace: &id::Workspace, body: &[u8]) -> id::Digest {
+pub(crate) fn digest(workspace: &id::Workspace, body: &[u8]) -> id::Digest {
     let mut text = workspace.as_str().as_bytes().to_vec();
     text.push(b'\n');
     text.extend_from_slice(body);
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -7,7 +7,8 @@
 //! - `node_control.rs`: the platform and the peers;
 //! - `node_entry.rs`: a caller's request and its stages;
 //! - `node_handover.rs`: what a leaver gives to the next owners;
-//! - `node_owner.rs`: the targets and keys that this daemon owns.
+//! - `node_owner.rs`: the targets and keys that this daemon owns;
+//! - `node_explain.rs`: why a request would go where it goes, for operators.
 
 use crate::admission::Room;
 use crate::answer::Kind;
@@ -20,6 +21,7 @@
 use crate::once;
 use crate::quarantine::Ward;
 use crate::retry::Budget;
+use crate::route::Index;
 use crate::route::Loads;
 use crate::settings::Book;
 use crate::settings::Fleet;
@@ -32,6 +34,8 @@
 mod control;
 #[path = "node_entry.rs"]
 mod entry;
+#[path = "node_explain.rs"]
+mod explain;
 #[path = "node_handover.rs"]
 mod handover;
 #[path = "node_owner.rs"]
@@ -43,6 +47,12 @@
 pub use entry::Arrival;
 pub use entry::Choice;
 pub use entry::Step;
+pub use explain::Candidate;
+pub use explain::Explanation;
+pub use explain::Holder;
+pub use explain::Plan;
+pub use explain::Question;
+pub use explain::Standing;
 pub use owner::Grant;
 
 value! {
@@ -63,6 +73,7 @@
     book: Book,
     tenure: Tenure,
     loads: Loads,
+    index: Index,
     room: Room,
     slots: slot::Table,
     keys: once::Memory,
@@ -72,6 +83,8 @@
     drain: Drain,
     reach: control::Reach,
     violations: Vec<&'static str>,
+    /// How many sends above a target's limit have been noted as violations.
+    overruns: usize,
 }
 
 impl Node {
@@ -89,6 +102,7 @@
             book: Book::default(),
             tenure,
             loads: Loads::default(),
+            index: Index::default(),
             room: Room::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
@@ -98,6 +112,7 @@
             drain: Drain::default(),
             reach: control::Reach::new(now),
             violations: Vec::new(),
+            overruns: 0,
         }
     }
 
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -1,5 +1,7 @@
 //! The platform and the peers, as one node sees them.
 
+use std::net::SocketAddr;
+
 use super::Node;
 use super::timing;
 use crate::clock::Millis;
@@ -92,7 +94,7 @@
     ///
     /// The question's time is what counts: the answer may have waited while
     /// the process was paused. An older list than this node's confirms nothing.
-    pub fn read_list(&mut self, list: &List, asked_at: Millis, now: Millis) {
+    pub fn take_list(&mut self, list: &List, asked_at: Millis, now: Millis) {
         let is_current = list.revision >= self.tenure.revision();
         self.adopt_list(list, now);
         if is_current {
@@ -102,8 +104,8 @@
 
     /// Takes in the settings that the platform published.
     ///
-    /// See also [`Self::read_list`].
-    pub fn read_settings(&mut self, tree: &Tree, asked_at: Millis, now: Millis) {
+    /// See also [`Self::take_list`].
+    pub fn take_settings(&mut self, tree: &Tree, asked_at: Millis, now: Millis) {
         let is_current = tree.revision >= self.book.revision();
         self.adopt_settings(tree, now);
         if is_current {
@@ -111,6 +113,16 @@
         }
     }
 
+    /// Does what [`Self::take_list`] does for an answer that took no time.
+    pub fn read_list(&mut self, list: &List, now: Millis) {
+        self.take_list(list, now, now);
+    }
+
+    /// Does what [`Self::take_settings`] does for an answer that took no time.
+    pub fn read_settings(&mut self, tree: &Tree, now: Millis) {
+        self.take_settings(tree, now, now);
+    }
+
     /// Notes that the platform had no newer list when it was asked.
     pub fn confirm_list(&mut self, asked_at: Millis) {
         self.reach.list_at = self.reach.list_at.max(Some(asked_at));
@@ -217,6 +229,9 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.tenure.tick(now);
         self.ward.tick(now);
+        if self.drain.is_begun() {
+            self.drain.tick(self.in_progress(), now);
+        }
         self.keys.tick(self.book.fleet().horizon, now);
         self.estates.tick(self.book.fleet().dropped_memory, now);
         let mut actions: Vec<Action> = Vec::new();
@@ -238,11 +253,30 @@
     /// Returns how far the shutdown has come.
     #[must_use]
     pub fn shutdown_phase(&self, now: Millis) -> Phase {
-        let load = Load {
+        self.drain.phase(self.in_progress(), now)
+    }
+
+    /// Tells whether the peer with the data port said goodbye.
+    #[must_use]
+    pub fn has_left(&self, data: SocketAddr) -> bool {
+        let listed = self.tenure.list().into_iter();
+        let mut members = listed.flat_map(|list| &list.members);
+        members.any(|one| one.data == data && self.tenure.is_goodbye(&one.id))
+    }
+
+    /// Tells whether this node shuts down and refuses its peers' calls.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.drain.is_closed()
+    }
+
+    /// Returns what a shutdown would cut now.
+    #[must_use]
+    pub fn in_progress(&self) -> Load {
+        Load {
             requests: self.room.total(),
             calls: self.slots.in_flight() + self.slots.queued() + self.keys.running(),
-        };
-        self.drain.phase(load, now)
+        }
     }
 
     /// Gives up every right and returns the peers to say goodbye to.
--- a/crates/kernel/src/node_handover.rs
+++ b/crates/kernel/src/node_handover.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::once::Item;
 use crate::roster::Member;
+use crate::tenure::Right;
 use crate::tenure::Tenure;
 use crate::tenure::Thing;
 
@@ -41,6 +42,27 @@
             self.keys.inherit(item, now);
         }
         self.estates.take(parcel, now);
+        self.take_over_targets(now);
+    }
+
+    /// Ends the wait at the targets whose former owner has handed them over.
+    fn take_over_targets(&mut self, now: Millis) {
+        let Some(list) = self.tenure.list() else {
+            return;
+        };
+        for entry in &list.targets {
+            let thing = Thing::Target(entry.id.clone());
+            let pool = self.book.pool(&entry.pool);
+            let right = self.tenure.right(&thing, now);
+            let known = inherited(&self.tenure, &self.estates, &thing);
+            let (Some(pool), Right::Held { .. }, Some(known)) = (pool, right, known) else {
+                continue;
+            };
+            // The leaver may have waited for its own predecessor's calls.
+            if known + pool.longest_call <= now {
+                self.slots.take_over(&entry.id, &[], pool, known, now);
+            }
+        }
     }
 
     /// Returns since when this node knows all about a thing that it owns.
--- a/crates/kernel/src/once.rs
+++ b/crates/kernel/src/once.rs
@@ -188,13 +188,6 @@
         })
     }
 
-    /// Returns how many keys are running.
-    #[must_use]
-    pub fn running(&self) -> usize {
-        let is_running = |one: &&Entry| matches!(one.state, Progress::Running);
-        self.entries.iter().filter(is_running).count()
-    }
-
     /// Returns every key, for its next owner.
     ///
     /// The fate of a key that is running is not known to that owner.
@@ -252,6 +245,13 @@
         self.entries.len()
     }
 
+    /// Returns how many keys are being run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let is_running = |one: &&Entry| matches!(one.state, Progress::Running);
+        self.entries.iter().filter(is_running).count()
+    }
+
     /// Tells whether no key is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/kernel/src/tenure.rs
+++ b/crates/kernel/src/tenure.rs
@@ -340,6 +340,7 @@
             settled_at: None,
         });
         self.forget_seen(now);
+        self.note_first_lists(now);
         self.note_majority(now);
         true
     }
@@ -523,6 +524,7 @@
         if now >= self.started + self.timing.dropped_memory {
             self.knows_past = true;
         }
+        self.note_first_lists(now);
         let mut counted = self.groups(now).concat();
         counted.sort();
         self.acks
@@ -591,7 +593,7 @@
         let is_counted = |_: &&Dropped| self.rules.union;
         let dropped = self.dropped.iter().filter(is_remembered).filter(is_counted);
         members.extend(dropped.map(|one| one.id.clone()));
-        members.retain(|id| !self.is_goodbye(id));
+        members.retain(|id| !self.is_excused(id));
         members.sort();
         members.dedup();
         members
@@ -614,7 +616,7 @@
         let counting = self.past.iter().filter(|group| group.until > now);
         groups.extend(counting.map(|group| group.members.clone()));
         for group in &mut groups {
-            group.retain(|id| !self.is_goodbye(id));
+            group.retain(|id| !self.is_excused(id));
         }
         groups.retain(|group| !group.is_empty());
         groups
@@ -624,12 +626,22 @@
     ///
     /// It counts only for who has seen as new a list as the leaver: others may
     /// need the leaver's former answers to learn that their right has moved.
-    fn is_goodbye(&self, id: &id::Instance) -> bool {
-        let found = self.dropped.binary_search_by(|one| one.id.cmp(id));
-        let said = found.ok().and_then(|index| self.dropped[index].goodbye);
+    fn is_excused(&self, id: &id::Instance) -> bool {
+        let said = self.goodbye_of(id);
         said.is_some_and(|revision| revision <= self.revision() || !self.rules.goodbye)
     }
 
+    /// Tells whether a daemon said goodbye: it takes no calls any more.
+    #[must_use]
+    pub fn is_goodbye(&self, id: &id::Instance) -> bool {
+        self.goodbye_of(id).is_some()
+    }
+
+    fn goodbye_of(&self, id: &id::Instance) -> Option<Revision> {
+        let found = self.dropped.binary_search_by(|one| one.id.cmp(id));
+        found.ok().and_then(|index| self.dropped[index].goodbye)
+    }
+
     fn note_dropped(&mut self, list: &List, now: Millis) {
         let Some(newest) = self.seen.last() else {
             return;
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -472,7 +472,9 @@
         let call = Call {
             target: target_of(target),
             attempt: attempt_of(attempt),
-            start_by: now + Millis(4000),
+            workspace: id::Workspace::new("desk.porters").unwrap(),
+            due: now + Millis(4000),
+            deadline: now + Millis(4000),
         };
         if let Ok(Start::Go) = node.start(&call, now) {
             self.delay_send(at, Send::Call { target, attempt });
@@ -480,7 +482,7 @@
     }
 
     fn wake(&mut self, at: usize, wakes: Vec<Wake>) {
-        for wake in wakes.into_iter().filter(|wake| wake.is_granted) {
+        for wake in wakes.into_iter().filter(|wake| wake.refusal.is_none()) {
             let target = (0..TARGETS).find(|one| target_of(*one) == wake.target);
             let send = Send::Call {
                 target: target.unwrap(),
@@ -636,10 +638,10 @@
         let tree = self.platform.tree(lag);
         let (node, now) = self.node(at);
         if node.is_list_reader(now) {
-            node.read_list(&list, now, now);
+            node.read_list(&list, now);
         }
         if node.is_settings_reader(now) {
-            node.read_settings(&tree, now, now);
+            node.read_settings(&tree, now);
         }
     }
 
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -15,6 +15,8 @@
 pub const RETRY_AFTER: &str = "retry-after";
 /// The time that remains, in milliseconds.
 pub const TIMEOUT_MS: &str = "gooseberry-timeout-ms";
+/// The time that remains until the answer is late, in milliseconds.
+pub const DUE_MS: &str = "gooseberry-due-ms";
 /// The id of the request.
 pub const REQUEST: &str = "gooseberry-request";
 /// The id of the attempt, echoed in the reply.
@@ -31,6 +33,8 @@
 pub const COST: &str = "gooseberry-cost";
 /// Whether the answer was recorded for an earlier request with the key.
 pub const REPLAYED: &str = "gooseberry-replayed";
+/// The daemon that sends a call to a peer.
+pub const FROM: &str = "gooseberry-from";
 /// The workspace of the request.
 pub const WORKSPACE: &str = "gooseberry-workspace";
 /// The pipeline of the request.
