--- /dev/null
+++ b/crates/ctl/src/compare.rs
@@ -0,0 +1,102 @@
+//! Runs scenarios on a site under each policy, at the same time and from the
+//! same seed, so that both meet the same arrivals and the same machine.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use gooseberry_kernel::settings::Policy;
+use gooseberry_standin::site::Site;
+use tokio::task::JoinHandle;
+
+use crate::embedded::Embedded;
+use crate::load;
+use crate::load::Plan;
+use crate::scenario::Scenario;
+use crate::score::Score;
+
+/// How long requests are sent before the measurement begins.
+const LEAD: Duration = Duration::from_secs(5);
+
+/// What is to be run.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The site.
+    pub site: Site,
+    /// The policies.
+    pub policies: Vec<Policy>,
+    /// The scenarios.
+    pub scenarios: Vec<Scenario>,
+    /// The seed of the arrivals.
+    pub seed: u64,
+    /// Requests in each second.
+    pub rate: u32,
+    /// How long each scenario is measured.
+    pub span: Duration,
+}
+
+/// One scenario under one policy.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The policy.
+    pub policy: Policy,
+    /// What came of it.
+    pub score: Score,
+}
+
+/// Runs all scenarios, one after the other, and tells of each run.
+///
+/// # Errors
+/// Returns an error if a site cannot be started.
+pub async fn run(setup: &Setup, tell: impl Fn(&Run)) -> anyhow::Result<Vec<Run>> {
+    let mut runs = Vec::new();
+    let mut next = start(setup);
+    for (index, scenario) in setup.scenarios.iter().enumerate() {
+        let sites = next.await.context("a site did not start")??;
+        // The sites of the next scenario settle while this one is measured.
+        next = if index + 1 < setup.scenarios.len() {
+            start(setup)
+        } else {
+            tokio::spawn(async { Ok(Vec::new()) })
+        };
+        let measured = sites.iter().map(|site| measure(setup, *scenario, site));
+        for run in futures::future::join_all(measured).await {
+            tell(&run);
+            runs.push(run);
+        }
+        let ended = sites.iter().map(Embedded::shut_down);
+        futures::future::join_all(ended).await;
+    }
+    Ok(runs)
+}
+
+/// Starts one site for each policy.
+fn start(setup: &Setup) -> JoinHandle<anyhow::Result<Vec<Embedded>>> {
+    let site = setup.site;
+    let policies = setup.policies.clone();
+    tokio::spawn(async move {
+        let started = policies.into_iter().map(async |policy| {
+            let embedded = Embedded::start_loaded(site, policy).await?;
+            embedded.settle().await;
+            anyhow::Ok(embedded)
+        });
+        futures::future::try_join_all(started).await
+    })
+}
+
+async fn measure(setup: &Setup, scenario: Scenario, embedded: &Embedded) -> Run {
+    let plan = Plan {
+        seed: setup.seed,
+        rate: setup.rate,
+        span: setup.span,
+        lead: LEAD,
+        scenario,
+    };
+    let summary = load::run(embedded, &plan).await;
+    Run {
+        scenario,
+        policy: embedded.policy,
+        score: Score::new(embedded, &summary, scenario, setup.span),
+    }
+}
--- a/crates/ctl/src/embedded.rs
+++ b/crates/ctl/src/embedded.rs
@@ -5,11 +5,15 @@
 
 use anyhow::bail;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::settings::Kind;
 use gooseberry_kernel::settings::Local;
 use gooseberry_kernel::settings::LogFormat;
+use gooseberry_kernel::settings::Policy;
+use gooseberry_standin::capacity::Capacity;
 use gooseberry_standin::platform::Platform;
 use gooseberry_standin::site::Named;
 use gooseberry_standin::site::Site;
+use gooseberry_standin::target;
 use gooseberry_wire::platform::Instance;
 use gooseberry_wire::platform::State;
 use gooseberryd::daemon::Daemon;
@@ -17,6 +21,11 @@
 /// How long the daemons may take until their rights hold.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// How long an engine works on one call under a load.
+const ENGINE_WORK: Duration = Duration::from_millis(800);
+/// The path of the settings of the fleet.
+const FLEET_PATH: &str = "/fleet";
+
 /// A running site.
 #[derive(Debug)]
 pub struct Embedded {
@@ -28,6 +37,8 @@
     pub targets: Vec<Named>,
     /// Its daemons.
     pub daemons: Vec<Daemon>,
+    /// How the daemons decide.
+    pub policy: Policy,
 }
 
 impl Embedded {
@@ -38,27 +49,88 @@
     /// Returns an error if a port cannot be bound or a daemon does not become
     /// ready in time.
     pub async fn start(site: Site) -> anyhow::Result<Self> {
+        Self::start_as(site, Policy::Adaptive, |plan| plan).await
+    }
+
+    /// Starts a site whose targets have a limited capacity, for a load.
+    ///
+    /// # Errors
+    /// Returns an error as [`Self::start`] does.
+    pub async fn start_loaded(site: Site, policy: Policy) -> anyhow::Result<Self> {
+        Self::start_as(site, policy, limited).await
+    }
+
+    async fn start_as(
+        site: Site,
+        policy: Policy,
+        change: impl Fn(target::Plan) -> target::Plan,
+    ) -> anyhow::Result<Self> {
         let platform = Platform::start().await?;
         site.publish(&platform);
-        let targets = site.start_targets(&platform).await?;
-        let mut daemons = Vec::new();
-        for index in 0..site.daemons {
-            let local = local(&site, index, platform.address())?;
-            daemons.push(Daemon::start(local).await?);
-        }
-        platform.change_list(|list| {
-            list.instances.extend(daemons.iter().map(listed));
-        });
-        let embedded = Self {
+        let targets = site.start_targets_as(&platform, change).await?;
+        let mut embedded = Self {
             site,
             platform,
             targets,
-            daemons,
+            daemons: Vec::new(),
+            policy,
         };
+        embedded.publish_fleet(None);
+        for index in 0..site.daemons {
+            let local = local(&site, index, embedded.platform.address())?;
+            embedded.daemons.push(Daemon::start(local).await?);
+        }
+        embedded.platform.change_list(|list| {
+            list.instances.extend(embedded.daemons.iter().map(listed));
+        });
         embedded.ready().await?;
         Ok(embedded)
     }
 
+    /// Publishes the settings of the fleet, with one failure domain taken out
+    /// or none.
+    pub fn publish_fleet(&self, out: Option<&str>) {
+        let documents = self.site.documents.iter();
+        let fleet = documents.filter(|(path, _)| *path == FLEET_PATH);
+        for (path, text) in fleet {
+            let out = out
+                .map(|domain| format!("\"{domain}\""))
+                .unwrap_or_default();
+            let text = text.replace("\"out\": []", &format!("\"out\": [{out}]"));
+            let policy = format!("\"policy\": \"{}\"", label(self.policy));
+            let text = text.replace("\"policy\": \"adaptive\"", &policy);
+            self.platform.put(path, &text);
+        }
+    }
+
+    /// Waits until no owner has to reckon with calls of a former one.
+    pub async fn settle(&self) {
+        let teams = self.site.documents.iter();
+        let teams = teams.filter_map(|(path, _)| path.strip_prefix("/teams/"));
+        let documents = teams.filter_map(|team| self.site.document(team));
+        let longest = documents.flat_map(|document| document.pools);
+        let longest = longest.map(|pool| pool.longest_call).max();
+        let longest = longest.unwrap_or(Millis::ZERO);
+        tokio::time::sleep(Duration::from_millis(longest.0)).await;
+    }
+
+    /// Returns the targets of a kind.
+    pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Named> {
+        let groups = self.site.groups;
+        let is_of_kind = move |pool: &str| {
+            let mut of_kind = groups.iter().filter(|group| group.kind == kind);
+            of_kind.any(|group| group.pool == pool)
+        };
+        let targets = self.targets.iter();
+        targets.filter(move |named| is_of_kind(named.pool))
+    }
+
+    /// Returns the targets of a failure domain.
+    pub fn of_domain(&self, domain: &str) -> impl Iterator<Item = &Named> {
+        let targets = self.targets.iter();
+        targets.filter(move |named| named.domain == domain)
+    }
+
     /// Shuts the daemons down.
     pub async fn shut_down(&self) {
         let all = self.daemons.iter().map(Daemon::shut_down);
@@ -81,6 +153,29 @@
     }
 }
 
+/// Returns the policy as it stands in settings and tables.
+#[must_use]
+pub fn label(policy: Policy) -> &'static str {
+    match policy {
+        Policy::Adaptive => "adaptive",
+        Policy::Baseline => "baseline",
+    }
+}
+
+/// Limits what a target bears, and lets it start warm.
+fn limited(plan: target::Plan) -> target::Plan {
+    let work = match plan.kind {
+        Kind::Engine => ENGINE_WORK,
+        Kind::Encoder | Kind::Retriever | Kind::Reranker | Kind::Service => plan.work,
+    };
+    target::Plan {
+        work,
+        is_warm: true,
+        capacity: Capacity::of(plan.kind),
+        ..plan
+    }
+}
+
 async fn is_ready(daemon: &Daemon) -> bool {
     let read =
         |node: &gooseberry_kernel::node::Node, now| node.ready().is_ok() && node.holds_rights(now);
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,6 +1,8 @@
 //! The operators' tool: check settings, ask a daemon, run a load or the demo.
 //!
 //! - [`embedded`] runs one example site on the loopback, within one process.
+//! - [`compare`] runs scenarios on it under each policy; [`scenario`] lists them,
+//!   [`score`] scores them, [`table`] and [`plot`] show them.
 //! - [`load`] sends requests at it and accounts for each.
 //! - [`report`] writes what came of them.
 //!
@@ -19,6 +21,12 @@
 //! # }
 //! ```
 
+pub mod compare;
 pub mod embedded;
 pub mod load;
+pub mod load_command;
+pub mod plot;
 pub mod report;
+pub mod scenario;
+pub mod score;
+pub mod table;
--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -9,7 +9,7 @@
 use gooseberry_connectors::http_client::HttpClient;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::hash;
-use gooseberry_kernel::settings::Pipeline;
+use gooseberry_kernel::settings::Stage;
 use gooseberry_standin::site;
 use gooseberry_standin::site::Site;
 use gooseberry_standin::site::Traffic;
@@ -22,9 +22,21 @@
 use tokio::task::JoinSet;
 
 use crate::embedded::Embedded;
+use crate::scenario;
+use crate::scenario::CRASH_TEXT;
+use crate::scenario::Scenario;
 
-/// How long a caller waits for an answer.
-const PATIENCE: Duration = Duration::from_secs(30);
+/// How long a caller waits for an answer: the longest deadline of the example
+/// sites, and the time that is allowed for a late answer.
+const PATIENCE: Duration = Duration::from_secs(75);
+/// How often a request that crashes engines is sent.
+const CRASH_EVERY: Duration = Duration::from_secs(1);
+/// How often its caller sends it again.
+const CRASH_RESENDS: usize = 3;
+/// How many prompts the callers of one pipeline have in common.
+const PROMPTS: u64 = 48;
+/// How long such a prompt is, in bytes.
+const PROMPT_BYTES: usize = 520;
 
 /// A load.
 #[derive(Clone, Copy, Debug)]
@@ -33,8 +45,12 @@
     pub seed: u64,
     /// Requests in each second.
     pub rate: u32,
-    /// How long requests are sent.
+    /// How long requests are sent that are measured.
     pub span: Duration,
+    /// How long requests are sent before that.
+    pub lead: Duration,
+    /// What happens meanwhile.
+    pub scenario: Scenario,
 }
 
 impl Default for Plan {
@@ -43,10 +59,25 @@
             seed: 1,
             rate: 100,
             span: Duration::from_secs(10),
+            lead: Duration::ZERO,
+            scenario: Scenario::Calm,
         }
     }
 }
 
+/// What a request is sent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// To bring the site to its usual state before the measurement.
+    Lead,
+    /// To be measured.
+    Measured,
+    /// To flood the site from one workspace.
+    Flood,
+    /// To crash the engines that run it.
+    Crash,
+}
+
 /// How one request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -65,11 +96,15 @@
 /// One request, as its caller saw it.
 #[derive(Clone, Debug)]
 pub struct Sample {
+    /// What it was sent for.
+    pub class: Class,
+    /// Its body.
+    pub body: Bytes,
     /// The workspace.
     pub workspace: &'static str,
     /// The pipeline.
     pub pipeline: &'static str,
-    /// When it was sent, from the start of the load.
+    /// When it was sent, from the start of the measurement; zero before it.
     pub sent_at: Duration,
     /// How long its answer took.
     pub latency: Duration,
@@ -95,6 +130,8 @@
 /// What came of a load.
 #[derive(Clone, Debug, Default)]
 pub struct Summary {
+    /// When the measurement began.
+    pub origin: Option<Instant>,
     /// How many requests were sent.
     pub sent: usize,
     /// Each request that ended.
@@ -120,31 +157,54 @@
 
 /// Runs a load on a site.
 pub async fn run(embedded: &Embedded, plan: &Plan) -> Summary {
-    let callers: Vec<SocketAddr> = embedded
-        .daemons
-        .iter()
-        .map(|one| one.local().callers)
-        .collect();
+    let origin = Instant::now() + plan.lead;
+    let (mut summary, crashes, ()) = tokio::join!(
+        arrivals(embedded, plan, origin),
+        crashes(embedded, plan, origin),
+        plan.scenario.disturb(embedded, origin, plan.span),
+    );
+    summary.sent += crashes.len();
+    summary.samples.extend(crashes);
+    summary.origin = Some(origin);
+    summary
+}
+
+/// Sends the arrivals of a Poisson process and waits for their answers.
+async fn arrivals(embedded: &Embedded, plan: &Plan, origin: Instant) -> Summary {
+    let callers = callers(embedded);
     let client = http_client::new();
-    let started = Instant::now();
+    let started = origin.checked_sub(plan.lead).unwrap_or(origin);
     let mut summary = Summary::default();
     let mut running = JoinSet::new();
     let mut at = Duration::ZERO;
     let mut random = plan.seed;
     loop {
         random = hash::mix(random, plan.seed);
-        at += gap(random, plan.rate);
-        if at >= plan.span {
+        let measured_at = at.checked_sub(plan.lead);
+        let factor = measured_at.map_or(1, |at| plan.scenario.rate_factor(at, plan.span));
+        at += gap(random, plan.rate.saturating_mul(factor));
+        if at >= plan.lead + plan.span {
             break;
         }
         tokio::time::sleep_until((started + at).into()).await;
+        let is_flood = is_flood(plan, factor, hash::mix(random, 5));
+        let class = match at.checked_sub(plan.lead) {
+            None => Class::Lead,
+            Some(_) if is_flood => Class::Flood,
+            Some(_) => Class::Measured,
+        };
+        let traffic = match class {
+            Class::Flood => embedded.site.traffic[0],
+            _ => pick(embedded.site.traffic, hash::mix(random, 3)),
+        };
+        let number = summary.sent;
         let shot = Shot {
+            class,
             site: embedded.site,
-            address: callers[summary.sent % callers.len()],
-            traffic: pick(embedded.site.traffic, hash::mix(random, 3)),
-            number: summary.sent,
-            seed: plan.seed,
-            sent_at: at,
+            address: callers[number % callers.len()],
+            traffic,
+            body: body(traffic, plan.seed, number, hash::mix(random, 7)),
+            sent_at: at.saturating_sub(plan.lead),
         };
         summary.sent += 1;
         running.spawn(shoot(client.clone(), shot));
@@ -155,26 +215,84 @@
     summary
 }
 
+/// Sends the requests that crash engines, each several times.
+async fn crashes(embedded: &Embedded, plan: &Plan, origin: Instant) -> Vec<Sample> {
+    if plan.scenario != Scenario::Crash {
+        return Vec::new();
+    }
+    let callers = callers(embedded);
+    let client = http_client::new();
+    let (mut at, _) = scenario::disturbed(plan.span);
+    let mut running = JoinSet::new();
+    while at < plan.span {
+        tokio::time::sleep_until((origin + at).into()).await;
+        let traffic = embedded.site.traffic[0];
+        let number = running.len();
+        let shot = Shot {
+            class: Class::Crash,
+            site: embedded.site,
+            address: callers[number % callers.len()],
+            traffic,
+            body: format!("{CRASH_TEXT}-{}-{number}", plan.seed).into(),
+            sent_at: at,
+        };
+        let client = client.clone();
+        running.spawn(async move {
+            let mut samples = Vec::new();
+            for _ in 0..=CRASH_RESENDS {
+                samples.push(shoot(client.clone(), shot.clone()).await);
+            }
+            samples
+        });
+        at += CRASH_EVERY;
+    }
+    let samples = running.join_all().await;
+    samples.into_iter().flatten().collect()
+}
+
+fn callers(embedded: &Embedded) -> Vec<SocketAddr> {
+    let daemons = embedded.daemons.iter();
+    daemons.map(|one| one.local().callers).collect()
+}
+
+/// Tells whether an arrival belongs to the flood and not to the usual load.
+fn is_flood(plan: &Plan, factor: u32, random: u64) -> bool {
+    plan.scenario == Scenario::Flood && random % u64::from(factor) != 0
+}
+
+/// Makes a body: one of the prompts that the callers share, the more frequent
+/// the lower its number, and a part of its own.
+fn body(traffic: Traffic, seed: u64, number: usize, random: u64) -> Bytes {
+    let pipeline = traffic.pipeline;
+    let prompt = (random % PROMPTS).min((random >> 32) % PROMPTS);
+    let words = format!("{pipeline} prompt {prompt} ");
+    let mut body: String = words.chars().cycle().take(PROMPT_BYTES).collect();
+    body.push_str(&format!("{pipeline}-{seed}-{number}"));
+    body.into()
+}
+
 /// One request that is to be sent.
+#[derive(Clone)]
 struct Shot {
+    class: Class,
     site: Site,
     address: SocketAddr,
     traffic: Traffic,
-    number: usize,
-    seed: u64,
+    body: Bytes,
     sent_at: Duration,
 }
 
 async fn shoot(client: HttpClient, shot: Shot) -> Sample {
-    let body = format!("{}-{}-{}", shot.traffic.pipeline, shot.seed, shot.number);
     let started = Instant::now();
-    let answered = tokio::time::timeout(PATIENCE, send(&client, &shot, &body)).await;
+    let answered = tokio::time::timeout(PATIENCE, send(&client, &shot)).await;
     let latency = started.elapsed();
     let (ending, costs) = match answered {
-        Ok(Ok((headers, answer))) => (judge(&shot, &body, &headers, &answer), costs(&headers)),
+        Ok(Ok((headers, answer))) => (judge(&shot, &headers, &answer), costs(&headers)),
         _ => (Ending::Lost, Vec::new()),
     };
     Sample {
+        class: shot.class,
+        body: shot.body,
         workspace: shot.traffic.workspace,
         pipeline: shot.traffic.pipeline,
         sent_at: shot.sent_at,
@@ -184,7 +302,7 @@
     }
 }
 
-async fn send(client: &HttpClient, shot: &Shot, body: &str) -> anyhow::Result<(HeaderMap, Bytes)> {
+async fn send(client: &HttpClient, shot: &Shot) -> anyhow::Result<(HeaderMap, Bytes)> {
     let Traffic {
         workspace,
         pipeline,
@@ -193,22 +311,24 @@
     let address = shot.address;
     let uri = format!("http://{address}/v1/workspaces/{workspace}/pipelines/{pipeline}");
     let credential = site::credential(workspace);
+    let key = hash::bytes(&shot.body);
     let request = Request::post(uri)
         .header("authorization", format!("Bearer {credential}"))
-        .header(header::IDEMPOTENCY_KEY, body)
+        .header(header::IDEMPOTENCY_KEY, format!("{key:016x}"))
         .header(header::IDEMPOTENCY_ATTEMPT, 1)
-        .body(Full::new(Bytes::from(body.to_owned())))?;
+        .body(Full::new(shot.body.clone()))?;
     let response = client.request(request).await?;
     let (head, body) = response.into_parts();
     let whole = body.collect().await?;
     Ok((head.headers, whole.to_bytes()))
 }
 
-fn judge(shot: &Shot, body: &str, headers: &HeaderMap, answer: &[u8]) -> Ending {
+fn judge(shot: &Shot, headers: &HeaderMap, answer: &[u8]) -> Ending {
     if let Some(kind) = header::read(headers, header::ERROR) {
         return Ending::Refused(kind);
     }
-    if expected(shot, body).as_deref() != Some(answer) {
+    let inputs = inputs(&shot.site, &shot.traffic, &shot.body);
+    if inputs.last().is_none_or(|expected| expected.body != answer) {
         return Ending::Wrong;
     }
     match header::read(headers, header::LATE) {
@@ -217,16 +337,42 @@
     }
 }
 
-/// Returns the answer that the stand-ins give to the body.
-fn expected(shot: &Shot, body: &str) -> Option<Vec<u8>> {
-    let (team, _) = shot.traffic.workspace.split_once('.')?;
-    let document = shot.site.document(team)?;
-    let pipeline: &Pipeline = document.pipeline(&shot.traffic.pipeline.parse().ok()?)?;
-    let mut answer = body.as_bytes().to_vec();
+/// What a stage of a request is given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Input {
+    /// The stage; `None` for the answer to the caller.
+    pub stage: Option<Stage>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Returns what the stages of a request are given by the stand-ins, and last
+/// the answer to the caller.
+#[must_use]
+pub fn inputs(site: &Site, traffic: &Traffic, body: &[u8]) -> Vec<Input> {
+    let team = traffic
+        .workspace
+        .split_once('.')
+        .map_or("", |(team, _)| team);
+    let Some(document) = site.document(team) else {
+        return Vec::new();
+    };
+    let name = traffic.pipeline.parse().ok();
+    let Some(pipeline) = name.and_then(|name| document.pipeline(&name)) else {
+        return Vec::new();
+    };
+    let mut body = body.to_vec();
+    let mut inputs = Vec::new();
     for stage in &pipeline.stages {
-        answer = target::output(document.pool(&stage.pool)?.kind, &answer);
+        let kind = document.pool(&stage.pool).map(|pool| pool.kind);
+        let output = kind.map(|kind| target::output(kind, &body));
+        inputs.push(Input {
+            stage: Some(stage.clone()),
+            body: std::mem::replace(&mut body, output.unwrap_or_default()),
+        });
     }
-    Some(answer)
+    inputs.push(Input { stage: None, body });
+    inputs
 }
 
 fn costs(headers: &HeaderMap) -> Vec<StageCost> {
--- /dev/null
+++ b/crates/ctl/src/load_command.rs
@@ -0,0 +1,137 @@
+//! The subcommand that measures the policy in scenarios.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context;
+use bpaf::Bpaf;
+use gooseberry_kernel::settings::Policy;
+use gooseberry_standin::site::Site;
+
+use crate::compare;
+use crate::compare::Run;
+use crate::compare::Setup;
+use crate::plot;
+use crate::scenario::Scenario;
+use crate::table;
+
+/// What the subcommand is asked for.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// The site: huaraz or wadi-rum
+    #[bpaf(long, argument("SITE"), fallback("huaraz".to_owned()), display_fallback)]
+    pub site: String,
+    /// The policy: adaptive, baseline or both
+    #[bpaf(long, argument("POLICY"), fallback("both".to_owned()), display_fallback)]
+    pub policy: String,
+    /// A scenario; may be given several times, and all are run if it is not
+    #[bpaf(long, argument("SCENARIO"))]
+    pub scenario: Vec<Scenario>,
+    /// The seed of the arrivals
+    #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Requests in each second
+    #[bpaf(long, argument("N"), fallback(140), display_fallback)]
+    pub rate: u32,
+    /// How long each scenario is measured
+    #[bpaf(long, argument("SECONDS"), fallback(12), display_fallback)]
+    pub seconds: u64,
+    /// Write the details of each run too
+    pub details: bool,
+    /// Write the results as JSON to a file, or to the output for `-`
+    #[bpaf(long, argument("FILE"), optional)]
+    pub json: Option<PathBuf>,
+    /// Draw the attainment through a failure domain's leave and return
+    #[bpaf(long, argument("FILE"), optional)]
+    pub plot: Option<PathBuf>,
+}
+
+impl Options {
+    /// Returns what is to be run.
+    ///
+    /// # Errors
+    /// Returns an error if a name is not known.
+    pub fn setup(&self) -> anyhow::Result<Setup> {
+        let site = Site::find(&self.site);
+        let site = site.with_context(|| format!("there is no example site `{}`", self.site))?;
+        let policies = if self.policy == "both" {
+            vec![Policy::Adaptive, Policy::Baseline]
+        } else {
+            vec![self.policy.parse()?]
+        };
+        let mut scenarios = self.scenario.clone();
+        if scenarios.is_empty() {
+            scenarios = Scenario::ALL.to_vec();
+        }
+        Ok(Setup {
+            site,
+            policies,
+            scenarios,
+            seed: self.seed,
+            rate: self.rate,
+            span: Duration::from_secs(self.seconds),
+        })
+    }
+}
+
+/// Runs the scenarios, and tells whether nothing happened that must not.
+///
+/// # Errors
+/// Returns an error if a site cannot be started or a file not be written.
+pub async fn run(options: &Options) -> anyhow::Result<bool> {
+    let setup = options.setup()?;
+    // With JSON on the output the table goes to the errors.
+    let is_json_output = options
+        .json
+        .as_ref()
+        .is_some_and(|path| path.as_os_str() == "-");
+    let write = |text: &str| {
+        if is_json_output {
+            eprint!("{text}");
+        } else {
+            print!("{text}");
+        }
+    };
+    write(&format!("{}\n{}\n", title(&setup), table::HEAD));
+    let tell = |run: &Run| {
+        write(&format!("{}\n", table::row(run)));
+    };
+    let runs = compare::run(&setup, tell).await?;
+    if options.details {
+        for run in &runs {
+            write(&table::details(run));
+        }
+    }
+    if let Some(path) = &options.json {
+        let text = format!("{:#}\n", table::json(&setup, &runs));
+        if is_json_output {
+            print!("{text}");
+        } else {
+            std::fs::write(path, text).with_context(|| path.display().to_string())?;
+        }
+    }
+    if let Some(path) = &options.plot {
+        let is_meant = |run: &&Run| run.scenario == Scenario::DomainOut;
+        let meant: Vec<Run> = runs.iter().filter(is_meant).cloned().collect();
+        plot::draw(path, &setup, &meant)?;
+    }
+    Ok(runs.iter().all(|run| run.score.breaches.total() == 0))
+}
+
+fn title(setup: &Setup) -> String {
+    format!(
+        "{}: {} daemons, {} targets, {} requests a second, {} s a scenario, seed {}",
+        setup.site.name,
+        setup.site.daemons,
+        setup
+            .site
+            .groups
+            .iter()
+            .map(|group| group.count)
+            .sum::<usize>(),
+        setup.rate,
+        setup.span.as_secs(),
+        setup.seed
+    )
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -9,6 +9,7 @@
 use gooseberryctl::embedded::Embedded;
 use gooseberryctl::load;
 use gooseberryctl::load::Plan;
+use gooseberryctl::load_command;
 use gooseberryctl::report;
 
 /// Operates gooseberryarch.
@@ -33,6 +34,11 @@
         #[bpaf(long, argument("N"), fallback(1), display_fallback)]
         seed: u64,
     },
+    /// Measure the policy in scenarios, beside the baseline
+    ///
+    /// Example: `gooseberryctl load --site huaraz --seed 1`
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_command::options))] load_command::Options),
 }
 
 fn main() -> ExitCode {
@@ -58,9 +64,11 @@
                 seed,
                 rate,
                 span: Duration::from_secs(seconds),
+                ..Plan::default()
             };
             demo(&site, &plan).await
         }
+        Command::Load(options) => Ok(exit_code(load_command::run(&options).await?)),
     }
 }
 
@@ -79,9 +87,13 @@
     let summary = load::run(&embedded, plan).await;
     embedded.shut_down().await;
     print!("{}", report::text(&summary));
-    if summary.is_accounted() {
-        Ok(ExitCode::SUCCESS)
+    Ok(exit_code(summary.is_accounted()))
+}
+
+fn exit_code(is_good: bool) -> ExitCode {
+    if is_good {
+        ExitCode::SUCCESS
     } else {
-        Ok(ExitCode::FAILURE)
+        ExitCode::FAILURE
     }
 }
--- /dev/null
+++ b/crates/ctl/src/scenario.rs
@@ -0,0 +1,173 @@
+//! What happens to a site while a load runs on it.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberry_kernel::id;
+use gooseberry_kernel::settings::Kind;
+use gooseberry_standin::platform;
+use gooseberry_standin::site::Named;
+use gooseberry_standin::target::Fault;
+
+use crate::embedded::Embedded;
+
+/// How many times the rate grows in a burst, and one workspace's in a flood.
+pub const SURGE: u32 = 3;
+/// The text in the body of a request that crashes the engines that run it.
+pub const CRASH_TEXT: &str = "crash-on-this";
+/// How long after its notice a failure domain goes away.
+pub const NOTICE: Duration = Duration::from_secs(3);
+
+/// When a disturbance begins and ends, in percent of the measured span.
+const DISTURBED_PERCENT: (u32, u32) = (25, 60);
+/// How much longer each call of the slow stage takes.
+const SLOW: Duration = Duration::from_millis(300);
+/// How much longer each call of its slowest target takes.
+const SLOWEST: Duration = Duration::from_secs(2);
+
+/// What happens to a site while a load runs on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Scenario {
+    /// Nothing.
+    #[default]
+    Calm,
+    /// The rate grows to three times.
+    Burst,
+    /// The targets of one stage are slow, one of them very.
+    SlowStage,
+    /// Operators take a failure domain out and bring it back cold.
+    DomainOut,
+    /// Half of the targets turn cold without warning.
+    HalfCold,
+    /// Now and then a request crashes each engine that runs it.
+    Crash,
+    /// The settings service is down.
+    SettingsDown,
+    /// One workspace sends as much again as three times of all others.
+    Flood,
+}
+
+impl Scenario {
+    /// Every scenario, in the order of the table.
+    pub const ALL: [Self; 8] = [
+        Self::Calm,
+        Self::Burst,
+        Self::SlowStage,
+        Self::DomainOut,
+        Self::HalfCold,
+        Self::Crash,
+        Self::SettingsDown,
+        Self::Flood,
+    ];
+
+    /// Returns its name on the command line and in tables.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Calm => "calm",
+            Self::Burst => "burst",
+            Self::SlowStage => "slow-stage",
+            Self::DomainOut => "domain-out",
+            Self::HalfCold => "half-cold",
+            Self::Crash => "crash",
+            Self::SettingsDown => "settings-down",
+            Self::Flood => "flood",
+        }
+    }
+
+    /// Returns the rate of all arrivals, in multiples of the plan's rate.
+    #[must_use]
+    pub fn rate_factor(self, at: Duration, span: Duration) -> u32 {
+        let is_surge = matches!(self, Self::Burst | Self::Flood);
+        let (from, to) = disturbed(span);
+        if is_surge && at >= from && at < to {
+            SURGE
+        } else {
+            1
+        }
+    }
+
+    /// Disturbs the site from `origin` on, and returns when all is well again.
+    pub async fn disturb(self, embedded: &Embedded, origin: Instant, span: Duration) {
+        let (from, to) = disturbed(span);
+        tokio::time::sleep_until((origin + from).into()).await;
+        match self {
+            Self::Calm | Self::Burst | Self::Flood => {}
+            Self::SlowStage => slow_stage(embedded, origin + to).await,
+            Self::DomainOut => domain_out(embedded, origin + to).await,
+            Self::HalfCold => half_cold(embedded),
+            Self::Crash => crash(embedded),
+            Self::SettingsDown => settings_down(embedded, origin + to).await,
+        }
+    }
+}
+
+impl fmt::Display for Scenario {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(self.label())
+    }
+}
+
+impl FromStr for Scenario {
+    type Err = id::Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|one| one.label() == text);
+        found.ok_or_else(|| id::Invalid { text: text.into() })
+    }
+}
+
+/// Returns when a disturbance begins and ends, from the start of the span.
+#[must_use]
+pub fn disturbed(span: Duration) -> (Duration, Duration) {
+    let (from, to) = DISTURBED_PERCENT;
+    (span * from / 100, span * to / 100)
+}
+
+async fn slow_stage(embedded: &Embedded, until: Instant) {
+    let stage = embedded.of_kind(Kind::Reranker);
+    for (index, named) in stage.enumerate() {
+        let more = if index == 0 { SLOWEST } else { SLOW };
+        named.target.set_fault(Fault::Slow(more));
+    }
+    tokio::time::sleep_until(until.into()).await;
+    set_all(embedded.of_kind(Kind::Reranker), &Fault::None);
+}
+
+async fn domain_out(embedded: &Embedded, until: Instant) {
+    let domain = embedded.site.domains[0];
+    embedded.publish_fleet(Some(domain));
+    tokio::time::sleep(NOTICE).await;
+    set_all(embedded.of_domain(domain), &Fault::Break);
+    tokio::time::sleep_until(until.into()).await;
+    for named in embedded.of_domain(domain) {
+        named.target.chill();
+        named.target.set_fault(Fault::None);
+    }
+    embedded.publish_fleet(None);
+}
+
+fn half_cold(embedded: &Embedded) {
+    for named in embedded.targets.iter().step_by(2) {
+        named.target.chill();
+    }
+}
+
+fn crash(embedded: &Embedded) {
+    let fault = Fault::CrashOn(CRASH_TEXT.to_owned());
+    set_all(embedded.of_kind(Kind::Engine), &fault);
+}
+
+async fn settings_down(embedded: &Embedded, until: Instant) {
+    embedded.platform.set_fault(platform::Fault::Down);
+    tokio::time::sleep_until(until.into()).await;
+    embedded.platform.set_fault(platform::Fault::None);
+}
+
+fn set_all<'a>(targets: impl Iterator<Item = &'a Named>, fault: &Fault) {
+    for named in targets {
+        named.target.set_fault(fault.clone());
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/score.rs
@@ -0,0 +1,436 @@
+//! What a load says about the policy that served it.
+//!
+//! The costs come from the journals of the stand-ins and not from what the
+//! daemons say, so a daemon that miscounts does not look better for it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberry_kernel::settings::Kind;
+use gooseberry_standin::capacity::Span;
+use gooseberry_standin::site::Traffic;
+use hdrhistogram::Histogram;
+
+use crate::embedded::Embedded;
+use crate::load;
+use crate::load::Class;
+use crate::load::Ending;
+use crate::load::Sample;
+use crate::load::Summary;
+use crate::scenario;
+use crate::scenario::Scenario;
+
+/// The longest latency that a histogram holds, in milliseconds.
+const LATENCY_MAX_MS: u64 = 600_000;
+/// After what share of the usual work a failure domain counts as in use.
+const BACK_PERCENT: u64 = 50;
+/// Over how long the share of a failure domain is taken.
+const BACK_WINDOW: Duration = Duration::from_millis(500);
+/// How often it is taken.
+const BACK_STEP: Duration = Duration::from_millis(100);
+
+/// How a group of requests ended.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// How many were sent.
+    pub sent: u64,
+    /// How many were answered whole within their deadline.
+    pub in_time: u64,
+    /// How many were answered whole after it, and flagged.
+    pub late: u64,
+    /// How many were refused or failed with a reason.
+    pub refused: u64,
+    /// How many got an answer that was not theirs, or not whole.
+    pub wrong: u64,
+    /// How many got no answer.
+    pub lost: u64,
+}
+
+/// What one stage of one pipeline cost.
+#[derive(Clone, Debug, Default)]
+pub struct StageCost {
+    /// How many calls targets took for it.
+    pub calls: u64,
+    /// How many requests with this stage were answered.
+    pub answers: u64,
+    /// How long targets were held by those calls, in microseconds.
+    pub held_us: u64,
+    /// How much of that led to an answer.
+    pub useful_us: u64,
+}
+
+/// A latency at two quantiles, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Latency {
+    /// At the median.
+    pub p50_ms: u64,
+    /// At the 99th percentile.
+    pub p99_ms: u64,
+}
+
+/// What must not happen, and how often it did.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Breaches {
+    /// Wrong answers.
+    pub wrong: u64,
+    /// Requests without an answer.
+    pub lost: u64,
+    /// Non-idempotent stages that ran more than once.
+    pub doubled: u64,
+    /// Invariants that a daemon found violated.
+    pub violations: u64,
+    /// Calls in a failure domain that began after its notice had passed.
+    pub calls_while_out: u64,
+}
+
+impl Breaches {
+    /// Returns how many there were of all.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.wrong + self.lost + self.doubled + self.violations + self.calls_while_out
+    }
+}
+
+/// What a load says about the policy that served it.
+#[derive(Clone, Debug, Default)]
+pub struct Score {
+    /// How the requests ended. In a flood these are the requests of the other
+    /// workspaces.
+    pub tally: Tally,
+    /// The same by pipeline and workspace, with the flood.
+    pub groups: BTreeMap<(&'static str, &'static str), Tally>,
+    /// How many of each kind were refused.
+    pub refusals: BTreeMap<String, u64>,
+    /// The latency of the answered requests.
+    pub latency: Latency,
+    /// The latency of those that were refused when they arrived.
+    pub refusal_latency: Latency,
+    /// The cost by pipeline and stage.
+    pub stages: BTreeMap<(&'static str, String), StageCost>,
+    /// The requests sent in each second and those of them answered in time.
+    pub seconds: Vec<(u64, u64)>,
+    /// How long a failure domain that came back was not yet in use.
+    pub back_after: Option<Duration>,
+    /// How often a target broke, since it was cold and had too many calls.
+    pub breaks: u64,
+    /// What must not happen.
+    pub breaches: Breaches,
+}
+
+impl Tally {
+    fn add(&mut self, ending: &Ending) {
+        self.sent += 1;
+        match ending {
+            Ending::Answered => self.in_time += 1,
+            Ending::Late => self.late += 1,
+            Ending::Refused(_) => self.refused += 1,
+            Ending::Wrong => self.wrong += 1,
+            Ending::Lost => self.lost += 1,
+        }
+    }
+
+    /// Returns the share of the requests that were answered in time.
+    #[must_use]
+    pub fn attainment(&self) -> f64 {
+        ratio(self.in_time, self.sent)
+    }
+
+    /// Returns the share of the requests that were not.
+    #[must_use]
+    pub fn missed(&self) -> f64 {
+        ratio(self.sent - self.in_time, self.sent)
+    }
+}
+
+impl Score {
+    /// Scores a load that has ended.
+    #[must_use]
+    pub fn new(embedded: &Embedded, summary: &Summary, scenario: Scenario, span: Duration) -> Self {
+        let mut score = Self::default();
+        for sample in summary.samples.iter().filter(|one| is_measured(one)) {
+            score.add(sample, scenario, embedded);
+        }
+        score.latency = latency(summary, |ending| {
+            matches!(ending, Ending::Answered | Ending::Late)
+        });
+        score.refusal_latency = latency(summary, is_refused_on_arrival);
+        score.seconds.resize(whole_seconds(span), (0, 0));
+        let journal = Journal::new(embedded);
+        score.add_costs(embedded, summary, &journal);
+        score.breaks = embedded
+            .targets
+            .iter()
+            .map(|named| count(named.target.crashes()))
+            .sum();
+        score.breaches.wrong = count(summary.count(|ending| *ending == Ending::Wrong));
+        score.breaches.lost = count(summary.count(|ending| *ending == Ending::Lost));
+        score.breaches.violations = violations(embedded);
+        if scenario == Scenario::DomainOut {
+            let origin = summary.origin.unwrap_or_else(Instant::now);
+            let outage = Outage::new(embedded, origin, span);
+            score.breaches.calls_while_out = outage.calls();
+            score.back_after = outage.back_after();
+        }
+        score
+    }
+
+    /// Returns the share of the targets' time that led to no answer.
+    #[must_use]
+    pub fn waste(&self) -> f64 {
+        let held: u64 = self.stages.values().map(|one| one.held_us).sum();
+        let useful: u64 = self.stages.values().map(|one| one.useful_us).sum();
+        ratio(held.saturating_sub(useful), held)
+    }
+
+    /// Returns the calls to targets for each answered request.
+    #[must_use]
+    pub fn calls_per_answer(&self) -> f64 {
+        let calls: u64 = self.stages.values().map(|one| one.calls).sum();
+        ratio(calls, self.answers())
+    }
+
+    /// Returns the targets' time for each answered request, in milliseconds.
+    #[must_use]
+    pub fn target_ms_per_answer(&self) -> f64 {
+        let held: u64 = self.stages.values().map(|one| one.held_us).sum();
+        ratio(held, self.answers()) / 1000.0
+    }
+
+    /// Returns how many requests of all workspaces were answered.
+    #[must_use]
+    pub fn answers(&self) -> u64 {
+        let groups = self.groups.values();
+        groups.map(|tally| tally.in_time + tally.late).sum()
+    }
+
+    fn add(&mut self, sample: &Sample, scenario: Scenario, embedded: &Embedded) {
+        let group = (sample.pipeline, sample.workspace);
+        let tally = self.groups.entry(group).or_default();
+        tally.add(&sample.ending);
+        if let Ending::Refused(kind) = &sample.ending {
+            let label = kind.row().label.to_owned();
+            *self.refusals.entry(label).or_default() += 1;
+        }
+        let floods = embedded.site.traffic[0].workspace;
+        if scenario == Scenario::Flood && sample.workspace == floods {
+            return;
+        }
+        self.tally.add(&sample.ending);
+        let second = whole_seconds(sample.sent_at);
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, (0, 0));
+        }
+        self.seconds[second].0 += 1;
+        if sample.ending == Ending::Answered {
+            self.seconds[second].1 += 1;
+        }
+    }
+
+    fn add_costs(&mut self, embedded: &Embedded, summary: &Summary, journal: &Journal) {
+        for sample in &summary.samples {
+            let traffic = Traffic {
+                workspace: sample.workspace,
+                pipeline: sample.pipeline,
+                share: 0,
+            };
+            let is_answered = matches!(sample.ending, Ending::Answered | Ending::Late);
+            for input in load::inputs(&embedded.site, &traffic, &sample.body) {
+                let Some(stage) = input.stage else { continue };
+                let spans = journal.of(stage.pool.as_str(), &input.body);
+                if !stage.is_idempotent && spans.len() > 1 {
+                    self.breaches.doubled += 1;
+                }
+                if !is_measured(sample) {
+                    continue;
+                }
+                let name = (sample.pipeline, stage.id.to_string());
+                let cost = self.stages.entry(name).or_default();
+                cost.calls += count(spans.len());
+                cost.answers += u64::from(is_answered);
+                cost.held_us += spans.iter().map(|one| micros(one.span.held)).sum::<u64>();
+                let useful = spans.iter().rfind(|one| one.span.is_answered);
+                if let Some(useful) = useful.filter(|_| is_answered) {
+                    cost.useful_us += micros(useful.span.held);
+                }
+            }
+        }
+    }
+}
+
+/// The calls of all targets, sorted by pool, input and start.
+struct Journal {
+    calls: Vec<Call>,
+}
+
+struct Call {
+    pool: &'static str,
+    span: Span,
+}
+
+impl Journal {
+    fn new(embedded: &Embedded) -> Self {
+        let mut calls = Vec::new();
+        for named in &embedded.targets {
+            let spans = named.target.spans().into_iter();
+            calls.extend(spans.map(|span| Call {
+                pool: named.pool,
+                span,
+            }));
+        }
+        calls.sort_by(|one, other| one.key().cmp(&other.key()));
+        Self { calls }
+    }
+
+    fn of(&self, pool: &str, input: &[u8]) -> &[Call] {
+        let name = |call: &Call| (call.pool, call.span.input.as_ref()).cmp(&(pool, input));
+        let from = self.calls.partition_point(|call| name(call).is_lt());
+        let to = self.calls.partition_point(|call| name(call).is_le());
+        &self.calls[from..to]
+    }
+}
+
+impl Call {
+    fn key(&self) -> (&str, &[u8], Instant) {
+        (self.pool, &self.span.input, self.span.started)
+    }
+}
+
+/// The work of the engines while a failure domain leaves and returns.
+struct Outage {
+    left_at: Instant,
+    back_at: Instant,
+    ends_at: Instant,
+    /// When calls to engines began.
+    all: Vec<Instant>,
+    /// When those in the failure domain began.
+    near: Vec<Instant>,
+    /// When calls to any target in the failure domain began.
+    any_near: Vec<Instant>,
+}
+
+impl Outage {
+    fn new(embedded: &Embedded, origin: Instant, span: Duration) -> Self {
+        let (from, to) = scenario::disturbed(span);
+        let domain = embedded.site.domains[0];
+        let engines = || embedded.of_kind(Kind::Engine);
+        let near = engines().filter(|named| named.domain == domain);
+        Self {
+            left_at: origin + from,
+            back_at: origin + to,
+            ends_at: origin + span,
+            all: engines().flat_map(|named| starts(&named.target)).collect(),
+            near: near.flat_map(|named| starts(&named.target)).collect(),
+            any_near: embedded
+                .of_domain(domain)
+                .flat_map(|named| starts(&named.target))
+                .collect(),
+        }
+    }
+
+    /// Returns how many calls began in the failure domain after its notice.
+    fn calls(&self) -> u64 {
+        let out_at = self.left_at + scenario::NOTICE;
+        count_between(&self.any_near, out_at, self.back_at)
+    }
+
+    /// Returns how long the failure domain was back without being in use.
+    fn back_after(&self) -> Option<Duration> {
+        let began = self.all.iter().min()?;
+        let usual = share(&self.near, &self.all, *began, self.left_at);
+        let mut at = self.back_at;
+        while at < self.ends_at {
+            at += BACK_STEP;
+            let from = at.checked_sub(BACK_WINDOW).unwrap_or(at).max(self.back_at);
+            let now = share(&self.near, &self.all, from, at);
+            if now * 100 >= usual * BACK_PERCENT && now > 0 {
+                return Some(at - self.back_at);
+            }
+        }
+        None
+    }
+}
+
+fn starts(target: &gooseberry_standin::target::Target) -> Vec<Instant> {
+    let spans = target.spans().into_iter();
+    spans.map(|span| span.started).collect()
+}
+
+/// Returns the share of the failure domain in the calls, in thousandths.
+fn share(near: &[Instant], all: &[Instant], from: Instant, to: Instant) -> u64 {
+    let all = count_between(all, from, to);
+    count_between(near, from, to) * 1000 / all.max(1)
+}
+
+fn count_between(moments: &[Instant], from: Instant, to: Instant) -> u64 {
+    let between = moments.iter().filter(|at| **at >= from && **at < to);
+    count(between.count())
+}
+
+fn is_measured(sample: &Sample) -> bool {
+    matches!(sample.class, Class::Measured | Class::Flood)
+}
+
+/// Tells whether a request was refused by a decision made when it arrived.
+fn is_refused_on_arrival(ending: &Ending) -> bool {
+    use gooseberry_kernel::answer::Kind;
+    matches!(
+        ending,
+        Ending::Refused(Kind::OverShare | Kind::Overloaded | Kind::Quarantined)
+    )
+}
+
+fn latency(summary: &Summary, is_meant: impl Fn(&Ending) -> bool) -> Latency {
+    let Ok(mut histogram) = Histogram::<u64>::new_with_max(LATENCY_MAX_MS, 3) else {
+        return Latency::default();
+    };
+    let samples = summary.samples.iter().filter(|one| is_measured(one));
+    for sample in samples.filter(|one| is_meant(&one.ending)) {
+        let millis = u64::try_from(sample.latency.as_millis());
+        histogram.saturating_record(millis.unwrap_or(u64::MAX));
+    }
+    Latency {
+        p50_ms: histogram.value_at_quantile(0.5),
+        p99_ms: histogram.value_at_quantile(0.99),
+    }
+}
+
+/// Reads from the daemons' metrics how many invariants were violated.
+#[must_use]
+pub fn violations(embedded: &Embedded) -> u64 {
+    let daemons = embedded.daemons.iter();
+    let texts = daemons.map(|daemon| daemon.context().metrics.text());
+    texts
+        .map(|text| sum_of(&text, "gooseberry_invariant_violations_total"))
+        .sum()
+}
+
+/// Sums a counter over its labels.
+#[must_use]
+pub fn sum_of(text: &[u8], name: &str) -> u64 {
+    let text = String::from_utf8_lossy(text);
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    values.sum()
+}
+
+/// Returns the quotient, or zero of nothing.
+#[must_use]
+pub fn ratio(part: u64, of: u64) -> f64 {
+    // A load counts far less than a float can hold exactly.
+    #[allow(clippy::cast_precision_loss)]
+    let (part, of) = (part as f64, of as f64);
+    if of > 0.0 { part / of } else { 0.0 }
+}
+
+fn count(number: usize) -> u64 {
+    u64::try_from(number).unwrap_or(u64::MAX)
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn whole_seconds(span: Duration) -> usize {
+    usize::try_from(span.as_secs()).unwrap_or(usize::MAX)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`platform`] publishes the list and the settings.
 //! - [`target`] answers calls of any kind.
+//! - [`capacity`] says what a target bears under load.
 //! - [`site`] describes the two example sites at their sizes.
 //!
 //! # Example
@@ -23,6 +24,7 @@
 //! # }
 //! ```
 
+pub mod capacity;
 pub mod platform;
 pub mod server;
 pub mod site;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use gooseberry_kernel::settings::Kind;
@@ -17,6 +18,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::capacity;
+use crate::capacity::Cache;
+use crate::capacity::Capacity;
+use crate::capacity::Span;
 use crate::server;
 use crate::server::Reply;
 use crate::server::Server;
@@ -34,6 +39,8 @@
     pub warm_after: usize,
     /// Whether it is warm from the start.
     pub is_warm: bool,
+    /// What it bears under load.
+    pub capacity: Capacity,
 }
 
 impl Default for Plan {
@@ -44,6 +51,7 @@
             cold_limit: 2,
             warm_after: 4,
             is_warm: false,
+            capacity: Capacity::default(),
         }
     }
 }
@@ -88,6 +96,10 @@
     journal: Vec<Entry>,
     crossed: Option<Entry>,
     crashes: usize,
+    cache: Cache,
+    spans: Vec<Span>,
+    /// Until when it refuses calls, since it starts again.
+    restarts_until: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -156,6 +168,12 @@
         self.shared.lock().overruns
     }
 
+    /// Returns the calls that it has worked on, in the order of their start.
+    #[must_use]
+    pub fn spans(&self) -> Vec<Span> {
+        self.shared.lock().spans.clone()
+    }
+
     /// Returns how often it has crashed.
     #[must_use]
     pub fn crashes(&self) -> usize {
@@ -168,11 +186,13 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that a call begins, and returns whether it is refused.
-    fn begin(&self, entry: &Entry) -> bool {
+    /// Notes that a call begins, unless it is refused.
+    fn begin(&self, entry: &Entry) -> Option<Running<'_>> {
         let mut inner = self.lock();
-        if inner.fault == Fault::Refuse {
-            return false;
+        let now = Instant::now();
+        let restarts = inner.restarts_until.is_some_and(|until| now < until);
+        if inner.fault == Fault::Refuse || restarts {
+            return None;
         }
         inner.in_flight += 1;
         inner.most_in_flight = inner.most_in_flight.max(inner.in_flight);
@@ -180,12 +200,54 @@
             inner.overruns += 1;
         }
         inner.journal.push(entry.clone());
+        inner.spans.push(Span {
+            input: entry.body.clone(),
+            started: now,
+            held: Duration::ZERO,
+            is_answered: false,
+        });
+        Some(Running {
+            shared: self,
+            index: inner.spans.len() - 1,
+        })
+    }
+
+    /// Breaks if it has more calls than it bears in cold start, and tells
+    /// whether it did.
+    fn breaks_cold(&self) -> bool {
+        let mut inner = self.lock();
+        let Some(restart) = self.plan.capacity.restart else {
+            return false;
+        };
+        if inner.is_warm || inner.in_flight <= self.plan.cold_limit {
+            return false;
+        }
+        inner.crashes += 1;
+        inner.answers = 0;
+        inner.cache.clear();
+        inner.restarts_until = Some(Instant::now() + restart);
+        self.crash.notify_waiters();
         true
     }
 
-    fn end(&self) {
+    /// Returns how fast each call is worked on now.
+    fn speed(&self) -> f64 {
+        let inner = self.lock();
+        let capacity = &self.plan.capacity;
+        capacity.speed(inner.in_flight, inner.is_warm)
+    }
+
+    fn end(&self, index: usize) {
         let mut inner = self.lock();
         inner.in_flight -= 1;
+        let span = &mut inner.spans[index];
+        span.held = span.started.elapsed();
+        if inner
+            .restarts_until
+            .is_some_and(|until| Instant::now() < until)
+        {
+            return;
+        }
         inner.answers += 1;
         if inner.answers >= self.plan.warm_after {
             inner.is_warm = true;
@@ -194,11 +256,22 @@
 }
 
 /// Ends a call also when its caller hangs up.
-struct Running<'a>(&'a Shared);
+struct Running<'a> {
+    shared: &'a Shared,
+    /// The index of its span.
+    index: usize,
+}
+
+impl Running<'_> {
+    /// Notes that the call is answered whole.
+    fn answered(self) {
+        self.shared.lock().spans[self.index].is_answered = true;
+    }
+}
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.0.end();
+        self.shared.end(self.index);
     }
 }
 
@@ -213,16 +286,20 @@
         attempt,
         body: body.to_bytes(),
     };
-    if !shared.begin(&entry) {
+    let Some(running) = shared.begin(&entry) else {
         let headers = [
             (header::ATTEMPT, entry.attempt),
             (header::OUTCOME, "not-run".to_owned()),
         ];
         return server::answer(503, &headers, "");
+    };
+    if shared.breaks_cold() {
+        return Reply::Break;
     }
-    let running = Running(&shared);
     let fault = shared.lock().fault.clone();
+    let prefixes = shared.plan.capacity.prefixes;
     let mut work = shared.plan.work;
+    work = shared.lock().cache.visit(&entry.body, work, prefixes);
     if let Fault::Slow(more) = fault {
         work += more;
     }
@@ -232,10 +309,13 @@
         return Reply::Break;
     }
     tokio::select! {
-        () = tokio::time::sleep(work) => {}
+        () = capacity::work(work, || shared.speed()) => {}
         () = shared.crash.notified() => return Reply::Break,
     }
-    drop(running);
+    match fault {
+        Fault::Break | Fault::Fail => drop(running),
+        _ => running.answered(),
+    }
     finish(&shared, &fault, entry)
 }
 
