Count the bytes of control messages

Cause: the budget of 2 KB/s of control for each daemon could not be read off. Change: the tarpc transport runs over a counting stream; the metric is gooseberry_control_bytes_total by direction. Ruled out: counting in the messages, which misses framing and the list.

--- a/crates/ctl/src/embedded.rs
+++ b/crates/ctl/src/embedded.rs
@@ -1,10 +1,12 @@
 //! One example site on the loopback, within one process.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::bail;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::settings::Document;
 use gooseberry_kernel::settings::Kind;
 use gooseberry_kernel::settings::Local;
 use gooseberry_kernel::settings::LogFormat;
@@ -39,6 +41,8 @@
     pub daemons: Vec<Daemon>,
     /// How the daemons decide.
     pub policy: Policy,
+    /// The teams' settings.
+    pub documents: Arc<[Document]>,
 }
 
 impl Embedded {
@@ -49,7 +53,7 @@
     /// Returns an error if a port cannot be bound or a daemon does not become
     /// ready in time.
     pub async fn start(site: Site) -> anyhow::Result<Self> {
-        Self::start_as(site, Policy::Adaptive, |plan| plan).await
+        Self::start_as(site, Policy::Adaptive, target::Plan::clone).await
     }
 
     /// Starts a site whose targets have a limited capacity, for a load.
@@ -63,7 +67,7 @@
     async fn start_as(
         site: Site,
         policy: Policy,
-        change: impl Fn(target::Plan) -> target::Plan,
+        change: impl Fn(&target::Plan) -> target::Plan,
     ) -> anyhow::Result<Self> {
         let platform = Platform::start().await?;
         site.publish(&platform);
@@ -74,6 +78,7 @@
             targets,
             daemons: Vec::new(),
             policy,
+            documents: documents(&site),
         };
         embedded.publish_fleet(None);
         for index in 0..site.daemons {
@@ -105,10 +110,8 @@
 
     /// Waits until no owner has to reckon with calls of a former one.
     pub async fn settle(&self) {
-        let teams = self.site.documents.iter();
-        let teams = teams.filter_map(|(path, _)| path.strip_prefix("/teams/"));
-        let documents = teams.filter_map(|team| self.site.document(team));
-        let longest = documents.flat_map(|document| document.pools);
+        let documents = self.documents.iter();
+        let longest = documents.flat_map(|document| &document.pools);
         let longest = longest.map(|pool| pool.longest_call).max();
         let longest = longest.unwrap_or(Millis::ZERO);
         tokio::time::sleep(Duration::from_millis(longest.0)).await;
@@ -162,8 +165,14 @@
     }
 }
 
+fn documents(site: &Site) -> Arc<[Document]> {
+    let paths = site.documents.iter().map(|(path, _)| path);
+    let teams = paths.filter_map(|path| path.strip_prefix("/teams/"));
+    teams.filter_map(|team| site.document(team)).collect()
+}
+
 /// Limits what a target bears, and lets it start warm.
-fn limited(plan: target::Plan) -> target::Plan {
+fn limited(plan: &target::Plan) -> target::Plan {
     let work = match plan.kind {
         Kind::Engine => ENGINE_WORK,
         Kind::Encoder | Kind::Retriever | Kind::Reranker | Kind::Service => plan.work,
@@ -172,7 +181,7 @@
         work,
         is_warm: true,
         capacity: Capacity::of(plan.kind),
-        ..plan
+        ..plan.clone()
     }
 }
 
--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -1,6 +1,7 @@
 //! Sends requests at a site, open loop from a seed, and accounts for each.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,9 +10,9 @@
 use gooseberry_connectors::http_client::HttpClient;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::hash;
+use gooseberry_kernel::settings::Document;
 use gooseberry_kernel::settings::Stage;
 use gooseberry_standin::site;
-use gooseberry_standin::site::Site;
 use gooseberry_standin::site::Traffic;
 use gooseberry_standin::target;
 use gooseberry_wire::header;
@@ -200,7 +201,7 @@
         let number = summary.sent;
         let shot = Shot {
             class,
-            site: embedded.site,
+            documents: embedded.documents.clone(),
             address: callers[number % callers.len()],
             traffic,
             body: body(traffic, plan.seed, number, hash::mix(random, 7)),
@@ -230,7 +231,7 @@
         let number = running.len();
         let shot = Shot {
             class: Class::Crash,
-            site: embedded.site,
+            documents: embedded.documents.clone(),
             address: callers[number % callers.len()],
             traffic,
             body: format!("{CRASH_TEXT}-{}-{number}", plan.seed).into(),
@@ -257,7 +258,7 @@
 
 /// Tells whether an arrival belongs to the flood and not to the usual load.
 fn is_flood(plan: &Plan, factor: u32, random: u64) -> bool {
-    plan.scenario == Scenario::Flood && random % u64::from(factor) != 0
+    plan.scenario == Scenario::Flood && !random.is_multiple_of(u64::from(factor))
 }
 
 /// Makes a body: one of the prompts that the callers share, the more frequent
@@ -266,16 +267,15 @@
     let pipeline = traffic.pipeline;
     let prompt = (random % PROMPTS).min((random >> 32) % PROMPTS);
     let words = format!("{pipeline} prompt {prompt} ");
-    let mut body: String = words.chars().cycle().take(PROMPT_BYTES).collect();
-    body.push_str(&format!("{pipeline}-{seed}-{number}"));
-    body.into()
+    let shared: String = words.chars().cycle().take(PROMPT_BYTES).collect();
+    format!("{shared}{pipeline}-{seed}-{number}").into()
 }
 
 /// One request that is to be sent.
 #[derive(Clone)]
 struct Shot {
     class: Class,
-    site: Site,
+    documents: Arc<[Document]>,
     address: SocketAddr,
     traffic: Traffic,
     body: Bytes,
@@ -327,7 +327,7 @@
     if let Some(kind) = header::read(headers, header::ERROR) {
         return Ending::Refused(kind);
     }
-    let inputs = inputs(&shot.site, &shot.traffic, &shot.body);
+    let inputs = inputs(&shot.documents, &shot.traffic, &shot.body);
     if inputs.last().is_none_or(|expected| expected.body != answer) {
         return Ending::Wrong;
     }
@@ -349,12 +349,13 @@
 /// Returns what the stages of a request are given by the stand-ins, and last
 /// the answer to the caller.
 #[must_use]
-pub fn inputs(site: &Site, traffic: &Traffic, body: &[u8]) -> Vec<Input> {
+pub fn inputs(documents: &[Document], traffic: &Traffic, body: &[u8]) -> Vec<Input> {
     let team = traffic
         .workspace
         .split_once('.')
         .map_or("", |(team, _)| team);
-    let Some(document) = site.document(team) else {
+    let mut documents = documents.iter();
+    let Some(document) = documents.find(|one| one.team.as_str() == team) else {
         return Vec::new();
     };
     let name = traffic.pipeline.parse().ok();
--- a/crates/ctl/src/score.rs
+++ b/crates/ctl/src/score.rs
@@ -235,7 +235,7 @@
                 share: 0,
             };
             let is_answered = matches!(sample.ending, Ending::Answered | Ending::Late);
-            for input in load::inputs(&embedded.site, &traffic, &sample.body) {
+            for input in load::inputs(&embedded.documents, &traffic, &sample.body) {
                 let Some(stage) = input.stage else { continue };
                 let spans = journal.of(stage.pool.as_str(), &input.body);
                 if !stage.is_idempotent && spans.len() > 1 {
--- /dev/null
+++ b/crates/daemon/src/control_stream.rs
@@ -0,0 +1,122 @@
+//! The connections that control messages go over, with their bytes counted.
+//!
+//! Operators hold each daemon to a budget of control bytes a second, so what
+//! goes over the wire is counted where it is written and read.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use futures::Stream;
+use futures::stream;
+use prometheus::IntCounter;
+use serde::Deserialize;
+use serde::Serialize;
+use tarpc::serde_transport::Transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// Where the bytes of control messages are counted.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    /// What was sent.
+    pub sent: IntCounter,
+    /// What was received.
+    pub received: IntCounter,
+}
+
+/// A connection whose bytes are counted.
+#[derive(Debug)]
+pub struct Counted {
+    stream: TcpStream,
+    counters: Counters,
+}
+
+/// A transport of messages over such a connection.
+pub type Channel<Item, SinkItem> = Transport<Counted, Item, SinkItem, Bincode<Item, SinkItem>>;
+
+/// Connects to a peer.
+///
+/// # Errors
+/// Returns an error if the peer cannot be reached.
+pub async fn connect<Item, SinkItem>(
+    address: SocketAddr,
+    counters: Counters,
+) -> io::Result<Channel<Item, SinkItem>>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let stream = TcpStream::connect(address).await?;
+    Ok(channel(stream, counters))
+}
+
+/// Takes the connections of peers.
+pub fn incoming<Item, SinkItem>(
+    listener: TcpListener,
+    counters: Counters,
+) -> impl Stream<Item = io::Result<Channel<Item, SinkItem>>> + Unpin
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let next = async |(listener, counters): (TcpListener, Counters)| {
+        let accepted: io::Result<(TcpStream, _)> = listener.accept().await;
+        let taken = accepted.map(|(stream, _)| channel(stream, counters.clone()));
+        Some((taken, (listener, counters)))
+    };
+    Box::pin(stream::unfold((listener, counters), next))
+}
+
+fn channel<Item, SinkItem>(stream: TcpStream, counters: Counters) -> Channel<Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    Channel::from((Counted { stream, counters }, Bincode::default()))
+}
+
+fn add(counter: &IntCounter, bytes: usize) {
+    counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        add(&self.counters.received, buffer.filled().len() - before);
+        polled
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, buffer);
+        if let Poll::Ready(Ok(written)) = &polled {
+            add(&self.counters.sent, *written);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -12,8 +12,6 @@
 use gooseberry_kernel::node::Identity;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::settings::Local;
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -24,6 +22,7 @@
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::control;
+use crate::control_stream;
 use crate::entry;
 use crate::entry::Ids;
 use crate::keyed;
@@ -66,13 +65,12 @@
         let callers = bind(local.callers, "callers").await?;
         let data = bind(local.data, "data").await?;
         let operators = bind(local.operators, "operators").await?;
-        let control = tcp::listen(local.control, Bincode::default).await;
-        let control = control.with_context(|| format!("control: cannot bind {}", local.control))?;
+        let control = bind(local.control, "control").await?;
         // Port 0 stands for any free port, so the real ones are filled in.
         local.callers = callers.local_addr()?;
         local.data = data.local_addr()?;
         local.operators = operators.local_addr()?;
-        local.control = control.local_addr();
+        local.control = control.local_addr()?;
         let seed = RandomState::new().hash_one(local.instance.as_str());
         let context = Arc::new(start_context(local, seed).await?);
         let (stop_callers, callers_stop) = watch::channel(false);
@@ -88,6 +86,7 @@
         let shared = context.clone();
         let serve_operator = move |request| operators::serve(shared.clone(), request);
         tokio::spawn(server::serve(operators, peers_stop.clone(), serve_operator));
+        let control = control_stream::incoming(control, context.metrics.control_bytes());
         tokio::spawn(control::serve(context.clone(), control, peers_stop.clone()));
         tokio::spawn(control::greet(context.clone(), peers_stop.clone()));
         tokio::spawn(reader::watch_list(context.clone(), peers_stop.clone()));
@@ -182,7 +181,7 @@
         local,
         clock,
         node: Handle::spawn(arguments).await?,
-        peers: Peers::default(),
+        peers: Peers::new(metrics.control_bytes()),
         targets: target::Client::default(),
         joins: Joins::default(),
         metrics,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod clock;
 pub mod context;
 pub mod control;
+pub mod control_stream;
 pub mod daemon;
 pub mod entry;
 pub mod keyed;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -13,6 +13,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::control_stream::Counters;
+
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 12] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 9.0, 30.0,
@@ -30,6 +32,7 @@
     latency: HistogramVec,
     stage_cost: IntCounterVec,
     gauges: IntGaugeVec,
+    control_bytes: IntCounterVec,
 }
 
 impl Metrics {
@@ -74,6 +77,11 @@
             "Target time by stage and workspace.",
             &["workspace", "pipeline", "stage", "use"],
         )?;
+        let control_bytes = counter(
+            "gooseberry_control_bytes_total",
+            "Bytes of control messages to and from peers.",
+            &["direction"],
+        )?;
         let options = HistogramOpts::new("gooseberry_request_seconds", "Time to answer.");
         let options = options.buckets(BUCKETS_SECS.to_vec());
         let latency = HistogramVec::new(options, &["pipeline", "stage"])?;
@@ -96,6 +104,7 @@
             latency,
             stage_cost,
             gauges,
+            control_bytes,
         })
     }
 
@@ -149,6 +158,15 @@
         self.gauges.with_label_values(&[what]).set(value);
     }
 
+    /// Returns where the bytes of control messages are counted.
+    #[must_use]
+    pub fn control_bytes(&self) -> Counters {
+        Counters {
+            sent: self.control_bytes.with_label_values(&["sent"]),
+            received: self.control_bytes.with_label_values(&["received"]),
+        }
+    }
+
     /// Writes all counters in the text format of Prometheus.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -16,8 +16,9 @@
 use hyper::body::Incoming;
 use tarpc::client;
 use tarpc::context;
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Bincode;
+
+use crate::control_stream;
+use crate::control_stream::Counters;
 
 /// How long a peer may take to answer a control message.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -34,18 +35,20 @@
     /// The control links, sorted by address.
     links: Mutex<Vec<Link>>,
     http: HttpClient,
+    counters: Counters,
 }
 
-impl Default for Peers {
-    fn default() -> Self {
+impl Peers {
+    /// Starts without a connection.
+    #[must_use]
+    pub fn new(counters: Counters) -> Self {
         Self {
             links: Mutex::default(),
             http: http_client::new(),
+            counters,
         }
     }
-}
 
-impl Peers {
     /// Sends an HTTP request to a peer's data port.
     ///
     /// # Errors
@@ -65,7 +68,7 @@
         if let Some(client) = self.known(address) {
             return Ok(client);
         }
-        let connect = tcp::connect(address, Bincode::default);
+        let connect = control_stream::connect(address, self.counters.clone());
         let transport = tokio::time::timeout(CONTROL_TIMEOUT, connect).await??;
         let client = ControlClient::new(client::Config::default(), transport).spawn();
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -164,7 +164,7 @@
     /// # Errors
     /// Returns an error if no port can be bound.
     pub async fn start_targets(&self, platform: &Platform) -> anyhow::Result<Vec<Named>> {
-        self.start_targets_as(platform, |plan| plan).await
+        self.start_targets_as(platform, Plan::clone).await
     }
 
     /// Starts the targets with changed plans and lists them.
@@ -174,7 +174,7 @@
     pub async fn start_targets_as(
         &self,
         platform: &Platform,
-        change: impl Fn(Plan) -> Plan,
+        change: impl Fn(&Plan) -> Plan,
     ) -> anyhow::Result<Vec<Named>> {
         let mut targets = Vec::new();
         for group in self.groups {
@@ -190,7 +190,7 @@
                     id: format!("{}-{}", group.pool.replace('.', "-"), index + 1),
                     pool: group.pool,
                     domain: self.domains[index % self.domains.len()],
-                    target: Target::start(change(plan)).await?,
+                    target: Target::start(change(&plan)).await?,
                 });
             }
         }
