--- /dev/null
+++ b/crates/ctl/src/fleet.rs
@@ -0,0 +1,267 @@
+//! A fleet of a given size on the loopback, to measure what control costs.
+//!
+//! A few targets are real stand-ins. The others are listed at the same
+//! addresses in pools that nobody calls, so that the list has its full size
+//! without as many sockets.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::bail;
+use bytes::Bytes;
+use gooseberry_connectors::http_client;
+use gooseberry_connectors::http_client::HttpClient;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id::Digest;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::settings::Kind;
+use gooseberry_kernel::settings::Local;
+use gooseberry_kernel::settings::LogFormat;
+use gooseberry_standin::platform;
+use gooseberry_standin::platform::Platform;
+use gooseberry_standin::target::Plan;
+use gooseberry_standin::target::Target;
+use gooseberry_wire::header;
+use gooseberryd::daemon::Daemon;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+
+use crate::embedded;
+use crate::score;
+
+/// The failure domains.
+const DOMAINS: [&str; 3] = ["one", "two", "three"];
+/// How many targets answer.
+const ANSWERING: usize = 6;
+/// How many targets a pool has that nobody calls.
+const POOL_SIZE: usize = 100;
+/// The longest call to a target, in milliseconds.
+const LONGEST_CALL_MS: u64 = 1000;
+/// How long the daemons may take until they are ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// The size of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// How many daemons it has.
+    pub daemons: usize,
+    /// How many targets are listed.
+    pub targets: usize,
+    /// How many workspaces the settings have.
+    pub workspaces: usize,
+}
+
+impl Shape {
+    /// A small fleet.
+    pub const SMALL: Self = Self {
+        daemons: 3,
+        targets: 50,
+        workspaces: 5,
+    };
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Platform,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The targets that answer.
+    pub targets: Vec<Target>,
+    client: HttpClient,
+}
+
+/// Which pipeline a request calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pipeline {
+    /// One idempotent stage.
+    Read,
+    /// One non-idempotent stage.
+    Post,
+    /// None that the workspace may call, so that the request is refused.
+    Unknown,
+}
+
+impl Pipeline {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Post => "post",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts the platform and the targets, but no daemon yet.
+    ///
+    /// # Errors
+    /// Returns an error if a port cannot be bound.
+    pub async fn prepare(shape: &Shape) -> anyhow::Result<Self> {
+        let platform = Platform::start().await?;
+        platform.put("/fleet", "{}");
+        platform.put("/teams/bench", &settings(shape));
+        let mut targets = Vec::new();
+        for _ in 0..ANSWERING.min(shape.targets) {
+            let plan = Plan {
+                kind: Kind::Service,
+                work: Duration::ZERO,
+                is_warm: true,
+                ..Plan::default()
+            };
+            targets.push(Target::start(plan).await?);
+        }
+        let listed = (0..shape.targets).map(|index| listed(&targets, index));
+        platform.add_targets(listed.collect());
+        Ok(Self {
+            platform,
+            daemons: Vec::new(),
+            targets,
+            client: http_client::new(),
+        })
+    }
+
+    /// Starts the daemons and waits until their rights hold.
+    ///
+    /// # Errors
+    /// Returns an error if a daemon does not become ready in time.
+    pub async fn start_daemons(&mut self, shape: &Shape) -> anyhow::Result<()> {
+        for index in 0..shape.daemons {
+            let local = local(index, self.platform.address())?;
+            self.daemons.push(Daemon::start(local).await?);
+        }
+        self.platform.change_list(|list| {
+            list.instances
+                .extend(self.daemons.iter().map(embedded::listed));
+        });
+        let ready = async {
+            for daemon in &self.daemons {
+                while !is_ready(daemon).await {
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        if tokio::time::timeout(READY_LIMIT, ready).await.is_err() {
+            bail!("the daemons were not ready within {READY_LIMIT:?}");
+        }
+        // A former owner's calls may run so long.
+        tokio::time::sleep(Duration::from_millis(LONGEST_CALL_MS)).await;
+        Ok(())
+    }
+
+    /// Shuts the daemons down.
+    pub async fn shut_down(&self) {
+        let all = self.daemons.iter().map(Daemon::shut_down);
+        futures::future::join_all(all).await;
+    }
+
+    /// Returns the bytes of control messages, sent and received, of all
+    /// daemons so far.
+    #[must_use]
+    pub fn control_bytes(&self) -> u64 {
+        let texts = self.daemons.iter();
+        let texts = texts.map(|daemon| daemon.context().metrics.text());
+        texts
+            .map(|text| score::sum_of(&text, "gooseberry_control_bytes_total"))
+            .sum()
+    }
+
+    /// Sends a request through a daemon, and tells whether it ended as it
+    /// should.
+    pub async fn send(&self, pipeline: Pipeline, number: usize) -> bool {
+        let callers = self.daemons[number % self.daemons.len()].local().callers;
+        let name = pipeline.label();
+        let uri = format!("http://{callers}/v1/workspaces/bench.w0/pipelines/{name}");
+        let request = Request::post(uri)
+            .header("authorization", "Bearer bench")
+            .header(header::IDEMPOTENCY_KEY, format!("key-{number}"))
+            .header(header::IDEMPOTENCY_ATTEMPT, 1);
+        let expected = match pipeline {
+            Pipeline::Read | Pipeline::Post => StatusCode::OK,
+            Pipeline::Unknown => StatusCode::NOT_FOUND,
+        };
+        self.exchange(request, number).await == Some(expected)
+    }
+
+    /// Sends the same work to a target without any daemon between.
+    pub async fn send_directly(&self, number: usize) -> bool {
+        let address = self.targets[number % self.targets.len()].address();
+        let request = Request::post(format!("http://{address}/v1/call"));
+        let attempt = format!("{:032x}-0-1", 1);
+        let request = request.header(header::ATTEMPT, attempt);
+        self.exchange(request, number).await == Some(StatusCode::OK)
+    }
+
+    async fn exchange(&self, request: http::request::Builder, number: usize) -> Option<StatusCode> {
+        let body = Bytes::from(format!("request {number}"));
+        let request = request.body(Full::new(body)).ok()?;
+        let response = self.client.request(request).await.ok()?;
+        let status = response.status();
+        response.into_body().collect().await.ok()?;
+        Some(status)
+    }
+}
+
+async fn is_ready(daemon: &Daemon) -> bool {
+    let read = |node: &Node, now| node.ready().is_ok() && node.holds_rights(now);
+    daemon.context().node.look(read).await.unwrap_or(false)
+}
+
+fn listed(targets: &[Target], index: usize) -> gooseberry_wire::platform::Target {
+    let pool = if index < ANSWERING {
+        "bench.p0".to_owned()
+    } else {
+        format!("bench.p{}", 1 + index / POOL_SIZE)
+    };
+    let domain = DOMAINS[index % DOMAINS.len()];
+    let address = targets[index % targets.len()].address();
+    platform::live_target(&format!("bench-target-{index}"), &pool, domain, address)
+}
+
+fn local(index: usize, platform: SocketAddr) -> anyhow::Result<Local> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Ok(Local {
+        instance: format!("bench-{index}").parse()?,
+        domain: DOMAINS[index % DOMAINS.len()].parse()?,
+        callers: any,
+        data: any,
+        control: any,
+        operators: any,
+        platform,
+        log_level: "warn".to_owned(),
+        log_format: LogFormat::Text,
+        shutdown_limit: Millis::from_secs(5),
+    })
+}
+
+fn settings(shape: &Shape) -> String {
+    let credential = Digest::of(b"bench");
+    let mut workspaces = String::new();
+    for index in 0..shape.workspaces {
+        // Writing to a string does not fail.
+        writeln!(
+            workspaces,
+            r#"    "w{index}": {{ "credential_sha256": "{credential}", "weight": 1, "pipelines": ["post", "read"], "trusts_attempt_number": true }},"#
+        )
+        .ok();
+    }
+    format!(
+        r#"{{
+  "pools": {{
+    "p0": {{ "kind": "service", "cold_limit": 64, "warm_limit": 512, "queue_limit": 512, "longest_call_ms": {LONGEST_CALL_MS}, "warm_after": 4, "prefix_bytes": 0 }}
+  }},
+  "pipelines": {{
+    "read": {{ "deadline_ms": 5000, "stages": [{{ "name": "read", "pool": "p0", "weight": 1 }}] }},
+    "post": {{ "deadline_ms": 5000, "stages": [{{ "name": "post", "pool": "p0", "idempotent": false, "attempts": 1, "weight": 1 }}] }}
+  }},
+  "workspaces": {{
+{}
+  }}
+}}"#,
+        workspaces.trim_end().trim_end_matches(',')
+    )
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`embedded`] runs one example site on the loopback, within one process.
 //! - [`compare`] runs scenarios on it under each policy; [`scenario`] lists them,
 //!   [`score`] scores them, [`table`] and [`plot`] show them.
+//! - [`fleet`] runs a fleet of a given size, and [`slope`] measures on it how
+//!   costs grow; [`bounds`] are what a change must not fall below.
 //! - [`load`] sends requests at it and accounts for each.
 //! - [`report`] writes what came of them.
 //!
@@ -21,12 +23,18 @@
 //! # }
 //! ```
 
+pub mod bench_command;
+pub mod bounds;
 pub mod compare;
 pub mod embedded;
+pub mod fleet;
 pub mod load;
 pub mod load_command;
 pub mod plot;
 pub mod report;
 pub mod scenario;
 pub mod score;
+pub mod slope;
+pub mod slope_command;
 pub mod table;
+pub mod usage;
--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -401,7 +401,7 @@
 }
 
 /// Draws the gap to the next arrival of a Poisson process.
-fn gap(random: u64, rate: u32) -> Duration {
+pub(crate) fn gap(random: u64, rate: u32) -> Duration {
     // The upper 53 bits fit a float exactly; one is added to leave zero out.
     #[allow(clippy::cast_precision_loss)]
     let uniform = ((random >> 11) + 1) as f64 / (1_u64 << 53) as f64;
--- a/crates/ctl/src/load_command.rs
+++ b/crates/ctl/src/load_command.rs
@@ -32,10 +32,10 @@
     #[bpaf(long, argument("N"), fallback(1), display_fallback)]
     pub seed: u64,
     /// Requests in each second
-    #[bpaf(long, argument("N"), fallback(140), display_fallback)]
+    #[bpaf(long, argument("N"), fallback(180), display_fallback)]
     pub rate: u32,
     /// How long each scenario is measured
-    #[bpaf(long, argument("SECONDS"), fallback(12), display_fallback)]
+    #[bpaf(long, argument("SECONDS"), fallback(15), display_fallback)]
     pub seconds: u64,
     /// Write the details of each run too
     pub details: bool,
@@ -80,6 +80,15 @@
 /// # Errors
 /// Returns an error if a site cannot be started or a file not be written.
 pub async fn run(options: &Options) -> anyhow::Result<bool> {
+    let runs = runs(options).await?;
+    Ok(runs.iter().all(|run| run.score.breaches.total() == 0))
+}
+
+/// Runs the scenarios, writes what was asked for, and returns the runs.
+///
+/// # Errors
+/// Returns an error if a site cannot be started or a file not be written.
+pub async fn runs(options: &Options) -> anyhow::Result<Vec<Run>> {
     let setup = options.setup()?;
     // With JSON on the output the table goes to the errors.
     let is_json_output = options
@@ -116,7 +125,7 @@
         let meant: Vec<Run> = runs.iter().filter(is_meant).cloned().collect();
         plot::draw(path, &setup, &meant)?;
     }
-    Ok(runs.iter().all(|run| run.score.breaches.total() == 0))
+    Ok(runs)
 }
 
 fn title(setup: &Setup) -> String {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,11 +6,13 @@
 use anyhow::Context;
 use bpaf::Bpaf;
 use gooseberry_standin::site::Site;
+use gooseberryctl::bench_command;
 use gooseberryctl::embedded::Embedded;
 use gooseberryctl::load;
 use gooseberryctl::load::Plan;
 use gooseberryctl::load_command;
 use gooseberryctl::report;
+use gooseberryctl::slope_command;
 
 /// Operates gooseberryarch.
 ///
@@ -39,6 +41,16 @@
     /// Example: `gooseberryctl load --site huaraz --seed 1`
     #[bpaf(command)]
     Load(#[bpaf(external(load_command::options))] load_command::Options),
+    /// Run the scenarios under both policies and check the bounds
+    ///
+    /// Example: `gooseberryctl bench --site wadi-rum`
+    #[bpaf(command)]
+    Bench(#[bpaf(external(bench_command::options))] bench_command::Options),
+    /// Measure how the cost of a daemon grows with the fleet
+    ///
+    /// Example: `gooseberryctl slope --axis daemons`
+    #[bpaf(command)]
+    Slope(#[bpaf(external(slope_command::options))] slope_command::Options),
 }
 
 fn main() -> ExitCode {
@@ -68,6 +80,11 @@
             };
             demo(&site, &plan).await
         }
+        Command::Slope(options) => {
+            slope_command::run(&options).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Bench(options) => Ok(exit_code(bench_command::run(&options).await?)),
         Command::Load(options) => Ok(exit_code(load_command::run(&options).await?)),
     }
 }
--- a/crates/ctl/src/score.rs
+++ b/crates/ctl/src/score.rs
@@ -26,7 +26,7 @@
 /// After what share of the usual work a failure domain counts as in use.
 const BACK_PERCENT: u64 = 50;
 /// Over how long the share of a failure domain is taken.
-const BACK_WINDOW: Duration = Duration::from_millis(500);
+const BACK_WINDOW: Duration = Duration::from_secs(1);
 /// How often it is taken.
 const BACK_STEP: Duration = Duration::from_millis(100);
 
@@ -301,9 +301,9 @@
     left_at: Instant,
     back_at: Instant,
     ends_at: Instant,
-    /// When calls to engines began.
+    /// When engines answered.
     all: Vec<Instant>,
-    /// When those in the failure domain began.
+    /// When those in the failure domain did.
     near: Vec<Instant>,
     /// When calls to any target in the failure domain began.
     any_near: Vec<Instant>,
@@ -319,8 +319,8 @@
             left_at: origin + from,
             back_at: origin + to,
             ends_at: origin + span,
-            all: engines().flat_map(|named| starts(&named.target)).collect(),
-            near: near.flat_map(|named| starts(&named.target)).collect(),
+            all: engines().flat_map(|named| answers(&named.target)).collect(),
+            near: near.flat_map(|named| answers(&named.target)).collect(),
             any_near: embedded
                 .of_domain(domain)
                 .flat_map(|named| starts(&named.target))
@@ -356,6 +356,12 @@
     spans.map(|span| span.started).collect()
 }
 
+fn answers(target: &gooseberry_standin::target::Target) -> Vec<Instant> {
+    let spans = target.spans().into_iter();
+    let answered = spans.filter(|span| span.is_answered);
+    answered.map(|span| span.started + span.held).collect()
+}
+
 /// Returns the share of the failure domain in the calls, in thousandths.
 fn share(near: &[Instant], all: &[Instant], from: Instant, to: Instant) -> u64 {
     let all = count_between(all, from, to);
--- /dev/null
+++ b/crates/ctl/src/slope.rs
@@ -0,0 +1,511 @@
+//! Measures how the cost of a daemon grows with the fleet.
+//!
+//! Each axis starts fleets of growing size within this process, one after the
+//! other, and fits a line through what they use. `docs/CAPACITY.md` works out
+//! from these lines what a large fleet would use.
+
+use std::fmt;
+use std::fmt::Write;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberry_kernel::hash;
+use gooseberry_kernel::id;
+use hdrhistogram::Histogram;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::fleet::Fleet;
+use crate::fleet::Pipeline;
+use crate::fleet::Shape;
+use crate::load;
+use crate::usage;
+
+/// The longest latency that a histogram holds, in microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+/// How many requests warm a fleet up.
+const WARM_UP: usize = 300;
+/// How many requests are sent one after the other to measure latency at rest.
+const AT_REST: usize = 400;
+/// The number of the first of them, above those of other requests.
+const FIRST_AT_REST: usize = 1_000_000;
+/// How long after a start the fleet is left alone.
+const QUIET: Duration = Duration::from_secs(1);
+/// How many keys are sent in each second.
+const KEYS_RATE: u32 = 1000;
+
+/// What grows along a row of measurements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Axis {
+    /// The daemons.
+    Daemons,
+    /// The listed targets.
+    Targets,
+    /// The workspaces in the settings.
+    Workspaces,
+    /// The changes of a long list.
+    Changes,
+    /// The rate of requests with one idempotent stage.
+    Rate,
+    /// The listed targets, under a steady rate of requests.
+    Choices,
+    /// The idempotency keys that are remembered.
+    Keys,
+}
+
+/// One measurement.
+#[derive(Clone, Debug, Default)]
+pub struct Point {
+    /// The size along the axis.
+    pub size: u64,
+    /// What was measured, by name.
+    pub values: Vec<Quantity>,
+}
+
+/// One measured quantity.
+#[derive(Clone, Debug)]
+pub struct Quantity {
+    /// Its name, with the unit.
+    pub name: &'static str,
+    /// Its value.
+    pub value: f64,
+}
+
+/// A line fitted through points.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Line {
+    /// The value at size zero.
+    pub at_zero: f64,
+    /// The growth for each one more.
+    pub slope: f64,
+}
+
+impl Axis {
+    /// Every axis, in the order of the report.
+    pub const ALL: [Self; 7] = [
+        Self::Daemons,
+        Self::Targets,
+        Self::Workspaces,
+        Self::Changes,
+        Self::Rate,
+        Self::Choices,
+        Self::Keys,
+    ];
+
+    /// Returns its name on the command line and in tables.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Daemons => "daemons",
+            Self::Targets => "targets",
+            Self::Workspaces => "workspaces",
+            Self::Changes => "changes",
+            Self::Rate => "rate",
+            Self::Choices => "choices",
+            Self::Keys => "keys",
+        }
+    }
+
+    /// Returns the sizes that are measured.
+    #[must_use]
+    pub const fn sizes(self) -> &'static [u64] {
+        match self {
+            Self::Daemons => &[3, 6, 12, 24],
+            Self::Targets | Self::Choices => &[50, 200, 800, 3300],
+            Self::Workspaces => &[5, 50, 310],
+            Self::Changes => &[1, 32, 64, 96],
+            Self::Rate => &[50, 200, 800, 2000],
+            Self::Keys => &[2000, 6000, 18_000],
+        }
+    }
+}
+
+impl fmt::Display for Axis {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(self.label())
+    }
+}
+
+impl FromStr for Axis {
+    type Err = id::Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|one| one.label() == text);
+        found.ok_or_else(|| id::Invalid { text: text.into() })
+    }
+}
+
+impl Point {
+    fn add(&mut self, name: &'static str, value: f64) {
+        self.values.push(Quantity { name, value });
+    }
+
+    fn get(&self, name: &str) -> Option<f64> {
+        let found = self.values.iter().find(|one| one.name == name);
+        found.map(|one| one.value)
+    }
+}
+
+/// Measures one axis.
+///
+/// # Errors
+/// Returns an error if a fleet cannot be started.
+pub async fn measure(axis: Axis, span: Duration, seed: u64) -> anyhow::Result<Vec<Point>> {
+    let mut points = Vec::new();
+    for size in axis.sizes() {
+        points.push(measure_one(axis, *size, span, seed).await?);
+    }
+    Ok(points)
+}
+
+async fn measure_one(axis: Axis, size: u64, span: Duration, seed: u64) -> anyhow::Result<Point> {
+    let mut point = Point {
+        size,
+        ..Point::default()
+    };
+    let count = usize::try_from(size).unwrap_or(usize::MAX);
+    let mut shape = Shape::SMALL;
+    match axis {
+        Axis::Daemons => shape.daemons = count,
+        Axis::Targets | Axis::Choices => shape.targets = count,
+        Axis::Workspaces => shape.workspaces = count,
+        Axis::Changes => shape.targets = 3300,
+        Axis::Rate | Axis::Keys => {}
+    }
+    let mut fleet = Fleet::prepare(&shape).await?;
+    let memory_before = usage::memory_bytes();
+    fleet.start_daemons(&shape).await?;
+    let fleet = Arc::new(fleet);
+    tokio::time::sleep(QUIET).await;
+    let memory = usage::memory_bytes();
+    match axis {
+        Axis::Daemons | Axis::Targets | Axis::Workspaces => {
+            memory_of(&mut point, &shape, memory_before, memory);
+            at_rest(&mut point, &fleet, &shape, span).await;
+        }
+        Axis::Changes => changes(&mut point, &fleet, &shape, count).await,
+        Axis::Rate => under_rate(&mut point, &fleet, rate_of(size), span, seed).await,
+        Axis::Choices => under_rate(&mut point, &fleet, 200, span, seed).await,
+        Axis::Keys => keys(&mut point, &fleet, count, seed).await,
+    }
+    fleet.shut_down().await;
+    Ok(point)
+}
+
+fn memory_of(point: &mut Point, shape: &Shape, before: u64, after: u64) {
+    let grown = after.saturating_sub(before);
+    point.add("KiB a daemon", per(grown, shape.daemons) / 1024.0);
+}
+
+/// Measures a fleet that no caller uses.
+async fn at_rest(point: &mut Point, fleet: &Fleet, shape: &Shape, span: Duration) {
+    let calls = fleet.platform.calls();
+    let bytes = fleet.control_bytes();
+    let cpu = usage::cpu();
+    tokio::time::sleep(span).await;
+    let cpu = usage::cpu().saturating_sub(cpu);
+    let bytes = fleet.control_bytes() - bytes;
+    let calls = fleet.platform.calls() - calls;
+    let secs = span.as_secs_f64();
+    let percent = cpu.as_secs_f64() * 100.0 / secs;
+    point.add("% of a core a daemon", percent / number(shape.daemons));
+    point.add("control B/s a daemon", per(bytes, shape.daemons) / secs);
+    point.add("platform calls/s of all", per(calls, 1) / secs);
+}
+
+/// Measures what changes of the list cost.
+async fn changes(point: &mut Point, fleet: &Fleet, shape: &Shape, count: usize) {
+    let memory = usage::memory_bytes();
+    let bytes = fleet.control_bytes();
+    let cpu = usage::cpu();
+    let started = Instant::now();
+    for index in 0..count {
+        fleet.platform.change_list(|list| {
+            let target = index % list.targets.len();
+            list.targets[target].state = gooseberry_wire::platform::State::Leaving;
+        });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    tokio::time::sleep(QUIET).await;
+    let secs = started.elapsed().as_secs_f64();
+    let cpu = usage::cpu().saturating_sub(cpu);
+    let bytes = fleet.control_bytes() - bytes;
+    let memory = usage::memory_bytes().saturating_sub(memory);
+    point.add("KiB a daemon", per(memory, shape.daemons) / 1024.0);
+    point.add(
+        "CPU ms a daemon",
+        cpu.as_secs_f64() * 1000.0 / number(shape.daemons),
+    );
+    point.add("control KiB a daemon", per(bytes, shape.daemons) / 1024.0);
+    point.add("seconds", secs);
+}
+
+/// Measures requests at a rate, against the same calls made directly.
+async fn under_rate(point: &mut Point, fleet: &Arc<Fleet>, rate: u32, span: Duration, seed: u64) {
+    for number in 0..WARM_UP {
+        fleet.send(Pipeline::Read, number).await;
+        fleet.send_directly(number).await;
+    }
+    let idle = cpu_during(tokio::time::sleep(span)).await.1;
+    let arrivals = Arrivals { rate, span, seed };
+    let direct = drive(fleet, Way::Direct, arrivals);
+    let (direct, direct_cpu) = cpu_during(direct).await;
+    let through = drive(fleet, Way::Through(Pipeline::Read), arrivals);
+    let (through, through_cpu) = cpu_during(through).await;
+    let own = through_cpu.saturating_sub(direct_cpu);
+    let own = own.as_secs_f64() - idle.as_secs_f64();
+    let requests = per(through.latency.len(), 1).max(1.0);
+    point.add("CPU us a request", own * 1e6 / requests);
+    point.add(
+        "direct p50 us",
+        per(direct.latency.value_at_quantile(0.5), 1),
+    );
+    point.add(
+        "through p50 us",
+        per(through.latency.value_at_quantile(0.5), 1),
+    );
+    point.add(
+        "through p99 us",
+        per(through.latency.value_at_quantile(0.99), 1),
+    );
+    point.add("failed", per(through.failed + direct.failed, 1));
+    let rest = rest_of(fleet).await;
+    point.add("added p50 us", rest.added_us);
+    point.add("added p50 us, keyed", rest.keyed_added_us);
+    point.add("refusal p50 us", rest.refusal_p50_us);
+    point.add("refusal p99 us", rest.refusal_p99_us);
+}
+
+/// What daemons add to a call while nothing else is sent, in microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Rest {
+    /// The median through a daemon, less the median of a direct call.
+    pub added_us: f64,
+    /// The same for a non-idempotent call with a key.
+    pub keyed_added_us: f64,
+    /// The median of a refusal.
+    pub refusal_p50_us: f64,
+    /// The 99th percentile of a refusal.
+    pub refusal_p99_us: f64,
+}
+
+/// Measures what daemons add to a call in a small fleet.
+///
+/// # Errors
+/// Returns an error if the fleet cannot be started.
+pub async fn rest() -> anyhow::Result<Rest> {
+    let mut fleet = Fleet::prepare(&Shape::SMALL).await?;
+    fleet.start_daemons(&Shape::SMALL).await?;
+    for number in 0..WARM_UP {
+        fleet.send(Pipeline::Read, number).await;
+        fleet.send_directly(number).await;
+    }
+    let rest = rest_of(&fleet).await;
+    fleet.shut_down().await;
+    Ok(rest)
+}
+
+/// Measures latencies with one request at a time.
+async fn rest_of(fleet: &Fleet) -> Rest {
+    let mut direct = histogram();
+    let mut through = histogram();
+    let mut keyed = histogram();
+    let mut refused = histogram();
+    for number in FIRST_AT_REST..FIRST_AT_REST + AT_REST {
+        timed(&mut direct, fleet.send_directly(number)).await;
+        timed(&mut through, fleet.send(Pipeline::Read, number)).await;
+        timed(&mut keyed, fleet.send(Pipeline::Post, number)).await;
+        timed(&mut refused, fleet.send(Pipeline::Unknown, number)).await;
+    }
+    let half = |histogram: &Histogram<u64>| per(histogram.value_at_quantile(0.5), 1);
+    Rest {
+        added_us: half(&through) - half(&direct),
+        keyed_added_us: half(&keyed) - half(&direct),
+        refusal_p50_us: half(&refused),
+        refusal_p99_us: per(refused.value_at_quantile(0.99), 1),
+    }
+}
+
+async fn timed(histogram: &mut Histogram<u64>, call: impl Future<Output = bool>) {
+    let started = Instant::now();
+    if call.await {
+        histogram.saturating_record(micros(started.elapsed()));
+    }
+}
+
+/// Measures what remembered keys cost.
+async fn keys(point: &mut Point, fleet: &Arc<Fleet>, count: usize, seed: u64) {
+    for number in 0..WARM_UP {
+        fleet.send(Pipeline::Read, number).await;
+    }
+    let before = usage::memory_bytes();
+    let arrivals = Arrivals {
+        rate: KEYS_RATE,
+        span: Duration::from_secs_f64(number(count) / f64::from(KEYS_RATE)),
+        seed,
+    };
+    let driven = drive(fleet, Way::Through(Pipeline::Post), arrivals);
+    let (driven, cpu) = cpu_during(driven).await;
+    let grown = usage::memory_bytes().saturating_sub(before);
+    let posted = driven.latency.len().max(1);
+    point.add("B a key, over all daemons", per(grown, 1) / per(posted, 1));
+    point.add("MiB grown", per(grown, 1) / 1_048_576.0);
+    point.add(
+        "CPU us a request, all parts",
+        cpu.as_secs_f64() * 1e6 / per(posted, 1),
+    );
+    point.add("p50 us", per(driven.latency.value_at_quantile(0.5), 1));
+    point.add("failed", per(driven.failed, 1));
+}
+
+/// What came of requests that were sent at a rate.
+struct Driven {
+    latency: Histogram<u64>,
+    failed: u64,
+}
+
+/// Which way a request takes.
+#[derive(Clone, Copy)]
+enum Way {
+    /// To a target, without any daemon between.
+    Direct,
+    /// Through a daemon.
+    Through(Pipeline),
+}
+
+/// Requests that are sent open loop.
+#[derive(Clone, Copy)]
+struct Arrivals {
+    rate: u32,
+    span: Duration,
+    seed: u64,
+}
+
+async fn drive(fleet: &Arc<Fleet>, way: Way, arrivals: Arrivals) -> Driven {
+    let started = Instant::now();
+    let mut running = JoinSet::new();
+    let mut at = Duration::ZERO;
+    let mut random = arrivals.seed;
+    for number in 0.. {
+        if at >= arrivals.span {
+            break;
+        }
+        tokio::time::sleep_until((started + at).into()).await;
+        let fleet = fleet.clone();
+        running.spawn(async move {
+            let started = Instant::now();
+            let is_good = match way {
+                Way::Direct => fleet.send_directly(number).await,
+                Way::Through(pipeline) => fleet.send(pipeline, number).await,
+            };
+            is_good.then(|| started.elapsed())
+        });
+        random = hash::mix(random, arrivals.seed);
+        at += load::gap(random, arrivals.rate);
+    }
+    let mut driven = Driven {
+        latency: histogram(),
+        failed: 0,
+    };
+    for latency in running.join_all().await {
+        match latency {
+            Some(latency) => driven.latency.saturating_record(micros(latency)),
+            None => driven.failed += 1,
+        }
+    }
+    driven
+}
+
+async fn cpu_during<T>(work: impl Future<Output = T>) -> (T, Duration) {
+    let before = usage::cpu();
+    let value = work.await;
+    (value, usage::cpu().saturating_sub(before))
+}
+
+/// Fits a line by least squares.
+#[must_use]
+pub fn fit(points: &[Point], name: &str) -> Line {
+    let pairs = points.iter();
+    let pairs = pairs.filter_map(|point| Some((per(point.size, 1), point.get(name)?)));
+    let pairs: Vec<(f64, f64)> = pairs.collect();
+    let count = number(pairs.len()).max(1.0);
+    let mean_x = pairs.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = pairs.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let spread: f64 = pairs.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let joint: f64 = pairs.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let slope = if spread > 0.0 { joint / spread } else { 0.0 };
+    Line {
+        at_zero: mean_y - slope * mean_x,
+        slope,
+    }
+}
+
+/// Writes the points of one axis as a table, with the fitted lines.
+#[must_use]
+pub fn table(axis: Axis, points: &[Point]) -> String {
+    let names = points.first().map(|point| point.values.as_slice());
+    let names: Vec<&str> = names
+        .unwrap_or_default()
+        .iter()
+        .map(|one| one.name)
+        .collect();
+    let mut out = String::new();
+    let sizes: Vec<f64> = points.iter().map(|point| per(point.size, 1)).collect();
+    row(&mut out, axis.label(), &sizes, "at zero  for each one more");
+    for name in names {
+        let values = points.iter().filter_map(|point| point.get(name));
+        let values: Vec<f64> = values.collect();
+        let Line { at_zero, slope } = fit(points, name);
+        let line = format!("{at_zero:.3}  {slope:.5}");
+        row(&mut out, name, &values, &line);
+    }
+    out
+}
+
+fn row(out: &mut String, name: &str, values: &[f64], rest: &str) {
+    // Writing to a string does not fail.
+    write!(out, "{name:30}").ok();
+    for value in values {
+        write!(out, "{value:11.2}").ok();
+    }
+    writeln!(out, "   {rest}").ok();
+}
+
+/// Writes the points of one axis as JSON.
+#[must_use]
+pub fn json(axis: Axis, points: &[Point]) -> Value {
+    let one = |point: &Point| {
+        let values = point.values.iter();
+        let values = values.map(|one| (one.name.to_owned(), json!(one.value)));
+        json!({ "size": point.size, "values": Value::Object(values.collect()) })
+    };
+    json!({ "axis": axis.label(), "points": points.iter().map(one).collect::<Vec<_>>() })
+}
+
+fn rate_of(size: u64) -> u32 {
+    u32::try_from(size).unwrap_or(u32::MAX)
+}
+
+fn histogram() -> Histogram<u64> {
+    let bounded = Histogram::new_with_max(LATENCY_MAX_US, 3);
+    bounded.unwrap_or_else(|error| unreachable!("the bounds are constants: {error}"))
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn number(count: usize) -> f64 {
+    per(u64::try_from(count).unwrap_or(u64::MAX), 1)
+}
+
+/// Returns the quotient of two counts.
+fn per(part: u64, of: usize) -> f64 {
+    // All counts here are far below what a float holds exactly.
+    #[allow(clippy::cast_precision_loss)]
+    let quotient = part as f64 / of.max(1) as f64;
+    quotient
+}
--- /dev/null
+++ b/crates/ctl/src/slope_command.rs
@@ -0,0 +1,53 @@
+//! The subcommand that measures how the cost of a daemon grows.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context;
+use bpaf::Bpaf;
+use serde_json::Value;
+
+use crate::slope;
+use crate::slope::Axis;
+
+/// What the subcommand is asked for.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// What grows: daemons, targets, workspaces, changes, rate, choices or
+    /// keys; may be given several times, and all are measured if it is not
+    #[bpaf(long, argument("AXIS"))]
+    pub axis: Vec<Axis>,
+    /// How long each size is measured
+    #[bpaf(long, argument("SECONDS"), fallback(5), display_fallback)]
+    pub seconds: u64,
+    /// The seed of the arrivals
+    #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Write the results as JSON to a file too
+    #[bpaf(long, argument("FILE"), optional)]
+    pub json: Option<PathBuf>,
+}
+
+/// Measures and prints.
+///
+/// # Errors
+/// Returns an error if a fleet cannot be started or a file not be written.
+pub async fn run(options: &Options) -> anyhow::Result<()> {
+    let mut axes = options.axis.clone();
+    if axes.is_empty() {
+        axes = Axis::ALL.to_vec();
+    }
+    let span = Duration::from_secs(options.seconds);
+    let mut results = Vec::new();
+    for axis in axes {
+        let points = slope::measure(axis, span, options.seed).await?;
+        print!("{}", slope::table(axis, &points));
+        results.push(slope::json(axis, &points));
+    }
+    if let Some(path) = &options.json {
+        let text = format!("{:#}\n", Value::Array(results));
+        std::fs::write(path, text).with_context(|| path.display().to_string())?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/usage.rs
@@ -0,0 +1,30 @@
+//! What this process uses of the machine.
+
+use std::fs;
+use std::time::Duration;
+
+/// The size of a page, in bytes, on the machines that the project runs on.
+const PAGE_BYTES: u64 = 4096;
+
+/// Returns the processor time that the threads of this process have used.
+///
+/// It reads the scheduler's own account, which counts nanoseconds; the totals
+/// of the process count hundredths of a second.
+#[must_use]
+pub fn cpu() -> Duration {
+    let Ok(threads) = fs::read_dir("/proc/self/task") else {
+        return Duration::ZERO;
+    };
+    let paths = threads.filter_map(|thread| Some(thread.ok()?.path().join("schedstat")));
+    let texts = paths.filter_map(|path| fs::read_to_string(path).ok());
+    let nanos = texts.filter_map(|text| text.split(' ').next()?.parse::<u64>().ok());
+    Duration::from_nanos(nanos.sum())
+}
+
+/// Returns the memory of this process that is resident, in bytes.
+#[must_use]
+pub fn memory_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.map_or(0, |pages: u64| pages * PAGE_BYTES)
+}
