--- a/crates/ctl/src/score.rs
+++ b/crates/ctl/src/score.rs
@@ -114,6 +114,8 @@
     pub back_after: Option<Duration>,
     /// How often a target broke, since it was cold and had too many calls.
     pub breaks: u64,
+    /// How often a request crashed a target that ran it.
+    pub crashes: u64,
     /// What must not happen.
     pub breaches: Breaches,
 }
@@ -158,11 +160,10 @@
         score.seconds.resize(whole_seconds(span), (0, 0));
         let journal = Journal::new(embedded);
         score.add_costs(embedded, summary, &journal);
-        score.breaks = embedded
-            .targets
-            .iter()
-            .map(|named| count(named.target.crashes()))
-            .sum();
+        for named in &embedded.targets {
+            score.breaks += count(named.target.cold_breaks());
+            score.crashes += count(named.target.crashes());
+        }
         score.breaches.wrong = count(summary.count(|ending| *ending == Ending::Wrong));
         score.breaches.lost = count(summary.count(|ending| *ending == Ending::Lost));
         score.breaches.violations = violations(embedded);
--- a/crates/ctl/src/slope.rs
+++ b/crates/ctl/src/slope.rs
@@ -149,13 +149,21 @@
     }
 }
 
-/// Measures one axis.
+/// Measures the sizes of one axis.
+///
+/// Memory that one fleet gave back is used by the next, so memory is measured
+/// well only with one size in a process.
 ///
 /// # Errors
 /// Returns an error if a fleet cannot be started.
-pub async fn measure(axis: Axis, span: Duration, seed: u64) -> anyhow::Result<Vec<Point>> {
+pub async fn measure(
+    axis: Axis,
+    sizes: &[u64],
+    span: Duration,
+    seed: u64,
+) -> anyhow::Result<Vec<Point>> {
     let mut points = Vec::new();
-    for size in axis.sizes() {
+    for size in sizes {
         points.push(measure_one(axis, *size, span, seed).await?);
     }
     Ok(points)
--- a/crates/ctl/src/slope_command.rs
+++ b/crates/ctl/src/slope_command.rs
@@ -18,6 +18,10 @@
     /// keys; may be given several times, and all are measured if it is not
     #[bpaf(long, argument("AXIS"))]
     pub axis: Vec<Axis>,
+    /// A size; may be given several times, and the usual ones are measured if
+    /// it is not
+    #[bpaf(long, argument("N"))]
+    pub size: Vec<u64>,
     /// How long each size is measured
     #[bpaf(long, argument("SECONDS"), fallback(5), display_fallback)]
     pub seconds: u64,
@@ -41,7 +45,11 @@
     let span = Duration::from_secs(options.seconds);
     let mut results = Vec::new();
     for axis in axes {
-        let points = slope::measure(axis, span, options.seed).await?;
+        let sizes = match options.size.as_slice() {
+            [] => axis.sizes(),
+            sizes => sizes,
+        };
+        let points = slope::measure(axis, sizes, span, options.seed).await?;
         print!("{}", slope::table(axis, &points));
         results.push(slope::json(axis, &points));
     }
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -53,6 +53,7 @@
     stages(&mut out, &run.score);
     seconds(&mut out, &run.score);
     refusals(&mut out, &run.score);
+    line(&mut out, &format!("  crashes: {}", run.score.crashes));
     line(&mut out, &format!("  {:?}", run.score.breaches));
     out
 }
@@ -144,6 +145,7 @@
         })).collect::<Vec<_>>(),
         "back_after_ms": score.back_after.map(|span| span.as_secs_f64() * 1000.0),
         "cold_breaks": score.breaks,
+        "crashes": score.crashes,
         "breaches": {
             "wrong": breaches.wrong,
             "lost": breaches.lost,
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -96,6 +96,7 @@
     journal: Vec<Entry>,
     crossed: Option<Entry>,
     crashes: usize,
+    cold_breaks: usize,
     cache: Cache,
     spans: Vec<Span>,
     /// Until when it refuses calls, since it starts again.
@@ -181,6 +182,12 @@
         self.shared.lock().spans.clone()
     }
 
+    /// Returns how often it broke in cold start, under more calls than it bears.
+    #[must_use]
+    pub fn cold_breaks(&self) -> usize {
+        self.shared.lock().cold_breaks
+    }
+
     /// Returns how often it has crashed.
     #[must_use]
     pub fn crashes(&self) -> usize {
@@ -229,7 +236,7 @@
         if inner.is_warm || inner.in_flight <= self.plan.cold_limit {
             return false;
         }
-        inner.crashes += 1;
+        inner.cold_breaks += 1;
         inner.answers = 0;
         inner.cache.clear();
         inner.restarts_until = Some(Instant::now() + restart);
