--- a/crates/ctl/src/slope.rs
+++ b/crates/ctl/src/slope.rs
@@ -180,7 +180,11 @@
         Axis::Daemons => shape.daemons = count,
         Axis::Targets | Axis::Choices => shape.targets = count,
         Axis::Workspaces => shape.workspaces = count,
-        Axis::Changes => shape.targets = 3300,
+        Axis::Changes => {
+            // So many that each failure domain has some that are not readers.
+            shape.daemons = 12;
+            shape.targets = 3300;
+        }
         Axis::Rate | Axis::Keys => {}
     }
     let mut fleet = Fleet::prepare(&shape).await?;
