--- a/crates/ctl/src/embedded.rs
+++ b/crates/ctl/src/embedded.rs
@@ -24,7 +24,7 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
 /// How long an engine works on one call under a load.
-const ENGINE_WORK: Duration = Duration::from_millis(800);
+const ENGINE_WORK: Duration = Duration::from_millis(1200);
 /// The path of the settings of the fleet.
 const FLEET_PATH: &str = "/fleet";
 
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -50,7 +50,7 @@
     pub fn of(kind: Kind) -> Self {
         let is_engine = kind == Kind::Engine;
         Self {
-            places: if is_engine { 4 } else { 8 },
+            places: 8,
             cold_factor: 2,
             restart: Some(Duration::from_secs(1)),
             prefixes: if is_engine { 8 } else { 0 },
