--- a/crates/ctl/src/load_command.rs
+++ b/crates/ctl/src/load_command.rs
@@ -32,7 +32,7 @@
     #[bpaf(long, argument("N"), fallback(1), display_fallback)]
     pub seed: u64,
     /// Requests in each second
-    #[bpaf(long, argument("N"), fallback(180), display_fallback)]
+    #[bpaf(long, argument("N"), fallback(200), display_fallback)]
     pub rate: u32,
     /// How long each scenario is measured
     #[bpaf(long, argument("SECONDS"), fallback(15), display_fallback)]
