--- a/crates/ctl/src/plot.rs
+++ b/crates/ctl/src/plot.rs
@@ -47,6 +47,9 @@
         .build_cartesian_2d(0.0..seconds, 0.0..105.0)?;
     chart
         .configure_mesh()
+        .max_light_lines(1)
+        .x_label_formatter(&|secs| format!("{secs:.0}"))
+        .y_label_formatter(&|percent| format!("{percent:.0}"))
         .x_desc("seconds")
         .y_desc("answered whole within the deadline, %")
         .draw()?;
