--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,5 +1,8 @@
 //! The operators' tool: check settings, ask a daemon, run a load or the demo.
 //!
+//! - [`ask`] asks a daemon, [`status`] shows its state, and [`explain`] shows
+//!   where a request would go.
+//! - [`check`] checks settings before they are published.
 //! - [`embedded`] runs one example site on the loopback, within one process.
 //! - [`compare`] runs scenarios on it under each policy; [`scenario`] lists them,
 //!   [`score`] scores them, [`table`] and [`plot`] show them.
@@ -23,10 +26,13 @@
 //! # }
 //! ```
 
+pub mod ask;
 pub mod bench_command;
 pub mod bounds;
+pub mod check;
 pub mod compare;
 pub mod embedded;
+pub mod explain;
 pub mod fleet;
 pub mod load;
 pub mod load_command;
@@ -36,5 +42,6 @@
 pub mod score;
 pub mod slope;
 pub mod slope_command;
+pub mod status;
 pub mod table;
 pub mod usage;
--- a/crates/daemon/src/control_stream.rs
+++ b/crates/daemon/src/control_stream.rs
@@ -12,6 +12,9 @@
 use futures::Stream;
 use futures::stream;
 use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
 use serde::Deserialize;
 use serde::Serialize;
 use tarpc::serde_transport::Transport;
@@ -31,6 +34,25 @@
     pub received: IntCounter,
 }
 
+impl Counters {
+    /// Makes the counters and registers them.
+    ///
+    /// # Errors
+    /// Returns an error if the name is taken.
+    pub fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let options = Opts::new(
+            "gooseberry_control_bytes_total",
+            "Bytes of control messages to and from peers.",
+        );
+        let bytes = IntCounterVec::new(options, &["direction"])?;
+        registry.register(Box::new(bytes.clone()))?;
+        Ok(Self {
+            sent: bytes.with_label_values(&["sent"]),
+            received: bytes.with_label_values(&["received"]),
+        })
+    }
+}
+
 /// A connection whose bytes are counted.
 #[derive(Debug)]
 pub struct Counted {
