--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -40,6 +40,8 @@
 const POOL_SIZE: usize = 100;
 /// The longest call to a target, in milliseconds.
 const LONGEST_CALL_MS: u64 = 1000;
+/// How often a wait looks again.
+const LOOK: Duration = Duration::from_millis(5);
 /// How long the daemons may take until they are ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
@@ -153,6 +155,22 @@
         Ok(())
     }
 
+    /// Publishes the settings again, under the next revision.
+    pub fn publish_settings(&self, shape: &Shape) {
+        self.platform.put("/teams/bench", &settings(shape));
+    }
+
+    /// Waits until the newest settings are in force in every daemon.
+    pub async fn until_in_force(&self) {
+        let newest = self.platform.settings().revision;
+        for daemon in &self.daemons {
+            let read = |node: &Node, _| node.book().revision().0;
+            while daemon.context().node.look(read).await.unwrap_or(u64::MAX) < newest {
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+    }
+
     /// Shuts the daemons down.
     pub async fn shut_down(&self) {
         let all = self.daemons.iter().map(Daemon::shut_down);
--- a/crates/ctl/src/slope.rs
+++ b/crates/ctl/src/slope.rs
@@ -34,6 +34,8 @@
 const FIRST_AT_REST: usize = 1_000_000;
 /// How long after a start the fleet is left alone.
 const QUIET: Duration = Duration::from_secs(1);
+/// How many changes of the settings are published.
+const SETTINGS_CHANGES: u32 = 10;
 /// How many keys are sent in each second.
 const KEYS_RATE: u32 = 1000;
 
@@ -48,6 +50,8 @@
     Workspaces,
     /// The changes of a long list.
     Changes,
+    /// The daemons, while the settings change.
+    Settings,
     /// The rate of requests with one idempotent stage.
     Rate,
     /// The listed targets, under a steady rate of requests.
@@ -85,11 +89,12 @@
 
 impl Axis {
     /// Every axis, in the order of the report.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Daemons,
         Self::Targets,
         Self::Workspaces,
         Self::Changes,
+        Self::Settings,
         Self::Rate,
         Self::Choices,
         Self::Keys,
@@ -103,6 +108,7 @@
             Self::Targets => "targets",
             Self::Workspaces => "workspaces",
             Self::Changes => "changes",
+            Self::Settings => "settings",
             Self::Rate => "rate",
             Self::Choices => "choices",
             Self::Keys => "keys",
@@ -114,6 +120,7 @@
     pub const fn sizes(self) -> &'static [u64] {
         match self {
             Self::Daemons => &[3, 6, 12, 24],
+            Self::Settings => &[6, 12, 24, 48],
             Self::Targets | Self::Choices => &[50, 200, 800, 3300],
             Self::Workspaces => &[5, 50, 310],
             Self::Changes => &[1, 32, 64, 96],
@@ -185,6 +192,10 @@
             shape.daemons = 12;
             shape.targets = 3300;
         }
+        Axis::Settings => {
+            shape.daemons = count;
+            shape.workspaces = 310;
+        }
         Axis::Rate | Axis::Keys => {}
     }
     let mut fleet = Fleet::prepare(&shape).await?;
@@ -199,6 +210,7 @@
             at_rest(&mut point, &fleet, &shape, span).await;
         }
         Axis::Changes => changes(&mut point, &fleet, &shape, count).await,
+        Axis::Settings => settings(&mut point, &fleet, &shape).await,
         Axis::Rate => under_rate(&mut point, &fleet, rate_of(size), span, seed).await,
         Axis::Choices => under_rate(&mut point, &fleet, 200, span, seed).await,
         Axis::Keys => keys(&mut point, &fleet, count, seed).await,
@@ -255,6 +267,34 @@
     point.add("seconds", secs);
 }
 
+/// Measures what a change of the settings costs, and how long it takes to be
+/// in force in every daemon.
+async fn settings(point: &mut Point, fleet: &Fleet, shape: &Shape) {
+    let bytes_before = fleet.control_bytes();
+    tokio::time::sleep(QUIET).await;
+    let rest = fleet.control_bytes() - bytes_before;
+    let mut in_force = histogram();
+    let started = Instant::now();
+    let bytes_before = fleet.control_bytes();
+    for _ in 0..SETTINGS_CHANGES {
+        let published = Instant::now();
+        fleet.publish_settings(shape);
+        fleet.until_in_force().await;
+        in_force.saturating_record(micros(published.elapsed()));
+        tokio::time::sleep(QUIET).await;
+    }
+    let bytes = fleet.control_bytes() - bytes_before;
+    let greetings = per(rest, 1) * started.elapsed().as_secs_f64() / QUIET.as_secs_f64();
+    let fetched = (per(bytes, 1) - greetings) / number(shape.daemons);
+    let millis = |quantile| per(in_force.value_at_quantile(quantile), 1000);
+    point.add("in force everywhere, p50 ms", millis(0.5));
+    point.add("in force everywhere, max ms", millis(1.0));
+    point.add(
+        "control KiB a change, a daemon",
+        fetched / 1024.0 / f64::from(SETTINGS_CHANGES),
+    );
+}
+
 /// Measures requests at a rate, against the same calls made directly.
 async fn under_rate(point: &mut Point, fleet: &Arc<Fleet>, rate: u32, span: Duration, seed: u64) {
     for number in 0..WARM_UP {
--- a/crates/ctl/src/slope_command.rs
+++ b/crates/ctl/src/slope_command.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(options))]
 pub struct Options {
-    /// What grows: daemons, targets, workspaces, changes, rate, choices or
+    /// What grows: daemons, targets, workspaces, changes, settings, rate, choices or
     /// keys; may be given several times, and all are measured if it is not
     #[bpaf(long, argument("AXIS"))]
     pub axis: Vec<Axis>,
