--- a/crates/kernel/examples/tenure.rs
+++ b/crates/kernel/examples/tenure.rs
@@ -15,6 +15,7 @@
 use gooseberry_kernel::tenure::Timing;
 
 const TIMING: Timing = Timing {
+    horizon: Millis(60_000),
     freshness: Millis(2000),
     dropped_memory: Millis(20_000),
 };
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -189,5 +189,6 @@
     Timing {
         freshness: fleet.freshness,
         dropped_memory: fleet.dropped_memory,
+        horizon: fleet.horizon,
     }
 }
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -181,6 +181,7 @@
         let before = self.book.revision();
         if self.book.adopt(tree) {
             self.tenure.set_timing(timing(self.book.fleet()), now);
+            self.tenure.set_ended(&self.book.fleet().ended);
         }
         let after = self.book.revision();
         self.assert(after >= before, "settings-reverted");
--- a/crates/kernel/src/settings/fleet.rs
+++ b/crates/kernel/src/settings/fleet.rs
@@ -38,11 +38,15 @@
     pub struct Fleet {
         /// The failure domains that operators have taken out.
         pub out: Vec<id::Domain>,
+        /// The daemons that have ended without a goodbye, as operators know;
+        /// they count no more once the list has dropped them.
+        pub ended: Vec<id::Instance>,
         /// How long an acknowledgement by a peer counts.
         pub freshness: Millis,
         /// How long after its first try a caller may send a key again.
         pub horizon: Millis,
-        /// How long a daemon that the list has dropped still counts as one.
+        /// How long a daemon that the list has dropped still counts as one, and
+        /// how long rights last when the platform cannot be read.
         pub dropped_memory: Millis,
         /// How often a daemon greets each peer.
         pub exchange: Millis,
@@ -65,9 +69,10 @@
     fn default() -> Self {
         Self {
             out: Vec::new(),
+            ended: Vec::new(),
             freshness: Millis(2000),
             horizon: Millis(60_000),
-            dropped_memory: Millis(60_000),
+            dropped_memory: Millis(7_200_000),
             exchange: Millis(500),
             readers: 2,
             max_requests: 512,
@@ -92,7 +97,8 @@
             };
             let freshness = millis("freshness_ms", 200, 60_000, usual.freshness);
             let horizon = millis("horizon_ms", 1000, 3_600_000, usual.horizon);
-            let dropped_memory = millis("dropped_memory_ms", 1000, 3_600_000, usual.dropped_memory);
+            let dropped_memory =
+                millis("dropped_memory_ms", 1000, 86_400_000, usual.dropped_memory);
             let exchange = millis("exchange_ms", 20, 10_000, usual.exchange);
             let send_timeout = millis("send_timeout_ms", 100, 60_000, usual.send_timeout);
             let mut count = |name: &str, max: u64, usual: u64| {
@@ -117,9 +123,11 @@
                 reader.note(&path, start, message);
             }
             let out = reader.texts(top, "out", "the name of a failure domain");
+            let ended = reader.texts(top, "ended", "the id of a daemon");
             let policy = reader.optional_text(top, "policy", "\"adaptive\" or \"baseline\"");
             Self {
                 out,
+                ended,
                 freshness,
                 horizon,
                 dropped_memory,
--- a/crates/kernel/src/tenure.rs
+++ b/crates/kernel/src/tenure.rs
@@ -95,6 +95,8 @@
         pub freshness: Millis,
         /// How long a replaced list and a dropped daemon still count.
         pub dropped_memory: Millis,
+        /// How far back the beginning of a tenure matters.
+        pub horizon: Millis,
     }
 }
 
@@ -213,6 +215,8 @@
     confirmed_at: Option<Millis>,
     knows_past: bool,
     is_given_up: bool,
+    /// The daemons that operators have declared to have ended, sorted.
+    ended: Vec<id::Instance>,
     /// The adopted lists, oldest first.
     seen: Vec<Seen>,
     /// The lists that were replaced lately, sorted by revision.
@@ -236,6 +240,7 @@
             confirmed_at: None,
             knows_past: false,
             is_given_up: false,
+            ended: Vec::new(),
             seen: Vec::new(),
             past: Vec::new(),
             acks: Vec::new(),
@@ -287,6 +292,14 @@
         }
     }
 
+    /// Takes in which daemons operators have declared to have ended, sorted.
+    ///
+    /// They count no more once the list has dropped them too. So operators can
+    /// shorten the rest after more than half of the members died at once.
+    pub fn set_ended(&mut self, ended: &[id::Instance]) {
+        self.ended = ended.to_vec();
+    }
+
     /// Returns what this daemon answers to a member's question.
     #[must_use]
     pub fn answer(&self, now: Millis) -> Answer {
@@ -622,11 +635,14 @@
         groups
     }
 
-    /// Tells whether a daemon's goodbye counts here.
+    /// Tells whether a daemon has left, so that it counts as a member no more.
     ///
-    /// It counts only for who has seen as new a list as the leaver: others may
+    /// A goodbye counts only for who has seen as new a list as the leaver: others may
     /// need the leaver's former answers to learn that their right has moved.
     fn is_excused(&self, id: &id::Instance) -> bool {
+        if self.ended.binary_search(id).is_ok() {
+            return self.list().is_none_or(|list| list.member(id).is_none());
+        }
         let said = self.goodbye_of(id);
         said.is_some_and(|revision| revision <= self.revision() || !self.rules.goodbye)
     }
@@ -686,7 +702,7 @@
     }
 
     fn forget_seen(&mut self, now: Millis) {
-        let memory = self.timing.dropped_memory;
+        let memory = self.timing.horizon;
         let is_old = |seen: &Seen| seen.replaced_at.is_some_and(|at| at + memory <= now);
         let old = self.seen.iter().take_while(|seen| is_old(seen)).count();
         let extra = self.seen.len().saturating_sub(SEEN_MAX);
