Confirm nothing by a stale platform, and prove how soon settings are in force

Cause: a platform that is behind answered that nothing is newer, which counted as a confirmation. A non-reader waited 4 s before it asked for settings itself. Ruled out: asking for the whole document each time, which costs its bytes. Change: the platform's 304 says which revision is served, and a lower one is a failure; settings that are unconfirmed for 3 s are asked for. Without ordered ownership the harness finds two holders.

--- a/crates/connectors/src/platform.rs
+++ b/crates/connectors/src/platform.rs
@@ -13,8 +13,10 @@
 use gooseberry_kernel::roster::List;
 use gooseberry_kernel::roster::Revision;
 use gooseberry_kernel::settings::Tree;
+use gooseberry_wire::header;
 use gooseberry_wire::platform;
 use http::StatusCode;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -86,9 +88,9 @@
     /// something that is not load reports.
     pub async fn loads(&self, domain: &id::Domain) -> anyhow::Result<platform::Loads> {
         let path = format!("/v1/loads?domain={domain}");
-        let (status, body) = self.get(&path, Millis::ZERO).await?;
-        if status != StatusCode::OK {
-            bail!("the platform answered {status} at {path}");
+        let (head, body) = self.get(&path, Millis::ZERO).await?;
+        if head.status != StatusCode::OK {
+            bail!("the platform answered {} at {path}", head.status);
         }
         serde_json::from_slice(&body).context("not load reports")
     }
@@ -100,25 +102,31 @@
         wait: Millis,
     ) -> anyhow::Result<Option<Bytes>> {
         let path = format!("{path}?after={}&wait_ms={wait}", after.0);
-        let (status, body) = self.get(&path, wait).await?;
-        match status {
+        let (head, body) = self.get(&path, wait).await?;
+        match head.status {
             StatusCode::OK => Ok(Some(body)),
-            StatusCode::NOT_MODIFIED => Ok(None),
+            // A service that is behind has not confirmed that nothing is newer.
+            StatusCode::NOT_MODIFIED => {
+                match header::read::<u64>(&head.headers, platform::REVISION) {
+                    Some(served) if served < after.0 => bail!("{path} is stale: revision {served}"),
+                    _ => Ok(None),
+                }
+            }
             other => bail!("the platform answered {other} at {path}"),
         }
     }
 
-    async fn get(&self, path: &str, wait: Millis) -> anyhow::Result<(StatusCode, Bytes)> {
+    async fn get(&self, path: &str, wait: Millis) -> anyhow::Result<(Parts, Bytes)> {
         let uri = format!("http://{}{path}", self.address);
         let request = http::Request::get(uri).body(Full::default())?;
         self.calls.fetch_add(1, Ordering::Relaxed);
         let limit = Duration::from_millis(wait.0) + GRACE;
         let exchange = async {
             let response = self.http.request(request).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, ANSWER_MAX_BYTES);
             let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
-            anyhow::Ok((status, body.to_bytes()))
+            anyhow::Ok((head, body.to_bytes()))
         };
         tokio::time::timeout(limit, exchange).await?
     }
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -42,7 +42,7 @@
 /// asks the platform itself.
 const LIST_LIMIT: Millis = Millis(2000);
 /// The same for the settings.
-const SETTINGS_LIMIT: Millis = Millis(4000);
+const SETTINGS_LIMIT: Millis = Millis(3000);
 
 /// When and how this node last heard from the platform and its peers.
 #[derive(Clone, Debug)]
@@ -319,7 +319,9 @@
         }
     }
 
-    fn is_elected_reader(&self) -> bool {
+    /// Tells whether this node is one of the readers of its failure domain.
+    #[must_use]
+    pub fn is_elected_reader(&self) -> bool {
         let Some(list) = self.tenure.list() else {
             return true;
         };
--- a/crates/kernel/src/tenure.rs
+++ b/crates/kernel/src/tenure.rs
@@ -134,6 +134,9 @@
         pub granted: bool,
         /// A goodbye counts only for who has seen as new a list.
         pub goodbye: bool,
+        /// Only the list moves ownership; otherwise a member that has not
+        /// answered lately is passed over, as far as this daemon can tell.
+        pub ordered: bool,
     }
 }
 
@@ -154,6 +157,7 @@
             confirmed: true,
             granted: true,
             goodbye: true,
+            ordered: true,
         }
     }
 }
@@ -483,11 +487,11 @@
     /// paused finds its right ended.
     #[must_use]
     pub fn right(&self, thing: &Thing, now: Millis) -> Right {
-        let Some(owner) = self.list().and_then(|list| owner(list, thing)) else {
+        let Some(owner) = self.owner(thing, now) else {
             return Right::Nobody;
         };
-        if *owner != self.me {
-            return Right::Elsewhere(owner.clone());
+        if owner != self.me {
+            return Right::Elsewhere(owner);
         }
         match self.usable(self.first_of_run(thing), now) {
             Ok((since, until)) => Right::Held { since, until },
@@ -547,6 +551,20 @@
 
     // Rights
 
+    fn owner(&self, thing: &Thing, now: Millis) -> Option<id::Instance> {
+        let list = self.list()?;
+        if self.rules.ordered {
+            return owner(list, thing).cloned();
+        }
+        let is_answering = |id: &id::Instance| {
+            let found = self.acks.binary_search_by(|one| one.from.cmp(id));
+            *id == self.me || found.is_ok_and(|index| self.end_of(&self.acks[index]) > now)
+        };
+        let mut unsuspected = list.clone();
+        unsuspected.members.retain(|one| is_answering(&one.id));
+        owner(&unsuspected, thing).cloned()
+    }
+
     /// Returns since when and until when a right may be used that this daemon
     /// has owned since the list of the index.
     fn usable(&self, first: usize, now: Millis) -> Result<(Millis, Millis), Rest> {
--- a/crates/kernel/tests/fleet.rs
+++ b/crates/kernel/tests/fleet.rs
@@ -96,4 +96,5 @@
     without_vouch_something_breaks: vouch, 0..100;
     without_full_something_breaks: full, 0..100;
     without_check_something_breaks: check, 0..100;
+    without_ordered_ownership_something_breaks: ordered, 0..100;
 }
--- a/crates/kernel/tests/handover.rs
+++ b/crates/kernel/tests/handover.rs
@@ -186,14 +186,14 @@
     let next = (1..5).find(|at| world::name(*at) == of_most.0.id).unwrap();
     let mut parcels = of_most.1.clone();
     let last = parcels.pop().unwrap();
-    let lost = last.keys[0].key.clone();
+    let missing = last.keys[0].key.clone();
     world.platform.drop_daemon(&world::name(0));
     world.platform.publish();
     let (node, now) = world.node(next);
     for parcel in &parcels {
         node.inherit(parcel, now);
     }
-    let thing = Thing::Key(lost.hash());
+    let thing = Thing::Key(missing.hash());
     for _ in 0..60 {
         world.step();
         if holds(&mut world, next, &thing) {
@@ -201,9 +201,9 @@
         }
     }
     let (node, now) = world.node(next);
-    let before = node.begin(&lost, DIGEST, false, now).unwrap();
+    let before = node.begin(&missing, DIGEST, false, now).unwrap();
     assert_eq!(before, Verdict::Refuse(Kind::KeyUnknown));
     node.inherit(&last, now);
-    let after = node.begin(&lost, DIGEST, false, now).unwrap();
+    let after = node.begin(&missing, DIGEST, false, now).unwrap();
     assert_eq!(after, Verdict::Replay(record));
 }
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -4,7 +4,7 @@
 //! a failing run can be shortened by leaving events out. After every step the
 //! whole set is checked: see [`World::check`].
 
-#![allow(dead_code, clippy::needless_pass_by_value)]
+#![allow(dead_code, unused_imports, clippy::needless_pass_by_value)]
 
 mod event;
 mod platform;
@@ -85,10 +85,18 @@
     Fetch(Need),
     List(List),
     Settings(Tree),
+    /// A slow answer of the platform, with the time of its question.
+    Read(List, Tree, Millis),
     Past(Vec<Past>),
     Parcel(Parcel),
-    Key { key: u32, is_first: bool },
-    Call { target: u8, attempt: u32 },
+    Key {
+        key: u32,
+        is_first: bool,
+    },
+    Call {
+        target: u8,
+        attempt: u32,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -234,6 +242,10 @@
         self.now - self.daemons[index].born
     }
 
+    pub fn pause(&mut self, index: usize, until: Millis) {
+        self.daemons[index].paused_until = until;
+    }
+
     pub fn count(&self) -> usize {
         self.daemons.len()
     }
@@ -427,6 +439,10 @@
             Letter::List(list) => node.adopt_list(&list, now),
             Letter::Parcel(parcel) => node.inherit(&parcel, now),
             Letter::Past(past) => node.adopt_past(&past, now),
+            Letter::Read(list, tree, asked_at) => {
+                node.take_list(&list, asked_at, now);
+                node.take_settings(&tree, asked_at, now);
+            }
             Letter::Settings(tree) => node.adopt_settings(&tree, now),
             Letter::Key { key, is_first } => self.begin(to, key, is_first),
             Letter::Call { target, attempt } => self.start(to, target, attempt),
@@ -626,7 +642,8 @@
         if !is_reached || !is_lucky || self.now < self.platform.down_until {
             return;
         }
-        let lag = usize::from(self.random.percent(20));
+        let is_lagging = self.random.percent(20) && !self.platform.is_exact;
+        let lag = usize::from(is_lagging);
         let old = usize::try_from(self.random.below(6)).unwrap();
         let lag = lag
             + if self.now < self.platform.stale_until {
@@ -634,8 +651,25 @@
             } else {
                 0
             };
-        let list = self.platform.list(lag);
-        let tree = self.platform.tree(lag);
+        let list = self.platform.list(lag + self.platform.list_lag);
+        let tree = self.platform.tree(lag + self.platform.settings_lag);
+        let delay = self.platform.delay;
+        if delay > Millis::ZERO {
+            let (node, now) = self.node(at);
+            let is_reader = node.is_list_reader(now) || node.is_settings_reader(now);
+            if is_reader {
+                let due = self.now + delay;
+                let letter = Letter::Read(list, tree, now);
+                let (from, to) = (at, at);
+                self.mail.push(Mail {
+                    due,
+                    from,
+                    to,
+                    letter,
+                });
+            }
+            return;
+        }
         let (node, now) = self.node(at);
         if node.is_list_reader(now) {
             node.read_list(&list, now);
--- a/crates/kernel/tests/world/platform.rs
+++ b/crates/kernel/tests/world/platform.rs
@@ -38,6 +38,13 @@
 pub struct Platform {
     pub down_until: Millis,
     pub stale_until: Millis,
+    /// How many versions behind the served list and settings are.
+    pub list_lag: usize,
+    pub settings_lag: usize,
+    /// Whether each answer is the newest, unless a lag is set.
+    pub is_exact: bool,
+    /// How long an answer takes.
+    pub delay: Millis,
     members: Vec<Member>,
     lists: Vec<List>,
     trees: Vec<Tree>,
@@ -49,6 +56,10 @@
         let mut platform = Self {
             down_until: Millis::ZERO,
             stale_until: Millis::ZERO,
+            is_exact: false,
+            list_lag: 0,
+            settings_lag: 0,
+            delay: Millis::ZERO,
             members: Vec::new(),
             lists: Vec::new(),
             trees: Vec::new(),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -296,26 +296,50 @@
         }
     };
     let waited = tokio::time::timeout(Duration::from_millis(wait), look).await;
-    waited.unwrap_or_else(|_| server::answer(304, &[], ""))
+    waited.unwrap_or_else(|_| unchanged(&shared, &door, call, &path))
+}
+
+/// Returns the answer that nothing is newer, with the revision of what is
+/// served.
+fn unchanged(shared: &Shared, door: &Mutex<Fault>, call: u64, path: &str) -> Reply {
+    let revision = look(shared, door, call, |list, settings| match path {
+        "/v1/list" => list.revision,
+        _ => settings.revision,
+    });
+    match revision {
+        Some(revision) => server::answer(304, &[(platform::REVISION, revision.to_string())], ""),
+        None => Reply::Break,
+    }
 }
 
 /// Returns the answer if something newer than `after` is published.
 fn newer(shared: &Shared, door: &Mutex<Fault>, call: u64, path: &str, after: u64) -> Option<Reply> {
+    let found = look(shared, door, call, |list, settings| match path {
+        "/v1/list" => (list.revision > after).then(|| json(list)),
+        "/v1/settings" => (settings.revision > after).then(|| json(settings)),
+        _ => Some(server::answer(404, &[], "")),
+    });
+    found.unwrap_or(Some(Reply::Break))
+}
+
+/// Reads what is served now; `None` if the platform is down.
+fn look<T>(
+    shared: &Shared,
+    door: &Mutex<Fault>,
+    call: u64,
+    read: impl FnOnce(&List, &Settings) -> T,
+) -> Option<T> {
     let fault = shared.fault(door);
     let inner = shared.lock();
     let published = (&inner.list, &inner.settings);
     let (list, settings) = match &fault {
-        Fault::Down => return Some(Reply::Break),
+        Fault::Down => return None,
         Fault::Stale(old) => (&old.0, &old.1),
         Fault::Contradicting(old) if call.is_multiple_of(2) => (&old.0, &old.1),
         Fault::Lagging(old) => (&**old, &inner.settings),
         Fault::None | Fault::Slow(_) | Fault::Contradicting(_) => published,
     };
-    match path {
-        "/v1/list" => (list.revision > after).then(|| json(list)),
-        "/v1/settings" => (settings.revision > after).then(|| json(settings)),
-        _ => Some(server::answer(404, &[], "")),
-    }
+    Some(read(list, settings))
 }
 
 fn json(value: &impl serde::Serialize) -> Reply {
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -10,6 +10,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The header by which the platform says, beside "nothing newer", which
+/// revision it serves.
+pub const REVISION: &str = "gooseberry-revision";
+
 /// Whether a listed thing stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
