Run suspects of a crash alone, and stop only the one that crashes

Cause: every call of a batch whose connection broke became a suspect, and the innocent ones could break again beside the faulty one until all were refused; the answer of an earlier stage cleared a suspect; a reply to another attempt counted as a crash; merging with peers moved the moment of a crash forward by the way of each message, so two peers never forgot it; clearing was undone by the next greeting; a full ward took in nothing new. Ruled out: refusing all suspects until one is cleared; sending them to another target without running them alone, since they meet there again. Change: a suspect is named by digest and pool, is marked on the call and on the owner's reply, and runs alone at its target. Crashes and clearings are two counts that only grow, merged by the greater; only a new crash moves the moment. The oldest makes room. A reply to another attempt is a sign of its own: no crash, and the call keeps its place.

--- a/crates/connectors/src/target.rs
+++ b/crates/connectors/src/target.rs
@@ -126,7 +126,7 @@
     let report = report(&head.headers);
     let echoed: Option<id::Attempt> = header::read(&head.headers, header::ATTEMPT);
     if echoed != Some(call.attempt) {
-        let mut reply = Reply::failed(Kind::TargetFailed.into(), Sign::Broken);
+        let mut reply = Reply::failed(Kind::TargetFailed.into(), Sign::Foreign);
         reply.is_foreign = true;
         return reply;
     }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -51,6 +51,8 @@
     pub workspace: id::Workspace,
     /// The digest of the request's workspace and body.
     pub digest: id::Digest,
+    /// How many targets broke while they ran this stage of the request.
+    pub crashes: u16,
     /// The time that remains until the answer is late.
     pub due: Millis,
     /// The time that remains until the answer is of no use.
@@ -68,6 +70,8 @@
     pub target_time: Millis,
     /// The target's calls for each hundred places, if its owner knows.
     pub load_percent: Option<u32>,
+    /// How many targets broke while they ran this stage of the request.
+    pub crashes: u16,
 }
 
 impl Report {
@@ -76,6 +80,7 @@
             result: Err(failure),
             target_time: Millis::ZERO,
             load_percent: None,
+            crashes: 0,
         }
     }
 
@@ -119,6 +124,8 @@
         workspace: task.workspace.clone(),
         due: context.clock.now() + task.due,
         deadline,
+        digest: task.digest,
+        crashes: task.crashes,
     };
     let asked = context.node.try_ask(|reply| Message::Start(call, reply));
     let Ticket::Wait(granted) = asked.await? else {
@@ -196,6 +203,7 @@
         result,
         target_time,
         load_percent,
+        crashes: crashes(context, task, &grant).await,
     }
 }
 
@@ -220,6 +228,13 @@
     context.node.ask(message).await.ok().flatten()
 }
 
+async fn crashes(context: &Context, task: &Task, grant: &Grant) -> u16 {
+    let digest = task.digest;
+    let pool = grant.pool.id.clone();
+    let read = move |node: &Node, now| node.crashes(digest, &pool, now);
+    context.node.look(read).await.unwrap_or_default()
+}
+
 // Between daemons
 
 /// Serves a peer that asks for a call.
@@ -244,6 +259,7 @@
         header::TARGET_MS,
         &report.target_time.to_string(),
     );
+    answer::set(&mut http, header::CRASHES, &report.crashes.to_string());
     if let Some(percent) = report.load_percent {
         answer::set(&mut http, header::LOAD, &percent.to_string());
     }
@@ -289,6 +305,7 @@
         result,
         target_time: header::read(&head.headers, header::TARGET_MS).unwrap_or_default(),
         load_percent: header::read(&head.headers, header::LOAD),
+        crashes: header::read(&head.headers, header::CRASHES).unwrap_or_default(),
     }
 }
 
@@ -309,6 +326,7 @@
         attempt: header::read(headers, header::ATTEMPT)?,
         workspace: header::read(headers, header::WORKSPACE)?,
         digest: header::read(headers, header::DIGEST)?,
+        crashes: header::read(headers, header::CRASHES)?,
         due: header::read(headers, header::DUE_MS)?,
         timeout: header::read(headers, header::TIMEOUT_MS)?,
         body: Bytes::new(),
@@ -321,6 +339,7 @@
         .header(header::ATTEMPT, task.attempt.to_string())
         .header(header::WORKSPACE, task.workspace.as_str())
         .header(header::DIGEST, task.digest.to_string())
+        .header(header::CRASHES, task.crashes)
         .header(header::DUE_MS, task.due.0)
         .header(header::TIMEOUT_MS, task.timeout.0)
         .body(Full::new(task.body.clone()))
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -189,6 +189,7 @@
             },
             workspace: self.job.admission.workspace.id.clone(),
             digest: self.job.digest,
+            crashes: choice.crashes,
             due: self.job.admission.deadline - now,
             timeout: ends_by - now,
             body: body.clone(),
@@ -206,6 +207,8 @@
             percent: report.load_percent,
             latency,
             failure: report.result.as_ref().err().map(|failure| failure.kind),
+            digest: self.job.digest,
+            crashes: report.crashes,
         }));
         report.result
     }
@@ -229,6 +232,7 @@
             pool: stage.pool.clone(),
             prefix: Node::affinity(&self.job.admission.workspace.id, prefix),
             tried: tried.to_vec(),
+            digest: self.job.digest,
         };
         let is_first = tried.is_empty();
         let message = |reply| Message::Choose(ask, is_first, reply);
--- a/crates/kernel/src/node_entry.rs
+++ b/crates/kernel/src/node_entry.rs
@@ -7,6 +7,7 @@
 use crate::derive::value;
 use crate::hash;
 use crate::id;
+use crate::quarantine;
 use crate::retry;
 use crate::retry::Denial;
 use crate::retry::Reason;
@@ -53,6 +54,8 @@
         pub target: Entry,
         /// The daemon that owns it.
         pub owner: Member,
+        /// How many targets broke while they ran this stage of the request.
+        pub crashes: u16,
     }
 
     /// What follows a failed attempt.
@@ -104,7 +107,8 @@
         let workspace = found.clone();
         let pipeline = self.book.pipeline(&workspace, &arrival.pipeline);
         let pipeline = pipeline.ok_or(Kind::NoPipeline)?.clone();
-        self.enter(&workspace, arrival.digest, now)?;
+        self.check_suspect(&pipeline, arrival.digest, now)?;
+        self.enter(&workspace)?;
         let timeout = arrival.timeout.unwrap_or(pipeline.deadline);
         let deadline = now + timeout.min(pipeline.deadline);
         Ok(Admission {
@@ -114,17 +118,31 @@
         })
     }
 
-    fn enter(
-        &mut self,
-        workspace: &Workspace,
+    /// Refuses a request that has crashed too many targets of some stage.
+    fn check_suspect(
+        &self,
+        pipeline: &Pipeline,
         digest: id::Digest,
         now: Millis,
     ) -> Result<(), Kind> {
+        if self.book.fleet().policy == Policy::Baseline || self.ward.is_empty() {
+            return Ok(());
+        }
+        let is_held = |stage: &Stage| {
+            let suspect = quarantine::suspect(digest, &stage.pool);
+            self.ward.holds(&suspect, now)
+        };
+        if pipeline.stages.iter().any(is_held) {
+            return Err(Kind::Quarantined);
+        }
+        Ok(())
+    }
+
+    fn enter(&mut self, workspace: &Workspace) -> Result<(), Kind> {
         let fleet = self.book.fleet();
         let limit = usize::from(fleet.max_requests);
         match fleet.policy {
             Policy::Baseline => self.room.enter_unshared(&workspace.id, limit),
-            Policy::Adaptive if self.ward.holds(&digest, now) => Err(Kind::Quarantined),
             Policy::Adaptive => self.room.enter(&workspace.id, workspace.weight, limit),
         }
     }
@@ -160,10 +178,16 @@
     /// Chooses the target of the next attempt.
     ///
     /// # Errors
-    /// Returns [`Kind::NoTarget`] if none may be given work, and
-    /// [`Kind::NoOwner`] if the list names no owner.
+    /// Returns [`Kind::NoTarget`] if none may be given work,
+    /// [`Kind::NoOwner`] if the list names no owner, and
+    /// [`Kind::Quarantined`] if the stage has crashed too many targets.
     pub fn choose(&mut self, ask: &Ask, now: Millis) -> Result<Choice, Failure> {
         let random = self.draw();
+        let crashes = self.crashes(ask.digest, &ask.pool, now);
+        let is_adaptive = self.book.fleet().policy == Policy::Adaptive;
+        if is_adaptive && crashes >= quarantine::CRASHES_MAX {
+            return Err(Kind::Quarantined.into());
+        }
         let list = self.tenure.list().ok_or(Kind::NotReady)?;
         self.index.update(list);
         let fleet = self.book.fleet();
@@ -184,6 +208,7 @@
         let choice = Choice {
             target: target.clone(),
             owner: owner.clone(),
+            crashes,
         };
         self.loads.note_sent(&choice.target.id, now);
         Ok(choice)
@@ -203,6 +228,11 @@
     /// Notes what an attempt has shown about its target.
     pub fn note_reply(&mut self, reply: &Reply, now: Millis) {
         self.loads.note(reply, now);
+        let suspect = quarantine::suspect(reply.digest, &reply.pool);
+        match reply.failure {
+            None => self.ward.note_answer(suspect),
+            Some(_) => self.ward.learn(suspect, reply.crashes, now),
+        }
     }
 
     /// Decides what follows a failed attempt.
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -10,6 +10,7 @@
 use crate::once::End;
 use crate::once::Key;
 use crate::once::Verdict;
+use crate::quarantine;
 use crate::queue::Order;
 use crate::roster::Entry;
 use crate::route;
@@ -46,10 +47,16 @@
     pub fn start(&mut self, call: &Call, now: Millis) -> Result<Start, Failure> {
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
+        let suspect = quarantine::suspect(call.digest, &pool.id);
+        self.ward.learn(suspect, call.crashes, now);
+        let call = Call {
+            crashes: self.ward.crashes(&suspect, now),
+            ..call.clone()
+        };
         let terms = self.terms(&pool);
         let workspace = self.book.workspace(&call.workspace);
         let weight = workspace.map_or(1, |workspace| workspace.weight);
-        let start = self.slots.start(call, weight, terms, since, now);
+        let start = self.slots.start(&call, weight, terms, since, now);
         self.check_limits();
         match start {
             Start::Refused(failure) => Err(failure),
@@ -97,11 +104,6 @@
         digest: id::Digest,
         now: Millis,
     ) -> Vec<Wake> {
-        match sign {
-            Sign::Broken => self.ward.note_crash(digest, now),
-            Sign::Answered(_) => self.ward.note_answer(digest),
-            Sign::Refused(_) | Sign::Failed(_) | Sign::Unreachable | Sign::Slow => {}
-        }
         if sign.report() == Some(Report::Leaving) {
             let revision = self.tenure.revision();
             self.loads.note_leaving(target, revision, now);
@@ -110,12 +112,24 @@
             self.slots.release(target, attempt);
             return Vec::new();
         };
+        let suspect = quarantine::suspect(digest, &pool.id);
+        match sign {
+            Sign::Broken => self.ward.note_crash(suspect, now),
+            Sign::Answered(_) => self.ward.note_answer(suspect),
+            _ => {}
+        }
         let terms = self.terms(&pool);
         let wakes = self.slots.finish(target, attempt, sign, terms, now);
         self.check_limits();
         wakes
     }
 
+    /// Returns how many targets broke while they ran the request in the pool.
+    #[must_use]
+    pub fn crashes(&self, digest: id::Digest, pool: &id::Pool, now: Millis) -> u16 {
+        self.ward.crashes(&quarantine::suspect(digest, pool), now)
+    }
+
     /// Takes a call that was not sent out of the queue and off its place.
     pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
         self.slots.cancel(target, attempt);
--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -34,6 +34,8 @@
         pub prefix: u64,
         /// The targets that were tried already.
         pub tried: Vec<id::Target>,
+        /// The digest of the request's workspace and body.
+        pub digest: id::Digest,
     }
 
     /// Why a target is not a candidate now.
@@ -58,6 +60,10 @@
         pub latency: Option<Millis>,
         /// How the attempt failed, if it did.
         pub failure: Option<Kind>,
+        /// The digest of the request's workspace and body.
+        pub digest: id::Digest,
+        /// How many targets broke while they ran it, as the owner knows.
+        pub crashes: u16,
     }
 }
 
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -30,6 +30,10 @@
         pub due: Millis,
         /// When its answer is of no use any more; not before it is due.
         pub deadline: Millis,
+        /// The digest of the request's workspace and body.
+        pub digest: id::Digest,
+        /// How many targets broke while they ran this; such a call runs alone.
+        pub crashes: u16,
     }
 
     /// What becomes of a call.
@@ -64,12 +68,17 @@
     pub order: Order,
 }
 
+/// How many calls may wait at a target until they can run alone.
+const SUSPECTS_MAX: usize = 8;
+
 #[derive(Clone, Debug)]
 struct Sent {
     attempt: id::Attempt,
     at: Millis,
     /// When the target must have let go of the call.
     ends_by: Millis,
+    /// Whether no other call may run beside it.
+    is_alone: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -82,6 +91,8 @@
     full_until: Millis,
     sent: Vec<Sent>,
     queue: Queue,
+    /// The calls that wait until they can run alone.
+    suspects: Vec<Call>,
 }
 
 /// The places of all targets that a daemon owns.
@@ -110,13 +121,16 @@
         let index = self.place(&call.target, terms.pool, since, now);
         let place = &mut self.places[index];
         place.sent.retain(|sent| sent.ends_by > now);
-        if place.queue.is_empty() && place.has_room(terms, now) {
-            self.overruns += usize::from(!place.send(call.attempt, terms, now));
+        if place.queue.is_empty() && place.has_room_for(call, terms, now) {
+            self.overruns += usize::from(!place.send(call, terms, now));
             return Start::Go;
         }
         if let Err(failure) = place.judge(call, weight, terms, now) {
             return Start::Refused(failure);
         }
+        if is_alone(call, terms) {
+            return place.queue_alone(call, terms, now);
+        }
         if place.queue.len() >= usize::from(terms.pool.queue_limit) {
             match place.give_way(call, weight, terms, now) {
                 Some(victim) => self.wakes.extend(refused(vec![victim], Kind::QueueFull)),
@@ -201,6 +215,7 @@
             attempt,
             at: now,
             ends_by: now + left,
+            is_alone: false,
         });
         place.sent.extend(sent);
     }
@@ -210,6 +225,7 @@
         if let Ok(index) = self.find(target) {
             let place = &mut self.places[index];
             place.queue.remove(attempt);
+            place.suspects.retain(|call| call.attempt != attempt);
         }
     }
 
@@ -241,9 +257,7 @@
                 Err(kind) => wakes.extend(place.turn_away(kind, now)),
             }
         }
-        let is_kept = |place: &Place| {
-            !place.sent.is_empty() || !place.queue.is_empty() || terms_of(&place.target).is_ok()
-        };
+        let is_kept = |place: &Place| !place.is_unused() || terms_of(&place.target).is_ok();
         self.places.retain(is_kept);
         wakes
     }
@@ -261,7 +275,7 @@
         } else {
             place.sent.len()
         };
-        Some((sent + place.queue.len(), limit))
+        Some((sent + place.waiting(), limit))
     }
 
     /// Returns the calls that a target has, and how long each may last still.
@@ -292,7 +306,7 @@
     /// Returns the calls that wait over all targets.
     #[must_use]
     pub fn queued(&self) -> usize {
-        self.places.iter().map(|place| place.queue.len()).sum()
+        self.places.iter().map(Place::waiting).sum()
     }
 
     fn find(&self, target: &id::Target) -> Result<usize, usize> {
@@ -315,6 +329,7 @@
             let former = std::mem::replace(place, fresh);
             place.sent = former.sent;
             place.queue = former.queue;
+            place.suspects = former.suspects;
         }
         place.held_at = place.held_at.max(now);
         index
@@ -330,6 +345,7 @@
             full_until: since + pool.longest_call,
             sent: Vec::new(),
             queue: Queue::default(),
+            suspects: Vec::new(),
         }
     }
 
@@ -349,10 +365,39 @@
 
     fn has_room(&self, terms: Terms<'_>, now: Millis) -> bool {
         let limit = usize::from(self.limit(terms, now));
-        !self.is_waiting(terms, now) && self.sent.len() < limit
+        let is_open = !self.is_waiting(terms, now) && self.sent.len() < limit;
+        is_open && !self.sent.iter().any(|sent| sent.is_alone)
+    }
+
+    fn has_room_for(&self, call: &Call, terms: Terms<'_>, now: Millis) -> bool {
+        if is_alone(call, terms) {
+            return self.sent.is_empty() && self.has_room(terms, now);
+        }
+        self.suspects.is_empty() && self.has_room(terms, now)
+    }
+
+    fn waiting(&self) -> usize {
+        self.queue.len() + self.suspects.len()
+    }
+
+    fn is_unused(&self) -> bool {
+        self.sent.is_empty() && self.waiting() == 0
+    }
+
+    /// Lets a call wait until the target has nothing else to do.
+    fn queue_alone(&mut self, call: &Call, terms: Terms<'_>, now: Millis) -> Start {
+        if self.suspects.len() >= SUSPECTS_MAX {
+            return Start::Refused(self.full(call, 1, terms, now));
+        }
+        self.suspects.push(call.clone());
+        Start::Queued
     }
 
     /// Lets go of a call, and takes in what it has shown.
+    ///
+    /// A call whose reply went astray keeps its place to its end. One whose
+    /// connection broke may run on if the process lives, so it keeps its place
+    /// for as long as a call lasts.
     fn learn(&mut self, attempt: id::Attempt, sign: Sign, pool: &Pool, now: Millis) {
         let found = self.sent.iter().position(|sent| sent.attempt == attempt);
         // A call that has lost its place by time was sent that long ago.
@@ -362,16 +407,28 @@
             sent_at: found.map_or(oldest, |index| self.sent[index].at),
             in_flight: self.sent.len(),
         };
-        self.sent.retain(|sent| sent.attempt != attempt);
         self.warmth.note(evidence, pool, now);
+        let may_run_still = match sign {
+            Sign::Foreign => Millis::NEVER,
+            Sign::Broken => now + self.warmth.patience(),
+            _ => now,
+        };
+        for sent in &mut self.sent {
+            if sent.attempt == attempt {
+                sent.ends_by = sent.ends_by.min(may_run_still);
+                sent.is_alone = false;
+            }
+        }
+        self.sent.retain(|sent| sent.ends_by > now);
     }
 
     /// Takes a place, and tells whether the target is within its limit.
-    fn send(&mut self, attempt: id::Attempt, terms: Terms<'_>, now: Millis) -> bool {
+    fn send(&mut self, call: &Call, terms: Terms<'_>, now: Millis) -> bool {
         self.sent.push(Sent {
-            attempt,
+            attempt: call.attempt,
             at: now,
             ends_by: now + terms.pool.longest_call,
+            is_alone: is_alone(call, terms),
         });
         self.sent.len() <= usize::from(self.limit(terms, now))
     }
@@ -382,13 +439,8 @@
         let mut overruns = 0;
         self.sent.retain(|sent| sent.ends_by > now);
         wakes.extend(refused(self.hopeless(terms, now), Kind::TooLate));
-        while self.has_room(terms, now) {
-            let next = match terms.policy {
-                Policy::Adaptive => self.queue.pop(terms.order, now),
-                Policy::Baseline => self.queue.pop_first(),
-            };
-            let Some(call) = next else { break };
-            overruns += usize::from(!self.send(call.attempt, terms, now));
+        while let Some(call) = self.next(terms, now) {
+            overruns += usize::from(!self.send(&call, terms, now));
             wakes.push(Wake {
                 target: self.target.clone(),
                 attempt: call.attempt,
@@ -398,6 +450,23 @@
         (wakes, overruns)
     }
 
+    /// Takes the next call that may be sent now.
+    ///
+    /// A call that must run alone comes first, and the others wait for it, as
+    /// it would never find the target free otherwise.
+    fn next(&mut self, terms: Terms<'_>, now: Millis) -> Option<Call> {
+        if !self.has_room(terms, now) {
+            return None;
+        }
+        if !self.suspects.is_empty() {
+            return self.sent.is_empty().then(|| self.suspects.remove(0));
+        }
+        match terms.policy {
+            Policy::Adaptive => self.queue.pop(terms.order, now),
+            Policy::Baseline => self.queue.pop_first(),
+        }
+    }
+
     /// Takes out the calls that can no longer be answered in time.
     ///
     /// While the target has nothing to do they are only given up when their
@@ -409,7 +478,10 @@
         } else {
             Millis::ZERO
         };
-        self.queue.take_where(|call| call.deadline <= now + latency)
+        let is_hopeless = |call: &Call| call.deadline <= now + latency;
+        let mut calls = self.queue.take_where(is_hopeless);
+        calls.extend(self.suspects.extract_if(.., |call| is_hopeless(call)));
+        calls
     }
 
     /// Refuses a call that must wait and cannot be answered in time.
@@ -469,10 +541,17 @@
     /// Refuses what waits, since the target is not to be given work.
     fn turn_away(&mut self, kind: Kind, now: Millis) -> Vec<Wake> {
         self.sent.retain(|sent| sent.ends_by > now);
-        refused(self.queue.take_where(|_| true), kind)
+        let mut calls = self.queue.take_where(|_| true);
+        calls.append(&mut self.suspects);
+        refused(calls, kind)
     }
 }
 
+/// Tells whether no other call may run beside the call.
+fn is_alone(call: &Call, terms: Terms<'_>) -> bool {
+    terms.policy == Policy::Adaptive && call.crashes > 0
+}
+
 fn refused(calls: Vec<Call>, kind: Kind) -> Vec<Wake> {
     let refuse = |call: Call| Wake {
         target: call.target,
--- a/crates/kernel/src/warmth.rs
+++ b/crates/kernel/src/warmth.rs
@@ -32,6 +32,8 @@
         Refused(Option<Report>),
         /// It took the call and failed on it, but its process lives.
         Failed(Option<Report>),
+        /// It answered with the reply to another call.
+        Foreign,
         /// Its connection failed during the call, so its process may have died.
         Broken,
         /// No connection could be made, so it was not given the call.
@@ -95,7 +97,7 @@
     pub fn report(self) -> Option<Report> {
         match self {
             Self::Answered(report) | Self::Refused(report) | Self::Failed(report) => report,
-            Self::Broken | Self::Unreachable | Self::Slow => None,
+            Self::Foreign | Self::Broken | Self::Unreachable | Self::Slow => None,
         }
     }
 
@@ -180,6 +182,12 @@
         self.pace.recent()
     }
 
+    /// Returns how long a busy target may be silent before its limit rests.
+    #[must_use]
+    pub fn patience(&self) -> Millis {
+        Millis(self.pace.recent().0.saturating_mul(SILENT_LATENCIES)) + SILENT_MARGIN
+    }
+
     /// Takes in what a call has shown.
     pub fn note(&mut self, evidence: Evidence, pool: &Pool, now: Millis) {
         if let Sign::Answered(_) = evidence.sign {
@@ -198,18 +206,17 @@
                 self.climb(evidence, report == Some(Report::Warm), pool);
             }
             Sign::Slow | Sign::Refused(_) => self.shrink(pool, now),
-            Sign::Failed(_) | Sign::Broken | Sign::Unreachable => self.answers = 0,
+            Sign::Failed(_) | Sign::Foreign | Sign::Broken | Sign::Unreachable => self.answers = 0,
         }
     }
 
     /// Tells whether answers have come lately enough for the limit to hold.
     fn is_heard(&self, oldest: Option<Millis>, now: Millis) -> bool {
-        let silent_max = Millis(self.pace.recent().0.saturating_mul(SILENT_LATENCIES));
-        if now - self.heard_at > IDLE_MEMORY.max(silent_max) {
+        if now - self.heard_at > IDLE_MEMORY.max(self.patience()) {
             return false;
         }
         let since = self.heard_at.max(oldest.unwrap_or(now));
-        now - since <= silent_max + SILENT_MARGIN
+        now - since <= self.patience()
     }
 
     fn chill(&mut self, pool: &Pool, now: Millis) {
--- a/crates/kernel/tests/policy_site/mod.rs
+++ b/crates/kernel/tests/policy_site/mod.rs
@@ -111,6 +111,7 @@
         pool: id::Pool::new("desk.llm").unwrap(),
         prefix,
         tried: Vec::new(),
+        digest: id::Digest([1; 32]),
     }
 }
 
@@ -123,6 +124,8 @@
         workspace: id::Workspace::new("desk.big").unwrap(),
         due: deadline,
         deadline,
+        digest: id::Digest([1; 32]),
+        crashes: 0,
     }
 }
 
--- /dev/null
+++ b/crates/kernel/tests/quarantine.rs
@@ -0,0 +1,207 @@
+//! A request that crashes its targets is stopped, and the others are not.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod policy_site;
+
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::quarantine;
+use gooseberry_kernel::quarantine::Ward;
+use gooseberry_kernel::slot::Call;
+use gooseberry_kernel::slot::Start;
+use gooseberry_kernel::warmth::Report;
+use gooseberry_kernel::warmth::Sign;
+use policy_site::READY;
+
+const BATCH: u16 = 10;
+const FAULTY: u16 = 4;
+const WARM: Sign = Sign::Answered(Some(Report::Warm));
+
+fn digest(number: u16) -> id::Digest {
+    id::Digest([u8::try_from(number).unwrap(); 32])
+}
+
+fn call(node: &Node, target: usize, number: u16, now: Millis) -> Call {
+    let mut call = policy_site::call(target, number, now + Millis(9000));
+    call.digest = digest(number);
+    call.crashes = node.crashes(call.digest, &policy_site::ask(0).pool, now);
+    call
+}
+
+fn finish(node: &mut Node, target: usize, number: u16, sign: Sign, now: Millis) -> Vec<u16> {
+    let attempt = policy_site::attempt(number);
+    let target = policy_site::target(target);
+    let wakes = node.finish(&target, attempt, sign, digest(number), now);
+    let granted = wakes.iter().filter(|wake| wake.refusal.is_none());
+    granted
+        .map(|wake| u16::try_from(wake.attempt.request.0).unwrap())
+        .collect()
+}
+
+/// Warms a target up until it takes the whole batch.
+fn warm(node: &mut Node, target: usize) {
+    for number in 100..108 {
+        let call = call(node, target, number, READY);
+        assert_eq!(node.start(&call, READY), Ok(Start::Go));
+        finish(node, target, number, WARM, READY);
+    }
+}
+
+fn is_refused(node: &mut Node, number: u16, now: Millis) -> bool {
+    let mut arrival = policy_site::arrival("desk.big", 0);
+    arrival.digest = digest(number);
+    let admitted = node.admit(&arrival, now);
+    admitted.is_err_and(|failure| failure.kind == Kind::Quarantined)
+}
+
+/// Runs the batch at one target, where the faulty request breaks all of it.
+fn broken_batch() -> Node {
+    let mut node = policy_site::node("adaptive", 3);
+    warm(&mut node, 0);
+    for number in 0..BATCH {
+        let call = call(&node, 0, number, READY);
+        assert_eq!(node.start(&call, READY), Ok(Start::Go));
+    }
+    for number in 0..BATCH {
+        finish(&mut node, 0, number, Sign::Broken, READY);
+    }
+    node
+}
+
+#[test]
+fn of_a_broken_batch_only_the_faulty_request_is_stopped() {
+    let mut node = broken_batch();
+    let mut crashes = 1;
+    let mut running = Vec::new();
+    for number in 0..BATCH {
+        let target = 1 + usize::from(number) % 2;
+        let call = call(&node, target, number, READY);
+        if node.start(&call, READY) == Ok(Start::Go) {
+            running.push((target, number));
+        }
+    }
+    assert_eq!(running.len(), 2, "each target runs one suspect, alone");
+    let mut now = READY;
+    while let Some((target, number)) = running.pop() {
+        let is_faulty = number == FAULTY;
+        crashes += u16::from(is_faulty);
+        let sign = if is_faulty { Sign::Broken } else { WARM };
+        let mut woken = finish(&mut node, target, number, sign, now);
+        now = now + Millis(500);
+        for action in node.tick(now) {
+            if let gooseberry_kernel::node::Action::Wake(wake) = action {
+                assert_eq!(wake.refusal, None);
+                woken.push(u16::try_from(wake.attempt.request.0).unwrap());
+            }
+        }
+        running.extend(
+            woken
+                .into_iter()
+                .map(|number| (1 + usize::from(number) % 2, number)),
+        );
+    }
+    for number in 0..BATCH {
+        assert!(!is_refused(&mut node, number, now));
+    }
+    let again = call(&node, 0, FAULTY, now);
+    assert_eq!(again.crashes, 2);
+    assert_eq!(node.start(&again, now), Ok(Start::Go));
+    finish(&mut node, 0, FAULTY, Sign::Broken, now);
+    crashes += 1;
+    for number in 0..BATCH {
+        assert_eq!(is_refused(&mut node, number, now), number == FAULTY);
+    }
+    assert_eq!(crashes, quarantine::CRASHES_MAX);
+    let forgiven = now + quarantine::MEMORY;
+    assert!(!is_refused(&mut node, FAULTY, forgiven));
+}
+
+#[test]
+fn a_suspect_waits_until_the_target_is_free_and_keeps_others_off() {
+    let mut node = broken_batch();
+    warm(&mut node, 1);
+    let other = call(&node, 1, 50, READY);
+    assert_eq!(node.start(&other, READY), Ok(Start::Go));
+    let suspect = call(&node, 1, FAULTY, READY);
+    assert_eq!(node.start(&suspect, READY), Ok(Start::Queued));
+    let behind = call(&node, 1, 51, READY);
+    assert_eq!(node.start(&behind, READY), Ok(Start::Queued));
+    assert_eq!(finish(&mut node, 1, 50, WARM, READY), [FAULTY]);
+    assert_eq!(finish(&mut node, 1, FAULTY, WARM, READY), [51]);
+}
+
+#[test]
+fn an_answer_from_another_pool_does_not_clear_a_suspect() {
+    let mut node = broken_batch();
+    let ledger = id::Target::new("ledger-0").unwrap();
+    let attempt = policy_site::attempt(FAULTY);
+    node.finish(&ledger, attempt, WARM, digest(FAULTY), READY);
+    assert_eq!(call(&node, 1, FAULTY, READY).crashes, 1);
+}
+
+#[test]
+fn only_a_call_that_was_at_the_target_counts_as_a_crash() {
+    let mut node = policy_site::node("adaptive", 1);
+    for sign in [
+        Sign::Unreachable,
+        Sign::Foreign,
+        Sign::Slow,
+        Sign::Refused(None),
+    ] {
+        finish(&mut node, 0, 1, sign, READY);
+    }
+    assert_eq!(call(&node, 0, 1, READY).crashes, 0);
+}
+
+#[test]
+fn peers_learn_of_a_crash_and_of_its_clearing_in_any_order() {
+    let (mut one, mut other, mut third) = (Ward::default(), Ward::default(), Ward::default());
+    one.note_crash(digest(1), READY);
+    let early = one.suspects(READY);
+    other.merge(&early, READY);
+    assert_eq!(other.crashes(&digest(1), READY), 1);
+    other.note_answer(digest(1));
+    third.merge(&other.suspects(READY), READY);
+    for _ in 0..3 {
+        third.merge(&early, READY);
+        one.merge(&third.suspects(READY), READY);
+        one.merge(&early, READY);
+    }
+    assert_eq!(third.crashes(&digest(1), READY), 0);
+    assert_eq!(one.crashes(&digest(1), READY), 0);
+    one.note_crash(digest(1), READY);
+    other.merge(&one.suspects(READY), READY);
+    assert_eq!(other.crashes(&digest(1), READY), 1);
+}
+
+#[test]
+fn a_suspect_is_forgotten_in_time_although_peers_repeat_it() {
+    let (mut one, mut other) = (Ward::default(), Ward::default());
+    one.note_crash(digest(1), Millis::ZERO);
+    let mut now = Millis::ZERO;
+    while now < quarantine::MEMORY + Millis(1000) {
+        let told = one.suspects(now);
+        now = now + Millis(20);
+        other.merge(&told, now);
+        let told = other.suspects(now);
+        now = now + Millis(20);
+        one.merge(&told, now);
+        one.tick(now);
+        other.tick(now);
+    }
+    assert!(one.is_empty() && other.is_empty());
+}
+
+#[test]
+fn a_full_ward_forgets_the_oldest_suspect() {
+    let mut ward = Ward::default();
+    for number in 0..=u16::try_from(quarantine::SUSPECTS_MAX).unwrap() {
+        ward.note_crash(digest(number), Millis(u64::from(number)));
+    }
+    assert_eq!(ward.crashes(&digest(0), READY), 0);
+    assert_eq!(ward.crashes(&digest(1), READY), 1);
+    assert_eq!(ward.crashes(&digest(64), READY), 1);
+}
--- a/crates/kernel/tests/route.rs
+++ b/crates/kernel/tests/route.rs
@@ -24,6 +24,8 @@
         percent: Some(percent),
         latency: Some(Millis(100)),
         failure: None,
+        digest: id::Digest([1; 32]),
+        crashes: 0,
     }
 }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -62,6 +62,8 @@
     pub digest: [u8; 32],
     /// How many targets broke while they ran it.
     pub crashes: u16,
+    /// How many of these an answer has cleared it of.
+    pub cleared: u16,
     /// How long ago the last of them broke, in milliseconds.
     pub age_ms: u64,
 }
@@ -127,6 +129,7 @@
         Self {
             digest: suspect.digest.0,
             crashes: suspect.crashes,
+            cleared: suspect.cleared,
             age_ms: suspect.age.0,
         }
     }
@@ -137,6 +140,7 @@
         Self {
             digest: id::Digest(wire.digest),
             crashes: wire.crashes,
+            cleared: wire.cleared,
             age: Millis(wire.age_ms),
         }
     }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -41,6 +41,8 @@
 pub const TARGET: &str = "gooseberry-target";
 /// The digest of the request's workspace and body.
 pub const DIGEST: &str = "gooseberry-digest";
+/// How many targets broke while they ran this stage of the request.
+pub const CRASHES: &str = "gooseberry-crashes";
 /// How long the target worked, in milliseconds.
 pub const TARGET_MS: &str = "gooseberry-target-ms";
 /// The target's calls in flight for each hundred places.
