--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -84,7 +84,9 @@
     run.count_costs(result.is_ok());
     let is_late = context.clock.now() > deadline;
     let pipeline = job.admission.pipeline.id.as_str();
-    context.metrics.latency(pipeline, "all", started.elapsed());
+    let workspace = job.admission.workspace.id.as_str();
+    let metrics = &context.metrics;
+    metrics.latency(workspace, pipeline, "all", started.elapsed());
     Answer {
         request: job.request,
         result,
@@ -150,13 +152,13 @@
             Step::Again { reason, pause } => {
                 self.context.metrics.retry(reason);
                 log::debug!(
-                    "request={} workspace={} pipeline={} stage={} attempt={} retry={}",
-                    self.job.request,
-                    self.job.admission.workspace.id,
-                    self.job.admission.pipeline.id,
-                    stage.id,
-                    self.attempts,
-                    reason.label()
+                    request:% = self.job.request,
+                    workspace:% = self.job.admission.workspace.id,
+                    pipeline:% = self.job.admission.pipeline.id,
+                    stage:% = stage.id,
+                    attempt = self.attempts,
+                    reason = reason.label();
+                    "retrying"
                 );
                 tokio::time::sleep(Duration::from_millis(pause.0)).await;
                 Ok(())
@@ -276,7 +278,8 @@
     fn note_latency(&self, stage: &Stage, started: Instant) {
         let pipeline = self.job.admission.pipeline.id.as_str();
         let metrics = &self.context.metrics;
-        metrics.latency(pipeline, stage.id.as_str(), started.elapsed());
+        let workspace = self.job.admission.workspace.id.as_str();
+        metrics.latency(workspace, pipeline, stage.id.as_str(), started.elapsed());
     }
 
     /// Counts the cost of the request; all of it is waste if the request failed.
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -45,6 +45,11 @@
     /// # Errors
     /// Returns the reason of the refusal; the call was not sent.
     pub fn start(&mut self, call: &Call, now: Millis) -> Result<Start, Failure> {
+        // Without a request of its own, the call is a peer's, which would keep
+        // the shutdown from ending.
+        if self.is_closed() && self.room.total() == 0 && self.keys.running() == 0 {
+            return Err(Kind::NoOwner.into());
+        }
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
         let suspect = quarantine::suspect(call.digest, &pool.id);
@@ -139,12 +144,18 @@
     /// Returns a target's calls in flight and waiting for each hundred places.
     #[must_use]
     pub fn load_percent(&self, target: &id::Target, now: Millis) -> Option<u32> {
-        let pool = self.pool_of(target)?;
-        let (calls, limit) = self.slots.load(target, self.terms(&pool), now)?;
+        let (calls, limit) = self.places(target, now)?;
         let percent = calls * 100 / usize::from(limit).max(1);
         Some(u32::try_from(percent).unwrap_or(u32::MAX))
     }
 
+    /// Returns a target's calls in flight and waiting, and its limit.
+    #[must_use]
+    pub fn places(&self, target: &id::Target, now: Millis) -> Option<(usize, u16)> {
+        let pool = self.pool_of(target)?;
+        self.slots.load(target, self.terms(&pool), now)
+    }
+
     /// Wakes calls that wait: those that may start, and those that waited too
     /// long or whose target is out.
     pub(super) fn wake(&mut self, now: Millis) -> Vec<Wake> {
@@ -224,6 +235,9 @@
         is_first_attempt: bool,
         now: Millis,
     ) -> Result<Verdict, Failure> {
+        if self.is_closed() {
+            return Err(Kind::NoOwner.into());
+        }
         let since = match self.tenure.right(&Thing::Key(key.hash()), now) {
             Right::Held { since, .. } => since,
             Right::Elsewhere(_) | Right::Nobody => return Err(Kind::NoOwner.into()),
--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -342,6 +342,18 @@
 }
 
 scalar! {
+    /// Where a target stands among the candidates; the least comes first.
+    pub struct Rank {
+        /// Whether it failed lately or is slow.
+        pub is_last: bool,
+        /// Whether a target of its failure domain was tried already.
+        pub is_tried: bool,
+        /// Whether it is in another failure domain, where that matters.
+        pub is_far: bool,
+        /// Its rendezvous weight; the heaviest comes first.
+        pub weight: Reverse<u64>,
+    }
+
     /// One target of a pool, by its place in the list.
     struct Slot {
         index: usize,
@@ -349,6 +361,13 @@
     }
 }
 
+impl Rank {
+    /// Tells whether the two are equal but for affinity.
+    fn is_same_class(self, other: Self) -> bool {
+        self.is_last == other.is_last
+    }
+}
+
 /// The targets of one list by pool, so that a choice reads one pool only.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
@@ -423,6 +442,21 @@
     /// Chooses the target for a stage.
     #[must_use]
     pub fn choose(self, ask: &Ask, random: u64, now: Millis) -> Option<&'a Entry> {
+        let ranked = self.ranked(ask, random, now);
+        let load = |entry: &&Entry| self.loads.percent(&entry.id, self.pool, now);
+        let is_same_class = |one: &&(Rank, &Entry)| one.0.is_same_class(ranked[0].0);
+        let mut best = ranked.iter().take_while(is_same_class).map(|one| one.1);
+        let with_room = best.clone().find(|one| load(one) < SPILL_PERCENT);
+        with_room.or_else(|| {
+            let first = best.by_ref().take(COMPARED);
+            first.min_by_key(load)
+        })
+    }
+
+    /// Returns the candidates for a stage, the first choice first, as they
+    /// stand before their loads are looked at.
+    #[must_use]
+    pub fn ranked(self, ask: &Ask, random: u64, now: Millis) -> Vec<(Rank, &'a Entry)> {
         let has_caches = self.pool.prefix_bytes > 0;
         let by = if has_caches { ask.prefix } else { random };
         let tried = self.tried_domains(ask);
@@ -431,18 +465,17 @@
             let is_tried = tried.contains(&&entry.domain);
             let is_far = !has_caches && entry.domain != *self.domain;
             let weight = Reverse(hash::mix(by, hash));
-            ((is_last, is_tried, is_far, weight), entry)
+            let rank = Rank {
+                is_last,
+                is_tried,
+                is_far,
+                weight,
+            };
+            (rank, entry)
         };
         let mut ranked: Vec<_> = self.candidates(ask).map(rank).collect();
         ranked.sort_unstable_by_key(|one| one.0);
-        let load = |entry: &&Entry| self.loads.percent(&entry.id, self.pool, now);
-        let is_same_class = |one: &&((bool, bool, bool, _), &Entry)| one.0.0 == ranked[0].0.0;
-        let mut best = ranked.iter().take_while(is_same_class).map(|one| one.1);
-        let with_room = best.clone().find(|one| load(one) < SPILL_PERCENT);
-        with_room.or_else(|| {
-            let first = best.by_ref().take(COMPARED);
-            first.min_by_key(load)
-        })
+        ranked
     }
 
     fn tried_domains(self, ask: &Ask) -> Vec<&'a id::Domain> {
--- a/crates/kernel/src/tenure.rs
+++ b/crates/kernel/src/tenure.rs
@@ -294,7 +294,9 @@
         members
     }
 
-    fn is_goodbye(&self, id: &id::Instance) -> bool {
+    /// Tells whether a daemon said goodbye: it takes no calls any more.
+    #[must_use]
+    pub fn is_goodbye(&self, id: &id::Instance) -> bool {
         let found = self.dropped.binary_search_by(|one| one.id.cmp(id));
         found.is_ok_and(|index| self.dropped[index].is_goodbye)
     }
--- a/crates/kernel/tests/policy_site/mod.rs
+++ b/crates/kernel/tests/policy_site/mod.rs
@@ -29,8 +29,8 @@
     "brief": { "deadline_ms": 9000, "stages": [{ "name": "generate", "pool": "llm", "weight": 1 }] }
   },
   "workspaces": {
-    "big": { "credential_sha256": "ZERO", "weight": 1, "pipelines": ["brief"] },
-    "small": { "credential_sha256": "ZERO", "weight": 1, "pipelines": ["brief"] }
+    "big": { "credential_sha256": "BIG", "weight": 1, "pipelines": ["brief"] },
+    "small": { "credential_sha256": "SMALL", "weight": 1, "pipelines": ["brief"] }
   }
 }"#;
 
@@ -49,8 +49,9 @@
 
 /// Returns the settings, with the given document for the fleet.
 pub fn tree(fleet: &str) -> Tree {
-    let zero = id::Digest([0; 32]).to_string();
-    let team = TEAM.replace("ZERO", &zero);
+    let secret = |workspace: &str| id::Digest::of(workspace.as_bytes()).to_string();
+    let team = TEAM.replace("BIG", &secret("desk.big"));
+    let team = team.replace("SMALL", &secret("desk.small"));
     let source = |path: &str, text: &str| Source {
         path: path.to_owned(),
         revision: Revision(1),
@@ -135,7 +136,7 @@
     Arrival {
         workspace: id::Workspace::new(workspace).unwrap(),
         pipeline: id::Pipeline::new("brief").unwrap(),
-        credential: id::Digest([0; 32]),
+        credential: id::Digest::of(workspace.as_bytes()),
         timeout: None,
         digest: id::Digest([digest; 32]),
     }
