Explain a quarantine by pool

Cause: merging main left the explanation asking for a suspect by the request's digest alone, which names no suspect any more. Change: it asks as admission does.

--- a/crates/kernel/src/node_entry.rs
+++ b/crates/kernel/src/node_entry.rs
@@ -119,7 +119,7 @@
     }
 
     /// Refuses a request that has crashed too many targets of some stage.
-    fn check_suspect(
+    pub(super) fn check_suspect(
         &self,
         pipeline: &Pipeline,
         digest: id::Digest,
--- a/crates/kernel/src/node_explain.rs
+++ b/crates/kernel/src/node_explain.rs
@@ -16,6 +16,7 @@
 use crate::route;
 use crate::route::Ask;
 use crate::route::Out;
+use crate::settings::Pipeline;
 use crate::settings::Stage;
 use crate::settings::Workspace;
 use crate::tenure::Rest;
@@ -154,7 +155,7 @@
             stages.push(self.plan(list, workspace, stage, body, now));
         }
         let is_keyless = holder.is_none() && !pipeline.is_idempotent();
-        let refusal = self.refusal(question, now);
+        let refusal = self.refusal(pipeline, question, now);
         let refusal = refusal.or(is_keyless.then_some(Kind::KeyMissing));
         let refusal = refusal.or(holder.as_ref().and_then(Holder::refusal));
         let refusal = refusal.or(stages.iter().find_map(Plan::refusal));
@@ -165,12 +166,11 @@
         })
     }
 
-    fn refusal(&self, question: &Question, now: Millis) -> Option<Kind> {
+    fn refusal(&self, pipeline: &Pipeline, question: &Question, now: Millis) -> Option<Kind> {
         if let Err(kind) = self.ready() {
             return Some(kind);
         }
-        let is_held = self.ward.holds(&question.digest, now);
-        is_held.then_some(Kind::Quarantined)
+        self.check_suspect(pipeline, question.digest, now).err()
     }
 
     fn holder(&self, list: &List, thing: &Thing, now: Millis) -> Holder {
@@ -198,6 +198,7 @@
             pool: stage.pool.clone(),
             prefix: Self::affinity(&workspace.id, prefix.unwrap_or_default()),
             tried: Vec::new(),
+            digest: id::Digest([0; 32]),
         };
         let fleet = self.book.fleet();
         let mut targets = Vec::new();
