--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -79,8 +79,8 @@
     Choose(Ask, bool, RpcReplyPort<Result<Choice, Failure>>),
     /// An attempt has shown something about its target.
     NoteReply(Reply),
-    /// An attempt failed; the moment is the latest for a retry.
-    AfterFailure(Failure, Bounds, Millis, RpcReplyPort<Step>),
+    /// An attempt at the pool failed; the moment is the latest for a retry.
+    AfterFailure(id::Pool, Failure, Bounds, Millis, RpcReplyPort<Step>),
     /// A call wants a place at a target that this daemon owns.
     Start(Call, RpcReplyPort<Result<Ticket, Failure>>),
     /// A call with a place is about to be sent.
@@ -206,8 +206,9 @@
                 send(reply, node.choose(&ask, now));
             }
             Message::NoteReply(reply) => node.note_reply(&reply, now),
-            Message::AfterFailure(failure, bounds, deadline, reply) => {
-                send(reply, node.after_failure(&failure, bounds, deadline, now));
+            Message::AfterFailure(pool, failure, bounds, deadline, reply) => {
+                let step = node.after_failure(&pool, &failure, bounds, deadline, now);
+                send(reply, step);
             }
             Message::Start(call, reply) => self.start(&call, reply, now),
             Message::Grant(target, attempt, reply) => {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -141,9 +141,10 @@
 
     /// Waits before the next attempt, or gives up.
     async fn pause(&self, stage: &Stage, failure: &Failure, bounds: Bounds) -> Result<(), Failure> {
+        let pool = stage.pool.clone();
         let failure = failure.clone();
         let ends_by = self.ends_by;
-        let message = |reply| Message::AfterFailure(failure, bounds, ends_by, reply);
+        let message = |reply| Message::AfterFailure(pool, failure, bounds, ends_by, reply);
         match self.context.node.ask(message).await? {
             Step::GiveUp { failure, denial } => {
                 self.context.metrics.denial(denial);
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -9,6 +9,7 @@
 //! - `node_owner.rs`: the targets and keys that this daemon owns;
 //! - `node_explain.rs`: why a request would go where it goes, for operators.
 
+use crate::admission::Pressure;
 use crate::admission::Room;
 use crate::answer::Kind;
 use crate::clock::Millis;
@@ -70,6 +71,7 @@
     loads: Loads,
     index: Index,
     room: Room,
+    pressure: Pressure,
     slots: slot::Table,
     keys: once::Memory,
     ward: Ward,
@@ -98,6 +100,7 @@
             loads: Loads::default(),
             index: Index::default(),
             room: Room::default(),
+            pressure: Pressure::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
             ward: Ward::default(),
--- a/crates/kernel/src/node_entry.rs
+++ b/crates/kernel/src/node_entry.rs
@@ -108,6 +108,7 @@
         let pipeline = self.book.pipeline(&workspace, &arrival.pipeline);
         let pipeline = pipeline.ok_or(Kind::NoPipeline)?.clone();
         self.check_suspect(&pipeline, arrival.digest, now)?;
+        self.check_pressure(&workspace, &pipeline, now)?;
         self.enter(&workspace)?;
         let timeout = arrival.timeout.unwrap_or(pipeline.deadline);
         let deadline = now + timeout.min(pipeline.deadline);
@@ -138,6 +139,27 @@
         Ok(())
     }
 
+    /// Refuses a part of the requests while a pool turns most stages away.
+    ///
+    /// A workspace that wants late answers would rather wait.
+    fn check_pressure(
+        &mut self,
+        workspace: &Workspace,
+        pipeline: &Pipeline,
+        now: Millis,
+    ) -> Result<(), Kind> {
+        if self.book.fleet().policy == Policy::Baseline || workspace.wants_late_answers {
+            return Ok(());
+        }
+        for stage in &pipeline.stages {
+            let random = self.draw();
+            if self.pressure.is_refused(&stage.pool, random, now) {
+                return Err(Kind::QueueFull);
+            }
+        }
+        Ok(())
+    }
+
     fn enter(&mut self, workspace: &Workspace) -> Result<(), Kind> {
         let fleet = self.book.fleet();
         let limit = usize::from(fleet.max_requests);
@@ -230,13 +252,32 @@
         self.loads.note(reply, now);
         let suspect = quarantine::suspect(reply.digest, &reply.pool);
         match reply.failure {
-            None => self.ward.note_answer(suspect),
+            None => {
+                self.ward.note_answer(suspect);
+                self.pressure.note(&reply.pool, true, now);
+            }
             Some(_) => self.ward.learn(suspect, reply.crashes, now),
         }
     }
 
-    /// Decides what follows a failed attempt.
+    /// Decides what follows a failed attempt of a stage that needs the pool.
     pub fn after_failure(
+        &mut self,
+        pool: &id::Pool,
+        failure: &Failure,
+        bounds: retry::Bounds,
+        deadline: Millis,
+        now: Millis,
+    ) -> Step {
+        let step = self.step(failure, bounds, deadline, now);
+        let is_turned_away = matches!(failure.kind, Kind::QueueFull | Kind::TooLate);
+        if is_turned_away && matches!(step, Step::GiveUp { .. }) {
+            self.pressure.note(pool, false, now);
+        }
+        step
+    }
+
+    fn step(
         &mut self,
         failure: &Failure,
         bounds: retry::Bounds,
--- a/crates/kernel/tests/policy.rs
+++ b/crates/kernel/tests/policy.rs
@@ -53,7 +53,13 @@
             made,
             rounds: made,
         };
-        let step = node.after_failure(&failure, bounds, READY + READY, READY);
+        let step = node.after_failure(
+            &policy_site::ask(0).pool,
+            &failure,
+            bounds,
+            READY + READY,
+            READY,
+        );
         matches!(step, Step::Again { .. })
     };
     for _ in 0..200 {
--- a/crates/kernel/tests/policy_site/mod.rs
+++ b/crates/kernel/tests/policy_site/mod.rs
@@ -1,5 +1,8 @@
 //! One node that owns every target of a small site, for the tests of policies.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 
 use gooseberry_kernel::clock::Millis;
@@ -106,7 +109,6 @@
 }
 
 /// Asks for a target by a prefix.
-#[allow(dead_code)]
 pub fn ask(prefix: u64) -> Ask {
     Ask {
         pool: id::Pool::new("desk.llm").unwrap(),
@@ -117,7 +119,6 @@
 }
 
 /// Calls a target.
-#[allow(dead_code)]
 pub fn call(index: usize, number: u16, deadline: Millis) -> Call {
     Call {
         target: target(index),
@@ -131,7 +132,6 @@
 }
 
 /// Returns a request as it arrives.
-#[allow(dead_code)]
 pub fn arrival(workspace: &str, digest: u8) -> Arrival {
     Arrival {
         workspace: id::Workspace::new(workspace).unwrap(),
--- a/crates/kernel/tests/retry.rs
+++ b/crates/kernel/tests/retry.rs
@@ -39,7 +39,13 @@
 }
 
 fn after(node: &mut Node, failure: &Failure, bounds: Bounds, left: Millis) -> Option<Denial> {
-    denial(&node.after_failure(failure, bounds, READY + left, READY))
+    denial(&node.after_failure(
+        &policy_site::ask(0).pool,
+        failure,
+        bounds,
+        READY + left,
+        READY,
+    ))
 }
 
 #[test]
