--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -20,6 +20,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::control_stream::Counters;
+
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 12] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 9.0, 30.0,
@@ -85,6 +87,7 @@
     foreign: IntCounterVec,
     latency: HistogramVec,
     stage_cost: IntCounterVec,
+    control_bytes: Counters,
     platform_calls: Mutex<IntCounter>,
     /// In the order of [`GAUGES`].
     gauges: Vec<IntGauge>,
@@ -166,6 +169,7 @@
             "gooseberry_pool_calls_limit",
             "Calls that the owned targets of a pool bear now.",
         )?;
+        let control_bytes = Counters::register(&registry)?;
         let metrics = Self {
             registry,
             requests,
@@ -180,6 +184,7 @@
             stage_cost,
             platform_calls: Mutex::new(platform_calls),
             gauges,
+            control_bytes,
             pool_in_flight,
             pool_limit,
         };
@@ -312,6 +317,12 @@
         }
     }
 
+    /// Returns where the bytes of control messages are counted.
+    #[must_use]
+    pub fn control_bytes(&self) -> Counters {
+        self.control_bytes.clone()
+    }
+
     /// Writes all counters in the text format of Prometheus.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
