Keep a first-time suspect apart from other suspects only

Cause: each suspect drained its target and ran alone; at one crash a second, each breaking about six calls, engines stood idle for them. Ruled out: running every suspect beside others, which never tells whose the third crash is. Change: after one crash a call runs beside no other suspect; after two it runs alone. At most four wait at a target.

--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -1,9 +1,10 @@
 //! Requests that crash the targets which run them.
 //!
 //! A call whose connection breaks makes its request a suspect in the pool of
-//! the target. A suspect runs alone at its target, so that a request which was
-//! only in the same batch as the faulty one is answered and cleared, while the
-//! faulty one crashes alone and is soon in quarantine. A suspect is named by
+//! the target. A suspect runs beside no other suspect, so that a request which
+//! was only in the same batch as the faulty one is answered and cleared. After
+//! a second crash it runs alone, so that a third one is its own and puts it
+//! into quarantine. A suspect is named by
 //! the digest of its workspace, body and pool, so that a caller's second try is
 //! the same suspect, and an answer from another stage does not clear it.
 //!
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -7,6 +7,7 @@
 use crate::answer::Failure;
 use crate::answer::Kind;
 use crate::clock::Millis;
+use crate::derive::scalar;
 use crate::derive::value;
 use crate::id;
 use crate::queue::Order;
@@ -32,7 +33,7 @@
         pub deadline: Millis,
         /// The digest of the request's workspace and body.
         pub digest: id::Digest,
-        /// How many targets broke while they ran this; such a call runs alone.
+        /// How many targets broke while they ran this; such a call is kept apart.
         pub crashes: u16,
     }
 
@@ -68,8 +69,30 @@
     pub order: Order,
 }
 
-/// How many calls may wait at a target until they can run alone.
-const SUSPECTS_MAX: usize = 8;
+scalar! {
+    /// How a call is kept apart from others at its target.
+    enum Ward {
+        /// It runs beside any other.
+        Open,
+        /// It runs beside no other suspect, so that an answer clears it.
+        Apart,
+        /// It runs alone, so that a crash is its own.
+        Alone,
+    }
+}
+
+impl Ward {
+    fn of(call: &Call, terms: Terms<'_>) -> Self {
+        match (terms.policy, call.crashes) {
+            (Policy::Baseline, _) | (_, 0) => Self::Open,
+            (_, 1) => Self::Apart,
+            _ => Self::Alone,
+        }
+    }
+}
+
+/// How many suspects may wait at a target until they can be kept apart.
+const SUSPECTS_MAX: usize = 4;
 
 #[derive(Clone, Debug)]
 struct Sent {
@@ -77,8 +100,8 @@
     at: Millis,
     /// When the target must have let go of the call.
     ends_by: Millis,
-    /// Whether no other call may run beside it.
-    is_alone: bool,
+    /// Whether and how it is kept apart from other calls.
+    ward: Ward,
 }
 
 #[derive(Clone, Debug)]
@@ -91,7 +114,7 @@
     full_until: Millis,
     sent: Vec<Sent>,
     queue: Queue,
-    /// The calls that wait until they can run alone.
+    /// The calls that wait until they can be kept apart.
     suspects: Vec<Call>,
 }
 
@@ -128,8 +151,8 @@
         if let Err(failure) = place.judge(call, weight, terms, now) {
             return Start::Refused(failure);
         }
-        if is_alone(call, terms) {
-            return place.queue_alone(call, terms, now);
+        if Ward::of(call, terms) != Ward::Open {
+            return place.queue_apart(call, terms, now);
         }
         if place.queue.len() >= usize::from(terms.pool.queue_limit) {
             match place.give_way(call, weight, terms, now) {
@@ -215,7 +238,7 @@
             attempt,
             at: now,
             ends_by: now + left,
-            is_alone: false,
+            ward: Ward::Open,
         });
         place.sent.extend(sent);
     }
@@ -366,14 +389,28 @@
     fn has_room(&self, terms: Terms<'_>, now: Millis) -> bool {
         let limit = usize::from(self.limit(terms, now));
         let is_open = !self.is_waiting(terms, now) && self.sent.len() < limit;
-        is_open && !self.sent.iter().any(|sent| sent.is_alone)
+        is_open && !self.has_sent(Ward::Alone)
     }
 
     fn has_room_for(&self, call: &Call, terms: Terms<'_>, now: Millis) -> bool {
-        if is_alone(call, terms) {
-            return self.sent.is_empty() && self.has_room(terms, now);
+        if !self.has_room(terms, now) {
+            return false;
         }
-        self.suspects.is_empty() && self.has_room(terms, now)
+        match Ward::of(call, terms) {
+            Ward::Alone => self.sent.is_empty(),
+            Ward::Apart => self.suspects.is_empty() && !self.has_sent(Ward::Apart),
+            Ward::Open => !self.is_reserved(terms),
+        }
+    }
+
+    fn has_sent(&self, ward: Ward) -> bool {
+        self.sent.iter().any(|sent| sent.ward == ward)
+    }
+
+    /// Tells whether a call waits that must run alone.
+    fn is_reserved(&self, terms: Terms<'_>) -> bool {
+        let mut suspects = self.suspects.iter();
+        suspects.any(|call| Ward::of(call, terms) == Ward::Alone)
     }
 
     fn waiting(&self) -> usize {
@@ -384,8 +421,8 @@
         self.sent.is_empty() && self.waiting() == 0
     }
 
-    /// Lets a call wait until the target has nothing else to do.
-    fn queue_alone(&mut self, call: &Call, terms: Terms<'_>, now: Millis) -> Start {
+    /// Lets a call wait until it can be kept apart from others.
+    fn queue_apart(&mut self, call: &Call, terms: Terms<'_>, now: Millis) -> Start {
         if self.suspects.len() >= SUSPECTS_MAX {
             return Start::Refused(self.full(call, 1, terms, now));
         }
@@ -416,7 +453,7 @@
         for sent in &mut self.sent {
             if sent.attempt == attempt {
                 sent.ends_by = sent.ends_by.min(may_run_still);
-                sent.is_alone = false;
+                sent.ward = Ward::Open;
             }
         }
         self.sent.retain(|sent| sent.ends_by > now);
@@ -428,7 +465,7 @@
             attempt: call.attempt,
             at: now,
             ends_by: now + terms.pool.longest_call,
-            is_alone: is_alone(call, terms),
+            ward: Ward::of(call, terms),
         });
         self.sent.len() <= usize::from(self.limit(terms, now))
     }
@@ -452,14 +489,18 @@
 
     /// Takes the next call that may be sent now.
     ///
-    /// A call that must run alone comes first, and the others wait for it, as
-    /// it would never find the target free otherwise.
+    /// While a call waits that must run alone the others wait for it, as it
+    /// would never find the target free otherwise.
     fn next(&mut self, terms: Terms<'_>, now: Millis) -> Option<Call> {
         if !self.has_room(terms, now) {
             return None;
         }
-        if !self.suspects.is_empty() {
-            return self.sent.is_empty().then(|| self.suspects.remove(0));
+        let is_alone = |call: &Call| Ward::of(call, terms) == Ward::Alone;
+        if let Some(index) = self.suspects.iter().position(is_alone) {
+            return self.sent.is_empty().then(|| self.suspects.remove(index));
+        }
+        if !self.suspects.is_empty() && !self.has_sent(Ward::Apart) {
+            return Some(self.suspects.remove(0));
         }
         match terms.policy {
             Policy::Adaptive => self.queue.pop(terms.order, now),
@@ -547,11 +588,6 @@
     }
 }
 
-/// Tells whether no other call may run beside the call.
-fn is_alone(call: &Call, terms: Terms<'_>) -> bool {
-    terms.policy == Policy::Adaptive && call.crashes > 0
-}
-
 fn refused(calls: Vec<Call>, kind: Kind) -> Vec<Wake> {
     let refuse = |call: Call| Wake {
         target: call.target,
