--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -141,9 +141,10 @@
 
     /// Waits before the next attempt, or gives up.
     async fn pause(&self, stage: &Stage, failure: &Failure, bounds: Bounds) -> Result<(), Failure> {
+        let pool = stage.pool.clone();
         let failure = failure.clone();
         let ends_by = self.ends_by;
-        let message = |reply| Message::AfterFailure(failure, bounds, ends_by, reply);
+        let message = |reply| Message::AfterFailure(pool, failure, bounds, ends_by, reply);
         match self.context.node.ask(message).await? {
             Step::GiveUp { failure, denial } => {
                 self.context.metrics.denial(denial);
@@ -191,6 +192,7 @@
             },
             workspace: self.job.admission.workspace.id.clone(),
             digest: self.job.digest,
+            crashes: choice.crashes,
             due: self.job.admission.deadline - now,
             timeout: ends_by - now,
             body: body.clone(),
@@ -208,6 +210,8 @@
             percent: report.load_percent,
             latency,
             failure: report.result.as_ref().err().map(|failure| failure.kind),
+            digest: self.job.digest,
+            crashes: report.crashes,
         }));
         report.result
     }
@@ -231,6 +235,7 @@
             pool: stage.pool.clone(),
             prefix: Node::affinity(&self.job.admission.workspace.id, prefix),
             tried: tried.to_vec(),
+            digest: self.job.digest,
         };
         let is_first = tried.is_empty();
         let message = |reply| Message::Choose(ask, is_first, reply);
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -10,6 +10,7 @@
 //! - `node_owner.rs`: the targets and keys that this daemon owns;
 //! - `node_explain.rs`: why a request would go where it goes, for operators.
 
+use crate::admission::Pressure;
 use crate::admission::Room;
 use crate::answer::Kind;
 use crate::clock::Millis;
@@ -75,6 +76,7 @@
     loads: Loads,
     index: Index,
     room: Room,
+    pressure: Pressure,
     slots: slot::Table,
     keys: once::Memory,
     estates: Estates,
@@ -104,6 +106,7 @@
             loads: Loads::default(),
             index: Index::default(),
             room: Room::default(),
+            pressure: Pressure::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
             estates: Estates::default(),
--- a/crates/kernel/tests/handover.rs
+++ b/crates/kernel/tests/handover.rs
@@ -142,6 +142,8 @@
             if let Some(next) = next.filter(|_| !is_asked) {
                 let (node, now) = world.node(next);
                 let call = Call {
+                    crashes: 0,
+                    digest: id::Digest([0; 32]),
                     target: world::target_of(0),
                     attempt: world::attempt_of(1000),
                     workspace: id::Workspace::new("desk.porters").unwrap(),
