Tell where a settings file is not UTF-8

Cause: a file with bad bytes was reported as unreadable, without a line, and by gooseberryctl with the exit code of a failed check. Change: both programs read bytes and give a fault of the line, with code 2. Before: exit code 1 and no line.

--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -15,6 +15,7 @@
 use anyhow::Context;
 use gooseberry_kernel::id;
 use gooseberry_kernel::roster::Revision;
+use gooseberry_kernel::settings;
 use gooseberry_kernel::settings::Book;
 use gooseberry_kernel::settings::Fault;
 use gooseberry_kernel::settings::Faults;
@@ -79,7 +80,8 @@
     ///
     /// # Errors
     /// Returns every fault of the document.
-    pub fn check(&self, text: &str) -> Result<(), Faults> {
+    pub fn check(&self, bytes: &[u8]) -> Result<(), Faults> {
+        let text = settings::decode(bytes)?;
         let Some(path) = self.path() else {
             return Local::parse(text).map(|_| ());
         };
@@ -189,14 +191,14 @@
 /// Reads a file, or standard input if the path is `-`.
 ///
 /// # Errors
-/// Returns an error if it cannot be read or is not UTF-8.
-pub fn read(path: &Path) -> anyhow::Result<String> {
+/// Returns an error if it cannot be read.
+pub fn read(path: &Path) -> anyhow::Result<Vec<u8>> {
     if path.as_os_str() == "-" {
-        let mut text = String::new();
-        std::io::stdin().read_to_string(&mut text)?;
-        return Ok(text);
+        let mut bytes = Vec::new();
+        std::io::stdin().read_to_end(&mut bytes)?;
+        return Ok(bytes);
     }
-    std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+    std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))
 }
 
 fn check_tree(root: &Path, report: &mut Report) -> anyhow::Result<()> {
--- a/crates/ctl/tests/check.rs
+++ b/crates/ctl/tests/check.rs
@@ -13,7 +13,7 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
-fn run(arguments: &[&str], input: &str) -> Output {
+fn run(arguments: &[&str], input: impl AsRef<[u8]>) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_gooseberryctl"))
         .args(arguments)
         .current_dir(root())
@@ -23,7 +23,7 @@
         .spawn()
         .unwrap();
     // A command that does not read its input may have closed it already.
-    child.stdin.take().unwrap().write_all(input.as_bytes()).ok();
+    child.stdin.take().unwrap().write_all(input.as_ref()).ok();
     child.wait_with_output().unwrap()
 }
 
@@ -60,6 +60,14 @@
     );
 }
 
+#[test]
+fn bytes_that_are_no_text_are_a_fault() {
+    let output = run(&["check", "--as", "fleet", "-"], b"{\n\xff}");
+    assert_eq!(output.status.code(), Some(2));
+    let expected = "-:2: $: expected UTF-8\n1 checked, faults: 1\n";
+    assert_eq!(text(&output.stdout), expected);
+}
+
 #[test]
 fn faults_are_printed_as_json() {
     let output = run(
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,9 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use gooseberry_kernel::settings;
 use gooseberry_kernel::settings::Fault;
+use gooseberry_kernel::settings::Faults;
 use gooseberry_kernel::settings::Local;
 use gooseberryd::daemon::Daemon;
 use gooseberryd::daemon::Ending;
@@ -46,7 +48,7 @@
 fn main() -> ExitCode {
     let options = options().run();
     let file = options.settings.display();
-    let local = match read(&options).map(|text| Local::parse(&text)) {
+    let local = match read(&options).map(|bytes| parse(&bytes)) {
         Ok(Ok(local)) => local,
         Ok(Err(faults)) => {
             for Fault {
@@ -81,14 +83,17 @@
     }
 }
 
-fn read(options: &Options) -> std::io::Result<String> {
-    let mut text = String::new();
-    if options.settings.as_os_str() == "-" {
-        std::io::stdin().read_to_string(&mut text)?;
-    } else {
-        text = std::fs::read_to_string(&options.settings)?;
+fn read(options: &Options) -> std::io::Result<Vec<u8>> {
+    if options.settings.as_os_str() != "-" {
+        return std::fs::read(&options.settings);
     }
-    Ok(text)
+    let mut bytes = Vec::new();
+    std::io::stdin().read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
+fn parse(bytes: &[u8]) -> Result<Local, Faults> {
+    Local::parse(settings::decode(bytes)?)
 }
 
 #[tokio::main]
--- a/crates/daemon/tests/command.rs
+++ b/crates/daemon/tests/command.rs
@@ -9,7 +9,7 @@
 
 const GOOD: &str = include_str!("../../../examples/settings/entry-1.jsonc");
 
-fn run(arguments: &[&str], input: &str) -> Output {
+fn run(arguments: &[&str], input: impl AsRef<[u8]>) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_gooseberryd"))
         .args(arguments)
         .stdin(Stdio::piped())
@@ -18,7 +18,7 @@
         .spawn()
         .unwrap();
     // A command that does not read its input may have closed it already.
-    child.stdin.take().unwrap().write_all(input.as_bytes()).ok();
+    child.stdin.take().unwrap().write_all(input.as_ref()).ok();
     child.wait_with_output().unwrap()
 }
 
@@ -46,6 +46,13 @@
     }
 }
 
+#[test]
+fn bytes_that_are_no_text_are_a_fault() {
+    let output = run(&["--check", "--settings", "-"], b"{\n\xff}");
+    assert_eq!(output.status.code(), Some(2));
+    assert_eq!(output.stderr, b"-:2: $: expected UTF-8\n");
+}
+
 #[test]
 fn other_exit_codes_are_as_documented() {
     let missing = run(&["--settings", "nothing-here"], "");
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -27,6 +27,7 @@
 pub use fleet::Policy;
 pub use local::Local;
 pub use local::LogFormat;
+pub use reader::decode;
 pub use team::Document;
 pub use team::Kind;
 pub use team::Pipeline;
--- a/crates/kernel/src/settings/reader.rs
+++ b/crates/kernel/src/settings/reader.rs
@@ -103,6 +103,18 @@
     reader.finish(result)
 }
 
+/// Takes the bytes of a file for text.
+///
+/// # Errors
+/// Returns a fault at the first line that is not UTF-8.
+pub fn decode(bytes: &[u8]) -> Result<&str, Faults> {
+    std::str::from_utf8(bytes).map_err(|error| {
+        let good = &bytes[..error.valid_up_to()];
+        let line = good.split(|byte| *byte == b'\n').count();
+        Faults(vec![whole_document(line, "expected UTF-8".to_owned())])
+    })
+}
+
 fn whole_document(line: usize, message: String) -> Fault {
     Fault {
         path: "$".to_owned(),
--- a/crates/kernel/tests/settings.rs
+++ b/crates/kernel/tests/settings.rs
@@ -8,6 +8,7 @@
 
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id::Team;
+use gooseberry_kernel::settings;
 use gooseberry_kernel::settings::Document;
 use gooseberry_kernel::settings::Faults;
 use gooseberry_kernel::settings::Fleet;
@@ -82,6 +83,25 @@
     assert!(fleet.out.is_sorted());
 }
 
+#[test]
+fn bytes_that_are_no_text_are_a_fault_of_their_line() {
+    assert_eq!(
+        settings::decode("{ \"ñ\": 1 }".as_bytes()),
+        Ok("{ \"ñ\": 1 }")
+    );
+    for (bytes, line) in [
+        (&b"\xff"[..], 1),
+        (b"{\n\n\xc3\x28}", 3),
+        (b"{\n}\n\xc3", 3),
+    ] {
+        let faults = settings::decode(bytes).unwrap_err();
+        assert_eq!(
+            faults.to_string(),
+            format!("line {line}: $: expected UTF-8")
+        );
+    }
+}
+
 #[test]
 fn a_report_is_bounded() {
     let long = format!("{{ \"policy\": \"{}\" }}", "x".repeat(1 << 20));
