Deliver late answers through the owner of a key

Cause: an entry gave up on the owner of a key half a second after the deadline, also for a workspace that wants late answers, so that its answer was lost to the caller and said to be unknown. Change: the entry and a joined request wait as long as the pipeline may run.

--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -118,7 +118,7 @@
 }
 
 async fn join(context: &Context, job: &Job, key: &Key) -> HttpAnswer {
-    let left = context.clock.until(job.admission.deadline);
+    let left = context.clock.until(pipeline::ends_by(&job.admission));
     match timeout(left, wait(context, key)).await {
         Ok(answer) => answer,
         Err(_) => refuse(job.request, Kind::KeyBusy.into()),
@@ -156,7 +156,7 @@
         return refuse(job.request, Kind::Internal.into());
     };
     let grace = Duration::from_millis(500);
-    let left = context.clock.until(job.admission.deadline) + grace;
+    let left = context.clock.until(pipeline::ends_by(&job.admission)) + grace;
     match timeout(left, exchange(context, request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => refuse(job.request, failure),
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -59,18 +59,23 @@
     outcome: Outcome,
 }
 
+/// Returns until when a request may run.
+#[must_use]
+pub fn ends_by(admission: &Admission) -> Millis {
+    if admission.workspace.wants_late_answers {
+        admission.deadline + LATE_LIMIT
+    } else {
+        admission.deadline
+    }
+}
+
 /// Runs a request to its answer.
 pub async fn run(context: &Arc<Context>, job: &Job) -> Answer {
     let deadline = job.admission.deadline;
-    let extra = if job.admission.workspace.wants_late_answers {
-        LATE_LIMIT
-    } else {
-        Millis::ZERO
-    };
     let mut run = Run {
         context,
         job,
-        ends_by: deadline + extra,
+        ends_by: ends_by(&job.admission),
         costs: Vec::new(),
         attempts: 0,
         outcome: Outcome::NotRun,
