--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -1,5 +1,7 @@
 //! The platform and the peers, as one node sees them.
 
+use std::net::SocketAddr;
+
 use super::Node;
 use super::timing;
 use crate::clock::Millis;
@@ -166,6 +168,9 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.tenure.tick(now);
         self.ward.tick(now);
+        if self.drain.is_begun() {
+            self.drain.tick(self.in_progress(), now);
+        }
         self.keys.tick(self.book.fleet().horizon, now);
         let mut actions: Vec<Action> = Vec::new();
         actions.extend(self.wake(now).into_iter().map(Action::Wake));
@@ -186,11 +191,30 @@
     /// Returns how far the shutdown has come.
     #[must_use]
     pub fn shutdown_phase(&self, now: Millis) -> Phase {
-        let load = Load {
+        self.drain.phase(self.in_progress(), now)
+    }
+
+    /// Tells whether the peer with the data port said goodbye.
+    #[must_use]
+    pub fn has_left(&self, data: SocketAddr) -> bool {
+        let listed = self.tenure.list().into_iter();
+        let mut members = listed.flat_map(|list| &list.members);
+        members.any(|one| one.data == data && self.tenure.is_goodbye(&one.id))
+    }
+
+    /// Tells whether this node shuts down and refuses its peers' calls.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.drain.is_closed()
+    }
+
+    /// Returns what a shutdown would cut now.
+    #[must_use]
+    pub fn in_progress(&self) -> Load {
+        Load {
             requests: self.room.total(),
-            calls: self.slots.in_flight() + self.slots.queued(),
-        };
-        self.drain.phase(load, now)
+            calls: self.slots.in_flight() + self.slots.queued() + self.keys.running(),
+        }
     }
 
     /// Gives up every right and returns the peers to say goodbye to.
