Count the connections that a port refuses

Cause: a connection above the limit was closed without a trace. Change: a gate holds the limit of a port and its counter.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -38,6 +38,7 @@
 use crate::peers::Peers;
 use crate::reader;
 use crate::server;
+use crate::server::Gate;
 
 /// How often a shutdown looks whether all is done.
 const SHUTDOWN_LOOK: Duration = Duration::from_millis(20);
@@ -74,7 +75,7 @@
 }
 
 impl Port {
-    fn serve<H, F>(listener: TcpListener, handler: H) -> Self
+    fn serve<H, F>(listener: TcpListener, gate: Gate, handler: H) -> Self
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = HttpAnswer> + Send + 'static,
@@ -82,7 +83,7 @@
         let (phase, phases) = watch::channel(server::Phase::Open);
         let (open, is_open) = watch::channel(true);
         tokio::spawn(async move {
-            server::serve(listener, phases, handler).await;
+            server::serve(listener, gate, phases, handler).await;
             open.send_replace(false);
         });
         Self { phase, is_open }
@@ -124,13 +125,13 @@
         let ids = Arc::new(Ids::new(seed));
         let shared = context.clone();
         let serve_caller = move |request| entry::serve(shared.clone(), ids.clone(), request);
-        let callers = Port::serve(callers, serve_caller);
+        let callers = Port::serve(callers, context.metrics.gate("callers"), serve_caller);
         let shared = context.clone();
         let serve_peer = move |request| serve_peer(shared.clone(), request);
-        let data = Port::serve(data, serve_peer);
+        let data = Port::serve(data, context.metrics.gate("data"), serve_peer);
         let shared = context.clone();
         let serve_operator = move |request| operators::serve(shared.clone(), request);
-        let operators = Port::serve(operators, serve_operator);
+        let operators = Port::serve(operators, context.metrics.gate("operators"), serve_operator);
         tokio::spawn(control::serve(context.clone(), control, stopping.clone()));
         tokio::spawn(control::greet(context.clone(), stopping.clone()));
         tokio::spawn(reader::watch_list(context.clone(), stopping.clone()));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -20,6 +20,9 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::server::CONNECTIONS_MAX;
+use crate::server::Gate;
+
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 12] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 9.0, 30.0,
@@ -83,6 +86,7 @@
     violations: IntCounterVec,
     answers: IntCounterVec,
     foreign: IntCounterVec,
+    connections_refused: IntCounterVec,
     latency: HistogramVec,
     stage_cost: IntCounterVec,
     platform_calls: Mutex<IntCounter>,
@@ -139,6 +143,11 @@
             "Replies that belonged to another attempt and were thrown away.",
             &["pool"],
         )?;
+        let connections_refused = counter(
+            "gooseberry_connections_refused_total",
+            "Connections above the limit of a port, which were closed at once.",
+            &["port"],
+        )?;
         let stage_cost = counter(
             "gooseberry_stage_target_ms_total",
             "Target time by stage and workspace.",
@@ -176,6 +185,7 @@
             violations,
             answers,
             foreign,
+            connections_refused,
             latency,
             stage_cost,
             platform_calls: Mutex::new(platform_calls),
@@ -242,6 +252,15 @@
         self.foreign.with_label_values(&[pool]).inc();
     }
 
+    /// Returns the gate of a port.
+    #[must_use]
+    pub fn gate(&self, port: &str) -> Gate {
+        Gate {
+            connections: CONNECTIONS_MAX,
+            refused: self.connections_refused.with_label_values(&[port]),
+        }
+    }
+
     /// Notes how long a stage took, or a whole pipeline if the stage is `all`.
     ///
     /// Pipelines are unique within a team, and the workspace names the team.
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use prometheus::IntCounter;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -23,7 +24,16 @@
 /// How long a caller may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How many connections one port serves at a time.
-const CONNECTIONS_MAX: usize = 4096;
+pub const CONNECTIONS_MAX: usize = 4096;
+
+/// How many connections a port serves, and where those above it are counted.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    /// How many connections are served at a time.
+    pub connections: usize,
+    /// The connections that were closed at once.
+    pub refused: IntCounter,
+}
 
 /// How far a server is from its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,12 +50,16 @@
 
 /// Serves HTTP until the phase is [`Phase::Ended`], and returns when each
 /// connection has ended.
-pub async fn serve<H, F>(listener: TcpListener, phase: watch::Receiver<Phase>, handler: H)
-where
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    gate: Gate,
+    phase: watch::Receiver<Phase>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = HttpAnswer> + Send + 'static,
 {
-    let connections = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    let connections = Arc::new(Semaphore::new(gate.connections));
     let mut ending = phase.clone();
     loop {
         let accepted = tokio::select! {
@@ -62,6 +76,7 @@
         };
         // A connection above the limit is closed; its caller may come back.
         let Ok(permit) = connections.clone().try_acquire_owned() else {
+            gate.refused.inc();
             continue;
         };
         let handler = handler.clone();
@@ -72,7 +87,7 @@
         });
     }
     drop(listener);
-    let all = u32::try_from(CONNECTIONS_MAX).unwrap_or(u32::MAX);
+    let all = u32::try_from(gate.connections).unwrap_or(u32::MAX);
     connections.acquire_many(all).await.ok();
 }
 
