Start invariants at zero, and name the pipeline in calls between daemons

Cause: an alarm on a counter that does not exist yet misses its first step; an owner's line about a request had no pipeline. Change: the names of invariants are a closed list, each at zero from the start; a stage call carries its pipeline for the owner's log.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::node::INVARIANTS;
 use gooseberry_kernel::retry::Denial;
 use gooseberry_kernel::retry::Reason;
 use gooseberry_wire::operators::Status;
@@ -205,6 +206,9 @@
         for reason in Reason::ALL {
             self.retries.with_label_values(&[reason.label()]);
         }
+        for name in INVARIANTS {
+            self.violations.with_label_values(&[name]);
+        }
         for denial in Denial::ALL {
             self.denials.with_label_values(&[denial.label()]);
         }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -49,6 +49,8 @@
     pub attempt: id::Attempt,
     /// The workspace that it serves.
     pub workspace: id::Workspace,
+    /// The pipeline that it is a part of.
+    pub pipeline: id::Pipeline,
     /// The digest of the request's workspace and body.
     pub digest: id::Digest,
     /// The time that remains until the answer is late.
@@ -183,6 +185,7 @@
                 log::warn!(
                     request:% = task.attempt.request,
                     workspace:% = task.workspace,
+                    pipeline:% = task.pipeline,
                     stage = task.attempt.stage,
                     attempt = task.attempt.number,
                     target:% = task.target;
@@ -316,6 +319,7 @@
         target: header::read(headers, header::TARGET)?,
         attempt: header::read(headers, header::ATTEMPT)?,
         workspace: header::read(headers, header::WORKSPACE)?,
+        pipeline: header::read(headers, header::PIPELINE)?,
         digest: header::read(headers, header::DIGEST)?,
         due: header::read(headers, header::DUE_MS)?,
         timeout: header::read(headers, header::TIMEOUT_MS)?,
@@ -328,6 +332,7 @@
         .header(header::TARGET, task.target.as_str())
         .header(header::ATTEMPT, task.attempt.to_string())
         .header(header::WORKSPACE, task.workspace.as_str())
+        .header(header::PIPELINE, task.pipeline.as_str())
         .header(header::DIGEST, task.digest.to_string())
         .header(header::DUE_MS, task.due.0)
         .header(header::TIMEOUT_MS, task.timeout.0)
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -195,6 +195,7 @@
                 number: self.attempts,
             },
             workspace: self.job.admission.workspace.id.clone(),
+            pipeline: self.job.admission.pipeline.id.clone(),
             digest: self.job.digest,
             due: self.job.admission.deadline - now,
             timeout: ends_by - now,
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -173,6 +173,7 @@
     for line in &lines {
         assert_eq!(line["request"].as_str().unwrap().len(), 32);
         assert!(line["workspace"].is_string(), "{line}");
+        assert!(line["pipeline"].is_string(), "{line}");
         assert!(line["attempt"].is_u64(), "{line}");
         assert!(line.get("stage").is_some(), "{line}");
     }
--- a/crates/daemon/tests/single/metrics.rs
+++ b/crates/daemon/tests/single/metrics.rs
@@ -1,6 +1,7 @@
 //! What a daemon counts.
 
 use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::node::INVARIANTS;
 use gooseberry_kernel::retry::Reason;
 
 use crate::fleet::Fleet;
@@ -68,6 +69,8 @@
     let labels = Kind::ALL.iter().map(|kind| refusals(kind.row().label));
     let reasons = Reason::ALL.iter().map(|reason| reason.label());
     let reasons = reasons.map(|label| format!("gooseberry_retries_total{{reason=\"{label}\"}}"));
+    let violations = INVARIANTS
+        .map(|name| format!("gooseberry_invariant_violations_total{{invariant=\"{name}\"}} 0"));
     let gauges = [
         "gooseberry_abandoned_total ",
         "gooseberry_calls_in_flight 0",
@@ -85,7 +88,11 @@
         "gooseberry_settings_revision ",
         "gooseberry_uptime_seconds ",
     ];
-    for line in labels.chain(reasons).chain(gauges.map(ToOwned::to_owned)) {
+    for line in labels
+        .chain(reasons)
+        .chain(violations)
+        .chain(gauges.map(ToOwned::to_owned))
+    {
         assert!(
             text.lines().any(|one| one.starts_with(&line)),
             "{line}\n{text}"
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -60,6 +60,9 @@
     }
 }
 
+/// The names of what the node checks while it runs, sorted.
+pub const INVARIANTS: [&str; 3] = ["list-reverted", "settings-reverted", "target-over-limit"];
+
 /// All decisions of one daemon.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -161,6 +164,7 @@
 
     /// Notes a violation when the condition does not hold.
     fn assert(&mut self, holds: bool, name: &'static str) {
+        debug_assert!(INVARIANTS.binary_search(&name).is_ok(), "{name}");
         if !holds {
             self.violations.push(name);
         }
