--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -10,6 +10,7 @@
 use bpaf::Bpaf;
 use gooseberry_kernel::id;
 use gooseberry_standin::site::Site;
+use gooseberryctl::bench_command;
 use gooseberryctl::check;
 use gooseberryctl::check::Role;
 use gooseberryctl::embedded::Embedded;
@@ -17,7 +18,9 @@
 use gooseberryctl::explain::Question;
 use gooseberryctl::load;
 use gooseberryctl::load::Plan;
+use gooseberryctl::load_command;
 use gooseberryctl::report;
+use gooseberryctl::slope_command;
 use gooseberryctl::status;
 
 /// The exit code for settings that have faults.
@@ -146,6 +149,21 @@
         #[bpaf(long, argument("N"), fallback(1), display_fallback)]
         seed: u64,
     },
+    /// Measure the policy in scenarios, beside the baseline
+    ///
+    /// Example: `gooseberryctl load --site huaraz --seed 1`
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_command::options))] load_command::Options),
+    /// Run the scenarios under both policies and check the bounds
+    ///
+    /// Example: `gooseberryctl bench --site wadi-rum`
+    #[bpaf(command)]
+    Bench(#[bpaf(external(bench_command::options))] bench_command::Options),
+    /// Measure how the cost of a daemon grows with the fleet
+    ///
+    /// Example: `gooseberryctl slope --axis daemons`
+    #[bpaf(command)]
+    Slope(#[bpaf(external(slope_command::options))] slope_command::Options),
 }
 
 fn main() -> ExitCode {
@@ -190,9 +208,16 @@
                 seed,
                 rate,
                 span: Duration::from_secs(seconds),
+                ..Plan::default()
             };
             demo(&site, &plan).await
         }
+        Command::Slope(options) => {
+            slope_command::run(&options).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Bench(options) => Ok(exit_code(bench_command::run(&options).await?)),
+        Command::Load(options) => Ok(exit_code(load_command::run(&options).await?)),
     }
 }
 
@@ -254,9 +279,13 @@
     let summary = load::run(&embedded, plan).await;
     embedded.shut_down().await;
     print!("{}", report::text(&summary));
-    if summary.is_accounted() {
-        Ok(ExitCode::SUCCESS)
+    Ok(exit_code(summary.is_accounted()))
+}
+
+fn exit_code(is_good: bool) -> ExitCode {
+    if is_good {
+        ExitCode::SUCCESS
     } else {
-        Ok(ExitCode::FAILURE)
+        ExitCode::FAILURE
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,8 +15,6 @@
 use gooseberry_wire::header;
 use http::Request;
 use hyper::body::Incoming;
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -28,6 +26,7 @@
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::control;
+use crate::control_stream;
 use crate::entry;
 use crate::entry::Ids;
 use crate::keyed;
@@ -111,13 +110,12 @@
         let callers = bind(local.callers, "callers").await?;
         let data = bind(local.data, "data").await?;
         let operators = bind(local.operators, "operators").await?;
-        let control = tcp::listen(local.control, Bincode::default).await;
-        let control = control.with_context(|| format!("control: cannot bind {}", local.control))?;
+        let control = bind(local.control, "control").await?;
         // Port 0 stands for any free port, so the real ones are filled in.
         local.callers = callers.local_addr()?;
         local.data = data.local_addr()?;
         local.operators = operators.local_addr()?;
-        local.control = control.local_addr();
+        local.control = control.local_addr()?;
         let seed = RandomState::new().hash_one(local.instance.as_str());
         let context = Arc::new(start_context(local, seed).await?);
         let (stop, stopping) = watch::channel(false);
@@ -132,6 +130,7 @@
         let shared = context.clone();
         let serve_operator = move |request| operators::serve(shared.clone(), request);
         let operators = Port::serve(operators, context.metrics.gate("operators"), serve_operator);
+        let control = control_stream::incoming(control, context.metrics.control_bytes());
         tokio::spawn(control::serve(context.clone(), control, stopping.clone()));
         tokio::spawn(control::greet(context.clone(), stopping.clone()));
         tokio::spawn(reader::watch_list(context.clone(), stopping.clone()));
@@ -248,7 +247,7 @@
     };
     Ok(Context {
         platform: platform::Client::new(local.platform),
-        peers: Peers::new(local.instance.clone()),
+        peers: Peers::new(local.instance.clone(), metrics.control_bytes()),
         local,
         clock,
         node: Handle::spawn(arguments).await?,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,6 +21,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::control_stream::Counters;
 use crate::server::CONNECTIONS_MAX;
 use crate::server::Gate;
 
@@ -90,6 +91,7 @@
     connections_refused: IntCounterVec,
     latency: HistogramVec,
     stage_cost: IntCounterVec,
+    control_bytes: Counters,
     platform_calls: Mutex<IntCounter>,
     /// In the order of [`GAUGES`].
     gauges: Vec<IntGauge>,
@@ -176,6 +178,7 @@
             "gooseberry_pool_calls_limit",
             "Calls that the owned targets of a pool bear now.",
         )?;
+        let control_bytes = Counters::register(&registry)?;
         let metrics = Self {
             registry,
             requests,
@@ -191,6 +194,7 @@
             stage_cost,
             platform_calls: Mutex::new(platform_calls),
             gauges,
+            control_bytes,
             pool_in_flight,
             pool_limit,
         };
@@ -335,6 +339,12 @@
         }
     }
 
+    /// Returns where the bytes of control messages are counted.
+    #[must_use]
+    pub fn control_bytes(&self) -> Counters {
+        self.control_bytes.clone()
+    }
+
     /// Writes all counters in the text format of Prometheus.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -19,6 +19,9 @@
 use hyper::body::Incoming;
 use tokio::sync::watch;
 
+use crate::capacity;
+use crate::capacity::Cache;
+use crate::capacity::Capacity;
 use crate::server;
 use crate::server::Reply;
 use crate::server::Server;
@@ -40,6 +43,8 @@
     pub is_fragile: bool,
     /// How long it refuses connections after a crash.
     pub restart: Duration,
+    /// How fast it works under load.
+    pub capacity: Capacity,
 }
 
 impl Default for Plan {
@@ -52,6 +57,7 @@
             is_warm: false,
             is_fragile: false,
             restart: Duration::from_millis(300),
+            capacity: Capacity::default(),
         }
     }
 }
@@ -93,6 +99,17 @@
     pub ended: Option<Instant>,
     /// Whether it came above the cold limit of a cold target.
     pub is_overrun: bool,
+    /// Whether the target answered it whole.
+    pub is_answered: bool,
+}
+
+impl Entry {
+    /// Returns how long it has held the target.
+    #[must_use]
+    pub fn held(&self) -> Duration {
+        let until = self.ended.unwrap_or_else(Instant::now);
+        until.saturating_duration_since(self.began)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -106,6 +123,9 @@
     crossed: Option<Entry>,
     /// How often the target has crashed; calls of an earlier life are gone.
     crashes: usize,
+    /// How many of the crashes came from too many calls in cold start.
+    cold_breaks: usize,
+    cache: Cache,
 }
 
 #[derive(Debug)]
@@ -187,6 +207,12 @@
         inner.journal.iter().filter(|one| one.is_overrun).count()
     }
 
+    /// Returns how often it broke in cold start, under more calls than it bears.
+    #[must_use]
+    pub fn cold_breaks(&self) -> usize {
+        self.shared.lock().cold_breaks
+    }
+
     /// Returns how often it has crashed.
     #[must_use]
     pub fn crashes(&self) -> usize {
@@ -204,6 +230,7 @@
     fn chill(&mut self) {
         self.is_warm = false;
         self.answers = 0;
+        self.cache.clear();
     }
 }
 
@@ -234,6 +261,7 @@
             body,
             began: Instant::now(),
             ended: None,
+            is_answered: false,
             is_overrun: !inner.is_warm && inner.in_flight > self.plan.cold_limit,
         };
         inner.journal.push(entry.clone());
@@ -244,12 +272,35 @@
         }
     }
 
-    fn end(&self, running: &Running) {
+    /// Returns how fast each call is worked on now.
+    fn speed(&self) -> f64 {
+        let inner = self.lock();
+        let capacity = &self.plan.capacity;
+        capacity.speed(inner.in_flight, inner.is_warm)
+    }
+
+    /// Returns how long the call takes at full speed.
+    fn work(&self, fault: &Fault, entry: &Entry) -> Duration {
+        let plan = &self.plan;
+        let mut inner = self.lock();
+        let work = inner
+            .cache
+            .visit(&entry.body, plan.work, plan.capacity.prefixes);
+        match fault {
+            Fault::Slow(more) => work + *more,
+            _ => work,
+        }
+    }
+
+    /// Notes that a call has ended, answered whole or not.
+    fn end(&self, running: &Running, is_answered: bool) {
         let mut inner = self.lock();
         if inner.crashes != running.life {
             return;
         }
-        inner.journal[running.index].ended = Some(Instant::now());
+        let entry = &mut inner.journal[running.index];
+        entry.ended = Some(Instant::now());
+        entry.is_answered = is_answered;
         inner.in_flight -= 1;
         inner.answers += 1;
         if inner.answers >= self.plan.warm_after {
@@ -281,6 +332,9 @@
     }
     let running = shared.begin(attempt, body.to_bytes());
     let is_fallen = shared.plan.is_fragile && running.entry.is_overrun;
+    if is_fallen {
+        shared.lock().cold_breaks += 1;
+    }
     if is_fallen || is_crash(&fault, &running.entry) {
         shared.crash();
         return Reply::Crash(shared.plan.restart);
@@ -292,15 +346,13 @@
 
 async fn work(shared: Arc<Shared>, fault: Fault, running: Running) -> Reply {
     let mut crashed = shared.crashed.subscribe();
-    let mut span = shared.plan.work;
-    if let Fault::Slow(more) = fault {
-        span += more;
-    }
+    let span = shared.work(&fault, &running.entry);
     tokio::select! {
-        () = tokio::time::sleep(span) => {}
+        () = capacity::work(span, || shared.speed()) => {}
         _ = crashed.changed() => return Reply::Break,
     }
-    shared.end(&running);
+    let is_answered = !matches!(fault, Fault::Break | Fault::Fail | Fault::Truncate);
+    shared.end(&running, is_answered);
     finish(&shared, &fault, running.entry)
 }
 
