Explain ranks only where there are caches, and say what is avoided

Cause: targets of a pool without prefix_bytes are drawn from at random, so that their shown rank was not true; targets that are tried last were not marked. Before: ranks 1 to 3 for a plain service.

--- a/crates/kernel/src/node_explain.rs
+++ b/crates/kernel/src/node_explain.rs
@@ -76,8 +76,11 @@
         /// Why it is given no work, if there is a reason.
         pub out: Option<Out>,
         /// Its rank by the prompt prefix, from one. Only the first stage has
-        /// one: the input of a later stage is not known before it runs.
+        /// one, and only in a pool with caches: the input of a later stage is
+        /// not known before it runs, and without caches equals are drawn from.
         pub rank: Option<usize>,
+        /// Whether it is tried last, since it failed or was slow lately.
+        pub is_avoided: bool,
         /// The calls in flight and the limit, if this node is the owner and
         /// has sent it work.
         pub places: Option<(usize, u16)>,
@@ -202,7 +205,7 @@
         let fleet = self.book.fleet();
         let mut targets = Vec::new();
         for (index, entry) in self.ranked(list, &ask, now).into_iter().enumerate() {
-            let rank = prefix.map(|_| index + 1);
+            let rank = prefix.filter(|_| length > 0).map(|_| index + 1);
             targets.push(self.candidate(list, &entry, rank, now));
         }
         let is_out = |one: &&Entry| route::why_out(one, fleet, &self.loads).is_some();
@@ -248,6 +251,7 @@
             holder: self.holder(list, &Thing::Target(entry.id.clone()), now),
             out: route::why_out(entry, self.book.fleet(), &self.loads),
             rank,
+            is_avoided: self.loads.is_last(&entry.id, &entry.pool, now),
             places: self.places(&entry.id, now),
             load_percent: percent.unwrap_or_default(),
         }
--- a/crates/wire/src/operators.rs
+++ b/crates/wire/src/operators.rs
@@ -108,8 +108,11 @@
     pub holder: Holder,
     /// Why it is given no work: leaving, said-leaving or domain-out.
     pub out: Option<String>,
-    /// Its rank by the prompt prefix, from one; only the first stage has one.
+    /// Its rank by the prompt prefix, from one; only the first stage has one,
+    /// and only in a pool with `prefix_bytes`.
     pub rank: Option<usize>,
+    /// Whether it is tried last, since it failed or was slow lately.
+    pub avoided: bool,
     /// The calls that it has, if the daemon that was asked owns it.
     pub in_flight: Option<usize>,
     /// The calls that it bears, if the daemon that was asked owns it.
@@ -220,6 +223,7 @@
             holder: (&candidate.holder).into(),
             out: candidate.out.as_ref().map(|out| label(out).to_owned()),
             rank: candidate.rank,
+            avoided: candidate.is_avoided,
             in_flight: candidate.places.map(|(in_flight, _)| in_flight),
             limit: candidate.places.map(|(_, limit)| limit),
             load_percent: candidate.load_percent,
