--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::node::INVARIANTS;
 use gooseberry_kernel::retry::Denial;
 use gooseberry_kernel::retry::Reason;
 use gooseberry_wire::operators::Status;
@@ -21,6 +22,8 @@
 use prometheus::TextEncoder;
 
 use crate::control_stream::Counters;
+use crate::server::CONNECTIONS_MAX;
+use crate::server::Gate;
 
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 12] = [
@@ -85,6 +88,7 @@
     violations: IntCounterVec,
     answers: IntCounterVec,
     foreign: IntCounterVec,
+    connections_refused: IntCounterVec,
     latency: HistogramVec,
     stage_cost: IntCounterVec,
     control_bytes: Counters,
@@ -142,6 +146,11 @@
             "Replies that belonged to another attempt and were thrown away.",
             &["pool"],
         )?;
+        let connections_refused = counter(
+            "gooseberry_connections_refused_total",
+            "Connections above the limit of a port, which were closed at once.",
+            &["port"],
+        )?;
         let stage_cost = counter(
             "gooseberry_stage_target_ms_total",
             "Target time by stage and workspace.",
@@ -180,6 +189,7 @@
             violations,
             answers,
             foreign,
+            connections_refused,
             latency,
             stage_cost,
             platform_calls: Mutex::new(platform_calls),
@@ -200,6 +210,9 @@
         for reason in Reason::ALL {
             self.retries.with_label_values(&[reason.label()]);
         }
+        for name in INVARIANTS {
+            self.violations.with_label_values(&[name]);
+        }
         for denial in Denial::ALL {
             self.denials.with_label_values(&[denial.label()]);
         }
@@ -247,6 +260,15 @@
         self.foreign.with_label_values(&[pool]).inc();
     }
 
+    /// Returns the gate of a port.
+    #[must_use]
+    pub fn gate(&self, port: &str) -> Gate {
+        Gate {
+            connections: CONNECTIONS_MAX,
+            refused: self.connections_refused.with_label_values(&[port]),
+        }
+    }
+
     /// Notes how long a stage took, or a whole pipeline if the stage is `all`.
     ///
     /// Pipelines are unique within a team, and the workspace names the team.
