--- a/crates/ctl/src/embedded.rs
+++ b/crates/ctl/src/embedded.rs
@@ -25,6 +25,8 @@
 
 /// How long an engine works on one call under a load.
 const ENGINE_WORK: Duration = Duration::from_millis(1200);
+/// How long a target takes to start again under a load.
+const RESTART: Duration = Duration::from_secs(1);
 /// The path of the settings of the fleet.
 const FLEET_PATH: &str = "/fleet";
 
@@ -180,6 +182,8 @@
     target::Plan {
         work,
         is_warm: true,
+        is_fragile: true,
+        restart: RESTART,
         capacity: Capacity::of(plan.kind),
         ..plan.clone()
     }
@@ -204,6 +208,7 @@
         log_level: "warn".to_owned(),
         log_format: LogFormat::Text,
         shutdown_limit: Millis::from_secs(15),
+        has_fault_injection: false,
     })
 }
 
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -253,6 +253,7 @@
         log_level: "warn".to_owned(),
         log_format: LogFormat::Text,
         shutdown_limit: Millis::from_secs(5),
+        has_fault_injection: false,
     })
 }
 
--- a/crates/ctl/src/score.rs
+++ b/crates/ctl/src/score.rs
@@ -8,8 +8,8 @@
 use std::time::Instant;
 
 use gooseberry_kernel::settings::Kind;
-use gooseberry_standin::capacity::Span;
 use gooseberry_standin::site::Traffic;
+use gooseberry_standin::target::Entry;
 use hdrhistogram::Histogram;
 
 use crate::embedded::Embedded;
@@ -161,7 +161,7 @@
         let journal = Journal::new(embedded);
         score.add_costs(embedded, summary, &journal);
         for named in &embedded.targets {
-            score.breaks += count(named.target.cold_breaks());
+            score.breaks += count(named.target.falls());
             score.crashes += count(named.target.crashes());
         }
         score.breaches.wrong = count(summary.count(|ending| *ending == Ending::Wrong));
@@ -238,8 +238,8 @@
             let is_answered = matches!(sample.ending, Ending::Answered | Ending::Late);
             for input in load::inputs(&embedded.documents, &traffic, &sample.body) {
                 let Some(stage) = input.stage else { continue };
-                let spans = journal.of(stage.pool.as_str(), &input.body);
-                if !stage.is_idempotent && spans.len() > 1 {
+                let calls = journal.of(stage.pool.as_str(), &input.body);
+                if !stage.is_idempotent && calls.len() > 1 {
                     self.breaches.doubled += 1;
                 }
                 if !is_measured(sample) {
@@ -247,12 +247,12 @@
                 }
                 let name = (sample.pipeline, stage.id.to_string());
                 let cost = self.stages.entry(name).or_default();
-                cost.calls += count(spans.len());
+                cost.calls += count(calls.len());
                 cost.answers += u64::from(is_answered);
-                cost.held_us += spans.iter().map(|one| micros(one.span.held)).sum::<u64>();
-                let useful = spans.iter().rfind(|one| one.span.is_answered);
+                cost.held_us += calls.iter().map(|one| micros(one.held())).sum::<u64>();
+                let useful = calls.iter().rfind(|one| one.entry.is_answered);
                 if let Some(useful) = useful.filter(|_| is_answered) {
-                    cost.useful_us += micros(useful.span.held);
+                    cost.useful_us += micros(useful.held());
                 }
             }
         }
@@ -266,17 +266,17 @@
 
 struct Call {
     pool: &'static str,
-    span: Span,
+    entry: Entry,
 }
 
 impl Journal {
     fn new(embedded: &Embedded) -> Self {
         let mut calls = Vec::new();
         for named in &embedded.targets {
-            let spans = named.target.spans().into_iter();
-            calls.extend(spans.map(|span| Call {
+            let entries = named.target.journal().into_iter();
+            calls.extend(entries.map(|entry| Call {
                 pool: named.pool,
-                span,
+                entry,
             }));
         }
         calls.sort_by(|one, other| one.key().cmp(&other.key()));
@@ -284,7 +284,7 @@
     }
 
     fn of(&self, pool: &str, input: &[u8]) -> &[Call] {
-        let name = |call: &Call| (call.pool, call.span.input.as_ref()).cmp(&(pool, input));
+        let name = |call: &Call| (call.pool, call.entry.body.as_ref()).cmp(&(pool, input));
         let from = self.calls.partition_point(|call| name(call).is_lt());
         let to = self.calls.partition_point(|call| name(call).is_le());
         &self.calls[from..to]
@@ -293,7 +293,13 @@
 
 impl Call {
     fn key(&self) -> (&str, &[u8], Instant) {
-        (self.pool, &self.span.input, self.span.started)
+        (self.pool, &self.entry.body, self.entry.began)
+    }
+
+    /// Returns how long it held the target.
+    fn held(&self) -> Duration {
+        let ended = self.entry.ended.unwrap_or_else(Instant::now);
+        ended - self.entry.began
     }
 }
 
@@ -353,14 +359,14 @@
 }
 
 fn starts(target: &gooseberry_standin::target::Target) -> Vec<Instant> {
-    let spans = target.spans().into_iter();
-    spans.map(|span| span.started).collect()
+    let journal = target.journal().into_iter();
+    journal.map(|entry| entry.began).collect()
 }
 
 fn answers(target: &gooseberry_standin::target::Target) -> Vec<Instant> {
-    let spans = target.spans().into_iter();
-    let answered = spans.filter(|span| span.is_answered);
-    answered.map(|span| span.started + span.held).collect()
+    let journal = target.journal().into_iter();
+    let answered = journal.filter(|entry| entry.is_answered);
+    answered.filter_map(|entry| entry.ended).collect()
 }
 
 /// Returns the share of the failure domain in the calls, in thousandths.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -14,6 +14,7 @@
 use gooseberry_kernel::node::Arrival;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::once::Key;
+use gooseberry_wire::header;
 use http::Method;
 use http::Request;
 use http::header::EXPECT;
@@ -85,9 +86,16 @@
     let mut record = Record::begin(&context, ids.draw());
     let (head, mut body) = request.into_parts();
     record.is_body_read = body.is_end_stream();
+    let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
     let mut answer = match handle(&context, &head, &mut body, &mut record).await {
         Ok(answer) => answer,
-        Err(failure) => Answer::refusal(record.request, failure).to_http(),
+        Err(failure) => {
+            let failure = match head::is_first_attempt(&head.headers) {
+                Ok(false) if has_key => keyed::of_resend(failure),
+                _ => failure,
+            };
+            Answer::refusal(record.request, failure).to_http()
+        }
     };
     if !record.is_body_read && !head.headers.contains_key(EXPECT) {
         discard(&mut body).await;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -20,6 +20,7 @@
 use crate::answer::HttpAnswer;
 use crate::context::Context;
 use crate::entry;
+use crate::faults;
 
 /// The content type of the text format of Prometheus.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
@@ -37,6 +38,7 @@
         "/readyz" => ready(&context).await,
         "/metrics" => metrics(&context).await,
         "/v1/status" => status(&context).await,
+        faults::PATH => faults::serve(&context, request).await,
         "/v1/explain" => match explain(&context, request).await {
             Ok(answer) => answer,
             Err(failure) => answer::error(&failure),
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -19,6 +19,7 @@
 use crate::once;
 use crate::quarantine::Ward;
 use crate::retry::Budget;
+use crate::route::Index;
 use crate::route::Loads;
 use crate::settings::Book;
 use crate::settings::Fleet;
@@ -67,6 +68,7 @@
     book: Book,
     tenure: Tenure,
     loads: Loads,
+    index: Index,
     room: Room,
     slots: slot::Table,
     keys: once::Memory,
@@ -75,6 +77,8 @@
     drain: Drain,
     reach: control::Reach,
     violations: Vec<&'static str>,
+    /// How many sends above a target's limit have been noted as violations.
+    overruns: usize,
 }
 
 impl Node {
@@ -92,6 +96,7 @@
             book: Book::default(),
             tenure,
             loads: Loads::default(),
+            index: Index::default(),
             room: Room::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
@@ -100,6 +105,7 @@
             drain: Drain::default(),
             reach: control::Reach::new(now),
             violations: Vec::new(),
+            overruns: 0,
         }
     }
 
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -10,11 +10,14 @@
 use crate::once::End;
 use crate::once::Key;
 use crate::once::Verdict;
+use crate::queue::Order;
 use crate::roster::Entry;
 use crate::route;
+use crate::settings::Fleet;
 use crate::settings::Pool;
 use crate::slot::Call;
 use crate::slot::Start;
+use crate::slot::Terms;
 use crate::slot::Wake;
 use crate::tenure::Right;
 use crate::tenure::Thing;
@@ -41,10 +44,20 @@
     /// # Errors
     /// Returns the reason of the refusal; the call was not sent.
     pub fn start(&mut self, call: &Call, now: Millis) -> Result<Start, Failure> {
+        // Without a request of its own, the call is a peer's, which would keep
+        // the shutdown from ending.
+        if self.is_closed() && self.room.total() == 0 && self.keys.running() == 0 {
+            return Err(Kind::NoOwner.into());
+        }
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
-        match self.slots.start(call, &pool, since, now) {
-            Start::Refused(kind) => Err(kind.into()),
+        let terms = self.terms(&pool);
+        let workspace = self.book.workspace(&call.workspace);
+        let weight = workspace.map_or(1, |workspace| workspace.weight);
+        let start = self.slots.start(call, weight, terms, since, now);
+        self.check_limits();
+        match start {
+            Start::Refused(failure) => Err(failure),
             start => Ok(start),
         }
     }
@@ -64,6 +77,8 @@
     ) -> Result<Grant, Failure> {
         let checked = self.may_use(target).and_then(|(entry, pool)| {
             let until = self.target_right(target, now)?.1;
+            let terms = self.terms(&pool);
+            self.slots.confirm(target, attempt, terms, now)?;
             Ok(Grant {
                 target: entry,
                 pool,
@@ -93,13 +108,17 @@
             Sign::Refused(_) | Sign::Failed(_) | Sign::Unreachable | Sign::Slow => {}
         }
         if sign.report() == Some(Report::Leaving) {
-            self.loads.note_leaving(target);
+            let revision = self.tenure.revision();
+            self.loads.note_leaving(target, revision, now);
         }
         let Some(pool) = self.pool_of(target) else {
             self.slots.release(target, attempt);
             return Vec::new();
         };
-        self.slots.finish(target, attempt, sign, &pool, now)
+        let terms = self.terms(&pool);
+        let wakes = self.slots.finish(target, attempt, sign, terms, now);
+        self.check_limits();
+        wakes
     }
 
     /// Takes a call that was not sent out of the queue and off its place.
@@ -108,14 +127,19 @@
         self.slots.release(target, attempt);
     }
 
-    /// Returns a target's calls in flight for each hundred places.
+    /// Returns a target's calls in flight and waiting for each hundred places.
     #[must_use]
-    pub fn load_percent(&self, target: &id::Target) -> u32 {
-        let Some((in_flight, limit)) = self.slots.load(target) else {
-            return 0;
-        };
-        let percent = in_flight * 100 / usize::from(limit).max(1);
-        u32::try_from(percent).unwrap_or(u32::MAX)
+    pub fn load_percent(&self, target: &id::Target, now: Millis) -> Option<u32> {
+        let (calls, limit) = self.places(target, now)?;
+        let percent = calls * 100 / usize::from(limit).max(1);
+        Some(u32::try_from(percent).unwrap_or(u32::MAX))
+    }
+
+    /// Returns a target's calls in flight and waiting, and its limit.
+    #[must_use]
+    pub fn places(&self, target: &id::Target, now: Millis) -> Option<(usize, u16)> {
+        let pool = self.pool_of(target)?;
+        self.slots.load(target, self.terms(&pool), now)
     }
 
     /// Wakes calls that wait: those that may start, and those that waited too
@@ -124,16 +148,40 @@
         let Some(list) = self.tenure.list() else {
             return Vec::new();
         };
+        self.loads.tick(list, now);
         let book = &self.book;
         let loads = &self.loads;
         let tenure = &self.tenure;
-        self.slots.tick(now, |id| {
-            let entry = list.target(id)?;
+        let wakes = self.slots.tick(now, |id| {
+            let entry = list.target(id).ok_or(Kind::NoTarget)?;
             let thing = Thing::Target(id.clone());
-            let is_held = matches!(tenure.right(&thing, now), Right::Held { .. });
-            let is_out = route::why_out(entry, book.fleet(), loads).is_some();
-            book.pool(&entry.pool).filter(|_| is_held && !is_out)
-        })
+            if !matches!(tenure.right(&thing, now), Right::Held { .. }) {
+                return Err(Kind::NoRight);
+            }
+            if route::why_out(entry, book.fleet(), loads).is_some() {
+                return Err(Kind::NoTarget);
+            }
+            let pool = book.pool(&entry.pool).ok_or(Kind::NoTarget)?;
+            Ok(terms(book.fleet(), pool))
+        });
+        self.check_limits();
+        wakes
+    }
+
+    /// Takes the wakes of calls that had to give way to others.
+    #[must_use]
+    pub fn take_wakes(&mut self) -> Vec<Wake> {
+        self.slots.take_wakes()
+    }
+
+    fn terms<'a>(&self, pool: &'a Pool) -> Terms<'a> {
+        terms(self.book.fleet(), pool)
+    }
+
+    fn check_limits(&mut self) {
+        let overruns = self.slots.overruns();
+        self.assert(overruns == self.overruns, "target-over-limit");
+        self.overruns = overruns;
     }
 
     fn may_use(&self, target: &id::Target) -> Result<(Entry, Pool), Failure> {
@@ -173,6 +221,9 @@
         is_first_attempt: bool,
         now: Millis,
     ) -> Result<Verdict, Failure> {
+        if self.is_closed() {
+            return Err(Kind::NoOwner.into());
+        }
         let since = match self.tenure.right(&Thing::Key(key.hash()), now) {
             Right::Held { since, .. } => since,
             Right::Elsewhere(_) | Right::Nobody => return Err(Kind::NoOwner.into()),
@@ -202,3 +253,11 @@
         self.keys.finish(key, end, now);
     }
 }
+
+fn terms<'a>(fleet: &Fleet, pool: &'a Pool) -> Terms<'a> {
+    Terms {
+        pool,
+        policy: fleet.policy,
+        order: Order::Earliest,
+    }
+}
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -26,9 +26,6 @@
     pub places: usize,
     /// How many times slower it is in cold start.
     pub cold_factor: u32,
-    /// How long it refuses calls after more of them than its cold limit broke
-    /// it in cold start; `None` if it bears them.
-    pub restart: Option<Duration>,
     /// How many prompt prefixes it caches.
     pub prefixes: usize,
 }
@@ -38,7 +35,6 @@
         Self {
             places: usize::MAX,
             cold_factor: 1,
-            restart: None,
             prefixes: 0,
         }
     }
@@ -52,7 +48,6 @@
         Self {
             places: 8,
             cold_factor: 2,
-            restart: Some(Duration::from_secs(1)),
             prefixes: if is_engine { 8 } else { 0 },
         }
     }
@@ -105,19 +100,6 @@
     }
 }
 
-/// One call that a target worked on.
-#[derive(Clone, Debug)]
-pub struct Span {
-    /// The input.
-    pub input: Bytes,
-    /// When it began.
-    pub started: Instant,
-    /// How long it held the target.
-    pub held: Duration,
-    /// Whether the target answered it whole.
-    pub is_answered: bool,
-}
-
 /// Works until the work is done, at a speed that changes with the load.
 pub async fn work(work: Duration, speed: impl Fn() -> f64) {
     let mut left = work;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -17,11 +17,11 @@
 use http::Request;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 
 use crate::capacity;
 use crate::capacity::Cache;
 use crate::capacity::Capacity;
-use crate::capacity::Span;
 use crate::server;
 use crate::server::Reply;
 use crate::server::Server;
@@ -33,12 +33,16 @@
     pub kind: Kind,
     /// How long a call takes when it is warm.
     pub work: Duration,
-    /// How many calls it bears in cold start; more of them break it.
+    /// How many calls it bears in cold start.
     pub cold_limit: usize,
     /// How many answers make it warm.
     pub warm_after: usize,
     /// Whether it is warm from the start.
     pub is_warm: bool,
+    /// Whether a call above the cold limit crashes it while it is cold.
+    pub is_fragile: bool,
+    /// How long it refuses connections after a crash.
+    pub restart: Duration,
     /// What it bears under load.
     pub capacity: Capacity,
 }
@@ -51,6 +55,8 @@
             cold_limit: 2,
             warm_after: 4,
             is_warm: false,
+            is_fragile: false,
+            restart: Duration::from_millis(300),
             capacity: Capacity::default(),
         }
     }
@@ -64,15 +70,19 @@
     None,
     /// It refuses each call without running it.
     Refuse,
+    /// It says that it is leaving, and refuses each call without running it.
+    Leave,
     /// It runs each call and then fails on it.
     Fail,
     /// It runs each call and then breaks the connection.
     Break,
+    /// It runs each call and breaks the connection within the answer's body.
+    Truncate,
     /// It works so much longer.
     Slow(Duration),
     /// It answers with the id and the body of the call before.
     Cross,
-    /// Bodies that hold the text break its connections, all of them.
+    /// It crashes on bodies that hold the text.
     CrashOn(String),
 }
 
@@ -83,6 +93,14 @@
     pub attempt: String,
     /// The input.
     pub body: Bytes,
+    /// When the target began with it.
+    pub began: Instant,
+    /// When the target let go of it; `None` while it runs.
+    pub ended: Option<Instant>,
+    /// Whether it came above the cold limit of a cold target.
+    pub is_overrun: bool,
+    /// Whether the target answered it whole.
+    pub is_answered: bool,
 }
 
 #[derive(Debug, Default)]
@@ -91,23 +109,21 @@
     is_warm: bool,
     answers: usize,
     in_flight: usize,
-    overruns: usize,
-    most_in_flight: usize,
     journal: Vec<Entry>,
+    /// The last answered call, for crossed answers.
     crossed: Option<Entry>,
+    /// How often the target has crashed; calls of an earlier life are gone.
     crashes: usize,
-    cold_breaks: usize,
+    /// How many of its crashes came from too many calls in cold start.
+    falls: usize,
     cache: Cache,
-    spans: Vec<Span>,
-    /// Until when it refuses calls, since it starts again.
-    restarts_until: Option<Instant>,
 }
 
 #[derive(Debug)]
 struct Shared {
     plan: Plan,
     inner: Mutex<Inner>,
-    crash: tokio::sync::Notify,
+    crashed: watch::Sender<()>,
 }
 
 /// A running target.
@@ -131,7 +147,7 @@
         let shared = Arc::new(Shared {
             plan,
             inner: Mutex::new(inner),
-            crash: tokio::sync::Notify::new(),
+            crashed: watch::Sender::new(()),
         });
         let state = shared.clone();
         let handler = move |request| serve(state.clone(), request);
@@ -152,9 +168,14 @@
 
     /// Makes it cold without warning.
     pub fn chill(&self) {
-        let mut inner = self.shared.lock();
-        inner.is_warm = false;
-        inner.answers = 0;
+        self.shared.lock().chill();
+    }
+
+    /// Crashes it: its connections break, its calls are gone, and it comes
+    /// back cold after its restart.
+    pub fn crash(&self) {
+        self.shared.crash();
+        self.server.crash(self.shared.plan.restart);
     }
 
     /// Returns the calls it has, and whether it is cold.
@@ -173,25 +194,33 @@
     /// Returns how many calls came above its cold limit while it was cold.
     #[must_use]
     pub fn overruns(&self) -> usize {
-        self.shared.lock().overruns
+        let inner = self.shared.lock();
+        inner.journal.iter().filter(|one| one.is_overrun).count()
     }
 
-    /// Returns the calls that it has worked on, in the order of their start.
+    /// Returns how often it has crashed.
     #[must_use]
-    pub fn spans(&self) -> Vec<Span> {
-        self.shared.lock().spans.clone()
+    pub fn crashes(&self) -> usize {
+        self.shared.lock().crashes
     }
 
-    /// Returns how often it broke in cold start, under more calls than it bears.
+    /// Returns how often it crashed in cold start, under too many calls.
     #[must_use]
-    pub fn cold_breaks(&self) -> usize {
-        self.shared.lock().cold_breaks
+    pub fn falls(&self) -> usize {
+        self.shared.lock().falls
     }
 
-    /// Returns how often it has crashed.
+    /// Tells whether it is warm.
     #[must_use]
-    pub fn crashes(&self) -> usize {
-        self.shared.lock().crashes
+    pub fn is_warm(&self) -> bool {
+        self.shared.lock().is_warm
+    }
+}
+
+impl Inner {
+    fn chill(&mut self) {
+        self.is_warm = false;
+        self.answers = 0;
     }
 }
 
@@ -200,48 +229,49 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that a call begins, unless it is refused.
-    fn begin(&self, entry: &Entry) -> Option<Running<'_>> {
+    fn crash(&self) {
         let mut inner = self.lock();
+        inner.crashes += 1;
+        inner.in_flight = 0;
+        inner.chill();
+        inner.cache.clear();
         let now = Instant::now();
-        let restarts = inner.restarts_until.is_some_and(|until| now < until);
-        if inner.fault == Fault::Refuse || restarts {
-            return None;
-        }
-        inner.in_flight += 1;
-        inner.most_in_flight = inner.most_in_flight.max(inner.in_flight);
-        if !inner.is_warm && inner.in_flight > self.plan.cold_limit {
-            inner.overruns += 1;
+        for entry in inner.journal.iter_mut().filter(|one| one.ended.is_none()) {
+            entry.ended = Some(now);
         }
-        inner.journal.push(entry.clone());
-        inner.spans.push(Span {
-            input: entry.body.clone(),
-            started: now,
-            held: Duration::ZERO,
-            is_answered: false,
-        });
-        Some(Running {
-            shared: self,
-            index: inner.spans.len() - 1,
-        })
+        drop(inner);
+        self.crashed.send_replace(());
     }
 
-    /// Breaks if it has more calls than it bears in cold start, and tells
-    /// whether it did.
-    fn breaks_cold(&self) -> bool {
+    /// Notes that a call begins.
+    fn begin(&self, attempt: String, body: Bytes) -> Running {
         let mut inner = self.lock();
-        let Some(restart) = self.plan.capacity.restart else {
-            return false;
+        inner.in_flight += 1;
+        let entry = Entry {
+            attempt,
+            body,
+            began: Instant::now(),
+            ended: None,
+            is_overrun: !inner.is_warm && inner.in_flight > self.plan.cold_limit,
+            is_answered: false,
         };
-        if inner.is_warm || inner.in_flight <= self.plan.cold_limit {
-            return false;
+        inner.journal.push(entry.clone());
+        Running {
+            index: inner.journal.len() - 1,
+            life: inner.crashes,
+            entry,
+        }
+    }
+
+    /// Returns how long a call takes at full speed.
+    fn work_for(&self, input: &Bytes, fault: &Fault) -> Duration {
+        let prefixes = self.plan.capacity.prefixes;
+        let work = self.plan.work;
+        let work = self.lock().cache.visit(input, work, prefixes);
+        match fault {
+            Fault::Slow(more) => work + *more,
+            _ => work,
         }
-        inner.cold_breaks += 1;
-        inner.answers = 0;
-        inner.cache.clear();
-        inner.restarts_until = Some(Instant::now() + restart);
-        self.crash.notify_waiters();
-        true
     }
 
     /// Returns how fast each call is worked on now.
@@ -251,17 +281,15 @@
         capacity.speed(inner.in_flight, inner.is_warm)
     }
 
-    fn end(&self, index: usize) {
+    fn end(&self, running: &Running, fault: &Fault) {
         let mut inner = self.lock();
-        inner.in_flight -= 1;
-        let span = &mut inner.spans[index];
-        span.held = span.started.elapsed();
-        if inner
-            .restarts_until
-            .is_some_and(|until| Instant::now() < until)
-        {
+        if inner.crashes != running.life {
             return;
         }
+        let entry = &mut inner.journal[running.index];
+        entry.ended = Some(Instant::now());
+        entry.is_answered = !matches!(fault, Fault::Break | Fault::Fail | Fault::Truncate);
+        inner.in_flight -= 1;
         inner.answers += 1;
         if inner.answers >= self.plan.warm_after {
             inner.is_warm = true;
@@ -269,24 +297,12 @@
     }
 }
 
-/// Ends a call also when its caller hangs up.
-struct Running<'a> {
-    shared: &'a Shared,
-    /// The index of its span.
+/// A call at work.
+struct Running {
     index: usize,
-}
-
-impl Running<'_> {
-    /// Notes that the call is answered whole.
-    fn answered(self) {
-        self.shared.lock().spans[self.index].is_answered = true;
-    }
-}
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.shared.end(self.index);
-    }
+    /// How many crashes had been before it began.
+    life: usize,
+    entry: Entry,
 }
 
 async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
@@ -296,41 +312,42 @@
     let Ok(body) = body.collect().await else {
         return Reply::Break;
     };
-    let entry = Entry {
-        attempt,
-        body: body.to_bytes(),
-    };
-    let Some(running) = shared.begin(&entry) else {
-        let headers = [
-            (header::ATTEMPT, entry.attempt),
-            (header::OUTCOME, "not-run".to_owned()),
-        ];
-        return server::answer(503, &headers, "");
-    };
-    if shared.breaks_cold() {
-        return Reply::Break;
-    }
     let fault = shared.lock().fault.clone();
-    let prefixes = shared.plan.capacity.prefixes;
-    let mut work = shared.plan.work;
-    work = shared.lock().cache.visit(&entry.body, work, prefixes);
-    if let Fault::Slow(more) = fault {
-        work += more;
+    match fault {
+        Fault::Refuse => return refuse(attempt, None),
+        Fault::Leave => return refuse(attempt, Some("leaving")),
+        _ => {}
     }
-    if is_crash(&fault, &entry) {
-        shared.lock().crashes += 1;
-        shared.crash.notify_waiters();
-        return Reply::Break;
+    let running = shared.begin(attempt, body.to_bytes());
+    let is_fallen = shared.plan.is_fragile && running.entry.is_overrun;
+    shared.lock().falls += usize::from(is_fallen);
+    if is_fallen || is_crash(&fault, &running.entry) {
+        shared.crash();
+        return Reply::Crash(shared.plan.restart);
     }
+    // The work goes on when the caller hangs up, as it does at many targets.
+    let work = tokio::spawn(work(shared, fault, running));
+    work.await.unwrap_or(Reply::Break)
+}
+
+async fn work(shared: Arc<Shared>, fault: Fault, running: Running) -> Reply {
+    let mut crashed = shared.crashed.subscribe();
+    let span = shared.work_for(&running.entry.body, &fault);
     tokio::select! {
-        () = capacity::work(work, || shared.speed()) => {}
-        () = shared.crash.notified() => return Reply::Break,
-    }
-    match fault {
-        Fault::Break | Fault::Fail => drop(running),
-        _ => running.answered(),
+        () = capacity::work(span, || shared.speed()) => {}
+        _ = crashed.changed() => return Reply::Break,
     }
-    finish(&shared, &fault, entry)
+    shared.end(&running, &fault);
+    finish(&shared, &fault, running.entry)
+}
+
+fn refuse(attempt: String, state: Option<&str>) -> Reply {
+    let mut headers = vec![
+        (header::ATTEMPT, attempt),
+        (header::OUTCOME, "not-run".to_owned()),
+    ];
+    headers.extend(state.map(|state| (header::STATE, state.to_owned())));
+    server::answer(503, &headers, "")
 }
 
 fn is_crash(fault: &Fault, entry: &Entry) -> bool {
@@ -350,20 +367,24 @@
         }
         Fault::Cross => {
             let before = shared.lock().crossed.replace(entry.clone());
-            reply(shared, &before.unwrap_or(entry))
+            reply(shared, fault, &before.unwrap_or(entry))
         }
-        _ => reply(shared, &entry),
+        _ => reply(shared, fault, &entry),
     }
 }
 
-fn reply(shared: &Shared, entry: &Entry) -> Reply {
+fn reply(shared: &Shared, fault: &Fault, entry: &Entry) -> Reply {
     let is_warm = shared.lock().is_warm;
     let state = if is_warm { "warm" } else { "cold" };
     let headers = [
         (header::ATTEMPT, entry.attempt.clone()),
         (header::STATE, state.to_owned()),
     ];
-    server::answer(200, &headers, output(shared.plan.kind, &entry.body))
+    let body = output(shared.plan.kind, &entry.body);
+    match fault {
+        Fault::Truncate => server::cut_answer(200, &headers, body),
+        _ => server::answer(200, &headers, body),
+    }
 }
 
 /// Returns what a target of the kind answers to the input.
