--- a/crates/ctl/src/embedded.rs
+++ b/crates/ctl/src/embedded.rs
@@ -25,8 +25,6 @@
 
 /// How long an engine works on one call under a load.
 const ENGINE_WORK: Duration = Duration::from_millis(1200);
-/// How long a target takes to start again under a load.
-const RESTART: Duration = Duration::from_secs(1);
 /// The path of the settings of the fleet.
 const FLEET_PATH: &str = "/fleet";
 
@@ -173,6 +171,9 @@
     teams.filter_map(|team| site.document(team)).collect()
 }
 
+/// How long a target takes to start again.
+const RESTART: Duration = Duration::from_secs(1);
+
 /// Limits what a target bears, and lets it start warm.
 fn limited(plan: &target::Plan) -> target::Plan {
     let work = match plan.kind {
@@ -196,10 +197,19 @@
 }
 
 fn local(site: &Site, index: usize, platform: SocketAddr) -> anyhow::Result<Local> {
+    let domain = site.domains[index % site.domains.len()];
+    loopback(&format!("entry-{}", index + 1), domain, platform)
+}
+
+/// Returns the settings of a process that takes free ports of the loopback.
+///
+/// # Errors
+/// Returns an error if a name is not an id.
+pub fn loopback(instance: &str, domain: &str, platform: SocketAddr) -> anyhow::Result<Local> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Ok(Local {
-        instance: format!("entry-{}", index + 1).parse()?,
-        domain: site.domains[index % site.domains.len()].parse()?,
+        instance: instance.parse()?,
+        domain: domain.parse()?,
         callers: any,
         data: any,
         control: any,
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -5,19 +5,15 @@
 //! without as many sockets.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::bail;
 use bytes::Bytes;
 use gooseberry_connectors::http_client;
 use gooseberry_connectors::http_client::HttpClient;
-use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id::Digest;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::settings::Kind;
-use gooseberry_kernel::settings::Local;
-use gooseberry_kernel::settings::LogFormat;
 use gooseberry_standin::platform;
 use gooseberry_standin::platform::Platform;
 use gooseberry_standin::target::Plan;
@@ -133,7 +129,9 @@
     /// Returns an error if a daemon does not become ready in time.
     pub async fn start_daemons(&mut self, shape: &Shape) -> anyhow::Result<()> {
         for index in 0..shape.daemons {
-            let local = local(index, self.platform.address())?;
+            let domain = DOMAINS[index % DOMAINS.len()];
+            let instance = format!("bench-{index}");
+            let local = embedded::loopback(&instance, domain, self.platform.address())?;
             self.daemons.push(Daemon::start(local).await?);
         }
         self.platform.change_list(|list| {
@@ -240,23 +238,6 @@
     platform::live_target(&format!("bench-target-{index}"), &pool, domain, address)
 }
 
-fn local(index: usize, platform: SocketAddr) -> anyhow::Result<Local> {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    Ok(Local {
-        instance: format!("bench-{index}").parse()?,
-        domain: DOMAINS[index % DOMAINS.len()].parse()?,
-        callers: any,
-        data: any,
-        control: any,
-        operators: any,
-        platform,
-        log_level: "warn".to_owned(),
-        log_format: LogFormat::Text,
-        shutdown_limit: Millis::from_secs(5),
-        has_fault_injection: false,
-    })
-}
-
 fn settings(shape: &Shape) -> String {
     let credential = Digest::of(b"bench");
     let mut workspaces = String::new();
--- a/crates/ctl/src/score.rs
+++ b/crates/ctl/src/score.rs
@@ -161,7 +161,7 @@
         let journal = Journal::new(embedded);
         score.add_costs(embedded, summary, &journal);
         for named in &embedded.targets {
-            score.breaks += count(named.target.falls());
+            score.breaks += count(named.target.cold_breaks());
             score.crashes += count(named.target.crashes());
         }
         score.breaches.wrong = count(summary.count(|ending| *ending == Ending::Wrong));
@@ -238,8 +238,8 @@
             let is_answered = matches!(sample.ending, Ending::Answered | Ending::Late);
             for input in load::inputs(&embedded.documents, &traffic, &sample.body) {
                 let Some(stage) = input.stage else { continue };
-                let calls = journal.of(stage.pool.as_str(), &input.body);
-                if !stage.is_idempotent && calls.len() > 1 {
+                let spans = journal.of(stage.pool.as_str(), &input.body);
+                if !stage.is_idempotent && spans.len() > 1 {
                     self.breaches.doubled += 1;
                 }
                 if !is_measured(sample) {
@@ -247,12 +247,15 @@
                 }
                 let name = (sample.pipeline, stage.id.to_string());
                 let cost = self.stages.entry(name).or_default();
-                cost.calls += count(calls.len());
+                cost.calls += count(spans.len());
                 cost.answers += u64::from(is_answered);
-                cost.held_us += calls.iter().map(|one| micros(one.held())).sum::<u64>();
-                let useful = calls.iter().rfind(|one| one.entry.is_answered);
+                cost.held_us += spans
+                    .iter()
+                    .map(|one| micros(one.entry.held()))
+                    .sum::<u64>();
+                let useful = spans.iter().rfind(|one| one.entry.is_answered);
                 if let Some(useful) = useful.filter(|_| is_answered) {
-                    cost.useful_us += micros(useful.held());
+                    cost.useful_us += micros(useful.entry.held());
                 }
             }
         }
@@ -295,12 +298,6 @@
     fn key(&self) -> (&str, &[u8], Instant) {
         (self.pool, &self.entry.body, self.entry.began)
     }
-
-    /// Returns how long it held the target.
-    fn held(&self) -> Duration {
-        let ended = self.entry.ended.unwrap_or_else(Instant::now);
-        ended - self.entry.began
-    }
 }
 
 /// The work of the engines while a failure domain leaves and returns.
@@ -359,14 +356,14 @@
 }
 
 fn starts(target: &gooseberry_standin::target::Target) -> Vec<Instant> {
-    let journal = target.journal().into_iter();
-    journal.map(|entry| entry.began).collect()
+    let entries = target.journal().into_iter();
+    entries.map(|entry| entry.began).collect()
 }
 
 fn answers(target: &gooseberry_standin::target::Target) -> Vec<Instant> {
-    let journal = target.journal().into_iter();
-    let answered = journal.filter(|entry| entry.is_answered);
-    answered.filter_map(|entry| entry.ended).collect()
+    let entries = target.journal().into_iter();
+    let answered = entries.filter(|entry| entry.is_answered);
+    answered.map(|entry| entry.began + entry.held()).collect()
 }
 
 /// Returns the share of the failure domain in the calls, in thousandths.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -43,7 +43,7 @@
     pub is_fragile: bool,
     /// How long it refuses connections after a crash.
     pub restart: Duration,
-    /// What it bears under load.
+    /// How fast it works under load.
     pub capacity: Capacity,
 }
 
@@ -103,6 +103,15 @@
     pub is_answered: bool,
 }
 
+impl Entry {
+    /// Returns how long it has held the target.
+    #[must_use]
+    pub fn held(&self) -> Duration {
+        let until = self.ended.unwrap_or_else(Instant::now);
+        until.saturating_duration_since(self.began)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     fault: Fault,
@@ -114,8 +123,8 @@
     crossed: Option<Entry>,
     /// How often the target has crashed; calls of an earlier life are gone.
     crashes: usize,
-    /// How many of its crashes came from too many calls in cold start.
-    falls: usize,
+    /// How many of the crashes came from too many calls in cold start.
+    cold_breaks: usize,
     cache: Cache,
 }
 
@@ -198,16 +207,16 @@
         inner.journal.iter().filter(|one| one.is_overrun).count()
     }
 
-    /// Returns how often it has crashed.
+    /// Returns how often it broke in cold start, under more calls than it bears.
     #[must_use]
-    pub fn crashes(&self) -> usize {
-        self.shared.lock().crashes
+    pub fn cold_breaks(&self) -> usize {
+        self.shared.lock().cold_breaks
     }
 
-    /// Returns how often it crashed in cold start, under too many calls.
+    /// Returns how often it has crashed.
     #[must_use]
-    pub fn falls(&self) -> usize {
-        self.shared.lock().falls
+    pub fn crashes(&self) -> usize {
+        self.shared.lock().crashes
     }
 
     /// Tells whether it is warm.
@@ -221,6 +230,7 @@
     fn chill(&mut self) {
         self.is_warm = false;
         self.answers = 0;
+        self.cache.clear();
     }
 }
 
@@ -234,7 +244,6 @@
         inner.crashes += 1;
         inner.in_flight = 0;
         inner.chill();
-        inner.cache.clear();
         let now = Instant::now();
         for entry in inner.journal.iter_mut().filter(|one| one.ended.is_none()) {
             entry.ended = Some(now);
@@ -252,8 +261,8 @@
             body,
             began: Instant::now(),
             ended: None,
-            is_overrun: !inner.is_warm && inner.in_flight > self.plan.cold_limit,
             is_answered: false,
+            is_overrun: !inner.is_warm && inner.in_flight > self.plan.cold_limit,
         };
         inner.journal.push(entry.clone());
         Running {
@@ -263,17 +272,6 @@
         }
     }
 
-    /// Returns how long a call takes at full speed.
-    fn work_for(&self, input: &Bytes, fault: &Fault) -> Duration {
-        let prefixes = self.plan.capacity.prefixes;
-        let work = self.plan.work;
-        let work = self.lock().cache.visit(input, work, prefixes);
-        match fault {
-            Fault::Slow(more) => work + *more,
-            _ => work,
-        }
-    }
-
     /// Returns how fast each call is worked on now.
     fn speed(&self) -> f64 {
         let inner = self.lock();
@@ -281,14 +279,28 @@
         capacity.speed(inner.in_flight, inner.is_warm)
     }
 
-    fn end(&self, running: &Running, fault: &Fault) {
+    /// Returns how long the call takes at full speed.
+    fn work(&self, fault: &Fault, entry: &Entry) -> Duration {
+        let plan = &self.plan;
+        let mut inner = self.lock();
+        let work = inner
+            .cache
+            .visit(&entry.body, plan.work, plan.capacity.prefixes);
+        match fault {
+            Fault::Slow(more) => work + *more,
+            _ => work,
+        }
+    }
+
+    /// Notes that a call has ended, answered whole or not.
+    fn end(&self, running: &Running, is_answered: bool) {
         let mut inner = self.lock();
         if inner.crashes != running.life {
             return;
         }
         let entry = &mut inner.journal[running.index];
         entry.ended = Some(Instant::now());
-        entry.is_answered = !matches!(fault, Fault::Break | Fault::Fail | Fault::Truncate);
+        entry.is_answered = is_answered;
         inner.in_flight -= 1;
         inner.answers += 1;
         if inner.answers >= self.plan.warm_after {
@@ -320,7 +332,9 @@
     }
     let running = shared.begin(attempt, body.to_bytes());
     let is_fallen = shared.plan.is_fragile && running.entry.is_overrun;
-    shared.lock().falls += usize::from(is_fallen);
+    if is_fallen {
+        shared.lock().cold_breaks += 1;
+    }
     if is_fallen || is_crash(&fault, &running.entry) {
         shared.crash();
         return Reply::Crash(shared.plan.restart);
@@ -332,12 +346,13 @@
 
 async fn work(shared: Arc<Shared>, fault: Fault, running: Running) -> Reply {
     let mut crashed = shared.crashed.subscribe();
-    let span = shared.work_for(&running.entry.body, &fault);
+    let span = shared.work(&fault, &running.entry);
     tokio::select! {
         () = capacity::work(span, || shared.speed()) => {}
         _ = crashed.changed() => return Reply::Break,
     }
-    shared.end(&running, &fault);
+    let is_answered = !matches!(fault, Fault::Break | Fault::Fail | Fault::Truncate);
+    shared.end(&running, is_answered);
     finish(&shared, &fault, running.entry)
 }
 
