--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use gooseberry_connectors::http_client;
 use gooseberry_connectors::http_client::HttpClient;
+use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id::Digest;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::settings::Kind;
@@ -39,7 +40,7 @@
 /// How often a wait looks again.
 const LOOK: Duration = Duration::from_millis(5);
 /// How long the daemons may take until they are ready.
-const READY_LIMIT: Duration = Duration::from_secs(30);
+const READY_LIMIT: Duration = Duration::from_secs(90);
 
 /// The size of a fleet.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +51,8 @@
     pub targets: usize,
     /// How many workspaces the settings have.
     pub workspaces: usize,
+    /// How often a daemon greets each peer; the freshness is four times that.
+    pub exchange: Millis,
 }
 
 impl Shape {
@@ -58,6 +61,7 @@
         daemons: 3,
         targets: 50,
         workspaces: 5,
+        exchange: Millis(500),
     };
 }
 
@@ -101,7 +105,10 @@
     /// Returns an error if a port cannot be bound.
     pub async fn prepare(shape: &Shape) -> anyhow::Result<Self> {
         let platform = Platform::start().await?;
-        platform.put("/fleet", "{}");
+        let exchange = shape.exchange.0;
+        let freshness = exchange * 4;
+        let fleet = format!(r#"{{ "freshness_ms": {freshness}, "exchange_ms": {exchange} }}"#);
+        platform.put("/fleet", &fleet);
         platform.put("/teams/bench", &settings(shape));
         let mut targets = Vec::new();
         for _ in 0..ANSWERING.min(shape.targets) {
--- a/crates/ctl/src/scenario.rs
+++ b/crates/ctl/src/scenario.rs
@@ -45,7 +45,7 @@
     Crash,
     /// The settings service is down.
     SettingsDown,
-    /// One workspace sends as much again as three times of all others.
+    /// One workspace sends twice the usual rate of all, on top of it.
     Flood,
 }
 
--- a/crates/ctl/src/slope.rs
+++ b/crates/ctl/src/slope.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id;
 use hdrhistogram::Histogram;
@@ -156,6 +157,17 @@
     }
 }
 
+/// How the sizes of an axis are measured.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// How long each size is measured.
+    pub span: Duration,
+    /// The seed of the arrivals.
+    pub seed: u64,
+    /// How often a daemon greets each peer.
+    pub exchange: Millis,
+}
+
 /// Measures the sizes of one axis.
 ///
 /// Memory that one fleet gave back is used by the next, so memory is measured
@@ -163,26 +175,25 @@
 ///
 /// # Errors
 /// Returns an error if a fleet cannot be started.
-pub async fn measure(
-    axis: Axis,
-    sizes: &[u64],
-    span: Duration,
-    seed: u64,
-) -> anyhow::Result<Vec<Point>> {
+pub async fn measure(axis: Axis, sizes: &[u64], setup: &Setup) -> anyhow::Result<Vec<Point>> {
     let mut points = Vec::new();
     for size in sizes {
-        points.push(measure_one(axis, *size, span, seed).await?);
+        points.push(measure_one(axis, *size, setup).await?);
     }
     Ok(points)
 }
 
-async fn measure_one(axis: Axis, size: u64, span: Duration, seed: u64) -> anyhow::Result<Point> {
+async fn measure_one(axis: Axis, size: u64, setup: &Setup) -> anyhow::Result<Point> {
+    let Setup { span, seed, .. } = *setup;
     let mut point = Point {
         size,
         ..Point::default()
     };
     let count = usize::try_from(size).unwrap_or(usize::MAX);
-    let mut shape = Shape::SMALL;
+    let mut shape = Shape {
+        exchange: setup.exchange,
+        ..Shape::SMALL
+    };
     match axis {
         Axis::Daemons => shape.daemons = count,
         Axis::Targets | Axis::Choices => shape.targets = count,
--- a/crates/ctl/src/slope_command.rs
+++ b/crates/ctl/src/slope_command.rs
@@ -5,10 +5,12 @@
 
 use anyhow::Context;
 use bpaf::Bpaf;
+use gooseberry_kernel::clock::Millis;
 use serde_json::Value;
 
 use crate::slope;
 use crate::slope::Axis;
+use crate::slope::Setup;
 
 /// What the subcommand is asked for.
 #[derive(Clone, Debug, Bpaf)]
@@ -28,6 +30,9 @@
     /// The seed of the arrivals
     #[bpaf(long, argument("N"), fallback(1), display_fallback)]
     pub seed: u64,
+    /// How often a daemon greets each peer, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(500), display_fallback)]
+    pub exchange_ms: u64,
     /// Write the results as JSON to a file too
     #[bpaf(long, argument("FILE"), optional)]
     pub json: Option<PathBuf>,
@@ -42,14 +47,18 @@
     if axes.is_empty() {
         axes = Axis::ALL.to_vec();
     }
-    let span = Duration::from_secs(options.seconds);
+    let setup = Setup {
+        span: Duration::from_secs(options.seconds),
+        seed: options.seed,
+        exchange: Millis(options.exchange_ms),
+    };
     let mut results = Vec::new();
     for axis in axes {
         let sizes = match options.size.as_slice() {
             [] => axis.sizes(),
             sizes => sizes,
         };
-        let points = slope::measure(axis, sizes, span, options.seed).await?;
+        let points = slope::measure(axis, sizes, &setup).await?;
         print!("{}", slope::table(axis, &points));
         results.push(slope::json(axis, &points));
     }
