--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -200,7 +200,7 @@
         let name = pipeline.label();
         let uri = format!("http://{callers}/v1/workspaces/bench.w0/pipelines/{name}");
         let request = Request::post(uri)
-            .header("authorization", "Bearer bench")
+            .header("authorization", format!("Bearer {}", credential(0)))
             .header(header::IDEMPOTENCY_KEY, format!("key-{number}"))
             .header(header::IDEMPOTENCY_ATTEMPT, 1);
         let expected = match pipeline {
@@ -245,10 +245,15 @@
     platform::live_target(&format!("bench-target-{index}"), &pool, domain, address)
 }
 
+/// Returns the credential of a workspace.
+fn credential(index: usize) -> String {
+    format!("bench-{index}")
+}
+
 fn settings(shape: &Shape) -> String {
-    let credential = Digest::of(b"bench");
     let mut workspaces = String::new();
     for index in 0..shape.workspaces {
+        let credential = Digest::of(credential(index).as_bytes());
         // Writing to a string does not fail.
         writeln!(
             workspaces,
