--- a/crates/ctl/src/scenario.rs
+++ b/crates/ctl/src/scenario.rs
@@ -45,7 +45,7 @@
     Crash,
     /// The settings service is down.
     SettingsDown,
-    /// One workspace sends as much again as three times of all others.
+    /// One workspace sends twice the usual rate of all, on top of it.
     Flood,
 }
 
@@ -140,7 +140,10 @@
     let domain = embedded.site.domains[0];
     embedded.publish_fleet(Some(domain));
     tokio::time::sleep(NOTICE).await;
-    set_all(embedded.of_domain(domain), &Fault::Break);
+    for named in embedded.of_domain(domain) {
+        named.target.crash();
+        named.target.set_fault(Fault::Break);
+    }
     tokio::time::sleep_until(until.into()).await;
     for named in embedded.of_domain(domain) {
         named.target.chill();
