--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -10,7 +10,10 @@
 
 mod at_most_once;
 mod cold_limit;
+mod crash;
+mod results;
 mod serve;
+mod settings;
 mod shutdown;
 mod storm;
 mod taken_out;
--- /dev/null
+++ b/crates/daemon/tests/process/results.rs
@@ -0,0 +1,133 @@
+//! Each caller gets the whole answer to its own request.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use gooseberry_standin::target::Fault;
+use gooseberry_standin::target::Plan;
+
+use crate::fleet::Call;
+use crate::fleet::FLEET;
+use crate::fleet::Fleet;
+use crate::fleet::until;
+use crate::storm;
+
+async fn start() -> Fleet {
+    let plan = Plan {
+        work: Duration::from_millis(20),
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(FLEET, plan).await;
+    fleet.warm_up().await;
+    fleet
+}
+
+/// Both workspaces send the same bodies, so that mixed-up answers would show.
+fn mixed(number: usize) -> Call {
+    let mut call = match number % 3 {
+        0 => Call::new("read", format!("r-{}", number / 2)),
+        1 => Call::new("brief", format!("b-{}", number / 2)),
+        _ => Call::post(format!("p-{number}")),
+    };
+    call.workspace = ["one", "two"][number % 2];
+    call
+}
+
+/// Runs a load while the targets have the fault, and checks each answer.
+async fn load_under(fleet: &Fleet, faults: &[Fault]) {
+    let fault = async {
+        for fault in faults {
+            for one in &fleet.targets[..4] {
+                one.target.set_fault(fault.clone());
+            }
+            tokio::time::sleep(Duration::from_millis(1200)).await;
+        }
+    };
+    let sent = storm::steady(fleet, 24, mixed, fault).await;
+    let mut answered = 0;
+    for one in &sent {
+        let told = one.result.as_ref().unwrap();
+        if told.status == 200 {
+            assert_eq!(told.body, one.call.expected(), "{:?}", one.call);
+            answered += 1;
+        }
+        let is_post = one.call.key.is_some();
+        let runs = if is_post {
+            fleet.runs(&one.call.body)
+        } else {
+            0
+        };
+        assert!(runs <= 1, "{:?} ran twice", one.call);
+        if is_post && told.outcome() == "not-run" {
+            assert_eq!(runs, 0, "{:?} was told not run", one.call);
+        }
+        if is_post && told.status == 200 {
+            assert_eq!(runs, 1, "{:?} was answered but not run", one.call);
+        }
+    }
+    assert!(answered > 50, "{answered} of {}", sent.len());
+    fleet.assert_invariants();
+}
+
+#[tokio::test]
+async fn crossed_and_late_answers_reach_nobody_else() {
+    let fleet = start().await;
+    let late = Fault::Slow(Duration::from_millis(700));
+    load_under(&fleet, &[Fault::Cross, late, Fault::Cross, Fault::None]).await;
+}
+
+#[tokio::test]
+async fn cut_broken_failed_and_refused_answers_are_not_taken_for_answers() {
+    let fleet = start().await;
+    let faults = [
+        Fault::Truncate,
+        Fault::Break,
+        Fault::Fail,
+        Fault::Refuse,
+        Fault::None,
+    ];
+    load_under(&fleet, &faults).await;
+}
+
+#[tokio::test]
+async fn a_caller_that_hangs_up_leaves_no_answer_to_the_next() {
+    let fleet = start().await;
+    let slow = Fault::Slow(Duration::from_millis(200));
+    for one in &fleet.targets {
+        one.target.set_fault(slow.clone());
+    }
+    for round in 0..10 {
+        let leavers = (0..9).map(|number| {
+            let call = mixed(number + round * 100);
+            let fleet = &fleet;
+            async move {
+                let sent = fleet.send(number % 3, &call);
+                tokio::time::timeout(Duration::from_millis(40), sent)
+                    .await
+                    .ok();
+            }
+        });
+        join_all(leavers).await;
+        let call = Call::new("read", format!("stays-{round}"));
+        assert_eq!(fleet.answered(round % 3, &call).await.body, call.expected());
+    }
+    until("nothing is in progress", async || {
+        let mut left = 0;
+        for index in 0..3 {
+            let status = fleet.status(index).await.unwrap();
+            left += status["requests"].as_u64().unwrap();
+            left += status["calls_in_flight"].as_u64().unwrap();
+        }
+        left == 0
+    })
+    .await;
+    // A post whose caller hung up has run to its end, and its answer is kept.
+    for number in [2, 5, 8] {
+        let call = mixed(number).again();
+        let told = fleet.send(number % 3, &call).await.unwrap();
+        let runs = fleet.runs(&call.body);
+        assert!(runs <= 1);
+        assert_eq!(told.status == 200, runs == 1, "{told:?} after {runs} runs");
+    }
+    fleet.assert_invariants();
+}
--- /dev/null
+++ b/crates/daemon/tests/process/settings.rs
@@ -0,0 +1,167 @@
+//! Accepted settings are in force everywhere within 7 s and never revert.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberry_standin::platform;
+use gooseberry_standin::platform::Platform;
+use gooseberry_standin::target::Plan;
+
+use crate::fleet::Call;
+use crate::fleet::FLEET;
+use crate::fleet::Fleet;
+use crate::fleet::TEAM;
+use crate::fleet::until;
+
+/// From when on accepted settings are in force on each reachable daemon.
+const IN_FORCE: Duration = Duration::from_secs(7);
+
+/// Publishes a team that allows one more pipeline, named by its number.
+fn publish(platform: &Platform, number: u32) {
+    platform.put("/teams/desk", &text(number));
+}
+
+fn text(number: u32) -> String {
+    let pipeline = format!(
+        "\"pipelines\": {{ \"extra-{number}\": {{ \"deadline_ms\": 5000, \"stages\": \
+         [{{ \"name\": \"read\", \"pool\": \"ledger\" }}] }},"
+    );
+    let text = TEAM.replace("\"pipelines\": {", &pipeline);
+    let allowed = format!("\"pipelines\": [\"extra-{number}\", \"post\"");
+    text.replace("\"pipelines\": [\"post\"", &allowed)
+}
+
+/// Tells whether a daemon knows the extra pipeline, from what it answers.
+async fn has(fleet: &Fleet, index: usize, number: u32) -> bool {
+    let name: &'static str = ["extra-0", "extra-1", "extra-2", "extra-3"][number as usize];
+    let told = fleet.send(index, &Call::new(name, "x")).await;
+    told.is_ok_and(|told| told.error() != "no-pipeline" && told.error() != "not-ready")
+}
+
+/// Waits until the extra pipeline is in force on each daemon, and fails if
+/// that takes too long.
+async fn in_force(fleet: &Fleet, number: u32, since: Instant) {
+    for index in 0..fleet.daemons.len() {
+        until("the settings are in force", async || {
+            has(fleet, index, number).await
+        })
+        .await;
+    }
+    let took = since.elapsed();
+    assert!(took < IN_FORCE, "in force only after {took:?}");
+}
+
+/// Fails if a daemon goes back from the extra pipeline within the span.
+async fn never_reverts(fleet: &Fleet, number: u32, span: Duration) {
+    let begun = Instant::now();
+    while begun.elapsed() < span {
+        for index in 0..fleet.daemons.len() {
+            assert!(has(fleet, index, number).await, "daemon {index} reverted");
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn settings_never_revert_when_the_platform_is_down_stale_or_contradicts() {
+    let mut fleet = Fleet::usual().await;
+    let old = (fleet.platform.list(), fleet.platform.settings());
+    let old = Box::new(old);
+    publish(&fleet.platform, 1);
+    in_force(&fleet, 1, Instant::now()).await;
+    let faults = [
+        platform::Fault::Down,
+        platform::Fault::Stale(old.clone()),
+        platform::Fault::Contradicting(old),
+    ];
+    for (number, fault) in faults.into_iter().enumerate() {
+        fleet.platform.set_fault(fault);
+        // A fresh daemon takes the higher of what peers and platform say.
+        let listed = fleet.launch(&format!("fresh-{number}"), "b");
+        never_reverts_but(&fleet, listed).await;
+        fleet.daemons[listed].kill();
+        fleet.daemons.remove(listed);
+    }
+    fleet.platform.set_fault(platform::Fault::None);
+    publish(&fleet.platform, 2);
+    in_force(&fleet, 2, Instant::now()).await;
+    fleet.assert_invariants();
+}
+
+/// Checks every daemon but a fresh one, which may still know nothing.
+async fn never_reverts_but(fleet: &Fleet, fresh: usize) {
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(2) {
+        for index in (0..fleet.daemons.len()).filter(|one| *one != fresh) {
+            assert!(has(fleet, index, 1).await, "daemon {index} reverted");
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_fresh_daemon_at_a_stale_platform_learns_from_its_peers() {
+    let mut fleet = Fleet::usual().await;
+    let index = fleet.launch("entry-4", "b");
+    fleet.publish_daemons();
+    fleet.settled().await;
+    let old = (fleet.platform.list(), fleet.platform.settings());
+    publish(&fleet.platform, 1);
+    in_force(&fleet, 1, Instant::now()).await;
+    // It is replaced under the same list while the platform serves old settings.
+    fleet
+        .platform
+        .set_fault(platform::Fault::Stale(Box::new(old)));
+    let since = Instant::now();
+    fleet.restart(index);
+    in_force(&fleet, 1, since).await;
+    never_reverts(&fleet, 1, Duration::from_secs(1)).await;
+    fleet.assert_invariants();
+}
+
+#[tokio::test]
+async fn settings_reach_daemons_that_are_cut_off_from_the_platform() {
+    let fleet = Fleet::behind_doors(FLEET, Plan::default()).await;
+    for door in &fleet.doors[1..] {
+        door.set_fault(platform::Fault::Down);
+    }
+    let since = Instant::now();
+    publish(&fleet.platform, 1);
+    in_force(&fleet, 1, since).await;
+    fleet
+        .platform
+        .set_fault(platform::Fault::Slow(Duration::from_secs(1)));
+    let since = Instant::now();
+    publish(&fleet.platform, 2);
+    in_force(&fleet, 2, since).await;
+    fleet.assert_invariants();
+}
+
+#[tokio::test]
+async fn two_operators_and_a_bad_subtree_leave_the_newest_good_one_in_force() {
+    let fleet = Fleet::usual().await;
+    let since = Instant::now();
+    for round in 0..20 {
+        let team = if round % 2 == 0 {
+            "{ \"pools\": 7 }"
+        } else {
+            "{"
+        };
+        fleet.platform.put("/teams/other", team);
+        publish(&fleet.platform, round % 3);
+    }
+    publish(&fleet.platform, 3);
+    in_force(&fleet, 3, since).await;
+    for index in 0..3 {
+        for number in 0..3 {
+            assert!(
+                !has(&fleet, index, number).await,
+                "an older one is in force"
+            );
+        }
+    }
+    fleet.platform.put("/teams/desk", "{ \"pools\": 7 }");
+    fleet.settled().await;
+    never_reverts(&fleet, 3, Duration::from_secs(1)).await;
+    fleet.assert_invariants();
+}
