--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -27,6 +27,7 @@
 use gooseberry_kernel::roster::List;
 use gooseberry_kernel::roster::Member;
 use gooseberry_kernel::route::Ask;
+use gooseberry_kernel::route::Reply;
 use gooseberry_kernel::settings::Tree;
 use gooseberry_kernel::slot::Call;
 use gooseberry_kernel::slot::Start;
@@ -50,8 +51,8 @@
 pub enum Ticket {
     /// It may be sent.
     Go,
-    /// It waits; the channel says whether it was granted.
-    Wait(oneshot::Receiver<bool>),
+    /// It waits; the channel says why it is refused, or `None` to send it.
+    Wait(oneshot::Receiver<Option<Kind>>),
 }
 
 /// What the actor is told.
@@ -76,8 +77,8 @@
     Leave(id::Workspace),
     /// A stage needs a target; the flag says whether it is its first attempt.
     Choose(Ask, bool, RpcReplyPort<Result<Choice, Failure>>),
-    /// A reply carried a target's load.
-    NoteLoad(id::Target, u32),
+    /// An attempt has shown something about its target.
+    NoteReply(Reply),
     /// An attempt failed; the moment is the latest for a retry.
     AfterFailure(Failure, Bounds, Millis, RpcReplyPort<Step>),
     /// A call wants a place at a target that this daemon owns.
@@ -90,8 +91,14 @@
     ),
     /// A call was not sent after all.
     Cancel(id::Target, id::Attempt),
-    /// A target has let go of a call; the reply is its load in percent.
-    Finish(id::Target, id::Attempt, Sign, id::Digest, RpcReplyPort<u32>),
+    /// A target has let go of a call; the reply is its load in percent, if known.
+    Finish(
+        id::Target,
+        id::Attempt,
+        Sign,
+        id::Digest,
+        RpcReplyPort<Option<u32>>,
+    ),
     /// A request with a key begins at the key's owner.
     Begin(
         Key,
@@ -137,7 +144,7 @@
 #[derive(Debug)]
 struct Waiting {
     attempt: id::Attempt,
-    sender: oneshot::Sender<bool>,
+    sender: oneshot::Sender<Option<Kind>>,
 }
 
 impl Actor for NodeActor {
@@ -166,6 +173,8 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.clock.now();
         state.handle(message, now);
+        let wakes = state.node.take_wakes();
+        state.wake(wakes);
         state.report_violations();
         Ok(())
     }
@@ -196,7 +205,7 @@
                 }
                 send(reply, node.choose(&ask, now));
             }
-            Message::NoteLoad(target, percent) => node.note_load(&target, percent, now),
+            Message::NoteReply(reply) => node.note_reply(&reply, now),
             Message::AfterFailure(failure, bounds, deadline, reply) => {
                 send(reply, node.after_failure(&failure, bounds, deadline, now));
             }
@@ -207,7 +216,7 @@
             Message::Cancel(target, attempt) => self.cancel(&target, attempt),
             Message::Finish(target, attempt, sign, digest, reply) => {
                 let wakes = node.finish(&target, attempt, sign, digest, now);
-                send(reply, node.load_percent(&target));
+                send(reply, node.load_percent(&target, now));
                 self.wake(wakes);
             }
             Message::Begin(key, digest, is_first, reply) => {
@@ -244,7 +253,7 @@
         send(reply, ticket);
     }
 
-    fn queue(&mut self, attempt: id::Attempt) -> oneshot::Receiver<bool> {
+    fn queue(&mut self, attempt: id::Attempt) -> oneshot::Receiver<Option<Kind>> {
         let (sender, receiver) = oneshot::channel();
         let found = self
             .waiting
@@ -260,8 +269,8 @@
                 .waiting
                 .binary_search_by(|one| one.attempt.cmp(&wake.attempt));
             let sender = found.ok().map(|index| self.waiting.remove(index).sender);
-            let is_told = sender.is_some_and(|sender| sender.send(wake.is_granted).is_ok());
-            if !is_told && wake.is_granted {
+            let is_told = sender.is_some_and(|sender| sender.send(wake.refusal).is_ok());
+            if !is_told && wake.refusal.is_none() {
                 self.node.cancel(&wake.target, wake.attempt);
             }
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::retry::Denial;
 use gooseberry_kernel::retry::Reason;
 use gooseberry_wire::operators::Status;
 use prometheus::Encoder;
@@ -19,6 +20,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::control_stream::Counters;
+
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 12] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 9.0, 30.0,
@@ -78,11 +81,13 @@
     abandoned: IntCounter,
     refusals: IntCounterVec,
     retries: IntCounterVec,
+    denials: IntCounterVec,
     violations: IntCounterVec,
     answers: IntCounterVec,
     foreign: IntCounterVec,
     latency: HistogramVec,
     stage_cost: IntCounterVec,
+    control_bytes: Counters,
     platform_calls: Mutex<IntCounter>,
     /// In the order of [`GAUGES`].
     gauges: Vec<IntGauge>,
@@ -97,16 +102,8 @@
     /// Returns an error if two counters have the same name.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            prometheus::Result::Ok(counter)
-        };
-        let plain = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            prometheus::Result::Ok(counter)
-        };
+        let counter = |name, help, labels| labelled(&registry, name, help, labels);
+        let plain = |name, help| counted(&registry, name, help);
         let requests = plain(
             "gooseberry_requests_total",
             "Requests of callers that have come in at this daemon.",
@@ -125,6 +122,11 @@
             "Retries by reason.",
             &["reason"],
         )?;
+        let denials = counter(
+            "gooseberry_retry_denials_total",
+            "Failed attempts that were not made again, by reason.",
+            &["reason"],
+        )?;
         let violations = counter(
             "gooseberry_invariant_violations_total",
             "Violated invariants; any is a fault of the program.",
@@ -153,12 +155,7 @@
             "gooseberry_platform_calls_total",
             "Calls to the platform; a waiting watch counts as one.",
         )?;
-        let mut gauges = Vec::new();
-        for (name, help) in GAUGES {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            gauges.push(gauge);
-        }
+        let gauges = gauges(&registry)?;
         let pool_gauge = |name: &str, help: &str| {
             let gauge = IntGaugeVec::new(Opts::new(name, help), &["pool"])?;
             registry.register(Box::new(gauge.clone()))?;
@@ -172,18 +169,14 @@
             "gooseberry_pool_calls_limit",
             "Calls that the owned targets of a pool bear now.",
         )?;
-        for kind in Kind::ALL {
-            refusals.with_label_values(&[kind.row().label]);
-        }
-        for reason in Reason::ALL {
-            retries.with_label_values(&[reason.label()]);
-        }
-        Ok(Self {
+        let control_bytes = Counters::register(&registry)?;
+        let metrics = Self {
             registry,
             requests,
             abandoned,
             refusals,
             retries,
+            denials,
             violations,
             answers,
             foreign,
@@ -191,9 +184,25 @@
             stage_cost,
             platform_calls: Mutex::new(platform_calls),
             gauges,
+            control_bytes,
             pool_in_flight,
             pool_limit,
-        })
+        };
+        metrics.start_at_zero();
+        Ok(metrics)
+    }
+
+    /// Makes every reason stand at zero, so that a rate can be read of each.
+    fn start_at_zero(&self) {
+        for kind in Kind::ALL {
+            self.refusals.with_label_values(&[kind.row().label]);
+        }
+        for reason in Reason::ALL {
+            self.retries.with_label_values(&[reason.label()]);
+        }
+        for denial in Denial::ALL {
+            self.denials.with_label_values(&[denial.label()]);
+        }
     }
 
     /// Counts a request that has come in.
@@ -216,6 +225,11 @@
         self.retries.with_label_values(&[reason.label()]).inc();
     }
 
+    /// Counts a failed attempt that is not made again.
+    pub fn denial(&self, denial: Denial) {
+        self.denials.with_label_values(&[denial.label()]).inc();
+    }
+
     /// Counts a violated invariant.
     pub fn violation(&self, name: &str) {
         self.violations.with_label_values(&[name]).inc();
@@ -303,6 +317,12 @@
         }
     }
 
+    /// Returns where the bytes of control messages are counted.
+    #[must_use]
+    pub fn control_bytes(&self) -> Counters {
+        self.control_bytes.clone()
+    }
+
     /// Writes all counters in the text format of Prometheus.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
@@ -318,3 +338,31 @@
 fn clip(number: impl TryInto<i64>) -> i64 {
     number.try_into().unwrap_or(i64::MAX)
 }
+
+fn labelled(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<IntCounterVec> {
+    let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn counted(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntCounter> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+/// Makes the gauges in the order of [`GAUGES`].
+fn gauges(registry: &Registry) -> prometheus::Result<Vec<IntGauge>> {
+    let mut gauges = Vec::new();
+    for (name, help) in GAUGES {
+        let gauge = IntGauge::new(name, help)?;
+        registry.register(Box::new(gauge.clone()))?;
+        gauges.push(gauge);
+    }
+    Ok(gauges)
+}
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -16,6 +16,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Grant;
+use gooseberry_kernel::node::Node;
 use gooseberry_kernel::slot;
 use gooseberry_kernel::warmth::Sign;
 use gooseberry_wire::header;
@@ -50,7 +51,9 @@
     pub workspace: id::Workspace,
     /// The digest of the request's workspace and body.
     pub digest: id::Digest,
-    /// The time that remains.
+    /// The time that remains until the answer is late.
+    pub due: Millis,
+    /// The time that remains until the answer is of no use.
     pub timeout: Millis,
     /// The input of the stage.
     pub body: Bytes,
@@ -63,8 +66,8 @@
     pub result: Result<Bytes, Failure>,
     /// How long the target worked.
     pub target_time: Millis,
-    /// The target's calls in flight for each hundred places.
-    pub load_percent: u32,
+    /// The target's calls for each hundred places, if its owner knows.
+    pub load_percent: Option<u32>,
 }
 
 impl Report {
@@ -72,7 +75,16 @@
         Self {
             result: Err(failure),
             target_time: Millis::ZERO,
-            load_percent: 0,
+            load_percent: None,
+        }
+    }
+
+    /// Reports a call that was not followed to its end: the target may have
+    /// worked on it since it began.
+    fn cut(failure: Failure, started: Instant) -> Self {
+        Self {
+            target_time: millis(started.elapsed()),
+            ..Self::failed(failure)
         }
     }
 }
@@ -82,24 +94,40 @@
     let deadline = context.clock.now() + task.timeout;
     match place(context, &task, deadline).await {
         Ok(()) => sent(context, task, deadline).await,
-        Err(failure) => Report::failed(failure),
+        Err(failure) => Report {
+            load_percent: load(context, &task.target).await,
+            ..Report::failed(failure)
+        },
     }
 }
 
+async fn load(context: &Context, target: &id::Target) -> Option<u32> {
+    let target = target.clone();
+    let read = move |node: &Node, now| node.load_percent(&target, now);
+    context.node.look(read).await.ok().flatten()
+}
+
+fn millis(span: Duration) -> Millis {
+    Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Waits for a place at the target.
 async fn place(context: &Arc<Context>, task: &Task, deadline: Millis) -> Result<(), Failure> {
     let call = slot::Call {
         target: task.target.clone(),
         attempt: task.attempt,
-        start_by: deadline,
+        workspace: task.workspace.clone(),
+        due: context.clock.now() + task.due,
+        deadline,
     };
     let asked = context.node.try_ask(|reply| Message::Start(call, reply));
     let Ticket::Wait(granted) = asked.await? else {
         return Ok(());
     };
     match timeout(context.clock.until(deadline), granted).await {
-        Ok(Ok(true)) => Ok(()),
-        Ok(_) => Err(Kind::TooLate.into()),
+        Ok(Ok(None)) => Ok(()),
+        Ok(Ok(Some(kind))) => Err(kind.into()),
+        Ok(Err(_)) => Err(Kind::Internal.into()),
         Err(_) => {
             let target = task.target.clone();
             context.node.tell(Message::Cancel(target, task.attempt));
@@ -112,6 +140,7 @@
 async fn sent(context: &Arc<Context>, task: Task, deadline: Millis) -> Report {
     let (sender, receiver) = oneshot::channel();
     let follower = context.clone();
+    let started = Instant::now();
     tokio::spawn(async move {
         let report = follow(&follower, &task, deadline).await;
         sender.send(report).ok();
@@ -119,7 +148,7 @@
     match timeout(context.clock.until(deadline), receiver).await {
         Ok(Ok(report)) => report,
         Ok(Err(_)) => Report::failed(Kind::Internal.into()),
-        Err(_) => Report::failed(Kind::DeadlinePassed.into()),
+        Err(_) => Report::cut(Kind::DeadlinePassed.into(), started),
     }
 }
 
@@ -165,7 +194,7 @@
         }
         Err(_) => (Err(Kind::DeadlinePassed.into()), Sign::Slow),
     };
-    let target_time = Millis(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+    let target_time = millis(started.elapsed());
     let load_percent = finish(context, task, sign).await;
     Report {
         result,
@@ -175,7 +204,7 @@
 }
 
 async fn call(grant: &Grant, task: &Task, left: Millis, context: &Context) -> target::Call {
-    let read = |node: &gooseberry_kernel::node::Node, _| node.book().fleet().max_answer_bytes;
+    let read = |node: &Node, _| node.book().fleet().max_answer_bytes;
     let max = context.node.look(read).await.unwrap_or_default();
     target::Call {
         kind: grant.pool.kind,
@@ -189,10 +218,10 @@
     }
 }
 
-async fn finish(context: &Arc<Context>, task: &Task, sign: Sign) -> u32 {
+async fn finish(context: &Arc<Context>, task: &Task, sign: Sign) -> Option<u32> {
     let target = task.target.clone();
     let message = |reply| Message::Finish(target, task.attempt, sign, task.digest, reply);
-    context.node.ask(message).await.unwrap_or_default()
+    context.node.ask(message).await.ok().flatten()
 }
 
 // Between daemons
@@ -219,7 +248,9 @@
         header::TARGET_MS,
         &report.target_time.to_string(),
     );
-    answer::set(&mut http, header::LOAD, &report.load_percent.to_string());
+    if let Some(percent) = report.load_percent {
+        answer::set(&mut http, header::LOAD, &percent.to_string());
+    }
     http
 }
 
@@ -233,9 +264,10 @@
         return Report::failed(Kind::NoOwner.into());
     }
     let limit = Duration::from_millis(task.timeout.0);
+    let started = Instant::now();
     match timeout(limit, exchange(context, request, task.attempt)).await {
         Ok(report) => report,
-        Err(_) => Report::failed(Kind::DeadlinePassed.into()),
+        Err(_) => Report::cut(Kind::DeadlinePassed.into(), started),
     }
 }
 
@@ -244,10 +276,11 @@
     request: Request<Full<Bytes>>,
     attempt: id::Attempt,
 ) -> Report {
+    let started = Instant::now();
     let response = match context.peers.send(request).await {
         Ok(response) => response,
         Err(error) if error.is_connect() => return Report::failed(Kind::NoOwner.into()),
-        Err(_) => return Report::failed(Failure::from(Kind::NoOwner).unknown()),
+        Err(_) => return Report::cut(Failure::from(Kind::NoOwner).unknown(), started),
     };
     let (head, body) = response.into_parts();
     if header::read(&head.headers, header::ATTEMPT) != Some(attempt) {
@@ -263,7 +296,7 @@
     Report {
         result,
         target_time: header::read(&head.headers, header::TARGET_MS).unwrap_or_default(),
-        load_percent: header::read(&head.headers, header::LOAD).unwrap_or_default(),
+        load_percent: header::read(&head.headers, header::LOAD),
     }
 }
 
@@ -273,6 +306,8 @@
     let label = header::text(headers, header::ERROR)?;
     let mut failure = Failure::from(label.parse().unwrap_or(Kind::Internal));
     failure.outcome = header::read(headers, header::OUTCOME).unwrap_or(Outcome::Unknown);
+    let retry_after = header::read(headers, header::RETRY_AFTER).map(Millis::from_secs);
+    failure.retry_after = retry_after.or(failure.retry_after);
     Some(failure)
 }
 
@@ -282,6 +317,7 @@
         attempt: header::read(headers, header::ATTEMPT)?,
         workspace: header::read(headers, header::WORKSPACE)?,
         digest: header::read(headers, header::DIGEST)?,
+        due: header::read(headers, header::DUE_MS)?,
         timeout: header::read(headers, header::TIMEOUT_MS)?,
         body: Bytes::new(),
     })
@@ -293,6 +329,7 @@
         .header(header::ATTEMPT, task.attempt.to_string())
         .header(header::WORKSPACE, task.workspace.as_str())
         .header(header::DIGEST, task.digest.to_string())
+        .header(header::DUE_MS, task.due.0)
         .header(header::TIMEOUT_MS, task.timeout.0)
         .body(Full::new(task.body.clone()))
         .ok()
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -20,8 +20,9 @@
 use hyper::body::Incoming;
 use tarpc::client;
 use tarpc::context;
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Bincode;
+
+use crate::control_stream;
+use crate::control_stream::Counters;
 
 /// How long a peer may take to answer a control message.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -50,6 +51,7 @@
     /// The control links, sorted by address.
     links: Mutex<Vec<Link>>,
     http: HttpClient,
+    counters: Counters,
     me: id::Instance,
     /// The peers that are cut off, which only fault injection sets.
     cuts: Mutex<Vec<Cut>>,
@@ -58,10 +60,11 @@
 impl Peers {
     /// Makes the connections of a daemon, none of them open yet.
     #[must_use]
-    pub fn new(me: id::Instance) -> Self {
+    pub fn new(me: id::Instance, counters: Counters) -> Self {
         Self {
             links: Mutex::default(),
             http: http_client::new(),
+            counters,
             me,
             cuts: Mutex::default(),
         }
@@ -117,7 +120,7 @@
         if let Some(client) = self.known(address) {
             return Ok(client);
         }
-        let connect = tcp::connect(address, Bincode::default);
+        let connect = control_stream::connect(address, self.counters.clone());
         let transport = tokio::time::timeout(CONTROL_TIMEOUT, connect).await??;
         let client = ControlClient::new(client::Config::default(), transport).spawn();
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/kernel/src/node_entry.rs
+++ b/crates/kernel/src/node_entry.rs
@@ -8,11 +8,15 @@
 use crate::hash;
 use crate::id;
 use crate::retry;
+use crate::retry::Denial;
+use crate::retry::Reason;
 use crate::roster::Entry;
 use crate::roster::Member;
-use crate::route;
 use crate::route::Ask;
+use crate::route::Reply;
+use crate::route::View;
 use crate::settings::Pipeline;
+use crate::settings::Policy;
 use crate::settings::Stage;
 use crate::settings::Workspace;
 use crate::tenure::Thing;
@@ -61,7 +65,12 @@
             pause: Millis,
         },
         /// Give the request up.
-        GiveUp(Failure),
+        GiveUp {
+            /// What the caller is told.
+            failure: Failure,
+            /// Why it is not tried again.
+            denial: retry::Denial,
+        },
     }
 }
 
@@ -95,11 +104,7 @@
         let workspace = found.clone();
         let pipeline = self.book.pipeline(&workspace, &arrival.pipeline);
         let pipeline = pipeline.ok_or(Kind::NoPipeline)?.clone();
-        if self.ward.holds(&arrival.digest, now) {
-            return Err(Kind::Quarantined.into());
-        }
-        let limit = usize::from(self.book.fleet().max_requests);
-        self.room.enter(&workspace.id, workspace.weight, limit)?;
+        self.enter(&workspace, arrival.digest, now)?;
         let timeout = arrival.timeout.unwrap_or(pipeline.deadline);
         let deadline = now + timeout.min(pipeline.deadline);
         Ok(Admission {
@@ -109,14 +114,39 @@
         })
     }
 
+    fn enter(
+        &mut self,
+        workspace: &Workspace,
+        digest: id::Digest,
+        now: Millis,
+    ) -> Result<(), Kind> {
+        let fleet = self.book.fleet();
+        let limit = usize::from(fleet.max_requests);
+        match fleet.policy {
+            Policy::Baseline => self.room.enter_unshared(&workspace.id, limit),
+            Policy::Adaptive if self.ward.holds(&digest, now) => Err(Kind::Quarantined),
+            Policy::Adaptive => self.room.enter(&workspace.id, workspace.weight, limit),
+        }
+    }
+
     /// Ends an admission.
     pub fn leave(&mut self, workspace: &id::Workspace) {
         self.room.leave(workspace);
     }
 
     /// Returns when a stage must be done, by its part of the remaining time.
+    ///
+    /// The baseline gives each stage all that remains.
     #[must_use]
-    pub fn stage_deadline(admission: &Admission, stage: usize, now: Millis) -> Millis {
+    pub fn stage_deadline(
+        admission: &Admission,
+        stage: usize,
+        policy: Policy,
+        now: Millis,
+    ) -> Millis {
+        if policy == Policy::Baseline {
+            return admission.deadline;
+        }
         let weights = |stages: &[Stage]| stages.iter().map(|one| u64::from(one.weight)).sum();
         let left: u64 = weights(&admission.pipeline.stages[stage..]);
         let mine: u64 = weights(&admission.pipeline.stages[stage..=stage]);
@@ -133,14 +163,30 @@
     /// Returns [`Kind::NoTarget`] if none may be given work, and
     /// [`Kind::NoOwner`] if the list names no owner.
     pub fn choose(&mut self, ask: &Ask, now: Millis) -> Result<Choice, Failure> {
+        let random = self.draw();
         let list = self.tenure.list().ok_or(Kind::NotReady)?;
+        self.index.update(list);
         let fleet = self.book.fleet();
-        let target = route::choose(list, fleet, &self.loads, ask, now).ok_or(Kind::NoTarget)?;
+        let view = View {
+            list,
+            index: &self.index,
+            fleet,
+            pool: self.book.pool(&ask.pool).ok_or(Kind::NoTarget)?,
+            loads: &self.loads,
+            domain: &self.me.domain,
+        };
+        let target = match fleet.policy {
+            Policy::Adaptive => view.choose(ask, random, now),
+            Policy::Baseline => view.choose_any(ask, random),
+        };
+        let target = target.ok_or(Kind::NoTarget)?;
         let owner = list.owner_of_target(target).ok_or(Kind::NoOwner)?;
-        Ok(Choice {
+        let choice = Choice {
             target: target.clone(),
             owner: owner.clone(),
-        })
+        };
+        self.loads.note_sent(&choice.target.id, now);
+        Ok(choice)
     }
 
     /// Returns the hash by which a stage's target is chosen.
@@ -154,9 +200,9 @@
         self.budget.earn();
     }
 
-    /// Notes the load that a reply carried, in calls for each hundred places.
-    pub fn note_load(&mut self, target: &id::Target, percent: u32, now: Millis) {
-        self.loads.note(target, percent, now);
+    /// Notes what an attempt has shown about its target.
+    pub fn note_reply(&mut self, reply: &Reply, now: Millis) {
+        self.loads.note(reply, now);
     }
 
     /// Decides what follows a failed attempt.
@@ -167,15 +213,33 @@
         deadline: Millis,
         now: Millis,
     ) -> Step {
-        let Some(reason) = retry::reason(failure, bounds) else {
-            return Step::GiveUp(failure.clone());
+        let decided = match self.book.fleet().policy {
+            Policy::Baseline => baseline_retry(failure, bounds),
+            Policy::Adaptive => self.retry(failure, bounds),
         };
-        let random = self.draw();
-        let pause = retry::pause(bounds.made, random);
-        if now + pause >= deadline || !self.budget.spend() {
-            return Step::GiveUp(failure.clone());
+        match decided {
+            Ok((_, pause)) if now + pause >= deadline => Step::GiveUp {
+                failure: failure.clone(),
+                denial: Denial::Time,
+            },
+            Ok((reason, pause)) => Step::Again { reason, pause },
+            Err(denial) => Step::GiveUp {
+                failure: failure.clone(),
+                denial,
+            },
         }
-        Step::Again { reason, pause }
+    }
+
+    fn retry(
+        &mut self,
+        failure: &Failure,
+        bounds: retry::Bounds,
+    ) -> Result<(Reason, Millis), Denial> {
+        let reason = retry::reason(failure, bounds)?;
+        if !self.budget.spend(reason, failure.outcome) {
+            return Err(Denial::Budget);
+        }
+        Ok((reason, retry::pause(bounds.rounds, self.draw())))
     }
 
     /// Names the daemon that owns a key.
@@ -189,3 +253,14 @@
         Ok(member.clone())
     }
 }
+
+/// Decides about a retry as the baseline does: at most two of them, at once,
+/// where a second run does no harm.
+fn baseline_retry(failure: &Failure, bounds: retry::Bounds) -> Result<(Reason, Millis), Denial> {
+    let attempts = 1 + retry::BASELINE_RETRIES;
+    let reason = retry::reason(failure, retry::Bounds { attempts, ..bounds })?;
+    if bounds.rounds >= attempts {
+        return Err(Denial::Attempts);
+    }
+    Ok((reason, Millis::ZERO))
+}
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -4,11 +4,16 @@
 //! its place until the target has answered or the longest call has passed,
 //! also when the caller has given up, since the target may still be at work.
 
+use crate::answer::Failure;
 use crate::answer::Kind;
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::id;
+use crate::queue::Order;
+use crate::queue::Queue;
+use crate::settings::Policy;
 use crate::settings::Pool;
+use crate::warmth::Evidence;
 use crate::warmth::Sign;
 use crate::warmth::Warmth;
 
@@ -19,8 +24,12 @@
         pub target: id::Target,
         /// The attempt that it is.
         pub attempt: id::Attempt,
-        /// The latest moment at which it may start.
-        pub start_by: Millis,
+        /// The workspace that it serves.
+        pub workspace: id::Workspace,
+        /// When its answer is late.
+        pub due: Millis,
+        /// When its answer is of no use any more; not before it is due.
+        pub deadline: Millis,
     }
 
     /// What becomes of a call.
@@ -30,7 +39,7 @@
         /// It waits for a place.
         Queued,
         /// It is refused, and was not run.
-        Refused(Kind),
+        Refused(Failure),
     }
 
     /// A call that was waiting and now has a place, or has waited too long.
@@ -39,14 +48,26 @@
         pub target: id::Target,
         /// The call.
         pub attempt: id::Attempt,
-        /// Whether it may be sent; otherwise it waited too long.
-        pub is_granted: bool,
+        /// Why it is refused; `None` if it may be sent.
+        pub refusal: Option<Kind>,
     }
 }
 
+/// The rules by which the places of a target are counted.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms<'a> {
+    /// The pool of the target.
+    pub pool: &'a Pool,
+    /// How the daemons decide.
+    pub policy: Policy,
+    /// Which waiting call comes next.
+    pub order: Order,
+}
+
 #[derive(Clone, Debug)]
 struct Sent {
     attempt: id::Attempt,
+    at: Millis,
     /// When the target must have let go of the call.
     ends_by: Millis,
 }
@@ -55,63 +76,140 @@
 struct Place {
     target: id::Target,
     warmth: Warmth,
+    /// When the owner's right to the target was last found to hold.
+    held_at: Millis,
     /// Until when calls of a former owner may be running, which fill it.
     full_until: Millis,
     sent: Vec<Sent>,
-    queue: Vec<Call>,
+    queue: Queue,
 }
 
 /// The places of all targets that a daemon owns.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     places: Vec<Place>,
+    /// How often a send has raised a target above its limit.
+    overruns: usize,
+    /// The calls that had to give way, until the driver takes them.
+    wakes: Vec<Wake>,
 }
 
 impl Table {
-    /// Asks for a place for the call.
+    /// Asks for a place for the call of a workspace of the weight.
     ///
     /// `since` is when the owner's tenure over the target began: until the
     /// longest call has passed from then, calls of a former owner may run.
-    pub fn start(&mut self, call: &Call, pool: &Pool, since: Millis, now: Millis) -> Start {
-        let place = self.place(&call.target, pool, since);
+    pub fn start(
+        &mut self,
+        call: &Call,
+        weight: u16,
+        terms: Terms<'_>,
+        since: Millis,
+        now: Millis,
+    ) -> Start {
+        let index = self.place(&call.target, terms.pool, since, now);
+        let place = &mut self.places[index];
         place.sent.retain(|sent| sent.ends_by > now);
-        if place.queue.is_empty() && place.has_room(now) {
-            place.send(call.attempt, pool, now);
+        if place.queue.is_empty() && place.has_room(terms, now) {
+            self.overruns += usize::from(!place.send(call.attempt, terms, now));
             return Start::Go;
         }
-        if place.queue.len() >= usize::from(pool.queue_limit) {
-            return Start::Refused(Kind::QueueFull);
+        if let Err(failure) = place.judge(call, weight, terms, now) {
+            return Start::Refused(failure);
         }
-        if call.start_by <= now {
-            return Start::Refused(Kind::TooLate);
+        if place.queue.len() >= usize::from(terms.pool.queue_limit) {
+            match place.give_way(call, weight, terms, now) {
+                Some(victim) => self.wakes.extend(refused(vec![victim], Kind::QueueFull)),
+                None => return Start::Refused(place.full(call, weight, terms, now)),
+            }
         }
-        place.queue.push(call.clone());
+        place.queue.push(call.clone(), weight);
         Start::Queued
     }
 
+    /// Takes the wakes of calls that had to give way to others.
+    #[must_use]
+    pub fn take_wakes(&mut self) -> Vec<Wake> {
+        std::mem::take(&mut self.wakes)
+    }
+
     /// Notes that the target has let go of a call, and what the call showed.
     pub fn finish(
         &mut self,
         target: &id::Target,
         attempt: id::Attempt,
         sign: Sign,
-        pool: &Pool,
+        terms: Terms<'_>,
         now: Millis,
     ) -> Vec<Wake> {
         let Ok(index) = self.find(target) else {
             return Vec::new();
         };
         let place = &mut self.places[index];
+        place.learn(attempt, sign, terms.pool, now);
+        let (wakes, overruns) = place.wake(terms, now);
+        self.overruns += overruns;
+        wakes
+    }
+
+    /// Confirms a call's place directly before the call is sent.
+    ///
+    /// The place may be gone or above the limit by now, if the process was
+    /// paused or the target turned cold since it was given. Otherwise the time
+    /// in which the target must let go of the call begins now.
+    ///
+    /// # Errors
+    /// Returns the kind with which the call is refused; its place is free.
+    pub fn confirm(
+        &mut self,
+        target: &id::Target,
+        attempt: id::Attempt,
+        terms: Terms<'_>,
+        now: Millis,
+    ) -> Result<(), Kind> {
+        let index = self.find(target).map_err(|_| Kind::NoRight)?;
+        let place = &mut self.places[index];
+        place.sent.retain(|sent| sent.ends_by > now);
+        let limit = usize::from(place.limit(terms, now));
+        let found = place.sent.iter_mut().find(|sent| sent.attempt == attempt);
+        let sent = found.ok_or(Kind::QueueFull)?;
+        sent.at = now;
+        sent.ends_by = now + terms.pool.longest_call;
+        if place.sent.len() <= limit {
+            return Ok(());
+        }
         place.sent.retain(|sent| sent.attempt != attempt);
-        place.warmth.note(sign, pool);
-        place.wake(pool, now)
+        Err(Kind::QueueFull)
+    }
+
+    /// Ends the wait of a new owner, since the former one has handed over.
+    ///
+    /// `running` tells of each call that the former owner has at the target
+    /// how long it may last still.
+    pub fn take_over(
+        &mut self,
+        target: &id::Target,
+        running: &[(id::Attempt, Millis)],
+        pool: &Pool,
+        since: Millis,
+        now: Millis,
+    ) {
+        let index = self.place(target, pool, since, now);
+        let place = &mut self.places[index];
+        place.full_until = now;
+        let sent = running.iter().map(|&(attempt, left)| Sent {
+            attempt,
+            at: now,
+            ends_by: now + left,
+        });
+        place.sent.extend(sent);
     }
 
     /// Takes a call out of the queue, when its caller has gone.
     pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
         if let Ok(index) = self.find(target) {
             let place = &mut self.places[index];
-            place.queue.retain(|call| call.attempt != attempt);
+            place.queue.remove(attempt);
         }
     }
 
@@ -125,39 +223,64 @@
 
     /// Wakes what can start now and what has waited too long.
     ///
-    /// `pool_of` returns `None` if the target is not to be given work.
+    /// `terms_of` returns the reason if the target is not to be given work.
     pub fn tick<'a>(
         &mut self,
         now: Millis,
-        pool_of: impl Fn(&id::Target) -> Option<&'a Pool>,
+        terms_of: impl Fn(&id::Target) -> Result<Terms<'a>, Kind>,
     ) -> Vec<Wake> {
-        let mut wakes = Vec::new();
+        let mut wakes = self.take_wakes();
         for place in &mut self.places {
-            match pool_of(&place.target) {
-                Some(pool) => wakes.extend(place.wake(pool, now)),
-                None => wakes.extend(place.turn_away()),
+            match terms_of(&place.target) {
+                Ok(terms) => {
+                    place.held_at = now;
+                    let (woken, overruns) = place.wake(terms, now);
+                    wakes.extend(woken);
+                    self.overruns += overruns;
+                }
+                Err(kind) => wakes.extend(place.turn_away(kind, now)),
             }
         }
         let is_kept = |place: &Place| {
-            !place.sent.is_empty() || !place.queue.is_empty() || pool_of(&place.target).is_some()
+            !place.sent.is_empty() || !place.queue.is_empty() || terms_of(&place.target).is_ok()
         };
         self.places.retain(is_kept);
         wakes
     }
 
-    /// Forgets what a target bears, when its right was lost and regained.
-    pub fn forget(&mut self, target: &id::Target) {
-        if let Ok(index) = self.find(target) {
-            self.places.remove(index);
-        }
-    }
-
-    /// Returns the calls in flight and the limit of a target.
+    /// Returns the calls at and before a target, and its limit.
+    ///
+    /// A target that waits for the calls of a former owner counts as full.
     #[must_use]
-    pub fn load(&self, target: &id::Target) -> Option<(usize, u16)> {
+    pub fn load(&self, target: &id::Target, terms: Terms<'_>, now: Millis) -> Option<(usize, u16)> {
         let index = self.find(target).ok()?;
         let place = &self.places[index];
-        Some((place.sent.len(), place.warmth.limit()))
+        let limit = place.limit(terms, now);
+        let sent = if place.is_waiting(terms, now) {
+            usize::from(limit)
+        } else {
+            place.sent.len()
+        };
+        Some((sent + place.queue.len(), limit))
+    }
+
+    /// Returns the calls that a target has, and how long each may last still.
+    #[must_use]
+    pub fn running(&self, target: &id::Target, now: Millis) -> Vec<(id::Attempt, Millis)> {
+        let Ok(index) = self.find(target) else {
+            return Vec::new();
+        };
+        let sent = self.places[index].sent.iter();
+        let sent = sent.filter(|sent| sent.ends_by > now);
+        sent.map(|sent| (sent.attempt, sent.ends_by - now))
+            .collect()
+    }
+
+    /// Returns how often a send has raised a target above its limit; any is a
+    /// fault of the program.
+    #[must_use]
+    pub fn overruns(&self) -> usize {
+        self.overruns
     }
 
     /// Returns the calls in flight over all targets.
@@ -176,65 +299,185 @@
         self.places.binary_search_by(|one| one.target.cmp(target))
     }
 
-    fn place(&mut self, target: &id::Target, pool: &Pool, since: Millis) -> &mut Place {
+    /// Finds the place of a target, as of the tenure that began at `since`.
+    ///
+    /// Between two tenures another daemon may have sent the target calls, so
+    /// what was known of it counts no more, but for the calls in flight.
+    fn place(&mut self, target: &id::Target, pool: &Pool, since: Millis, now: Millis) -> usize {
         let index = self.find(target).unwrap_or_else(|index| {
-            let place = Place {
-                target: target.clone(),
-                warmth: Warmth::new(pool),
-                full_until: since + pool.longest_call,
-                sent: Vec::new(),
-                queue: Vec::new(),
-            };
+            let place = Place::new(target.clone(), pool, since);
             self.places.insert(index, place);
             index
         });
-        &mut self.places[index]
+        let place = &mut self.places[index];
+        if since > place.held_at {
+            let fresh = Place::new(target.clone(), pool, since);
+            let former = std::mem::replace(place, fresh);
+            place.sent = former.sent;
+            place.queue = former.queue;
+        }
+        place.held_at = place.held_at.max(now);
+        index
     }
 }
 
 impl Place {
-    fn has_room(&self, now: Millis) -> bool {
-        now >= self.full_until && self.sent.len() < usize::from(self.warmth.limit())
+    fn new(target: id::Target, pool: &Pool, since: Millis) -> Self {
+        Self {
+            target,
+            warmth: Warmth::new(pool),
+            held_at: since,
+            full_until: since + pool.longest_call,
+            sent: Vec::new(),
+            queue: Queue::default(),
+        }
+    }
+
+    /// Returns how many calls the target may have at a time.
+    fn limit(&self, terms: Terms<'_>, now: Millis) -> u16 {
+        let oldest = self.sent.iter().map(|sent| sent.at).min();
+        match terms.policy {
+            Policy::Adaptive => self.warmth.limit(terms.pool, oldest, now),
+            Policy::Baseline => terms.pool.warm_limit,
+        }
+    }
+
+    /// Tells whether calls of a former owner may still be running.
+    fn is_waiting(&self, terms: Terms<'_>, now: Millis) -> bool {
+        terms.policy == Policy::Adaptive && now < self.full_until
+    }
+
+    fn has_room(&self, terms: Terms<'_>, now: Millis) -> bool {
+        let limit = usize::from(self.limit(terms, now));
+        !self.is_waiting(terms, now) && self.sent.len() < limit
     }
 
-    fn send(&mut self, attempt: id::Attempt, pool: &Pool, now: Millis) {
-        debug_assert!(self.sent.len() < usize::from(self.warmth.limit()));
+    /// Lets go of a call, and takes in what it has shown.
+    fn learn(&mut self, attempt: id::Attempt, sign: Sign, pool: &Pool, now: Millis) {
+        let found = self.sent.iter().position(|sent| sent.attempt == attempt);
+        // A call that has lost its place by time was sent that long ago.
+        let oldest = now - pool.longest_call;
+        let evidence = Evidence {
+            sign,
+            sent_at: found.map_or(oldest, |index| self.sent[index].at),
+            in_flight: self.sent.len(),
+        };
+        self.sent.retain(|sent| sent.attempt != attempt);
+        self.warmth.note(evidence, pool, now);
+    }
+
+    /// Takes a place, and tells whether the target is within its limit.
+    fn send(&mut self, attempt: id::Attempt, terms: Terms<'_>, now: Millis) -> bool {
         self.sent.push(Sent {
             attempt,
-            ends_by: now + pool.longest_call,
+            at: now,
+            ends_by: now + terms.pool.longest_call,
         });
+        self.sent.len() <= usize::from(self.limit(terms, now))
     }
 
-    fn wake(&mut self, pool: &Pool, now: Millis) -> Vec<Wake> {
+    /// Wakes calls, and returns with them how many sends were above the limit.
+    fn wake(&mut self, terms: Terms<'_>, now: Millis) -> (Vec<Wake>, usize) {
         let mut wakes = Vec::new();
+        let mut overruns = 0;
         self.sent.retain(|sent| sent.ends_by > now);
-        let (waiting, expired) = std::mem::take(&mut self.queue)
-            .into_iter()
-            .partition(|call| call.start_by > now);
-        self.queue = waiting;
-        wakes.extend(refused(expired, &self.target));
-        while !self.queue.is_empty() && self.has_room(now) {
-            let call = self.queue.remove(0);
-            self.send(call.attempt, pool, now);
+        wakes.extend(refused(self.hopeless(terms, now), Kind::TooLate));
+        while self.has_room(terms, now) {
+            let next = match terms.policy {
+                Policy::Adaptive => self.queue.pop(terms.order, now),
+                Policy::Baseline => self.queue.pop_first(),
+            };
+            let Some(call) = next else { break };
+            overruns += usize::from(!self.send(call.attempt, terms, now));
             wakes.push(Wake {
                 target: self.target.clone(),
                 attempt: call.attempt,
-                is_granted: true,
+                refusal: None,
             });
         }
-        wakes
+        (wakes, overruns)
     }
 
-    fn turn_away(&mut self) -> Vec<Wake> {
-        refused(std::mem::take(&mut self.queue), &self.target)
+    /// Takes out the calls that can no longer be answered in time.
+    ///
+    /// While the target has nothing to do they are only given up when their
+    /// time has passed, since the measured latency may be out of date.
+    fn hopeless(&mut self, terms: Terms<'_>, now: Millis) -> Vec<Call> {
+        let is_judged = terms.policy == Policy::Adaptive && !self.sent.is_empty();
+        let latency = if is_judged {
+            self.warmth.latency()
+        } else {
+            Millis::ZERO
+        };
+        self.queue.take_where(|call| call.deadline <= now + latency)
+    }
+
+    /// Refuses a call that must wait and cannot be answered in time.
+    fn judge(
+        &self,
+        call: &Call,
+        weight: u16,
+        terms: Terms<'_>,
+        now: Millis,
+    ) -> Result<(), Failure> {
+        if call.deadline <= now {
+            return Err(Kind::TooLate.into());
+        }
+        let is_waiting = self.is_waiting(terms, now);
+        if terms.policy == Policy::Baseline || (self.sent.is_empty() && !is_waiting) {
+            return Ok(());
+        }
+        let start = now + self.wait(call, weight, terms, now);
+        if start + self.warmth.latency() < call.deadline {
+            Ok(())
+        } else {
+            Err(self.full(call, weight, terms, now))
+        }
+    }
+
+    /// Returns the refusal of a call that finds too much before it.
+    fn full(&self, call: &Call, weight: u16, terms: Terms<'_>, now: Millis) -> Failure {
+        let wait = self.wait(call, weight, terms, now);
+        Failure::from(Kind::QueueFull).retry_after(wait)
+    }
+
+    /// Returns how long a new call would wait for its place.
+    fn wait(&self, call: &Call, weight: u16, terms: Terms<'_>, now: Millis) -> Millis {
+        let ahead = self.queue.ahead(&call.workspace, weight) + 1;
+        let limit = u64::from(self.limit(terms, now)).max(1);
+        let turns = Millis(self.warmth.latency().0 * ahead / limit);
+        if self.is_waiting(terms, now) {
+            turns + (self.full_until - now)
+        } else {
+            turns
+        }
+    }
+
+    fn give_way(
+        &mut self,
+        call: &Call,
+        weight: u16,
+        terms: Terms<'_>,
+        now: Millis,
+    ) -> Option<Call> {
+        match terms.policy {
+            Policy::Adaptive => self.queue.give_way(call, weight, now),
+            Policy::Baseline => None,
+        }
+    }
+
+    /// Refuses what waits, since the target is not to be given work.
+    fn turn_away(&mut self, kind: Kind, now: Millis) -> Vec<Wake> {
+        self.sent.retain(|sent| sent.ends_by > now);
+        refused(self.queue.take_where(|_| true), kind)
     }
 }
 
-fn refused(calls: Vec<Call>, target: &id::Target) -> Vec<Wake> {
+fn refused(calls: Vec<Call>, kind: Kind) -> Vec<Wake> {
     let refuse = |call: Call| Wake {
-        target: target.clone(),
+        target: call.target,
         attempt: call.attempt,
-        is_granted: false,
+        refusal: Some(kind),
     };
     calls.into_iter().map(refuse).collect()
 }
--- a/crates/wire/src/operators.rs
+++ b/crates/wire/src/operators.rs
@@ -138,20 +138,20 @@
             requests: node.requests(),
             calls_in_flight: node.slots().in_flight(),
             calls_queued: node.slots().queued(),
-            owned: owned(node),
+            owned: owned(node, now),
             refused_documents: refused(node),
         }
     }
 }
 
-fn owned(node: &Node) -> Vec<Owned> {
+fn owned(node: &Node, now: Millis) -> Vec<Owned> {
     let Some(list) = node.tenure().list() else {
         return Vec::new();
     };
     let me = node.identity();
     let mut found = Vec::new();
     for entry in &list.targets {
-        let places = node.slots().load(&entry.id);
+        let places = node.places(&entry.id, now);
         // Finding an owner takes time, and few targets of other failure
         // domains have theirs here: none but those it was sent calls for count.
         if entry.domain != me.domain && places.is_none() {
