--- a/crates/daemon/tests/process/results.rs
+++ b/crates/daemon/tests/process/results.rs
@@ -1,10 +1,22 @@
 //! Each caller gets the whole answer to its own request.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::future::join_all;
+use gooseberry_kernel::settings::Kind;
+use gooseberry_standin::platform;
+use gooseberry_standin::target;
 use gooseberry_standin::target::Fault;
 use gooseberry_standin::target::Plan;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 use crate::fleet::Call;
 use crate::fleet::FLEET;
@@ -131,3 +143,70 @@
     }
     fleet.assert_invariants();
 }
+
+#[tokio::test]
+async fn a_doubled_answer_is_not_the_answer_to_the_next_request() {
+    let fleet = start().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let twice = Arc::new(AtomicUsize::new(0));
+    let count = twice.clone();
+    let doubling = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_twice(stream, count.clone()));
+        }
+    });
+    let entry = platform::live_target("ledger-twice", "desk.ledger", "a", address);
+    fleet.platform.add_targets(vec![entry]);
+    fleet.settled().await;
+    let reads = |number| Call::new("read", format!("r-{number}"));
+    let fault = async { tokio::time::sleep(Duration::from_secs(2)).await };
+    let sent = storm::steady(&fleet, 24, reads, fault).await;
+    for one in &sent {
+        let told = one.result.as_ref().unwrap();
+        // Whoever is turned away is not given the answer of another one.
+        if told.status == 200 {
+            assert_eq!(told.body, one.call.expected(), "{:?}", one.call);
+        }
+    }
+    assert!(twice.load(Ordering::Relaxed) > 10);
+    doubling.abort();
+}
+
+/// Answers each request of a connection, and a moment later once more.
+async fn answer_twice(stream: TcpStream, count: Arc<AtomicUsize>) {
+    let mut stream = BufReader::new(stream);
+    loop {
+        let (mut attempt, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            if stream.read_line(&mut line).await.unwrap_or(0) == 0 {
+                return;
+            }
+            match line.trim_end().split_once(": ") {
+                Some(("gooseberry-attempt", value)) => value.clone_into(&mut attempt),
+                Some(("content-length", value)) => length = value.parse().unwrap(),
+                None if line.trim_end().is_empty() => break,
+                Some(_) | None => {}
+            }
+        }
+        let mut body = vec![0; length];
+        if stream.read_exact(&mut body).await.is_err() {
+            return;
+        }
+        let body = target::output(Kind::Service, &body);
+        let length = body.len();
+        let mut answer = format!(
+            "HTTP/1.1 200 OK\r\ngooseberry-attempt: {attempt}\r\ncontent-length: {length}\r\n\r\n"
+        )
+        .into_bytes();
+        answer.extend(body);
+        for _ in 0..2 {
+            if stream.write_all(&answer).await.is_err() {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
