Catch two owners of a cold target in the process tests

Cause: the mutation that takes out the majority passed, since a daemon that was cut off from its peers still read the platform, and the next owner had hardly begun. Change: a cut daemon loses the platform as well, the cut lasts 5 s, 60 callers.

--- a/crates/daemon/tests/process/at_most_once.rs
+++ b/crates/daemon/tests/process/at_most_once.rs
@@ -23,7 +23,7 @@
         work: Duration::from_millis(30),
         ..Plan::default()
     };
-    let fleet = Fleet::start(LONG_HORIZON, plan).await;
+    let fleet = Fleet::behind_doors(LONG_HORIZON, plan).await;
     fleet.warm_up().await;
     fleet
 }
--- a/crates/daemon/tests/process/cold_limit.rs
+++ b/crates/daemon/tests/process/cold_limit.rs
@@ -28,7 +28,7 @@
     };
     // A call outlasts the wait of a new owner, so the places must be counted.
     let document = FLEET.replace("\"freshness_ms\": 800", "\"freshness_ms\": 500");
-    Fleet::start(&document, plan).await
+    Fleet::behind_doors(&document, plan).await
 }
 
 fn check(fleet: &Fleet) {
@@ -94,12 +94,13 @@
         fleet.platform.remove_instance("entry-1");
         let fault = platform::Fault::Contradicting(Box::new(old));
         fleet.platform.set_fault(fault);
-        pause(3000).await;
+        // Long enough that the next owner sends, while this one still has work.
+        pause(5000).await;
         fleet.heal().await;
         fleet.platform.add_instance(fleet.daemons[0].listed());
         pause(2000).await;
     };
-    storm::steady(&fleet, 30, read, fault).await;
+    storm::steady(&fleet, 60, read, fault).await;
     check(&fleet);
 }
 
--- a/crates/daemon/tests/process/fleet.rs
+++ b/crates/daemon/tests/process/fleet.rs
@@ -220,8 +220,12 @@
         self.daemons.iter().position(is_owner).unwrap()
     }
 
-    /// Cuts a daemon off from every other one, in both directions.
+    /// Cuts a daemon off from every other one, in both directions, and from
+    /// the platform if it has an address of its own.
     pub async fn cut_off(&self, index: usize) {
+        if let Some(door) = self.doors.get(index) {
+            door.set_fault(platform::Fault::Down);
+        }
         let others = self
             .daemons
             .iter()
@@ -237,6 +241,9 @@
 
     /// Ends every cut.
     pub async fn heal(&self) {
+        for door in &self.doors {
+            door.set_fault(platform::Fault::None);
+        }
         for index in 0..self.daemons.len() {
             self.cut(index, &[]).await;
         }
