--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -15,6 +15,7 @@
 //!   it bears and who waits for it.
 //! - [`admission`], [`retry`] and [`quarantine`] keep load and faults in bounds.
 //! - [`once`] runs a non-idempotent request at most once.
+//! - [`handover`] gives targets and keys to the next owner at a shutdown.
 //! - [`answer`] is the closed list of ways in which a request can fail.
 //!
 //! # Example
@@ -43,6 +44,7 @@
 pub mod clock;
 pub mod cost;
 pub mod drain;
+pub mod handover;
 pub mod hash;
 pub mod id;
 pub mod node;
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -165,14 +165,20 @@
         target: &id::Target,
         attempt: id::Attempt,
         terms: Terms<'_>,
+        since: Millis,
         now: Millis,
     ) -> Result<(), Kind> {
-        let index = self.find(target).map_err(|_| Kind::NoRight)?;
+        let index = self.place(target, terms.pool, since, now);
         let place = &mut self.places[index];
         place.sent.retain(|sent| sent.ends_by > now);
         let limit = usize::from(place.limit(terms, now));
-        let found = place.sent.iter_mut().find(|sent| sent.attempt == attempt);
-        let sent = found.ok_or(Kind::QueueFull)?;
+        let is_waiting = place.is_waiting(terms, now);
+        // A place counts under the tenure in which it was given.
+        let found = place
+            .sent
+            .iter_mut()
+            .find(|sent| sent.attempt == attempt && sent.at >= since && !is_waiting);
+        let sent = found.ok_or(Kind::NoRight)?;
         sent.at = now;
         sent.ends_by = now + terms.pool.longest_call;
         if place.sent.len() <= limit {
@@ -223,17 +229,18 @@
 
     /// Wakes what can start now and what has waited too long.
     ///
-    /// `terms_of` returns the reason if the target is not to be given work.
+    /// `terms_of` returns the terms and when the tenure over the target began,
+    /// or the reason if it is not to be given work.
     pub fn tick<'a>(
         &mut self,
         now: Millis,
-        terms_of: impl Fn(&id::Target) -> Result<Terms<'a>, Kind>,
+        terms_of: impl Fn(&id::Target) -> Result<(Terms<'a>, Millis), Kind>,
     ) -> Vec<Wake> {
         let mut wakes = self.take_wakes();
         for place in &mut self.places {
             match terms_of(&place.target) {
-                Ok(terms) => {
-                    place.held_at = now;
+                Ok((terms, since)) => {
+                    place.renew(terms.pool, since, now);
                     let (woken, overruns) = place.wake(terms, now);
                     wakes.extend(woken);
                     self.overruns += overruns;
@@ -283,6 +290,16 @@
         self.overruns
     }
 
+    /// Returns the targets that may have calls, of this owner or a former one.
+    #[must_use]
+    pub fn busy(&self, now: Millis) -> Vec<id::Target> {
+        let is_busy = |place: &&Place| {
+            now < place.full_until || place.sent.iter().any(|sent| sent.ends_by > now)
+        };
+        let busy = self.places.iter().filter(is_busy);
+        busy.map(|place| place.target.clone()).collect()
+    }
+
     /// Returns the calls in flight over all targets.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -300,23 +317,13 @@
     }
 
     /// Finds the place of a target, as of the tenure that began at `since`.
-    ///
-    /// Between two tenures another daemon may have sent the target calls, so
-    /// what was known of it counts no more, but for the calls in flight.
     fn place(&mut self, target: &id::Target, pool: &Pool, since: Millis, now: Millis) -> usize {
         let index = self.find(target).unwrap_or_else(|index| {
             let place = Place::new(target.clone(), pool, since);
             self.places.insert(index, place);
             index
         });
-        let place = &mut self.places[index];
-        if since > place.held_at {
-            let fresh = Place::new(target.clone(), pool, since);
-            let former = std::mem::replace(place, fresh);
-            place.sent = former.sent;
-            place.queue = former.queue;
-        }
-        place.held_at = place.held_at.max(now);
+        self.places[index].renew(pool, since, now);
         index
     }
 }
@@ -333,6 +340,20 @@
         }
     }
 
+    /// Notes that the right holds, in a tenure that began at `since`.
+    ///
+    /// Between two tenures another daemon may have sent the target calls, so
+    /// what was known of it counts no more, but for the calls in flight.
+    fn renew(&mut self, pool: &Pool, since: Millis, now: Millis) {
+        if since > self.held_at {
+            let fresh = Self::new(self.target.clone(), pool, since);
+            let former = std::mem::replace(self, fresh);
+            self.sent = former.sent;
+            self.queue = former.queue;
+        }
+        self.held_at = self.held_at.max(now);
+    }
+
     /// Returns how many calls the target may have at a time.
     fn limit(&self, terms: Terms<'_>, now: Millis) -> u16 {
         let oldest = self.sent.iter().map(|sent| sent.at).min();
--- a/crates/wire/src/operators.rs
+++ b/crates/wire/src/operators.rs
@@ -82,7 +82,8 @@
 pub struct Holder {
     /// The owner by the list.
     pub owner: Option<CompactString>,
-    /// Whether its right holds: held, no-majority, waiting, elsewhere, nobody.
+    /// Whether its right holds: held, no-majority, waiting, unconfirmed,
+    /// no-past, given-up, elsewhere, nobody.
     pub right: String,
 }
 
