--- a/crates/daemon/src/reader.rs
+++ b/crates/daemon/src/reader.rs
@@ -12,13 +12,8 @@
 use crate::context::Context;
 
 /// How long the platform may hold a watch before it says that nothing is new.
-<<<<<<< HEAD
-const WAIT: Millis = Millis(2000);
-/// How long to wait after the platform failed, or served an old state at once.
-=======
 const WAIT: Millis = Millis(1000);
-/// How long to wait after the platform failed.
->>>>>>> main
+/// How long to wait after the platform failed, or served an old state at once.
 const PAUSE: Duration = Duration::from_millis(200);
 /// How often a daemon that is not a reader looks whether it has become one.
 const IDLE: Duration = Duration::from_millis(200);
@@ -64,14 +59,10 @@
         .await?;
     let asked_at = context.clock.now();
     let list = context.platform.list(after, WAIT).await?;
-<<<<<<< HEAD
     if let Some(old) = list.as_ref().filter(|list| list.revision <= after) {
         bail!("it serves the old list {}", old.revision.0);
     }
-    context.node.tell(Message::ReadList(list));
-=======
     context.node.tell(Message::ReadList(list, asked_at));
->>>>>>> main
     Ok(())
 }
 
@@ -79,13 +70,9 @@
     let after = context.node.look(|node, _| node.book().revision()).await?;
     let asked_at = context.clock.now();
     let tree = context.platform.settings(after, WAIT).await?;
-<<<<<<< HEAD
     if let Some(old) = tree.as_ref().filter(|tree| tree.revision <= after) {
         bail!("it serves the old settings {}", old.revision.0);
     }
-    context.node.tell(Message::ReadSettings(tree));
-=======
     context.node.tell(Message::ReadSettings(tree, asked_at));
->>>>>>> main
     Ok(())
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -331,24 +331,6 @@
 ) -> Option<T> {
     let fault = shared.fault(door);
     let inner = shared.lock();
-<<<<<<< HEAD
-    let published = (&inner.list, &inner.settings, false);
-    let (list, settings, is_old) = match &fault {
-        Fault::Down => return Some(Reply::Break),
-        Fault::Stale(old) => (&old.0, &old.1, true),
-        Fault::Contradicting(old) if call.is_multiple_of(2) => (&old.0, &old.1, true),
-        Fault::Lagging(old) => (&**old, &inner.settings, true),
-        Fault::None | Fault::Slow(_) | Fault::Contradicting(_) => published,
-    };
-    // A service that lost the newest state knows nothing of what it told, so
-    // it takes the asker for the one that is behind.
-    let is_due = |revision: u64| revision > after || (is_old && revision < after);
-    match path {
-        "/v1/list" => is_due(list.revision).then(|| json(list)),
-        "/v1/settings" => is_due(settings.revision).then(|| json(settings)),
-        _ => Some(server::answer(404, &[], "")),
-    }
-=======
     let published = (&inner.list, &inner.settings);
     let (list, settings) = match &fault {
         Fault::Down => return None,
@@ -358,7 +340,6 @@
         Fault::None | Fault::Slow(_) | Fault::Contradicting(_) => published,
     };
     Some(read(list, settings))
->>>>>>> main
 }
 
 fn json(value: &impl serde::Serialize) -> Reply {
