--- a/crates/kernel/src/node_explain.rs
+++ b/crates/kernel/src/node_explain.rs
@@ -16,6 +16,7 @@
 use crate::route;
 use crate::route::Ask;
 use crate::route::Out;
+use crate::settings::Pipeline;
 use crate::settings::Stage;
 use crate::settings::Workspace;
 use crate::tenure::Rest;
@@ -76,8 +77,11 @@
         /// Why it is given no work, if there is a reason.
         pub out: Option<Out>,
         /// Its rank by the prompt prefix, from one. Only the first stage has
-        /// one: the input of a later stage is not known before it runs.
+        /// one, and only in a pool with caches: the input of a later stage is
+        /// not known before it runs, and without caches equals are drawn from.
         pub rank: Option<usize>,
+        /// Whether it is tried last, since it failed or was slow lately.
+        pub is_avoided: bool,
         /// The calls in flight and the limit, if this node is the owner and
         /// has sent it work.
         pub places: Option<(usize, u16)>,
@@ -166,7 +170,7 @@
             stages.push(self.plan(list, workspace, stage, body, now));
         }
         let is_keyless = holder.is_none() && !pipeline.is_idempotent();
-        let refusal = self.refusal(question, now);
+        let refusal = self.refusal(pipeline, question, now);
         let refusal = refusal.or(is_keyless.then_some(Kind::KeyMissing));
         let refusal = refusal.or(holder.as_ref().and_then(Holder::refusal));
         let refusal = refusal.or(stages.iter().find_map(Plan::refusal));
@@ -177,12 +181,11 @@
         })
     }
 
-    fn refusal(&self, question: &Question, now: Millis) -> Option<Kind> {
+    fn refusal(&self, pipeline: &Pipeline, question: &Question, now: Millis) -> Option<Kind> {
         if let Err(kind) = self.ready() {
             return Some(kind);
         }
-        let is_held = self.ward.holds(&question.digest, now);
-        is_held.then_some(Kind::Quarantined)
+        self.check_suspect(pipeline, question.digest, now).err()
     }
 
     fn holder(&self, list: &List, thing: &Thing, now: Millis) -> Holder {
@@ -210,11 +213,12 @@
             pool: stage.pool.clone(),
             prefix: Self::affinity(&workspace.id, prefix.unwrap_or_default()),
             tried: Vec::new(),
+            digest: id::Digest([0; 32]),
         };
         let fleet = self.book.fleet();
         let mut targets = Vec::new();
         for (index, entry) in self.ranked(list, &ask, now).into_iter().enumerate() {
-            let rank = prefix.map(|_| index + 1);
+            let rank = prefix.filter(|_| length > 0).map(|_| index + 1);
             targets.push(self.candidate(list, &entry, rank, now));
         }
         let is_out = |one: &&Entry| route::why_out(one, fleet, &self.loads).is_some();
@@ -260,6 +264,7 @@
             holder: self.holder(list, &Thing::Target(entry.id.clone()), now),
             out: route::why_out(entry, self.book.fleet(), &self.loads),
             rank,
+            is_avoided: self.loads.is_last(&entry.id, &entry.pool, now),
             places: self.places(&entry.id, now),
             load_percent: percent.unwrap_or_default(),
         }
