--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -302,7 +302,7 @@
 /// Returns the answer that nothing is newer, with the revision of what is
 /// served.
 fn unchanged(shared: &Shared, door: &Mutex<Fault>, call: u64, path: &str) -> Reply {
-    let revision = look(shared, door, call, |list, settings| match path {
+    let revision = look(shared, door, call, |list, settings, _| match path {
         "/v1/list" => list.revision,
         _ => settings.revision,
     });
@@ -314,32 +314,38 @@
 
 /// Returns the answer if something newer than `after` is published.
 fn newer(shared: &Shared, door: &Mutex<Fault>, call: u64, path: &str, after: u64) -> Option<Reply> {
-    let found = look(shared, door, call, |list, settings| match path {
-        "/v1/list" => (list.revision > after).then(|| json(list)),
-        "/v1/settings" => (settings.revision > after).then(|| json(settings)),
-        _ => Some(server::answer(404, &[], "")),
+    let found = look(shared, door, call, |list, settings, is_old| {
+        // A service that lost the newest state knows nothing of what it told,
+        // so it takes the asker for the one that is behind.
+        let is_due = |revision: u64| revision > after || (is_old && revision < after);
+        match path {
+            "/v1/list" => is_due(list.revision).then(|| json(list)),
+            "/v1/settings" => is_due(settings.revision).then(|| json(settings)),
+            _ => Some(server::answer(404, &[], "")),
+        }
     });
     found.unwrap_or(Some(Reply::Break))
 }
 
-/// Reads what is served now; `None` if the platform is down.
+/// Reads what is served now, and whether it is old; `None` if the platform is
+/// down.
 fn look<T>(
     shared: &Shared,
     door: &Mutex<Fault>,
     call: u64,
-    read: impl FnOnce(&List, &Settings) -> T,
+    read: impl FnOnce(&List, &Settings, bool) -> T,
 ) -> Option<T> {
     let fault = shared.fault(door);
     let inner = shared.lock();
-    let published = (&inner.list, &inner.settings);
-    let (list, settings) = match &fault {
+    let published = (&inner.list, &inner.settings, false);
+    let (list, settings, is_old) = match &fault {
         Fault::Down => return None,
-        Fault::Stale(old) => (&old.0, &old.1),
-        Fault::Contradicting(old) if call.is_multiple_of(2) => (&old.0, &old.1),
-        Fault::Lagging(old) => (&**old, &inner.settings),
+        Fault::Stale(old) => (&old.0, &old.1, true),
+        Fault::Contradicting(old) if call.is_multiple_of(2) => (&old.0, &old.1, true),
+        Fault::Lagging(old) => (&**old, &inner.settings, true),
         Fault::None | Fault::Slow(_) | Fault::Contradicting(_) => published,
     };
-    Some(read(list, settings))
+    Some(read(list, settings, is_old))
 }
 
 fn json(value: &impl serde::Serialize) -> Reply {
