Fetch a newer list or settings from one peer at a time

Change: one fetch at a time; who finds one under way waits for the next greeting. The site's usual rate now stands with the site.

--- a/crates/ctl/src/load_command.rs
+++ b/crates/ctl/src/load_command.rs
@@ -31,9 +31,9 @@
     /// The seed of the arrivals
     #[bpaf(long, argument("N"), fallback(1), display_fallback)]
     pub seed: u64,
-    /// Requests in each second
-    #[bpaf(long, argument("N"), fallback(200), display_fallback)]
-    pub rate: u32,
+    /// Requests in each second; the usual rate of the site if it is not given
+    #[bpaf(long, argument("N"), optional)]
+    pub rate: Option<u32>,
     /// How long each scenario is measured
     #[bpaf(long, argument("SECONDS"), fallback(15), display_fallback)]
     pub seconds: u64,
@@ -69,7 +69,7 @@
             policies,
             scenarios,
             seed: self.seed,
-            rate: self.rate,
+            rate: self.rate.unwrap_or(site.rate),
             span: Duration::from_secs(self.seconds),
         })
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -158,10 +158,21 @@
 }
 
 /// Fetches from a peer what this daemon lacks.
+///
+/// One fetch runs at a time: all peers that are ahead say so in the same
+/// moment, and each of them would send the same list or settings. Whoever
+/// finds a fetch under way leaves it at that, since the next greeting asks
+/// again if something is still missing.
 async fn fetch(context: &Context, member: &Member, need: Need) {
+    if need == Need::Nothing {
+        return;
+    }
     let Ok(client) = context.peers.control(member.control).await else {
         return;
     };
+    let Some(_permit) = context.peers.begin_fetch() else {
+        return;
+    };
     if matches!(need, Need::List | Need::Both) {
         let list = client.list(peers::control_context()).await;
         let list = list.ok().and_then(|list| roster::List::try_from(list).ok());
@@ -175,4 +186,6 @@
             context.node.tell(Message::AdoptSettings(settings.into()));
         }
     }
+    // The permit is kept until the node has taken in what was fetched.
+    context.node.look(|_, _| ()).await.ok();
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -20,6 +20,8 @@
 use hyper::body::Incoming;
 use tarpc::client;
 use tarpc::context;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::control_stream;
 use crate::control_stream::Counters;
@@ -52,6 +54,8 @@
     links: Mutex<Vec<Link>>,
     http: HttpClient,
     counters: Counters,
+    /// Lets one fetch of a list or of settings run at a time.
+    fetches: Semaphore,
     me: id::Instance,
     /// The peers that are cut off, which only fault injection sets.
     cuts: Mutex<Vec<Cut>>,
@@ -65,6 +69,7 @@
             links: Mutex::default(),
             http: http_client::new(),
             counters,
+            fetches: Semaphore::new(1),
             me,
             cuts: Mutex::default(),
         }
@@ -135,6 +140,12 @@
         Ok(client)
     }
 
+    /// Begins a fetch of a list or of settings, unless one is under way.
+    #[must_use]
+    pub fn begin_fetch(&self) -> Option<SemaphorePermit<'_>> {
+        self.fetches.try_acquire().ok()
+    }
+
     /// Forgets a link that failed, so that the next use makes a new one.
     pub fn forget(&self, address: SocketAddr) {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -44,6 +44,8 @@
     pub domains: [&'static str; 3],
     /// How many entry instances it has.
     pub daemons: usize,
+    /// Its usual load, in requests a second.
+    pub rate: u32,
     /// Its settings, as path and text.
     pub documents: &'static [(&'static str, &'static str)],
     /// Its targets.
@@ -80,6 +82,7 @@
     name: "huaraz",
     domains: ["huaraz", "caraz", "chacas"],
     daemons: 6,
+    rate: 200,
     documents: &[
         ("/fleet", example!("huaraz/fleet.jsonc")),
         ("/teams/desk", example!("huaraz/teams/desk.jsonc")),
@@ -113,6 +116,7 @@
     name: "wadi-rum",
     domains: ["amman-a", "amman-b", "amman-c"],
     daemons: 7,
+    rate: 120,
     documents: &[
         ("/fleet", example!("wadi-rum/fleet.jsonc")),
         ("/teams/planning", example!("wadi-rum/teams/planning.jsonc")),
