--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -63,18 +63,23 @@
     outcome: Outcome,
 }
 
+/// Returns until when a request may run.
+#[must_use]
+pub fn ends_by(admission: &Admission) -> Millis {
+    if admission.workspace.wants_late_answers {
+        admission.deadline + LATE_LIMIT
+    } else {
+        admission.deadline
+    }
+}
+
 /// Runs a request to its answer.
 pub async fn run(context: &Arc<Context>, job: &Job) -> Answer {
     let deadline = job.admission.deadline;
-    let extra = if job.admission.workspace.wants_late_answers {
-        LATE_LIMIT
-    } else {
-        Millis::ZERO
-    };
     let mut run = Run {
         context,
         job,
-        ends_by: deadline + extra,
+        ends_by: ends_by(&job.admission),
         costs: Vec::new(),
         attempts: 0,
         outcome: Outcome::NotRun,
@@ -141,9 +146,10 @@
 
     /// Waits before the next attempt, or gives up.
     async fn pause(&self, stage: &Stage, failure: &Failure, bounds: Bounds) -> Result<(), Failure> {
+        let pool = stage.pool.clone();
         let failure = failure.clone();
         let ends_by = self.ends_by;
-        let message = |reply| Message::AfterFailure(failure, bounds, ends_by, reply);
+        let message = |reply| Message::AfterFailure(pool, failure, bounds, ends_by, reply);
         match self.context.node.ask(message).await? {
             Step::GiveUp { failure, denial } => {
                 self.context.metrics.denial(denial);
@@ -190,7 +196,9 @@
                 number: self.attempts,
             },
             workspace: self.job.admission.workspace.id.clone(),
+            pipeline: self.job.admission.pipeline.id.clone(),
             digest: self.job.digest,
+            crashes: choice.crashes,
             due: self.job.admission.deadline - now,
             timeout: ends_by - now,
             body: body.clone(),
@@ -208,6 +216,8 @@
             percent: report.load_percent,
             latency,
             failure: report.result.as_ref().err().map(|failure| failure.kind),
+            digest: self.job.digest,
+            crashes: report.crashes,
         }));
         report.result
     }
@@ -231,6 +241,7 @@
             pool: stage.pool.clone(),
             prefix: Node::affinity(&self.job.admission.workspace.id, prefix),
             tried: tried.to_vec(),
+            digest: self.job.digest,
         };
         let is_first = tried.is_empty();
         let message = |reply| Message::Choose(ask, is_first, reply);
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -6,14 +6,17 @@
 //!
 //! - `node_control.rs`: the platform and the peers;
 //! - `node_entry.rs`: a caller's request and its stages;
+//! - `node_handover.rs`: what a leaver gives to the next owners;
 //! - `node_owner.rs`: the targets and keys that this daemon owns;
 //! - `node_explain.rs`: why a request would go where it goes, for operators.
 
+use crate::admission::Pressure;
 use crate::admission::Room;
 use crate::answer::Kind;
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::drain::Drain;
+use crate::handover::Estates;
 use crate::hash;
 use crate::id;
 use crate::once;
@@ -24,6 +27,7 @@
 use crate::settings::Book;
 use crate::settings::Fleet;
 use crate::slot;
+use crate::tenure::Rules;
 use crate::tenure::Tenure;
 use crate::tenure::Timing;
 
@@ -33,6 +37,8 @@
 mod entry;
 #[path = "node_explain.rs"]
 mod explain;
+#[path = "node_handover.rs"]
+mod handover;
 #[path = "node_owner.rs"]
 mod owner;
 
@@ -60,6 +66,9 @@
     }
 }
 
+/// The names of what the node checks while it runs, sorted.
+pub const INVARIANTS: [&str; 3] = ["list-reverted", "settings-reverted", "target-over-limit"];
+
 /// All decisions of one daemon.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -70,8 +79,10 @@
     loads: Loads,
     index: Index,
     room: Room,
+    pressure: Pressure,
     slots: slot::Table,
     keys: once::Memory,
+    estates: Estates,
     ward: Ward,
     budget: Budget,
     drain: Drain,
@@ -98,8 +109,10 @@
             loads: Loads::default(),
             index: Index::default(),
             room: Room::default(),
+            pressure: Pressure::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
+            estates: Estates::default(),
             ward: Ward::default(),
             budget: Budget::default(),
             drain: Drain::default(),
@@ -109,6 +122,12 @@
         }
     }
 
+    /// Takes rules of the rights out, for a test.
+    #[doc(hidden)]
+    pub fn set_rules(&mut self, rules: Rules) {
+        self.tenure.set_rules(rules);
+    }
+
     /// Returns who the node is.
     #[must_use]
     pub fn identity(&self) -> &Identity {
@@ -161,6 +180,7 @@
 
     /// Notes a violation when the condition does not hold.
     fn assert(&mut self, holds: bool, name: &'static str) {
+        debug_assert!(INVARIANTS.binary_search(&name).is_ok(), "{name}");
         if !holds {
             self.violations.push(name);
         }
@@ -176,5 +196,6 @@
     Timing {
         freshness: fleet.freshness,
         dropped_memory: fleet.dropped_memory,
+        horizon: fleet.horizon,
     }
 }
--- a/crates/kernel/src/node_explain.rs
+++ b/crates/kernel/src/node_explain.rs
@@ -16,6 +16,7 @@
 use crate::route;
 use crate::route::Ask;
 use crate::route::Out;
+use crate::settings::Pipeline;
 use crate::settings::Stage;
 use crate::settings::Workspace;
 use crate::tenure::Rest;
@@ -76,8 +77,11 @@
         /// Why it is given no work, if there is a reason.
         pub out: Option<Out>,
         /// Its rank by the prompt prefix, from one. Only the first stage has
-        /// one: the input of a later stage is not known before it runs.
+        /// one, and only in a pool with caches: the input of a later stage is
+        /// not known before it runs, and without caches equals are drawn from.
         pub rank: Option<usize>,
+        /// Whether it is tried last, since it failed or was slow lately.
+        pub is_avoided: bool,
         /// The calls in flight and the limit, if this node is the owner and
         /// has sent it work.
         pub places: Option<(usize, u16)>,
@@ -96,6 +100,12 @@
         NoMajority,
         /// This node owns it and waits until a former owner's right has ended.
         Waiting,
+        /// This node owns it, but the platform has long not confirmed the list.
+        Unconfirmed,
+        /// This node owns it, but is fresh and lacks the lists of late.
+        NoPast,
+        /// This node owns it, but has given up its rights to leave.
+        GivenUp,
         /// Another node owns it and knows.
         Elsewhere,
         /// The list names no owner.
@@ -111,6 +121,9 @@
             Self::Held => "held",
             Self::NoMajority => "no-majority",
             Self::Waiting => "waiting",
+            Self::Unconfirmed => "unconfirmed",
+            Self::NoPast => "no-past",
+            Self::GivenUp => "given-up",
             Self::Elsewhere => "elsewhere",
             Self::Nobody => "nobody",
         }
@@ -124,6 +137,9 @@
             Right::Elsewhere(_) => Self::Elsewhere,
             Right::Resting(Rest::NoMajority) => Self::NoMajority,
             Right::Resting(Rest::Waiting) => Self::Waiting,
+            Right::Resting(Rest::Unconfirmed) => Self::Unconfirmed,
+            Right::Resting(Rest::NoPast) => Self::NoPast,
+            Right::Resting(Rest::GivenUp) => Self::GivenUp,
             Right::Nobody => Self::Nobody,
         }
     }
@@ -154,7 +170,7 @@
             stages.push(self.plan(list, workspace, stage, body, now));
         }
         let is_keyless = holder.is_none() && !pipeline.is_idempotent();
-        let refusal = self.refusal(question, now);
+        let refusal = self.refusal(pipeline, question, now);
         let refusal = refusal.or(is_keyless.then_some(Kind::KeyMissing));
         let refusal = refusal.or(holder.as_ref().and_then(Holder::refusal));
         let refusal = refusal.or(stages.iter().find_map(Plan::refusal));
@@ -165,12 +181,11 @@
         })
     }
 
-    fn refusal(&self, question: &Question, now: Millis) -> Option<Kind> {
+    fn refusal(&self, pipeline: &Pipeline, question: &Question, now: Millis) -> Option<Kind> {
         if let Err(kind) = self.ready() {
             return Some(kind);
         }
-        let is_held = self.ward.holds(&question.digest, now);
-        is_held.then_some(Kind::Quarantined)
+        self.check_suspect(pipeline, question.digest, now).err()
     }
 
     fn holder(&self, list: &List, thing: &Thing, now: Millis) -> Holder {
@@ -198,11 +213,12 @@
             pool: stage.pool.clone(),
             prefix: Self::affinity(&workspace.id, prefix.unwrap_or_default()),
             tried: Vec::new(),
+            digest: id::Digest([0; 32]),
         };
         let fleet = self.book.fleet();
         let mut targets = Vec::new();
         for (index, entry) in self.ranked(list, &ask, now).into_iter().enumerate() {
-            let rank = prefix.map(|_| index + 1);
+            let rank = prefix.filter(|_| length > 0).map(|_| index + 1);
             targets.push(self.candidate(list, &entry, rank, now));
         }
         let is_out = |one: &&Entry| route::why_out(one, fleet, &self.loads).is_some();
@@ -248,6 +264,7 @@
             holder: self.holder(list, &Thing::Target(entry.id.clone()), now),
             out: route::why_out(entry, self.book.fleet(), &self.loads),
             rank,
+            is_avoided: self.loads.is_last(&entry.id, &entry.pool, now),
             places: self.places(&entry.id, now),
             load_percent: percent.unwrap_or_default(),
         }
@@ -258,7 +275,11 @@
     fn refusal(&self) -> Option<Kind> {
         match self.standing {
             Standing::Held | Standing::Elsewhere => None,
-            Standing::NoMajority | Standing::Waiting => Some(Kind::NoRight),
+            Standing::NoMajority
+            | Standing::Waiting
+            | Standing::Unconfirmed
+            | Standing::NoPast
+            | Standing::GivenUp => Some(Kind::NoRight),
             Standing::Nobody => Some(Kind::NoOwner),
         }
     }
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -1,6 +1,7 @@
 //! The targets and keys that one node owns.
 
 use super::Node;
+use super::handover::inherited;
 use crate::answer::Failure;
 use crate::answer::Kind;
 use crate::clock::Millis;
@@ -10,6 +11,7 @@
 use crate::once::End;
 use crate::once::Key;
 use crate::once::Verdict;
+use crate::quarantine;
 use crate::queue::Order;
 use crate::roster::Entry;
 use crate::route;
@@ -51,10 +53,16 @@
         }
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
+        let suspect = quarantine::suspect(call.digest, &pool.id);
+        self.ward.learn(suspect, call.crashes, now);
+        let call = Call {
+            crashes: self.ward.crashes(&suspect, now),
+            ..call.clone()
+        };
         let terms = self.terms(&pool);
         let workspace = self.book.workspace(&call.workspace);
         let weight = workspace.map_or(1, |workspace| workspace.weight);
-        let start = self.slots.start(call, weight, terms, since, now);
+        let start = self.slots.start(&call, weight, terms, since, now);
         self.check_limits();
         match start {
             Start::Refused(failure) => Err(failure),
@@ -75,10 +83,15 @@
         attempt: id::Attempt,
         now: Millis,
     ) -> Result<Grant, Failure> {
+        let is_checked = self.tenure.rules().check;
         let checked = self.may_use(target).and_then(|(entry, pool)| {
-            let until = self.target_right(target, now)?.1;
+            let right = self.target_right(target, now);
+            let until = if is_checked { right.clone()?.1 } else { now };
             let terms = self.terms(&pool);
-            self.slots.confirm(target, attempt, terms, now)?;
+            let since = right.map_or(Millis::ZERO, |right| right.0);
+            if is_checked {
+                self.slots.confirm(target, attempt, terms, since, now)?;
+            }
             Ok(Grant {
                 target: entry,
                 pool,
@@ -102,11 +115,6 @@
         digest: id::Digest,
         now: Millis,
     ) -> Vec<Wake> {
-        match sign {
-            Sign::Broken => self.ward.note_crash(digest, now),
-            Sign::Answered(_) => self.ward.note_answer(digest),
-            Sign::Refused(_) | Sign::Failed(_) | Sign::Unreachable | Sign::Slow => {}
-        }
         if sign.report() == Some(Report::Leaving) {
             let revision = self.tenure.revision();
             self.loads.note_leaving(target, revision, now);
@@ -115,12 +123,24 @@
             self.slots.release(target, attempt);
             return Vec::new();
         };
+        let suspect = quarantine::suspect(digest, &pool.id);
+        match sign {
+            Sign::Broken => self.ward.note_crash(suspect, now),
+            Sign::Answered(_) => self.ward.note_answer(suspect),
+            _ => {}
+        }
         let terms = self.terms(&pool);
         let wakes = self.slots.finish(target, attempt, sign, terms, now);
         self.check_limits();
         wakes
     }
 
+    /// Returns how many targets broke while they ran the request in the pool.
+    #[must_use]
+    pub fn crashes(&self, digest: id::Digest, pool: &id::Pool, now: Millis) -> u16 {
+        self.ward.crashes(&quarantine::suspect(digest, pool), now)
+    }
+
     /// Takes a call that was not sent out of the queue and off its place.
     pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
         self.slots.cancel(target, attempt);
@@ -152,17 +172,19 @@
         let book = &self.book;
         let loads = &self.loads;
         let tenure = &self.tenure;
+        let estates = &self.estates;
         let wakes = self.slots.tick(now, |id| {
             let entry = list.target(id).ok_or(Kind::NoTarget)?;
             let thing = Thing::Target(id.clone());
-            if !matches!(tenure.right(&thing, now), Right::Held { .. }) {
+            let Right::Held { since, .. } = tenure.right(&thing, now) else {
                 return Err(Kind::NoRight);
-            }
+            };
+            let since = inherited(tenure, estates, &thing).map_or(since, |at| at.min(since));
             if route::why_out(entry, book.fleet(), loads).is_some() {
                 return Err(Kind::NoTarget);
             }
             let pool = book.pool(&entry.pool).ok_or(Kind::NoTarget)?;
-            Ok(terms(book.fleet(), pool))
+            Ok((terms(book.fleet(), pool), since))
         });
         self.check_limits();
         wakes
@@ -201,8 +223,11 @@
 
     /// Returns when the tenure over a target began, and when the right ends.
     fn target_right(&self, target: &id::Target, now: Millis) -> Result<(Millis, Millis), Failure> {
-        match self.tenure.right(&Thing::Target(target.clone()), now) {
-            Right::Held { since, until } => Ok((since, until)),
+        let thing = Thing::Target(target.clone());
+        let rules = self.tenure.rules();
+        match self.tenure.right(&thing, now) {
+            Right::Held { until, .. } if !rules.full => Ok((Millis::ZERO, until)),
+            Right::Held { since, until } => Ok((self.known_since(&thing, since), until)),
             Right::Elsewhere(_) | Right::Nobody => Err(Kind::NoOwner.into()),
             Right::Resting(_) => Err(Kind::NoRight.into()),
         }
@@ -229,12 +254,13 @@
             Right::Elsewhere(_) | Right::Nobody => return Err(Kind::NoOwner.into()),
             Right::Resting(_) => return Err(Kind::NoRight.into()),
         };
+        let since = self.known_since(&Thing::Key(key.hash()), since);
         let trusts = self.book.workspace(&key.workspace);
         let trusts = trusts.is_some_and(|one| one.trusts_attempt_number);
         let claim = Claim {
             digest,
             since,
-            is_first_attempt: is_first_attempt && trusts,
+            is_first_attempt: is_first_attempt && trusts || !self.tenure.rules().vouch,
         };
         let horizon = self.book.fleet().horizon;
         Ok(self.keys.begin(key, &claim, horizon, now))
@@ -242,10 +268,17 @@
 
     /// Tells whether the right to a key still holds, directly before its
     /// non-idempotent stage is sent.
+    ///
+    /// It must be the tenure in which the key was taken: another daemon may
+    /// have owned the key in between.
     #[must_use]
     pub fn holds_key(&self, key: &Key, now: Millis) -> bool {
         let right = self.tenure.right(&Thing::Key(key.hash()), now);
-        matches!(right, Right::Held { .. })
+        let is_held = match right {
+            Right::Held { since, .. } => self.keys.is_running(key, since),
+            Right::Elsewhere(_) | Right::Resting(_) | Right::Nobody => false,
+        };
+        is_held || !self.tenure.rules().check
     }
 
     /// Notes how the request that took a key has ended.
--- a/crates/kernel/tests/policy_order.rs
+++ b/crates/kernel/tests/policy_order.rs
@@ -145,7 +145,7 @@
         if run.draw() % 1000 < per_sec && step < SPAN {
             run.arrive(step, now);
         }
-        let wakes = run.table.tick(now, |_| Ok(terms));
+        let wakes = run.table.tick(now, |_| Ok((terms, Millis::ZERO)));
         run.wake(wakes, now);
     }
     assert_eq!(run.table.overruns(), 0);
--- a/crates/kernel/tests/slot_queue.rs
+++ b/crates/kernel/tests/slot_queue.rs
@@ -136,7 +136,7 @@
     let mut tree = policy_site::tree(r#"{ "out": ["huaraz"] }"#);
     tree.revision.0 = 2;
     tree.sources[0].revision.0 = 2;
-    node.adopt_settings(&tree);
+    node.adopt_settings(&tree, READY);
     let wakes = ticked(&mut node, READY + Millis(20));
     assert_eq!(wakes[0].refusal, Some(Kind::NoTarget));
     assert!(node.start(&call("desk.big", 4, 9000), READY).is_err());
