--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -6,6 +6,7 @@
 //!
 //! - `node_control.rs`: the platform and the peers;
 //! - `node_entry.rs`: a caller's request and its stages;
+//! - `node_handover.rs`: what a leaver gives to the next owners;
 //! - `node_owner.rs`: the targets and keys that this daemon owns;
 //! - `node_explain.rs`: why a request would go where it goes, for operators.
 
@@ -14,6 +15,7 @@
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::drain::Drain;
+use crate::handover::Estates;
 use crate::hash;
 use crate::id;
 use crate::once;
@@ -24,6 +26,7 @@
 use crate::settings::Book;
 use crate::settings::Fleet;
 use crate::slot;
+use crate::tenure::Rules;
 use crate::tenure::Tenure;
 use crate::tenure::Timing;
 
@@ -33,6 +36,8 @@
 mod entry;
 #[path = "node_explain.rs"]
 mod explain;
+#[path = "node_handover.rs"]
+mod handover;
 #[path = "node_owner.rs"]
 mod owner;
 
@@ -75,6 +80,7 @@
     room: Room,
     slots: slot::Table,
     keys: once::Memory,
+    estates: Estates,
     ward: Ward,
     budget: Budget,
     drain: Drain,
@@ -103,6 +109,7 @@
             room: Room::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
+            estates: Estates::default(),
             ward: Ward::default(),
             budget: Budget::default(),
             drain: Drain::default(),
@@ -112,6 +119,12 @@
         }
     }
 
+    /// Takes rules of the rights out, for a test.
+    #[doc(hidden)]
+    pub fn set_rules(&mut self, rules: Rules) {
+        self.tenure.set_rules(rules);
+    }
+
     /// Returns who the node is.
     #[must_use]
     pub fn identity(&self) -> &Identity {
@@ -180,5 +193,6 @@
     Timing {
         freshness: fleet.freshness,
         dropped_memory: fleet.dropped_memory,
+        horizon: fleet.horizon,
     }
 }
--- a/crates/kernel/src/node_explain.rs
+++ b/crates/kernel/src/node_explain.rs
@@ -99,6 +99,12 @@
         NoMajority,
         /// This node owns it and waits until a former owner's right has ended.
         Waiting,
+        /// This node owns it, but the platform has long not confirmed the list.
+        Unconfirmed,
+        /// This node owns it, but is fresh and lacks the lists of late.
+        NoPast,
+        /// This node owns it, but has given up its rights to leave.
+        GivenUp,
         /// Another node owns it and knows.
         Elsewhere,
         /// The list names no owner.
@@ -114,6 +120,9 @@
             Self::Held => "held",
             Self::NoMajority => "no-majority",
             Self::Waiting => "waiting",
+            Self::Unconfirmed => "unconfirmed",
+            Self::NoPast => "no-past",
+            Self::GivenUp => "given-up",
             Self::Elsewhere => "elsewhere",
             Self::Nobody => "nobody",
         }
@@ -127,6 +136,9 @@
             Right::Elsewhere(_) => Self::Elsewhere,
             Right::Resting(Rest::NoMajority) => Self::NoMajority,
             Right::Resting(Rest::Waiting) => Self::Waiting,
+            Right::Resting(Rest::Unconfirmed) => Self::Unconfirmed,
+            Right::Resting(Rest::NoPast) => Self::NoPast,
+            Right::Resting(Rest::GivenUp) => Self::GivenUp,
             Right::Nobody => Self::Nobody,
         }
     }
@@ -262,7 +274,11 @@
     fn refusal(&self) -> Option<Kind> {
         match self.standing {
             Standing::Held | Standing::Elsewhere => None,
-            Standing::NoMajority | Standing::Waiting => Some(Kind::NoRight),
+            Standing::NoMajority
+            | Standing::Waiting
+            | Standing::Unconfirmed
+            | Standing::NoPast
+            | Standing::GivenUp => Some(Kind::NoRight),
             Standing::Nobody => Some(Kind::NoOwner),
         }
     }
--- a/crates/kernel/tests/slot.rs
+++ b/crates/kernel/tests/slot.rs
@@ -247,7 +247,7 @@
         table.load(&policy_site::target(0), terms, again),
         Some((3, 2))
     );
-    let woken = table.tick(again + Millis(8000), |_| Ok(terms));
+    let woken = table.tick(again + Millis(8000), |_| Ok((terms, again)));
     assert_eq!(woken.len(), 1);
 }
 
@@ -267,5 +267,10 @@
     let call = |number| policy_site::call(0, number, Millis::NEVER);
     assert_eq!(table.start(&call(1), 1, terms, READY, READY), Start::Go);
     assert_eq!(table.start(&call(2), 1, terms, READY, READY), Start::Queued);
-    assert_eq!(table.tick(READY + Millis(500), |_| Ok(terms)).len(), 1);
+    assert_eq!(
+        table
+            .tick(READY + Millis(500), |_| Ok((terms, READY)))
+            .len(),
+        1
+    );
 }
