--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -7,6 +7,7 @@
 use crate::answer::Failure;
 use crate::answer::Kind;
 use crate::clock::Millis;
+use crate::derive::scalar;
 use crate::derive::value;
 use crate::id;
 use crate::queue::Order;
@@ -30,6 +31,10 @@
         pub due: Millis,
         /// When its answer is of no use any more; not before it is due.
         pub deadline: Millis,
+        /// The digest of the request's workspace and body.
+        pub digest: id::Digest,
+        /// How many targets broke while they ran this; such a call is kept apart.
+        pub crashes: u16,
     }
 
     /// What becomes of a call.
@@ -64,12 +69,39 @@
     pub order: Order,
 }
 
+scalar! {
+    /// How a call is kept apart from others at its target.
+    enum Ward {
+        /// It runs beside any other.
+        Open,
+        /// It runs beside no other suspect, so that an answer clears it.
+        Apart,
+        /// It runs alone, so that a crash is its own.
+        Alone,
+    }
+}
+
+impl Ward {
+    fn of(call: &Call, terms: Terms<'_>) -> Self {
+        match (terms.policy, call.crashes) {
+            (Policy::Baseline, _) | (_, 0) => Self::Open,
+            (_, 1) => Self::Apart,
+            _ => Self::Alone,
+        }
+    }
+}
+
+/// How many suspects may wait at a target until they can be kept apart.
+const SUSPECTS_MAX: usize = 4;
+
 #[derive(Clone, Debug)]
 struct Sent {
     attempt: id::Attempt,
     at: Millis,
     /// When the target must have let go of the call.
     ends_by: Millis,
+    /// Whether and how it is kept apart from other calls.
+    ward: Ward,
 }
 
 #[derive(Clone, Debug)]
@@ -82,6 +114,8 @@
     full_until: Millis,
     sent: Vec<Sent>,
     queue: Queue,
+    /// The calls that wait until they can be kept apart.
+    suspects: Vec<Call>,
 }
 
 /// The places of all targets that a daemon owns.
@@ -110,13 +144,16 @@
         let index = self.place(&call.target, terms.pool, since, now);
         let place = &mut self.places[index];
         place.sent.retain(|sent| sent.ends_by > now);
-        if place.queue.is_empty() && place.has_room(terms, now) {
-            self.overruns += usize::from(!place.send(call.attempt, terms, now));
+        if place.queue.is_empty() && place.has_room_for(call, terms, now) {
+            self.overruns += usize::from(!place.send(call, terms, now));
             return Start::Go;
         }
         if let Err(failure) = place.judge(call, weight, terms, now) {
             return Start::Refused(failure);
         }
+        if Ward::of(call, terms) != Ward::Open {
+            return place.queue_apart(call, terms, now);
+        }
         if place.queue.len() >= usize::from(terms.pool.queue_limit) {
             match place.give_way(call, weight, terms, now) {
                 Some(victim) => self.wakes.extend(refused(vec![victim], Kind::QueueFull)),
@@ -207,6 +244,7 @@
             attempt,
             at: now,
             ends_by: now + left,
+            ward: Ward::Open,
         });
         place.sent.extend(sent);
     }
@@ -216,6 +254,7 @@
         if let Ok(index) = self.find(target) {
             let place = &mut self.places[index];
             place.queue.remove(attempt);
+            place.suspects.retain(|call| call.attempt != attempt);
         }
     }
 
@@ -248,9 +287,7 @@
                 Err(kind) => wakes.extend(place.turn_away(kind, now)),
             }
         }
-        let is_kept = |place: &Place| {
-            !place.sent.is_empty() || !place.queue.is_empty() || terms_of(&place.target).is_ok()
-        };
+        let is_kept = |place: &Place| !place.is_unused() || terms_of(&place.target).is_ok();
         self.places.retain(is_kept);
         wakes
     }
@@ -268,7 +305,7 @@
         } else {
             place.sent.len()
         };
-        Some((sent + place.queue.len(), limit))
+        Some((sent + place.waiting(), limit))
     }
 
     /// Returns the calls that a target has, and how long each may last still.
@@ -309,7 +346,7 @@
     /// Returns the calls that wait over all targets.
     #[must_use]
     pub fn queued(&self) -> usize {
-        self.places.iter().map(|place| place.queue.len()).sum()
+        self.places.iter().map(Place::waiting).sum()
     }
 
     fn find(&self, target: &id::Target) -> Result<usize, usize> {
@@ -337,6 +374,7 @@
             full_until: since + pool.longest_call,
             sent: Vec::new(),
             queue: Queue::default(),
+            suspects: Vec::new(),
         }
     }
 
@@ -350,6 +388,7 @@
             let former = std::mem::replace(self, fresh);
             self.sent = former.sent;
             self.queue = former.queue;
+            self.suspects = former.suspects;
         }
         self.held_at = self.held_at.max(now);
     }
@@ -370,10 +409,53 @@
 
     fn has_room(&self, terms: Terms<'_>, now: Millis) -> bool {
         let limit = usize::from(self.limit(terms, now));
-        !self.is_waiting(terms, now) && self.sent.len() < limit
+        let is_open = !self.is_waiting(terms, now) && self.sent.len() < limit;
+        is_open && !self.has_sent(Ward::Alone)
+    }
+
+    fn has_room_for(&self, call: &Call, terms: Terms<'_>, now: Millis) -> bool {
+        if !self.has_room(terms, now) {
+            return false;
+        }
+        match Ward::of(call, terms) {
+            Ward::Alone => self.sent.is_empty(),
+            Ward::Apart => self.suspects.is_empty() && !self.has_sent(Ward::Apart),
+            Ward::Open => !self.is_reserved(terms),
+        }
+    }
+
+    fn has_sent(&self, ward: Ward) -> bool {
+        self.sent.iter().any(|sent| sent.ward == ward)
+    }
+
+    /// Tells whether a call waits that must run alone.
+    fn is_reserved(&self, terms: Terms<'_>) -> bool {
+        let mut suspects = self.suspects.iter();
+        suspects.any(|call| Ward::of(call, terms) == Ward::Alone)
+    }
+
+    fn waiting(&self) -> usize {
+        self.queue.len() + self.suspects.len()
+    }
+
+    fn is_unused(&self) -> bool {
+        self.sent.is_empty() && self.waiting() == 0
+    }
+
+    /// Lets a call wait until it can be kept apart from others.
+    fn queue_apart(&mut self, call: &Call, terms: Terms<'_>, now: Millis) -> Start {
+        if self.suspects.len() >= SUSPECTS_MAX {
+            return Start::Refused(self.full(call, 1, terms, now));
+        }
+        self.suspects.push(call.clone());
+        Start::Queued
     }
 
     /// Lets go of a call, and takes in what it has shown.
+    ///
+    /// A call whose reply went astray keeps its place to its end. One whose
+    /// connection broke may run on if the process lives, so it keeps its place
+    /// for as long as a call lasts.
     fn learn(&mut self, attempt: id::Attempt, sign: Sign, pool: &Pool, now: Millis) {
         let found = self.sent.iter().position(|sent| sent.attempt == attempt);
         // A call that has lost its place by time was sent that long ago.
@@ -383,16 +465,28 @@
             sent_at: found.map_or(oldest, |index| self.sent[index].at),
             in_flight: self.sent.len(),
         };
-        self.sent.retain(|sent| sent.attempt != attempt);
         self.warmth.note(evidence, pool, now);
+        let may_run_still = match sign {
+            Sign::Foreign => Millis::NEVER,
+            Sign::Broken => now + self.warmth.patience(),
+            _ => now,
+        };
+        for sent in &mut self.sent {
+            if sent.attempt == attempt {
+                sent.ends_by = sent.ends_by.min(may_run_still);
+                sent.ward = Ward::Open;
+            }
+        }
+        self.sent.retain(|sent| sent.ends_by > now);
     }
 
     /// Takes a place, and tells whether the target is within its limit.
-    fn send(&mut self, attempt: id::Attempt, terms: Terms<'_>, now: Millis) -> bool {
+    fn send(&mut self, call: &Call, terms: Terms<'_>, now: Millis) -> bool {
         self.sent.push(Sent {
-            attempt,
+            attempt: call.attempt,
             at: now,
             ends_by: now + terms.pool.longest_call,
+            ward: Ward::of(call, terms),
         });
         self.sent.len() <= usize::from(self.limit(terms, now))
     }
@@ -403,13 +497,8 @@
         let mut overruns = 0;
         self.sent.retain(|sent| sent.ends_by > now);
         wakes.extend(refused(self.hopeless(terms, now), Kind::TooLate));
-        while self.has_room(terms, now) {
-            let next = match terms.policy {
-                Policy::Adaptive => self.queue.pop(terms.order, now),
-                Policy::Baseline => self.queue.pop_first(),
-            };
-            let Some(call) = next else { break };
-            overruns += usize::from(!self.send(call.attempt, terms, now));
+        while let Some(call) = self.next(terms, now) {
+            overruns += usize::from(!self.send(&call, terms, now));
             wakes.push(Wake {
                 target: self.target.clone(),
                 attempt: call.attempt,
@@ -419,6 +508,27 @@
         (wakes, overruns)
     }
 
+    /// Takes the next call that may be sent now.
+    ///
+    /// While a call waits that must run alone the others wait for it, as it
+    /// would never find the target free otherwise.
+    fn next(&mut self, terms: Terms<'_>, now: Millis) -> Option<Call> {
+        if !self.has_room(terms, now) {
+            return None;
+        }
+        let is_alone = |call: &Call| Ward::of(call, terms) == Ward::Alone;
+        if let Some(index) = self.suspects.iter().position(is_alone) {
+            return self.sent.is_empty().then(|| self.suspects.remove(index));
+        }
+        if !self.suspects.is_empty() && !self.has_sent(Ward::Apart) {
+            return Some(self.suspects.remove(0));
+        }
+        match terms.policy {
+            Policy::Adaptive => self.queue.pop(terms.order, now),
+            Policy::Baseline => self.queue.pop_first(),
+        }
+    }
+
     /// Takes out the calls that can no longer be answered in time.
     ///
     /// While the target has nothing to do they are only given up when their
@@ -430,7 +540,10 @@
         } else {
             Millis::ZERO
         };
-        self.queue.take_where(|call| call.deadline <= now + latency)
+        let is_hopeless = |call: &Call| call.deadline <= now + latency;
+        let mut calls = self.queue.take_where(is_hopeless);
+        calls.extend(self.suspects.extract_if(.., |call| is_hopeless(call)));
+        calls
     }
 
     /// Refuses a call that must wait and cannot be answered in time.
@@ -490,7 +603,9 @@
     /// Refuses what waits, since the target is not to be given work.
     fn turn_away(&mut self, kind: Kind, now: Millis) -> Vec<Wake> {
         self.sent.retain(|sent| sent.ends_by > now);
-        refused(self.queue.take_where(|_| true), kind)
+        let mut calls = self.queue.take_where(|_| true);
+        calls.append(&mut self.suspects);
+        refused(calls, kind)
     }
 }
 
