--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -192,6 +192,7 @@
             }
         }
         self.data.set(server::Phase::Closing);
+        control::hand_over(&self.context).await;
         control::say_goodbye(&self.context).await;
         tokio::time::sleep(LINGER).await;
         tokio::join!(self.callers.end(), self.data.end());
