--- a/crates/daemon/tests/process/results.rs
+++ b/crates/daemon/tests/process/results.rs
@@ -160,7 +160,8 @@
     fleet.platform.add_targets(vec![entry]);
     fleet.settled().await;
     let reads = |number| Call::new("read", format!("r-{number}"));
-    let fault = async { tokio::time::sleep(Duration::from_secs(2)).await };
+    let is_busy = async || twice.load(Ordering::Relaxed) > 100;
+    let fault = until("the target has answered twice", is_busy);
     let sent = storm::steady(&fleet, 24, reads, fault).await;
     for one in &sent {
         let told = one.result.as_ref().unwrap();
@@ -169,7 +170,6 @@
             assert_eq!(told.body, one.call.expected(), "{:?}", one.call);
         }
     }
-    assert!(twice.load(Ordering::Relaxed) > 10);
     doubling.abort();
 }
 
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -10,6 +10,7 @@
 //! - `node_owner.rs`: the targets and keys that this daemon owns;
 //! - `node_explain.rs`: why a request would go where it goes, for operators.
 
+use crate::admission::Pressure;
 use crate::admission::Room;
 use crate::answer::Kind;
 use crate::clock::Millis;
@@ -65,6 +66,9 @@
     }
 }
 
+/// The names of what the node checks while it runs, sorted.
+pub const INVARIANTS: [&str; 3] = ["list-reverted", "settings-reverted", "target-over-limit"];
+
 /// All decisions of one daemon.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -75,6 +79,7 @@
     loads: Loads,
     index: Index,
     room: Room,
+    pressure: Pressure,
     slots: slot::Table,
     keys: once::Memory,
     estates: Estates,
@@ -104,6 +109,7 @@
             loads: Loads::default(),
             index: Index::default(),
             room: Room::default(),
+            pressure: Pressure::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
             estates: Estates::default(),
@@ -174,6 +180,7 @@
 
     /// Notes a violation when the condition does not hold.
     fn assert(&mut self, holds: bool, name: &'static str) {
+        debug_assert!(INVARIANTS.binary_search(&name).is_ok(), "{name}");
         if !holds {
             self.violations.push(name);
         }
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -486,6 +486,8 @@
     fn start(&mut self, at: usize, target: u8, attempt: u32) {
         let (node, now) = self.node(at);
         let call = Call {
+            crashes: 0,
+            digest: id::Digest([0; 32]),
             target: target_of(target),
             attempt: attempt_of(attempt),
             workspace: id::Workspace::new("desk.porters").unwrap(),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -327,8 +327,8 @@
     found.unwrap_or(Some(Reply::Break))
 }
 
-/// Reads what is served now, and whether it is an old state; `None` if the
-/// platform is down.
+/// Reads what is served now, and whether it is old; `None` if the platform is
+/// down.
 fn look<T>(
     shared: &Shared,
     door: &Mutex<Fault>,
