Try half the limit when latency has grown, and keep it only if work is done

Cause: a stage whose own work took longer was throttled down to its cold limit, since its latency had grown; fewer calls do not cure that. Change: grown latency starts a trial: latency is measured at the limit and at half of it, and the half stays only if the target does at least 85 % of the work; otherwise the limit is restored and the latency becomes the usual one. Answers of a busy target do not change what is usual.

--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -135,8 +135,8 @@
         }
         load.at = now;
         if let Some(latency) = reply.latency {
-            load.pace.note(latency);
-            self.pace(&reply.pool).note(latency);
+            load.pace.note(latency, false);
+            self.pace(&reply.pool).note(latency, false);
         }
         match reply.failure {
             None => self.forgive(&reply.target),
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -100,6 +100,8 @@
     at: Millis,
     /// When the target must have let go of the call.
     ends_by: Millis,
+    /// How many calls the target had when it was sent, with this one.
+    beside: usize,
     /// Whether and how it is kept apart from other calls.
     ward: Ward,
 }
@@ -238,6 +240,7 @@
             attempt,
             at: now,
             ends_by: now + left,
+            beside: 0,
             ward: Ward::Open,
         });
         place.sent.extend(sent);
@@ -442,7 +445,10 @@
         let evidence = Evidence {
             sign,
             sent_at: found.map_or(oldest, |index| self.sent[index].at),
-            in_flight: self.sent.len(),
+            in_flight: self
+                .sent
+                .len()
+                .max(found.map_or(0, |index| self.sent[index].beside)),
         };
         self.warmth.note(evidence, pool, now);
         let may_run_still = match sign {
@@ -465,6 +471,7 @@
             attempt: call.attempt,
             at: now,
             ends_by: now + terms.pool.longest_call,
+            beside: self.sent.len() + 1,
             ward: Ward::of(call, terms),
         });
         self.sent.len() <= usize::from(self.limit(terms, now))
--- a/crates/kernel/src/warmth.rs
+++ b/crates/kernel/src/warmth.rs
@@ -6,7 +6,8 @@
 //! Only calls that were sent after such a fall are evidence of its end. A limit
 //! above the cold one also rests on recent answers: while none comes, the
 //! target may have turned cold without a word. Above the point at which
-//! latency last grew the limit climbs by one place at a time.
+//! latency last grew the limit climbs by one place at a time. When latency has
+//! grown, half the limit is tried and kept if as much work is done.
 //! `docs/design/limits.md` weighs the rules.
 
 use crate::clock::Millis;
@@ -48,7 +49,8 @@
         pub sign: Sign,
         /// When it was sent.
         pub sent_at: Millis,
-        /// How many calls the target had, with this one.
+        /// How many calls the target had, with this one, when it had more: at
+        /// the send or at the end.
         pub in_flight: usize,
     }
 
@@ -59,6 +61,18 @@
         usual_fine: u64,
     }
 
+    /// A halved limit that is being tried, since latency has grown.
+    struct Trial {
+        /// The limit before.
+        limit: u16,
+        /// The latency under it, once measured, in fractions of a millisecond.
+        before_fine: Option<u64>,
+        /// The latencies measured now, added up in the same fractions.
+        sum_fine: u64,
+        /// How many answers that is.
+        answers: u64,
+    }
+
     /// The current limit of one target.
     pub struct Warmth {
         limit: u16,
@@ -71,6 +85,7 @@
         /// When the target last answered.
         heard_at: Millis,
         pace: Pace,
+        trial: Option<Trial>,
     }
 }
 
@@ -84,12 +99,16 @@
 const GROWTH_MAX: u64 = 2;
 /// What is added to that, for the same reason.
 const GROWTH_MARGIN: Millis = Millis(20);
+/// How much of its work a target must do under a halved limit for that to stay.
+const WORK_KEPT_PERCENT: u64 = 85;
+/// How many answers a trial takes at least.
+const TRIAL_ANSWERS_MIN: u64 = 4;
 /// How fine latencies are averaged: fractions of a millisecond.
 const FINE: u64 = 256;
 /// How many answers the recent average covers, about.
 const RECENT_ANSWERS: u64 = 8;
 /// How many answers the usual average covers, about.
-const USUAL_ANSWERS: u64 = 256;
+const USUAL_ANSWERS: u64 = 64;
 
 impl Sign {
     /// Returns what the target said about itself, if it said anything.
@@ -111,7 +130,10 @@
 
 impl Pace {
     /// Takes in the latency of an answer.
-    pub fn note(&mut self, latency: Millis) {
+    ///
+    /// Answers of a busy target do not change what is usual; otherwise what is
+    /// usual would follow a latency that grows slowly with the limit.
+    pub fn note(&mut self, latency: Millis, is_busy: bool) {
         let fine = latency.0.saturating_mul(FINE);
         if self.usual_fine == 0 {
             *self = Self {
@@ -120,7 +142,9 @@
             };
         }
         self.recent_fine = blend(self.recent_fine, fine, RECENT_ANSWERS);
-        self.usual_fine = blend(self.usual_fine, fine, USUAL_ANSWERS);
+        if !is_busy {
+            self.usual_fine = blend(self.usual_fine, fine, USUAL_ANSWERS);
+        }
     }
 
     /// Returns the latency of late; zero if nothing was measured.
@@ -149,6 +173,17 @@
     (old * (answers - 1) + new) / answers
 }
 
+impl Trial {
+    fn new(limit: u16, before_fine: Option<u64>) -> Self {
+        Self {
+            limit,
+            before_fine,
+            sum_fine: 0,
+            answers: 0,
+        }
+    }
+}
+
 impl Warmth {
     /// Starts cold.
     #[must_use]
@@ -160,6 +195,7 @@
             counts_from: Millis::ZERO,
             heard_at: Millis::ZERO,
             pace: Pace::default(),
+            trial: None,
         }
     }
 
@@ -190,8 +226,9 @@
 
     /// Takes in what a call has shown.
     pub fn note(&mut self, evidence: Evidence, pool: &Pool, now: Millis) {
+        let is_used = evidence.in_flight * 2 > usize::from(self.limit);
         if let Sign::Answered(_) = evidence.sign {
-            self.pace.note(now - evidence.sent_at);
+            self.pace.note(now - evidence.sent_at, is_used);
         }
         if evidence.sign.is_cold() {
             return self.chill(pool, now);
@@ -200,10 +237,15 @@
             return;
         }
         match evidence.sign {
-            Sign::Answered(_) if self.pace.has_grown() => self.shrink(pool, now),
             Sign::Answered(report) => {
                 self.heard_at = now;
-                self.climb(evidence, report == Some(Report::Warm), pool);
+                if let Some(trial) = self.trial {
+                    self.judge(trial, now - evidence.sent_at, pool, now);
+                } else if is_used && self.limit > pool.cold_limit && self.pace.has_grown() {
+                    self.trial = Some(Trial::new(self.limit, None));
+                } else {
+                    self.climb(is_used, report == Some(Report::Warm), pool);
+                }
             }
             Sign::Slow | Sign::Refused(_) => self.shrink(pool, now),
             Sign::Failed(_) | Sign::Foreign | Sign::Broken | Sign::Unreachable => self.answers = 0,
@@ -226,6 +268,7 @@
         self.limit = pool.cold_limit;
         self.threshold = pool.warm_limit;
         self.answers = 0;
+        self.trial = None;
     }
 
     /// Halves the limit, once for the calls that were in flight together.
@@ -234,11 +277,46 @@
         self.threshold = self.limit;
         self.counts_from = now;
         self.answers = 0;
+        self.trial = None;
     }
 
-    fn climb(&mut self, evidence: Evidence, says_warm: bool, pool: &Pool) {
+    /// Takes in an answer of a trial: some are measured under the limit at
+    /// which latency grew, and as many as that under half of it.
+    fn judge(&mut self, mut trial: Trial, latency: Millis, pool: &Pool, now: Millis) {
+        trial.sum_fine += latency.0.saturating_mul(FINE);
+        trial.answers += 1;
+        self.trial = Some(trial);
+        if trial.answers < u64::from(self.limit).max(TRIAL_ANSWERS_MIN) {
+            return;
+        }
+        let mean_fine = trial.sum_fine / trial.answers;
+        match trial.before_fine {
+            None => {
+                self.shrink(pool, now);
+                self.trial = Some(Trial::new(trial.limit, Some(mean_fine)));
+            }
+            Some(before_fine) => self.end_trial(trial.limit, before_fine, mean_fine),
+        }
+    }
+
+    /// Ends a trial with the latency that was measured under half the limit.
+    ///
+    /// If the target does nearly as much work as before, the calls were in each
+    /// other's way and the lower limit stays. Otherwise its work takes longer
+    /// now, which fewer calls do not cure, so the former limit is restored.
+    fn end_trial(&mut self, limit: u16, before_fine: u64, after_fine: u64) {
+        let done_before = before_fine * u64::from(self.limit) * 100;
+        let done_after = after_fine * u64::from(limit) * WORK_KEPT_PERCENT;
+        if done_after > done_before {
+            self.limit = limit;
+            self.pace.usual_fine = after_fine;
+        }
+        self.pace.recent_fine = after_fine;
+        self.trial = None;
+    }
+
+    fn climb(&mut self, is_used: bool, says_warm: bool, pool: &Pool) {
         let is_fast = self.limit < self.threshold;
-        let is_used = evidence.in_flight * 2 > usize::from(self.limit);
         if !is_fast && !is_used {
             return;
         }
