--- a/crates/kernel/tests/settings.rs
+++ b/crates/kernel/tests/settings.rs
@@ -6,7 +6,9 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use gooseberry_kernel::hash;
 use gooseberry_kernel::id::Team;
+use gooseberry_kernel::settings;
 use gooseberry_kernel::settings::Document;
 use gooseberry_kernel::settings::Faults;
 use gooseberry_kernel::settings::Fleet;
@@ -81,6 +83,25 @@
     assert!(fleet.out.is_sorted());
 }
 
+#[test]
+fn bytes_that_are_no_text_are_a_fault_of_their_line() {
+    assert_eq!(
+        settings::decode("{ \"ñ\": 1 }".as_bytes()),
+        Ok("{ \"ñ\": 1 }")
+    );
+    for (bytes, line) in [
+        (&b"\xff"[..], 1),
+        (b"{\n\n\xc3\x28}", 3),
+        (b"{\n}\n\xc3", 3),
+    ] {
+        let faults = settings::decode(bytes).unwrap_err();
+        assert_eq!(
+            faults.to_string(),
+            format!("line {line}: $: expected UTF-8")
+        );
+    }
+}
+
 #[test]
 fn a_report_is_bounded() {
     let long = format!("{{ \"policy\": \"{}\" }}", "x".repeat(1 << 20));
@@ -103,3 +124,64 @@
     let faults = fleet(&format!("{{\n{fields}}}")).unwrap_err();
     assert_eq!(faults.0[0].message, "expected at most 4096 fields");
 }
+
+/// Changes a document at a few places: drops, doubles and swaps characters.
+fn mutate(text: &str, seed: u64) -> String {
+    let mut characters: Vec<char> = text.chars().collect();
+    let mut random = seed;
+    let mut draw = |below: usize| {
+        random = hash::mix(random, 1);
+        usize::try_from(random % u64::try_from(below).unwrap()).unwrap()
+    };
+    for _ in 0..=draw(4) {
+        let at = draw(characters.len());
+        let other = draw(characters.len());
+        match draw(4) {
+            0 => drop(characters.remove(at)),
+            1 => characters.insert(at, characters[other]),
+            2 => characters.swap(at, other),
+            _ => characters[at] = ['"', '{', ']', ',', '-', '0', '\u{0}', 'é'][draw(8)],
+        }
+    }
+    characters.into_iter().collect()
+}
+
+#[test]
+fn mutated_documents_get_a_sound_verdict() {
+    let mut refused = 0;
+    for (name, text, check) in [
+        (
+            "local",
+            include_str!("../../../examples/settings/entry-1.jsonc"),
+            local as Check,
+        ),
+        (
+            "fleet",
+            include_str!("../../../examples/settings/huaraz/fleet.jsonc"),
+            fleet,
+        ),
+        (
+            "desk",
+            include_str!("../../../examples/settings/huaraz/teams/desk.jsonc"),
+            team,
+        ),
+    ] {
+        assert_eq!(check(text), Ok(()), "{name}");
+        for seed in 0..3000 {
+            let mutated = mutate(text, seed);
+            let Err(faults) = check(&mutated) else {
+                continue;
+            };
+            refused += 1;
+            assert!(!faults.0.is_empty(), "{name} {seed}");
+            for fault in faults.0 {
+                let lines = mutated.matches('\n').count() + 1;
+                assert!((1..=lines).contains(&fault.line), "{name} {seed}: {fault}");
+                assert!(fault.path.starts_with('$'), "{name} {seed}: {fault}");
+                assert!(!fault.message.is_empty(), "{name} {seed}");
+                assert!(!fault.to_string().contains('\n'), "{name} {seed}: {fault}");
+            }
+        }
+    }
+    assert!(refused > 1000, "{refused}");
+}
