--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -456,9 +456,9 @@
 
     /// Lets go of a call, and takes in what it has shown.
     ///
-    /// A call whose reply went astray keeps its place to its end. One whose
-    /// connection broke may run on if the process lives, so it keeps its place
-    /// for as long as a call lasts.
+    /// A call whose reply went astray may run on, and so may one whose connection
+    /// broke if the process lives; each keeps its place for as long as a call
+    /// usually lasts at most.
     fn learn(&mut self, attempt: id::Attempt, sign: Sign, pool: &Pool, now: Millis) {
         let found = self.sent.iter().position(|sent| sent.attempt == attempt);
         // A call that has lost its place by time was sent that long ago.
@@ -473,8 +473,7 @@
         };
         self.warmth.note(evidence, pool, now);
         let may_run_still = match sign {
-            Sign::Foreign => Millis::NEVER,
-            Sign::Broken => now + self.warmth.patience(),
+            Sign::Foreign | Sign::Broken => now + self.warmth.patience(),
             _ => now,
         };
         for sent in &mut self.sent {
