--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -100,6 +100,8 @@
     at: Millis,
     /// When the target must have let go of the call.
     ends_by: Millis,
+    /// How many calls the target had when it was sent, with this one.
+    beside: usize,
     /// Whether and how it is kept apart from other calls.
     ward: Ward,
 }
@@ -244,6 +246,7 @@
             attempt,
             at: now,
             ends_by: now + left,
+            beside: 0,
             ward: Ward::Open,
         });
         place.sent.extend(sent);
@@ -453,9 +456,9 @@
 
     /// Lets go of a call, and takes in what it has shown.
     ///
-    /// A call whose reply went astray keeps its place to its end. One whose
-    /// connection broke may run on if the process lives, so it keeps its place
-    /// for as long as a call lasts.
+    /// A call whose reply went astray may run on, and so may one whose connection
+    /// broke if the process lives; each keeps its place for as long as a call
+    /// usually lasts at most.
     fn learn(&mut self, attempt: id::Attempt, sign: Sign, pool: &Pool, now: Millis) {
         let found = self.sent.iter().position(|sent| sent.attempt == attempt);
         // A call that has lost its place by time was sent that long ago.
@@ -463,12 +466,14 @@
         let evidence = Evidence {
             sign,
             sent_at: found.map_or(oldest, |index| self.sent[index].at),
-            in_flight: self.sent.len(),
+            in_flight: self
+                .sent
+                .len()
+                .max(found.map_or(0, |index| self.sent[index].beside)),
         };
         self.warmth.note(evidence, pool, now);
         let may_run_still = match sign {
-            Sign::Foreign => Millis::NEVER,
-            Sign::Broken => now + self.warmth.patience(),
+            Sign::Foreign | Sign::Broken => now + self.warmth.patience(),
             _ => now,
         };
         for sent in &mut self.sent {
@@ -486,6 +491,7 @@
             attempt: call.attempt,
             at: now,
             ends_by: now + terms.pool.longest_call,
+            beside: self.sent.len() + 1,
             ward: Ward::of(call, terms),
         });
         self.sent.len() <= usize::from(self.limit(terms, now))
