--- a/crates/ctl/src/load_command.rs
+++ b/crates/ctl/src/load_command.rs
@@ -107,8 +107,9 @@
         write(&format!("{}\n", table::row(run)));
     };
     let runs = compare::run(&setup, tell).await?;
-    if options.details {
-        for run in &runs {
+    for run in &runs {
+        // What must not happen is always told in full.
+        if options.details || run.score.breaches.total() > 0 {
             write(&table::details(run));
         }
     }
