--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -123,6 +123,8 @@
     crossed: Option<Entry>,
     /// How often the target has crashed; calls of an earlier life are gone.
     crashes: usize,
+    /// Until when it runs nothing, while its connections are being broken.
+    down_until: Option<Instant>,
     /// How many of the crashes came from too many calls in cold start.
     cold_breaks: usize,
     cache: Cache,
@@ -241,6 +243,7 @@
 
     fn crash(&self) {
         let mut inner = self.lock();
+        inner.down_until = Some(Instant::now() + self.plan.restart);
         inner.crashes += 1;
         inner.in_flight = 0;
         inner.chill();
@@ -252,6 +255,11 @@
         self.crashed.send_replace(());
     }
 
+    fn is_down(&self) -> bool {
+        let until = self.lock().down_until;
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Notes that a call begins.
     fn begin(&self, attempt: String, body: Bytes) -> Running {
         let mut inner = self.lock();
@@ -324,6 +332,9 @@
     let Ok(body) = body.collect().await else {
         return Reply::Break;
     };
+    if shared.is_down() {
+        return Reply::Break;
+    }
     let fault = shared.lock().fault.clone();
     match fault {
         Fault::Refuse => return refuse(attempt, None),
