--- a/crates/daemon/tests/process/results.rs
+++ b/crates/daemon/tests/process/results.rs
@@ -123,6 +123,20 @@
         let call = Call::new("read", format!("stays-{round}"));
         assert_eq!(fleet.answered(round % 3, &call).await.body, call.expected());
     }
+    idle(&fleet).await;
+    // A post whose caller hung up has run to its end, and its answer is kept.
+    for number in [2, 5, 8] {
+        let call = mixed(number).again();
+        let told = fleet.send(number % 3, &call).await.unwrap();
+        let runs = fleet.runs(&call.body);
+        assert!(runs <= 1);
+        assert_eq!(told.status == 200, runs == 1, "{told:?} after {runs} runs");
+    }
+    fleet.assert_invariants();
+}
+
+/// Waits until no daemon has a request or a call in progress.
+async fn idle(fleet: &Fleet) {
     until("nothing is in progress", async || {
         let mut left = 0;
         for index in 0..3 {
@@ -133,15 +147,24 @@
         left == 0
     })
     .await;
-    // A post whose caller hung up has run to its end, and its answer is kept.
-    for number in [2, 5, 8] {
-        let call = mixed(number).again();
-        let told = fleet.send(number % 3, &call).await.unwrap();
-        let runs = fleet.runs(&call.body);
-        assert!(runs <= 1);
-        assert_eq!(told.status == 200, runs == 1, "{told:?} after {runs} runs");
+}
+
+#[tokio::test]
+async fn callers_that_hang_up_at_any_moment_leave_no_place_taken() {
+    let fleet = start().await;
+    for round in 0..100 {
+        let leavers = (0..24).map(|number| {
+            let call = Call::new("read", format!("leaves-{round}-{number}"));
+            let patience = Duration::from_micros(200 + round * 40 + number);
+            let fleet = &fleet;
+            async move {
+                let sent = fleet.send(0, &call);
+                tokio::time::timeout(patience, sent).await.ok();
+            }
+        });
+        join_all(leavers).await;
     }
-    fleet.assert_invariants();
+    idle(&fleet).await;
 }
 
 #[tokio::test]
@@ -160,7 +183,8 @@
     fleet.platform.add_targets(vec![entry]);
     fleet.settled().await;
     let reads = |number| Call::new("read", format!("r-{number}"));
-    let fault = async { tokio::time::sleep(Duration::from_secs(2)).await };
+    let is_busy = async || twice.load(Ordering::Relaxed) > 100;
+    let fault = until("the target has answered twice", is_busy);
     let sent = storm::steady(&fleet, 24, reads, fault).await;
     for one in &sent {
         let told = one.result.as_ref().unwrap();
@@ -169,7 +193,6 @@
             assert_eq!(told.body, one.call.expected(), "{:?}", one.call);
         }
     }
-    assert!(twice.load(Ordering::Relaxed) > 10);
     doubling.abort();
 }
 
