Read the platform's load reports, and bound the waits of two tests

Cause: the load reports were published and nothing read them, so a target that was idle and turned cold was known to be cold only after its next reply. Ruled out: each owner asking for itself, whose calls grow with the fleet. Tests that waited without an end now fail after 60 s and say for what. Test: crates/kernel/tests/load_report.rs, 3 tests; with the comparison of ages taken out the first one fails. Whole tests: passed. Not measured: how often a report comes before a reply.

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -12,6 +12,7 @@
 use gooseberry_kernel::drain::Phase;
 use gooseberry_kernel::handover::Parcel;
 use gooseberry_kernel::id;
+use gooseberry_kernel::load_report;
 use gooseberry_kernel::node::Action;
 use gooseberry_kernel::node::Admission;
 use gooseberry_kernel::node::Arrival;
@@ -67,6 +68,8 @@
     /// The platform answered about the settings, asked for at the moment;
     /// `None` if nothing is newer.
     ReadSettings(Option<Tree>, Millis),
+    /// The platform answered about cold targets; the moment of the question.
+    ReadCold(Vec<load_report::Cold>, Millis),
     /// A peer sent the lists of late.
     AdoptPast(Vec<Past>),
     /// A peer sent its list.
@@ -200,6 +203,7 @@
             Message::ReadSettings(Some(tree), asked_at) => {
                 node.take_settings(&tree, asked_at, now);
             }
+            Message::ReadCold(reports, asked_at) => node.read_cold(&reports, asked_at, now),
             Message::ReadSettings(None, asked_at) => node.confirm_settings(asked_at),
             Message::AdoptPast(past) => node.adopt_past(&past, now),
             Message::AdoptList(list) => node.adopt_list(&list, now),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -134,6 +134,7 @@
         tokio::spawn(control::serve(context.clone(), control, stopping.clone()));
         tokio::spawn(control::greet(context.clone(), stopping.clone()));
         tokio::spawn(reader::watch_list(context.clone(), stopping.clone()));
+        tokio::spawn(reader::ask_loads(context.clone(), stopping.clone()));
         tokio::spawn(reader::watch_settings(context.clone(), stopping));
         log::info!(
             "{} serves callers at {}",
--- a/crates/daemon/src/reader.rs
+++ b/crates/daemon/src/reader.rs
@@ -5,7 +5,9 @@
 
 use anyhow::bail;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::load_report;
 use gooseberry_kernel::node::Node;
+use gooseberry_wire::platform::Load;
 use tokio::sync::watch;
 
 use crate::actor::Message;
@@ -20,6 +22,8 @@
 const LONG_PAUSE: Duration = Duration::from_secs(1);
 /// How often a daemon that is not a reader looks whether it has become one.
 const IDLE: Duration = Duration::from_millis(200);
+/// How often a reader asks for the load reports.
+const LOADS_PAUSE: Duration = Duration::from_secs(2);
 
 /// Watches the list until `stop` turns true.
 pub async fn watch_list(context: Arc<Context>, stop: watch::Receiver<bool>) {
@@ -31,6 +35,26 @@
     watch(context, stop, Node::is_settings_reader, read_settings).await;
 }
 
+/// Asks for the load reports of the own failure domain until `stop` turns true.
+pub async fn ask_loads(context: Arc<Context>, mut stop: watch::Receiver<bool>) {
+    loop {
+        let round = async {
+            tokio::time::sleep(LOADS_PAUSE).await;
+            let is_elected = context.node.look(|node, _| node.is_elected_reader()).await;
+            if !is_elected.unwrap_or(false) {
+                return;
+            }
+            if let Err(error) = read_loads(&context).await {
+                log::debug!("the load reports could not be read: {error:#}");
+            }
+        };
+        tokio::select! {
+            () = round => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
 async fn watch(
     context: Arc<Context>,
     mut stop: watch::Receiver<bool>,
@@ -61,6 +85,17 @@
     }
 }
 
+async fn read_loads(context: &Context) -> anyhow::Result<()> {
+    let asked_at = context.clock.now();
+    let loads = context.platform.loads(&context.local.domain).await?;
+    let is_cold = |load: &Load| load.is_cold && load.age_ms < load_report::MEMORY.0;
+    let cold = loads.loads.into_iter().filter(is_cold);
+    let reports = cold.map(load_report::Cold::try_from);
+    let reports = reports.collect::<Result<_, _>>()?;
+    context.node.tell(Message::ReadCold(reports, asked_at));
+    Ok(())
+}
+
 async fn read_list(context: &Context) -> anyhow::Result<()> {
     let after = context
         .node
--- a/crates/daemon/tests/single/fleet.rs
+++ b/crates/daemon/tests/single/fleet.rs
@@ -74,7 +74,10 @@
     async fn serve_first(&self) {
         let path = STOCK.replace("trekkers", "guides");
         let stock = request(&path, "desk.guides", &[], "x");
-        while status(&send(self.callers(), &stock, false).await) != "200" {}
+        until("the first request is served", async || {
+            status(&send(self.callers(), &stock, false).await) == "200"
+        })
+        .await;
     }
 
     pub fn callers(&self) -> SocketAddr {
@@ -88,6 +91,18 @@
     }
 }
 
+/// How long a test waits at most for what must come.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Waits until the condition holds, and fails if that takes far too long.
+pub async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let begun = std::time::Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < LIMIT, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
 /// Sends the bytes on a connection of their own and reads all that comes back
 /// until the daemon closes it or a whole answer is there.
 pub async fn send(address: SocketAddr, bytes: &[u8], is_closing: bool) -> String {
--- a/crates/daemon/tests/single/metrics.rs
+++ b/crates/daemon/tests/single/metrics.rs
@@ -12,6 +12,7 @@
 use crate::fleet::request;
 use crate::fleet::send;
 use crate::fleet::status;
+use crate::fleet::until;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn each_request_is_counted_once() {
@@ -122,7 +123,10 @@
     let fleet = Fleet::start().await;
     fleet.platform.put("/teams/desk", "{ \"pools\": 3 }");
     let revision = fleet.platform.settings().revision;
-    while fleet.metric("gooseberry_settings_revision ").await < revision {}
+    until("the document is read", async || {
+        fleet.metric("gooseberry_settings_revision ").await >= revision
+    })
+    .await;
     assert_eq!(fleet.metric("gooseberry_refused_documents ").await, 1);
     let status_page = get(fleet.daemon.local().operators, "/v1/status").await;
     assert!(status_page.contains("line 1: $.pools: expected an object"));
@@ -148,9 +152,15 @@
     tokio::io::AsyncWriteExt::write_all(&mut stream, &stock)
         .await
         .unwrap();
-    while fleet.metric("gooseberry_requests_in_progress ").await == 0 {}
+    until("the request is in progress", async || {
+        fleet.metric("gooseberry_requests_in_progress ").await > 0
+    })
+    .await;
     drop(stream);
-    while fleet.metric(abandoned).await == before {}
+    until("the caller's absence is counted", async || {
+        fleet.metric(abandoned).await > before
+    })
+    .await;
     assert_eq!(fleet.metric(abandoned).await, before + 1);
     fleet.daemon.shut_down().await;
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod handover;
 pub mod hash;
 pub mod id;
+pub mod load_report;
 pub mod node;
 pub mod once;
 pub mod peer;
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -19,6 +19,7 @@
 use crate::handover::Estates;
 use crate::hash;
 use crate::id;
+use crate::load_report::Board;
 use crate::once;
 use crate::quarantine::Ward;
 use crate::retry::Budget;
@@ -86,6 +87,7 @@
     ward: Ward,
     budget: Budget,
     drain: Drain,
+    cold: Board,
     reach: control::Reach,
     violations: Vec<&'static str>,
     /// How many sends above a target's limit have been noted as violations.
@@ -116,6 +118,7 @@
             ward: Ward::default(),
             budget: Budget::default(),
             drain: Drain::default(),
+            cold: Board::default(),
             reach: control::Reach::new(now),
             violations: Vec::new(),
             overruns: 0,
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -10,6 +10,7 @@
 use crate::drain::Phase;
 use crate::hash;
 use crate::id;
+use crate::load_report::Cold;
 use crate::peer::Hello;
 use crate::roster::List;
 use crate::roster::Member;
@@ -90,6 +91,14 @@
         !is_confirmed || self.is_elected_reader()
     }
 
+    /// Takes in reports of cold targets, which the platform or a peer was asked
+    /// for at `asked_at`.
+    pub fn read_cold(&mut self, reports: &[Cold], asked_at: Millis, now: Millis) {
+        for (target, at) in self.cold.merge(reports, asked_at) {
+            self.chill(&target, at, now);
+        }
+    }
+
     /// Takes in the list that the platform published, asked for at `asked_at`.
     ///
     /// The question's time is what counts: the answer may have waited while
@@ -200,6 +209,7 @@
             is_goodbye: self.reach.goodbye,
             departed: self.tenure.departed(now),
             suspects: self.ward.suspects(now),
+            cold: self.cold.reports(now),
         }
     }
 
@@ -221,6 +231,9 @@
                 .acknowledge(&hello.from, &hello.answer, sent_at, now);
         }
         self.learn_confirmation(hello, sent_at);
+        // The reply was made after `sent_at`, so a report seems older with each
+        // daemon that passes it on, and none comes back as a newer one.
+        self.read_cold(&hello.cold, sent_at, now);
         self.greeted(hello, now)
     }
 
@@ -230,6 +243,7 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.tenure.tick(now);
         self.ward.tick(now);
+        self.cold.tick(now);
         if self.drain.is_begun() {
             self.drain.tick(self.in_progress(), now);
         }
@@ -294,6 +308,12 @@
         others.filter(move |one| one.id != me)
     }
 
+    fn chill(&mut self, target: &id::Target, at: Millis, now: Millis) {
+        if let Some(pool) = self.pool_of(target) {
+            self.slots.note_report(target, at, &pool, now);
+        }
+    }
+
     fn need(&self, hello: &Hello) -> Need {
         let is_newer = hello.settings > self.book.revision();
         let is_equal = hello.settings == self.book.revision();
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -216,7 +216,7 @@
         Ok((entry.clone(), pool.clone()))
     }
 
-    fn pool_of(&self, target: &id::Target) -> Option<Pool> {
+    pub(super) fn pool_of(&self, target: &id::Target) -> Option<Pool> {
         let entry = self.tenure.list()?.target(target)?;
         self.book.pool(&entry.pool).cloned()
     }
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -6,6 +6,7 @@
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::id;
+use crate::load_report::Cold;
 use crate::quarantine::Suspect;
 use crate::roster::Revision;
 use crate::tenure::Answer;
@@ -33,5 +34,7 @@
         pub departed: Vec<Departed>,
         /// The requests that are under suspicion of crashing targets.
         pub suspects: Vec<Suspect>,
+        /// The targets that the platform reported cold lately.
+        pub cold: Vec<Cold>,
     }
 }
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -252,6 +252,13 @@
         place.sent.extend(sent);
     }
 
+    /// Takes in a report that a target was cold at the moment.
+    pub fn note_report(&mut self, target: &id::Target, at: Millis, pool: &Pool, now: Millis) {
+        if let Ok(index) = self.find(target) {
+            self.places[index].warmth.note_report(at, pool, now);
+        }
+    }
+
     /// Takes a call out of the queue, when its caller has gone.
     pub fn cancel(&mut self, target: &id::Target, attempt: id::Attempt) {
         if let Ok(index) = self.find(target) {
--- a/crates/kernel/src/warmth.rs
+++ b/crates/kernel/src/warmth.rs
@@ -252,6 +252,15 @@
         }
     }
 
+    /// Takes in a report that the target was cold at the moment.
+    ///
+    /// Reports lag, so one that was made before the last answer says nothing.
+    pub fn note_report(&mut self, at: Millis, pool: &Pool, now: Millis) {
+        if at > self.heard_at {
+            self.chill(pool, now);
+        }
+    }
+
     /// Tells whether answers have come lately enough for the limit to hold.
     fn is_heard(&self, oldest: Option<Millis>, now: Millis) -> bool {
         if now - self.heard_at > IDLE_MEMORY.max(self.patience()) {
--- /dev/null
+++ b/crates/kernel/tests/load_report.rs
@@ -0,0 +1,94 @@
+//! What an owner makes of the platform's reports of cold targets.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod policy_site;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id;
+use gooseberry_kernel::load_report::Board;
+use gooseberry_kernel::load_report::Cold;
+use gooseberry_kernel::load_report::MEMORY;
+use gooseberry_kernel::load_report::REPORTS_MAX;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::warmth::Report;
+use gooseberry_kernel::warmth::Sign;
+use policy_site::READY;
+
+const WARM: Sign = Sign::Answered(Some(Report::Warm));
+
+/// Sends the first target calls and answers them until it is warm.
+fn warm(node: &mut Node) -> Millis {
+    let mut now = READY;
+    for round in 0..20 {
+        let numbers = (0..16).map(|one| round * 16 + one + 1);
+        let mut sent = Vec::new();
+        for number in numbers {
+            let call = policy_site::call(0, number, now + Millis(9000));
+            if node.start(&call, now).is_ok() {
+                sent.push(call);
+            }
+        }
+        now = now + Millis(50);
+        for call in sent {
+            node.finish(&call.target, call.attempt, WARM, call.digest, now);
+        }
+    }
+    now
+}
+
+fn limit(node: &Node, now: Millis) -> u16 {
+    node.places(&policy_site::target(0), now).unwrap().1
+}
+
+fn cold(age: u64) -> Vec<Cold> {
+    vec![Cold {
+        target: policy_site::target(0),
+        age: Millis(age),
+    }]
+}
+
+#[test]
+fn a_report_made_after_the_last_answer_takes_the_target_to_its_cold_limit() {
+    let mut node = policy_site::node("adaptive", 1);
+    let now = warm(&mut node);
+    assert!(limit(&node, now) > 2, "{}", limit(&node, now));
+    // This one was made before the last answer, and says nothing.
+    let asked_at = now + Millis(100);
+    node.read_cold(&cold(200), asked_at, asked_at);
+    assert!(limit(&node, asked_at) > 2);
+    node.read_cold(&cold(50), asked_at, asked_at);
+    assert_eq!(limit(&node, asked_at), 2);
+}
+
+#[test]
+fn a_report_that_peers_pass_on_never_becomes_a_newer_one() {
+    let mut first = Board::default();
+    let mut second = Board::default();
+    let mut now = Millis(20_000);
+    assert_eq!(first.merge(&cold(100), now).len(), 1);
+    assert_eq!(second.merge(&first.reports(now), now).len(), 1);
+    for _ in 0..100 {
+        // Each answer takes 5 ms, and the question's time is what counts.
+        let asked_at = now;
+        now = now + Millis(5);
+        assert!(first.merge(&second.reports(now), asked_at).is_empty());
+        assert!(second.merge(&first.reports(now), asked_at).is_empty());
+    }
+    first.tick(now + MEMORY);
+    assert!(first.reports(now + MEMORY).is_empty());
+}
+
+#[test]
+fn the_newest_reports_are_kept_when_there_are_too_many() {
+    let mut board = Board::default();
+    let report = |number: u64| Cold {
+        target: id::Target::new(&format!("llm-{number}")).unwrap(),
+        age: Millis(number),
+    };
+    let reports: Vec<Cold> = (0..100).map(report).collect();
+    board.merge(&reports, MEMORY);
+    let kept = board.reports(MEMORY);
+    assert_eq!(kept.len(), REPORTS_MAX);
+    assert!(kept.iter().all(|one| one.age.0 < 32));
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -4,6 +4,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::handover;
 use gooseberry_kernel::id;
+use gooseberry_kernel::load_report;
 use gooseberry_kernel::once;
 use gooseberry_kernel::peer;
 use gooseberry_kernel::quarantine;
@@ -56,6 +57,17 @@
     pub departed: Vec<Departed>,
     /// The requests under suspicion.
     pub suspects: Vec<Suspect>,
+    /// The targets that the platform reported cold lately.
+    pub cold: Vec<Cold>,
+}
+
+/// A report that a target is cold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cold {
+    /// The target.
+    pub target: CompactString,
+    /// How long ago it was reported so, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A daemon that the list has dropped.
@@ -168,6 +180,7 @@
             is_goodbye: hello.is_goodbye,
             departed: hello.departed.iter().map(Into::into).collect(),
             suspects: hello.suspects.iter().map(Into::into).collect(),
+            cold: hello.cold.iter().map(Into::into).collect(),
         }
     }
 }
@@ -177,6 +190,7 @@
 
     fn try_from(wire: Hello) -> Result<Self, id::Invalid> {
         let departed = wire.departed.into_iter().map(TryInto::try_into);
+        let cold = wire.cold.into_iter().map(TryInto::try_into);
         Ok(Self {
             from: wire.from.parse()?,
             answer: tenure::Answer {
@@ -192,6 +206,7 @@
             is_goodbye: wire.is_goodbye,
             departed: departed.collect::<Result<_, _>>()?,
             suspects: wire.suspects.into_iter().map(Into::into).collect(),
+            cold: cold.collect::<Result<_, _>>()?,
         })
     }
 }
@@ -353,6 +368,26 @@
     (age != Millis::NEVER).then_some(age.0)
 }
 
+impl From<&load_report::Cold> for Cold {
+    fn from(cold: &load_report::Cold) -> Self {
+        Self {
+            target: cold.target.as_str().into(),
+            age_ms: cold.age.0,
+        }
+    }
+}
+
+impl TryFrom<Cold> for load_report::Cold {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Cold) -> Result<Self, id::Invalid> {
+        Ok(Self {
+            target: wire.target.parse()?,
+            age: Millis(wire.age_ms),
+        })
+    }
+}
+
 impl From<&quarantine::Suspect> for Suspect {
     fn from(suspect: &quarantine::Suspect) -> Self {
         Self {
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id;
+use gooseberry_kernel::load_report;
 use gooseberry_kernel::roster;
 use gooseberry_kernel::settings;
 use serde::Deserialize;
@@ -105,6 +107,17 @@
     pub loads: Vec<Load>,
 }
 
+impl TryFrom<Load> for load_report::Cold {
+    type Error = id::Invalid;
+
+    fn try_from(wire: Load) -> Result<Self, id::Invalid> {
+        Ok(Self {
+            target: wire.target.parse()?,
+            age: Millis(wire.age_ms),
+        })
+    }
+}
+
 impl From<roster::State> for State {
     fn from(state: roster::State) -> Self {
         match state {
