Say "not run" only of requests that no target may have run

Cause: a request without a key was answered with the outcome of its last failure alone. When one target had failed on it and the next one refused, or when its first stages had run and a later one was refused, the answer said "not run". Found by reading pipeline.rs; the process tests looked at requests with a key. Ruled out: the reading of a target's reply, which tells each attempt rightly. Change: the outcome is kept over all attempts and stages. The demo waits for the owners' first wait to end and fails on violations.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -20,6 +20,7 @@
 use gooseberryctl::load::Plan;
 use gooseberryctl::load_command;
 use gooseberryctl::report;
+use gooseberryctl::score;
 use gooseberryctl::slope_command;
 use gooseberryctl::status;
 
@@ -276,10 +277,14 @@
         plan.seed
     );
     let embedded = Embedded::start(site).await?;
+    println!("waiting as long as calls of a former fleet might last");
+    embedded.settle().await;
     let summary = load::run(&embedded, plan).await;
+    let violations = score::violations(&embedded);
     embedded.shut_down().await;
     print!("{}", report::text(&summary));
-    Ok(exit_code(summary.is_accounted()))
+    println!("violated invariants: {violations}");
+    Ok(exit_code(summary.is_accounted() && violations == 0))
 }
 
 fn exit_code(is_good: bool) -> ExitCode {
--- a/crates/daemon/src/pipeline.rs
+++ b/crates/daemon/src/pipeline.rs
@@ -59,7 +59,8 @@
     ends_by: Millis,
     costs: Vec<Cost>,
     attempts: u16,
-    /// What became of the stage that is not idempotent.
+    /// What a failure of the request has to say about its work: that of the
+    /// stage that is not idempotent, or of all stages if there is none.
     outcome: Outcome,
 }
 
@@ -108,10 +109,12 @@
             self.costs.push(Cost::new(stage.id.clone()));
             let result = self.stage(index, stage, &body).await;
             self.note_latency(stage, started);
-            body = result.map_err(|failure| self.judge(failure))?;
-            if !stage.is_idempotent {
-                self.outcome = Outcome::Unknown;
-            }
+            // The last attempt may not have run when an earlier one did.
+            body = result.map_err(|failure| Failure {
+                outcome: self.outcome,
+                ..failure
+            })?;
+            self.note_run(stage);
         }
         Ok(body)
     }
@@ -131,8 +134,8 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
-            if failure.outcome != Outcome::NotRun && !stage.is_idempotent {
-                self.outcome = Outcome::Unknown;
+            if failure.outcome != Outcome::NotRun {
+                self.note_run(stage);
             }
             if failure.kind == Kind::NoTarget && tried.len() == before {
                 failure = exhausted(failure, last, &mut tried)?;
@@ -269,16 +272,10 @@
         Node::stage_deadline(&self.job.admission, index, policy, now)
     }
 
-    /// Gives a failure the outcome of the whole request.
-    ///
-    /// A request whose stages are all idempotent keeps the failure's own.
-    fn judge(&self, failure: Failure) -> Failure {
-        if self.job.key.is_none() {
-            return failure;
-        }
-        Failure {
-            outcome: self.outcome,
-            ..failure
+    /// Notes that a target may have run a stage.
+    fn note_run(&mut self, stage: &Stage) {
+        if !stage.is_idempotent || self.job.key.is_none() {
+            self.outcome = Outcome::Unknown;
         }
     }
 
--- a/crates/daemon/tests/single/main.rs
+++ b/crates/daemon/tests/single/main.rs
@@ -6,3 +6,4 @@
 mod fleet;
 mod keys;
 mod metrics;
+mod outcome;
--- /dev/null
+++ b/crates/daemon/tests/single/outcome.rs
@@ -0,0 +1,64 @@
+//! "Not run" is said of nothing that ran, also where a second run does no harm.
+
+use gooseberry_standin::site;
+use gooseberry_standin::target::Fault;
+
+use crate::fleet::Fleet;
+use crate::fleet::STOCK;
+use crate::fleet::field;
+use crate::fleet::request;
+use crate::fleet::send;
+
+const BRIEFING: &str = "/v1/workspaces/desk.trekkers/pipelines/route-briefing";
+
+/// Returns how many targets of the pool ran an input that holds the text.
+fn runs(fleet: &Fleet, pool: &str, text: &str) -> usize {
+    let holds = |body: &[u8]| String::from_utf8_lossy(body).contains(text);
+    let named = fleet.targets.iter().filter(|one| one.pool == pool);
+    let journals = named.flat_map(|one| one.target.journal());
+    journals.filter(|entry| holds(&entry.body)).count()
+}
+
+async fn outcome(fleet: &Fleet, path: &str, body: &str) -> String {
+    let sent = request(path, "desk.trekkers", &[], body);
+    let answer = send(fleet.callers(), &sent, false).await;
+    let told = field(&answer, "gooseberry-outcome");
+    told.unwrap_or_default().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ran_at_one_target_is_not_told_not_run_after_another_refused() {
+    let fleet = Fleet::start().await;
+    let ledgers = fleet.targets.iter().filter(|one| one.pool == "desk.ledger");
+    for (index, one) in ledgers.enumerate() {
+        let fault = if index == 0 {
+            Fault::Fail
+        } else {
+            Fault::Refuse
+        };
+        one.target.set_fault(fault);
+    }
+    let mut ran = 0;
+    for number in 0..60 {
+        let body = format!("trip-{number}-tents");
+        let told = outcome(&fleet, STOCK, &body).await;
+        let count = runs(&fleet, "desk.ledger", &body);
+        assert!(told != "not-run" || count == 0, "{body} ran {count} times");
+        ran += count;
+    }
+    assert!(ran > 0, "some of them have to reach the target that fails");
+    fleet.daemon.shut_down().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_first_stages_ran_is_not_told_not_run() {
+    let fleet = Fleet::start().await;
+    assert_eq!(site::HUARAZ.groups[0].pool, "desk.llm");
+    for one in fleet.targets.iter().filter(|one| one.pool == "desk.llm") {
+        one.target.set_fault(Fault::Refuse);
+    }
+    let told = outcome(&fleet, BRIEFING, "to the lake").await;
+    assert!(runs(&fleet, "desk.encoder", "to the lake") > 0);
+    assert_eq!(told, "unknown");
+    fleet.daemon.shut_down().await;
+}
