Check the leave to send where the body is written

Cause: the right was checked before the call was given to the client, which may first have to make a connection, for up to a second. A process that was paused there sent a call after its right had ended. Ruled out: closing the gap wholly; a few instructions between the check and the write remain, and only a target that checks could close them. Change: the body of a call to a target fails if it is asked for after the leave has ended. The client asks for it when the connection is ready. The target has then had the head at most, and the call counts as not run.

--- a/crates/connectors/src/http_client.rs
+++ b/crates/connectors/src/http_client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body::Body;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -10,7 +11,7 @@
 use hyper_util::rt::TokioTimer;
 
 /// A pooled client for plain HTTP.
-pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+pub type HttpClient<B = Full<Bytes>> = Client<HttpConnector, B>;
 
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -19,7 +20,11 @@
 
 /// Makes a client with a pool of its own.
 #[must_use]
-pub fn new() -> HttpClient {
+pub fn new<B>() -> HttpClient<B>
+where
+    B: Body + Send,
+    B::Data: Send,
+{
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
--- a/crates/connectors/src/lib.rs
+++ b/crates/connectors/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod retriever;
 pub mod service;
 pub mod target;
+pub mod timed_body;
--- a/crates/connectors/src/target.rs
+++ b/crates/connectors/src/target.rs
@@ -5,6 +5,8 @@
 //! one that fails later means that it may have run.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
@@ -23,7 +25,6 @@
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -31,6 +32,7 @@
 use crate::connector;
 use crate::http_client;
 use crate::http_client::HttpClient;
+use crate::timed_body::TimedBody;
 
 /// One call to a target.
 #[derive(Clone, Debug)]
@@ -49,6 +51,8 @@
     pub priority: u8,
     /// The largest answer that is taken, in bytes.
     pub max_answer_bytes: usize,
+    /// Until when the leave to send it holds.
+    pub send_by: Instant,
     /// The input of the stage.
     pub body: Bytes,
 }
@@ -67,7 +71,7 @@
 /// Calls targets over pooled connections.
 #[derive(Clone, Debug)]
 pub struct Client {
-    http: HttpClient,
+    http: HttpClient<TimedBody>,
 }
 
 impl Default for Client {
@@ -84,8 +88,12 @@
         let Some(request) = request(call) else {
             return Reply::failed(Kind::Internal.into(), Sign::Refused(None));
         };
+        let late = request.body().late_flag();
         match self.http.request(request).await {
             Ok(response) => read(call, response).await,
+            Err(_) if late.load(Ordering::Acquire) => {
+                Reply::failed(Kind::NoRight.into(), Sign::NotSent)
+            }
             Err(error) if error.is_connect() => {
                 let mut failure = Failure::from(Kind::TargetFailed);
                 failure.outcome = Outcome::NotRun;
@@ -106,7 +114,7 @@
     }
 }
 
-fn request(call: &Call) -> Option<Request<Full<Bytes>>> {
+fn request(call: &Call) -> Option<Request<TimedBody>> {
     let connector = connector::find(call.kind)?;
     let uri = format!("http://{}{}", call.address, connector.path());
     let mut request = Request::builder()
@@ -115,7 +123,7 @@
         .header(header::ATTEMPT, call.attempt.to_string())
         .header(header::TIMEOUT_MS, call.timeout_ms)
         .header(header::WORKSPACE, call.workspace.as_str())
-        .body(Full::new(call.body.clone()))
+        .body(TimedBody::new(call.body.clone(), call.send_by))
         .ok()?;
     connector.prepare(call, request.headers_mut());
     Some(request)
--- /dev/null
+++ b/crates/connectors/tests/send_by.rs
@@ -0,0 +1,51 @@
+//! A call whose leave has ended before its body was written does not run.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gooseberry_connectors::target::Call;
+use gooseberry_connectors::target::Client;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::answer::Outcome;
+use gooseberry_kernel::id;
+use gooseberry_kernel::settings;
+use gooseberry_standin::target::Plan;
+use gooseberry_standin::target::Target;
+
+fn call(target: &Target, number: u16, send_by: Instant) -> Call {
+    Call {
+        kind: settings::Kind::Service,
+        address: target.address(),
+        attempt: id::Attempt {
+            request: id::Request(7),
+            stage: 0,
+            number,
+        },
+        workspace: id::Workspace::new("desk.porters").unwrap(),
+        timeout_ms: 1000,
+        priority: 5,
+        max_answer_bytes: 1 << 20,
+        send_by,
+        body: format!("deposit-{number}").into(),
+    }
+}
+
+#[tokio::test]
+async fn a_call_whose_leave_has_ended_does_not_run() {
+    let target = Target::start(Plan::default()).await.unwrap();
+    let client = Client::default();
+    let far = Instant::now() + Duration::from_secs(60);
+    assert!(client.call(&call(&target, 1, far)).await.result.is_ok());
+    // One on the kept connection, and more on connections of their own.
+    for number in 2..6 {
+        let late = client.call(&call(&target, number, Instant::now())).await;
+        let failure = late.result.unwrap_err();
+        assert_eq!(failure.kind, Kind::NoRight);
+        assert_eq!(failure.outcome, Outcome::NotRun);
+    }
+    assert!(client.call(&call(&target, 6, far)).await.result.is_ok());
+    let ran: Vec<_> = target.journal().into_iter().map(|one| one.body).collect();
+    assert_eq!(ran, ["deposit-1", "deposit-6"]);
+}
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -182,7 +182,10 @@
         };
         return Report::failed(kind.into());
     }
-    let call = call(&grant, task, deadline - now, context).await;
+    let end = grant.valid_until.min(deadline);
+    let send_by = Instant::now() + Duration::from_millis((end - now).0);
+    let mut call = call(&grant, task, deadline - now, context).await;
+    call.send_by = send_by;
     let started = Instant::now();
     let longest = Duration::from_millis(grant.pool.longest_call.0);
     let answered = timeout(longest, context.targets.call(&call)).await;
@@ -224,6 +227,7 @@
         workspace: task.workspace.clone(),
         timeout_ms: left.0,
         priority: 5,
+        send_by: Instant::now(),
         max_answer_bytes: usize::try_from(max).unwrap_or(usize::MAX),
         body: task.body.clone(),
     }
--- a/crates/kernel/src/warmth.rs
+++ b/crates/kernel/src/warmth.rs
@@ -39,6 +39,8 @@
         Broken,
         /// No connection could be made, so it was not given the call.
         Unreachable,
+        /// The call was not sent, for a reason that is not the target's.
+        NotSent,
         /// It did not answer in time.
         Slow,
     }
@@ -116,7 +118,7 @@
     pub fn report(self) -> Option<Report> {
         match self {
             Self::Answered(report) | Self::Refused(report) | Self::Failed(report) => report,
-            Self::Foreign | Self::Broken | Self::Unreachable | Self::Slow => None,
+            Self::Foreign | Self::Broken | Self::Unreachable | Self::NotSent | Self::Slow => None,
         }
     }
 
@@ -249,6 +251,7 @@
             }
             Sign::Slow | Sign::Refused(_) => self.shrink(pool, now),
             Sign::Failed(_) | Sign::Foreign | Sign::Broken | Sign::Unreachable => self.answers = 0,
+            Sign::NotSent => {}
         }
     }
 
