Name the parts of quarantine, hand-over and admission by the field's terms

Ward, Board, Estates, Parcel and Room were metaphors. They are Suspects (and Isolation at a target), Reports, Handovers, Chunk and Limiter now. The wire example no longer unwraps. Behaviour is unchanged; kernel and wire tests pass.

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -10,7 +10,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::drain::Phase;
-use gooseberry_kernel::handover::Parcel;
+use gooseberry_kernel::handover::Chunk;
 use gooseberry_kernel::id;
 use gooseberry_kernel::load_report;
 use gooseberry_kernel::node::Action;
@@ -120,9 +120,9 @@
     /// A shutdown is asked for, with its limit.
     ShutDown(Millis),
     /// Every right is given up; the reply is what each peer gets of them.
-    HandOver(RpcReplyPort<Vec<(Member, Vec<Parcel>)>>),
+    HandOver(RpcReplyPort<Vec<(Member, Vec<Chunk>)>>),
     /// A peer that leaves hands over a part of what it owned.
-    Inherit(Parcel),
+    Inherit(Chunk),
     /// Every right is given up; the reply names the peers to tell, and how.
     Goodbye(RpcReplyPort<(Vec<Member>, Hello)>),
     /// Somebody asks about the node.
@@ -244,7 +244,7 @@
             Message::End(key, end) => node.end(&key, end, now),
             Message::ShutDown(limit) => node.shut_down(limit, now),
             Message::HandOver(reply) => send(reply, node.hand_over(now)),
-            Message::Inherit(parcel) => node.inherit(&parcel, now),
+            Message::Inherit(chunk) => node.inherit(&chunk, now),
             Message::Goodbye(reply) => {
                 let peers = node.say_goodbye();
                 send(reply, (peers, node.hello(now)));
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -13,11 +13,11 @@
 use gooseberry_kernel::roster;
 use gooseberry_kernel::roster::Member;
 use gooseberry_kernel::tenure;
+use gooseberry_wire::control::Chunk;
 use gooseberry_wire::control::Control;
 use gooseberry_wire::control::ControlRequest;
 use gooseberry_wire::control::ControlResponse;
 use gooseberry_wire::control::Hello;
-use gooseberry_wire::control::Parcel;
 use gooseberry_wire::control::Past;
 use gooseberry_wire::platform;
 use tarpc::ClientMessage;
@@ -71,9 +71,9 @@
         Some(past.iter().map(Into::into).collect())
     }
 
-    async fn hand_over(self, _: context::Context, parcel: Parcel) {
-        match handover::Parcel::try_from(parcel) {
-            Ok(parcel) => self.context.node.tell(Message::Inherit(parcel)),
+    async fn hand_over(self, _: context::Context, chunk: Chunk) {
+        match handover::Chunk::try_from(chunk) {
+            Ok(chunk) => self.context.node.tell(Message::Inherit(chunk)),
             Err(error) => log::warn!("a hand-over was refused: {error}"),
         }
     }
@@ -135,21 +135,21 @@
 
 /// Gives up every right and hands the keys and targets to their next owners.
 pub async fn hand_over(context: &Arc<Context>) {
-    let Ok(parcels) = context.node.ask(Message::HandOver).await else {
+    let Ok(chunks) = context.node.ask(Message::HandOver).await else {
         return;
     };
-    let deliveries = parcels
+    let deliveries = chunks
         .iter()
-        .map(|(member, parcels)| deliver(context, member, parcels));
+        .map(|(member, chunks)| deliver(context, member, chunks));
     futures::future::join_all(deliveries).await;
 }
 
-async fn deliver(context: &Context, member: &Member, parcels: &[handover::Parcel]) {
+async fn deliver(context: &Context, member: &Member, chunks: &[handover::Chunk]) {
     let delivery = async {
         let client = context.peers.control(member.control).await?;
-        for parcel in parcels {
-            let parcel = Parcel::from(parcel);
-            client.hand_over(peers::control_context(), parcel).await?;
+        for chunk in chunks {
+            let chunk = Chunk::from(chunk);
+            client.hand_over(peers::control_context(), chunk).await?;
         }
         anyhow::Ok(())
     };
--- a/crates/kernel/src/admission.rs
+++ b/crates/kernel/src/admission.rs
@@ -30,12 +30,12 @@
 
 /// The requests in progress at one daemon, by workspace.
 #[derive(Clone, Debug, Default)]
-pub struct Room {
+pub struct Limiter {
     uses: Vec<Use>,
     total: usize,
 }
 
-impl Room {
+impl Limiter {
     /// Takes a place for a request of the workspace.
     ///
     /// # Errors
--- a/crates/kernel/src/handover.rs
+++ b/crates/kernel/src/handover.rs
@@ -1,9 +1,9 @@
 //! What a daemon that leaves hands to the next owners of its targets and keys.
 //!
 //! The leaver gives up its rights first. It then sends each peer the records
-//! of the keys that the peer owns next, in parcels of bounded size, together
+//! of the keys that the peer owns next, in chunks of bounded size, together
 //! with the lists under which it held its rights. A new owner that has every
-//! parcel knows all that the leaver knew of a thing, so its knowledge reaches
+//! chunk knows all that the leaver knew of a thing, so its knowledge reaches
 //! back to the beginning of the leaver's tenure. See `docs/design/once.md`.
 
 use crate::clock::Millis;
@@ -31,34 +31,34 @@
     }
 
     /// One part of a hand-over.
-    pub struct Parcel {
+    pub struct Chunk {
         /// The leaver.
         pub from: id::Instance,
-        /// The number of this parcel, from 0.
+        /// The number of this chunk, from 0.
         pub index: u16,
-        /// How many parcels there are for this peer.
+        /// How many chunks there are for this peer.
         pub count: u16,
-        /// The lists of the leaver, oldest first; only in parcel 0.
+        /// The lists of the leaver, oldest first; only in chunk 0.
         pub stretches: Vec<Stretch>,
-        /// The targets that may still have calls of the leaver; only in parcel 0.
+        /// The targets that may still have calls of the leaver; only in chunk 0.
         pub busy: Vec<id::Target>,
         /// Keys and what became of them.
         pub keys: Vec<Item>,
     }
 }
 
-/// How many bytes of keys and answers one parcel holds, unless a single answer
+/// How many bytes of keys and answers one chunk holds, unless a single answer
 /// is larger.
-pub const PARCEL_BYTES: usize = 256 << 10;
+pub const CHUNK_BYTES: usize = 256 << 10;
 /// How many leavers are remembered at a time.
 const LEAVERS_MAX: usize = 16;
 
 #[derive(Clone, Debug)]
-struct Estate {
+struct Handover {
     from: id::Instance,
     at: Millis,
     count: u16,
-    /// The numbers of the parcels that arrived, sorted.
+    /// The numbers of the chunks that arrived, sorted.
     arrived: Vec<u16>,
     stretches: Vec<Stretch>,
     busy: Vec<id::Target>,
@@ -66,44 +66,44 @@
 
 /// What leavers have handed to one daemon.
 #[derive(Clone, Debug, Default)]
-pub struct Estates {
-    estates: Vec<Estate>,
+pub struct Handovers {
+    handovers: Vec<Handover>,
 }
 
-impl Estates {
-    /// Takes in a parcel, apart from its keys.
-    pub fn take(&mut self, parcel: &Parcel, now: Millis) {
-        let found = self.estates.iter().position(|one| one.from == parcel.from);
+impl Handovers {
+    /// Takes in a chunk, apart from its keys.
+    pub fn take(&mut self, chunk: &Chunk, now: Millis) {
+        let found = self.handovers.iter().position(|one| one.from == chunk.from);
         let index = found.unwrap_or_else(|| {
-            self.estates.push(Estate {
-                from: parcel.from.clone(),
+            self.handovers.push(Handover {
+                from: chunk.from.clone(),
                 at: now,
-                count: parcel.count,
+                count: chunk.count,
                 arrived: Vec::new(),
                 stretches: Vec::new(),
                 busy: Vec::new(),
             });
-            self.estates.len() - 1
+            self.handovers.len() - 1
         });
-        let estate = &mut self.estates[index];
-        if let Err(place) = estate.arrived.binary_search(&parcel.index) {
-            estate.arrived.insert(place, parcel.index);
+        let received = &mut self.handovers[index];
+        if let Err(place) = received.arrived.binary_search(&chunk.index) {
+            received.arrived.insert(place, chunk.index);
         }
-        if parcel.index == 0 {
-            // The ages in the parcel are by the time it was written, so that
+        if chunk.index == 0 {
+            // The ages in the chunk are by the time it was written, so that
             // taking its arrival for it errs to the late side.
-            estate.at = now;
-            estate.stretches.clone_from(&parcel.stretches);
-            estate.busy.clone_from(&parcel.busy);
+            received.at = now;
+            received.stretches.clone_from(&chunk.stretches);
+            received.busy.clone_from(&chunk.busy);
         }
-        if self.estates.len() > LEAVERS_MAX {
-            self.estates.remove(0);
+        if self.handovers.len() > LEAVERS_MAX {
+            self.handovers.remove(0);
         }
     }
 
     /// Forgets what was handed over longer ago than the memory.
     pub fn tick(&mut self, memory: Millis, now: Millis) {
-        self.estates.retain(|one| one.at + memory > now);
+        self.handovers.retain(|one| one.at + memory > now);
     }
 
     /// Returns since when the leaver knew of a thing all that this daemon now
@@ -118,17 +118,17 @@
         until: Revision,
         me: &id::Instance,
     ) -> Option<Millis> {
-        let estate = self.estates.iter().find(|one| one.from == *leaver)?;
-        if estate.arrived.len() != usize::from(estate.count) || estate.is_busy(thing) {
+        let received = self.handovers.iter().find(|one| one.from == *leaver)?;
+        if received.arrived.len() != usize::from(received.count) || received.is_busy(thing) {
             return None;
         }
-        let last = estate.stretches.last()?;
+        let last = received.stretches.last()?;
         let next = owner_without(last, leaver, thing, entry)?;
-        (next == *me).then(|| estate.held_since(thing, entry, until))?
+        (next == *me).then(|| received.held_since(thing, entry, until))?
     }
 }
 
-impl Estate {
+impl Handover {
     fn is_busy(&self, thing: &Thing) -> bool {
         match thing {
             Thing::Target(id) => self.busy.binary_search(id).is_ok(),
@@ -172,15 +172,15 @@
     List::new(stretch.revision, stretch.members.clone(), targets)
 }
 
-/// Divides items into parcels of bounded size for one peer.
+/// Divides items into chunks of bounded size for one peer.
 #[must_use]
 pub fn pack(
     from: &id::Instance,
     stretches: &[Stretch],
     busy: &[id::Target],
     items: Vec<Item>,
-) -> Vec<Parcel> {
-    let parcel = |keys| Parcel {
+) -> Vec<Chunk> {
+    let chunk = |keys| Chunk {
         from: from.clone(),
         index: 0,
         count: 0,
@@ -188,24 +188,24 @@
         busy: Vec::new(),
         keys,
     };
-    let mut parcels = vec![parcel(Vec::new())];
+    let mut chunks = vec![chunk(Vec::new())];
     let mut bytes = 0;
     for item in items {
         bytes += item.bytes();
-        if bytes > PARCEL_BYTES {
+        if bytes > CHUNK_BYTES {
             bytes = item.bytes();
-            parcels.push(parcel(Vec::new()));
+            chunks.push(chunk(Vec::new()));
         }
-        if let Some(last) = parcels.last_mut() {
+        if let Some(last) = chunks.last_mut() {
             last.keys.push(item);
         }
     }
-    let count = u16::try_from(parcels.len()).unwrap_or(u16::MAX);
-    for (index, parcel) in (0..count).zip(&mut parcels) {
-        parcel.index = index;
-        parcel.count = count;
+    let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
+    for (index, chunk) in (0..count).zip(&mut chunks) {
+        chunk.index = index;
+        chunk.count = count;
     }
-    parcels[0].stretches = stretches.to_vec();
-    parcels[0].busy = busy.to_vec();
-    parcels
+    chunks[0].stretches = stretches.to_vec();
+    chunks[0].busy = busy.to_vec();
+    chunks
 }
--- a/crates/kernel/src/load_report.rs
+++ b/crates/kernel/src/load_report.rs
@@ -34,12 +34,12 @@
 
 /// The targets that were reported cold lately.
 #[derive(Clone, Debug, Default)]
-pub struct Board {
+pub struct Reports {
     /// Sorted by target.
     known: Vec<Known>,
 }
 
-impl Board {
+impl Reports {
     /// Takes in reports as of the moment `told_at`, and returns those that are
     /// newer than what was known, with the moment at which they were made.
     pub fn merge(&mut self, reports: &[Cold], told_at: Millis) -> Vec<(id::Target, Millis)> {
--- a/crates/kernel/src/node.rs
+++ b/crates/kernel/src/node.rs
@@ -10,18 +10,18 @@
 //! - `node_owner.rs`: the targets and keys that this daemon owns;
 //! - `node_explain.rs`: why a request would go where it goes, for operators.
 
+use crate::admission::Limiter;
 use crate::admission::Pressure;
-use crate::admission::Room;
 use crate::answer::Kind;
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::drain::Drain;
-use crate::handover::Estates;
+use crate::handover::Handovers;
 use crate::hash;
 use crate::id;
-use crate::load_report::Board;
+use crate::load_report::Reports;
 use crate::once;
-use crate::quarantine::Ward;
+use crate::quarantine::Suspects;
 use crate::retry::Budget;
 use crate::route::Index;
 use crate::route::Loads;
@@ -79,15 +79,15 @@
     tenure: Tenure,
     loads: Loads,
     index: Index,
-    room: Room,
+    room: Limiter,
     pressure: Pressure,
     slots: slot::Table,
     keys: once::Memory,
-    estates: Estates,
-    ward: Ward,
+    handovers: Handovers,
+    suspects: Suspects,
     budget: Budget,
     drain: Drain,
-    cold: Board,
+    cold: Reports,
     reach: control::Reach,
     violations: Vec<&'static str>,
     /// How many sends above a target's limit have been noted as violations.
@@ -110,15 +110,15 @@
             tenure,
             loads: Loads::default(),
             index: Index::default(),
-            room: Room::default(),
+            room: Limiter::default(),
             pressure: Pressure::default(),
             slots: slot::Table::default(),
             keys: once::Memory::default(),
-            estates: Estates::default(),
-            ward: Ward::default(),
+            handovers: Handovers::default(),
+            suspects: Suspects::default(),
             budget: Budget::default(),
             drain: Drain::default(),
-            cold: Board::default(),
+            cold: Reports::default(),
             reach: control::Reach::new(now),
             violations: Vec::new(),
             overruns: 0,
--- a/crates/kernel/src/node_control.rs
+++ b/crates/kernel/src/node_control.rs
@@ -208,7 +208,7 @@
             is_witness: self.tenure.is_witness(now),
             is_goodbye: self.reach.goodbye,
             departed: self.tenure.departed(now),
-            suspects: self.ward.suspects(now),
+            suspects: self.suspects.suspects(now),
             cold: self.cold.reports(now),
         }
     }
@@ -216,7 +216,7 @@
     /// Takes in a peer's greeting; the reply is [`Self::hello`].
     pub fn greeted(&mut self, hello: &Hello, now: Millis) -> Need {
         self.tenure.merge_departed(&hello.departed, now);
-        self.ward.merge(&hello.suspects, now);
+        self.suspects.merge(&hello.suspects, now);
         if hello.is_goodbye {
             let revision = hello.answer.revision;
             self.tenure.goodbye(&hello.from, revision, now);
@@ -242,13 +242,13 @@
     /// Does what is due, and returns what the driver has to do.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.tenure.tick(now);
-        self.ward.tick(now);
+        self.suspects.tick(now);
         self.cold.tick(now);
         if self.drain.is_begun() {
             self.drain.tick(self.in_progress(), now);
         }
         self.keys.tick(self.book.fleet().horizon, now);
-        self.estates.tick(self.book.fleet().dropped_memory, now);
+        self.handovers.tick(self.book.fleet().dropped_memory, now);
         let mut actions: Vec<Action> = Vec::new();
         actions.extend(self.wake(now).into_iter().map(Action::Wake));
         if now >= self.reach.next_greeting {
--- a/crates/kernel/src/node_entry.rs
+++ b/crates/kernel/src/node_entry.rs
@@ -126,12 +126,12 @@
         digest: id::Digest,
         now: Millis,
     ) -> Result<(), Kind> {
-        if self.book.fleet().policy == Policy::Baseline || self.ward.is_empty() {
+        if self.book.fleet().policy == Policy::Baseline || self.suspects.is_empty() {
             return Ok(());
         }
         let is_held = |stage: &Stage| {
             let suspect = quarantine::suspect(digest, &stage.pool);
-            self.ward.holds(&suspect, now)
+            self.suspects.holds(&suspect, now)
         };
         if pipeline.stages.iter().any(is_held) {
             return Err(Kind::Quarantined);
@@ -253,10 +253,10 @@
         let suspect = quarantine::suspect(reply.digest, &reply.pool);
         match reply.failure {
             None => {
-                self.ward.note_answer(suspect);
+                self.suspects.note_answer(suspect);
                 self.pressure.note(&reply.pool, true, now);
             }
-            Some(_) => self.ward.learn(suspect, reply.crashes, now),
+            Some(_) => self.suspects.learn(suspect, reply.crashes, now),
         }
     }
 
--- a/crates/kernel/src/node_handover.rs
+++ b/crates/kernel/src/node_handover.rs
@@ -3,8 +3,8 @@
 use super::Node;
 use crate::clock::Millis;
 use crate::handover;
-use crate::handover::Estates;
-use crate::handover::Parcel;
+use crate::handover::Chunk;
+use crate::handover::Handovers;
 use crate::handover::Stretch;
 use crate::id;
 use crate::once::Item;
@@ -14,10 +14,10 @@
 use crate::tenure::Thing;
 
 impl Node {
-    /// Gives up every right, and returns the parcels for each peer.
+    /// Gives up every right, and returns the chunks for each peer.
     ///
-    /// Nothing is started afterwards, so the parcels stay true.
-    pub fn hand_over(&mut self, now: Millis) -> Vec<(Member, Vec<Parcel>)> {
+    /// Nothing is started afterwards, so the chunks stay true.
+    pub fn hand_over(&mut self, now: Millis) -> Vec<(Member, Vec<Chunk>)> {
         self.tenure.give_up();
         let stretches = self.tenure.stretches(now);
         let Some(last) = stretches.last() else {
@@ -25,23 +25,23 @@
         };
         let busy = self.slots.busy(now);
         let mut items = self.keys.items(now);
-        let mut parcels = Vec::new();
+        let mut chunks = Vec::new();
         for peer in self.peers() {
             let is_next = |item: &Item| self.is_next_owner(last, item, &peer.id);
             let (next, others): (Vec<Item>, Vec<Item>) = items.into_iter().partition(is_next);
             items = others;
             let packed = handover::pack(&self.me.instance, &stretches, &busy, next);
-            parcels.push((peer, packed));
+            chunks.push((peer, packed));
         }
-        parcels
+        chunks
     }
 
     /// Takes in a part of what a leaver hands over.
-    pub fn inherit(&mut self, parcel: &Parcel, now: Millis) {
-        for item in &parcel.keys {
+    pub fn inherit(&mut self, chunk: &Chunk, now: Millis) {
+        for item in &chunk.keys {
             self.keys.inherit(item, now);
         }
-        self.estates.take(parcel, now);
+        self.handovers.take(chunk, now);
         self.take_over_targets(now);
     }
 
@@ -54,7 +54,7 @@
             let thing = Thing::Target(entry.id.clone());
             let pool = self.book.pool(&entry.pool);
             let right = self.tenure.right(&thing, now);
-            let known = inherited(&self.tenure, &self.estates, &thing);
+            let known = inherited(&self.tenure, &self.handovers, &thing);
             let (Some(pool), Right::Held { .. }, Some(known)) = (pool, right, known) else {
                 continue;
             };
@@ -70,7 +70,7 @@
     /// That is the beginning of its tenure, or of its predecessor's if that
     /// one has handed the thing over.
     pub(super) fn known_since(&self, thing: &Thing, since: Millis) -> Millis {
-        let inherited = inherited(&self.tenure, &self.estates, thing);
+        let inherited = inherited(&self.tenure, &self.handovers, thing);
         inherited.map_or(since, |at| at.min(since))
     }
 
@@ -82,12 +82,12 @@
 
 /// Returns since when the predecessor knew all about a thing, if it has handed
 /// the thing over.
-pub(super) fn inherited(tenure: &Tenure, estates: &Estates, thing: &Thing) -> Option<Millis> {
+pub(super) fn inherited(tenure: &Tenure, handovers: &Handovers, thing: &Thing) -> Option<Millis> {
     let (leaver, until) = tenure.predecessor(thing)?;
     let list = tenure.list()?;
     let entry = match thing {
         Thing::Target(id) => Some(list.target(id)?),
         Thing::Key(_) => None,
     };
-    estates.since(thing, entry, &leaver, until, tenure.me())
+    handovers.since(thing, entry, &leaver, until, tenure.me())
 }
--- a/crates/kernel/src/node_owner.rs
+++ b/crates/kernel/src/node_owner.rs
@@ -54,9 +54,9 @@
         let (entry, pool) = self.may_use(&call.target)?;
         let since = self.target_right(&entry.id, now)?.0;
         let suspect = quarantine::suspect(call.digest, &pool.id);
-        self.ward.learn(suspect, call.crashes, now);
+        self.suspects.learn(suspect, call.crashes, now);
         let call = Call {
-            crashes: self.ward.crashes(&suspect, now),
+            crashes: self.suspects.crashes(&suspect, now),
             ..call.clone()
         };
         let terms = self.terms(&pool);
@@ -125,8 +125,8 @@
         };
         let suspect = quarantine::suspect(digest, &pool.id);
         match sign {
-            Sign::Broken => self.ward.note_crash(suspect, now),
-            Sign::Answered(_) => self.ward.note_answer(suspect),
+            Sign::Broken => self.suspects.note_crash(suspect, now),
+            Sign::Answered(_) => self.suspects.note_answer(suspect),
             _ => {}
         }
         let terms = self.terms(&pool);
@@ -138,7 +138,8 @@
     /// Returns how many targets broke while they ran the request in the pool.
     #[must_use]
     pub fn crashes(&self, digest: id::Digest, pool: &id::Pool, now: Millis) -> u16 {
-        self.ward.crashes(&quarantine::suspect(digest, pool), now)
+        self.suspects
+            .crashes(&quarantine::suspect(digest, pool), now)
     }
 
     /// Takes a call that was not sent out of the queue and off its place.
@@ -172,14 +173,14 @@
         let book = &self.book;
         let loads = &self.loads;
         let tenure = &self.tenure;
-        let estates = &self.estates;
+        let handovers = &self.handovers;
         let wakes = self.slots.tick(now, |id| {
             let entry = list.target(id).ok_or(Kind::NoTarget)?;
             let thing = Thing::Target(id.clone());
             let Right::Held { since, .. } = tenure.right(&thing, now) else {
                 return Err(Kind::NoRight);
             };
-            let since = inherited(tenure, estates, &thing).map_or(since, |at| at.min(since));
+            let since = inherited(tenure, handovers, &thing).map_or(since, |at| at.min(since));
             if route::why_out(entry, book.fleet(), loads).is_some() {
                 return Err(Kind::NoTarget);
             }
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -54,7 +54,7 @@
 
 /// The suspects that one daemon knows.
 #[derive(Clone, Debug, Default)]
-pub struct Ward {
+pub struct Suspects {
     known: Vec<Known>,
 }
 
@@ -66,7 +66,7 @@
     id::Digest::of(&text)
 }
 
-impl Ward {
+impl Suspects {
     /// Notes that a target broke while it ran the request.
     pub fn note_crash(&mut self, digest: id::Digest, now: Millis) {
         let index = self.index(digest, now);
@@ -153,7 +153,7 @@
         self.known.binary_search_by(|one| one.digest.cmp(digest))
     }
 
-    /// Finds a suspect, or adds it without any crash; when the ward is full the
+    /// Finds a suspect, or adds it without any crash; when the list is full the
     /// one that has been quiet for longest makes room.
     fn index(&mut self, digest: id::Digest, at: Millis) -> usize {
         if self.find(&digest).is_err() && self.known.len() >= SUSPECTS_MAX {
--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -71,7 +71,7 @@
 
 scalar! {
     /// How a call is kept apart from others at its target.
-    enum Ward {
+    enum Isolation {
         /// It runs beside any other.
         Open,
         /// It runs beside no other suspect, so that an answer clears it.
@@ -81,7 +81,7 @@
     }
 }
 
-impl Ward {
+impl Isolation {
     fn of(call: &Call, terms: Terms<'_>) -> Self {
         match (terms.policy, call.crashes) {
             (Policy::Baseline, _) | (_, 0) => Self::Open,
@@ -103,7 +103,7 @@
     /// How many calls the target had when it was sent, with this one.
     beside: usize,
     /// Whether and how it is kept apart from other calls.
-    ward: Ward,
+    isolation: Isolation,
 }
 
 #[derive(Clone, Debug)]
@@ -153,7 +153,7 @@
         if let Err(failure) = place.judge(call, weight, terms, now) {
             return Start::Refused(failure);
         }
-        if Ward::of(call, terms) != Ward::Open {
+        if Isolation::of(call, terms) != Isolation::Open {
             return place.queue_apart(call, terms, now);
         }
         if place.queue.len() >= usize::from(terms.pool.queue_limit) {
@@ -247,7 +247,7 @@
             at: now,
             ends_by: now + left,
             beside: 0,
-            ward: Ward::Open,
+            isolation: Isolation::Open,
         });
         place.sent.extend(sent);
     }
@@ -420,28 +420,28 @@
     fn has_room(&self, terms: Terms<'_>, now: Millis) -> bool {
         let limit = usize::from(self.limit(terms, now));
         let is_open = !self.is_waiting(terms, now) && self.sent.len() < limit;
-        is_open && !self.has_sent(Ward::Alone)
+        is_open && !self.has_sent(Isolation::Alone)
     }
 
     fn has_room_for(&self, call: &Call, terms: Terms<'_>, now: Millis) -> bool {
         if !self.has_room(terms, now) {
             return false;
         }
-        match Ward::of(call, terms) {
-            Ward::Alone => self.sent.is_empty(),
-            Ward::Apart => self.suspects.is_empty() && !self.has_sent(Ward::Apart),
-            Ward::Open => !self.is_reserved(terms),
+        match Isolation::of(call, terms) {
+            Isolation::Alone => self.sent.is_empty(),
+            Isolation::Apart => self.suspects.is_empty() && !self.has_sent(Isolation::Apart),
+            Isolation::Open => !self.is_reserved(terms),
         }
     }
 
-    fn has_sent(&self, ward: Ward) -> bool {
-        self.sent.iter().any(|sent| sent.ward == ward)
+    fn has_sent(&self, isolation: Isolation) -> bool {
+        self.sent.iter().any(|sent| sent.isolation == isolation)
     }
 
     /// Tells whether a call waits that must run alone.
     fn is_reserved(&self, terms: Terms<'_>) -> bool {
         let mut suspects = self.suspects.iter();
-        suspects.any(|call| Ward::of(call, terms) == Ward::Alone)
+        suspects.any(|call| Isolation::of(call, terms) == Isolation::Alone)
     }
 
     fn waiting(&self) -> usize {
@@ -486,7 +486,7 @@
         for sent in &mut self.sent {
             if sent.attempt == attempt {
                 sent.ends_by = sent.ends_by.min(may_run_still);
-                sent.ward = Ward::Open;
+                sent.isolation = Isolation::Open;
             }
         }
         self.sent.retain(|sent| sent.ends_by > now);
@@ -499,7 +499,7 @@
             at: now,
             ends_by: now + terms.pool.longest_call,
             beside: self.sent.len() + 1,
-            ward: Ward::of(call, terms),
+            isolation: Isolation::of(call, terms),
         });
         self.sent.len() <= usize::from(self.limit(terms, now))
     }
@@ -529,11 +529,11 @@
         if !self.has_room(terms, now) {
             return None;
         }
-        let is_alone = |call: &Call| Ward::of(call, terms) == Ward::Alone;
+        let is_alone = |call: &Call| Isolation::of(call, terms) == Isolation::Alone;
         if let Some(index) = self.suspects.iter().position(is_alone) {
             return self.sent.is_empty().then(|| self.suspects.remove(index));
         }
-        if !self.suspects.is_empty() && !self.has_sent(Ward::Apart) {
+        if !self.suspects.is_empty() && !self.has_sent(Isolation::Apart) {
             return Some(self.suspects.remove(0));
         }
         match terms.policy {
--- a/crates/kernel/tests/admission.rs
+++ b/crates/kernel/tests/admission.rs
@@ -4,8 +4,8 @@
 
 mod policy_site;
 
+use gooseberry_kernel::admission::Limiter;
 use gooseberry_kernel::admission::Pressure;
-use gooseberry_kernel::admission::Room;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::hash;
@@ -19,7 +19,7 @@
 
 /// Lets a workspace of the weight send until it is refused; returns how many
 /// it has got in, and why it was refused.
-fn flood(room: &mut Room, name: &str, weight: u16) -> (usize, Kind) {
+fn flood(room: &mut Limiter, name: &str, weight: u16) -> (usize, Kind) {
     let mut count = 0;
     loop {
         match room.enter(&workspace(name), weight, LIMIT) {
@@ -31,13 +31,13 @@
 
 #[test]
 fn a_workspace_alone_has_all_but_the_part_that_is_kept() {
-    let mut room = Room::default();
+    let mut room = Limiter::default();
     assert_eq!(flood(&mut room, "a.big", 1), (90, Kind::OverShare));
 }
 
 #[test]
 fn a_workspace_that_comes_back_finds_a_place_and_gets_its_share() {
-    let mut room = Room::default();
+    let mut room = Limiter::default();
     flood(&mut room, "a.big", 1);
     assert_eq!(flood(&mut room, "b.small", 1), (10, Kind::Overloaded));
     let mut small = 10;
@@ -51,7 +51,7 @@
 
 #[test]
 fn shares_follow_the_weights() {
-    let mut room = Room::default();
+    let mut room = Limiter::default();
     for _ in 0..1000 {
         for (name, weight) in [("a.big", 3), ("b.small", 1)] {
             room.enter(&workspace(name), weight, LIMIT).ok();
@@ -77,7 +77,7 @@
 
 #[test]
 fn small_workspaces_are_not_starved_by_a_flood() {
-    let mut room = Room::default();
+    let mut room = Limiter::default();
     for round in 0..2000_u64 {
         flood(&mut room, "a.big", 1);
         if !hash::mix(round, 1).is_multiple_of(3) {
--- a/crates/kernel/tests/handover.rs
+++ b/crates/kernel/tests/handover.rs
@@ -109,11 +109,11 @@
     let key = keys_of(&mut world, 0, 1)[0];
     let (node, now) = world.node(0);
     assert_eq!(begin(node, key, now), Verdict::Run);
-    let parcels = node.hand_over(now);
+    let chunks = node.hand_over(now);
     assert!(node.begin(&world::key_of(key), DIGEST, false, now).is_err());
     assert!(!node.holds_key(&world::key_of(key), now));
-    let items = parcels.iter().flat_map(|one| &one.1);
-    let items: Vec<&Item> = items.flat_map(|parcel| &parcel.keys).collect();
+    let items = chunks.iter().flat_map(|one| &one.1);
+    let items: Vec<&Item> = items.flat_map(|chunk| &chunk.keys).collect();
     assert_eq!(items.len(), 1);
     assert_eq!(items[0].record, None);
 }
@@ -173,27 +173,27 @@
     let keys = keys_of(&mut world, 0, 10);
     let (node, now) = world.node(0);
     let mut record = world::record();
-    record.body = vec![0; handover::PARCEL_BYTES / 2].into();
+    record.body = vec![0; handover::CHUNK_BYTES / 2].into();
     for key in &keys {
         assert_eq!(begin(node, *key, now), Verdict::Run);
         node.end(&world::key_of(*key), End::Answered(record.clone()), now);
     }
-    let parcels = node.hand_over(now);
-    let of_most = parcels.iter().max_by_key(|one| one.1.len()).unwrap();
-    assert!(of_most.1.len() > 1, "one parcel holds too much");
-    for parcel in parcels.iter().flat_map(|one| &one.1) {
-        let bytes: usize = parcel.keys.iter().map(Item::bytes).sum();
-        assert!(parcel.keys.len() == 1 || bytes <= handover::PARCEL_BYTES);
+    let chunks = node.hand_over(now);
+    let of_most = chunks.iter().max_by_key(|one| one.1.len()).unwrap();
+    assert!(of_most.1.len() > 1, "one chunk holds too much");
+    for chunk in chunks.iter().flat_map(|one| &one.1) {
+        let bytes: usize = chunk.keys.iter().map(Item::bytes).sum();
+        assert!(chunk.keys.len() == 1 || bytes <= handover::CHUNK_BYTES);
     }
     let next = (1..5).find(|at| world::name(*at) == of_most.0.id).unwrap();
-    let mut parcels = of_most.1.clone();
-    let last = parcels.pop().unwrap();
+    let mut chunks = of_most.1.clone();
+    let last = chunks.pop().unwrap();
     let missing = last.keys[0].key.clone();
     world.platform.drop_daemon(&world::name(0));
     world.platform.publish();
     let (node, now) = world.node(next);
-    for parcel in &parcels {
-        node.inherit(parcel, now);
+    for chunk in &chunks {
+        node.inherit(chunk, now);
     }
     let thing = Thing::Key(missing.hash());
     for _ in 0..60 {
--- a/crates/kernel/tests/load_report.rs
+++ b/crates/kernel/tests/load_report.rs
@@ -6,10 +6,10 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id;
-use gooseberry_kernel::load_report::Board;
 use gooseberry_kernel::load_report::Cold;
 use gooseberry_kernel::load_report::MEMORY;
 use gooseberry_kernel::load_report::REPORTS_MAX;
+use gooseberry_kernel::load_report::Reports;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::warmth::Report;
 use gooseberry_kernel::warmth::Sign;
@@ -63,8 +63,8 @@
 
 #[test]
 fn a_report_that_peers_pass_on_never_becomes_a_newer_one() {
-    let mut first = Board::default();
-    let mut second = Board::default();
+    let mut first = Reports::default();
+    let mut second = Reports::default();
     let mut now = Millis(20_000);
     assert_eq!(first.merge(&cold(100), now).len(), 1);
     assert_eq!(second.merge(&first.reports(now), now).len(), 1);
@@ -81,7 +81,7 @@
 
 #[test]
 fn the_newest_reports_are_kept_when_there_are_too_many() {
-    let mut board = Board::default();
+    let mut board = Reports::default();
     let report = |number: u64| Cold {
         target: id::Target::new(&format!("llm-{number}")).unwrap(),
         age: Millis(number),
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -9,7 +9,7 @@
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Node;
 use gooseberry_kernel::quarantine;
-use gooseberry_kernel::quarantine::Ward;
+use gooseberry_kernel::quarantine::Suspects;
 use gooseberry_kernel::slot::Call;
 use gooseberry_kernel::slot::Start;
 use gooseberry_kernel::warmth::Report;
@@ -174,7 +174,11 @@
 
 #[test]
 fn peers_learn_of_a_crash_and_of_its_clearing_in_any_order() {
-    let (mut one, mut other, mut third) = (Ward::default(), Ward::default(), Ward::default());
+    let (mut one, mut other, mut third) = (
+        Suspects::default(),
+        Suspects::default(),
+        Suspects::default(),
+    );
     one.note_crash(digest(1), READY);
     let early = one.suspects(READY);
     other.merge(&early, READY);
@@ -195,7 +199,7 @@
 
 #[test]
 fn a_suspect_is_forgotten_in_time_although_peers_repeat_it() {
-    let (mut one, mut other) = (Ward::default(), Ward::default());
+    let (mut one, mut other) = (Suspects::default(), Suspects::default());
     one.note_crash(digest(1), Millis::ZERO);
     let mut now = Millis::ZERO;
     while now < quarantine::MEMORY + Millis(1000) {
@@ -213,11 +217,11 @@
 
 #[test]
 fn a_full_ward_forgets_the_oldest_suspect() {
-    let mut ward = Ward::default();
+    let mut suspects = Suspects::default();
     for number in 0..=u16::try_from(quarantine::SUSPECTS_MAX).unwrap() {
-        ward.note_crash(digest(number), Millis(u64::from(number)));
+        suspects.note_crash(digest(number), Millis(u64::from(number)));
     }
-    assert_eq!(ward.crashes(&digest(0), READY), 0);
-    assert_eq!(ward.crashes(&digest(1), READY), 1);
-    assert_eq!(ward.crashes(&digest(64), READY), 1);
+    assert_eq!(suspects.crashes(&digest(0), READY), 0);
+    assert_eq!(suspects.crashes(&digest(1), READY), 1);
+    assert_eq!(suspects.crashes(&digest(64), READY), 1);
 }
--- a/crates/kernel/tests/world/mod.rs
+++ b/crates/kernel/tests/world/mod.rs
@@ -13,7 +13,7 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::drain::Phase;
-use gooseberry_kernel::handover::Parcel;
+use gooseberry_kernel::handover::Chunk;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id;
 use gooseberry_kernel::node::Action;
@@ -88,7 +88,7 @@
     /// A slow answer of the platform, with the time of its question.
     Read(List, Tree, Millis),
     Past(Vec<Past>),
-    Parcel(Parcel),
+    Chunk(Chunk),
     Key {
         key: u32,
         is_first: bool,
@@ -437,7 +437,7 @@
             }
             Letter::Fetch(need) => self.serve_fetch(from, to, need),
             Letter::List(list) => node.adopt_list(&list, now),
-            Letter::Parcel(parcel) => node.inherit(&parcel, now),
+            Letter::Chunk(chunk) => node.inherit(&chunk, now),
             Letter::Past(past) => node.adopt_past(&past, now),
             Letter::Read(list, tree, asked_at) => {
                 node.take_list(&list, asked_at, now);
@@ -692,13 +692,13 @@
         }
         let (node, now) = self.node(at);
         if matches!(node.shutdown_phase(now), Phase::Done | Phase::Cut) {
-            let parcels = node.hand_over(now);
+            let chunks = node.hand_over(now);
             let peers = node.say_goodbye();
             let hello = node.hello(now);
-            for (peer, parcels) in parcels {
+            for (peer, chunks) in chunks {
                 if let Some(to) = self.index_of(&peer.id) {
-                    for parcel in parcels {
-                        self.post(at, to, Letter::Parcel(parcel));
+                    for chunk in chunks {
+                        self.post(at, to, Letter::Chunk(chunk));
                     }
                 }
             }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -25,7 +25,7 @@
     /// Returns the lists of late, for a fresh daemon; none if it is fresh too.
     async fn past() -> Option<Vec<Past>>;
     /// Takes in a part of what a leaver hands over.
-    async fn hand_over(parcel: Parcel);
+    async fn hand_over(chunk: Chunk);
     /// Returns all settings that the daemon holds.
     async fn settings() -> platform::Settings;
 }
@@ -109,16 +109,16 @@
 
 /// One part of a hand-over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Parcel {
+pub struct Chunk {
     /// The leaver.
     pub from: CompactString,
-    /// The number of this parcel, from 0.
+    /// The number of this chunk, from 0.
     pub index: u16,
-    /// How many parcels there are for this peer.
+    /// How many chunks there are for this peer.
     pub count: u16,
-    /// The lists of the leaver, oldest first; only in parcel 0.
+    /// The lists of the leaver, oldest first; only in chunk 0.
     pub stretches: Vec<Stretch>,
-    /// The targets that may still have calls; only in parcel 0.
+    /// The targets that may still have calls; only in chunk 0.
     pub busy: Vec<CompactString>,
     /// Keys and what became of them.
     pub keys: Vec<Item>,
@@ -258,23 +258,23 @@
     }
 }
 
-impl From<&handover::Parcel> for Parcel {
-    fn from(parcel: &handover::Parcel) -> Self {
+impl From<&handover::Chunk> for Chunk {
+    fn from(chunk: &handover::Chunk) -> Self {
         Self {
-            from: parcel.from.as_str().into(),
-            index: parcel.index,
-            count: parcel.count,
-            stretches: parcel.stretches.iter().map(Into::into).collect(),
-            busy: parcel.busy.iter().map(|id| id.as_str().into()).collect(),
-            keys: parcel.keys.iter().map(Into::into).collect(),
+            from: chunk.from.as_str().into(),
+            index: chunk.index,
+            count: chunk.count,
+            stretches: chunk.stretches.iter().map(Into::into).collect(),
+            busy: chunk.busy.iter().map(|id| id.as_str().into()).collect(),
+            keys: chunk.keys.iter().map(Into::into).collect(),
         }
     }
 }
 
-impl TryFrom<Parcel> for handover::Parcel {
+impl TryFrom<Chunk> for handover::Chunk {
     type Error = id::Invalid;
 
-    fn try_from(wire: Parcel) -> Result<Self, id::Invalid> {
+    fn try_from(wire: Chunk) -> Result<Self, id::Invalid> {
         let stretches = wire.stretches.into_iter().map(TryInto::try_into);
         let busy = wire.busy.iter().map(|id| id.parse());
         let keys = wire.keys.into_iter().map(TryInto::try_into);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,10 +16,13 @@
 //! ```
 //! use gooseberry_wire::platform;
 //!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
 //! let text = r#"{"revision": 3, "instances": [], "targets": []}"#;
-//! let list: platform::List = serde_json::from_str(text).unwrap();
-//! let list = gooseberry_kernel::roster::List::try_from(list).unwrap();
+//! let list: platform::List = serde_json::from_str(text)?;
+//! let list = gooseberry_kernel::roster::List::try_from(list)?;
 //! assert_eq!(list.revision.0, 3);
+//! # Ok(())
+//! # }
 //! ```
 
 pub mod control;
