Let go of an idle connection before the other side closes it

Cause: a daemon closes a connection that was idle for 5 s, and peers, tests and the load tool kept theirs for 20 s. A request that is sent as the connection closes fails after the send, so it counts as unknown. Ruled out: the port's limits; the daemon was alive, and the test went on alone. Change: clients keep an idle connection for 3 s; a compile-time assertion ties that to the server's span, and failed with 20 s.

--- a/crates/connectors/src/http_client.rs
+++ b/crates/connectors/src/http_client.rs
@@ -16,7 +16,11 @@
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an idle connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+///
+/// It must be well below the span after which the other side closes one:
+/// otherwise a request may be sent just as the connection is closed, and then
+/// nobody can tell whether it ran.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Makes a client with a pool of its own.
 #[must_use]
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gooseberry_connectors::http_client;
 use http::Request;
 use http::header::CONNECTION;
 use hyper::body::Incoming;
@@ -22,7 +23,11 @@
 /// The largest head of a request, in bytes.
 const HEAD_MAX_BYTES: usize = 16 << 10;
 /// How long a caller may take to send the head of a request.
+///
+/// An idle connection is closed after as long.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+// Peers must let go of an idle connection before it is closed here.
+const _: () = assert!(http_client::IDLE_TIMEOUT.as_millis() * 3 / 2 < HEAD_TIMEOUT.as_millis());
 /// How many connections one port serves at a time.
 pub const CONNECTIONS_MAX: usize = 4096;
 
