--- a/crates/kernel/src/slot.rs
+++ b/crates/kernel/src/slot.rs
@@ -318,18 +318,6 @@
         Some((sent + place.waiting(), limit))
     }
 
-    /// Returns the calls that a target has, and how long each may last still.
-    #[must_use]
-    pub fn running(&self, target: &id::Target, now: Millis) -> Vec<(id::Attempt, Millis)> {
-        let Ok(index) = self.find(target) else {
-            return Vec::new();
-        };
-        let sent = self.places[index].sent.iter();
-        let sent = sent.filter(|sent| sent.ends_by > now);
-        sent.map(|sent| (sent.attempt, sent.ends_by - now))
-            .collect()
-    }
-
     /// Returns how often a send has raised a target above its limit; any is a
     /// fault of the program.
     #[must_use]
