--- a/crates/connectors/src/lib.rs
+++ b/crates/connectors/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod encoder;
 pub mod engine;
 pub mod http_client;
+pub mod link;
 pub mod platform;
 pub mod reranker;
 pub mod retriever;
--- /dev/null
+++ b/crates/connectors/src/link.rs
@@ -0,0 +1,118 @@
+//! One HTTP connection, under the caller's control.
+//!
+//! The pooled client in [`crate::http_client`] hides its connections. Where
+//! the fate of a request must be known exactly, a caller needs to say which
+//! connection carries it, to learn whether any of it was sent, and to break
+//! the connection off when nobody waits for the reply any more: a [`Link`]
+//! closes when it is dropped.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gooseberry_runtime::socket;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Why a request got no reply.
+#[derive(Debug)]
+pub enum Error {
+    /// Nothing of the request was sent, so the target cannot have run it.
+    NotSent(io::Error),
+    /// The connection failed when some of the request may have been sent.
+    Broken(hyper::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(error) => write!(out, "not sent: {error}"),
+            Self::Broken(error) => write!(out, "broken: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A connection that serves one request at a time, and closes when dropped.
+#[derive(Debug)]
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Link {
+    /// Connects to an address.
+    ///
+    /// # Errors
+    /// Returns an error if the address cannot be reached within the limit.
+    pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let connecting = timeout(limit, TcpStream::connect(address));
+        let stream = connecting
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        socket::tune(&stream)?;
+        let (sender, connection) = http1::Builder::new()
+            .title_case_headers(true)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let running = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::trace!("a connection to {address} ended: {error}");
+            }
+        });
+        Ok(Self {
+            sender,
+            task: running.abort_handle(),
+        })
+    }
+
+    /// Tells whether the other side has closed the connection.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until the connection can take a request.
+    ///
+    /// # Errors
+    /// Returns an error if it has been closed.
+    pub async fn ready(&mut self) -> io::Result<()> {
+        self.sender.ready().await.map_err(io::Error::other)
+    }
+
+    /// Sends a request and waits for the head of its reply.
+    ///
+    /// # Errors
+    /// Returns [`Error`], which says whether the request may have arrived.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        self.ready().await.map_err(Error::NotSent)?;
+        let sending = self.sender.try_send_request(request);
+        sending
+            .await
+            .map_err(|mut error| match error.take_message() {
+                Some(_) => Error::NotSent(io::Error::other(error.into_error())),
+                None => Error::Broken(error.into_error()),
+            })
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,17 +27,18 @@
 //! # }
 //! ```
 
+pub use gooseberry_runtime::clock;
+pub use gooseberry_runtime::control_stream;
+pub use gooseberry_runtime::logs;
+
 pub mod actor;
 pub mod answer;
-pub mod clock;
 pub mod context;
 pub mod control;
-pub mod control_stream;
 pub mod daemon;
 pub mod entry;
 pub mod faults;
 pub mod keyed;
-pub mod logs;
 pub mod metrics;
 pub mod operators;
 pub mod owner;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,6 +9,8 @@
 use gooseberry_kernel::settings::Fault;
 use gooseberry_kernel::settings::Faults;
 use gooseberry_kernel::settings::Local;
+use gooseberry_kernel::settings::LogFormat;
+use gooseberry_platform::boot::Boot;
 use gooseberryd::daemon::Daemon;
 use gooseberryd::daemon::Ending;
 use gooseberryd::logs;
@@ -17,6 +19,8 @@
 
 /// The exit code for settings that cannot be used.
 const BAD_SETTINGS: u8 = 2;
+/// The level at which a tenant of the platform logs.
+const LOG_LEVEL: &str = "info";
 /// The exit code of a shutdown that cut requests.
 const CUT: u8 = 3;
 
@@ -27,6 +31,7 @@
 ///   gooseberryd --settings entry-1.jsonc
 ///   gooseberryd --settings - < entry-1.jsonc
 ///   gooseberryd --check --settings entry-1.jsonc
+///   gooseberryd --platform
 ///
 ///
 /// Exit codes:
@@ -38,8 +43,11 @@
 #[bpaf(options, version)]
 struct Options {
     /// The settings file of this process, or - for standard input
-    #[bpaf(long, argument("FILE"))]
+    #[bpaf(long, argument("FILE"), fallback(PathBuf::new()))]
     settings: PathBuf,
+    /// Run as a tenant of the platform, which names the settings file itself
+    #[bpaf(long)]
+    platform: bool,
     /// Check the settings and exit
     #[bpaf(long)]
     check: bool,
@@ -47,6 +55,13 @@
 
 fn main() -> ExitCode {
     let options = options().run();
+    if options.platform {
+        return run_on_platform(options.check);
+    }
+    if options.settings.as_os_str().is_empty() {
+        eprintln!("gooseberryd: expected --settings FILE or --platform");
+        return ExitCode::FAILURE;
+    }
     let file = options.settings.display();
     let local = match read(&options).map(|bytes| parse(&bytes)) {
         Ok(Ok(local)) => local,
@@ -83,6 +98,35 @@
     }
 }
 
+/// Runs on the direct path, on one thread: the platform's instances have a
+/// part of one processor.
+fn run_on_platform(is_check: bool) -> ExitCode {
+    let boot = match Boot::load() {
+        Ok(boot) => boot,
+        Err(error) => {
+            eprintln!("gooseberryd: {error:#}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if is_check {
+        println!("{}: no faults", boot.name);
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let ended = logs::start_unblocked(LOG_LEVEL, LogFormat::Text)
+        .and_then(|()| runtime.map_err(anyhow::Error::from))
+        .and_then(|runtime| runtime.block_on(gooseberry_relay::daemon::run(boot)));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gooseberryd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn read(options: &Options) -> std::io::Result<Vec<u8>> {
     if options.settings.as_os_str() != "-" {
         return std::fs::read(&options.settings);
--- /dev/null
+++ b/crates/kernel/src/fleet/member.rs
@@ -0,0 +1,208 @@
+//! Which daemons are alive.
+//!
+//! Each daemon counts its own beats and tells its whole table to its peers. A
+//! member whose beat has not grown for a while is taken for silent; it stays
+//! known, so that it is still greeted and found again after a partition.
+//! Nothing rests on all daemons having the same table.
+
+use std::net::SocketAddr;
+
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::name;
+
+/// After how long without a new beat a member counts as silent.
+///
+/// Five greetings at [`GREET_EVERY`] may be lost or late before that.
+pub const SILENT_AFTER: Millis = Millis(1_500);
+/// How often a daemon greets its peers.
+pub const GREET_EVERY: Millis = Millis(300);
+/// How many peers are greeted at a time; a beat then spreads in few rounds.
+pub const GREET_MAX: usize = 8;
+/// How long a silent member is remembered, and greeted now and then.
+pub const FORGET_AFTER: Millis = Millis(120_000);
+/// For how long the largest fleet that was seen counts for shares.
+///
+/// It outlasts a partition: a part of the fleet must not take the whole rate
+/// of a cold target while the other part still sends.
+pub const FLEET_MEMORY: Millis = Millis(60_000);
+
+value! {
+    /// What a daemon tells of itself or of another one.
+    pub struct Row {
+        /// Its name, which a restart keeps.
+        pub name: name::Member,
+        /// The start of its process by its wall clock; a later start is higher.
+        pub incarnation: u64,
+        /// How often it has greeted.
+        pub beat: u64,
+        /// Where its peers reach it.
+        pub address: SocketAddr,
+        /// Its share of a processor, in thousandths.
+        pub strength: u32,
+        /// Whether it is shutting down.
+        pub is_leaving: bool,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    row: Row,
+    heard: Millis,
+}
+
+/// The table of one daemon.
+#[derive(Clone, Debug)]
+pub struct Table {
+    me: Row,
+    known: Vec<Known>,
+    largest: usize,
+    largest_at: Millis,
+}
+
+/// A member that was found or has fallen silent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It is heard for the first time, or again.
+    Found(name::Member),
+    /// It has not been heard for a while.
+    Silent(name::Member),
+}
+
+impl Table {
+    /// Starts alone.
+    #[must_use]
+    pub fn new(me: Row) -> Self {
+        Self {
+            me,
+            known: Vec::new(),
+            largest: 1,
+            largest_at: Millis::ZERO,
+        }
+    }
+
+    /// Returns this daemon's own row.
+    #[must_use]
+    pub fn me(&self) -> &Row {
+        &self.me
+    }
+
+    /// Marks this daemon as shutting down.
+    pub fn leave(&mut self) {
+        self.me.is_leaving = true;
+    }
+
+    /// Counts a beat of this daemon, and returns who is greeted now.
+    ///
+    /// In a large fleet each round greets other peers; silent ones are greeted
+    /// rarely, so that a fleet which lost many members does not call in vain.
+    pub fn beat(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.me.beat += 1;
+        self.known.retain(|known| known.heard + FORGET_AFTER > now);
+        let round = usize::try_from(self.me.beat).unwrap_or_default();
+        let is_due = |known: &&Known| is_live(known, now) || self.me.beat.is_multiple_of(4);
+        let due: Vec<&Known> = self.known.iter().filter(is_due).collect();
+        let count = due.len();
+        let start = if count > GREET_MAX {
+            round * GREET_MAX % count
+        } else {
+            0
+        };
+        let turn = due.iter().cycle().skip(start).take(count.min(GREET_MAX));
+        turn.map(|known| known.row.address).collect()
+    }
+
+    /// Takes in a row that its own daemon has just told.
+    pub fn hear(&mut self, row: Row, now: Millis) -> Option<Change> {
+        self.merge(row, true, now)
+    }
+
+    /// Takes in what another daemon tells of a third.
+    pub fn learn(&mut self, row: Row, now: Millis) -> Option<Change> {
+        self.merge(row, false, now)
+    }
+
+    /// Returns the live members and this daemon, sorted by name.
+    #[must_use]
+    pub fn live(&self, now: Millis) -> Vec<&Row> {
+        let others = self.known.iter().filter(|known| is_live(known, now));
+        let mut live: Vec<&Row> = others.map(|known| &known.row).collect();
+        live.push(&self.me);
+        live.sort_by(|one, other| one.name.cmp(&other.name));
+        live
+    }
+
+    /// Returns every row, for a greeting.
+    #[must_use]
+    pub fn rows(&self, now: Millis) -> Vec<Row> {
+        let fresh = self.known.iter().filter(|known| is_live(known, now));
+        fresh.map(|known| known.row.clone()).collect()
+    }
+
+    /// Tells whether a member at the address is live.
+    #[must_use]
+    pub fn is_live(&self, address: SocketAddr, now: Millis) -> bool {
+        let found = self.known.iter().find(|known| known.row.address == address);
+        found.is_some_and(|known| is_live(known, now))
+    }
+
+    /// Returns how many daemons shares are counted for: the most that were
+    /// live at a time of late.
+    pub fn fleet(&mut self, now: Millis) -> usize {
+        let live = 1 + self
+            .known
+            .iter()
+            .filter(|known| is_live(known, now))
+            .count();
+        if live >= self.largest || self.largest_at + FLEET_MEMORY <= now {
+            self.largest = live;
+            self.largest_at = now;
+        }
+        self.largest
+    }
+
+    /// Returns the members that have fallen silent since the last look.
+    #[must_use]
+    pub fn silent_since(&self, before: Millis, now: Millis) -> Vec<name::Member> {
+        let fell = |known: &&Known| {
+            let end = known.heard + SILENT_AFTER;
+            before < end && end <= now
+        };
+        let fallen = self.known.iter().filter(fell);
+        fallen.map(|known| known.row.name.clone()).collect()
+    }
+
+    fn merge(&mut self, row: Row, is_direct: bool, now: Millis) -> Option<Change> {
+        if row.name == self.me.name {
+            return None;
+        }
+        let name = row.name.clone();
+        let found = self
+            .known
+            .binary_search_by(|one| one.row.name.cmp(&row.name));
+        match found {
+            Ok(index) => {
+                let known = &mut self.known[index];
+                let was_live = is_live(known, now);
+                let is_newer =
+                    (row.incarnation, row.beat) > (known.row.incarnation, known.row.beat);
+                // A process that started behind a clock that had jumped back
+                // has the lower incarnation; its own word goes before others'.
+                let is_restart = is_direct && row.incarnation != known.row.incarnation;
+                if is_newer || is_restart {
+                    *known = Known { row, heard: now };
+                    return (!was_live).then_some(Change::Found(name));
+                }
+                None
+            }
+            Err(index) => {
+                self.known.insert(index, Known { row, heard: now });
+                Some(Change::Found(name))
+            }
+        }
+    }
+}
+
+fn is_live(known: &Known, now: Millis) -> bool {
+    known.heard + SILENT_AFTER > now
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -18,6 +18,9 @@
 //! - [`handover`] gives targets and keys to the next owner at a shutdown.
 //! - [`answer`] is the closed list of ways in which a request can fail.
 //!
+//! The direct path, on which every daemon sends to every target itself, has
+//! rooms of its own: [`request`], [`target`], [`stage`] and [`fleet`].
+//!
 //! # Example
 //!
 //! ```
@@ -44,19 +47,24 @@
 pub mod clock;
 pub mod cost;
 pub mod drain;
+pub mod fleet;
 pub mod handover;
 pub mod hash;
 pub mod id;
 pub mod load_report;
+pub mod name;
 pub mod node;
 pub mod once;
 pub mod peer;
 pub mod quarantine;
 pub mod queue;
+pub mod request;
 pub mod retry;
 pub mod roster;
 pub mod route;
 pub mod settings;
 pub mod slot;
+pub mod stage;
+pub mod target;
 pub mod tenure;
 pub mod warmth;
--- /dev/null
+++ b/crates/kernel/src/request/door.rs
@@ -0,0 +1,74 @@
+//! The decision whether a request is taken in.
+//!
+//! A request whose stages cannot be made in the time that it has is refused
+//! before any of them is begun. The waits come from the dispatchers of the
+//! stage services (see [`crate::stage::queue`]) and are some hundred
+//! milliseconds old, so a request is refused only for a clear excess.
+
+use crate::clock::Millis;
+use crate::derive::scalar;
+use crate::derive::value;
+use crate::name;
+use crate::request::table::Pieces;
+use crate::request::table::Rank;
+
+/// How many ranks a wait is told for; the last one stands for all below it.
+pub const RANKS: usize = 4;
+/// What the way to a target and its first byte take beside the stages.
+pub const FIRST_BYTE: Millis = Millis(150);
+/// The least span after which a refused client is asked to come back.
+pub const RETURN_MIN: Millis = Millis(200);
+/// How long a told wait counts; older ones come from a silent dispatcher.
+pub const WAIT_AGE_MAX: Millis = Millis(2_000);
+
+value! {
+    /// How long pieces wait at the dispatcher of a service.
+    pub struct Wait {
+        /// The service.
+        pub service: name::Service,
+        /// The wait of each rank.
+        pub waits: [Millis; RANKS],
+    }
+}
+
+scalar! {
+    /// One stage on the longest way to the request's run.
+    pub struct Leg {
+        /// How long its pieces wait.
+        pub wait: Millis,
+        /// What its service bears.
+        pub pieces: Pieces,
+        /// How many pieces it has.
+        pub count: u32,
+    }
+
+    /// What is decided of a request at the door.
+    pub enum Verdict {
+        /// It is taken in.
+        Enter,
+        /// It is refused; the client may come back after the span.
+        Refuse(Millis),
+    }
+}
+
+impl Wait {
+    /// Returns the wait of a rank.
+    #[must_use]
+    pub fn of(&self, rank: Rank) -> Millis {
+        self.waits[usize::from(rank.0).min(RANKS - 1)]
+    }
+}
+
+/// Decides on a request with so much time left and such a way before it.
+#[must_use]
+pub fn decide(legs: &[Leg], left: Millis) -> Verdict {
+    let stages: Millis = legs.iter().fold(Millis::ZERO, |sum, leg| {
+        sum + leg.wait + leg.pieces.call(leg.count)
+    });
+    let needed = stages + FIRST_BYTE;
+    if needed <= left {
+        return Verdict::Enter;
+    }
+    // The wait that has to pass before the same request would fit.
+    Verdict::Refuse((needed - left).max(RETURN_MIN))
+}
--- /dev/null
+++ b/crates/kernel/src/stage/queue.rs
@@ -0,0 +1,328 @@
+//! The queue of one stage service, and the choice of the next call.
+//!
+//! A call to a target of such a service costs much by itself and little for
+//! each piece, and a target works on one call at a time. So the pieces of the
+//! whole fleet meet in one queue, and a call is made up only when a target is
+//! free: what has been sent can no longer be put behind something better.
+//!
+//! The pieces of one request at one stage are a [`Group`] and stay together
+//! where they can, since they all read the same inputs. Groups that can still
+//! help an answer to be on time go first, by rank and then by the time that
+//! they have; groups that are late anyway use what is left over. A small part
+//! of each call goes to the oldest group, so that no rank waits for ever. A
+//! group that cannot end in time at all is given up at once.
+
+use std::cmp::Reverse;
+
+use crate::clock::Millis;
+use crate::derive::scalar;
+use crate::derive::value;
+use crate::name;
+use crate::request::door::RANKS;
+use crate::request::table::Pieces;
+use crate::request::table::Rank;
+use crate::stage::results::Results;
+
+/// One in so many calls begins with the oldest group, whatever its rank.
+const OLDEST_EVERY: u64 = 8;
+/// How long a target rests after it had no room or no place for a call; a call
+/// takes about as long to end.
+pub const REST: Millis = Millis(250);
+
+scalar! {
+    /// The number of a group in its queue.
+    pub struct Ticket(pub u64);
+}
+
+value! {
+    /// What the pieces of a group are made from.
+    pub enum Source {
+        /// The key of the request.
+        Key(String),
+        /// The results of earlier stages.
+        Inputs(Vec<name::Handle>),
+    }
+
+    /// The pieces of one request at one stage.
+    pub struct Group {
+        /// The request.
+        pub attempt: name::Attempt,
+        /// The number of the stage.
+        pub stage: usize,
+        /// The numbers of the pieces that are still to be made.
+        pub pieces: Vec<u32>,
+        /// What they are made from.
+        pub source: Source,
+        /// The size of one result, in bytes.
+        pub bytes: u64,
+        /// How urgent the request is.
+        pub rank: Rank,
+        /// Until when the pieces must be made for the answer to be on time.
+        pub on_time: Millis,
+        /// Until when they are of any use.
+        pub until: Millis,
+        /// The domain in which the results are read, if that is known.
+        pub domain: Option<name::Domain>,
+    }
+
+    /// A target that may get a call.
+    pub struct Maker {
+        /// Its name.
+        pub target: name::Target,
+        /// Its failure domain.
+        pub domain: name::Domain,
+        /// Whether calls to it have failed of late.
+        pub is_avoided: bool,
+    }
+
+    /// A part of a group in a call.
+    pub struct Part {
+        /// The group.
+        pub ticket: Ticket,
+        /// The group with just the pieces that the call makes.
+        pub group: Group,
+    }
+
+    /// A call that is to be sent now.
+    pub struct Call {
+        /// The target that gets it.
+        pub target: name::Target,
+        /// What it makes, in this order.
+        pub parts: Vec<Part>,
+        /// When it should have ended.
+        pub expected: Millis,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    since: Millis,
+    group: Group,
+}
+
+#[derive(Clone, Debug)]
+struct Busy {
+    target: name::Target,
+    bytes: u64,
+    until: Millis,
+}
+
+/// The queue of one stage service at its dispatcher.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: Vec<Waiting>,
+    busy: Vec<Busy>,
+    /// Targets that take no call for a moment, and until when.
+    resting: Vec<(name::Target, Millis)>,
+    results: Results,
+    tickets: u64,
+    calls: u64,
+}
+
+impl Queue {
+    /// Takes in a group.
+    pub fn push(&mut self, group: Group, now: Millis) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.waiting.push(Waiting {
+            ticket,
+            since: now,
+            group,
+        });
+        ticket
+    }
+
+    /// Takes back pieces that a call did not make, behind the same ticket.
+    pub fn push_back(&mut self, ticket: Ticket, group: Group, now: Millis) {
+        let found = self.waiting.iter_mut().find(|one| one.ticket == ticket);
+        if let Some(waiting) = found {
+            waiting.group.pieces.extend(group.pieces);
+            return;
+        }
+        self.waiting.push(Waiting {
+            ticket,
+            since: now,
+            group,
+        });
+    }
+
+    /// Removes a group whose request is gone.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Removes the groups that cannot be made in time, and returns them.
+    pub fn expire(&mut self, pieces: &Pieces, now: Millis) -> Vec<Ticket> {
+        let is_over = |waiting: &Waiting| now + pieces.call(1) > waiting.group.until;
+        let over = self.waiting.iter().filter(|waiting| is_over(waiting));
+        let tickets = over.map(|waiting| waiting.ticket).collect();
+        self.waiting.retain(|waiting| !is_over(waiting));
+        self.results.tick(now);
+        self.resting.retain(|(_, until)| *until > now);
+        tickets
+    }
+
+    /// Makes up the next call, if a target is free and something waits.
+    pub fn next(&mut self, makers: &[Maker], pieces: &Pieces, now: Millis) -> Option<Call> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let is_free = |maker: &&Maker| !self.is_busy(&maker.target);
+        let free: Vec<&Maker> = makers.iter().filter(is_free).collect();
+        let is_any_sound = makers.iter().any(|maker| !maker.is_avoided);
+        let mut order = self.order(pieces, now);
+        if (self.calls + 1).is_multiple_of(OLDEST_EVERY)
+            && let Some(oldest) = self.oldest(&order)
+        {
+            order[..=oldest].rotate_right(1);
+        }
+        // Large results may not fit where the first group wants to go, so the
+        // others are tried before the target stays idle.
+        for first in &order {
+            let group = &self.waiting[*first].group;
+            let room = |maker: &Maker| self.room(&maker.target, pieces, now);
+            let fits = free
+                .iter()
+                .filter(|maker| room(maker) >= group.bytes && !(is_any_sound && maker.is_avoided));
+            let is_near = |maker: &Maker| group.domain.as_ref() == Some(&maker.domain);
+            let key =
+                |maker: &&&Maker| (is_near(maker), room(maker), Reverse(maker.target.clone()));
+            let Some(maker) = fits.max_by_key(key) else {
+                continue;
+            };
+            let room = room(maker);
+            let target = maker.target.clone();
+            return Some(self.take(target, *first, &order, room, pieces, now));
+        }
+        None
+    }
+
+    /// Notes that a target is done with its call.
+    pub fn end(&mut self, target: &name::Target) {
+        self.busy.retain(|busy| busy.target != *target);
+    }
+
+    /// Gives a target no call for a moment: it had no room, or no place.
+    pub fn rest(&mut self, target: &name::Target, now: Millis) {
+        self.resting.push((target.clone(), now + REST));
+    }
+
+    /// Returns the account of results.
+    pub fn results(&mut self) -> &mut Results {
+        &mut self.results
+    }
+
+    /// Returns how many pieces wait.
+    #[must_use]
+    pub fn pieces(&self) -> usize {
+        self.waiting.iter().map(|one| one.group.pieces.len()).sum()
+    }
+
+    /// Returns how long a new group of each rank waits for so many targets.
+    #[must_use]
+    pub fn waits(&self, targets: usize, pieces: &Pieces, now: Millis) -> [Millis; RANKS] {
+        let targets = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
+        let mut counts = [0; RANKS];
+        for waiting in &self.waiting {
+            let is_late = now > waiting.group.on_time;
+            let rank = usize::from(waiting.group.rank.0).min(RANKS - 1);
+            let place = if is_late { RANKS - 1 } else { rank };
+            counts[place] += waiting.group.pieces.len() as u64;
+        }
+        let soonest = self.busy.iter().map(|busy| busy.until - now).min();
+        let is_full = self.busy.len() as u64 >= targets;
+        let first = soonest.filter(|_| is_full).unwrap_or_default();
+        let mut before = 0;
+        counts.map(|count| {
+            before += count;
+            first + Millis(before * 1000 / (targets * pieces.rate()).max(1))
+        })
+    }
+
+    fn take(
+        &mut self,
+        target: name::Target,
+        first: usize,
+        order: &[usize],
+        mut room: u64,
+        pieces: &Pieces,
+        now: Millis,
+    ) -> Call {
+        let batch = usize::try_from(pieces.batch.max(1)).unwrap_or(usize::MAX);
+        let mut parts: Vec<Part> = Vec::new();
+        let (mut count, mut bytes) = (0, 0);
+        let others = order.iter().filter(|index| **index != first);
+        for index in std::iter::once(&first).chain(others) {
+            let waiting = &mut self.waiting[*index];
+            let group = &mut waiting.group;
+            let fit = usize::try_from(room / group.bytes.max(1)).unwrap_or(usize::MAX);
+            let most = fit.min(batch - count);
+            // A group is parted only if it would not fit into any call.
+            let is_whole = most >= group.pieces.len();
+            if most == 0 || !(is_whole || parts.is_empty()) {
+                continue;
+            }
+            let taken: Vec<u32> = group.pieces.drain(..most.min(group.pieces.len())).collect();
+            let size = group.bytes * taken.len() as u64;
+            room -= size;
+            bytes += size;
+            count += taken.len();
+            let part = Group {
+                pieces: taken,
+                ..group.clone()
+            };
+            parts.push(Part {
+                ticket: waiting.ticket,
+                group: part,
+            });
+            if count >= batch {
+                break;
+            }
+        }
+        self.waiting.retain(|one| !one.group.pieces.is_empty());
+        self.calls += 1;
+        let expected = now + pieces.call(u32::try_from(count).unwrap_or(u32::MAX));
+        self.busy.push(Busy {
+            target: target.clone(),
+            bytes,
+            until: expected,
+        });
+        Call {
+            target,
+            parts,
+            expected,
+        }
+    }
+
+    /// Returns the waiting groups, best first.
+    fn order(&self, pieces: &Pieces, now: Millis) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_key(|index| {
+            let group = &self.waiting[*index].group;
+            let count = u32::try_from(group.pieces.len()).unwrap_or(u32::MAX);
+            let is_late = now + pieces.call(count) > group.on_time;
+            let end = if is_late { group.until } else { group.on_time };
+            (is_late, group.rank, end)
+        });
+        order
+    }
+
+    /// Returns where in the order the group stands that has waited longest.
+    fn oldest(&self, order: &[usize]) -> Option<usize> {
+        let places = 0..order.len();
+        places.min_by_key(|place| self.waiting[order[*place]].since)
+    }
+
+    fn is_busy(&self, target: &name::Target) -> bool {
+        let is_resting = self.resting.iter().any(|(resting, _)| resting == target);
+        is_resting || self.busy.iter().any(|busy| busy.target == *target)
+    }
+
+    fn room(&self, target: &name::Target, pieces: &Pieces, now: Millis) -> u64 {
+        let busy = self.busy.iter().filter(|busy| busy.target == *target);
+        let promised: u64 = busy.map(|busy| busy.bytes).sum();
+        let kept = self.results.bytes(target, now);
+        pieces.room_bytes.saturating_sub(kept + promised)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/stage/results.rs
@@ -0,0 +1,82 @@
+//! The results that the targets of a stage service keep.
+//!
+//! A target has room for few large results, and keeps each one until it is
+//! told that nobody needs it, or for the span that the settings name. The
+//! dispatcher gives out all calls and passes on all frees, so it can count.
+
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::name;
+
+value! {
+    /// One result.
+    struct Held {
+        handle: name::Handle,
+        target: name::Target,
+        bytes: u64,
+        until: Millis,
+    }
+}
+
+/// The results of one service, sorted by handle.
+#[derive(Clone, Debug, Default)]
+pub struct Results {
+    held: Vec<Held>,
+    freed: Vec<(name::Target, name::Handle)>,
+}
+
+impl Results {
+    /// Notes a result that a target keeps now.
+    pub fn keep(&mut self, handle: name::Handle, target: &name::Target, bytes: u64, until: Millis) {
+        let held = Held {
+            handle,
+            target: target.clone(),
+            bytes,
+            until,
+        };
+        match self.find(&held.handle) {
+            Ok(index) => self.held[index] = held,
+            Err(index) => self.held.insert(index, held),
+        }
+    }
+
+    /// Notes that nobody needs the results any more.
+    pub fn free(&mut self, handles: &[name::Handle]) {
+        for handle in handles {
+            if let Ok(index) = self.find(handle) {
+                let held = self.held.remove(index);
+                self.freed.push((held.target, held.handle));
+            }
+        }
+    }
+
+    /// Returns which results each target is to be told of, and forgets them.
+    pub fn take_freed(&mut self) -> Vec<(name::Target, Vec<name::Handle>)> {
+        let mut by_target: Vec<(name::Target, Vec<name::Handle>)> = Vec::new();
+        for (target, handle) in self.freed.drain(..) {
+            let found = by_target.binary_search_by(|(one, _)| one.cmp(&target));
+            match found {
+                Ok(index) => by_target[index].1.push(handle),
+                Err(index) => by_target.insert(index, (target, vec![handle])),
+            }
+        }
+        by_target
+    }
+
+    /// Returns how many bytes a target keeps.
+    #[must_use]
+    pub fn bytes(&self, target: &name::Target, now: Millis) -> u64 {
+        let kept = self.held.iter();
+        let of_target = kept.filter(|held| held.target == *target && held.until > now);
+        of_target.map(|held| held.bytes).sum()
+    }
+
+    /// Forgets what has aged out.
+    pub fn tick(&mut self, now: Millis) {
+        self.held.retain(|held| held.until > now);
+    }
+
+    fn find(&self, handle: &name::Handle) -> Result<usize, usize> {
+        self.held.binary_search_by(|held| held.handle.cmp(handle))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/target/roster.rs
@@ -0,0 +1,129 @@
+//! The targets that the platform lists.
+//!
+//! A target that leaves the list gets nothing more at once. The exception is
+//! an outage of the platform, during which live targets may lapse: their
+//! entries come back within moments of its end, so a target that was dropped
+//! around an outage is used until then.
+
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::name;
+use crate::request::table::Target;
+
+/// How long a target that lapsed during an outage is still used.
+pub const LAPSE: Millis = Millis(2_000);
+
+value! {
+    /// A target with what this daemon knows of its state.
+    pub struct Listed {
+        /// What the list says.
+        pub target: Target,
+        /// Until when it is cold.
+        pub cold_until: Millis,
+        /// When it goes, if it lapsed during an outage of the platform.
+        pub lapses_at: Option<Millis>,
+    }
+}
+
+/// What a change of the list did to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It is new.
+    Joined,
+    /// Something that the list says of it is different.
+    Changed,
+    /// It takes no new work.
+    Leaving,
+    /// It is not listed any more.
+    Gone,
+    /// It is not listed any more, but may have lapsed.
+    Lapsed,
+}
+
+/// The targets of all services, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    targets: Vec<Listed>,
+}
+
+impl Roster {
+    /// Takes in what the list says of a target now.
+    pub fn set(&mut self, target: Target, now: Millis) -> Change {
+        let cold_until = match target.cold {
+            Millis::ZERO => Millis::ZERO,
+            cold => now + cold,
+        };
+        let is_leaving = target.is_leaving;
+        let listed = Listed {
+            target,
+            cold_until,
+            lapses_at: None,
+        };
+        match self.find(&listed.target.name) {
+            Ok(index) => {
+                let was_leaving = self.targets[index].target.is_leaving;
+                self.targets[index] = listed;
+                if is_leaving && !was_leaving {
+                    Change::Leaving
+                } else {
+                    Change::Changed
+                }
+            }
+            Err(index) => {
+                self.targets.insert(index, listed);
+                Change::Joined
+            }
+        }
+    }
+
+    /// Takes in that a target is not listed any more.
+    pub fn remove(&mut self, name: &name::Target, may_lapse: bool, now: Millis) -> Option<Change> {
+        let index = self.find(name).ok()?;
+        let listed = &mut self.targets[index];
+        if may_lapse && !listed.target.is_leaving {
+            listed.lapses_at.get_or_insert(now + LAPSE);
+            return Some(Change::Lapsed);
+        }
+        self.targets.remove(index);
+        Some(Change::Gone)
+    }
+
+    /// Drops the targets whose lapse has ended, and returns them.
+    pub fn tick(&mut self, now: Millis) -> Vec<name::Target> {
+        let is_over = |listed: &Listed| listed.lapses_at.is_some_and(|at| at <= now);
+        let over = self.targets.iter().filter(|listed| is_over(listed));
+        let gone = over.map(|listed| listed.target.name.clone()).collect();
+        self.targets.retain(|listed| !is_over(listed));
+        gone
+    }
+
+    /// Finds a target.
+    #[must_use]
+    pub fn get(&self, name: &name::Target) -> Option<&Listed> {
+        self.find(name).ok().map(|index| &self.targets[index])
+    }
+
+    /// Returns every target, sorted by name.
+    #[must_use]
+    pub fn all(&self) -> &[Listed] {
+        &self.targets
+    }
+
+    /// Returns the targets of a service that take new work and whose domain is
+    /// not taken out.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a name::Service,
+        taken_out: &'a [name::Domain],
+    ) -> impl Iterator<Item = &'a Listed> + 'a {
+        self.targets.iter().filter(move |listed| {
+            let target = &listed.target;
+            target.service == *service && !target.is_leaving && !taken_out.contains(&target.domain)
+        })
+    }
+
+    fn find(&self, name: &name::Target) -> Result<usize, usize> {
+        self.targets
+            .binary_search_by(|one| one.target.name.cmp(name))
+    }
+}
--- /dev/null
+++ b/crates/relay/src/context.rs
@@ -0,0 +1,68 @@
+//! What all parts of the daemon share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_platform::boot::Boot;
+use gooseberry_runtime::clock::Clock;
+
+use crate::dispatcher::Dispatcher;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::state::State;
+
+/// What all parts of the daemon share.
+#[derive(Debug)]
+pub struct Context {
+    /// What the daemon was told about itself.
+    pub boot: Boot,
+    /// The clock.
+    pub clock: Clock,
+    /// Idle connections to targets.
+    pub pool: Pool,
+    /// Links to peers.
+    pub peers: Peers,
+    /// The queues of the stage services that this daemon dispatches for.
+    pub dispatcher: Dispatcher,
+    /// What is counted.
+    pub metrics: Metrics,
+    state: Mutex<State>,
+}
+
+impl Context {
+    /// Puts the parts together.
+    ///
+    /// # Errors
+    /// Returns an error if the metrics cannot be registered.
+    pub fn new(boot: Boot, clock: Clock, incarnation: u64) -> anyhow::Result<Arc<Self>> {
+        let metrics = Metrics::new()?;
+        Ok(Arc::new(Self {
+            state: Mutex::new(State::new(&boot, incarnation)),
+            clock,
+            pool: Pool::default(),
+            peers: Peers::new(metrics.control_bytes()),
+            dispatcher: Dispatcher::default(),
+            metrics,
+            boot,
+        }))
+    }
+
+    /// Returns the time now.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Locks what the daemon believes, for one decision.
+    ///
+    /// No decision waits for anything, so the lock is held for microseconds.
+    /// An actor would cost a wake-up for each decision, which the platform's
+    /// small processors make dear.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/dispatcher.rs
@@ -0,0 +1,454 @@
+//! The dispatcher of stage services: one queue for the pieces of the fleet.
+//!
+//! Which pieces go where is decided by [`Queue`]; here are the calls, and the
+//! daemons' requests that wait for their pieces. A daemon dispatches for a
+//! service as soon as it is asked to, and stops when nobody asks any more.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::door::Wait;
+use gooseberry_kernel::request::table::Pieces;
+use gooseberry_kernel::stage::queue::Call;
+use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::queue::Queue;
+use gooseberry_kernel::stage::queue::Ticket;
+use gooseberry_platform::pieces;
+use gooseberry_platform::pieces::Made;
+use gooseberry_wire::fleet::Unmade;
+use http::StatusCode;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use crate::context::Context;
+use crate::exchange::Callee;
+use crate::exchange::Exchange;
+use crate::pool::KEPT_MAX;
+
+/// How often waiting groups are looked at without another cause.
+const TICK: Duration = Duration::from_millis(50);
+/// Every how many ticks freed results are told to their makers.
+const FREE_EVERY: u64 = 2;
+/// How much longer than expected a call may take, as a factor, and beside it.
+const CALL_FACTOR: u64 = 3;
+const CALL_SLACK: Millis = Millis(300);
+/// How often the pieces of a group are tried.
+const TRIES_MAX: u32 = 3;
+/// The largest answer of a stage call, in bytes.
+const ANSWER_MAX_BYTES: usize = 1 << 20;
+/// How long a target may take to hear which results are freed.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+
+type Reply = Result<Vec<name::Handle>, Unmade>;
+
+/// A group whose request waits here for its pieces.
+#[derive(Debug)]
+struct Open {
+    ticket: Ticket,
+    wanted: Vec<u32>,
+    made: Vec<(u32, name::Handle)>,
+    tries: u32,
+    reply: oneshot::Sender<Reply>,
+}
+
+#[derive(Debug)]
+struct Desk {
+    service: name::Service,
+    queue: Queue,
+    open: Vec<Open>,
+}
+
+/// The queues of the services that this daemon dispatches for.
+#[derive(Debug, Default)]
+pub struct Dispatcher {
+    desks: Mutex<Vec<Desk>>,
+}
+
+impl Dispatcher {
+    /// Has the pieces of a group made, in the order of their numbers.
+    ///
+    /// Dropping the future takes the group out of the queue.
+    ///
+    /// # Errors
+    /// Returns [`Unmade`] with the reason if a piece was not made.
+    pub async fn make(
+        &self,
+        context: &Arc<Context>,
+        service: &name::Service,
+        group: Group,
+    ) -> Reply {
+        if context.state().pieces(service).is_none() {
+            return Err(Unmade::Elsewhere);
+        }
+        let (reply, replied) = oneshot::channel();
+        let ticket = {
+            let mut desks = self.lock();
+            let desk = desk(&mut desks, service);
+            let wanted = group.pieces.clone();
+            let ticket = desk.queue.push(group, context.now());
+            desk.open.push(Open {
+                ticket,
+                wanted,
+                made: Vec::new(),
+                tries: 0,
+                reply,
+            });
+            ticket
+        };
+        let _cancel = Cancel {
+            dispatcher: self,
+            service,
+            ticket,
+        };
+        self.pump(context, service);
+        replied.await.unwrap_or(Err(Unmade::Failed))
+    }
+
+    /// Notes that nobody reads the results any more.
+    pub fn free(&self, service: &name::Service, handles: &[name::Handle]) {
+        desk(&mut self.lock(), service)
+            .queue
+            .results()
+            .free(handles);
+    }
+
+    /// Returns how long pieces wait here, by service.
+    pub fn waits(&self, context: &Context, now: Millis) -> Vec<Wait> {
+        let services: Vec<name::Service> = {
+            let desks = self.lock();
+            let active = desks.iter().filter(|desk| !desk.open.is_empty());
+            active.map(|desk| desk.service.clone()).collect()
+        };
+        let waits = services.into_iter().filter_map(|service| {
+            let (pieces, targets) = {
+                let state = context.state();
+                (state.pieces(&service)?, state.makers(&service, now).len())
+            };
+            let mut desks = self.lock();
+            let queue = &desk(&mut desks, &service).queue;
+            let waits = queue.waits(targets, &pieces, now);
+            Some(Wait { service, waits })
+        });
+        waits.collect()
+    }
+
+    /// Tells whether nobody waits here.
+    pub fn is_idle(&self) -> bool {
+        self.lock().iter().all(|desk| desk.open.is_empty())
+    }
+
+    /// Sends the calls that can be sent now.
+    fn pump(&self, context: &Arc<Context>, service: &name::Service) {
+        let now = context.now();
+        let (pieces, makers) = {
+            let state = context.state();
+            let Some(pieces) = state.pieces(service) else {
+                return;
+            };
+            (pieces, state.makers(service, now))
+        };
+        let mut desks = self.lock();
+        let desk = desk(&mut desks, service);
+        for ticket in desk.queue.expire(&pieces, now) {
+            context.metrics.pieces("expired", 1);
+            desk.close(ticket, Err(Unmade::Late));
+        }
+        while let Some(call) = desk.queue.next(&makers, &pieces, now) {
+            let context = context.clone();
+            let service = service.clone();
+            tokio::spawn(async move { run(&context, &service, pieces, call).await });
+        }
+    }
+
+    fn tick(&self, context: &Arc<Context>) {
+        let services: Vec<name::Service> = {
+            let desks = self.lock();
+            desks.iter().map(|desk| desk.service.clone()).collect()
+        };
+        for service in services {
+            self.pump(context, &service);
+        }
+    }
+
+    fn tell_freed(&self, context: &Arc<Context>) {
+        let mut freed = Vec::new();
+        for desk in self.lock().iter_mut() {
+            freed.extend(desk.queue.results().take_freed());
+        }
+        for (target, handles) in freed {
+            let Some(address) = context.state().address(&target) else {
+                continue;
+            };
+            let context = context.clone();
+            tokio::spawn(async move { free(&context, target, address, &handles).await });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Desk>> {
+        self.desks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Looks at the queues for as long as the process runs.
+pub async fn watch(context: Arc<Context>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    for count in 0_u64.. {
+        ticks.tick().await;
+        context.dispatcher.tick(&context);
+        if count.is_multiple_of(FREE_EVERY) {
+            context.dispatcher.tell_freed(&context);
+        }
+    }
+}
+
+struct Cancel<'a> {
+    dispatcher: &'a Dispatcher,
+    service: &'a name::Service,
+    ticket: Ticket,
+}
+
+impl Drop for Cancel<'_> {
+    fn drop(&mut self) {
+        let mut desks = self.dispatcher.lock();
+        let desk = desk(&mut desks, self.service);
+        if let Some(open) = desk.take(self.ticket) {
+            desk.queue.cancel(self.ticket);
+            let made: Vec<name::Handle> = open.made.into_iter().map(|(_, handle)| handle).collect();
+            desk.queue.results().free(&made);
+        }
+    }
+}
+
+impl Desk {
+    fn take(&mut self, ticket: Ticket) -> Option<Open> {
+        let index = self.open.iter().position(|open| open.ticket == ticket)?;
+        Some(self.open.remove(index))
+    }
+
+    /// Ends a group; what was made of it in vain is given up.
+    fn close(&mut self, ticket: Ticket, reply: Reply) {
+        let Some(open) = self.take(ticket) else {
+            return;
+        };
+        self.queue.cancel(ticket);
+        if reply.is_err() {
+            let made: Vec<name::Handle> = open.made.into_iter().map(|(_, handle)| handle).collect();
+            self.queue.results().free(&made);
+        }
+        // The request may have gone in this moment; its guard freed nothing
+        // then, so the results age out.
+        open.reply.send(reply).ok();
+    }
+
+    fn note_made(&mut self, ticket: Ticket, piece: u32, handle: name::Handle) {
+        let Some(open) = self.open.iter_mut().find(|open| open.ticket == ticket) else {
+            self.queue.results().free(&[handle]);
+            return;
+        };
+        open.made.push((piece, handle));
+        if open.made.len() == open.wanted.len() {
+            let mut made = std::mem::take(&mut open.made);
+            made.sort_by_key(|(piece, _)| *piece);
+            let handles = made.into_iter().map(|(_, handle)| handle).collect();
+            self.close(ticket, Ok(handles));
+        }
+    }
+
+    /// Queues pieces again, unless they were tried often enough.
+    fn again(&mut self, ticket: Ticket, group: Group, counts: bool, now: Millis) {
+        let Some(open) = self.open.iter_mut().find(|open| open.ticket == ticket) else {
+            return;
+        };
+        open.tries += u32::from(counts);
+        if open.tries >= TRIES_MAX {
+            self.close(ticket, Err(Unmade::Failed));
+        } else {
+            self.queue.push_back(ticket, group, now);
+        }
+    }
+}
+
+/// What a call came to as a whole.
+enum Outcome {
+    Answered(Vec<Made>),
+    /// The target did not take the call.
+    Refused,
+    /// The call failed, and the target may still be at work on it.
+    Failed(String),
+}
+
+/// Sends one call and gives out what came of it.
+async fn run(context: &Arc<Context>, service: &name::Service, pieces: Pieces, call: Call) {
+    let sent = context.now();
+    let outcome = send(context, &call).await;
+    let now = context.now();
+    let count: usize = call.parts.iter().map(|part| part.group.pieces.len()).sum();
+    let (label, detail) = match &outcome {
+        Outcome::Answered(_) => ("answered", ""),
+        Outcome::Refused => ("refused", ""),
+        Outcome::Failed(why) => ("failed", why.as_str()),
+    };
+    context.metrics.pieces(label, count);
+    let attempts: Vec<&str> = call
+        .parts
+        .iter()
+        .map(|part| part.group.attempt.as_str())
+        .collect();
+    log::info!(
+        requests:% = attempts.join(","),
+        service:% = service,
+        target:% = call.target,
+        pieces = count,
+        expected_ms = (call.expected - sent).0,
+        took_ms = (now - sent).0,
+        detail;
+        "stage call {label}"
+    );
+    note_health(context, &call.target, &outcome, now);
+    let dispatcher = &context.dispatcher;
+    {
+        let mut desks = dispatcher.lock();
+        let desk = desk(&mut desks, service);
+        desk.queue.end(&call.target);
+        if matches!(outcome, Outcome::Refused) {
+            desk.queue.rest(&call.target, now);
+        }
+        give_out(desk, call, outcome, pieces, now);
+    }
+    dispatcher.pump(context, service);
+}
+
+fn note_health(context: &Context, target: &name::Target, outcome: &Outcome, now: Millis) {
+    let mut state = context.state();
+    match outcome {
+        Outcome::Answered(_) => state.health().note_good(target),
+        Outcome::Refused => {}
+        Outcome::Failed(_) => state.health().note_unreachable(target, now),
+    }
+}
+
+fn give_out(desk: &mut Desk, call: Call, outcome: Outcome, pieces: Pieces, now: Millis) {
+    let target = call.target;
+    let mut made = match outcome {
+        Outcome::Answered(made) => made.into_iter(),
+        Outcome::Refused | Outcome::Failed(_) => {
+            let counts = matches!(outcome, Outcome::Failed(_));
+            for part in call.parts {
+                desk.again(part.ticket, part.group, counts, now);
+            }
+            return;
+        }
+    };
+    for part in call.parts {
+        let group = part.group;
+        let mut missing = Vec::new();
+        for piece in &group.pieces {
+            match made.next().unwrap_or(Made::Error) {
+                Made::Handle(handle) => {
+                    let until = now + pieces.kept;
+                    let results = desk.queue.results();
+                    results.keep(handle.clone(), &target, group.bytes, until);
+                    desk.note_made(part.ticket, *piece, handle);
+                }
+                Made::Late => desk.close(part.ticket, Err(Unmade::Late)),
+                Made::Gone => desk.close(part.ticket, Err(Unmade::Gone)),
+                Made::Room => {
+                    desk.queue.rest(&target, now);
+                    missing.push(*piece);
+                }
+                Made::Error => missing.push(*piece),
+            }
+        }
+        if !missing.is_empty() {
+            let pieces = missing;
+            desk.again(part.ticket, Group { pieces, ..group }, true, now);
+        }
+    }
+}
+
+async fn send(context: &Arc<Context>, call: &Call) -> Outcome {
+    let now = context.now();
+    let Some(address) = context.state().address(&call.target) else {
+        return Outcome::Refused;
+    };
+    let callee = Callee {
+        target: call.target.clone(),
+        address,
+        idle_max: KEPT_MAX,
+    };
+    let request = match pieces::run(call, &address.to_string(), now) {
+        Ok(request) => request,
+        Err(error) => return Outcome::Failed(format!("{error:#}")),
+    };
+    let count = call.parts.iter().map(|part| part.group.pieces.len()).sum();
+    let expected = call.expected - now;
+    let limit = Millis(expected.0 * CALL_FACTOR) + CALL_SLACK;
+    let exchanged = timeout(Duration::from_millis(limit.0), async {
+        let mut exchange = Exchange::begin(context, &callee, request).await?;
+        let status = exchange.status;
+        let body = exchange.read(ANSWER_MAX_BYTES).await?;
+        exchange.keep(context, None);
+        Ok::<_, crate::exchange::Error>((status, body))
+    });
+    match exchanged.await {
+        Err(_) => Outcome::Failed(format!("no answer within {limit} ms")),
+        Ok(Err(crate::exchange::Error::NotSent(why))) => Outcome::Failed(why),
+        Ok(Err(error)) => Outcome::Failed(error.to_string()),
+        Ok(Ok((StatusCode::OK, body))) => match pieces::read(&body, count) {
+            Ok(made) => Outcome::Answered(made),
+            Err(error) => Outcome::Failed(format!("{error:#}")),
+        },
+        Ok(Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::MISDIRECTED_REQUEST, _))) => {
+            Outcome::Refused
+        }
+        Ok(Ok((status, _))) => Outcome::Failed(format!("status {status}")),
+    }
+}
+
+async fn free(
+    context: &Arc<Context>,
+    target: name::Target,
+    address: std::net::SocketAddr,
+    handles: &[name::Handle],
+) {
+    let callee = Callee {
+        target,
+        address,
+        idle_max: KEPT_MAX,
+    };
+    let Ok(request) = pieces::free(handles, &address.to_string(), &callee.target) else {
+        return;
+    };
+    let told = timeout(FREE_TIMEOUT, async {
+        let mut exchange = Exchange::begin(context, &callee, request).await?;
+        exchange.read(ANSWER_MAX_BYTES).await?;
+        exchange.keep(context, None);
+        Ok::<_, crate::exchange::Error>(())
+    });
+    // Results that are not freed age out at their makers.
+    if !matches!(told.await, Ok(Ok(()))) {
+        log::debug!(target:% = callee.target, results = handles.len(); "results were not freed");
+    }
+}
+
+fn desk<'a>(desks: &'a mut Vec<Desk>, service: &name::Service) -> &'a mut Desk {
+    let found = desks.binary_search_by(|desk| desk.service.cmp(service));
+    let index = found.unwrap_or_else(|index| {
+        let desk = Desk {
+            service: service.clone(),
+            queue: Queue::default(),
+            open: Vec::new(),
+        };
+        desks.insert(index, desk);
+        index
+    });
+    &mut desks[index]
+}
--- /dev/null
+++ b/crates/relay/src/exchange.rs
@@ -0,0 +1,176 @@
+//! One call to a target.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gooseberry_connectors::link;
+use gooseberry_connectors::link::Link;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::context::Context;
+
+/// How long a connection to a target may take to be made.
+///
+/// A round trip takes milliseconds; a lost packet is sent again only after a
+/// second, by when another target has answered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// For how long an idle connection may carry a request that runs only once.
+///
+/// A target may drop an idle connection without notice; the request that finds
+/// this out has no known fate, so it gets a connection that is surely alive.
+pub const FRESH: Millis = Millis(700);
+
+/// Why a call got no reply.
+#[derive(Debug)]
+pub enum Error {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The connection failed after the request may have arrived.
+    Broken(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(why) => write!(out, "not sent: {why}"),
+            Self::Broken(why) => write!(out, "broken: {why}"),
+        }
+    }
+}
+
+/// Whom a call is for, and over which connections it may go.
+#[derive(Clone, Debug)]
+pub struct Callee {
+    /// The target.
+    pub target: name::Target,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// For how long a connection may have been idle.
+    pub idle_max: Millis,
+}
+
+/// A call whose reply has begun; dropping it breaks the connection off.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The status of the reply.
+    pub status: StatusCode,
+    /// The headers of the reply.
+    pub headers: HeaderMap,
+    /// Whom the call went to.
+    pub callee: Callee,
+    body: Incoming,
+    link: Link,
+}
+
+impl Exchange {
+    /// Sends a request and waits for the head of the reply.
+    ///
+    /// # Errors
+    /// Returns [`Error`], which says whether the request may have arrived.
+    pub async fn begin(
+        context: &Context,
+        callee: &Callee,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Self, Error> {
+        let pooled = context
+            .pool
+            .take(&callee.target, callee.idle_max, context.now());
+        let is_pooled = pooled.is_some();
+        let spare = is_pooled.then(|| request.clone());
+        let mut link = match pooled {
+            Some(link) => link,
+            None => open(context, callee).await?,
+        };
+        let reply = match (link.send(request).await, spare) {
+            (Ok(reply), _) => reply,
+            // The target closed the idle connection; nothing was sent on it.
+            (Err(link::Error::NotSent(_)), Some(request)) => {
+                link = open(context, callee).await?;
+                link.send(request).await.map_err(Error::from)?
+            }
+            (Err(error), _) => return Err(error.into()),
+        };
+        let (parts, body) = reply.into_parts();
+        Ok(Self {
+            status: parts.status,
+            headers: parts.headers,
+            callee: callee.clone(),
+            body,
+            link,
+        })
+    }
+
+    /// Returns the next bytes of the reply; `None` at its end.
+    ///
+    /// # Errors
+    /// Returns [`Error::Broken`] if the reply ends before it is complete.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(Error::Broken(error.to_string())),
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the whole reply.
+    ///
+    /// # Errors
+    /// Returns [`Error::Broken`] if the reply ends early or is too large.
+    pub async fn read(&mut self, max_bytes: usize) -> Result<Bytes, Error> {
+        let mut whole = Vec::new();
+        while let Some(bytes) = self.next().await? {
+            if whole.len() + bytes.len() > max_bytes {
+                return Err(Error::Broken("the reply is too large".to_owned()));
+            }
+            whole.extend_from_slice(&bytes);
+        }
+        Ok(whole.into())
+    }
+
+    /// Keeps the connection for another call; the reply was read whole.
+    pub fn keep(self, context: &Arc<Context>, idle: Option<Millis>) {
+        let Self {
+            callee, mut link, ..
+        } = self;
+        let context = context.clone();
+        // The connection is ready a moment after the last byte was read; if
+        // more bytes came than belong to the reply, it fails instead.
+        tokio::spawn(async move {
+            if link.ready().await.is_ok() {
+                let now = context.now();
+                context.pool.put(&callee.target, link, idle, now);
+            }
+        });
+    }
+}
+
+async fn open(context: &Context, callee: &Callee) -> Result<Link, Error> {
+    context.metrics.connection();
+    let opened = Link::open(callee.address, CONNECT_TIMEOUT).await;
+    opened.map_err(|error| Error::NotSent(error.to_string()))
+}
+
+impl From<link::Error> for Error {
+    fn from(error: link::Error) -> Self {
+        match error {
+            link::Error::NotSent(error) => Self::NotSent(error.to_string()),
+            link::Error::Broken(error) => Self::Broken(error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/feed.rs
@@ -0,0 +1,72 @@
+//! Reads what the platform publishes, for as long as the process runs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::mirror::Changes;
+use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_platform::store::Store;
+use gooseberry_platform::store::Watched;
+use tokio::time::sleep;
+
+use crate::context::Context;
+
+/// How long a watch waits for a change.
+///
+/// A connection may go silent without a sign, and then nothing is heard until
+/// the watch is given up, so it is well below the time in which a change must
+/// be in force. Each watch costs a call.
+const WATCH: Millis = Millis(1_500);
+/// The least time between two calls; changes that come in quick succession
+/// are read together.
+const PAUSE: Duration = Duration::from_millis(100);
+/// How long to wait after a failed call.
+const PAUSE_FAILED: Duration = Duration::from_millis(400);
+
+/// Keeps the daemon's copy of the store up to date.
+pub async fn follow(context: Arc<Context>) {
+    let mut store = Store::new(context.boot.store);
+    let mut is_whole_due = true;
+    let mut failures = 0_u32;
+    loop {
+        let after = context.state().through();
+        let read = if is_whole_due || after == Revision::default() {
+            store.read().await.map(Watched::Changes)
+        } else {
+            store.watch(after, WATCH).await
+        };
+        let now = context.now();
+        match read {
+            Ok(Watched::Changes(changes)) => {
+                context.metrics.store_call("answered");
+                is_whole_due = false;
+                failures = 0;
+                adopt(&context, changes, now);
+                sleep(PAUSE).await;
+            }
+            Ok(Watched::Forgotten) => {
+                context.metrics.store_call("forgotten");
+                log::info!(after = after.0; "the store has forgotten its history; all is read again");
+                is_whole_due = true;
+            }
+            Err(error) => {
+                context.metrics.store_call("failed");
+                log::debug!("the store: {error:#}");
+                failures += 1;
+                context.state().note_store(false, now);
+                // One failure is often a connection that was cut; the next
+                // call goes over a new one at once.
+                if failures > 1 {
+                    sleep(PAUSE_FAILED).await;
+                }
+            }
+        }
+    }
+}
+
+fn adopt(context: &Context, changes: Changes, now: Millis) {
+    let mut state = context.state();
+    state.note_store(true, now);
+    state.adopt(changes, "store", now);
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,146 @@
+//! What the daemon counts, for operators.
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_runtime::control_stream::Counters;
+use gooseberry_runtime::logs;
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// The upper bounds of the latency buckets, in seconds.
+const BUCKETS_SECS: [f64; 10] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.5, 5.0, 15.0];
+
+/// The counters of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    repeats: IntCounterVec,
+    pieces: IntCounterVec,
+    store: IntCounterVec,
+    latency: HistogramVec,
+    connections: IntCounter,
+    logs_dropped: IntGauge,
+    control_bytes: Counters,
+}
+
+impl Metrics {
+    /// Makes the counters.
+    ///
+    /// # Errors
+    /// Returns an error if two of them have the same name.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            anyhow::Ok(counters)
+        };
+        let requests = counters(
+            "gooseberry_relay_requests_total",
+            "Requests by how they ended.",
+            &["form", "end"],
+        )?;
+        let repeats = counters(
+            "gooseberry_relay_repeats_total",
+            "Requests that were sent again, by reason.",
+            &["reason"],
+        )?;
+        let pieces = counters(
+            "gooseberry_relay_pieces_total",
+            "Pieces that this daemon dispatched, by what became of them.",
+            &["end"],
+        )?;
+        let store = counters(
+            "gooseberry_relay_store_calls_total",
+            "Calls to the platform's store.",
+            &["end"],
+        )?;
+        let options = HistogramOpts::new(
+            "gooseberry_relay_seconds",
+            "Time from the head of a request to a point of its answer.",
+        );
+        let latency =
+            HistogramVec::new(options.buckets(BUCKETS_SECS.to_vec()), &["form", "point"])?;
+        registry.register(Box::new(latency.clone()))?;
+        let connections = IntCounter::new(
+            "gooseberry_relay_target_connections_total",
+            "Connections that were made to targets.",
+        )?;
+        registry.register(Box::new(connections.clone()))?;
+        let logs_dropped = IntGauge::new(
+            "gooseberry_relay_log_lines_dropped",
+            "Log lines that nobody read in time.",
+        )?;
+        registry.register(Box::new(logs_dropped.clone()))?;
+        let control_bytes = Counters::register(&registry)?;
+        Ok(Self {
+            registry,
+            requests,
+            repeats,
+            pieces,
+            store,
+            latency,
+            connections,
+            logs_dropped,
+            control_bytes,
+        })
+    }
+
+    /// Counts a request that has ended.
+    pub fn request(&self, form: &str, end: &str) {
+        self.requests.with_label_values(&[form, end]).inc();
+    }
+
+    /// Notes how long a request took to a point of its answer.
+    #[allow(clippy::cast_precision_loss, reason = "a span of minutes at most")]
+    pub fn latency(&self, form: &str, point: &str, span: Millis) {
+        let secs = span.0 as f64 / 1000.0;
+        self.latency.with_label_values(&[form, point]).observe(secs);
+    }
+
+    /// Counts a request that is sent again.
+    pub fn repeat(&self, reason: &str) {
+        self.repeats.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts pieces that were made, or not.
+    pub fn pieces(&self, end: &str, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.pieces.with_label_values(&[end]).inc_by(count);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, end: &str) {
+        self.store.with_label_values(&[end]).inc();
+    }
+
+    /// Counts a connection that is made to a target.
+    pub fn connection(&self) {
+        self.connections.inc();
+    }
+
+    /// Returns where the bytes between daemons are counted.
+    #[must_use]
+    pub fn control_bytes(&self) -> Counters {
+        self.control_bytes.clone()
+    }
+
+    /// Writes every counter as text.
+    ///
+    /// # Errors
+    /// Returns an error if a counter cannot be written.
+    pub fn text(&self) -> anyhow::Result<Vec<u8>> {
+        self.logs_dropped
+            .set(i64::try_from(logs::dropped()).unwrap_or(i64::MAX));
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stages.rs
@@ -0,0 +1,253 @@
+//! Has the stages of a request made, and frees what was read.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::door;
+use gooseberry_kernel::request::door::FIRST_BYTE;
+use gooseberry_kernel::request::door::Leg;
+use gooseberry_kernel::request::door::Verdict;
+use gooseberry_kernel::stage::plan::Freed;
+use gooseberry_kernel::stage::plan::Plan;
+use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::queue::Source;
+use gooseberry_wire::fleet::Unmade;
+
+use crate::context::Context;
+use crate::request::Job;
+
+/// How often a whole plan is made when results vanish with their makers.
+const ROUNDS_MAX: u32 = 2;
+
+/// The results that a request's run reads; they are freed with the value.
+#[derive(Debug)]
+pub struct Results {
+    context: Arc<Context>,
+    /// The results.
+    pub handles: Vec<name::Handle>,
+    kept: Vec<Kept>,
+}
+
+/// Results with the daemon that dispatched them; `None` stands for this one.
+#[derive(Debug)]
+struct Kept {
+    freed: Freed,
+    dispatcher: Option<SocketAddr>,
+}
+
+impl Drop for Results {
+    fn drop(&mut self) {
+        for kept in self.kept.drain(..) {
+            free(&self.context, kept);
+        }
+    }
+}
+
+/// Decides at the door whether the stages can be made in time.
+///
+/// # Errors
+/// Returns a refusal with the time after which the client may come back.
+pub fn admit(context: &Context, job: &Job, plan: &Plan) -> Result<(), Failure> {
+    let now = context.now();
+    let legs: Vec<Leg> = {
+        let state = context.state();
+        let chain = plan.longest().into_iter();
+        let leg = |index| {
+            let step = plan.step(index)?;
+            Some(Leg {
+                wait: state.wait(&step.service, job.rank, now),
+                pieces: state.pieces(&step.service)?,
+                count: step.pieces,
+            })
+        };
+        chain.filter_map(leg).collect()
+    };
+    match door::decide(&legs, job.deadline - now) {
+        Verdict::Enter => Ok(()),
+        Verdict::Refuse(span) => {
+            let waits: Vec<u64> = legs.iter().map(|leg| leg.wait.0).collect();
+            log::info!(
+                request:% = job.head.attempt,
+                waits_ms:? = waits,
+                left_ms = (job.deadline - now).0,
+                retry_ms = span.0;
+                "refused at the door: the stages cannot be made in time"
+            );
+            Err(Failure::from(Kind::QueueFull).retry_after(span))
+        }
+    }
+}
+
+/// Has every stage made, and returns what the run reads.
+///
+/// # Errors
+/// Returns the failure if a stage cannot be made in time.
+pub async fn run(
+    context: &Arc<Context>,
+    job: &Job,
+    plan: &Plan,
+    domain: Option<&name::Domain>,
+) -> Result<Results, Failure> {
+    let mut round = 1;
+    loop {
+        match run_once(context, job, plan.clone(), domain).await {
+            Ok(results) => return Ok(results),
+            Err(why) => {
+                log::info!(
+                    request:% = job.head.attempt,
+                    round,
+                    left_ms = (job.deadline - context.now()).0;
+                    "stages not made: {why:?}"
+                );
+                if why != Unmade::Gone || round >= ROUNDS_MAX {
+                    return Err(failure(why));
+                }
+            }
+        }
+        round += 1;
+    }
+}
+
+fn failure(why: Unmade) -> Failure {
+    match why {
+        Unmade::Late => Kind::QueueFull.into(),
+        Unmade::Gone | Unmade::Failed => Kind::NoTarget.into(),
+        Unmade::Elsewhere => Kind::NoOwner.into(),
+    }
+}
+
+async fn run_once(
+    context: &Arc<Context>,
+    job: &Job,
+    mut plan: Plan,
+    domain: Option<&name::Domain>,
+) -> Result<Results, Unmade> {
+    // Whatever is kept is freed when this value goes, also by cancellation.
+    let mut results = Results {
+        context: context.clone(),
+        handles: Vec::new(),
+        kept: Vec::new(),
+    };
+    let mut running = FuturesUnordered::new();
+    while !plan.is_complete() {
+        for index in plan.begin() {
+            let group = group(context, job, &plan, index, domain);
+            running.push(make(context, index, group));
+        }
+        let Some((index, made)) = running.next().await else {
+            return Err(Unmade::Failed);
+        };
+        let (handles, dispatcher) = made?;
+        if let Some(step) = plan.step(index) {
+            results.kept.push(Kept {
+                freed: Freed {
+                    service: step.service.clone(),
+                    handles: handles.clone(),
+                },
+                dispatcher,
+            });
+        }
+        for freed in plan.finish(index, handles) {
+            let is_same = |kept: &Kept| kept.freed == freed;
+            if let Some(place) = results.kept.iter().position(is_same) {
+                free(context, results.kept.swap_remove(place));
+            }
+        }
+    }
+    results.handles = plan.outputs();
+    Ok(results)
+}
+
+type Made = Result<(Vec<name::Handle>, Option<SocketAddr>), Unmade>;
+
+/// Has one group made by the first dispatcher that answers.
+async fn make(
+    context: &Arc<Context>,
+    index: usize,
+    group: (name::Service, Group),
+) -> (usize, Made) {
+    let (service, group) = group;
+    let order = context.state().dispatchers(&service, context.now());
+    for dispatcher in order {
+        let made = match dispatcher {
+            None => Ok(context
+                .dispatcher
+                .make(context, &service, group.clone())
+                .await),
+            Some(address) => context.peers.make(context, address, &service, &group).await,
+        };
+        match made {
+            Ok(Err(Unmade::Elsewhere)) => {}
+            Ok(Ok(handles)) => return (index, Ok((handles, dispatcher))),
+            Ok(Err(why)) => return (index, Err(why)),
+            Err(_) => {
+                log::warn!(
+                    request:% = group.attempt,
+                    service:% = service,
+                    dispatcher:? = dispatcher;
+                    "a dispatcher was not reached; the next one is asked"
+                );
+            }
+        }
+        if group.until <= context.now() {
+            return (index, Err(Unmade::Late));
+        }
+    }
+    (index, Err(Unmade::Elsewhere))
+}
+
+fn group(
+    context: &Context,
+    job: &Job,
+    plan: &Plan,
+    index: usize,
+    domain: Option<&name::Domain>,
+) -> (name::Service, Group) {
+    let now = context.now();
+    let state = context.state();
+    let Some(step) = plan.step(index) else {
+        unreachable!("a plan begins only its own stages");
+    };
+    // What must follow before the answer: the later stages, and the run.
+    let call = state.pieces(&step.service).map(|pieces| pieces.call(1));
+    let follow = u64::try_from(plan.follow(index)).unwrap_or(0);
+    let tail = Millis(call.unwrap_or_default().0 * follow) + FIRST_BYTE;
+    let inputs = plan.inputs(index);
+    let source = if inputs.is_empty() {
+        Source::Key(job.head.piece_key.clone().unwrap_or_default())
+    } else {
+        Source::Inputs(inputs)
+    };
+    let group = Group {
+        attempt: job.head.attempt.clone(),
+        stage: index,
+        pieces: (0..step.pieces).collect(),
+        source,
+        bytes: step.bytes,
+        rank: job.rank,
+        on_time: (job.on_time - tail).max(now),
+        until: (job.deadline - tail).max(now),
+        domain: domain.cloned(),
+    };
+    (step.service.clone(), group)
+}
+
+fn free(context: &Arc<Context>, kept: Kept) {
+    let Kept { freed, dispatcher } = kept;
+    match dispatcher {
+        None => context.dispatcher.free(&freed.service, &freed.handles),
+        Some(address) => {
+            let context = context.clone();
+            tokio::spawn(async move {
+                let peers = &context.peers;
+                peers.free(address, &freed.service, &freed.handles).await;
+            });
+        }
+    }
+}
--- a/crates/daemon/src/control_stream.rs
+++ b/crates/runtime/src/control_stream.rs
@@ -25,6 +25,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::socket;
+
 /// Where the bytes of control messages are counted.
 #[derive(Clone, Debug)]
 pub struct Counters {
@@ -76,6 +78,7 @@
     SinkItem: Serialize,
 {
     let stream = TcpStream::connect(address).await?;
+    socket::tune(&stream)?;
     Ok(channel(stream, counters))
 }
 
@@ -90,7 +93,10 @@
 {
     let next = async |(listener, counters): (TcpListener, Counters)| {
         let accepted: io::Result<(TcpStream, _)> = listener.accept().await;
-        let taken = accepted.map(|(stream, _)| channel(stream, counters.clone()));
+        let taken = accepted.and_then(|(stream, _)| {
+            socket::tune(&stream)?;
+            Ok(channel(stream, counters.clone()))
+        });
         Some((taken, (listener, counters)))
     };
     Box::pin(stream::unfold((listener, counters), next))
--- a/crates/daemon/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -4,7 +4,14 @@
 //! workspace, pipeline, stage and attempt. Credentials, keys and bodies are
 //! never given to the log.
 
-use std::fmt::Write;
+use std::fmt::Write as _;
+use std::io;
+use std::io::BufWriter;
+use std::io::Write as _;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -18,12 +25,80 @@
 use serde_json::Map;
 use serde_json::json;
 
+/// The crates whose lines are written at the level that the settings name.
+const OURS: [&str; 4] = [
+    "gooseberryd",
+    "gooseberryctl",
+    "gooseberry_relay",
+    "gooseberry_connectors",
+];
+/// How many lines wait for the reader of standard output; about a megabyte.
+const WAITING_MAX: usize = 4096;
+
+/// The lines that were dropped since the last one that was not.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// The lines that were dropped since the start.
+static DROPPED_EVER: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many lines were dropped because nobody read them in time.
+#[must_use]
+pub fn dropped() -> u64 {
+    DROPPED_EVER.load(Ordering::Relaxed)
+}
+
+/// Starts logging to standard output, without ever waiting for its reader.
+///
+/// Lines go through a bounded queue to a thread of their own. When the queue
+/// is full, lines are dropped and counted, and the next line that is written
+/// says how many.
+///
+/// # Errors
+/// Returns an error if logging was started before.
+pub fn start_unblocked(level: &str, format: LogFormat) -> anyhow::Result<()> {
+    let (sender, lines) = mpsc::sync_channel::<String>(WAITING_MAX);
+    thread::Builder::new()
+        .name("logs".to_owned())
+        .spawn(move || write_lines(&lines))?;
+    let output = fern::Output::call(move |record| {
+        let line = match format {
+            LogFormat::Text => text(record, wall_ms()),
+            LogFormat::Json => json(record, wall_ms()),
+        };
+        if sender.try_send(line).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+            DROPPED_EVER.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    apply(level, fern::Dispatch::new().chain(output))
+}
+
+fn write_lines(lines: &mpsc::Receiver<String>) {
+    let mut out = BufWriter::new(io::stdout());
+    while let Ok(line) = lines.recv() {
+        let mut next = Some(line);
+        while let Some(line) = next {
+            let dropped = DROPPED.swap(0, Ordering::Relaxed);
+            let told = match dropped {
+                0 => Ok(()),
+                dropped => writeln!(out, "{} WARN  logs: dropped={dropped}", wall_ms()),
+            };
+            // Nobody reads the logs any more, which must not stop the daemon.
+            if told.and_then(|()| writeln!(out, "{line}")).is_err() {
+                return;
+            }
+            next = lines.try_recv().ok();
+        }
+        if out.flush().is_err() {
+            return;
+        }
+    }
+}
+
 /// Starts logging to standard error.
 ///
 /// # Errors
 /// Returns an error if logging was started before.
 pub fn start(level: &str, format: LogFormat) -> anyhow::Result<()> {
-    let level: LevelFilter = level.parse()?;
     let lines = fern::Dispatch::new().format(move |out, _, record| {
         let line = match format {
             LogFormat::Text => text(record, wall_ms()),
@@ -31,13 +106,17 @@
         };
         out.finish(format_args!("{line}"));
     });
+    apply(level, lines.chain(io::stderr()))
+}
+
+fn apply(level: &str, lines: fern::Dispatch) -> anyhow::Result<()> {
+    let level: LevelFilter = level.parse()?;
     // Libraries speak of their own matters; only their warnings are of use.
-    lines
-        .level(LevelFilter::Warn.min(level))
-        .level_for("gooseberryd", level)
-        .level_for("gooseberryctl", level)
-        .chain(std::io::stderr())
-        .apply()?;
+    let mut lines = lines.level(LevelFilter::Warn.min(level));
+    for ours in OURS {
+        lines = lines.level_for(ours, level);
+    }
+    lines.apply()?;
     Ok(())
 }
 
--- /dev/null
+++ b/crates/wire/src/fleet.rs
@@ -0,0 +1,265 @@
+//! What daemons tell each other on the direct path, over tarpc.
+//!
+//! Moments of two processes are never compared, so every time here is a span
+//! that remains or has passed.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::member;
+use gooseberry_kernel::fleet::mirror;
+use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::door;
+use gooseberry_kernel::request::table::Rank;
+use gooseberry_kernel::stage::queue;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::control::Suspect;
+
+/// The service that each daemon offers its peers.
+#[tarpc::service]
+pub trait Fleet {
+    /// Greets the daemon; it answers in kind.
+    async fn greet(greeting: Greeting) -> Greeting;
+    /// Returns what changed at the platform after a revision.
+    async fn changes(after: u64) -> Changes;
+    /// Has the pieces of a group made.
+    async fn make(group: Group) -> Result<Vec<CompactString>, Unmade>;
+    /// Gives up results that nobody reads any more.
+    async fn free(service: CompactString, handles: Vec<CompactString>);
+}
+
+/// A greeting, and the reply to it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// Who says it.
+    pub from: Member,
+    /// The others that it hears.
+    pub others: Vec<Member>,
+    /// Up to which revision it knows what the platform publishes.
+    pub through: u64,
+    /// The waits at the stage services that it dispatches for.
+    pub waits: Vec<Wait>,
+    /// The requests under suspicion.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: CompactString,
+    /// The start of its process.
+    pub incarnation: u64,
+    /// How often it has greeted.
+    pub beat: u64,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Its share of a processor, in thousandths.
+    pub strength: u32,
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
+}
+
+/// How long pieces wait at a service, by rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wait {
+    /// The service.
+    pub service: CompactString,
+    /// The wait of each rank, in milliseconds.
+    pub waits_ms: [u64; door::RANKS],
+}
+
+/// An entry of the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its key.
+    pub key: CompactString,
+    /// Its value, unless it was removed.
+    pub value: Option<Vec<u8>>,
+    /// The revision of its last change.
+    pub revision: u64,
+}
+
+/// Changes at the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changes {
+    /// The changes, or every entry.
+    pub entries: Vec<Entry>,
+    /// Up to which revision they are complete.
+    pub through: u64,
+    /// Whether these are all entries.
+    pub is_whole: bool,
+}
+
+/// From what pieces are made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Source {
+    /// The key of the request.
+    Key(String),
+    /// Results of earlier stages.
+    Inputs(Vec<CompactString>),
+}
+
+/// The pieces of one request at one stage.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    /// The service that makes them.
+    pub service: CompactString,
+    /// The request.
+    pub attempt: CompactString,
+    /// The number of the stage.
+    pub stage: u32,
+    /// The numbers of the pieces.
+    pub pieces: Vec<u32>,
+    /// From what they are made.
+    pub source: Source,
+    /// The size of one result, in bytes.
+    pub bytes: u64,
+    /// How urgent the request is.
+    pub rank: u8,
+    /// For how long they help an answer to be on time, in milliseconds.
+    pub on_time_ms: u64,
+    /// For how long they are of any use, in milliseconds.
+    pub until_ms: u64,
+    /// The failure domain in which the results are read.
+    pub domain: Option<CompactString>,
+}
+
+/// Why pieces were not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Unmade {
+    /// They cannot be made in the time that remains.
+    Late,
+    /// An input does not exist any more.
+    Gone,
+    /// The targets failed.
+    Failed,
+    /// This daemon does not know the service yet, or is ending.
+    Elsewhere,
+}
+
+impl From<&member::Row> for Member {
+    fn from(row: &member::Row) -> Self {
+        Self {
+            name: row.name.as_str().into(),
+            incarnation: row.incarnation,
+            beat: row.beat,
+            address: row.address,
+            strength: row.strength,
+            is_leaving: row.is_leaving,
+        }
+    }
+}
+
+impl From<Member> for member::Row {
+    fn from(member: Member) -> Self {
+        Self {
+            name: name::Member::new(&member.name),
+            incarnation: member.incarnation,
+            beat: member.beat,
+            address: member.address,
+            strength: member.strength,
+            is_leaving: member.is_leaving,
+        }
+    }
+}
+
+impl From<&door::Wait> for Wait {
+    fn from(wait: &door::Wait) -> Self {
+        Self {
+            service: wait.service.as_str().into(),
+            waits_ms: wait.waits.map(|wait| wait.0),
+        }
+    }
+}
+
+impl From<Wait> for door::Wait {
+    fn from(wait: Wait) -> Self {
+        Self {
+            service: name::Service::new(&wait.service),
+            waits: wait.waits_ms.map(Millis),
+        }
+    }
+}
+
+impl From<mirror::Changes> for Changes {
+    fn from(changes: mirror::Changes) -> Self {
+        let entries = changes.entries.into_iter().map(|entry| Entry {
+            key: entry.key,
+            value: entry.value,
+            revision: entry.revision.0,
+        });
+        Self {
+            entries: entries.collect(),
+            through: changes.through.0,
+            is_whole: changes.is_whole,
+        }
+    }
+}
+
+impl From<Changes> for mirror::Changes {
+    fn from(changes: Changes) -> Self {
+        let entries = changes.entries.into_iter().map(|entry| mirror::Entry {
+            key: entry.key,
+            value: entry.value,
+            revision: Revision(entry.revision),
+        });
+        Self {
+            entries: entries.collect(),
+            through: Revision(changes.through),
+            is_whole: changes.is_whole,
+        }
+    }
+}
+
+impl Group {
+    /// Writes a group for the dispatcher of a service.
+    #[must_use]
+    pub fn new(service: &name::Service, group: &queue::Group, now: Millis) -> Self {
+        Self {
+            service: service.as_str().into(),
+            attempt: group.attempt.as_str().into(),
+            stage: u32::try_from(group.stage).unwrap_or(u32::MAX),
+            pieces: group.pieces.clone(),
+            source: match &group.source {
+                queue::Source::Key(key) => Source::Key(key.clone()),
+                queue::Source::Inputs(handles) => {
+                    let handles = handles.iter().map(|handle| handle.as_str().into());
+                    Source::Inputs(handles.collect())
+                }
+            },
+            bytes: group.bytes,
+            rank: group.rank.0,
+            on_time_ms: (group.on_time - now).0,
+            until_ms: (group.until - now).0,
+            domain: group.domain.as_ref().map(|domain| domain.as_str().into()),
+        }
+    }
+
+    /// Reads the group, with its spans as moments of this process.
+    #[must_use]
+    pub fn read(self, now: Millis) -> (name::Service, queue::Group) {
+        let group = queue::Group {
+            attempt: name::Attempt::new(&self.attempt),
+            stage: usize::try_from(self.stage).unwrap_or(usize::MAX),
+            pieces: self.pieces,
+            source: match self.source {
+                Source::Key(key) => queue::Source::Key(key),
+                Source::Inputs(handles) => {
+                    let handles = handles.iter().map(|handle| name::Handle::new(handle));
+                    queue::Source::Inputs(handles.collect())
+                }
+            },
+            bytes: self.bytes,
+            rank: Rank(self.rank),
+            on_time: now + Millis(self.on_time_ms),
+            until: now + Millis(self.until_ms),
+            domain: self.domain.map(|domain| name::Domain::new(&domain)),
+        };
+        (name::Service::new(&self.service), group)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`header`] names the HTTP headers that callers, daemons and targets use.
 //! - [`platform`] holds what the platform publishes, as JSON.
 //! - [`operators`] holds what a daemon tells its operators, as JSON.
-//! - [`control`] holds what daemons tell each other, over tarpc.
+//! - [`control`] holds what daemons tell each other, over tarpc; [`fleet`] is
+//!   its kin on the direct path.
 //!
 //! `docs/PROTOCOLS.md` writes the protocols down for others.
 //!
@@ -26,6 +27,7 @@
 //! ```
 
 pub mod control;
+pub mod fleet;
 pub mod header;
 pub mod operators;
 pub mod platform;
