Keep rules around shutdowns and outages of the store

Ruled out: new connections alone (most came over kept ones). The lapse now counts from the end of the outage.

--- a/crates/kernel/src/request/door.rs
+++ b/crates/kernel/src/request/door.rs
@@ -9,6 +9,7 @@
 use crate::derive::scalar;
 use crate::derive::value;
 use crate::name;
+use crate::request::table::Form;
 use crate::request::table::Pieces;
 use crate::request::table::Rank;
 
@@ -18,6 +19,12 @@
 pub const FIRST_BYTE: Millis = Millis(150);
 /// The least span after which a refused client is asked to come back.
 pub const RETURN_MIN: Millis = Millis(200);
+/// How many objectives a plain request may take at a daemon that is ending; one
+/// that is tried twice takes two.
+const PLAIN_OBJECTIVES: u64 = 3;
+/// How long most streams last after their first event, as the sites' sheets
+/// have it: some hundred tokens of several milliseconds.
+const STREAM_LENGTH: Millis = Millis(2_500);
 /// How long a told wait counts; older ones come from a silent dispatcher.
 pub const WAIT_AGE_MAX: Millis = Millis(2_000);
 
@@ -59,6 +66,19 @@
     }
 }
 
+/// Tells whether a request can be served by a daemon that ends in so long.
+///
+/// Past the point at which a request can be expected to end in time it is
+/// refused, since another daemon will serve it.
+#[must_use]
+pub fn has_time_to_end(form: Form, objective: Millis, left: Millis) -> bool {
+    let needed = match form {
+        Form::Plain => Millis(objective.0 * PLAIN_OBJECTIVES),
+        Form::Stream => objective + STREAM_LENGTH,
+    };
+    needed <= left
+}
+
 /// Decides on a request with so much time left and such a way before it.
 #[must_use]
 pub fn decide(legs: &[Leg], left: Millis) -> Verdict {
--- a/crates/kernel/src/target/roster.rs
+++ b/crates/kernel/src/target/roster.rs
@@ -2,16 +2,21 @@
 //!
 //! A target that leaves the list gets nothing more at once. The exception is
 //! an outage of the platform, during which live targets may lapse: their
-//! entries come back within moments of its end, so a target that was dropped
-//! around an outage is used until then.
+//! entries come back within [`LAPSE`] of its end, so a target that was dropped
+//! around an outage is used until then. The span counts from the end of the
+//! outage, not from the drop: a target that leaves just after the outage must
+//! not be used longer than one that leaves at any other time.
 
 use crate::clock::Millis;
 use crate::derive::value;
 use crate::name;
 use crate::request::table::Target;
 
-/// How long a target that lapsed during an outage is still used.
-pub const LAPSE: Millis = Millis(2_000);
+/// How long after an outage a target that lapsed may come back.
+///
+/// The platform says two seconds; the margin keeps a target that left at the
+/// end of the outage within the bound for leaving targets, also two seconds.
+pub const LAPSE: Millis = Millis(1_800);
 
 value! {
     /// A target with what this daemon knows of its state.
@@ -77,11 +82,19 @@
     }
 
     /// Takes in that a target is not listed any more.
-    pub fn remove(&mut self, name: &name::Target, may_lapse: bool, now: Millis) -> Option<Change> {
+    ///
+    /// `outage_end` is the end of the platform's last outage.
+    pub fn remove(
+        &mut self,
+        name: &name::Target,
+        outage_end: Option<Millis>,
+        now: Millis,
+    ) -> Option<Change> {
         let index = self.find(name).ok()?;
         let listed = &mut self.targets[index];
-        if may_lapse && !listed.target.is_leaving {
-            listed.lapses_at.get_or_insert(now + LAPSE);
+        let lapses_at = outage_end.map(|end| end + LAPSE).filter(|at| *at > now);
+        if lapses_at.is_some() && !listed.target.is_leaving {
+            listed.lapses_at = lapses_at;
             return Some(Change::Lapsed);
         }
         self.targets.remove(index);
@@ -115,10 +128,13 @@
         &'a self,
         service: &'a name::Service,
         taken_out: &'a [name::Domain],
+        now: Millis,
     ) -> impl Iterator<Item = &'a Listed> + 'a {
         self.targets.iter().filter(move |listed| {
             let target = &listed.target;
-            target.service == *service && !target.is_leaving && !taken_out.contains(&target.domain)
+            let is_there = listed.lapses_at.is_none_or(|at| at > now);
+            let is_open = !target.is_leaving && !taken_out.contains(&target.domain);
+            target.service == *service && is_there && is_open
         })
     }
 
--- /dev/null
+++ b/crates/kernel/tests/direct/health.rs
@@ -0,0 +1,42 @@
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::target::health::Health;
+
+#[test]
+fn one_failure_in_seven_does_not_take_a_target_out() {
+    let target = name::Target::new("a");
+    let mut health = Health::default();
+    for call in 0_u64..200 {
+        let now = Millis(call * 20);
+        if call % 7 == 0 {
+            health.note_failure(&target, now);
+        } else {
+            health.note_good(&target);
+        }
+        assert!(!health.is_avoided(&target, now), "avoided at call {call}");
+    }
+}
+
+#[test]
+fn a_target_that_keeps_failing_is_avoided_for_longer_each_time() {
+    let target = name::Target::new("a");
+    let mut health = Health::default();
+    health.note_failure(&target, Millis(0));
+    let mut spans = Vec::new();
+    for round in 1..6 {
+        let now = Millis(round * 10_000);
+        let until = health.note_failure(&target, now).expect("it failed twice");
+        spans.push(until - now);
+    }
+    assert!(spans.is_sorted(), "{spans:?}");
+    assert!(spans[0] < spans[4], "{spans:?}");
+    assert!(!health.is_avoided(&target, Millis(60_000)));
+}
+
+#[test]
+fn an_unreachable_target_is_avoided_at_once() {
+    let target = name::Target::new("a");
+    let mut health = Health::default();
+    health.note_unreachable(&target, Millis(5));
+    assert!(health.is_avoided(&target, Millis(6)));
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/load.rs
@@ -0,0 +1,475 @@
+//! Plays the load of the first site's stage services in virtual time, and
+//! checks what clients get: with one queue for the fleet, and with a queue at
+//! each daemon, in the same run.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::door;
+use gooseberry_kernel::request::door::FIRST_BYTE;
+use gooseberry_kernel::request::door::Leg;
+use gooseberry_kernel::request::door::Verdict;
+use gooseberry_kernel::request::table::Pieces;
+use gooseberry_kernel::request::table::Rank;
+use gooseberry_kernel::request::table::Stage;
+use gooseberry_kernel::stage::plan::Plan;
+use gooseberry_kernel::stage::queue::Call;
+use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::queue::Maker;
+use gooseberry_kernel::stage::queue::Queue;
+use gooseberry_kernel::stage::queue::Source;
+use gooseberry_kernel::stage::queue::Ticket;
+
+const SERVICES: [&str; 3] = ["desk", "roll", "returns"];
+const TARGETS: usize = 5;
+const LENGTH: Millis = Millis(40_000);
+/// What a hop between daemons and targets takes.
+const HOP: Millis = Millis(3);
+
+fn pieces(service: usize) -> Pieces {
+    let of = |batch, piece_micros, room_bytes| Pieces {
+        batch,
+        call_micros: 240_000,
+        piece_micros,
+        room_bytes,
+        kept: Millis(4_000),
+    };
+    match service {
+        0 => of(14, 15_000, 17_000_000),
+        1 => of(36, 5_700, 3_900_000),
+        _ => of(54, 3_800, 590_000),
+    }
+}
+
+/// One kind of request of the site.
+struct Kind {
+    per_second: f64,
+    objective: u64,
+    deadline: u64,
+    rank: u8,
+    worth: f64,
+    late: f64,
+    stages: Vec<(usize, Vec<usize>, u64)>,
+}
+
+fn kinds() -> Vec<Kind> {
+    vec![
+        Kind {
+            per_second: 15.5,
+            objective: 1_400,
+            deadline: 15_000,
+            rank: 1,
+            worth: 4.5,
+            late: 0.67,
+            stages: vec![(0, vec![], 800_000)],
+        },
+        Kind {
+            per_second: 22.8,
+            objective: 2_000,
+            deadline: 15_000,
+            rank: 0,
+            worth: 2.1,
+            late: 0.32,
+            stages: vec![
+                (0, vec![], 8_000),
+                (1, vec![0], 60_000),
+                (2, vec![1], 6_000),
+            ],
+        },
+        Kind {
+            per_second: 28.5,
+            objective: 2_000,
+            deadline: 6_000,
+            rank: 2,
+            worth: 0.4,
+            late: 0.06,
+            stages: vec![
+                (0, vec![], 800_000),
+                (0, vec![], 8_000),
+                (1, vec![1], 60_000),
+                (2, vec![2], 6_000),
+            ],
+        },
+    ]
+}
+
+/// A generator whose numbers are the same in each run.
+struct Draw(u64);
+
+impl Draw {
+    fn unit(&mut self) -> f64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn count(&mut self, from: u32, to: u32) -> u32 {
+        from + (self.unit() * f64::from(to - from + 1)) as u32
+    }
+
+    fn pieces(&mut self, kind: usize) -> Vec<u32> {
+        match kind {
+            0 => vec![if self.unit() < 0.7 {
+                self.count(1, 4)
+            } else {
+                0
+            }],
+            1 => vec![1, 4, self.count(3, 9)],
+            _ => {
+                let large = if self.unit() < 0.4 {
+                    self.count(1, 2)
+                } else {
+                    0
+                };
+                vec![large, 1, 4, self.count(3, 9)]
+            }
+        }
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Look,
+    End(usize, usize, usize),
+}
+
+struct Request {
+    kind: usize,
+    desk: usize,
+    arrived: Millis,
+    plan: Plan,
+    kept: Vec<(usize, Vec<name::Handle>)>,
+}
+
+struct Target {
+    free_at: Millis,
+    waiting: usize,
+}
+
+struct World {
+    kinds: Vec<Kind>,
+    now: Millis,
+    events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
+    sequence: u64,
+    requests: Vec<Request>,
+    /// The queues, by dispatcher and service.
+    queues: Vec<Vec<Queue>>,
+    targets: Vec<Vec<Target>>,
+    calls: Vec<Option<Call>>,
+    tickets: Vec<(usize, usize, Ticket, usize, usize)>,
+    earned: f64,
+    owed: f64,
+    made: Vec<(usize, usize, Vec<(u32, name::Handle)>)>,
+}
+
+impl World {
+    fn at(&mut self, at: Millis, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn makers(service: usize) -> Vec<Maker> {
+        let maker = |index| Maker {
+            target: name::Target::new(&format!("{}-{index}", SERVICES[service])),
+            domain: name::Domain::new("z"),
+            is_avoided: false,
+        };
+        (0..TARGETS).map(maker).collect()
+    }
+
+    fn arrive(&mut self, draw: &mut Draw, kind: usize, load: f64, desks: usize) {
+        let gap = -(1.0 - draw.unit()).ln() / (self.kinds[kind].per_second * load);
+        let next = self.now + Millis((gap * 1000.0) as u64);
+        if next < LENGTH {
+            self.at(next, Event::Arrive(kind));
+        }
+        let counts = draw.pieces(kind);
+        let stages: Vec<Stage> = self.kinds[kind]
+            .stages
+            .iter()
+            .map(|(service, after, bytes)| Stage {
+                service: name::Service::new(SERVICES[*service]),
+                after: after.clone(),
+                bytes: *bytes,
+            })
+            .collect();
+        let plan = Plan::new(&stages, &counts).expect("the stages fit");
+        self.owed += self.kinds[kind].worth;
+        let number = self.requests.len();
+        let desk = number % desks;
+        if !self.enters(kind, desk, &plan) {
+            self.requests.push(self.request(kind, desk, plan));
+            return;
+        }
+        self.requests.push(self.request(kind, desk, plan));
+        self.advance(number);
+    }
+
+    fn request(&self, kind: usize, desk: usize, plan: Plan) -> Request {
+        Request {
+            kind,
+            desk,
+            arrived: self.now,
+            plan,
+            kept: Vec::new(),
+        }
+    }
+
+    fn enters(&self, kind: usize, desk: usize, plan: &Plan) -> bool {
+        let rank = usize::from(self.kinds[kind].rank);
+        let legs: Vec<Leg> = plan
+            .longest()
+            .into_iter()
+            .filter_map(|index| {
+                let step = plan.step(index)?;
+                let service = self.service(kind, index);
+                let queue = &self.queues[desk][service];
+                Some(Leg {
+                    wait: queue.waits(TARGETS, &pieces(service), self.now)[rank],
+                    pieces: pieces(service),
+                    count: step.pieces,
+                })
+            })
+            .collect();
+        let left = Millis(self.kinds[kind].deadline);
+        door::decide(&legs, left) == Verdict::Enter
+    }
+
+    fn service(&self, kind: usize, stage: usize) -> usize {
+        self.kinds[kind].stages[stage].0
+    }
+
+    fn advance(&mut self, number: usize) {
+        let (kind, desk) = (self.requests[number].kind, self.requests[number].desk);
+        if self.requests[number].plan.is_complete() {
+            let took = self.now + FIRST_BYTE - self.requests[number].arrived;
+            let kind = &self.kinds[kind];
+            if took <= Millis(kind.objective) {
+                self.earned += kind.worth;
+            } else if took <= Millis(kind.deadline) {
+                self.earned += kind.late;
+            }
+            for (service, handles) in std::mem::take(&mut self.requests[number].kept) {
+                self.queues[desk][service].results().free(&handles);
+            }
+            return;
+        }
+        for stage in self.requests[number].plan.begin() {
+            let service = self.service(kind, stage);
+            let request = &self.requests[number];
+            let step = request.plan.step(stage).expect("it has begun");
+            let follow = u64::try_from(request.plan.follow(stage)).expect("few stages");
+            let tail = Millis(250 * follow) + FIRST_BYTE;
+            let group = Group {
+                attempt: name::Attempt::new(&number.to_string()),
+                stage,
+                pieces: (0..step.pieces).collect(),
+                source: Source::Key(String::new()),
+                bytes: step.bytes,
+                rank: Rank(self.kinds[kind].rank),
+                on_time: request.arrived + Millis(self.kinds[kind].objective) - tail,
+                until: request.arrived + Millis(self.kinds[kind].deadline) - tail,
+                domain: None,
+            };
+            let ticket = self.queues[desk][service].push(group, self.now);
+            self.tickets.push((desk, service, ticket, number, stage));
+            self.pump(desk, service);
+        }
+    }
+
+    fn pump(&mut self, desk: usize, service: usize) {
+        let bounds = pieces(service);
+        let now = self.now;
+        let queue = &mut self.queues[desk][service];
+        for ticket in queue.expire(&bounds, now) {
+            self.tickets
+                .retain(|one| !(one.0 == desk && one.1 == service && one.2 == ticket));
+        }
+        while let Some(call) = self.queues[desk][service].next(&Self::makers(service), &bounds, now)
+        {
+            let index = call
+                .target
+                .as_str()
+                .rsplit('-')
+                .next()
+                .expect("it has a number");
+            let index: usize = index.parse().expect("it is a number");
+            let target = &mut self.targets[service][index];
+            // A target works on one call and lets two more wait.
+            if target.free_at > now && target.waiting >= 2 {
+                let queue = &mut self.queues[desk][service];
+                queue.end(&call.target);
+                queue.rest(&call.target, now);
+                for part in call.parts {
+                    queue.push_back(part.ticket, part.group, now);
+                }
+                continue;
+            }
+            target.waiting += usize::from(target.free_at > now);
+            let light = |part: &Group| {
+                if part.bytes < 10_000 && service == 0 {
+                    3
+                } else {
+                    10
+                }
+            };
+            let micros = call.parts.iter().map(|part| {
+                let count = part.group.pieces.len() as u64;
+                count * bounds.piece_micros * light(&part.group) / 10
+            });
+            let work = Millis((bounds.call_micros + micros.sum::<u64>()) / 1000);
+            let begin = target.free_at.max(now + HOP);
+            target.free_at = begin + work;
+            let end = target.free_at + HOP;
+            self.calls.push(Some(call));
+            let number = self.calls.len() - 1;
+            self.at(end, Event::End(desk, service, number));
+        }
+    }
+
+    fn end(&mut self, desk: usize, service: usize, number: usize) {
+        let call = self.calls[number].take().expect("it ends once");
+        let index = call
+            .target
+            .as_str()
+            .rsplit('-')
+            .next()
+            .expect("it has a number");
+        let index: usize = index.parse().expect("it is a number");
+        let target = &mut self.targets[service][index];
+        target.waiting = target.waiting.saturating_sub(1);
+        self.queues[desk][service].end(&call.target);
+        let mut done = Vec::new();
+        for part in call.parts {
+            let key = |one: &(usize, usize, Ticket, usize, usize)| {
+                one.0 == desk && one.1 == service && one.2 == part.ticket
+            };
+            let Some(place) = self.tickets.iter().position(key) else {
+                continue;
+            };
+            let (_, _, _, request, stage) = self.tickets[place];
+            for piece in &part.group.pieces {
+                let handle = name::Handle::new(&format!("{request}/{stage}/{piece}"));
+                let until = self.now + pieces(service).kept;
+                let queue = &mut self.queues[desk][service];
+                let results = queue.results();
+                results.keep(handle.clone(), &call.target, part.group.bytes, until);
+                self.note(request, stage, *piece, handle);
+            }
+            let wanted = self.requests[request]
+                .plan
+                .step(stage)
+                .expect("it has begun");
+            let wanted = usize::try_from(wanted.pieces).expect("few pieces");
+            let made = self
+                .made
+                .iter()
+                .position(|one| (one.0, one.1) == (request, stage));
+            let made = made.expect("it was noted");
+            if self.made[made].2.len() == wanted {
+                let (_, _, handles) = self.made.swap_remove(made);
+                self.tickets.swap_remove(place);
+                done.push((request, stage, handles));
+            }
+        }
+        for (request, stage, handles) in done {
+            let handles: Vec<name::Handle> = handles.into_iter().map(|(_, one)| one).collect();
+            self.requests[request].kept.push((service, handles.clone()));
+            for freed in self.requests[request].plan.finish(stage, handles) {
+                let kept = &mut self.requests[request].kept;
+                kept.retain(|(_, handles)| *handles != freed.handles);
+                let service = SERVICES
+                    .iter()
+                    .position(|one| *one == freed.service.as_str());
+                let service = service.expect("it is one of them");
+                self.queues[desk][service].results().free(&freed.handles);
+            }
+            self.advance(request);
+        }
+        self.pump(desk, service);
+    }
+
+    fn note(&mut self, request: usize, stage: usize, piece: u32, handle: name::Handle) {
+        match self
+            .made
+            .iter_mut()
+            .find(|one| (one.0, one.1) == (request, stage))
+        {
+            Some(made) => made.2.push((piece, handle)),
+            None => self.made.push((request, stage, vec![(piece, handle)])),
+        }
+    }
+}
+
+/// Returns the share of the worth that clients get.
+fn play(load: f64, desks: usize) -> f64 {
+    let mut draw = Draw(7);
+    let queues = || (0..SERVICES.len()).map(|_| Queue::default()).collect();
+    let targets = || {
+        let target = |_| Target {
+            free_at: Millis::ZERO,
+            waiting: 0,
+        };
+        (0..TARGETS).map(target).collect()
+    };
+    let mut world = World {
+        kinds: kinds(),
+        now: Millis::ZERO,
+        events: BinaryHeap::new(),
+        sequence: 0,
+        requests: Vec::new(),
+        queues: (0..desks).map(|_| queues()).collect(),
+        targets: (0..SERVICES.len()).map(|_| targets()).collect(),
+        calls: Vec::new(),
+        tickets: Vec::new(),
+        earned: 0.0,
+        owed: 0.0,
+        made: Vec::new(),
+    };
+    for kind in 0..world.kinds.len() {
+        world.at(Millis(10 + kind as u64), Event::Arrive(kind));
+    }
+    world.at(Millis::ZERO, Event::Look);
+    while let Some(Reverse((at, _, event))) = world.events.pop() {
+        world.now = at;
+        match event {
+            Event::Arrive(kind) => world.arrive(&mut draw, kind, load, desks),
+            Event::End(desk, service, number) => world.end(desk, service, number),
+            Event::Look => {
+                for desk in 0..desks {
+                    for service in 0..SERVICES.len() {
+                        world.pump(desk, service);
+                    }
+                }
+                if at < LENGTH + Millis(16_000) {
+                    world.at(at + Millis(50), Event::Look);
+                }
+            }
+        }
+    }
+    world.earned / world.owed
+}
+
+#[test]
+fn one_queue_for_the_fleet_serves_what_a_queue_at_each_daemon_does_not() {
+    println!("load  each  one");
+    let mut shares = Vec::new();
+    for load in [0.7, 1.0, 1.4, 2.0, 3.0] {
+        let (each, one) = (play(load, 6), play(load, 1));
+        println!("{load:4.1}  {each:.3} {one:.3}");
+        shares.push((load, each, one));
+    }
+    for (load, each, one) in &shares {
+        assert!(
+            one > each,
+            "at {load} one queue earns {one}, six earn {each}"
+        );
+    }
+    assert!(shares[1].2 > 0.9, "at the site's own load: {shares:?}");
+    assert!(shares[3].2 > 0.75, "at twice the load: {shares:?}");
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/main.rs
@@ -0,0 +1,16 @@
+//! Tests of the decisions on the direct path.
+
+mod budget;
+mod choice;
+mod door;
+mod events;
+mod health;
+mod load;
+mod member;
+mod mirror;
+mod pace;
+mod place;
+mod plan;
+mod queue;
+mod roster;
+mod table;
--- /dev/null
+++ b/crates/kernel/tests/direct/member.rs
@@ -0,0 +1,77 @@
+use std::net::SocketAddr;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::member::Change;
+use gooseberry_kernel::fleet::member::FLEET_MEMORY;
+use gooseberry_kernel::fleet::member::GREET_MAX;
+use gooseberry_kernel::fleet::member::Row;
+use gooseberry_kernel::fleet::member::SILENT_AFTER;
+use gooseberry_kernel::fleet::member::Table;
+use gooseberry_kernel::name;
+
+fn address(index: u8) -> SocketAddr {
+    ([10, 0, 0, index], 80).into()
+}
+
+fn row(index: u8, incarnation: u64, beat: u64) -> Row {
+    Row {
+        name: name::Member::new(&format!("d-{index}")),
+        incarnation,
+        beat,
+        address: address(index),
+        strength: 250,
+        is_leaving: false,
+    }
+}
+
+#[test]
+fn a_member_is_live_while_its_beat_grows_whoever_tells_it() {
+    let mut table = Table::new(row(0, 1, 0));
+    assert!(table.learn(row(1, 1, 1), Millis(0)).is_some());
+    // An old beat, told again, keeps nobody alive.
+    table.learn(row(1, 1, 1), Millis(1_400));
+    assert!(table.is_live(address(1), Millis(1_400)));
+    assert!(!table.is_live(address(1), SILENT_AFTER));
+    assert_eq!(table.silent_since(Millis(1_400), SILENT_AFTER).len(), 1);
+    let found = table.learn(row(1, 1, 2), Millis(2_000));
+    assert_eq!(found, Some(Change::Found(name::Member::new("d-1"))));
+}
+
+#[test]
+fn a_restart_behind_a_clock_that_jumped_back_is_believed_from_itself_only() {
+    let mut table = Table::new(row(0, 1, 0));
+    table.hear(row(1, 5_000, 40), Millis(0));
+    table.learn(row(1, 3_000, 1), Millis(100));
+    assert_eq!(table.rows(Millis(100))[0].incarnation, 5_000);
+    table.hear(row(1, 3_000, 1), Millis(200));
+    assert_eq!(table.rows(Millis(200))[0].incarnation, 3_000);
+}
+
+#[test]
+fn shares_count_the_fleet_from_before_a_partition() {
+    let mut table = Table::new(row(0, 1, 0));
+    for index in 1..6 {
+        table.hear(row(index, 1, 1), Millis(0));
+    }
+    assert_eq!(table.fleet(Millis(10)), 6);
+    assert_eq!(table.live(Millis(5_000)).len(), 1);
+    assert_eq!(table.fleet(Millis(5_000)), 6);
+    assert_eq!(table.fleet(FLEET_MEMORY + Millis(20)), 1);
+}
+
+#[test]
+fn a_large_fleet_is_greeted_in_turns_that_leave_nobody_out() {
+    let mut table = Table::new(row(0, 1, 0));
+    for index in 1..65 {
+        table.hear(row(index, 1, 1), Millis(0));
+    }
+    let mut greeted: Vec<SocketAddr> = Vec::new();
+    for _ in 0..8 {
+        let due = table.beat(Millis(100));
+        assert!(due.len() <= GREET_MAX);
+        greeted.extend(due);
+    }
+    greeted.sort();
+    greeted.dedup();
+    assert_eq!(greeted.len(), 64);
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/mirror.rs
@@ -0,0 +1,102 @@
+use gooseberry_kernel::fleet::mirror::Changes;
+use gooseberry_kernel::fleet::mirror::Entry;
+use gooseberry_kernel::fleet::mirror::Mirror;
+use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::mirror::TOMBSTONES_MAX;
+
+fn entry(key: &str, value: Option<&str>, revision: u64) -> Entry {
+    Entry {
+        key: key.into(),
+        value: value.map(|value| value.as_bytes().to_vec()),
+        revision: Revision(revision),
+    }
+}
+
+fn changes(entries: Vec<Entry>, through: u64, is_whole: bool) -> Changes {
+    Changes {
+        entries,
+        through: Revision(through),
+        is_whole,
+    }
+}
+
+#[test]
+fn an_entry_never_goes_back() {
+    let mut mirror = Mirror::default();
+    mirror.apply(changes(vec![entry("a", Some("new"), 9)], 9, false));
+    let changed = mirror.apply(changes(vec![entry("a", Some("old"), 5)], 5, true));
+    assert!(changed.is_empty());
+    assert_eq!(mirror.get("a"), Some(&b"new"[..]));
+    assert_eq!(mirror.through(), Revision(9));
+    mirror.apply(changes(vec![entry("a", None, 12)], 12, false));
+    // A page that was read before the removal.
+    mirror.apply(changes(vec![entry("a", Some("new"), 9)], 10, true));
+    assert_eq!(mirror.get("a"), None);
+}
+
+#[test]
+fn a_whole_read_drops_what_it_does_not_name_but_nothing_newer() {
+    let mut mirror = Mirror::default();
+    let known = vec![entry("a", Some("1"), 2), entry("b", Some("1"), 8)];
+    mirror.apply(changes(known, 8, false));
+    let changed = mirror.apply(changes(vec![entry("c", Some("1"), 3)], 5, true));
+    assert_eq!(changed, ["a", "c"]);
+    assert_eq!(mirror.get("a"), None);
+    assert_eq!(mirror.get("b"), Some(&b"1"[..]));
+}
+
+#[test]
+fn mirrors_that_learn_from_each_other_in_any_order_become_equal() {
+    arbtest::arbtest(|draw| {
+        let history: Vec<Entry> = (1..40)
+            .map(|revision| {
+                let key = ["a", "b", "c", "d"][draw.choose_index(4)?];
+                let value = draw.ratio(2, 3)?.then_some("v");
+                Ok(entry(key, value, revision))
+            })
+            .collect::<arbitrary::Result<_>>()?;
+        let mut mirrors = vec![Mirror::default(), Mirror::default()];
+        for _ in 0..12 {
+            // Each reads a stretch from the store, and then from the other.
+            for index in 0..2 {
+                let after = mirrors[index].through().0;
+                let until = (after + draw.int_in_range(0..=6)?).min(39);
+                let part = history.iter();
+                let part = part.filter(|one| one.revision.0 > after && one.revision.0 <= until);
+                let part = changes(part.cloned().collect(), until, false);
+                mirrors[index].apply(part);
+            }
+            let told = mirrors[0].changes(mirrors[1].through());
+            mirrors[1].apply(told);
+            assert!(mirrors[1].through() >= mirrors[0].through());
+        }
+        let told = mirrors[1].changes(mirrors[0].through());
+        mirrors[0].apply(told);
+        for key in ["a", "b", "c", "d"] {
+            assert_eq!(mirrors[0].get(key), mirrors[1].get(key));
+        }
+        Ok(())
+    })
+    .budget_ms(300);
+}
+
+#[test]
+fn a_mirror_that_is_far_behind_takes_everything() {
+    let mut mirror = Mirror::default();
+    mirror.apply(changes(vec![entry("kept", Some("1"), 1)], 1, false));
+    for index in 0..=TOMBSTONES_MAX as u64 {
+        let key = format!("k{index}");
+        mirror.apply(changes(
+            vec![entry(&key, None, index + 2)],
+            index + 2,
+            false,
+        ));
+    }
+    assert!(mirror.changes(Revision(1)).is_whole);
+    assert!(!mirror.changes(mirror.through()).is_whole);
+    let mut behind = Mirror::default();
+    behind.apply(changes(vec![entry("k5", Some("1"), 1)], 1, false));
+    behind.apply(mirror.changes(behind.through()));
+    assert_eq!(behind.get("k5"), None);
+    assert_eq!(behind.get("kept"), Some(&b"1"[..]));
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/pace.rs
@@ -0,0 +1,46 @@
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::target::pace;
+use gooseberry_kernel::target::pace::Pace;
+
+fn members(count: usize) -> Vec<name::Member> {
+    let names = (0..count).map(|index| name::Member::new(&format!("d-{index}")));
+    names.collect()
+}
+
+#[test]
+fn the_shares_of_all_daemons_add_up_to_no_more_than_the_rate() {
+    for count in [1, 2, 5, 6, 16, 17, 63, 81] {
+        let members = members(count);
+        for target in 0..20 {
+            let target = name::Target::new(&format!("t-{target}"));
+            let shares = members
+                .iter()
+                .map(|me| pace::share(16, &target, me, &members, count));
+            let total: usize = shares.sum();
+            assert!(total <= 16, "{count} daemons send {total}");
+            assert!(
+                total * 2 >= 16.min(count),
+                "{count} daemons send only {total}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_daemon_behind_a_partition_keeps_the_share_of_the_whole_fleet() {
+    let alone = members(1);
+    let target = name::Target::new("t");
+    assert_eq!(pace::share(16, &target, &alone[0], &alone, 6), 2);
+}
+
+#[test]
+fn sends_count_for_one_second() {
+    let target = name::Target::new("t");
+    let mut pace = Pace::default();
+    pace.note(&target, Millis(0));
+    pace.note(&target, Millis(600));
+    assert_eq!(pace.recent(&target, Millis(999)), 2);
+    assert_eq!(pace.recent(&target, Millis(1_000)), 1);
+    assert_eq!(pace.recent(&target, Millis(1_600)), 0);
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/plan.rs
@@ -0,0 +1,84 @@
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::table::Stage;
+use gooseberry_kernel::stage::plan::Invalid;
+use gooseberry_kernel::stage::plan::Plan;
+
+fn stage(service: &str, after: &[usize]) -> Stage {
+    Stage {
+        service: name::Service::new(service),
+        after: after.to_vec(),
+        bytes: 1_000,
+    }
+}
+
+fn handles(names: &[&str]) -> Vec<name::Handle> {
+    names.iter().map(|one| name::Handle::new(one)).collect()
+}
+
+/// A large stage that only the run reads, beside a chain of three.
+fn tag() -> Vec<Stage> {
+    vec![
+        stage("desk", &[]),
+        stage("desk", &[]),
+        stage("roll", &[1]),
+        stage("returns", &[2]),
+    ]
+}
+
+#[test]
+fn a_stage_that_only_the_run_reads_begins_with_the_last_of_the_chain() {
+    let mut plan = Plan::new(&tag(), &[2, 1, 4, 3]).expect("the plan fits");
+    assert_eq!(plan.longest(), [1, 2, 3]);
+    assert_eq!(plan.follow(1), 2);
+    assert_eq!(plan.begin(), [1]);
+    assert!(plan.begin().is_empty(), "a stage begins once");
+    assert!(plan.finish(1, handles(&["x"])).is_empty());
+    assert_eq!(plan.begin(), [2]);
+    assert_eq!(plan.inputs(2), handles(&["x"]));
+    let freed = plan.finish(2, handles(&["a", "b", "c", "d"]));
+    assert_eq!(freed[0].handles, handles(&["x"]));
+    assert_eq!(plan.begin(), [0, 3]);
+    plan.finish(0, handles(&["l1", "l2"]));
+    assert!(!plan.is_complete());
+    plan.finish(3, handles(&["r1", "r2", "r3"]));
+    assert!(plan.is_complete());
+    assert_eq!(plan.outputs(), handles(&["l1", "l2", "r1", "r2", "r3"]));
+}
+
+#[test]
+fn a_stage_that_is_left_out_passes_on_what_it_would_have_read() {
+    let stages = [stage("a", &[]), stage("b", &[0]), stage("c", &[1])];
+    let mut plan = Plan::new(&stages, &[1, 0, 2]).expect("the plan fits");
+    assert_eq!(plan.begin(), [0]);
+    plan.finish(0, handles(&["x"]));
+    assert_eq!(plan.begin(), [2]);
+    assert_eq!(plan.inputs(2), handles(&["x"]));
+}
+
+#[test]
+fn a_result_is_freed_only_when_every_stage_that_reads_it_is_made() {
+    let stages = [stage("a", &[]), stage("b", &[0]), stage("c", &[0])];
+    let mut plan = Plan::new(&stages, &[1, 1, 1]).expect("the plan fits");
+    plan.begin();
+    plan.finish(0, handles(&["x"]));
+    assert_eq!(plan.begin(), [1, 2]);
+    assert!(plan.finish(1, handles(&["y"])).is_empty());
+    let freed = plan.finish(2, handles(&["z"]));
+    assert_eq!(freed[0].handles, handles(&["x"]));
+}
+
+#[test]
+fn a_request_without_pieces_is_complete_from_the_start() {
+    let plan = Plan::new(&tag(), &[0, 0, 0, 0]).expect("the plan fits");
+    assert!(plan.is_complete());
+    assert!(plan.longest().is_empty());
+}
+
+#[test]
+fn counts_and_graphs_that_do_not_fit_are_refused() {
+    assert_eq!(Plan::new(&tag(), &[1, 1]).err(), Some(Invalid::Counts));
+    let circle = [stage("a", &[0])];
+    assert_eq!(Plan::new(&circle, &[1]).err(), Some(Invalid::Graph));
+    let missing = [stage("a", &[]), stage("b", &[7])];
+    assert_eq!(Plan::new(&missing, &[1, 1]).err(), Some(Invalid::Graph));
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/queue.rs
@@ -0,0 +1,246 @@
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::table::Pieces;
+use gooseberry_kernel::request::table::Rank;
+use gooseberry_kernel::stage::queue::Call;
+use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::queue::Maker;
+use gooseberry_kernel::stage::queue::Queue;
+use gooseberry_kernel::stage::queue::REST;
+use gooseberry_kernel::stage::queue::Source;
+
+const PIECES: Pieces = Pieces {
+    batch: 10,
+    call_micros: 240_000,
+    piece_micros: 10_000,
+    room_bytes: 10_000,
+    kept: Millis(4_000),
+};
+
+fn makers(count: usize) -> Vec<Maker> {
+    let maker = |index| Maker {
+        target: name::Target::new(&format!("m-{index}")),
+        domain: name::Domain::new(&format!("z-{index}")),
+        is_avoided: false,
+    };
+    (0..count).map(maker).collect()
+}
+
+fn group(attempt: &str, pieces: u32) -> Group {
+    Group {
+        attempt: name::Attempt::new(attempt),
+        stage: 0,
+        pieces: (0..pieces).collect(),
+        source: Source::Key("key".to_owned()),
+        bytes: 100,
+        rank: Rank(1),
+        on_time: Millis(2_000),
+        until: Millis(10_000),
+        domain: None,
+    }
+}
+
+fn attempts(call: &Call) -> Vec<&str> {
+    let parts = call.parts.iter();
+    parts.map(|part| part.group.attempt.as_str()).collect()
+}
+
+#[test]
+fn a_target_gets_one_call_at_a_time_and_what_waits_goes_together() {
+    let mut queue = Queue::default();
+    let makers = makers(1);
+    queue.push(group("a", 2), Millis(0));
+    let first = queue.next(&makers, &PIECES, Millis(0)).expect("it is free");
+    assert_eq!(attempts(&first), ["a"]);
+    assert_eq!(first.expected, Millis(260));
+    queue.push(group("b", 2), Millis(10));
+    queue.push(group("c", 3), Millis(20));
+    assert_eq!(queue.next(&makers, &PIECES, Millis(30)), None);
+    queue.end(&first.target);
+    let second = queue
+        .next(&makers, &PIECES, Millis(260))
+        .expect("it is free");
+    assert_eq!(attempts(&second), ["b", "c"]);
+    assert_eq!(queue.pieces(), 0);
+}
+
+#[test]
+fn the_urgent_go_first_and_the_late_last() {
+    let mut queue = Queue::default();
+    let late = Group {
+        rank: Rank(0),
+        on_time: Millis(100),
+        ..group("late", 5)
+    };
+    let patient = Group {
+        rank: Rank(2),
+        ..group("patient", 5)
+    };
+    let urgent = Group {
+        rank: Rank(0),
+        ..group("urgent", 5)
+    };
+    for one in [late, patient, urgent] {
+        queue.push(one, Millis(0));
+    }
+    let call = queue
+        .next(&makers(1), &PIECES, Millis(0))
+        .expect("it is free");
+    assert_eq!(attempts(&call), ["urgent", "patient"]);
+}
+
+#[test]
+fn a_group_stays_together_unless_no_call_could_hold_it() {
+    let mut queue = Queue::default();
+    queue.push(group("a", 6), Millis(0));
+    queue.push(group("b", 6), Millis(0));
+    queue.push(group("c", 4), Millis(0));
+    let makers = makers(2);
+    let call = queue
+        .next(&makers, &PIECES, Millis(0))
+        .expect("one is free");
+    assert_eq!(attempts(&call), ["a", "c"]);
+    let call = queue
+        .next(&makers, &PIECES, Millis(0))
+        .expect("one is free");
+    assert_eq!(attempts(&call), ["b"]);
+    let mut queue = Queue::default();
+    let ticket = queue.push(group("huge", 14), Millis(0));
+    let call = queue
+        .next(&makers, &PIECES, Millis(0))
+        .expect("one is free");
+    assert_eq!(call.parts[0].group.pieces.len(), 10);
+    let call = queue
+        .next(&makers, &PIECES, Millis(0))
+        .expect("one is free");
+    assert_eq!(call.parts[0].ticket, ticket);
+    assert_eq!(call.parts[0].group.pieces, [10, 11, 12, 13]);
+}
+
+#[test]
+fn a_target_is_given_no_more_than_it_has_room_for() {
+    let mut queue = Queue::default();
+    let makers = makers(1);
+    let large = |attempt| Group {
+        bytes: 4_000,
+        ..group(attempt, 2)
+    };
+    queue.push(large("a"), Millis(0));
+    queue.push(large("b"), Millis(0));
+    let call = queue.next(&makers, &PIECES, Millis(0)).expect("it is free");
+    assert_eq!(attempts(&call), ["a"]);
+    queue.end(&call.target);
+    let kept = [name::Handle::new("h-0"), name::Handle::new("h-1")];
+    for handle in &kept {
+        queue
+            .results()
+            .keep(handle.clone(), &call.target, 4_000, Millis(4_000));
+    }
+    assert_eq!(queue.next(&makers, &PIECES, Millis(300)), None);
+    // A small one goes while the large one waits for room.
+    queue.push(group("small", 1), Millis(310));
+    let call = queue
+        .next(&makers, &PIECES, Millis(320))
+        .expect("it has room");
+    assert_eq!(attempts(&call), ["small"]);
+    queue.end(&call.target);
+    queue.results().free(&kept);
+    assert_eq!(queue.results().take_freed()[0].1.len(), 2);
+    let call = queue
+        .next(&makers, &PIECES, Millis(600))
+        .expect("it has room");
+    assert_eq!(attempts(&call), ["b"]);
+}
+
+#[test]
+fn results_are_made_where_they_are_read_if_a_target_there_is_free() {
+    let mut queue = Queue::default();
+    let near = Group {
+        domain: Some(name::Domain::new("z-2")),
+        ..group("a", 1)
+    };
+    queue.push(near, Millis(0));
+    let call = queue
+        .next(&makers(4), &PIECES, Millis(0))
+        .expect("one is free");
+    assert_eq!(call.target, name::Target::new("m-2"));
+}
+
+#[test]
+fn what_cannot_be_made_in_time_is_given_up_and_the_gone_are_forgotten() {
+    let mut queue = Queue::default();
+    let short = Group {
+        until: Millis(400),
+        ..group("short", 1)
+    };
+    let over = queue.push(short, Millis(0));
+    let gone = queue.push(group("gone", 1), Millis(0));
+    assert!(queue.expire(&PIECES, Millis(100)).is_empty());
+    assert_eq!(queue.expire(&PIECES, Millis(200)), [over]);
+    queue.cancel(gone);
+    assert_eq!(queue.next(&makers(1), &PIECES, Millis(200)), None);
+}
+
+#[test]
+fn a_target_that_refused_rests_and_an_avoided_one_is_the_last_resort() {
+    let mut queue = Queue::default();
+    let mut makers = makers(2);
+    queue.push(group("a", 1), Millis(0));
+    makers[0].is_avoided = true;
+    let call = queue
+        .next(&makers, &PIECES, Millis(0))
+        .expect("one is free");
+    assert_eq!(call.target, makers[1].target);
+    queue.end(&call.target);
+    queue.rest(&call.target, Millis(0));
+    let part = call.parts[0].clone();
+    queue.push_back(part.ticket, part.group, Millis(0));
+    assert_eq!(queue.next(&makers, &PIECES, Millis(10)), None);
+    queue.expire(&PIECES, REST);
+    let call = queue.next(&makers, &PIECES, REST).expect("one is free");
+    assert_eq!(call.target, makers[1].target);
+}
+
+#[test]
+fn no_rank_waits_for_ever() {
+    let mut queue = Queue::default();
+    let makers = makers(1);
+    let last = Group {
+        rank: Rank(9),
+        on_time: Millis(1_000_000),
+        until: Millis(1_000_000),
+        ..group("last", 5)
+    };
+    queue.push(last, Millis(0));
+    for round in 0..20 {
+        let now = Millis(round * 300);
+        let urgent = Group {
+            rank: Rank(0),
+            on_time: Millis(1_000_000),
+            until: Millis(1_000_000),
+            ..group("urgent", 10)
+        };
+        queue.push(urgent, now);
+        let call = queue.next(&makers, &PIECES, now).expect("it is free");
+        queue.end(&call.target);
+        if attempts(&call).contains(&"last") {
+            return;
+        }
+    }
+    panic!("the last rank waited for 20 calls");
+}
+
+#[test]
+fn the_wait_of_a_rank_counts_what_goes_before_it() {
+    let mut queue = Queue::default();
+    let makers = makers(1);
+    queue.push(group("busy", 1), Millis(0));
+    queue.next(&makers, &PIECES, Millis(0));
+    for index in 0..5 {
+        queue.push(group(&format!("w-{index}"), 10), Millis(0));
+    }
+    let waits = queue.waits(1, &PIECES, Millis(0));
+    assert!(waits[0] < Millis(300), "{waits:?}");
+    assert!(waits[1] >= Millis(1_500), "{waits:?}");
+    assert!(waits.is_sorted());
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/table.rs
@@ -0,0 +1,100 @@
+use std::sync::Arc;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::table::Form;
+use gooseberry_kernel::request::table::Key;
+use gooseberry_kernel::request::table::Limits;
+use gooseberry_kernel::request::table::Rank;
+use gooseberry_kernel::request::table::Route;
+use gooseberry_kernel::request::table::Share;
+use gooseberry_kernel::request::table::Table;
+
+fn route(host: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    let share = |(service, weight): &(&str, u32)| Share {
+        service: name::Service::new(service),
+        weight: *weight,
+    };
+    Route {
+        name: name::Route::new(prefix),
+        host: host.into(),
+        prefix: prefix.into(),
+        form: Form::Plain,
+        is_idempotent: true,
+        is_resumable: false,
+        is_anonymous: false,
+        timeout: Millis(1_000),
+        objective: Millis(100),
+        rank: Rank(1),
+        attempts: 2,
+        shares: shares.iter().map(share).collect(),
+        stages: Vec::new(),
+    }
+}
+
+fn table() -> Table {
+    let key = |text: &str, workspace| Key {
+        text: text.into(),
+        workspace: name::Workspace::new(workspace),
+        rank: None,
+    };
+    let routes = [
+        route("b.example", "/a/", &[("x", 1)]),
+        route("a.example", "/a/", &[("x", 1)]),
+        route("a.example", "/a/b/", &[("x", 90), ("y", 10)]),
+        route("a.example", "/", &[("x", 1)]),
+    ];
+    let mut table = Table {
+        version: 1,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services: Vec::new(),
+        keys: vec![key("k2", "beta"), key("k1", "alpha")],
+        has_keys: true,
+        limits: Limits {
+            head_bytes: 1,
+            body_bytes: 1,
+            head: Millis(1),
+            idle: Millis(1),
+        },
+    };
+    table.sort();
+    table
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table();
+    let prefix = |host: &str, path: &str| {
+        let route = table.route(host, path);
+        route.map(|route| route.prefix.to_string())
+    };
+    assert_eq!(prefix("a.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(prefix("a.example", "/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(prefix("a.example", "/x").as_deref(), Some("/"));
+    assert_eq!(prefix("b.example", "/x"), None);
+    assert_eq!(prefix("c.example", "/a/"), None);
+}
+
+#[test]
+fn shares_get_their_part_of_the_requests() {
+    let table = table();
+    let route = table.route("a.example", "/a/b/c").expect("it exists");
+    let picks = (0..10_000).filter(|index| {
+        let attempt = name::Attempt::new(&format!("request-{index}"));
+        route.pick(&attempt) == Some(&name::Service::new("y"))
+    });
+    let picks = picks.count();
+    assert!(
+        (850..1_150).contains(&picks),
+        "{picks} of 10000 for a tenth"
+    );
+}
+
+#[test]
+fn keys_name_their_workspaces() {
+    let table = table();
+    let workspace = |key| table.key(key).map(|key| key.workspace.to_string());
+    assert_eq!(workspace("k1").as_deref(), Some("alpha"));
+    assert_eq!(workspace("k2").as_deref(), Some("beta"));
+    assert_eq!(workspace("k3"), None);
+}
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -10,6 +10,7 @@
 use gooseberry_runtime::clock::Clock;
 
 use crate::dispatcher::Dispatcher;
+use crate::ending::Ending;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::pool::Pool;
@@ -30,6 +31,8 @@
     pub dispatcher: Dispatcher,
     /// What is counted.
     pub metrics: Metrics,
+    /// When the process ends, once it is shutting down.
+    pub ending: Ending,
     state: Mutex<State>,
 }
 
@@ -47,6 +50,7 @@
             peers: Peers::new(metrics.control_bytes()),
             dispatcher: Dispatcher::default(),
             metrics,
+            ending: Ending::default(),
             boot,
         }))
     }
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -41,6 +41,9 @@
 const LINGER: Millis = Millis(2_600);
 /// How long before the platform's limit the process ends by itself.
 const END_BEFORE: Millis = Millis(600);
+/// How long before that end the requests are refused that were not sent to a
+/// target yet, so that they still get an answer.
+const REFUSE_BEFORE: Millis = Millis(300);
 /// How often a shutdown looks whether all is done.
 const SHUTDOWN_LOOK: Duration = Duration::from_millis(50);
 /// How long the last answers may take to be written.
@@ -141,7 +144,9 @@
 /// an answer rather than under a request.
 async fn shut_down(context: &Arc<Context>, front: &Front, grace: Millis) {
     let begun = context.now();
+    let end = begun + grace - END_BEFORE;
     context.state().members().leave();
+    context.ending.set(end);
     log::info!(
         requests = front.requests(),
         connections = front.connections(),
@@ -149,10 +154,12 @@
         "shutting down"
     );
     peers::tell_all(context).await;
-    let end = begun + grace - END_BEFORE;
     loop {
         let now = context.now();
         let is_idle = front.requests() == 0 && context.dispatcher.is_idle();
+        if now + REFUSE_BEFORE >= end {
+            context.ending.refuse_rest();
+        }
         if now >= end || (is_idle && now >= begun + LINGER) {
             break;
         }
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::context::Context;
+use crate::state;
 
 /// How long a watch waits for a change.
 ///
@@ -68,5 +69,5 @@
 fn adopt(context: &Context, changes: Changes, now: Millis) {
     let mut state = context.state();
     state.note_store(true, now);
-    state.adopt(changes, "store", now);
+    state.adopt(changes, state::STORE, now);
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod context;
 pub mod daemon;
 pub mod dispatcher;
+pub mod ending;
 pub mod exchange;
 pub mod feed;
 pub mod front;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::door;
 use gooseberry_kernel::request::table::Form;
 use gooseberry_kernel::request::table::Rank;
 use gooseberry_kernel::request::table::Route;
@@ -141,8 +142,12 @@
             state.forecast(&job.service, job.head.shared, job.draw(), now)
         };
         let within = Duration::from_millis((job.deadline - context.now()).0);
-        let made = timeout(within, stages::run(context, &job, &plan, domain.as_ref())).await;
-        Some(made.map_err(|_| Failure::from(Kind::QueueFull))??)
+        let making = timeout(within, stages::run(context, &job, &plan, domain.as_ref()));
+        let made = tokio::select! {
+            made = making => made.map_err(|_| Failure::from(Kind::QueueFull))?,
+            () = context.ending.refused() => Err(Kind::ShuttingDown.into()),
+        };
+        Some(made?)
     };
     passage::run(context.clone(), job, results).await
 }
@@ -171,6 +176,12 @@
         let workspace = key.map(|key| key.workspace.clone());
         (route.clone(), service, workspace, rank, table.limits)
     };
+    if let Some(end) = context.ending.at() {
+        let left = end - context.now();
+        if !door::has_time_to_end(route.form, route.objective, left) {
+            return Err(Failure::from(Kind::ShuttingDown).retry_after(door::RETURN_MIN));
+        }
+    }
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + patience;
     if patience == Millis::ZERO {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -48,8 +48,8 @@
 const SLOTS_DEFAULT: u32 = 8;
 /// The fewest connections to one target that a daemon may use.
 const CONNECTIONS_MIN: u32 = 2;
-/// How long after an outage of the store targets may still be lapsed.
-const LAPSE_AFTER: Millis = Millis(2_500);
+/// The source of what was read from the store itself.
+pub const STORE: &str = "store";
 /// How long the store must be silent before live targets may have lapsed.
 const OUTAGE_MIN: Millis = Millis(1_000);
 
@@ -236,14 +236,6 @@
         self.roster.get(target).is_some()
     }
 
-    /// Tells whether a target may get new work: it is listed, stays, and its
-    /// domain is not taken out.
-    #[must_use]
-    pub fn is_usable(&self, target: &name::Target) -> bool {
-        let listed = self.roster.get(target).map(|listed| &listed.target);
-        listed.is_some_and(|one| !one.is_leaving && !self.taken_out.contains(&one.domain))
-    }
-
     /// Returns where a target listens.
     #[must_use]
     pub fn address(&self, target: &name::Target) -> Option<SocketAddr> {
@@ -306,7 +298,7 @@
     /// Returns the targets of a stage service that may get calls.
     #[must_use]
     pub fn makers(&self, service: &name::Service, now: Millis) -> Vec<Maker> {
-        let usable = self.roster.usable(service, &self.taken_out);
+        let usable = self.roster.usable(service, &self.taken_out, now);
         let makers = usable.map(|listed| Maker {
             target: listed.target.name.clone(),
             domain: listed.target.domain.clone(),
@@ -370,7 +362,7 @@
         let fleet = self.members.fleet(now);
         let members = self.members.live(now);
         let members: Vec<name::Member> = members.iter().map(|row| row.name.clone()).collect();
-        let usable = self.roster.usable(&service.name, &self.taken_out);
+        let usable = self.roster.usable(&service.name, &self.taken_out, now);
         let listed: Vec<&Listed> = usable
             .filter(|listed| !tried.contains(&listed.target.name))
             .collect();
@@ -517,12 +509,13 @@
             Some(Ok(target)) => Some(self.roster.set(target, now)),
             Some(Err(error)) => {
                 log::warn!(target, source; "unusable entry: {error:#}");
-                self.roster.remove(&name, false, now)
+                self.roster.remove(&name, None, now)
             }
             None => {
-                let may_lapse = self.feed.lost_at.is_some()
-                    || self.feed.back_at.is_some_and(|at| at + LAPSE_AFTER > now);
-                self.roster.remove(&name, may_lapse, now)
+                // A peer that tells of a drop has reached the store meanwhile,
+                // so the target did not lapse behind an outage.
+                let outage_end = self.feed.back_at.filter(|_| source == STORE);
+                self.roster.remove(&name, outage_end, now)
             }
         };
         if let Some(change) = change.filter(|change| *change != Change::Changed) {
