Make pieces near their inputs, and count results until their makers know

Ruled out: results of unequal size (sheets say equal); lost frees (none failed).

Change: a group says near which domain it is best made and how much would cross; it waits for a target there as long as it can still be on time. A result takes room until its maker was told. A group ends when its inputs age out, and the request's stages are made anew if there is time.

--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -25,6 +25,10 @@
 
 /// One in so many calls begins with the oldest group, whatever its rank.
 const OLDEST_EVERY: u64 = 8;
+/// From how many bytes on a group waits for a target in its own domain.
+const NEAR_MIN_BYTES: u64 = 200_000;
+/// How long a target near a group may take to fall free: about a call.
+const NEAR_WAIT: Millis = Millis(300);
 /// How long a target rests after it had no room or no place for a call; a call
 /// takes about as long to end.
 pub const REST: Millis = Millis(250);
@@ -61,8 +65,27 @@
         pub on_time: Millis,
         /// Until when they are of any use.
         pub until: Millis,
-        /// The domain in which the results are read, if that is known.
-        pub domain: Option<name::Domain>,
+        /// Until when the inputs exist.
+        pub inputs_until: Millis,
+        /// Where the pieces are best made.
+        pub near: Option<Near>,
+    }
+
+    /// A domain near which pieces are best made.
+    pub struct Near {
+        /// Where most of what is read or made lies.
+        pub domain: name::Domain,
+        /// How many bytes cross domains if the pieces are made elsewhere.
+        pub bytes: u64,
+    }
+
+    /// A group that was given up.
+    pub struct Expired {
+        /// The group.
+        pub ticket: Ticket,
+        /// Whether its inputs do not exist any more, so that they would have
+        /// to be made again.
+        pub is_gone: bool,
     }
 
     /// A target that may get a call.
@@ -87,6 +110,8 @@
     pub struct Call {
         /// The target that gets it.
         pub target: name::Target,
+        /// Its failure domain.
+        pub domain: name::Domain,
         /// What it makes, in this order.
         pub parts: Vec<Part>,
         /// When it should have ended.
@@ -153,14 +178,20 @@
     }
 
     /// Removes the groups that cannot be made in time, and returns them.
-    pub fn expire(&mut self, pieces: &Pieces, now: Millis) -> Vec<Ticket> {
-        let is_over = |waiting: &Waiting| now + pieces.call(1) > waiting.group.until;
+    pub fn expire(&mut self, pieces: &Pieces, now: Millis) -> Vec<Expired> {
+        let is_gone = |waiting: &Waiting| now >= waiting.group.inputs_until;
+        let is_late = |waiting: &Waiting| now + pieces.call(1) > waiting.group.until;
+        let is_over = |waiting: &Waiting| is_gone(waiting) || is_late(waiting);
         let over = self.waiting.iter().filter(|waiting| is_over(waiting));
-        let tickets = over.map(|waiting| waiting.ticket).collect();
+        let expired = over.map(|waiting| Expired {
+            ticket: waiting.ticket,
+            is_gone: is_gone(waiting) && !is_late(waiting),
+        });
+        let expired = expired.collect();
         self.waiting.retain(|waiting| !is_over(waiting));
         self.results.tick(now);
         self.resting.retain(|(_, until)| *until > now);
-        tickets
+        expired
     }
 
     /// Makes up the next call, if a target is free and something waits.
@@ -182,18 +213,25 @@
         for first in &order {
             let group = &self.waiting[*first].group;
             let room = |maker: &Maker| self.room(&maker.target, pieces, now);
-            let fits = free
-                .iter()
-                .filter(|maker| room(maker) >= group.bytes && !(is_any_sound && maker.is_avoided));
-            let is_near = |maker: &Maker| group.domain.as_ref() == Some(&maker.domain);
-            let key =
-                |maker: &&&Maker| (is_near(maker), room(maker), Reverse(maker.target.clone()));
+            let fits = free.iter().filter(|maker| {
+                let is_sound = !(is_any_sound && maker.is_avoided);
+                is_sound && room(maker) >= group.bytes && may_go(group, maker, makers, pieces, now)
+            });
+            let key = |maker: &&&Maker| {
+                let is_near = is_near(group, maker);
+                (is_near, room(maker), Reverse(maker.target.clone()))
+            };
             let Some(maker) = fits.max_by_key(key) else {
                 continue;
             };
             let room = room(maker);
-            let target = maker.target.clone();
-            return Some(self.take(target, *first, &order, room, pieces, now));
+            let may_go = |group: &Group| may_go(group, maker, makers, pieces, now);
+            let order = order
+                .iter()
+                .copied()
+                .filter(|index| may_go(&self.waiting[*index].group));
+            let order: Vec<usize> = order.collect();
+            return Some(self.take(maker, *first, &order, room, pieces, now));
         }
         None
     }
@@ -242,7 +280,7 @@
 
     fn take(
         &mut self,
-        target: name::Target,
+        maker: &Maker,
         first: usize,
         order: &[usize],
         mut room: u64,
@@ -284,12 +322,13 @@
         self.calls += 1;
         let expected = now + pieces.call(u32::try_from(count).unwrap_or(u32::MAX));
         self.busy.push(Busy {
-            target: target.clone(),
+            target: maker.target.clone(),
             bytes,
             until: expected,
         });
         Call {
-            target,
+            target: maker.target.clone(),
+            domain: maker.domain.clone(),
             parts,
             expected,
         }
@@ -302,7 +341,11 @@
             let group = &self.waiting[*index].group;
             let count = u32::try_from(group.pieces.len()).unwrap_or(u32::MAX);
             let is_late = now + pieces.call(count) > group.on_time;
-            let end = if is_late { group.until } else { group.on_time };
+            let end = if is_late {
+                group.until.min(group.inputs_until)
+            } else {
+                group.on_time
+            };
             (is_late, group.rank, end)
         });
         order
@@ -326,3 +369,33 @@
         pieces.room_bytes.saturating_sub(kept + promised)
     }
 }
+
+fn is_near(group: &Group, maker: &Maker) -> bool {
+    group
+        .near
+        .as_ref()
+        .is_none_or(|near| near.domain == maker.domain)
+}
+
+/// Tells whether a group may be made by a target.
+///
+/// What crosses domains is paid for, so a group with much to fetch or to hand
+/// on waits for a target near it, as long as it can still be made in time by
+/// the next call there.
+fn may_go(group: &Group, maker: &Maker, makers: &[Maker], pieces: &Pieces, now: Millis) -> bool {
+    let Some(near) = &group.near else {
+        return true;
+    };
+    if near.domain == maker.domain || near.bytes < NEAR_MIN_BYTES {
+        return true;
+    }
+    let is_served = |maker: &Maker| maker.domain == near.domain && !maker.is_avoided;
+    if !makers.iter().any(is_served) {
+        return true;
+    }
+    let count = u32::try_from(group.pieces.len()).unwrap_or(u32::MAX);
+    let is_late = now + pieces.call(count) > group.on_time;
+    let end = if is_late { group.until } else { group.on_time };
+    let next_end = now + NEAR_WAIT + pieces.call(count);
+    next_end > end.min(group.inputs_until + pieces.call(count))
+}
--- a/crates/kernel/src/stage/results.rs
+++ b/crates/kernel/src/stage/results.rs
@@ -2,7 +2,8 @@
 //!
 //! A target has room for few large results, and keeps each one until it is
 //! told that nobody needs it, or for the span that the settings name. The
-//! dispatcher gives out all calls and passes on all frees, so it can count.
+//! dispatcher gives out all calls and passes on all frees, so it can count. A
+//! result takes room until its maker has heard that it is freed.
 
 use crate::clock::Millis;
 use crate::derive::value;
@@ -15,6 +16,16 @@
         target: name::Target,
         bytes: u64,
         until: Millis,
+        state: State,
+    }
+
+    enum State {
+        /// Somebody will read it.
+        Needed,
+        /// Nobody reads it, and its maker does not know yet.
+        Freed,
+        /// Its maker is being told.
+        Told,
     }
 }
 
@@ -22,7 +33,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Results {
     held: Vec<Held>,
-    freed: Vec<(name::Target, name::Handle)>,
 }
 
 impl Results {
@@ -33,6 +43,7 @@
             target: target.clone(),
             bytes,
             until,
+            state: State::Needed,
         };
         match self.find(&held.handle) {
             Ok(index) => self.held[index] = held,
@@ -44,25 +55,36 @@
     pub fn free(&mut self, handles: &[name::Handle]) {
         for handle in handles {
             if let Ok(index) = self.find(handle) {
-                let held = self.held.remove(index);
-                self.freed.push((held.target, held.handle));
+                self.held[index].state = State::Freed;
             }
         }
     }
 
-    /// Returns which results each target is to be told of, and forgets them.
+    /// Returns which results each target is to be told of now.
     pub fn take_freed(&mut self) -> Vec<(name::Target, Vec<name::Handle>)> {
         let mut by_target: Vec<(name::Target, Vec<name::Handle>)> = Vec::new();
-        for (target, handle) in self.freed.drain(..) {
-            let found = by_target.binary_search_by(|(one, _)| one.cmp(&target));
+        let freed = self.held.iter_mut();
+        for held in freed.filter(|held| held.state == State::Freed) {
+            held.state = State::Told;
+            let found = by_target.binary_search_by(|(target, _)| target.cmp(&held.target));
+            let handle = held.handle.clone();
             match found {
                 Ok(index) => by_target[index].1.push(handle),
-                Err(index) => by_target.insert(index, (target, vec![handle])),
+                Err(index) => by_target.insert(index, (held.target.clone(), vec![handle])),
             }
         }
         by_target
     }
 
+    /// Notes that a target has heard which results are freed.
+    pub fn forget(&mut self, handles: &[name::Handle]) {
+        for handle in handles {
+            if let Ok(index) = self.find(handle) {
+                self.held.remove(index);
+            }
+        }
+    }
+
     /// Returns how many bytes a target keeps.
     #[must_use]
     pub fn bytes(&self, target: &name::Target, now: Millis) -> u64 {
--- a/crates/kernel/tests/direct/events.rs
+++ b/crates/kernel/tests/direct/events.rs
@@ -1,3 +1,4 @@
+use compact_str::CompactString;
 use gooseberry_kernel::request::events::EVENT_MAX_BYTES;
 use gooseberry_kernel::request::events::Events;
 use gooseberry_kernel::request::events::TooLong;
@@ -20,7 +21,7 @@
         assert_eq!(passed, text);
         assert!(events.is_whole());
         assert_eq!(events.count(), 3);
-        assert_eq!(events.last().map(|id| id.as_str()), Some("3"));
+        assert_eq!(events.last().map(CompactString::as_str), Some("3"));
         Ok(())
     })
     .budget_ms(200);
@@ -33,7 +34,7 @@
     assert_eq!(whole, b"id: 7\ndata: a\n\n");
     assert!(!events.is_whole());
     events.resume();
-    assert_eq!(events.last().map(|id| id.as_str()), Some("7"));
+    assert_eq!(events.last().map(CompactString::as_str), Some("7"));
     let whole = events.take(b"id: 8\ndata: b\n\n").expect("short");
     assert_eq!(whole, b"id: 8\ndata: b\n\n");
     assert_eq!(events.count(), 2);
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -99,16 +99,20 @@
 struct Draw(u64);
 
 impl Draw {
-    fn unit(&mut self) -> f64 {
+    fn number(&mut self) -> u32 {
         self.0 = self
             .0
             .wrapping_mul(6_364_136_223_846_793_005)
             .wrapping_add(1);
-        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+        u32::try_from(self.0 >> 32).expect("it has 32 bits")
+    }
+
+    fn unit(&mut self) -> f64 {
+        f64::from(self.number()) / (f64::from(u32::MAX) + 1.0)
     }
 
     fn count(&mut self, from: u32, to: u32) -> u32 {
-        from + (self.unit() * f64::from(to - from + 1)) as u32
+        from + self.number() % (to - from + 1)
     }
 
     fn pieces(&mut self, kind: usize) -> Vec<u32> {
@@ -151,6 +155,9 @@
     waiting: usize,
 }
 
+/// What has been made so far of a stage of a request.
+type Made = (usize, usize, Vec<(u32, name::Handle)>);
+
 struct World {
     kinds: Vec<Kind>,
     now: Millis,
@@ -164,7 +171,7 @@
     tickets: Vec<(usize, usize, Ticket, usize, usize)>,
     earned: f64,
     owed: f64,
-    made: Vec<(usize, usize, Vec<(u32, name::Handle)>)>,
+    made: Vec<Made>,
 }
 
 impl World {
@@ -184,7 +191,8 @@
 
     fn arrive(&mut self, draw: &mut Draw, kind: usize, load: f64, desks: usize) {
         let gap = -(1.0 - draw.unit()).ln() / (self.kinds[kind].per_second * load);
-        let next = self.now + Millis((gap * 1000.0) as u64);
+        let gap = std::time::Duration::from_secs_f64(gap).as_millis();
+        let next = self.now + Millis(u64::try_from(gap).expect("it is short"));
         if next < LENGTH {
             self.at(next, Event::Arrive(kind));
         }
@@ -255,7 +263,7 @@
                 self.earned += kind.late;
             }
             for (service, handles) in std::mem::take(&mut self.requests[number].kept) {
-                self.queues[desk][service].results().free(&handles);
+                self.free(desk, service, &handles);
             }
             return;
         }
@@ -274,7 +282,8 @@
                 rank: Rank(self.kinds[kind].rank),
                 on_time: request.arrived + Millis(self.kinds[kind].objective) - tail,
                 until: request.arrived + Millis(self.kinds[kind].deadline) - tail,
-                domain: None,
+                inputs_until: Millis::NEVER,
+                near: None,
             };
             let ticket = self.queues[desk][service].push(group, self.now);
             self.tickets.push((desk, service, ticket, number, stage));
@@ -286,7 +295,8 @@
         let bounds = pieces(service);
         let now = self.now;
         let queue = &mut self.queues[desk][service];
-        for ticket in queue.expire(&bounds, now) {
+        for expired in queue.expire(&bounds, now) {
+            let ticket = expired.ticket;
             self.tickets
                 .retain(|one| !(one.0 == desk && one.1 == service && one.2 == ticket));
         }
@@ -387,13 +397,20 @@
                     .iter()
                     .position(|one| *one == freed.service.as_str());
                 let service = service.expect("it is one of them");
-                self.queues[desk][service].results().free(&freed.handles);
+                self.free(desk, service, &freed.handles);
             }
             self.advance(request);
         }
         self.pump(desk, service);
     }
 
+    fn free(&mut self, desk: usize, service: usize, handles: &[name::Handle]) {
+        let results = self.queues[desk][service].results();
+        results.free(handles);
+        results.take_freed();
+        results.forget(handles);
+    }
+
     fn note(&mut self, request: usize, stage: usize, piece: u32, handle: name::Handle) {
         match self
             .made
--- a/crates/kernel/tests/direct/mirror.rs
+++ b/crates/kernel/tests/direct/mirror.rs
@@ -55,16 +55,16 @@
                 Ok(entry(key, value, revision))
             })
             .collect::<arbitrary::Result<_>>()?;
-        let mut mirrors = vec![Mirror::default(), Mirror::default()];
+        let mut mirrors = [Mirror::default(), Mirror::default()];
         for _ in 0..12 {
             // Each reads a stretch from the store, and then from the other.
-            for index in 0..2 {
-                let after = mirrors[index].through().0;
+            for mirror in &mut mirrors {
+                let after = mirror.through().0;
                 let until = (after + draw.int_in_range(0..=6)?).min(39);
                 let part = history.iter();
                 let part = part.filter(|one| one.revision.0 > after && one.revision.0 <= until);
                 let part = changes(part.cloned().collect(), until, false);
-                mirrors[index].apply(part);
+                mirror.apply(part);
             }
             let told = mirrors[0].changes(mirrors[1].through());
             mirrors[1].apply(told);
--- a/crates/kernel/tests/direct/queue.rs
+++ b/crates/kernel/tests/direct/queue.rs
@@ -3,8 +3,10 @@
 use gooseberry_kernel::request::table::Pieces;
 use gooseberry_kernel::request::table::Rank;
 use gooseberry_kernel::stage::queue::Call;
+use gooseberry_kernel::stage::queue::Expired;
 use gooseberry_kernel::stage::queue::Group;
 use gooseberry_kernel::stage::queue::Maker;
+use gooseberry_kernel::stage::queue::Near;
 use gooseberry_kernel::stage::queue::Queue;
 use gooseberry_kernel::stage::queue::REST;
 use gooseberry_kernel::stage::queue::Source;
@@ -36,7 +38,8 @@
         rank: Rank(1),
         on_time: Millis(2_000),
         until: Millis(10_000),
-        domain: None,
+        inputs_until: Millis::NEVER,
+        near: None,
     }
 }
 
@@ -145,7 +148,11 @@
     assert_eq!(attempts(&call), ["small"]);
     queue.end(&call.target);
     queue.results().free(&kept);
+    // Its maker still keeps them until it has heard of it.
     assert_eq!(queue.results().take_freed()[0].1.len(), 2);
+    assert!(queue.results().take_freed().is_empty());
+    assert_eq!(queue.next(&makers, &PIECES, Millis(600)), None);
+    queue.results().forget(&kept);
     let call = queue
         .next(&makers, &PIECES, Millis(600))
         .expect("it has room");
@@ -156,7 +163,10 @@
 fn results_are_made_where_they_are_read_if_a_target_there_is_free() {
     let mut queue = Queue::default();
     let near = Group {
-        domain: Some(name::Domain::new("z-2")),
+        near: Some(Near {
+            domain: name::Domain::new("z-2"),
+            bytes: 1,
+        }),
         ..group("a", 1)
     };
     queue.push(near, Millis(0));
@@ -176,7 +186,11 @@
     let over = queue.push(short, Millis(0));
     let gone = queue.push(group("gone", 1), Millis(0));
     assert!(queue.expire(&PIECES, Millis(100)).is_empty());
-    assert_eq!(queue.expire(&PIECES, Millis(200)), [over]);
+    let expired = Expired {
+        ticket: over,
+        is_gone: false,
+    };
+    assert_eq!(queue.expire(&PIECES, Millis(200)), [expired]);
     queue.cancel(gone);
     assert_eq!(queue.next(&makers(1), &PIECES, Millis(200)), None);
 }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -35,7 +35,7 @@
 /// How often waiting groups are looked at without another cause.
 const TICK: Duration = Duration::from_millis(50);
 /// Every how many ticks freed results are told to their makers.
-const FREE_EVERY: u64 = 2;
+const FREE_EVERY: u64 = 1;
 /// How much longer than expected a call may take, as a factor, and beside it.
 const CALL_FACTOR: u64 = 3;
 const CALL_SLACK: Millis = Millis(300);
@@ -46,7 +46,16 @@
 /// How long a target may take to hear which results are freed.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
-type Reply = Result<Vec<name::Handle>, Unmade>;
+/// Pieces that were made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// The results, in the order of the pieces' numbers.
+    pub handles: Vec<name::Handle>,
+    /// The failure domain in which they lie.
+    pub domain: name::Domain,
+}
+
+type Reply = Result<Batch, Unmade>;
 
 /// A group whose request waits here for its pieces.
 #[derive(Debug)]
@@ -156,9 +165,14 @@
         };
         let mut desks = self.lock();
         let desk = desk(&mut desks, service);
-        for ticket in desk.queue.expire(&pieces, now) {
+        for expired in desk.queue.expire(&pieces, now) {
             context.metrics.pieces("expired", 1);
-            desk.close(ticket, Err(Unmade::Late));
+            let why = if expired.is_gone {
+                Unmade::Gone
+            } else {
+                Unmade::Late
+            };
+            desk.close(expired.ticket, Err(why));
         }
         while let Some(call) = desk.queue.next(&makers, &pieces, now) {
             let context = context.clone();
@@ -180,14 +194,20 @@
     fn tell_freed(&self, context: &Arc<Context>) {
         let mut freed = Vec::new();
         for desk in self.lock().iter_mut() {
-            freed.extend(desk.queue.results().take_freed());
+            for (target, handles) in desk.queue.results().take_freed() {
+                freed.push((desk.service.clone(), target, handles));
+            }
         }
-        for (target, handles) in freed {
-            let Some(address) = context.state().address(&target) else {
-                continue;
-            };
+        for (service, target, handles) in freed {
+            let address = context.state().address(&target);
             let context = context.clone();
-            tokio::spawn(async move { free(&context, target, address, &handles).await });
+            tokio::spawn(async move {
+                if let Some(address) = address {
+                    free(&context, target, address, &handles).await;
+                }
+                let mut desks = context.dispatcher.lock();
+                desk(&mut desks, &service).queue.results().forget(&handles);
+            });
         }
     }
 
@@ -248,7 +268,13 @@
         open.reply.send(reply).ok();
     }
 
-    fn note_made(&mut self, ticket: Ticket, piece: u32, handle: name::Handle) {
+    fn note_made(
+        &mut self,
+        ticket: Ticket,
+        piece: u32,
+        handle: name::Handle,
+        domain: &name::Domain,
+    ) {
         let Some(open) = self.open.iter_mut().find(|open| open.ticket == ticket) else {
             self.queue.results().free(&[handle]);
             return;
@@ -258,7 +284,8 @@
             let mut made = std::mem::take(&mut open.made);
             made.sort_by_key(|(piece, _)| *piece);
             let handles = made.into_iter().map(|(_, handle)| handle).collect();
-            self.close(ticket, Ok(handles));
+            let domain = domain.clone();
+            self.close(ticket, Ok(Batch { handles, domain }));
         }
     }
 
@@ -336,7 +363,7 @@
 }
 
 fn give_out(desk: &mut Desk, call: Call, outcome: Outcome, pieces: Pieces, now: Millis) {
-    let target = call.target;
+    let target = call.target.clone();
     let mut made = match outcome {
         Outcome::Answered(made) => made.into_iter(),
         Outcome::Refused | Outcome::Failed(_) => {
@@ -356,7 +383,7 @@
                     let until = now + pieces.kept;
                     let results = desk.queue.results();
                     results.keep(handle.clone(), &target, group.bytes, until);
-                    desk.note_made(part.ticket, *piece, handle);
+                    desk.note_made(part.ticket, *piece, handle, &call.domain);
                 }
                 Made::Late => desk.close(part.ticket, Err(Unmade::Late)),
                 Made::Gone => desk.close(part.ticket, Err(Unmade::Gone)),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -25,6 +25,7 @@
 use gooseberry_wire::fleet::FleetClient;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
+use gooseberry_wire::fleet::Made;
 use gooseberry_wire::fleet::Unmade;
 use tarpc::client;
 use tarpc::context;
@@ -36,6 +37,7 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
+use crate::dispatcher::Batch;
 
 /// How long a peer may take to answer a greeting, or to be connected to.
 const GREET_TIMEOUT: Duration = Duration::from_millis(500);
@@ -83,7 +85,7 @@
         address: SocketAddr,
         service: &name::Service,
         group: &queue::Group,
-    ) -> Result<Result<Vec<name::Handle>, Unmade>, Unreachable> {
+    ) -> Result<Result<Batch, Unmade>, Unreachable> {
         let now = context.now();
         let limit = Duration::from_millis((group.until - now).0) + GREET_TIMEOUT;
         let client = self.client(address).await?;
@@ -100,7 +102,14 @@
                 Err(_) => return Err(Unreachable),
             }
         };
-        Ok(made.map(|handles| handles.iter().map(|one| name::Handle::new(one)).collect()))
+        Ok(made.map(|made| Batch {
+            handles: made
+                .handles
+                .iter()
+                .map(|one| name::Handle::new(one))
+                .collect(),
+            domain: name::Domain::new(&made.domain),
+        }))
     }
 
     /// Tells a peer that nobody reads the results any more.
@@ -322,14 +331,17 @@
         self.context.state().changes(Revision(after)).into()
     }
 
-    async fn make(self, _: context::Context, group: Group) -> Result<Vec<CompactString>, Unmade> {
+    async fn make(self, _: context::Context, group: Group) -> Result<Made, Unmade> {
         let (service, group) = group.read(self.context.now());
         let context = self.context.clone();
         let made = context
             .dispatcher
             .make(&self.context, &service, group)
             .await?;
-        Ok(made.iter().map(|handle| handle.as_str().into()).collect())
+        Ok(Made {
+            handles: made.handles.iter().map(|one| one.as_str().into()).collect(),
+            domain: made.domain.as_str().into(),
+        })
     }
 
     async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -15,16 +15,23 @@
 use gooseberry_kernel::request::door::Verdict;
 use gooseberry_kernel::stage::plan::Freed;
 use gooseberry_kernel::stage::plan::Plan;
+use gooseberry_kernel::stage::plan::Step;
 use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::queue::Near;
 use gooseberry_kernel::stage::queue::Source;
 use gooseberry_wire::fleet::Unmade;
 
 use crate::context::Context;
+use crate::dispatcher::Batch;
 use crate::request::Job;
 
 /// How often a whole plan is made when results vanish with their makers.
 const ROUNDS_MAX: u32 = 2;
 
+/// How long before they age out inputs count as gone: their reader must have
+/// fetched them by then.
+const INPUTS_MARGIN: Millis = Millis(150);
+
 /// The results that a request's run reads; they are freed with the value.
 #[derive(Debug)]
 pub struct Results {
@@ -37,7 +44,10 @@
 /// Results with the daemon that dispatched them; `None` stands for this one.
 #[derive(Debug)]
 struct Kept {
+    stage: usize,
     freed: Freed,
+    domain: name::Domain,
+    until: Millis,
     dispatcher: Option<SocketAddr>,
 }
 
@@ -137,23 +147,30 @@
     let mut running = FuturesUnordered::new();
     while !plan.is_complete() {
         for index in plan.begin() {
-            let group = group(context, job, &plan, index, domain);
+            let group = group(context, job, &plan, index, &results.kept, domain);
             running.push(make(context, index, group));
         }
         let Some((index, made)) = running.next().await else {
             return Err(Unmade::Failed);
         };
-        let (handles, dispatcher) = made?;
+        let (batch, dispatcher) = made?;
         if let Some(step) = plan.step(index) {
+            let kept = context
+                .state()
+                .pieces(&step.service)
+                .map(|pieces| pieces.kept);
             results.kept.push(Kept {
+                stage: index,
                 freed: Freed {
                     service: step.service.clone(),
-                    handles: handles.clone(),
+                    handles: batch.handles.clone(),
                 },
+                domain: batch.domain,
+                until: context.now() + kept.unwrap_or_default(),
                 dispatcher,
             });
         }
-        for freed in plan.finish(index, handles) {
+        for freed in plan.finish(index, batch.handles) {
             let is_same = |kept: &Kept| kept.freed == freed;
             if let Some(place) = results.kept.iter().position(is_same) {
                 free(context, results.kept.swap_remove(place));
@@ -164,7 +181,7 @@
     Ok(results)
 }
 
-type Made = Result<(Vec<name::Handle>, Option<SocketAddr>), Unmade>;
+type Made = Result<(Batch, Option<SocketAddr>), Unmade>;
 
 /// Has one group made by the first dispatcher that answers.
 async fn make(
@@ -184,7 +201,7 @@
         };
         match made {
             Ok(Err(Unmade::Elsewhere)) => {}
-            Ok(Ok(handles)) => return (index, Ok((handles, dispatcher))),
+            Ok(Ok(batch)) => return (index, Ok((batch, dispatcher))),
             Ok(Err(why)) => return (index, Err(why)),
             Err(_) => {
                 log::warn!(
@@ -207,6 +224,7 @@
     job: &Job,
     plan: &Plan,
     index: usize,
+    kept: &[Kept],
     domain: Option<&name::Domain>,
 ) -> (name::Service, Group) {
     let now = context.now();
@@ -233,13 +251,49 @@
         rank: job.rank,
         on_time: (job.on_time - tail).max(now),
         until: (job.deadline - tail).max(now),
-        domain: domain.cloned(),
+        inputs_until: inputs_until(step, kept),
+        near: near(plan, index, step, kept, domain),
     };
     (step.service.clone(), group)
 }
 
+/// Returns until when the inputs of a stage exist.
+fn inputs_until(step: &Step, kept: &[Kept]) -> Millis {
+    let inputs = kept.iter().filter(|kept| step.after.contains(&kept.stage));
+    let until = inputs.map(|kept| kept.until).min();
+    until.map_or(Millis::NEVER, |until| until - INPUTS_MARGIN)
+}
+
+/// Returns where a stage is best made: each of its pieces reads all inputs, and
+/// what only the run reads is read where the run is expected.
+fn near(
+    plan: &Plan,
+    index: usize,
+    step: &Step,
+    kept: &[Kept],
+    run: Option<&name::Domain>,
+) -> Option<Near> {
+    let pieces = u64::from(step.pieces);
+    let inputs = kept.iter().filter(|kept| step.after.contains(&kept.stage));
+    let read = inputs.map(|kept| {
+        let size = plan.step(kept.stage).map_or(0, |step| step.bytes);
+        let count = u64::try_from(kept.freed.handles.len()).unwrap_or(u64::MAX);
+        Near {
+            domain: kept.domain.clone(),
+            bytes: size.saturating_mul(count).saturating_mul(pieces),
+        }
+    });
+    let made = run.filter(|_| plan.follow(index) == 0).map(|domain| Near {
+        domain: domain.clone(),
+        bytes: step.bytes.saturating_mul(pieces),
+    });
+    read.chain(made).max_by_key(|near| near.bytes)
+}
+
 fn free(context: &Arc<Context>, kept: Kept) {
-    let Kept { freed, dispatcher } = kept;
+    let Kept {
+        freed, dispatcher, ..
+    } = kept;
     match dispatcher {
         None => context.dispatcher.free(&freed.service, &freed.handles),
         Some(address) => {
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -27,7 +27,7 @@
     /// Returns what changed at the platform after a revision.
     async fn changes(after: u64) -> Changes;
     /// Has the pieces of a group made.
-    async fn make(group: Group) -> Result<Vec<CompactString>, Unmade>;
+    async fn make(group: Group) -> Result<Made, Unmade>;
     /// Gives up results that nobody reads any more.
     async fn free(service: CompactString, handles: Vec<CompactString>);
 }
@@ -125,8 +125,29 @@
     pub on_time_ms: u64,
     /// For how long they are of any use, in milliseconds.
     pub until_ms: u64,
-    /// The failure domain in which the results are read.
-    pub domain: Option<CompactString>,
+    /// For how long the inputs exist, in milliseconds.
+    pub inputs_until_ms: u64,
+    /// Where they are best made.
+    pub near: Option<Near>,
+}
+
+/// A failure domain near which pieces are best made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Near {
+    /// The domain.
+    pub domain: CompactString,
+    /// How many bytes cross domains if they are made elsewhere.
+    pub bytes: u64,
+}
+
+/// Pieces that were made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Made {
+    /// The results, in the order of the pieces' numbers.
+    pub handles: Vec<CompactString>,
+    /// The failure domain in which they lie; that of the last, if they were
+    /// made in several.
+    pub domain: CompactString,
 }
 
 /// Why pieces were not made.
@@ -236,7 +257,11 @@
             rank: group.rank.0,
             on_time_ms: (group.on_time - now).0,
             until_ms: (group.until - now).0,
-            domain: group.domain.as_ref().map(|domain| domain.as_str().into()),
+            inputs_until_ms: (group.inputs_until - now).0,
+            near: group.near.as_ref().map(|near| Near {
+                domain: near.domain.as_str().into(),
+                bytes: near.bytes,
+            }),
         }
     }
 
@@ -258,7 +283,11 @@
             rank: Rank(self.rank),
             on_time: now + Millis(self.on_time_ms),
             until: now + Millis(self.until_ms),
-            domain: self.domain.map(|domain| name::Domain::new(&domain)),
+            inputs_until: now + Millis(self.inputs_until_ms),
+            near: self.near.map(|near| queue::Near {
+                domain: name::Domain::new(&near.domain),
+                bytes: near.bytes,
+            }),
         };
         (name::Service::new(&self.service), group)
     }
