Refuse at its first stage a request that would wait in vain

Ruled out: engines (no queue there), stores' outages (same in quiet hours).

Change: the dispatcher estimates the wait of each rank by time and by room and refuses a first group that would be neither on time nor surely late, with the time to return; a group that loses its time later is given up unless capacity is left. What was begun is never refused. A client that comes back is late by what its remaining time shows.

--- a/crates/kernel/src/request/table.rs
+++ b/crates/kernel/src/request/table.rs
@@ -12,6 +12,12 @@
 use crate::hash;
 use crate::name;
 
+/// For how long a client bears silence on a stream: the longest of a span, of
+/// so many objectives and of so many pauses, as the platform's clients do.
+const SILENCE_MIN: Millis = Millis(2_000);
+const SILENCE_OBJECTIVES: u64 = 4;
+const SILENCE_PAUSES: u64 = 8;
+
 scalar! {
     /// What an answer looks like.
     pub enum Form {
@@ -109,6 +115,8 @@
         pub timeout: Millis,
         /// The time within which an answer is worth most.
         pub objective: Millis,
+        /// The longest pause between two events of an answer that is on time.
+        pub pause: Millis,
         /// How urgent it is.
         pub rank: Rank,
         /// To how many targets one request may be sent.
@@ -241,6 +249,18 @@
         None
     }
 
+    /// Returns for how long a client waits for the first byte of an answer: it
+    /// abandons a stream that is silent for longer.
+    #[must_use]
+    pub fn silence_max(&self) -> Millis {
+        match self.form {
+            Form::Plain => self.timeout,
+            Form::Stream => SILENCE_MIN
+                .max(Millis(self.objective.0 * SILENCE_OBJECTIVES))
+                .max(Millis(self.pause.0 * SILENCE_PAUSES)),
+        }
+    }
+
     /// Tells whether a request may be given to a second target after the first
     /// one may have run it.
     #[must_use]
--- a/crates/kernel/src/stage/plan.rs
+++ b/crates/kernel/src/stage/plan.rs
@@ -113,11 +113,8 @@
         self.steps[index].state = State::Made(handles);
         let needed = self.steps[index].after.clone();
         let is_read = |other: usize| {
-            let readers = (0..self.steps.len()).filter(|reader| {
-                let step = &self.steps[*reader];
-                step.pieces > 0 && step.after.contains(&other)
-            });
-            readers.into_iter().all(|reader| self.is_made(reader))
+            let mut readers = self.readers(other).into_iter();
+            readers.all(|reader| self.is_made(reader))
         };
         let done = needed.into_iter().filter(|other| is_read(*other));
         done.map(|other| self.freed(other)).collect()
@@ -161,17 +158,20 @@
         chain
     }
 
-    /// Returns how many stages come after this one on its longest way.
+    /// Returns the stages that read a stage; none if only the run reads it.
     #[must_use]
-    pub fn follow(&self, index: usize) -> usize {
+    pub fn readers(&self, index: usize) -> Vec<usize> {
         let readers = (index + 1..self.steps.len()).filter(|reader| {
             let step = &self.steps[*reader];
             step.pieces > 0 && step.after.contains(&index)
         });
-        readers
-            .map(|reader| 1 + self.follow(reader))
-            .max()
-            .unwrap_or(0)
+        readers.collect()
+    }
+
+    /// Tells whether any stage has been made.
+    #[must_use]
+    pub fn is_begun(&self) -> bool {
+        (0..self.steps.len()).any(|index| self.is_made(index))
     }
 
     fn before(&self, index: usize) -> Option<usize> {
@@ -199,8 +199,7 @@
 
     /// Tells whether no other stage reads this one.
     fn is_last(&self, index: usize) -> bool {
-        let mut open = self.steps.iter().filter(|step| step.pieces > 0);
-        !open.any(|step| step.after.contains(&index))
+        self.readers(index).is_empty()
     }
 
     /// Returns how many levels of the longest chain are not made yet.
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -11,6 +11,13 @@
 //! they have; groups that are late anyway use what is left over. A small part
 //! of each call goes to the oldest group, so that no rank waits for ever. A
 //! group that cannot end in time at all is given up at once.
+//!
+//! A request is refused at its first group rather than kept waiting in vain: if
+//! the group would not be made in time to help an answer to be on time, and the
+//! queue has no capacity left over to make it late either. The load that this
+//! answers is a burst of twice the usual requests, or the usual ones with two
+//! of five targets gone. Nothing that was begun is refused here: the calls for
+//! it have been paid.
 
 use std::cmp::Reverse;
 
@@ -19,12 +26,22 @@
 use crate::derive::value;
 use crate::name;
 use crate::request::door::RANKS;
+use crate::request::door::RETURN_MIN;
 use crate::request::table::Pieces;
 use crate::request::table::Rank;
 use crate::stage::results::Results;
 
 /// One in so many calls begins with the oldest group, whatever its rank.
 const OLDEST_EVERY: u64 = 8;
+/// The length of a step in which arrivals are counted, and how many count: two
+/// seconds are long against a call and short against a burst.
+const STEP: Millis = Millis(250);
+const STEPS: usize = 8;
+/// Up to which missing time a refused request may still be on time when it
+/// comes back.
+const RETURN_SOON: Millis = Millis(400);
+/// When the others are asked to come back: most bursts last a few seconds.
+const RETURN_LATER: Millis = Millis(2_500);
 /// From how many bytes on a group waits for a target in its own domain.
 const NEAR_MIN_BYTES: u64 = 200_000;
 /// How long a target near a group may take to fall free: about a call.
@@ -69,6 +86,8 @@
         pub inputs_until: Millis,
         /// Where the pieces are best made.
         pub near: Option<Near>,
+        /// Whether nothing of the request has been made yet.
+        pub is_first: bool,
     }
 
     /// A domain near which pieces are best made.
@@ -83,9 +102,18 @@
     pub struct Expired {
         /// The group.
         pub ticket: Ticket,
-        /// Whether its inputs do not exist any more, so that they would have
-        /// to be made again.
-        pub is_gone: bool,
+        /// Why it was given up.
+        pub why: Why,
+    }
+
+    /// Why a group was given up.
+    pub enum Why {
+        /// It cannot be made in the time that it has.
+        Late,
+        /// Its inputs do not exist any more, and would have to be made again.
+        Gone,
+        /// Too much goes before it; there may be room after the span.
+        Full(Millis),
     }
 
     /// A target that may get a call.
@@ -141,15 +169,50 @@
     /// Targets that take no call for a moment, and until when.
     resting: Vec<(name::Target, Millis)>,
     results: Results,
+    /// The pieces on time that came in of late.
+    arrivals: Arrivals,
     tickets: u64,
     calls: u64,
 }
 
 impl Queue {
+    /// Decides whether a request's first group is taken in; `Err` holds the
+    /// span after which there may be room.
+    ///
+    /// # Errors
+    /// Returns the span if the group would wait in vain.
+    pub fn admit(
+        &self,
+        group: &Group,
+        targets: usize,
+        pieces: &Pieces,
+        now: Millis,
+    ) -> Result<(), Millis> {
+        if !group.is_first {
+            return Ok(());
+        }
+        let call = pieces.call(u32::try_from(group.pieces.len()).unwrap_or(u32::MAX));
+        let rank = usize::from(group.rank.0).min(RANKS - 1);
+        let wait = self.waits(targets, pieces, now)[rank];
+        let is_on_time = now + wait + call <= group.on_time;
+        if is_on_time || now + self.late_wait(targets, pieces, now) + call <= group.until {
+            return Ok(());
+        }
+        let missing = now + wait + call - group.on_time;
+        Err(if missing < RETURN_SOON {
+            missing.max(RETURN_MIN)
+        } else {
+            missing.max(RETURN_LATER)
+        })
+    }
+
     /// Takes in a group.
     pub fn push(&mut self, group: Group, now: Millis) -> Ticket {
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
+        if group.on_time > now {
+            self.arrivals.note(group.pieces.len(), now);
+        }
         self.waiting.push(Waiting {
             ticket,
             since: now,
@@ -178,17 +241,31 @@
     }
 
     /// Removes the groups that cannot be made in time, and returns them.
-    pub fn expire(&mut self, pieces: &Pieces, now: Millis) -> Vec<Expired> {
-        let is_gone = |waiting: &Waiting| now >= waiting.group.inputs_until;
-        let is_late = |waiting: &Waiting| now + pieces.call(1) > waiting.group.until;
-        let is_over = |waiting: &Waiting| is_gone(waiting) || is_late(waiting);
-        let over = self.waiting.iter().filter(|waiting| is_over(waiting));
-        let expired = over.map(|waiting| Expired {
-            ticket: waiting.ticket,
-            is_gone: is_gone(waiting) && !is_late(waiting),
+    pub fn expire(&mut self, targets: usize, pieces: &Pieces, now: Millis) -> Vec<Expired> {
+        let late_wait = self.late_wait(targets, pieces, now);
+        let why = |waiting: &Waiting| {
+            let group = &waiting.group;
+            let call = pieces.call(1);
+            if now + call > group.until {
+                Some(Why::Late)
+            } else if now >= group.inputs_until {
+                Some(Why::Gone)
+            } else if group.is_first
+                && now + call > group.on_time
+                && now + late_wait + call > group.until
+            {
+                Some(Why::Full(RETURN_LATER))
+            } else {
+                None
+            }
+        };
+        let mut expired = Vec::new();
+        self.waiting.retain(|waiting| {
+            let why = why(waiting);
+            let ticket = waiting.ticket;
+            expired.extend(why.clone().map(|why| Expired { ticket, why }));
+            why.is_none()
         });
-        let expired = expired.collect();
-        self.waiting.retain(|waiting| !is_over(waiting));
         self.results.tick(now);
         self.resting.retain(|(_, until)| *until > now);
         expired
@@ -260,24 +337,59 @@
     /// Returns how long a new group of each rank waits for so many targets.
     #[must_use]
     pub fn waits(&self, targets: usize, pieces: &Pieces, now: Millis) -> [Millis; RANKS] {
-        let targets = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
-        let mut counts = [0; RANKS];
+        let mut ahead = [Backlog::default(); RANKS];
         for waiting in &self.waiting {
-            let is_late = now > waiting.group.on_time;
-            let rank = usize::from(waiting.group.rank.0).min(RANKS - 1);
-            let place = if is_late { RANKS - 1 } else { rank };
-            counts[place] += waiting.group.pieces.len() as u64;
+            let group = &waiting.group;
+            let is_late = now > group.on_time;
+            let rank = usize::from(group.rank.0).min(RANKS - 1);
+            ahead[if is_late { RANKS - 1 } else { rank }].add(group);
         }
-        let soonest = self.busy.iter().map(|busy| busy.until - now).min();
-        let is_full = self.busy.len() as u64 >= targets;
-        let first = soonest.filter(|_| is_full).unwrap_or_default();
-        let mut before = 0;
-        counts.map(|count| {
-            before += count;
-            first + Millis(before * 1000 / (targets * pieces.rate()).max(1))
+        let first = self.first_free(targets, now);
+        let count = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
+        let turn = Millis(pieces.call(pieces.batch).0 / count);
+        let mut before = Backlog::default();
+        ahead.map(|own| {
+            before = before.and(own);
+            let strict = self.span(before, targets, pieces);
+            // The oldest group begins one call in so many, so no rank waits
+            // for more than its own backlog at that part of the rate.
+            let own = self.span(own, targets, pieces) + turn;
+            first + strict.min(Millis(own.0 * OLDEST_EVERY))
         })
     }
 
+    /// Returns how long a group that is late already waits, if requests go on
+    /// coming in as they do.
+    fn late_wait(&self, targets: usize, pieces: &Pieces, now: Millis) -> Millis {
+        let mut all = Backlog::default();
+        for waiting in &self.waiting {
+            all.add(&waiting.group);
+        }
+        let span = self.span(all, targets, pieces);
+        let rate = u64::try_from(targets).unwrap_or(u64::MAX) * pieces.rate();
+        let taken = self.arrivals.rate(now);
+        let left = rate.saturating_sub(taken).max(rate / 20).max(1);
+        self.first_free(targets, now) + Millis(span.0 * rate / left)
+    }
+
+    /// Returns how long all targets need for a backlog, by the time of calls
+    /// or by the room for results, whichever is longer.
+    fn span(&self, backlog: Backlog, targets: usize, pieces: &Pieces) -> Millis {
+        let targets = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
+        let by_time = backlog.pieces * 1000 / (targets * pieces.rate()).max(1);
+        let turn = pieces.call(pieces.batch / 2) + self.results.hold();
+        let room = (targets * pieces.room_bytes).max(1);
+        let by_room = backlog.bytes.saturating_mul(turn.0) / room;
+        Millis(by_time.max(by_room))
+    }
+
+    /// Returns when the first target falls free, if none is free now.
+    fn first_free(&self, targets: usize, now: Millis) -> Millis {
+        let soonest = self.busy.iter().map(|busy| busy.until - now).min();
+        let is_full = self.busy.len() >= targets;
+        soonest.filter(|_| is_full).unwrap_or_default()
+    }
+
     fn take(
         &mut self,
         maker: &Maker,
@@ -370,6 +482,56 @@
     }
 }
 
+/// What waits before something.
+#[derive(Clone, Copy, Debug, Default)]
+struct Backlog {
+    pieces: u64,
+    bytes: u64,
+}
+
+impl Backlog {
+    fn add(&mut self, group: &Group) {
+        let pieces = group.pieces.len() as u64;
+        self.pieces += pieces;
+        self.bytes += pieces * group.bytes;
+    }
+
+    fn and(self, other: Self) -> Self {
+        Self {
+            pieces: self.pieces + other.pieces,
+            bytes: self.bytes + other.bytes,
+        }
+    }
+}
+
+/// Counts pieces in steps of a quarter of a second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arrivals {
+    steps: [(u64, u64); STEPS],
+}
+
+impl Arrivals {
+    fn note(&mut self, pieces: usize, now: Millis) {
+        let number = now.0 / STEP.0 + 1;
+        let step = &mut self.steps[usize::try_from(number).unwrap_or_default() % STEPS];
+        if step.0 != number {
+            *step = (number, 0);
+        }
+        step.1 += pieces as u64;
+    }
+
+    /// Returns how many pieces came in a second of late.
+    fn rate(&self, now: Millis) -> u64 {
+        let number = now.0 / STEP.0 + 1;
+        let fresh = self
+            .steps
+            .iter()
+            .filter(|step| step.0 + (STEPS as u64) > number);
+        let pieces: u64 = fresh.map(|step| step.1).sum();
+        pieces * 1000 / (STEP.0 * STEPS as u64)
+    }
+}
+
 fn is_near(group: &Group, maker: &Maker) -> bool {
     group
         .near
--- a/crates/kernel/src/stage/results.rs
+++ b/crates/kernel/src/stage/results.rs
@@ -15,6 +15,7 @@
         handle: name::Handle,
         target: name::Target,
         bytes: u64,
+        made: Millis,
         until: Millis,
         state: State,
     }
@@ -29,20 +30,44 @@
     }
 }
 
+/// How long results are expected to be kept before any was freed: about a call
+/// of the next stage.
+const HOLD_DEFAULT: Millis = Millis(500);
+/// The weight of the newest result in the mean, as one part of so many.
+const NEWEST: u64 = 32;
+
 /// The results of one service, sorted by handle.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Results {
     held: Vec<Held>,
+    hold: Millis,
+}
+
+impl Default for Results {
+    fn default() -> Self {
+        Self {
+            held: Vec::new(),
+            hold: HOLD_DEFAULT,
+        }
+    }
 }
 
 impl Results {
     /// Notes a result that a target keeps now.
-    pub fn keep(&mut self, handle: name::Handle, target: &name::Target, bytes: u64, until: Millis) {
+    pub fn keep(
+        &mut self,
+        handle: name::Handle,
+        target: &name::Target,
+        bytes: u64,
+        span: Millis,
+        now: Millis,
+    ) {
         let held = Held {
             handle,
             target: target.clone(),
             bytes,
-            until,
+            made: now,
+            until: now + span,
             state: State::Needed,
         };
         match self.find(&held.handle) {
@@ -77,14 +102,22 @@
     }
 
     /// Notes that a target has heard which results are freed.
-    pub fn forget(&mut self, handles: &[name::Handle]) {
+    pub fn forget(&mut self, handles: &[name::Handle], now: Millis) {
         for handle in handles {
             if let Ok(index) = self.find(handle) {
-                self.held.remove(index);
+                let held = self.held.remove(index);
+                let took = (now - held.made).0;
+                self.hold = Millis((self.hold.0 * (NEWEST - 1) + took) / NEWEST);
             }
         }
     }
 
+    /// Returns how long a result is kept as a rule.
+    #[must_use]
+    pub fn hold(&self) -> Millis {
+        self.hold
+    }
+
     /// Returns how many bytes a target keeps.
     #[must_use]
     pub fn bytes(&self, target: &name::Target, now: Millis) -> u64 {
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -248,6 +248,20 @@
         door::decide(&legs, left) == Verdict::Enter
     }
 
+    fn tail(&self, number: usize, stage: usize) -> Millis {
+        let request = &self.requests[number];
+        let rank = usize::from(self.kinds[request.kind].rank);
+        let readers = request.plan.readers(stage).into_iter();
+        let tails = readers.map(|reader| {
+            let service = self.service(request.kind, reader);
+            let queue = &self.queues[request.desk][service];
+            let wait = queue.waits(TARGETS, &pieces(service), self.now)[rank];
+            let step = request.plan.step(reader).expect("it exists");
+            wait + pieces(service).call(step.pieces) + self.tail(number, reader)
+        });
+        tails.max().unwrap_or_default()
+    }
+
     fn service(&self, kind: usize, stage: usize) -> usize {
         self.kinds[kind].stages[stage].0
     }
@@ -271,8 +285,7 @@
             let service = self.service(kind, stage);
             let request = &self.requests[number];
             let step = request.plan.step(stage).expect("it has begun");
-            let follow = u64::try_from(request.plan.follow(stage)).expect("few stages");
-            let tail = Millis(250 * follow) + FIRST_BYTE;
+            let tail = self.tail(number, stage) + FIRST_BYTE;
             let group = Group {
                 attempt: name::Attempt::new(&number.to_string()),
                 stage,
@@ -284,8 +297,16 @@
                 until: request.arrived + Millis(self.kinds[kind].deadline) - tail,
                 inputs_until: Millis::NEVER,
                 near: None,
+                is_first: !request.plan.is_begun(),
             };
-            let ticket = self.queues[desk][service].push(group, self.now);
+            let queue = &mut self.queues[desk][service];
+            if queue
+                .admit(&group, TARGETS, &pieces(service), self.now)
+                .is_err()
+            {
+                continue;
+            }
+            let ticket = queue.push(group, self.now);
             self.tickets.push((desk, service, ticket, number, stage));
             self.pump(desk, service);
         }
@@ -295,7 +316,7 @@
         let bounds = pieces(service);
         let now = self.now;
         let queue = &mut self.queues[desk][service];
-        for expired in queue.expire(&bounds, now) {
+        for expired in queue.expire(TARGETS, &bounds, now) {
             let ticket = expired.ticket;
             self.tickets
                 .retain(|one| !(one.0 == desk && one.1 == service && one.2 == ticket));
@@ -365,10 +386,16 @@
             let (_, _, _, request, stage) = self.tickets[place];
             for piece in &part.group.pieces {
                 let handle = name::Handle::new(&format!("{request}/{stage}/{piece}"));
-                let until = self.now + pieces(service).kept;
+                let kept = pieces(service).kept;
                 let queue = &mut self.queues[desk][service];
                 let results = queue.results();
-                results.keep(handle.clone(), &call.target, part.group.bytes, until);
+                results.keep(
+                    handle.clone(),
+                    &call.target,
+                    part.group.bytes,
+                    kept,
+                    self.now,
+                );
                 self.note(request, stage, *piece, handle);
             }
             let wanted = self.requests[request]
@@ -408,7 +435,7 @@
         let results = self.queues[desk][service].results();
         results.free(handles);
         results.take_freed();
-        results.forget(handles);
+        results.forget(handles, self.now);
     }
 
     fn note(&mut self, request: usize, stage: usize, piece: u32, handle: name::Handle) {
--- a/crates/kernel/tests/direct/plan.rs
+++ b/crates/kernel/tests/direct/plan.rs
@@ -29,7 +29,8 @@
 fn a_stage_that_only_the_run_reads_begins_with_the_last_of_the_chain() {
     let mut plan = Plan::new(&tag(), &[2, 1, 4, 3]).expect("the plan fits");
     assert_eq!(plan.longest(), [1, 2, 3]);
-    assert_eq!(plan.follow(1), 2);
+    assert_eq!(plan.readers(1), [2]);
+    assert!(!plan.is_begun());
     assert_eq!(plan.begin(), [1]);
     assert!(plan.begin().is_empty(), "a stage begins once");
     assert!(plan.finish(1, handles(&["x"])).is_empty());
--- a/crates/kernel/tests/direct/queue.rs
+++ b/crates/kernel/tests/direct/queue.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::stage::queue::Queue;
 use gooseberry_kernel::stage::queue::REST;
 use gooseberry_kernel::stage::queue::Source;
+use gooseberry_kernel::stage::queue::Why;
 
 const PIECES: Pieces = Pieces {
     batch: 10,
@@ -40,6 +41,7 @@
         until: Millis(10_000),
         inputs_until: Millis::NEVER,
         near: None,
+        is_first: true,
     }
 }
 
@@ -135,9 +137,13 @@
     queue.end(&call.target);
     let kept = [name::Handle::new("h-0"), name::Handle::new("h-1")];
     for handle in &kept {
-        queue
-            .results()
-            .keep(handle.clone(), &call.target, 4_000, Millis(4_000));
+        queue.results().keep(
+            handle.clone(),
+            &call.target,
+            4_000,
+            Millis(4_000),
+            Millis(0),
+        );
     }
     assert_eq!(queue.next(&makers, &PIECES, Millis(300)), None);
     // A small one goes while the large one waits for room.
@@ -152,7 +158,7 @@
     assert_eq!(queue.results().take_freed()[0].1.len(), 2);
     assert!(queue.results().take_freed().is_empty());
     assert_eq!(queue.next(&makers, &PIECES, Millis(600)), None);
-    queue.results().forget(&kept);
+    queue.results().forget(&kept, Millis(600));
     let call = queue
         .next(&makers, &PIECES, Millis(600))
         .expect("it has room");
@@ -185,12 +191,12 @@
     };
     let over = queue.push(short, Millis(0));
     let gone = queue.push(group("gone", 1), Millis(0));
-    assert!(queue.expire(&PIECES, Millis(100)).is_empty());
+    assert!(queue.expire(1, &PIECES, Millis(100)).is_empty());
     let expired = Expired {
         ticket: over,
-        is_gone: false,
+        why: Why::Late,
     };
-    assert_eq!(queue.expire(&PIECES, Millis(200)), [expired]);
+    assert_eq!(queue.expire(1, &PIECES, Millis(200)), [expired]);
     queue.cancel(gone);
     assert_eq!(queue.next(&makers(1), &PIECES, Millis(200)), None);
 }
@@ -210,7 +216,7 @@
     let part = call.parts[0].clone();
     queue.push_back(part.ticket, part.group, Millis(0));
     assert_eq!(queue.next(&makers, &PIECES, Millis(10)), None);
-    queue.expire(&PIECES, REST);
+    queue.expire(1, &PIECES, REST);
     let call = queue.next(&makers, &PIECES, REST).expect("one is free");
     assert_eq!(call.target, makers[1].target);
 }
--- a/crates/kernel/tests/direct/table.rs
+++ b/crates/kernel/tests/direct/table.rs
@@ -25,6 +25,7 @@
         is_anonymous: false,
         timeout: Millis(1_000),
         objective: Millis(100),
+        pause: Millis(300),
         rank: Rank(1),
         attempts: 2,
         shares: shares.iter().map(share).collect(),
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use gooseberry_kernel::stage::queue::Group;
 use gooseberry_kernel::stage::queue::Queue;
 use gooseberry_kernel::stage::queue::Ticket;
+use gooseberry_kernel::stage::queue::Why;
 use gooseberry_platform::pieces;
 use gooseberry_platform::pieces::Made;
 use gooseberry_wire::fleet::Unmade;
@@ -93,15 +94,33 @@
         service: &name::Service,
         group: Group,
     ) -> Reply {
-        if context.state().pieces(service).is_none() {
-            return Err(Unmade::Elsewhere);
-        }
+        let now = context.now();
+        let (pieces, targets) = {
+            let state = context.state();
+            let pieces = state.pieces(service).ok_or(Unmade::Elsewhere)?;
+            (pieces, state.makers(service, now).len())
+        };
         let (reply, replied) = oneshot::channel();
         let ticket = {
             let mut desks = self.lock();
             let desk = desk(&mut desks, service);
+            if let Err(span) = desk.queue.admit(&group, targets, &pieces, now) {
+                let waits = desk.queue.waits(targets, &pieces, now).map(|wait| wait.0);
+                log::info!(
+                    request:% = group.attempt,
+                    service:% = service,
+                    rank = group.rank.0,
+                    waits_ms:? = waits,
+                    on_time_ms = (group.on_time - now).0,
+                    until_ms = (group.until - now).0,
+                    targets,
+                    retry_ms = span.0;
+                    "refused at the queue: it would wait in vain"
+                );
+                return Err(Unmade::Full(span.0));
+            }
             let wanted = group.pieces.clone();
-            let ticket = desk.queue.push(group, context.now());
+            let ticket = desk.queue.push(group, now);
             desk.open.push(Open {
                 ticket,
                 wanted,
@@ -165,12 +184,12 @@
         };
         let mut desks = self.lock();
         let desk = desk(&mut desks, service);
-        for expired in desk.queue.expire(&pieces, now) {
+        for expired in desk.queue.expire(makers.len(), &pieces, now) {
             context.metrics.pieces("expired", 1);
-            let why = if expired.is_gone {
-                Unmade::Gone
-            } else {
-                Unmade::Late
+            let why = match expired.why {
+                Why::Late => Unmade::Late,
+                Why::Gone => Unmade::Gone,
+                Why::Full(span) => Unmade::Full(span.0),
             };
             desk.close(expired.ticket, Err(why));
         }
@@ -206,7 +225,10 @@
                     free(&context, target, address, &handles).await;
                 }
                 let mut desks = context.dispatcher.lock();
-                desk(&mut desks, &service).queue.results().forget(&handles);
+                desk(&mut desks, &service)
+                    .queue
+                    .results()
+                    .forget(&handles, context.now());
             });
         }
     }
@@ -380,9 +402,8 @@
         for piece in &group.pieces {
             match made.next().unwrap_or(Made::Error) {
                 Made::Handle(handle) => {
-                    let until = now + pieces.kept;
                     let results = desk.queue.results();
-                    results.keep(handle.clone(), &target, group.bytes, until);
+                    results.keep(handle.clone(), &target, group.bytes, pieces.kept, now);
                     desk.note_made(part.ticket, *piece, handle, &call.domain);
                 }
                 Made::Late => desk.close(part.ticket, Err(Unmade::Late)),
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -53,6 +53,8 @@
     pub arrived: Millis,
     /// Until when its answer is on time.
     pub on_time: Millis,
+    /// Until when the first byte of its answer is of any use.
+    pub begin_by: Millis,
     /// Until when it may be kept waiting.
     pub deadline: Millis,
     /// Names its work, whatever attempt asks for it.
@@ -141,7 +143,7 @@
             let mut state = context.state();
             state.forecast(&job.service, job.head.shared, job.draw(), now)
         };
-        let within = Duration::from_millis((job.deadline - context.now()).0);
+        let within = Duration::from_millis((job.begin_by - context.now()).0);
         let making = timeout(within, stages::run(context, &job, &plan, domain.as_ref()));
         let made = tokio::select! {
             made = making => made.map_err(|_| Failure::from(Kind::QueueFull))?,
@@ -196,9 +198,16 @@
         return Err(Kind::Quarantined.into());
     }
     state.note_first(&service.name, now);
+    // A client that comes back after a refusal gives less time than one that
+    // asks for the first time; its answer is due as much earlier.
+    let waited = head
+        .patience
+        .map(|patience| state.waited(&route.name, patience));
+    let waited = waited.unwrap_or_default();
     drop(state);
     Ok(Job {
-        on_time: arrived + route.objective,
+        on_time: arrived + (route.objective - waited),
+        begin_by: deadline.min(arrived + route.silence_max()),
         head,
         body,
         route,
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -24,6 +24,7 @@
 use crate::context::Context;
 use crate::dispatcher::Batch;
 use crate::request::Job;
+use crate::state::State;
 
 /// How often a whole plan is made when results vanish with their makers.
 const ROUNDS_MAX: u32 = 2;
@@ -78,14 +79,14 @@
         };
         chain.filter_map(leg).collect()
     };
-    match door::decide(&legs, job.deadline - now) {
+    match door::decide(&legs, job.begin_by - now) {
         Verdict::Enter => Ok(()),
         Verdict::Refuse(span) => {
             let waits: Vec<u64> = legs.iter().map(|leg| leg.wait.0).collect();
             log::info!(
                 request:% = job.head.attempt,
                 waits_ms:? = waits,
-                left_ms = (job.deadline - now).0,
+                left_ms = (job.begin_by - now).0,
                 retry_ms = span.0;
                 "refused at the door: the stages cannot be made in time"
             );
@@ -127,6 +128,7 @@
 fn failure(why: Unmade) -> Failure {
     match why {
         Unmade::Late => Kind::QueueFull.into(),
+        Unmade::Full(span) => Failure::from(Kind::QueueFull).retry_after(Millis(span)),
         Unmade::Gone | Unmade::Failed => Kind::NoTarget.into(),
         Unmade::Elsewhere => Kind::NoOwner.into(),
     }
@@ -232,10 +234,7 @@
     let Some(step) = plan.step(index) else {
         unreachable!("a plan begins only its own stages");
     };
-    // What must follow before the answer: the later stages, and the run.
-    let call = state.pieces(&step.service).map(|pieces| pieces.call(1));
-    let follow = u64::try_from(plan.follow(index)).unwrap_or(0);
-    let tail = Millis(call.unwrap_or_default().0 * follow) + FIRST_BYTE;
+    let tail = tail(&state, job, plan, index, now) + FIRST_BYTE;
     let inputs = plan.inputs(index);
     let source = if inputs.is_empty() {
         Source::Key(job.head.piece_key.clone().unwrap_or_default())
@@ -250,13 +249,26 @@
         bytes: step.bytes,
         rank: job.rank,
         on_time: (job.on_time - tail).max(now),
-        until: (job.deadline - tail).max(now),
+        until: (job.begin_by - tail).max(now),
         inputs_until: inputs_until(step, kept),
         near: near(plan, index, step, kept, domain),
+        is_first: !plan.is_begun(),
     };
     (step.service.clone(), group)
 }
 
+/// Returns how long the stages after a stage take, on the longest way.
+fn tail(state: &State, job: &Job, plan: &Plan, index: usize, now: Millis) -> Millis {
+    let readers = plan.readers(index).into_iter();
+    let tails = readers.filter_map(|reader| {
+        let step = plan.step(reader)?;
+        let wait = state.wait(&step.service, job.rank, now);
+        let call = state.pieces(&step.service)?.call(step.pieces);
+        Some(wait + call + tail(state, job, plan, reader, now))
+    });
+    tails.max().unwrap_or_default()
+}
+
 /// Returns until when the inputs of a stage exist.
 fn inputs_until(step: &Step, kept: &[Kept]) -> Millis {
     let inputs = kept.iter().filter(|kept| step.after.contains(&kept.stage));
@@ -283,10 +295,12 @@
             bytes: size.saturating_mul(count).saturating_mul(pieces),
         }
     });
-    let made = run.filter(|_| plan.follow(index) == 0).map(|domain| Near {
-        domain: domain.clone(),
-        bytes: step.bytes.saturating_mul(pieces),
-    });
+    let made = run
+        .filter(|_| plan.readers(index).is_empty())
+        .map(|domain| Near {
+            domain: domain.clone(),
+            bytes: step.bytes.saturating_mul(pieces),
+        });
     read.chain(made).max_by_key(|near| near.bytes)
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -84,6 +84,8 @@
     suspects: Suspects,
     flights: Vec<Flight>,
     waits: Vec<(Wait, Millis)>,
+    /// The most time that a client of each route has given.
+    patience: Vec<(name::Route, Millis)>,
     feed: Feed,
 }
 
@@ -133,6 +135,7 @@
             suspects: Suspects::default(),
             flights: Vec::new(),
             waits: Vec::new(),
+            patience: Vec::new(),
             feed: Feed::default(),
         }
     }
@@ -289,6 +292,25 @@
         self.budget.note_first(service, now);
     }
 
+    /// Returns how long a client has been waiting for an answer already, as the
+    /// time that it still gives shows.
+    pub fn waited(&mut self, route: &name::Route, patience: Millis) -> Millis {
+        let found = self
+            .patience
+            .binary_search_by(|(known, _)| known.cmp(route));
+        match found {
+            Ok(index) => {
+                let most = &mut self.patience[index].1;
+                *most = patience.max(*most);
+                *most - patience
+            }
+            Err(index) => {
+                self.patience.insert(index, (route.clone(), patience));
+                Millis::ZERO
+            }
+        }
+    }
+
     /// Takes a repeat from this daemon's part of the budget.
     pub fn take_repeat(&mut self, service: &name::Service, now: Millis) -> bool {
         let fleet = self.members.fleet(now);
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -129,6 +129,8 @@
     pub inputs_until_ms: u64,
     /// Where they are best made.
     pub near: Option<Near>,
+    /// Whether nothing of the request has been made yet.
+    pub is_first: bool,
 }
 
 /// A failure domain near which pieces are best made.
@@ -157,6 +159,8 @@
     Late,
     /// An input does not exist any more.
     Gone,
+    /// Too much goes before them; there may be room after so many milliseconds.
+    Full(u64),
     /// The targets failed.
     Failed,
     /// This daemon does not know the service yet, or is ending.
@@ -262,6 +266,7 @@
                 domain: near.domain.as_str().into(),
                 bytes: near.bytes,
             }),
+            is_first: group.is_first,
         }
     }
 
@@ -288,6 +293,7 @@
                 domain: name::Domain::new(&near.domain),
                 bytes: near.bytes,
             }),
+            is_first: self.is_first,
         };
         (name::Service::new(&self.service), group)
     }
