Order requests by workspace, then by route, and count room into the rates

The waits that the door reads knew nothing of room: roll targets were 4.1 of 5 busy while groups waited 3.7 s (p90), until their inputs aged out. Ruled out: targets' speed (calls take what is expected).

Change: a rank joins that of the workspace with that of the route; the rate of a service is bounded by its room; a late group is given up in every stage if nothing is left over for it; every eighth call takes the oldest groups; a group needs room for all of its pieces.

--- a/crates/kernel/src/request/door.rs
+++ b/crates/kernel/src/request/door.rs
@@ -13,8 +13,6 @@
 use crate::request::table::Pieces;
 use crate::request::table::Rank;
 
-/// How many ranks a wait is told for; the last one stands for all below it.
-pub const RANKS: usize = 4;
 /// What the way to a target and its first byte take beside the stages.
 pub const FIRST_BYTE: Millis = Millis(150);
 /// The least span after which a refused client is asked to come back.
@@ -34,7 +32,7 @@
         /// The service.
         pub service: name::Service,
         /// The wait of each rank.
-        pub waits: [Millis; RANKS],
+        pub waits: [Millis; Rank::LEVELS],
     }
 }
 
@@ -62,7 +60,7 @@
     /// Returns the wait of a rank.
     #[must_use]
     pub fn of(&self, rank: Rank) -> Millis {
-        self.waits[usize::from(rank.0).min(RANKS - 1)]
+        self.waits[rank.level()]
     }
 }
 
--- a/crates/kernel/src/request/table.rs
+++ b/crates/kernel/src/request/table.rs
@@ -27,7 +27,7 @@
         Stream,
     }
 
-    /// How urgent a request is; 0 goes first.
+    /// How urgent a request is, below [`Rank::LEVELS`]; 0 goes first.
     #[derive(Default)]
     pub struct Rank(pub u8);
 
@@ -117,8 +117,8 @@
         pub objective: Millis,
         /// The longest pause between two events of an answer that is on time.
         pub pause: Millis,
-        /// How urgent it is.
-        pub rank: Rank,
+        /// How urgent it is among the routes of a workspace.
+        pub rank: u8,
         /// To how many targets one request may be sent.
         pub attempts: u32,
         /// The services that its requests run at.
@@ -149,7 +149,7 @@
         /// Whose it is.
         pub workspace: name::Workspace,
         /// The workspace's rank, which goes before that of the route.
-        pub rank: Option<Rank>,
+        pub rank: Option<u8>,
     }
 
     /// One version of the settings.
@@ -187,6 +187,28 @@
     }
 }
 
+impl Rank {
+    /// How many ranks of a workspace, and of a route, are told apart.
+    const STEPS: u8 = 3;
+    /// How many levels there are.
+    pub const LEVELS: usize = (Self::STEPS * Self::STEPS) as usize;
+
+    /// Joins the rank of a workspace, which goes first, with that of a route.
+    /// Requests of workspaces of equal rank are ordered by their routes.
+    #[must_use]
+    pub fn of(workspace: Option<u8>, route: u8) -> Self {
+        let last = Self::STEPS - 1;
+        let workspace = workspace.unwrap_or(route).min(last);
+        Self(workspace * Self::STEPS + route.min(last))
+    }
+
+    /// Returns the place of the rank in a list of all levels.
+    #[must_use]
+    pub fn level(self) -> usize {
+        usize::from(self.0).min(Self::LEVELS - 1)
+    }
+}
+
 impl Table {
     /// Sorts what the methods search.
     pub fn sort(&mut self) {
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -8,9 +8,9 @@
 //! The pieces of one request at one stage are a [`Group`] and stay together
 //! where they can, since they all read the same inputs. Groups that can still
 //! help an answer to be on time go first, by rank and then by the time that
-//! they have; groups that are late anyway use what is left over. A small part
-//! of each call goes to the oldest group, so that no rank waits for ever. A
-//! group that cannot end in time at all is given up at once.
+//! they have; groups that are late anyway use what is left over. One call in
+//! several takes the oldest groups, so that no rank waits for ever. A group
+//! that cannot end in time at all is given up at once.
 //!
 //! A request is refused at its first group rather than kept waiting in vain: if
 //! the group would not be made in time to help an answer to be on time, and the
@@ -25,18 +25,19 @@
 use crate::derive::scalar;
 use crate::derive::value;
 use crate::name;
-use crate::request::door::RANKS;
 use crate::request::door::RETURN_MIN;
 use crate::request::table::Pieces;
 use crate::request::table::Rank;
 use crate::stage::results::Results;
 
-/// One in so many calls begins with the oldest group, whatever its rank.
+/// One in so many calls takes the oldest groups, whatever their rank.
 const OLDEST_EVERY: u64 = 8;
 /// The length of a step in which arrivals are counted, and how many count: two
 /// seconds are long against a call and short against a burst.
 const STEP: Millis = Millis(250);
 const STEPS: usize = 8;
+/// The weight of the newest piece in the mean size, as one part of so many.
+const SIZES: u64 = 64;
 /// Up to which missing time a refused request may still be on time when it
 /// comes back.
 const RETURN_SOON: Millis = Millis(400);
@@ -192,7 +193,7 @@
             return Ok(());
         }
         let call = pieces.call(u32::try_from(group.pieces.len()).unwrap_or(u32::MAX));
-        let rank = usize::from(group.rank.0).min(RANKS - 1);
+        let rank = group.rank.level();
         let wait = self.waits(targets, pieces, now)[rank];
         let is_on_time = now + wait + call <= group.on_time;
         if is_on_time || now + self.late_wait(targets, pieces, now) + call <= group.until {
@@ -211,7 +212,7 @@
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
         if group.on_time > now {
-            self.arrivals.note(group.pieces.len(), now);
+            self.arrivals.note(&group, now);
         }
         self.waiting.push(Waiting {
             ticket,
@@ -250,9 +251,8 @@
                 Some(Why::Late)
             } else if now >= group.inputs_until {
                 Some(Why::Gone)
-            } else if group.is_first
-                && now + call > group.on_time
-                && now + late_wait + call > group.until
+            } else if now + call > group.on_time
+                && now + late_wait > group.until.min(group.inputs_until)
             {
                 Some(Why::Full(RETURN_LATER))
             } else {
@@ -280,10 +280,8 @@
         let free: Vec<&Maker> = makers.iter().filter(is_free).collect();
         let is_any_sound = makers.iter().any(|maker| !maker.is_avoided);
         let mut order = self.order(pieces, now);
-        if (self.calls + 1).is_multiple_of(OLDEST_EVERY)
-            && let Some(oldest) = self.oldest(&order)
-        {
-            order[..=oldest].rotate_right(1);
+        if (self.calls + 1).is_multiple_of(OLDEST_EVERY) {
+            order.sort_by_key(|index| self.waiting[*index].since);
         }
         // Large results may not fit where the first group wants to go, so the
         // others are tried before the target stays idle.
@@ -292,7 +290,8 @@
             let room = |maker: &Maker| self.room(&maker.target, pieces, now);
             let fits = free.iter().filter(|maker| {
                 let is_sound = !(is_any_sound && maker.is_avoided);
-                is_sound && room(maker) >= group.bytes && may_go(group, maker, makers, pieces, now)
+                let is_roomy = room(maker) >= needed_room(group, pieces);
+                is_sound && is_roomy && may_go(group, maker, makers, pieces, now)
             });
             let key = |maker: &&&Maker| {
                 let is_near = is_near(group, maker);
@@ -336,51 +335,45 @@
 
     /// Returns how long a new group of each rank waits for so many targets.
     #[must_use]
-    pub fn waits(&self, targets: usize, pieces: &Pieces, now: Millis) -> [Millis; RANKS] {
-        let mut ahead = [Backlog::default(); RANKS];
+    pub fn waits(&self, targets: usize, pieces: &Pieces, now: Millis) -> [Millis; Rank::LEVELS] {
+        let mut ahead = [0; Rank::LEVELS];
         for waiting in &self.waiting {
             let group = &waiting.group;
             let is_late = now > group.on_time;
-            let rank = usize::from(group.rank.0).min(RANKS - 1);
-            ahead[if is_late { RANKS - 1 } else { rank }].add(group);
+            let level = group.rank.level();
+            let level = if is_late { Rank::LEVELS - 1 } else { level };
+            ahead[level] += group.pieces.len() as u64;
         }
+        let rate = self.rate(targets, pieces);
         let first = self.first_free(targets, now);
-        let count = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
-        let turn = Millis(pieces.call(pieces.batch).0 / count);
-        let mut before = Backlog::default();
+        let mut before = 0;
         ahead.map(|own| {
-            before = before.and(own);
-            let strict = self.span(before, targets, pieces);
-            // The oldest group begins one call in so many, so no rank waits
+            before += own;
+            // One call in so many takes the oldest groups, so no rank waits
             // for more than its own backlog at that part of the rate.
-            let own = self.span(own, targets, pieces) + turn;
-            first + strict.min(Millis(own.0 * OLDEST_EVERY))
+            let part = (own + u64::from(pieces.batch)) * OLDEST_EVERY;
+            first + Millis(before.min(part) * 1000 / rate)
         })
     }
 
     /// Returns how long a group that is late already waits, if requests go on
     /// coming in as they do.
     fn late_wait(&self, targets: usize, pieces: &Pieces, now: Millis) -> Millis {
-        let mut all = Backlog::default();
-        for waiting in &self.waiting {
-            all.add(&waiting.group);
-        }
-        let span = self.span(all, targets, pieces);
-        let rate = u64::try_from(targets).unwrap_or(u64::MAX) * pieces.rate();
+        let all = u64::try_from(self.pieces()).unwrap_or(u64::MAX);
+        let rate = self.rate(targets, pieces);
         let taken = self.arrivals.rate(now);
         let left = rate.saturating_sub(taken).max(rate / 20).max(1);
-        self.first_free(targets, now) + Millis(span.0 * rate / left)
+        self.first_free(targets, now) + Millis(all * 1000 / left)
     }
 
-    /// Returns how long all targets need for a backlog, by the time of calls
-    /// or by the room for results, whichever is longer.
-    fn span(&self, backlog: Backlog, targets: usize, pieces: &Pieces) -> Millis {
+    /// Returns how many pieces a second the targets make, as bounded by the
+    /// time of their calls and by their room for results.
+    fn rate(&self, targets: usize, pieces: &Pieces) -> u64 {
         let targets = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
-        let by_time = backlog.pieces * 1000 / (targets * pieces.rate()).max(1);
         let turn = pieces.call(pieces.batch / 2) + self.results.hold();
-        let room = (targets * pieces.room_bytes).max(1);
-        let by_room = backlog.bytes.saturating_mul(turn.0) / room;
-        Millis(by_time.max(by_room))
+        let bytes = self.arrivals.bytes.max(1);
+        let by_room = targets * pieces.room_bytes / bytes * 1000 / turn.0.max(1);
+        (targets * pieces.rate()).min(by_room).max(1)
     }
 
     /// Returns when the first target falls free, if none is free now.
@@ -463,12 +456,6 @@
         order
     }
 
-    /// Returns where in the order the group stands that has waited longest.
-    fn oldest(&self, order: &[usize]) -> Option<usize> {
-        let places = 0..order.len();
-        places.min_by_key(|place| self.waiting[order[*place]].since)
-    }
-
     fn is_busy(&self, target: &name::Target) -> bool {
         let is_resting = self.resting.iter().any(|(resting, _)| resting == target);
         is_resting || self.busy.iter().any(|busy| busy.target == *target)
@@ -482,42 +469,24 @@
     }
 }
 
-/// What waits before something.
-#[derive(Clone, Copy, Debug, Default)]
-struct Backlog {
-    pieces: u64,
-    bytes: u64,
-}
-
-impl Backlog {
-    fn add(&mut self, group: &Group) {
-        let pieces = group.pieces.len() as u64;
-        self.pieces += pieces;
-        self.bytes += pieces * group.bytes;
-    }
-
-    fn and(self, other: Self) -> Self {
-        Self {
-            pieces: self.pieces + other.pieces,
-            bytes: self.bytes + other.bytes,
-        }
-    }
-}
-
-/// Counts pieces in steps of a quarter of a second.
+/// Counts pieces in steps of a quarter of a second, and their mean size.
 #[derive(Clone, Copy, Debug, Default)]
 struct Arrivals {
     steps: [(u64, u64); STEPS],
+    bytes: u64,
 }
 
 impl Arrivals {
-    fn note(&mut self, pieces: usize, now: Millis) {
+    fn note(&mut self, group: &Group, now: Millis) {
+        for _ in &group.pieces {
+            self.bytes = (self.bytes * (SIZES - 1) + group.bytes) / SIZES;
+        }
         let number = now.0 / STEP.0 + 1;
         let step = &mut self.steps[usize::try_from(number).unwrap_or_default() % STEPS];
         if step.0 != number {
             *step = (number, 0);
         }
-        step.1 += pieces as u64;
+        step.1 += group.pieces.len() as u64;
     }
 
     /// Returns how many pieces came in a second of late.
@@ -532,6 +501,19 @@
     }
 }
 
+/// Returns the room that a target must have for a group: for all of it, unless
+/// no target ever has that much.
+fn needed_room(group: &Group, pieces: &Pieces) -> u64 {
+    let batch = usize::try_from(pieces.batch).unwrap_or(usize::MAX);
+    let count = group.pieces.len().min(batch) as u64;
+    let whole = group.bytes.saturating_mul(count);
+    if whole <= pieces.room_bytes {
+        whole
+    } else {
+        group.bytes
+    }
+}
+
 fn is_near(group: &Group, maker: &Maker) -> bool {
     group
         .near
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -229,7 +229,7 @@
     }
 
     fn enters(&self, kind: usize, desk: usize, plan: &Plan) -> bool {
-        let rank = usize::from(self.kinds[kind].rank);
+        let rank = Rank::of(None, self.kinds[kind].rank).level();
         let legs: Vec<Leg> = plan
             .longest()
             .into_iter()
@@ -250,7 +250,7 @@
 
     fn tail(&self, number: usize, stage: usize) -> Millis {
         let request = &self.requests[number];
-        let rank = usize::from(self.kinds[request.kind].rank);
+        let rank = Rank::of(None, self.kinds[request.kind].rank).level();
         let readers = request.plan.readers(stage).into_iter();
         let tails = readers.map(|reader| {
             let service = self.service(request.kind, reader);
@@ -292,7 +292,7 @@
                 pieces: (0..step.pieces).collect(),
                 source: Source::Key(String::new()),
                 bytes: step.bytes,
-                rank: Rank(self.kinds[kind].rank),
+                rank: Rank::of(None, self.kinds[kind].rank),
                 on_time: request.arrived + Millis(self.kinds[kind].objective) - tail,
                 until: request.arrived + Millis(self.kinds[kind].deadline) - tail,
                 inputs_until: Millis::NEVER,
--- a/crates/kernel/tests/direct/table.rs
+++ b/crates/kernel/tests/direct/table.rs
@@ -26,7 +26,7 @@
         timeout: Millis(1_000),
         objective: Millis(100),
         pause: Millis(300),
-        rank: Rank(1),
+        rank: 1,
         attempts: 2,
         shares: shares.iter().map(share).collect(),
         stages: Vec::new(),
@@ -99,3 +99,20 @@
     assert_eq!(workspace("k2").as_deref(), Some("beta"));
     assert_eq!(workspace("k3"), None);
 }
+
+#[test]
+fn the_rank_of_a_workspace_goes_before_that_of_a_route() {
+    let ranks = [
+        Rank::of(Some(0), 2),
+        Rank::of(Some(1), 0),
+        Rank::of(Some(1), 1),
+        Rank::of(Some(1), 2),
+        Rank::of(Some(200), 200),
+    ];
+    assert!(ranks.is_sorted());
+    assert_eq!(
+        ranks.iter().map(|rank| rank.level()).max(),
+        Some(Rank::LEVELS - 1)
+    );
+    assert_eq!(Rank::of(None, 1), Rank::of(Some(1), 1));
+}
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -174,7 +174,7 @@
         let service = route.pick(&head.attempt);
         let service = service.and_then(|service| table.service(service));
         let service = service.ok_or(Kind::NoTarget)?.clone();
-        let rank = key.and_then(|key| key.rank).unwrap_or(route.rank);
+        let rank = Rank::of(key.and_then(|key| key.rank), route.rank);
         let workspace = key.map(|key| key.workspace.clone());
         (route.clone(), service, workspace, rank, table.limits)
     };
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -70,7 +70,7 @@
     /// The service.
     pub service: CompactString,
     /// The wait of each rank, in milliseconds.
-    pub waits_ms: [u64; door::RANKS],
+    pub waits_ms: [u64; Rank::LEVELS],
 }
 
 /// An entry of the platform's store.
