Free inputs once they are read, and ask targets what they keep

Causes: roll and feed services are bound by their room; their results were kept through the whole call of the next stage, though a target fetches inputs when a call's turn comes. Frees for results of a dispatcher that was gone were lost.

Change: 120 ms after a call was sent its dispatcher tells the keepers of the inputs; a dispatcher asks targets for their room when it begins and when one was full; unknown results are given up at their maker; the wait of a rank counts what more urgent ranks send meanwhile; refused clients return after 5 s.

--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -42,7 +42,7 @@
 /// comes back.
 const RETURN_SOON: Millis = Millis(400);
 /// When the others are asked to come back: most bursts last a few seconds.
-const RETURN_LATER: Millis = Millis(2_500);
+const RETURN_LATER: Millis = Millis(5_000);
 /// From how many bytes on a group waits for a target in its own domain.
 const NEAR_MIN_BYTES: u64 = 200_000;
 /// How long a target near a group may take to fall free: about a call.
@@ -347,13 +347,15 @@
         let rate = self.rate(targets, pieces);
         let first = self.first_free(targets, now);
         let mut before = 0;
-        ahead.map(|own| {
-            before += own;
-            // One call in so many takes the oldest groups, so no rank waits
-            // for more than its own backlog at that part of the rate.
-            let part = (own + u64::from(pieces.batch)) * OLDEST_EVERY;
-            first + Millis(before.min(part) * 1000 / rate)
-        })
+        let mut waits = [Millis::ZERO; Rank::LEVELS];
+        for (level, wait) in waits.iter_mut().enumerate() {
+            before += ahead[level];
+            // What is more urgent and comes in meanwhile goes first as well.
+            let taken = self.arrivals.rate_before(level, now);
+            let left = rate.saturating_sub(taken).max(rate / OLDEST_EVERY).max(1);
+            *wait = first + Millis(before * 1000 / left);
+        }
+        waits
     }
 
     /// Returns how long a group that is late already waits, if requests go on
@@ -361,7 +363,7 @@
     fn late_wait(&self, targets: usize, pieces: &Pieces, now: Millis) -> Millis {
         let all = u64::try_from(self.pieces()).unwrap_or(u64::MAX);
         let rate = self.rate(targets, pieces);
-        let taken = self.arrivals.rate(now);
+        let taken = self.arrivals.rate_before(Rank::LEVELS, now);
         let left = rate.saturating_sub(taken).max(rate / 20).max(1);
         self.first_free(targets, now) + Millis(all * 1000 / left)
     }
@@ -472,7 +474,7 @@
 /// Counts pieces in steps of a quarter of a second, and their mean size.
 #[derive(Clone, Copy, Debug, Default)]
 struct Arrivals {
-    steps: [(u64, u64); STEPS],
+    steps: [(u64, [u64; Rank::LEVELS]); STEPS],
     bytes: u64,
 }
 
@@ -484,19 +486,18 @@
         let number = now.0 / STEP.0 + 1;
         let step = &mut self.steps[usize::try_from(number).unwrap_or_default() % STEPS];
         if step.0 != number {
-            *step = (number, 0);
+            *step = (number, [0; Rank::LEVELS]);
         }
-        step.1 += group.pieces.len() as u64;
+        step.1[group.rank.level()] += group.pieces.len() as u64;
     }
 
-    /// Returns how many pieces came in a second of late.
-    fn rate(&self, now: Millis) -> u64 {
+    /// Returns how many pieces of the levels before this one came in a second
+    /// of late.
+    fn rate_before(&self, level: usize, now: Millis) -> u64 {
         let number = now.0 / STEP.0 + 1;
-        let fresh = self
-            .steps
-            .iter()
-            .filter(|step| step.0 + (STEPS as u64) > number);
-        let pieces: u64 = fresh.map(|step| step.1).sum();
+        let fresh = self.steps.iter();
+        let fresh = fresh.filter(|step| step.0 + (STEPS as u64) > number);
+        let pieces: u64 = fresh.flat_map(|step| &step.1[..level]).sum();
         pieces * 1000 / (STEP.0 * STEPS as u64)
     }
 }
--- a/crates/kernel/src/stage/results.rs
+++ b/crates/kernel/src/stage/results.rs
@@ -20,6 +20,13 @@
         state: State,
     }
 
+    /// Results of a target that were made through another dispatcher.
+    struct Unknown {
+        target: name::Target,
+        bytes: u64,
+        until: Millis,
+    }
+
     enum State {
         /// Somebody will read it.
         Needed,
@@ -40,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub struct Results {
     held: Vec<Held>,
+    /// What targets keep beside that, made through another dispatcher.
+    unknown: Vec<Unknown>,
     hold: Millis,
 }
 
@@ -47,6 +56,7 @@
     fn default() -> Self {
         Self {
             held: Vec::new(),
+            unknown: Vec::new(),
             hold: HOLD_DEFAULT,
         }
     }
@@ -76,13 +86,20 @@
         }
     }
 
-    /// Notes that nobody needs the results any more.
-    pub fn free(&mut self, handles: &[name::Handle]) {
+    /// Notes that nobody needs the results any more, and returns those that
+    /// are not known here.
+    pub fn free(&mut self, handles: &[name::Handle]) -> Vec<name::Handle> {
+        let mut unknown = Vec::new();
         for handle in handles {
-            if let Ok(index) = self.find(handle) {
-                self.held[index].state = State::Freed;
+            match self.find(handle) {
+                Ok(index) if self.held[index].state == State::Needed => {
+                    self.held[index].state = State::Freed;
+                }
+                Ok(_) => {}
+                Err(_) => unknown.push(handle.clone()),
             }
         }
+        unknown
     }
 
     /// Returns which results each target is to be told of now.
@@ -118,17 +135,35 @@
         self.hold
     }
 
+    /// Notes how many bytes a target keeps as it says itself; what goes beyond
+    /// the known results ages out within the span.
+    pub fn note_kept(&mut self, target: &name::Target, bytes: u64, span: Millis, now: Millis) {
+        self.unknown.retain(|unknown| unknown.target != *target);
+        let bytes = bytes.saturating_sub(self.bytes(target, now));
+        if bytes > 0 {
+            self.unknown.push(Unknown {
+                target: target.clone(),
+                bytes,
+                until: now + span,
+            });
+        }
+    }
+
     /// Returns how many bytes a target keeps.
     #[must_use]
     pub fn bytes(&self, target: &name::Target, now: Millis) -> u64 {
         let kept = self.held.iter();
         let of_target = kept.filter(|held| held.target == *target && held.until > now);
-        of_target.map(|held| held.bytes).sum()
+        let known: u64 = of_target.map(|held| held.bytes).sum();
+        let unknown = self.unknown.iter();
+        let of_target = unknown.filter(|one| one.target == *target && one.until > now);
+        known + of_target.map(|one| one.bytes).sum::<u64>()
     }
 
     /// Forgets what has aged out.
     pub fn tick(&mut self, now: Millis) {
         self.held.retain(|held| held.until > now);
+        self.unknown.retain(|unknown| unknown.until > now);
     }
 
     fn find(&self, handle: &name::Handle) -> Result<usize, usize> {
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -433,7 +433,7 @@
 
     fn free(&mut self, desk: usize, service: usize, handles: &[name::Handle]) {
         let results = self.queues[desk][service].results();
-        results.free(handles);
+        assert!(results.free(handles).len() <= handles.len());
         results.take_freed();
         results.forget(handles, self.now);
     }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -4,6 +4,7 @@
 //! daemons' requests that wait for their pieces. A daemon dispatches for a
 //! service as soon as it is asked to, and stops when nobody asks any more.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -44,6 +45,11 @@
 const TRIES_MAX: u32 = 3;
 /// The largest answer of a stage call, in bytes.
 const ANSWER_MAX_BYTES: usize = 1 << 20;
+/// How long after a call was sent its target has surely fetched the inputs: a
+/// full call's take some twenty milliseconds.
+const READ_AFTER: Duration = Duration::from_millis(120);
+/// How long a target may take to say what it keeps.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a target may take to hear which results are freed.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -54,6 +60,19 @@
     pub handles: Vec<name::Handle>,
     /// The failure domain in which they lie.
     pub domain: name::Domain,
+    /// Whether the keepers of the inputs know that they have been read.
+    pub are_inputs_freed: bool,
+}
+
+/// A daemon that dispatched the inputs of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keeper {
+    /// The service that made them.
+    pub service: name::Service,
+    /// Where the daemon is reached.
+    pub address: SocketAddr,
+    /// The inputs.
+    pub handles: Vec<name::Handle>,
 }
 
 type Reply = Result<Batch, Unmade>;
@@ -65,6 +84,8 @@
     wanted: Vec<u32>,
     made: Vec<(u32, name::Handle)>,
     tries: u32,
+    keepers: Vec<Keeper>,
+    are_inputs_freed: bool,
     reply: oneshot::Sender<Reply>,
 }
 
@@ -73,6 +94,8 @@
     service: name::Service,
     queue: Queue,
     open: Vec<Open>,
+    /// Whether the targets were asked what they keep already.
+    is_known: bool,
 }
 
 /// The queues of the services that this daemon dispatches for.
@@ -93,6 +116,7 @@
         context: &Arc<Context>,
         service: &name::Service,
         group: Group,
+        keepers: Vec<Keeper>,
     ) -> Reply {
         let now = context.now();
         let (pieces, targets) = {
@@ -126,6 +150,8 @@
                 wanted,
                 made: Vec::new(),
                 tries: 0,
+                keepers,
+                are_inputs_freed: false,
                 reply,
             });
             ticket
@@ -140,11 +166,23 @@
     }
 
     /// Notes that nobody reads the results any more.
-    pub fn free(&self, service: &name::Service, handles: &[name::Handle]) {
-        desk(&mut self.lock(), service)
-            .queue
-            .results()
-            .free(handles);
+    ///
+    /// Results that another daemon dispatched are given up at their makers at
+    /// once; they are not counted here.
+    pub fn free(&self, context: &Arc<Context>, service: &name::Service, handles: &[name::Handle]) {
+        let unknown = {
+            let mut desks = self.lock();
+            let desk = desk(&mut desks, service);
+            desk.queue.results().free(handles)
+        };
+        for handle in unknown {
+            let target = pieces::maker(&handle)
+                .and_then(|address| context.state().target_at(service, address));
+            if let Some((target, address)) = target {
+                let context = context.clone();
+                tokio::spawn(async move { free(&context, target, address, &[handle]).await });
+            }
+        }
     }
 
     /// Returns how long pieces wait here, by service.
@@ -184,6 +222,16 @@
         };
         let mut desks = self.lock();
         let desk = desk(&mut desks, service);
+        if !desk.is_known {
+            desk.is_known = true;
+            let (context, service) = (context.clone(), service.clone());
+            let targets: Vec<name::Target> = makers.into_iter().map(|one| one.target).collect();
+            tokio::spawn(async move {
+                ask_rooms(&context, &service, pieces, &targets).await;
+                context.dispatcher.pump(&context, &service);
+            });
+            return;
+        }
         for expired in desk.queue.expire(makers.len(), &pieces, now) {
             context.metrics.pieces("expired", 1);
             let why = match expired.why {
@@ -306,8 +354,12 @@
             let mut made = std::mem::take(&mut open.made);
             made.sort_by_key(|(piece, _)| *piece);
             let handles = made.into_iter().map(|(_, handle)| handle).collect();
-            let domain = domain.clone();
-            self.close(ticket, Ok(Batch { handles, domain }));
+            let batch = Batch {
+                handles,
+                domain: domain.clone(),
+                are_inputs_freed: open.are_inputs_freed,
+            };
+            self.close(ticket, Ok(batch));
         }
     }
 
@@ -317,7 +369,9 @@
             return;
         };
         open.tries += u32::from(counts);
-        if open.tries >= TRIES_MAX {
+        if open.are_inputs_freed {
+            self.close(ticket, Err(Unmade::Gone));
+        } else if open.tries >= TRIES_MAX {
             self.close(ticket, Err(Unmade::Failed));
         } else {
             self.queue.push_back(ticket, group, now);
@@ -337,7 +391,16 @@
 /// Sends one call and gives out what came of it.
 async fn run(context: &Arc<Context>, service: &name::Service, pieces: Pieces, call: Call) {
     let sent = context.now();
-    let outcome = send(context, &call).await;
+    let outcome = {
+        let sending = send(context, &call);
+        tokio::pin!(sending);
+        if let Ok(outcome) = timeout(READ_AFTER, sending.as_mut()).await {
+            outcome
+        } else {
+            free_inputs(context, service, &call);
+            sending.await
+        }
+    };
     let now = context.now();
     let count: usize = call.parts.iter().map(|part| part.group.pieces.len()).sum();
     let (label, detail) = match &outcome {
@@ -363,18 +426,95 @@
     );
     note_health(context, &call.target, &outcome, now);
     let dispatcher = &context.dispatcher;
-    {
+    let target = call.target.clone();
+    let is_full = {
         let mut desks = dispatcher.lock();
         let desk = desk(&mut desks, service);
         desk.queue.end(&call.target);
         if matches!(outcome, Outcome::Refused) {
             desk.queue.rest(&call.target, now);
         }
-        give_out(desk, call, outcome, pieces, now);
+        give_out(desk, call, outcome, pieces, now)
+    };
+    if is_full {
+        ask_rooms(context, service, pieces, &[target]).await;
     }
     dispatcher.pump(context, service);
 }
 
+/// Tells the keepers of a call's inputs that they have been read.
+///
+/// A target fetches the inputs when the turn of its call comes, and it had no
+/// other call. A group that is made in several calls keeps its inputs.
+fn free_inputs(context: &Arc<Context>, service: &name::Service, call: &Call) {
+    let mut keepers = Vec::new();
+    {
+        let mut desks = context.dispatcher.lock();
+        let desk = desk(&mut desks, service);
+        for part in &call.parts {
+            let open = desk.open.iter_mut().find(|open| open.ticket == part.ticket);
+            let whole = open.filter(|open| open.wanted.len() == part.group.pieces.len());
+            if let Some(open) = whole.filter(|open| !open.keepers.is_empty()) {
+                open.are_inputs_freed = true;
+                keepers.append(&mut open.keepers);
+            }
+        }
+    }
+    for keeper in keepers {
+        if keeper.address == context.boot.peers {
+            context
+                .dispatcher
+                .free(context, &keeper.service, &keeper.handles);
+        } else {
+            let context = context.clone();
+            tokio::spawn(async move {
+                let peers = &context.peers;
+                peers
+                    .free(keeper.address, &keeper.service, &keeper.handles)
+                    .await;
+            });
+        }
+    }
+}
+
+/// Asks targets what they keep, so that what another daemon dispatched counts.
+async fn ask_rooms(
+    context: &Arc<Context>,
+    service: &name::Service,
+    pieces: Pieces,
+    targets: &[name::Target],
+) {
+    let asked = targets.iter().map(async |target| {
+        let room = ask_room(context, target).await?;
+        Some((target, pieces.room_bytes.saturating_sub(room)))
+    });
+    let kept = futures::future::join_all(asked).await;
+    let now = context.now();
+    let mut desks = context.dispatcher.lock();
+    let results = desk(&mut desks, service).queue.results();
+    for (target, bytes) in kept.into_iter().flatten() {
+        results.note_kept(target, bytes, pieces.kept, now);
+        log::info!(service:% = service, target:% = target, bytes; "a target told what it keeps");
+    }
+}
+
+async fn ask_room(context: &Arc<Context>, target: &name::Target) -> Option<u64> {
+    let address = context.state().address(target)?;
+    let callee = Callee {
+        target: target.clone(),
+        address,
+        idle_max: KEPT_MAX,
+    };
+    let request = pieces::ask_room(&address.to_string(), target).ok()?;
+    let asked = timeout(ASK_TIMEOUT, async {
+        let mut exchange = Exchange::begin(context, &callee, request).await.ok()?;
+        let body = exchange.read(ANSWER_MAX_BYTES).await.ok()?;
+        exchange.keep(context, None);
+        pieces::read_room(&body).ok()
+    });
+    asked.await.ok().flatten()
+}
+
 fn note_health(context: &Context, target: &name::Target, outcome: &Outcome, now: Millis) {
     let mut state = context.state();
     match outcome {
@@ -384,7 +524,8 @@
     }
 }
 
-fn give_out(desk: &mut Desk, call: Call, outcome: Outcome, pieces: Pieces, now: Millis) {
+/// Gives out what came of a call; returns whether the target was full.
+fn give_out(desk: &mut Desk, call: Call, outcome: Outcome, pieces: Pieces, now: Millis) -> bool {
     let target = call.target.clone();
     let mut made = match outcome {
         Outcome::Answered(made) => made.into_iter(),
@@ -393,9 +534,10 @@
             for part in call.parts {
                 desk.again(part.ticket, part.group, counts, now);
             }
-            return;
+            return false;
         }
     };
+    let mut is_full = false;
     for part in call.parts {
         let group = part.group;
         let mut missing = Vec::new();
@@ -410,6 +552,7 @@
                 Made::Gone => desk.close(part.ticket, Err(Unmade::Gone)),
                 Made::Room => {
                     desk.queue.rest(&target, now);
+                    is_full = true;
                     missing.push(*piece);
                 }
                 Made::Error => missing.push(*piece),
@@ -420,6 +563,7 @@
             desk.again(part.ticket, Group { pieces, ..group }, true, now);
         }
     }
+    is_full
 }
 
 async fn send(context: &Arc<Context>, call: &Call) -> Outcome {
@@ -464,7 +608,7 @@
 async fn free(
     context: &Arc<Context>,
     target: name::Target,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     handles: &[name::Handle],
 ) {
     let callee = Callee {
@@ -494,6 +638,7 @@
             service: service.clone(),
             queue: Queue::default(),
             open: Vec::new(),
+            is_known: false,
         };
         desks.insert(index, desk);
         index
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -20,6 +20,7 @@
 use gooseberry_runtime::control_stream;
 use gooseberry_runtime::control_stream::Counters;
 use gooseberry_wire::control::Suspect;
+use gooseberry_wire::fleet;
 use gooseberry_wire::fleet::Changes;
 use gooseberry_wire::fleet::Fleet;
 use gooseberry_wire::fleet::FleetClient;
@@ -38,6 +39,7 @@
 
 use crate::context::Context;
 use crate::dispatcher::Batch;
+use crate::dispatcher::Keeper;
 
 /// How long a peer may take to answer a greeting, or to be connected to.
 const GREET_TIMEOUT: Duration = Duration::from_millis(500);
@@ -85,11 +87,14 @@
         address: SocketAddr,
         service: &name::Service,
         group: &queue::Group,
+        keepers: &[Keeper],
     ) -> Result<Result<Batch, Unmade>, Unreachable> {
         let now = context.now();
         let limit = Duration::from_millis((group.until - now).0) + GREET_TIMEOUT;
         let client = self.client(address).await?;
-        let call = client.make(within(limit), Group::new(service, group, now));
+        let mut message = Group::new(service, group, now);
+        message.keepers = keepers.iter().map(Into::into).collect();
+        let call = client.make(within(limit), message);
         tokio::pin!(call);
         let made = loop {
             match timeout(LIVENESS_EVERY, call.as_mut()).await {
@@ -109,6 +114,7 @@
                 .map(|one| name::Handle::new(one))
                 .collect(),
             domain: name::Domain::new(&made.domain),
+            are_inputs_freed: made.are_inputs_freed,
         }))
     }
 
@@ -332,21 +338,53 @@
     }
 
     async fn make(self, _: context::Context, group: Group) -> Result<Made, Unmade> {
+        let keepers = group.keepers.iter().map(Into::into).collect();
         let (service, group) = group.read(self.context.now());
         let context = self.context.clone();
         let made = context
             .dispatcher
-            .make(&self.context, &service, group)
+            .make(&self.context, &service, group, keepers)
             .await?;
         Ok(Made {
             handles: made.handles.iter().map(|one| one.as_str().into()).collect(),
             domain: made.domain.as_str().into(),
+            are_inputs_freed: made.are_inputs_freed,
         })
     }
 
     async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
         let handles: Vec<name::Handle> = handles.iter().map(|one| name::Handle::new(one)).collect();
         let service = name::Service::new(&service);
-        self.context.dispatcher.free(&service, &handles);
+        self.context
+            .dispatcher
+            .free(&self.context, &service, &handles);
+    }
+}
+
+impl From<&Keeper> for fleet::Keeper {
+    fn from(keeper: &Keeper) -> Self {
+        Self {
+            service: keeper.service.as_str().into(),
+            address: keeper.address,
+            handles: keeper
+                .handles
+                .iter()
+                .map(|one| one.as_str().into())
+                .collect(),
+        }
+    }
+}
+
+impl From<&fleet::Keeper> for Keeper {
+    fn from(keeper: &fleet::Keeper) -> Self {
+        Self {
+            service: name::Service::new(&keeper.service),
+            address: keeper.address,
+            handles: keeper
+                .handles
+                .iter()
+                .map(|one| name::Handle::new(one))
+                .collect(),
+        }
     }
 }
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -23,6 +23,7 @@
 
 use crate::context::Context;
 use crate::dispatcher::Batch;
+use crate::dispatcher::Keeper;
 use crate::request::Job;
 use crate::state::State;
 
@@ -150,7 +151,8 @@
     while !plan.is_complete() {
         for index in plan.begin() {
             let group = group(context, job, &plan, index, &results.kept, domain);
-            running.push(make(context, index, group));
+            let keepers = keepers(context, &plan, index, &results.kept);
+            running.push(make(context, index, group, keepers));
         }
         let Some((index, made)) = running.next().await else {
             return Err(Unmade::Failed);
@@ -175,7 +177,10 @@
         for freed in plan.finish(index, batch.handles) {
             let is_same = |kept: &Kept| kept.freed == freed;
             if let Some(place) = results.kept.iter().position(is_same) {
-                free(context, results.kept.swap_remove(place));
+                let kept = results.kept.swap_remove(place);
+                if !batch.are_inputs_freed {
+                    free(context, kept);
+                }
             }
         }
     }
@@ -190,6 +195,7 @@
     context: &Arc<Context>,
     index: usize,
     group: (name::Service, Group),
+    keepers: Vec<Keeper>,
 ) -> (usize, Made) {
     let (service, group) = group;
     let order = context.state().dispatchers(&service, context.now());
@@ -197,9 +203,14 @@
         let made = match dispatcher {
             None => Ok(context
                 .dispatcher
-                .make(context, &service, group.clone())
+                .make(context, &service, group.clone(), keepers.clone())
                 .await),
-            Some(address) => context.peers.make(context, address, &service, &group).await,
+            Some(address) => {
+                context
+                    .peers
+                    .make(context, address, &service, &group, &keepers)
+                    .await
+            }
         };
         match made {
             Ok(Err(Unmade::Elsewhere)) => {}
@@ -269,6 +280,22 @@
     tails.max().unwrap_or_default()
 }
 
+/// Returns who is told when the inputs of a stage have been read: those that
+/// only this stage reads.
+fn keepers(context: &Context, plan: &Plan, index: usize, kept: &[Kept]) -> Vec<Keeper> {
+    let Some(step) = plan.step(index) else {
+        return Vec::new();
+    };
+    let inputs = kept.iter().filter(|kept| step.after.contains(&kept.stage));
+    let own = inputs.filter(|kept| plan.readers(kept.stage) == [index]);
+    let keepers = own.map(|kept| Keeper {
+        service: kept.freed.service.clone(),
+        address: kept.dispatcher.unwrap_or(context.boot.peers),
+        handles: kept.freed.handles.clone(),
+    });
+    keepers.collect()
+}
+
 /// Returns until when the inputs of a stage exist.
 fn inputs_until(step: &Step, kept: &[Kept]) -> Millis {
     let inputs = kept.iter().filter(|kept| step.after.contains(&kept.stage));
@@ -309,7 +336,15 @@
         freed, dispatcher, ..
     } = kept;
     match dispatcher {
-        None => context.dispatcher.free(&freed.service, &freed.handles),
+        None => context
+            .dispatcher
+            .free(context, &freed.service, &freed.handles),
+        // The results are given up through this daemon if that one is gone.
+        Some(address) if !is_live(context, address) => {
+            context
+                .dispatcher
+                .free(context, &freed.service, &freed.handles);
+        }
         Some(address) => {
             let context = context.clone();
             tokio::spawn(async move {
@@ -319,3 +354,8 @@
         }
     }
 }
+
+fn is_live(context: &Context, address: SocketAddr) -> bool {
+    let now = context.now();
+    context.state().members().is_live(address, now)
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -245,6 +245,18 @@
         self.roster.get(target).map(|listed| listed.target.address)
     }
 
+    /// Returns the target of a service that listens at an address.
+    #[must_use]
+    pub fn target_at(
+        &self,
+        service: &name::Service,
+        address: SocketAddr,
+    ) -> Option<(name::Target, SocketAddr)> {
+        let mut all = self.roster.all().iter().map(|listed| &listed.target);
+        let found = all.find(|one| one.service == *service && one.address == address)?;
+        Some((found.name.clone(), address))
+    }
+
     /// Picks the target of a request, and counts it as sent there.
     pub fn pick(
         &mut self,
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -131,6 +131,19 @@
     pub near: Option<Near>,
     /// Whether nothing of the request has been made yet.
     pub is_first: bool,
+    /// Who is told as soon as the inputs have been read.
+    pub keepers: Vec<Keeper>,
+}
+
+/// A daemon that dispatched the inputs of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Keeper {
+    /// The service that made them.
+    pub service: CompactString,
+    /// Where the daemon is reached.
+    pub address: SocketAddr,
+    /// The inputs.
+    pub handles: Vec<CompactString>,
 }
 
 /// A failure domain near which pieces are best made.
@@ -150,6 +163,8 @@
     /// The failure domain in which they lie; that of the last, if they were
     /// made in several.
     pub domain: CompactString,
+    /// Whether the keepers of the inputs were told that they have been read.
+    pub are_inputs_freed: bool,
 }
 
 /// Why pieces were not made.
@@ -267,6 +282,7 @@
                 bytes: near.bytes,
             }),
             is_first: group.is_first,
+            keepers: Vec::new(),
         }
     }
 
