Bound greetings, reads of the store and connections by the fleet's size

Change: a greeting tells of 8 others and 8 suspects; members of a large fleet are silent after 4 s; six daemons read the store and tell the others at once; the others fetch from whoever is ahead, and read themselves without a confirmation for 1.2 s; a daemon keeps to its part of a target's connections, idle ones included; a request that runs once waits 4 ms on a new connection for a reset.

--- a/crates/kernel/src/fleet/choice.rs
+++ b/crates/kernel/src/fleet/choice.rs
@@ -1,6 +1,7 @@
-//! The choice of the dispatcher of a stage service.
+//! The choice of the daemons that do something for the others.
 //!
-//! Every daemon makes the same choice from the members that it knows. The
+//! One of them gathers the pieces of a stage service; a few read the store, and
+//! the others learn from them. Every daemon makes the same choice from the members that it knows. The
 //! choice gives no right: two dispatchers of one service cost extra calls and
 //! nothing else, so nothing waits for an agreement.
 
@@ -10,6 +11,23 @@
 use crate::hash;
 use crate::name;
 
+/// How many daemons read the store in a large fleet: some may be cut off, and
+/// each passes large settings on to about ten others.
+pub const READERS: usize = 6;
+/// Up to how many daemons each reads the store itself; a call is priced, and a
+/// small fleet gains little from saving some.
+pub const READERS_ALL: usize = 8;
+
+/// Tells whether a member reads the store itself.
+#[must_use]
+pub fn is_reader(me: &name::Member, members: &[&Row]) -> bool {
+    if members.len() <= READERS_ALL {
+        return true;
+    }
+    let order = order(&name::Service::new("store"), members);
+    order.iter().take(READERS).any(|row| row.name == *me)
+}
+
 /// Returns the members in the order in which they are asked to gather pieces.
 ///
 /// A member with much processor goes before one with little, since gathering
--- a/crates/kernel/src/fleet/member.rs
+++ b/crates/kernel/src/fleet/member.rs
@@ -1,9 +1,13 @@
 //! Which daemons are alive.
 //!
-//! Each daemon counts its own beats and tells its whole table to its peers. A
-//! member whose beat has not grown for a while is taken for silent; it stays
-//! known, so that it is still greeted and found again after a partition.
-//! Nothing rests on all daemons having the same table.
+//! Each daemon counts its own beats and tells its peers of itself and of a few
+//! others. A member whose beat has not grown for a while is taken for silent;
+//! it stays known, so that it is still greeted and found again after a
+//! partition. Nothing rests on all daemons having the same table.
+//!
+//! What a daemon sends for this does not grow with the fleet: a round greets
+//! [`GREET_MAX`] peers and tells each of [`ROWS_MAX`] others. With whole tables
+//! the greetings of 63 daemons filled links of 10 Mbit/s.
 
 use std::net::SocketAddr;
 
@@ -11,14 +15,19 @@
 use crate::derive::value;
 use crate::name;
 
-/// After how long without a new beat a member counts as silent.
+/// After how long without a new beat a member counts as silent, in a fleet that
+/// is greeted whole in each round.
 ///
 /// Five greetings at [`GREET_EVERY`] may be lost or late before that.
 pub const SILENT_AFTER: Millis = Millis(1_500);
+/// The same in a larger fleet, where beats take several rounds to get around.
+pub const SILENT_AFTER_LARGE: Millis = Millis(4_000);
 /// How often a daemon greets its peers.
 pub const GREET_EVERY: Millis = Millis(300);
 /// How many peers are greeted at a time; a beat then spreads in few rounds.
 pub const GREET_MAX: usize = 8;
+/// How many other members a greeting tells of.
+pub const ROWS_MAX: usize = 8;
 /// How long a silent member is remembered, and greeted now and then.
 pub const FORGET_AFTER: Millis = Millis(120_000);
 /// For how long the largest fleet that was seen counts for shares.
@@ -56,6 +65,8 @@
 pub struct Table {
     me: Row,
     known: Vec<Known>,
+    /// Where the next greeting's rows begin.
+    told: usize,
     largest: usize,
     largest_at: Millis,
 }
@@ -76,6 +87,7 @@
         Self {
             me,
             known: Vec::new(),
+            told: 0,
             largest: 1,
             largest_at: Millis::ZERO,
         }
@@ -100,7 +112,7 @@
         self.me.beat += 1;
         self.known.retain(|known| known.heard + FORGET_AFTER > now);
         let round = usize::try_from(self.me.beat).unwrap_or_default();
-        let is_due = |known: &&Known| is_live(known, now) || self.me.beat.is_multiple_of(4);
+        let is_due = |known: &&Known| self.is_fresh(known, now) || self.me.beat.is_multiple_of(4);
         let due: Vec<&Known> = self.known.iter().filter(is_due).collect();
         let count = due.len();
         let start = if count > GREET_MAX {
@@ -125,25 +137,42 @@
     /// Returns the live members and this daemon, sorted by name.
     #[must_use]
     pub fn live(&self, now: Millis) -> Vec<&Row> {
-        let others = self.known.iter().filter(|known| is_live(known, now));
+        let others = self.known.iter().filter(|known| self.is_fresh(known, now));
         let mut live: Vec<&Row> = others.map(|known| &known.row).collect();
         live.push(&self.me);
         live.sort_by(|one, other| one.name.cmp(&other.name));
         live
     }
 
-    /// Returns every row, for a greeting.
+    /// Returns the rows of some live members, for a greeting; each call goes on
+    /// where the last one ended.
     #[must_use]
-    pub fn rows(&self, now: Millis) -> Vec<Row> {
-        let fresh = self.known.iter().filter(|known| is_live(known, now));
-        fresh.map(|known| known.row.clone()).collect()
+    pub fn rows(&mut self, now: Millis) -> Vec<Row> {
+        let fresh = self.known.iter().filter(|known| self.is_fresh(known, now));
+        let fresh: Vec<&Row> = fresh.map(|known| &known.row).collect();
+        let start = self.told.checked_rem(fresh.len()).unwrap_or(0);
+        let turn = fresh.iter().cycle().skip(start);
+        let rows: Vec<Row> = turn
+            .take(fresh.len().min(ROWS_MAX))
+            .copied()
+            .cloned()
+            .collect();
+        self.told = start + rows.len();
+        rows
+    }
+
+    /// Returns where the live members are reached.
+    #[must_use]
+    pub fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
+        let fresh = self.known.iter().filter(|known| self.is_fresh(known, now));
+        fresh.map(|known| known.row.address).collect()
     }
 
     /// Tells whether a member at the address is live.
     #[must_use]
     pub fn is_live(&self, address: SocketAddr, now: Millis) -> bool {
         let found = self.known.iter().find(|known| known.row.address == address);
-        found.is_some_and(|known| is_live(known, now))
+        found.is_some_and(|known| self.is_fresh(known, now))
     }
 
     /// Returns how many daemons shares are counted for: the most that were
@@ -152,7 +181,7 @@
         let live = 1 + self
             .known
             .iter()
-            .filter(|known| is_live(known, now))
+            .filter(|known| self.is_fresh(known, now))
             .count();
         if live >= self.largest || self.largest_at + FLEET_MEMORY <= now {
             self.largest = live;
@@ -165,7 +194,7 @@
     #[must_use]
     pub fn silent_since(&self, before: Millis, now: Millis) -> Vec<name::Member> {
         let fell = |known: &&Known| {
-            let end = known.heard + SILENT_AFTER;
+            let end = known.heard + self.silent_after();
             before < end && end <= now
         };
         let fallen = self.known.iter().filter(fell);
@@ -182,8 +211,8 @@
             .binary_search_by(|one| one.row.name.cmp(&row.name));
         match found {
             Ok(index) => {
+                let was_live = self.is_fresh(&self.known[index], now);
                 let known = &mut self.known[index];
-                let was_live = is_live(known, now);
                 let is_newer =
                     (row.incarnation, row.beat) > (known.row.incarnation, known.row.beat);
                 // A process that started behind a clock that had jumped back
@@ -201,8 +230,16 @@
             }
         }
     }
-}
 
-fn is_live(known: &Known, now: Millis) -> bool {
-    known.heard + SILENT_AFTER > now
+    fn is_fresh(&self, known: &Known, now: Millis) -> bool {
+        known.heard + self.silent_after() > now
+    }
+
+    fn silent_after(&self) -> Millis {
+        if self.known.len() > GREET_MAX {
+            SILENT_AFTER_LARGE
+        } else {
+            SILENT_AFTER
+        }
+    }
 }
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -144,6 +144,16 @@
         self.known.iter().map(as_told).collect()
     }
 
+    /// Returns the newest suspects that are not cleared, so many at most.
+    #[must_use]
+    pub fn newest(&self, count: usize, now: Millis) -> Vec<Suspect> {
+        let mut open = self.suspects(now);
+        open.retain(|suspect| suspect.crashes > suspect.cleared);
+        open.sort_by_key(|suspect| suspect.age);
+        open.truncate(count);
+        open
+    }
+
     /// Forgets suspects that have been quiet for long enough.
     pub fn tick(&mut self, now: Millis) {
         self.known.retain(|known| known.at + MEMORY > now);
--- a/crates/kernel/tests/direct/member.rs
+++ b/crates/kernel/tests/direct/member.rs
@@ -4,6 +4,7 @@
 use gooseberry_kernel::fleet::member::Change;
 use gooseberry_kernel::fleet::member::FLEET_MEMORY;
 use gooseberry_kernel::fleet::member::GREET_MAX;
+use gooseberry_kernel::fleet::member::ROWS_MAX;
 use gooseberry_kernel::fleet::member::Row;
 use gooseberry_kernel::fleet::member::SILENT_AFTER;
 use gooseberry_kernel::fleet::member::Table;
@@ -75,3 +76,71 @@
     greeted.dedup();
     assert_eq!(greeted.len(), 64);
 }
+
+#[test]
+fn what_a_greeting_tells_does_not_grow_with_the_fleet() {
+    let mut table = Table::new(row(0, 1, 0));
+    for index in 1..65 {
+        table.hear(row(index, 1, 1), Millis(0));
+    }
+    let mut told: Vec<name::Member> = Vec::new();
+    for _ in 0..8 {
+        let rows = table.rows(Millis(100));
+        assert!(rows.len() <= ROWS_MAX);
+        told.extend(rows.into_iter().map(|row| row.name));
+    }
+    told.sort();
+    told.dedup();
+    assert_eq!(told.len(), 64);
+}
+
+/// Plays a large fleet that tells only a few rows at a time: everybody finds
+/// everybody, and one that dies is missed by all.
+#[test]
+fn a_large_fleet_finds_its_members_and_misses_the_dead() {
+    let count: u8 = 64;
+    let seeds = [address(0), address(1), address(2)];
+    let mut tables: Vec<Table> = (0..count)
+        .map(|index| Table::new(row(index, 1, 0)))
+        .collect();
+    let play = |tables: &mut Vec<Table>, from: u64, until: u64, dead: Option<u8>| {
+        for round in from..until {
+            let now = Millis(round * 300);
+            for index in (0..count).filter(|index| Some(*index) != dead) {
+                let mut due = tables[usize::from(index)].beat(now);
+                if due.len() < seeds.len() {
+                    due.extend(seeds);
+                }
+                for peer in due {
+                    let peer = (0..count)
+                        .find(|one| address(*one) == peer)
+                        .expect("it exists");
+                    if peer == index || Some(peer) == dead {
+                        continue;
+                    }
+                    for (one, other) in [(index, peer), (peer, index)] {
+                        let teller = &mut tables[usize::from(one)];
+                        let me = teller.me().clone();
+                        let rows = teller.rows(now);
+                        let hearer = &mut tables[usize::from(other)];
+                        hearer.hear(me, now);
+                        for row in rows {
+                            hearer.learn(row, now);
+                        }
+                    }
+                }
+            }
+        }
+    };
+    play(&mut tables, 0, 20, None);
+    let live = |tables: &[Table], round: u64| {
+        let live = tables
+            .iter()
+            .map(|table| table.live(Millis(round * 300)).len());
+        live.min().unwrap_or(0)
+    };
+    assert_eq!(live(&tables, 20), usize::from(count));
+    play(&mut tables, 20, 60, Some(7));
+    tables.remove(7);
+    assert_eq!(live(&tables, 60), usize::from(count) - 1);
+}
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -504,6 +504,7 @@
         target: target.clone(),
         address,
         idle_max: KEPT_MAX,
+        runs_once: false,
     };
     let request = pieces::ask_room(&address.to_string(), target).ok()?;
     let asked = timeout(ASK_TIMEOUT, async {
@@ -575,6 +576,7 @@
         target: call.target.clone(),
         address,
         idle_max: KEPT_MAX,
+        runs_once: false,
     };
     let request = match pieces::run(call, &address.to_string(), now) {
         Ok(request) => request,
@@ -615,6 +617,7 @@
         target,
         address,
         idle_max: KEPT_MAX,
+        runs_once: false,
     };
     let Ok(request) = pieces::free(handles, &address.to_string(), &callee.target) else {
         return;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -16,6 +16,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::time::sleep;
 
 use crate::context::Context;
 
@@ -24,6 +25,9 @@
 /// A round trip takes milliseconds; a lost packet is sent again only after a
 /// second, by when another target has answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Within how long a target resets a connection that it does not take: a round
+/// trip, and what it needs to make a connection.
+const RESET_WITHIN: Duration = Duration::from_millis(4);
 /// For how long an idle connection may carry a request that runs only once.
 ///
 /// A target may drop an idle connection without notice; the request that finds
@@ -57,6 +61,8 @@
     pub address: SocketAddr,
     /// For how long a connection may have been idle.
     pub idle_max: Millis,
+    /// Whether the request must not be sent in vain, since it runs only once.
+    pub runs_once: bool,
 }
 
 /// A call whose reply has begun; dropping it breaks the connection off.
@@ -89,6 +95,7 @@
         let spare = is_pooled.then(|| request.clone());
         let mut link = match pooled {
             Some(link) => link,
+            None if callee.runs_once => open_surely(context, callee).await?,
             None => open(context, callee).await?,
         };
         let reply = match (link.send(request).await, spare) {
@@ -154,12 +161,26 @@
         tokio::spawn(async move {
             if link.ready().await.is_ok() {
                 let now = context.now();
-                context.pool.put(&callee.target, link, idle, now);
+                let most = context.state().idle_connections(&callee.target, now);
+                context.pool.put(&callee.target, link, idle, most, now);
             }
         });
     }
 }
 
+/// Opens a connection, and waits whether the target takes it: one that has too
+/// many resets it at once, and a request on it would have no known fate.
+async fn open_surely(context: &Context, callee: &Callee) -> Result<Link, Error> {
+    let link = open(context, callee).await?;
+    sleep(RESET_WITHIN).await;
+    if link.is_closed() {
+        return Err(Error::NotSent(
+            "the connection was reset at once".to_owned(),
+        ));
+    }
+    Ok(link)
+}
+
 async fn open(context: &Context, callee: &Callee) -> Result<Link, Error> {
     context.metrics.connection();
     let opened = Link::open(callee.address, CONNECT_TIMEOUT).await;
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -1,9 +1,14 @@
 //! Reads what the platform publishes, for as long as the process runs.
+//!
+//! In a small fleet every daemon watches the store. In a large one a few do,
+//! and tell the others at once; a daemon that has not heard from them for a
+//! while reads by itself.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::choice::READERS_ALL;
 use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_platform::store::Store;
@@ -11,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::context::Context;
+use crate::peers;
 use crate::state;
 
 /// How long a watch waits for a change.
@@ -31,6 +37,11 @@
     let mut is_whole_due = true;
     let mut failures = 0_u32;
     loop {
+        let now = context.now();
+        if !context.state().is_reader(now) {
+            sleep(PAUSE).await;
+            continue;
+        }
         let after = context.state().through();
         let read = if is_whole_due || after == Revision::default() {
             store.read().await.map(Watched::Changes)
@@ -43,7 +54,11 @@
                 context.metrics.store_call("answered");
                 is_whole_due = false;
                 failures = 0;
-                adopt(&context, changes, now);
+                if adopt(&context, changes, now) {
+                    // The others learn from the few that read.
+                    let context = context.clone();
+                    tokio::spawn(async move { peers::tell_all(&context).await });
+                }
                 sleep(PAUSE).await;
             }
             Ok(Watched::Forgotten) => {
@@ -66,8 +81,12 @@
     }
 }
 
-fn adopt(context: &Context, changes: Changes, now: Millis) {
+/// Takes in what was read; returns whether anything is new.
+fn adopt(context: &Context, changes: Changes, now: Millis) -> bool {
     let mut state = context.state();
+    let before = state.through();
     state.note_store(true, now);
     state.adopt(changes, state::STORE, now);
+    let is_large = state.members().live(now).len() > READERS_ALL;
+    is_large && state.through() > before
 }
--- a/crates/relay/src/passage.rs
+++ b/crates/relay/src/passage.rs
@@ -234,6 +234,7 @@
             } else {
                 FRESH
             },
+            runs_once: !job.route.is_repeatable(),
         };
         // From here on the target counts the request until this is dropped.
         let flight = Flight {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -47,6 +47,8 @@
 const CHANGES_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a call at a peer looks whether the peer is still heard.
 const LIVENESS_EVERY: Duration = Duration::from_millis(200);
+/// How many suspects a greeting tells of.
+const SUSPECTS_MAX: usize = 8;
 /// How old the store's last answer may be before a peer is asked instead.
 const STORE_AGE_MAX: Millis = Millis(400);
 
@@ -248,8 +250,7 @@
     let live: Vec<SocketAddr> = {
         let now = context.now();
         let mut state = context.state();
-        let rows = state.members().rows(now);
-        rows.iter().map(|row| row.address).collect()
+        state.members().addresses(now)
     };
     let calls = live.into_iter().map(|address| greet_one(context, address));
     futures::future::join_all(calls).await;
@@ -269,11 +270,12 @@
     for wait in &waits {
         state.note_wait(wait.clone(), now);
     }
-    let suspects = state.suspects().suspects(now);
+    let suspects = state.suspects().newest(SUSPECTS_MAX, now);
     Greeting {
         from: state.members().me().into(),
         others: state.members().rows(now).iter().map(Into::into).collect(),
         through: state.through().0,
+        confirmed_ms: state.confirmed_age(now).unwrap_or(Millis::NEVER).0,
         waits: waits.iter().map(Into::into).collect(),
         suspects: suspects.iter().map(Suspect::from).collect(),
     }
@@ -297,9 +299,15 @@
     let suspects = greeting.suspects.into_iter().map(quarantine::Suspect::from);
     let suspects: Vec<quarantine::Suspect> = suspects.collect();
     state.suspects().merge(&suspects, now);
+    state.confirm(
+        Revision(greeting.through),
+        Millis(greeting.confirmed_ms),
+        now,
+    );
     let is_behind = greeting.through > state.through().0;
     let is_cut_off = state.store_age(now).is_none_or(|age| age > STORE_AGE_MAX);
-    if is_behind && is_cut_off {
+    if is_behind && is_cut_off && !state.is_learning(now) {
+        state.note_learning(now);
         let after = state.through();
         drop(state);
         let context = context.clone();
@@ -309,10 +317,12 @@
 
 /// Learns from a peer what the platform has published.
 async fn learn(context: &Context, address: SocketAddr, after: Revision) {
-    if let Ok(changes) = context.peers.changes(address, after).await {
-        let source = address.to_string();
-        let now = context.now();
-        context.state().adopt(changes.into(), &source, now);
+    let changes = context.peers.changes(address, after).await;
+    let now = context.now();
+    let mut state = context.state();
+    state.note_learnt();
+    if let Ok(changes) = changes {
+        state.adopt(changes.into(), &address.to_string(), now);
     }
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -42,10 +42,23 @@
     }
 
     /// Keeps a connection for the next request.
-    pub fn put(&self, target: &name::Target, link: Link, kept: Option<Millis>, now: Millis) {
+    ///
+    /// At most so many idle connections to the target are kept.
+    pub fn put(
+        &self,
+        target: &name::Target,
+        link: Link,
+        kept: Option<Millis>,
+        most: usize,
+        now: Millis,
+    ) {
         // A margin, so that the target does not close it just as it is used.
         let kept = kept.map_or(KEPT_DEFAULT, |kept| Millis(kept.0 * 3 / 5));
-        self.lock().push(Idle {
+        let mut idle = self.lock();
+        if idle.iter().filter(|one| one.target == *target).count() >= most {
+            return;
+        }
+        idle.push(Idle {
             target: target.clone(),
             link,
             since: now,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -47,7 +47,12 @@
 /// How many places a plain target has if it has not told.
 const SLOTS_DEFAULT: u32 = 8;
 /// The fewest connections to one target that a daemon may use.
-const CONNECTIONS_MIN: u32 = 2;
+const CONNECTIONS_MIN: u32 = 1;
+/// How old the last confirmation by the store may be before a daemon that does
+/// not read it does so.
+const CONFIRMED_MAX: Millis = Millis(1_200);
+/// How long to wait for a peer's changes before another one is asked.
+const LEARNING_MAX: Millis = Millis(700);
 /// The source of what was read from the store itself.
 pub const STORE: &str = "store";
 /// How long the store must be silent before live targets may have lapsed.
@@ -87,6 +92,10 @@
     /// The most time that a client of each route has given.
     patience: Vec<(name::Route, Millis)>,
     feed: Feed,
+    /// When the store confirmed to somebody what is known here.
+    confirmed: Option<Millis>,
+    /// Since when changes are being fetched from a peer.
+    learning: Option<Millis>,
 }
 
 /// Which target gets a request.
@@ -111,6 +120,13 @@
     pub domain: name::Domain,
 }
 
+/// Returns how many connections to one target this daemon may have: its part of
+/// what the target takes from all daemons.
+fn connections(service: &Service, fleet: usize) -> u32 {
+    let fleet = u32::try_from(fleet).unwrap_or(u32::MAX).max(1);
+    (service.connections / fleet).max(CONNECTIONS_MIN)
+}
+
 impl State {
     /// Starts without any knowledge but of itself.
     #[must_use]
@@ -137,6 +153,8 @@
             waits: Vec::new(),
             patience: Vec::new(),
             feed: Feed::default(),
+            confirmed: None,
+            learning: None,
         }
     }
 
@@ -179,6 +197,49 @@
         self.feed.answered.map(|at| now - at)
     }
 
+    /// Returns how long ago the store confirmed what is known here, to this
+    /// daemon or to one that told it.
+    #[must_use]
+    pub fn confirmed_age(&self, now: Millis) -> Option<Millis> {
+        self.confirmed.map(|at| now - at)
+    }
+
+    /// Takes in that a peer's knowledge was confirmed so long ago. It counts
+    /// here only if the peer knows no more than this daemon.
+    pub fn confirm(&mut self, through: Revision, age: Millis, now: Millis) {
+        if through <= self.mirror.through() && age < now {
+            self.confirmed = self.confirmed.max(Some(now - age));
+        }
+    }
+
+    /// Tells whether this daemon reads the store: it is one of those that do,
+    /// or has not heard of a confirmation from them for a while.
+    #[must_use]
+    pub fn is_reader(&self, now: Millis) -> bool {
+        let is_stale = self
+            .confirmed_age(now)
+            .is_none_or(|age| age > CONFIRMED_MAX);
+        let live = self.members.live(now);
+        is_stale || choice::is_reader(&self.members.me().name, &live)
+    }
+
+    /// Tells whether changes are being fetched from a peer.
+    #[must_use]
+    pub fn is_learning(&self, now: Millis) -> bool {
+        self.learning
+            .is_some_and(|since| since + LEARNING_MAX > now)
+    }
+
+    /// Notes that changes are being fetched from a peer.
+    pub fn note_learning(&mut self, now: Millis) {
+        self.learning = Some(now);
+    }
+
+    /// Notes that they were fetched, or not.
+    pub fn note_learnt(&mut self) {
+        self.learning = None;
+    }
+
     /// Tells whether the daemon can serve: it knows settings and targets.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -203,6 +264,7 @@
                 }
                 self.feed.lost_at = None;
                 self.feed.answered = Some(now);
+                self.confirmed = Some(now);
             }
             (false, None) => {
                 self.feed.lost_at = Some(now);
@@ -288,6 +350,19 @@
         }
     }
 
+    /// Returns how many idle connections to a target may be kept beside those
+    /// that are in use.
+    pub fn idle_connections(&mut self, target: &name::Target, now: Millis) -> usize {
+        let fleet = self.members.fleet(now);
+        let listed = self.roster.get(target);
+        let service = listed.and_then(|listed| {
+            let table = self.table.as_ref()?;
+            table.service(&listed.target.service)
+        });
+        let most = service.map_or(0, |service| connections(service, fleet));
+        usize::try_from(most.saturating_sub(self.own(target))).unwrap_or(usize::MAX)
+    }
+
     /// Notes that a request has left its target.
     pub fn note_end(&mut self, target: &name::Target) {
         let flight = self.flight(target);
@@ -403,8 +478,7 @@
         if listed.is_empty() {
             return Pick::Nobody;
         }
-        let fleet_count = u32::try_from(fleet).unwrap_or(u32::MAX);
-        let most = (service.connections / fleet_count.max(1)).max(CONNECTIONS_MIN);
+        let most = connections(service, fleet);
         let is_open = |listed: &&&Listed| {
             let target = &listed.target.name;
             let is_cold = listed.cold_until > now && service.cold_rate > 0;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -41,6 +41,9 @@
     pub others: Vec<Member>,
     /// Up to which revision it knows what the platform publishes.
     pub through: u64,
+    /// How long ago the store confirmed that, to this daemon or to one that it
+    /// heard it from, in milliseconds.
+    pub confirmed_ms: u64,
     /// The waits at the stage services that it dispatches for.
     pub waits: Vec<Wait>,
     /// The requests under suspicion.
