Test the direct path against stand-ins of the platform

Found by a test: a target without room counted as a failure, so three of them ended a request that had seconds left. It is a wait now; the test failed before.

--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -49,6 +50,52 @@
 /// How long the last answers may take to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(300);
 
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    context: Arc<Context>,
+    front: Arc<Front>,
+    /// What serves in the background.
+    tasks: JoinSet<()>,
+}
+
+impl Daemon {
+    /// Binds the ports and starts to serve.
+    ///
+    /// # Errors
+    /// Returns an error if a port cannot be bound.
+    pub async fn start(boot: Boot) -> anyhow::Result<Self> {
+        let incarnation = SystemTime::now().duration_since(UNIX_EPOCH);
+        let incarnation = incarnation.map_or(0, |since| since.as_millis());
+        let incarnation = u64::try_from(incarnation).unwrap_or(u64::MAX);
+        let context = Context::new(boot, Clock::start(), incarnation)?;
+        let mut tasks = JoinSet::new();
+        let front = start(&context, &mut tasks).await?;
+        Ok(Self {
+            context,
+            front,
+            tasks,
+        })
+    }
+
+    /// Returns what the parts of the daemon share.
+    #[must_use]
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Ends the daemon so that no request is cut.
+    pub async fn shut_down(&self) {
+        shut_down(&self.context, &self.front, self.context.boot.grace).await;
+    }
+
+    /// Ends the daemon at once, as a kill would: connections break off.
+    pub async fn kill(mut self) {
+        self.tasks.shutdown().await;
+        self.front.cut();
+    }
+}
+
 /// Runs the daemon until it is told to end.
 ///
 /// # Errors
@@ -56,33 +103,28 @@
 pub async fn run(boot: Boot) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH);
-    let incarnation = incarnation.map_or(0, |since| since.as_millis());
-    let incarnation = u64::try_from(incarnation).unwrap_or(u64::MAX);
-    let grace = boot.grace;
-    let context = Context::new(boot, Clock::start(), incarnation)?;
-    let front = start(&context).await?;
+    let daemon = Daemon::start(boot).await?;
     let mut looks = interval(LOOK);
     looks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut known = modified();
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => look_again(&context, "signal"),
+            _ = reload.recv() => look_again(&daemon.context, "signal"),
             _ = looks.tick() => {
                 let now = modified();
                 if now != known {
                     known = now;
-                    look_again(&context, "file");
+                    look_again(&daemon.context, "file");
                 }
             }
         }
     }
-    shut_down(&context, &front, grace).await;
+    daemon.shut_down().await;
     Ok(())
 }
 
-async fn start(context: &Arc<Context>) -> anyhow::Result<Arc<Front>> {
+async fn start(context: &Arc<Context>, tasks: &mut JoinSet<()>) -> anyhow::Result<Arc<Front>> {
     let boot = &context.boot;
     let clients = bind(boot.clients, "clients").await?;
     let ready = bind(boot.ready, "ready").await?;
@@ -100,29 +142,29 @@
     let front = Arc::new(Front::default());
     let serving = front.clone();
     let shared = context.clone();
-    tokio::spawn(async move {
+    tasks.spawn(async move {
         let state = shared.clone();
         let handler = move |request| request::serve(state.clone(), request);
         serving.serve(shared, clients, handler).await;
     });
     let shared = context.clone();
-    tokio::spawn(front::serve_page(ready, move |path| {
+    tasks.spawn(front::serve_page(ready, move |path| {
         front::ready_page(&shared, path)
     }));
     match metrics {
         Ok(listener) => {
             let shared = context.clone();
             let page = move |path: &str| metrics_page(&shared, path);
-            tokio::spawn(front::serve_page(listener, page));
+            tasks.spawn(front::serve_page(listener, page));
         }
         // Requests are served without metrics as well.
         Err(error) => log::error!("no metrics: {error:#}"),
     }
-    tokio::spawn(peers::serve(context.clone(), control));
-    tokio::spawn(peers::greet(context.clone()));
-    tokio::spawn(feed::follow(context.clone()));
-    tokio::spawn(dispatcher::watch(context.clone()));
-    tokio::spawn(tick(context.clone()));
+    tasks.spawn(peers::serve(context.clone(), control));
+    tasks.spawn(peers::greet(context.clone()));
+    tasks.spawn(feed::follow(context.clone()));
+    tasks.spawn(dispatcher::watch(context.clone()));
+    tasks.spawn(tick(context.clone()));
     Ok(front)
 }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -541,6 +541,8 @@
     let mut is_full = false;
     for part in call.parts {
         let group = part.group;
+        // A target without room is no failure: its pieces only wait.
+        let mut has_failed = false;
         let mut missing = Vec::new();
         for piece in &group.pieces {
             match made.next().unwrap_or(Made::Error) {
@@ -556,12 +558,15 @@
                     is_full = true;
                     missing.push(*piece);
                 }
-                Made::Error => missing.push(*piece),
+                Made::Error => {
+                    has_failed = true;
+                    missing.push(*piece);
+                }
             }
         }
         if !missing.is_empty() {
             let pieces = missing;
-            desk.again(part.ticket, Group { pieces, ..group }, true, now);
+            desk.again(part.ticket, Group { pieces, ..group }, has_failed, now);
         }
     }
     is_full
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -56,10 +56,21 @@
 /// How long to wait after a connection could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How the connections of clients go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// They serve.
+    Open,
+    /// Each ends once it serves no request.
+    Ending,
+    /// Each breaks off now.
+    Cut,
+}
+
 /// The open connections of clients, and how they are ended.
 #[derive(Debug)]
 pub struct Front {
-    ending: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
     requests: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
 }
@@ -67,7 +78,7 @@
 impl Default for Front {
     fn default() -> Self {
         Self {
-            ending: watch::Sender::new(false),
+            phase: watch::Sender::new(Phase::Open),
             requests: Arc::default(),
             connections: Arc::default(),
         }
@@ -96,7 +107,12 @@
 
     /// Ends each connection once it serves no request.
     pub fn end(&self) {
-        self.ending.send_replace(true);
+        self.phase.send_replace(Phase::Ending);
+    }
+
+    /// Breaks each connection off.
+    pub fn cut(&self) {
+        self.phase.send_replace(Phase::Cut);
     }
 
     /// Serves clients until [`Front::end`].
@@ -105,11 +121,11 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Answer>> + Send + 'static,
     {
-        let mut ending = self.ending.subscribe();
+        let mut phase = self.phase.subscribe();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = ending.wait_for(|ending| *ending) => return,
+                _ = phase.wait_for(|phase| *phase != Phase::Open) => return,
             };
             let stream = match accepted {
                 Ok((stream, _)) => stream,
@@ -126,9 +142,9 @@
             let count = Count::new(&self.connections);
             let requests = self.requests.clone();
             let (context, handler) = (context.clone(), handler.clone());
-            let ending = self.ending.subscribe();
+            let phase = self.phase.subscribe();
             tokio::spawn(async move {
-                connection(context, stream, requests, ending, handler).await;
+                connection(context, stream, requests, phase, handler).await;
                 drop(count);
             });
         }
@@ -179,7 +195,7 @@
     context: Arc<Context>,
     stream: TcpStream,
     requests: Arc<AtomicUsize>,
-    mut ending: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F,
@@ -217,13 +233,16 @@
         );
     tokio::pin!(connection);
     let mut look_after = Duration::from_millis(limits(&context).head.0);
-    let mut is_ending = false;
+    let mut seen = Phase::Open;
     loop {
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
             () = sleep(look_after) => None,
-            _ = ending.wait_for(|ending| *ending), if !is_ending => {
-                is_ending = true;
+            changed = next_phase(&mut phase, seen) => {
+                seen = changed;
+                if seen == Phase::Cut {
+                    return;
+                }
                 connection.as_mut().graceful_shutdown();
                 None
             }
@@ -246,6 +265,13 @@
     }
 }
 
+/// Waits for a phase after the one that was seen.
+async fn next_phase(phase: &mut watch::Receiver<Phase>, seen: Phase) -> Phase {
+    let changed = phase.wait_for(|phase| *phase > seen).await;
+    // Without its sender the front is gone, and its connections end.
+    changed.map_or(Phase::Cut, |phase| *phase)
+}
+
 fn limits(context: &Context) -> Limits {
     let state = context.state();
     state.table().map_or(LIMITS_DEFAULT, |table| table.limits)
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -301,6 +301,18 @@
         self.roster.get(target).is_some()
     }
 
+    /// Returns how many targets are listed.
+    #[must_use]
+    pub fn listed(&self) -> usize {
+        self.roster.all().len()
+    }
+
+    /// Returns the domains that are taken out.
+    #[must_use]
+    pub fn taken_out(&self) -> &[name::Domain] {
+        &self.taken_out
+    }
+
     /// Returns where a target listens.
     #[must_use]
     pub fn address(&self, target: &name::Target) -> Option<SocketAddr> {
--- /dev/null
+++ b/crates/relay/tests/direct/answers.rs
@@ -0,0 +1,179 @@
+//! Plain requests: what reaches targets, what comes back, what is repeated.
+
+use gooseberry_platform_standin::client::Client;
+use gooseberry_platform_standin::target::Mode;
+use gooseberry_platform_standin::target::Target;
+
+use crate::world::World;
+use crate::world::front;
+use crate::world::until;
+
+#[tokio::test]
+async fn a_request_passes_with_what_is_its_own_and_nothing_else() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let client = Client::new("/once/a?b=c")
+        .with("Tenant", "somebody-else")
+        .with("Hold", "h-1")
+        .with("Kv-From", "10.0.0.1:1/x")
+        .with("Connection", "X-Hop")
+        .with("X-Hop", "1")
+        .with("X-Kept", "1")
+        .body("the body");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert!(answer.header("Response-Seal").starts_with("seal-plain-"));
+    assert_eq!(answer.header("Attempt-Id"), client.attempt);
+    assert!(answer.body.ends_with(&client.attempt));
+    assert_eq!(answer.header("Server-Load"), "");
+    let seen: Vec<_> = world.plain.iter().flat_map(Target::seen).collect();
+    let [seen] = seen.as_slice() else {
+        panic!("it ran {} times", seen.len());
+    };
+    assert_eq!(seen.body, "the body");
+    assert_eq!(seen.header("Tenant"), "w-1");
+    assert!(seen.header("Expect-Instance").starts_with("plain-"));
+    assert_eq!(seen.header("X-Kept"), "1");
+    let left: u64 = seen.header("Deadline-Ms").parse().expect("a number");
+    assert!(left <= 1500, "the route allows less than {left} ms");
+    for gone in ["X-Api-Key", "Hold", "Kv-From", "X-Hop"] {
+        assert_eq!(seen.header(gone), "", "{gone} was passed on");
+    }
+}
+
+#[tokio::test]
+async fn what_settings_do_not_allow_is_refused_with_the_right_status() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for (client, status) in [
+        (Client::new("/nowhere/"), 404),
+        (Client::new("/once/").with("Host", "b.example"), 404),
+        (Client::new("/once/").with("X-Api-Key", "unknown"), 401),
+        (Client::new("/open/").with("X-Api-Key", "unknown"), 200),
+        (Client::new("/once/").body(&"x".repeat(1001)), 413),
+        (Client::new("/once/").with("Deadline-Ms", "soon"), 400),
+        (Client::new("/staged/").generates("1,2,3"), 400),
+    ] {
+        let answer = client.send(front(&daemon)).await.expect("an answer");
+        assert_eq!(answer.status, status, "{client:?}");
+        assert_eq!(answer.header("Response-Seal").is_empty(), status != 200);
+    }
+}
+
+#[tokio::test]
+async fn a_daemon_that_knows_no_settings_promises_that_nothing_ran() {
+    let world = World::start().await;
+    world
+        .store
+        .set(gooseberry_platform_standin::store::Mode::Silent);
+    let daemon = world.unready_daemon(1, &[]).await;
+    let answer = Client::new("/once/").send(front(&daemon)).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(!answer.header("Retry-After").is_empty());
+}
+
+#[tokio::test]
+async fn a_request_that_runs_once_is_sent_again_only_on_the_targets_word() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for target in &world.plain {
+        target.then(&[Mode::NotRun]);
+    }
+    let client = Client::new("/once/");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!((answer.status, world.runs(&client.attempt)), (503, 2));
+    for (mode, status) in [
+        (Mode::Break, 502),
+        (Mode::Foreign, 502),
+        (Mode::Unsigned, 502),
+        (Mode::Mute, 504),
+        (Mode::Error, 500),
+    ] {
+        for target in &world.plain {
+            target.then(&[mode]);
+        }
+        let client = Client::new("/once/");
+        let answer = client.send(front(&daemon)).await.expect("an answer");
+        assert_eq!(answer.status, status, "{mode:?}");
+        assert_eq!(world.runs(&client.attempt), 1, "{mode:?}");
+        assert!(!answer.body.contains("not yours"));
+        let sealed = !answer.header("Response-Seal").is_empty();
+        assert_eq!(sealed, mode == Mode::Error, "{mode:?}");
+        // The other target keeps its mode for a request of its own.
+        let cleared = Client::new("/once/").send(front(&daemon)).await;
+        assert!(cleared.is_some());
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_twice_goes_to_a_second_target() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for mode in [
+        Mode::NotRun,
+        Mode::Break,
+        Mode::Foreign,
+        Mode::Unsigned,
+        Mode::Error,
+        Mode::Mute,
+    ] {
+        let client = Client::new("/read/");
+        // Whichever target is first fails; the second one answers.
+        let (one, other) = (world.plain[0].clone(), world.plain[1].clone());
+        let before = (one.seen().len(), other.seen().len());
+        one.then(&[mode]);
+        other.then(&[mode]);
+        let answer = client.send(front(&daemon)).await.expect("an answer");
+        if mode == Mode::NotRun {
+            // Both refused: the promise holds.
+            assert_eq!(answer.status, 503);
+            continue;
+        }
+        assert_eq!(world.runs(&client.attempt), 2, "{mode:?}");
+        let after = (one.seen().len(), other.seen().len());
+        assert_eq!(after, (before.0 + 1, before.1 + 1), "{mode:?}");
+    }
+    let answer = Client::new("/read/").send(front(&daemon)).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+}
+
+#[tokio::test]
+async fn a_target_stops_when_the_client_leaves() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for engine in &world.engines {
+        engine.then(&[Mode::Mute]);
+    }
+    let client = Client::new("/stream/").generates("");
+    let address = front(&daemon);
+    let attempt = client.attempt.clone();
+    let waiting = tokio::spawn(async move { client.send(address).await });
+    until("the request has arrived", || world.runs(&attempt) == 1).await;
+    waiting.abort();
+    let abandoned = || world.engines.iter().map(Target::abandoned).sum::<usize>() == 1;
+    until("the target has noticed", abandoned).await;
+}
+
+#[tokio::test]
+async fn a_request_that_breaks_three_targets_is_refused_from_then_on() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let send = async || {
+        let client = Client::new("/once/").body("the same body");
+        client.send(front(&daemon)).await.expect("an answer").status
+    };
+    for target in &world.plain {
+        target.then(&[Mode::Break; 3]);
+    }
+    for _ in 0..3 {
+        assert_eq!(send().await, 502);
+    }
+    let before: usize = world.plain.iter().map(|target| target.seen().len()).sum();
+    assert_eq!(send().await, 503);
+    let after: usize = world.plain.iter().map(|target| target.seen().len()).sum();
+    assert_eq!(after, before);
+    let other = Client::new("/once/").body("another body");
+    let answer = other.send(front(&daemon)).await.expect("an answer");
+    assert_ne!(answer.status, 503);
+}
--- /dev/null
+++ b/crates/relay/tests/direct/fleet.rs
@@ -0,0 +1,114 @@
+//! Several daemons: what one learns from another, and who gathers pieces.
+
+use std::net::SocketAddr;
+
+use gooseberry_platform_standin::client::Client;
+use gooseberry_platform_standin::store::Mode;
+use gooseberry_relay::daemon::Daemon;
+
+use crate::world::SETTINGS;
+use crate::world::World;
+use crate::world::front;
+use crate::world::knows;
+use crate::world::until;
+
+fn peers(daemon: &Daemon) -> SocketAddr {
+    daemon.context().boot.peers
+}
+
+fn hears(daemon: &Daemon, count: usize) -> bool {
+    let now = daemon.context().now();
+    daemon.context().state().members().live(now).len() == count
+}
+
+#[tokio::test]
+async fn a_daemon_that_never_reached_the_store_learns_all_from_its_peers() {
+    let world = World::start().await;
+    let one = world.daemon(1, &[]).await;
+    // From now on the store answers nobody; the one that knows passes it on.
+    world.store.set(Mode::Silent);
+    let other = world.unready_daemon(2, &[peers(&one)]).await;
+    until("the other one knows", || knows(&other, 8)).await;
+    let answer = Client::new("/read/").send(front(&other)).await;
+    assert_eq!(answer.map(|one| one.status), Some(200));
+}
+
+#[tokio::test]
+async fn daemons_find_each_other_by_a_seed_and_notice_a_death() {
+    let world = World::start().await;
+    let one = world.daemon(1, &[]).await;
+    let two = world.daemon(2, &[peers(&one)]).await;
+    let three = world.daemon(3, &[peers(&one)]).await;
+    for daemon in [&one, &two, &three] {
+        until("all are heard", || hears(daemon, 3)).await;
+    }
+    one.kill().await;
+    for daemon in [&two, &three] {
+        until("the death is noticed", || hears(daemon, 2)).await;
+    }
+}
+
+#[tokio::test]
+async fn pieces_are_made_though_their_dispatcher_dies() {
+    let world = World::start().await;
+    let one = world.daemon(1, &[]).await;
+    let two = world.daemon(2, &[peers(&one)]).await;
+    let three = world.daemon(3, &[peers(&one)]).await;
+    let daemons = [one, two, three];
+    for daemon in &daemons {
+        until("all are heard", || hears(daemon, 3)).await;
+    }
+    let service = gooseberry_kernel::name::Service::new("first");
+    let dispatcher = {
+        let context = daemons[0].context();
+        let order = context.state().dispatchers(&service, context.now());
+        order[0].unwrap_or(context.boot.peers)
+    };
+    // A daemon that is not the dispatcher itself serves the clients.
+    let (dead, alive): (Vec<Daemon>, Vec<Daemon>) = daemons
+        .into_iter()
+        .partition(|daemon| peers(daemon) == dispatcher);
+    for target in &world.first {
+        target.then(&[gooseberry_platform_standin::target::Mode::Slow(900)]);
+    }
+    let address = front(&alive[0]);
+    let waiting = tokio::spawn(async move {
+        let client = Client::new("/staged/").generates("1,1");
+        client.with("Deadline-Ms", "8000").send(address).await
+    });
+    until("the dispatcher has sent a call", || {
+        world.first.iter().any(|target| !target.seen().is_empty())
+    })
+    .await;
+    for daemon in dead {
+        daemon.kill().await;
+    }
+    let answer = waiting.await.expect("it did not panic").expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+}
+
+#[tokio::test]
+async fn a_key_that_was_taken_away_is_refused_by_a_daemon_without_the_store() {
+    let world = World::start().await;
+    let one = world.daemon(1, &[]).await;
+    let two = world.daemon(2, &[peers(&one)]).await;
+    until("they hear each other", || hears(&one, 2) && hears(&two, 2)).await;
+    // Both lose the store; the first gets the change before the second can.
+    world.store.set(Mode::Busy);
+    let revoked = SETTINGS
+        .replacen("\"version\": 1", "\"version\": 2", 1)
+        .replace("\"key-1\", ", "");
+    world.store.put("op/config", &revoked);
+    let entries = gooseberry_kernel::fleet::mirror::Changes {
+        entries: vec![gooseberry_kernel::fleet::mirror::Entry {
+            key: "op/config".into(),
+            value: Some(revoked.into_bytes()),
+            revision: gooseberry_kernel::fleet::mirror::Revision(1_000),
+        }],
+        through: gooseberry_kernel::fleet::mirror::Revision(1_000),
+        is_whole: false,
+    };
+    let now = one.context().now();
+    one.context().state().adopt(entries, "test", now);
+    crate::world::until_status(&two, || Client::new("/once/"), 401).await;
+}
--- /dev/null
+++ b/crates/relay/tests/direct/main.rs
@@ -0,0 +1,9 @@
+//! The direct path against stand-ins of the platform, its targets and clients.
+
+mod answers;
+mod changes;
+mod connections;
+mod fleet;
+mod stages;
+mod streams;
+mod world;
--- /dev/null
+++ b/crates/relay/tests/direct/stages.rs
@@ -0,0 +1,117 @@
+//! The stages before a request's run.
+
+use gooseberry_platform_standin::client::Client;
+use gooseberry_platform_standin::target::Mode;
+use gooseberry_platform_standin::target::Seen;
+use gooseberry_platform_standin::target::Target;
+
+use crate::world::World;
+use crate::world::front;
+use crate::world::until;
+
+fn calls(targets: &[Target; 2]) -> Vec<Seen> {
+    let seen = targets.iter().flat_map(Target::seen);
+    seen.filter(|seen| seen.path == "/v1/stage-run").collect()
+}
+
+#[tokio::test]
+async fn stages_are_made_in_order_and_their_results_are_handed_on_and_freed() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let client = Client::new("/staged/").generates("2,3");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    let [first] = &calls(&world.first)[..] else {
+        panic!("the pieces of one request go in one call");
+    };
+    let first = String::from_utf8_lossy(&first.body).into_owned();
+    assert_eq!(first.matches("piece-key").count(), 2);
+    assert!(!first.contains("inputs"));
+    let [second] = &calls(&world.second)[..] else {
+        panic!("the pieces of one request go in one call");
+    };
+    let second = String::from_utf8_lossy(&second.body).into_owned();
+    assert_eq!(second.matches("inputs").count(), 3);
+    assert!(!second.contains("piece-key"));
+    let engine: Vec<Seen> = world.engines.iter().flat_map(Target::seen).collect();
+    assert_eq!(engine[0].header("Inputs").split(',').count(), 3);
+    let freed = |targets: &[Target; 2]| targets.iter().map(|one| one.freed().len()).sum::<usize>();
+    until("all results are freed", || {
+        (freed(&world.first), freed(&world.second)) == (2, 3)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_piece_that_was_not_made_is_made_again() {
+    for reason in ["error", "room"] {
+        let world = World::start().await;
+        let daemon = world.daemon(1, &[]).await;
+        for target in &world.first {
+            target.then(&[Mode::Unmade(reason)]);
+        }
+        let client = Client::new("/staged/").generates("1,1");
+        let answer = client.send(front(&daemon)).await.expect("an answer");
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{reason}");
+    }
+    // An input that is gone has to be made again first.
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for target in &world.second {
+        target.then(&[Mode::Unmade("gone")]);
+    }
+    let before = calls(&world.first).len();
+    let client = Client::new("/staged/").generates("1,1");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(calls(&world.first).len() >= before + 2);
+}
+
+#[tokio::test]
+async fn a_request_whose_stages_cannot_be_made_in_time_is_refused_at_once() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let client = Client::new("/staged/").generates("1,1");
+    let client = client.with("Deadline-Ms", "100");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(!answer.header("Retry-After").is_empty());
+    assert!(calls(&world.first).is_empty());
+    assert_eq!(world.runs(&client.attempt), 0);
+}
+
+#[tokio::test]
+async fn requests_that_arrive_together_share_calls() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for target in &world.first {
+        target.then(&[Mode::Slow(60), Mode::Slow(60)]);
+    }
+    let address = front(&daemon);
+    let sends = (0..8).map(|_| async move {
+        let client = Client::new("/staged/").generates("1,1");
+        client.send(address).await.expect("an answer")
+    });
+    let answers = futures::future::join_all(sends).await;
+    assert!(
+        answers
+            .iter()
+            .all(|answer| answer.status == 200 && answer.is_whole)
+    );
+    let count = calls(&world.first).len();
+    assert!(count <= 5, "eight requests took {count} calls");
+}
+
+/// A target without room is a wait, not a failure: the pieces go elsewhere, or
+/// there again, for as long as their request has time.
+#[tokio::test]
+async fn pieces_without_room_are_tried_for_as_long_as_there_is_time() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for target in &world.first {
+        target.then(&[Mode::Unmade("room"); 3]);
+    }
+    let client = Client::new("/staged/").generates("1,1");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+}
--- /dev/null
+++ b/crates/relay/tests/direct/world.rs
@@ -0,0 +1,190 @@
+//! A platform of stand-ins, with daemons of the direct path before it.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::budget::Terms;
+use gooseberry_platform::boot::Boot;
+use gooseberry_platform_standin::client::Client;
+use gooseberry_platform_standin::store::Store;
+use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// How long a test waits for what must come; a wait is no bound on the system.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The settings that most tests begin with.
+pub const SETTINGS: &str = r#"{
+  "version": 1,
+  "routes": [
+    {"name": "r-once", "host": "a.example", "prefix": "/once/", "kind": "non_idempotent",
+     "timeout_ms": 1500, "target_latency_ms": 150, "priority": 2, "service": "plain",
+     "max_attempts": 1},
+    {"name": "r-read", "host": "a.example", "prefix": "/read/", "kind": "idempotent",
+     "timeout_ms": 1500, "target_latency_ms": 150, "priority": 2, "service": "plain",
+     "max_attempts": 2},
+    {"name": "r-stream", "host": "a.example", "prefix": "/stream/", "kind": "streaming",
+     "timeout_ms": 4000, "target_latency_ms": 1000, "priority": 1, "service": "engine",
+     "max_attempts": 1, "target_gap_ms": 300},
+    {"name": "r-resume", "host": "a.example", "prefix": "/resume/", "kind": "streaming",
+     "timeout_ms": 4000, "target_latency_ms": 1000, "priority": 1, "service": "engine",
+     "max_attempts": 2, "resumable": true, "target_gap_ms": 300},
+    {"name": "r-staged", "host": "a.example", "prefix": "/staged/", "kind": "streaming",
+     "timeout_ms": 8000, "target_latency_ms": 2000, "priority": 0, "service": "engine",
+     "max_attempts": 1, "target_gap_ms": 300,
+     "stages": [{"service": "first", "after": [], "bytes": 1000},
+                {"service": "second", "after": [0], "bytes": 1000}]},
+    {"name": "r-open", "host": "a.example", "prefix": "/open/", "kind": "idempotent",
+     "timeout_ms": 1500, "target_latency_ms": 150, "priority": 2, "service": "plain",
+     "max_attempts": 2, "anonymous": true}
+  ],
+  "services": [
+    {"name": "plain", "max_conns": 100},
+    {"name": "engine", "max_conns": 100, "engine": {"slots": 8, "kv_capacity": 1000}},
+    {"name": "first", "max_conns": 100, "pieces": {"slots": 1, "queue": 2, "batch": 8,
+     "call_ms": 40, "item_ms": 1, "headroom_mb": 10, "handle_s": 3}},
+    {"name": "second", "max_conns": 100, "pieces": {"slots": 1, "queue": 2, "batch": 8,
+     "call_ms": 40, "item_ms": 1, "headroom_mb": 10, "handle_s": 3}}
+  ],
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
+             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+  "tenants": [{"name": "w-1", "api_keys": ["key-1", "key-2"], "priority": 1}]
+}"#;
+
+/// The platform and its targets: two for each service.
+pub struct World {
+    pub store: Store,
+    pub plain: [Target; 2],
+    pub engines: [Target; 2],
+    pub first: [Target; 2],
+    pub second: [Target; 2],
+}
+
+impl World {
+    pub async fn start() -> Self {
+        let store = Store::start().await;
+        let pair = async |name: &str| {
+            [
+                Target::start(&format!("{name}-1")).await,
+                Target::start(&format!("{name}-2")).await,
+            ]
+        };
+        let world = Self {
+            plain: pair("plain").await,
+            engines: pair("engine").await,
+            first: pair("first").await,
+            second: pair("second").await,
+            store,
+        };
+        world.store.put("op/config", SETTINGS);
+        for (service, targets) in [
+            ("plain", &world.plain),
+            ("engine", &world.engines),
+            ("first", &world.first),
+            ("second", &world.second),
+        ] {
+            for target in targets {
+                world.list(target, service, "ready");
+            }
+        }
+        world
+    }
+
+    /// Lists a target.
+    pub fn list(&self, target: &Target, service: &str, state: &str) {
+        let zone = if target.name.ends_with('1') {
+            "z-1"
+        } else {
+            "z-2"
+        };
+        let key = format!("servers/{}", target.name);
+        self.store.put(&key, &target.entry(service, zone, state));
+    }
+
+    /// Starts a daemon that knows the seeds, and waits until it can serve.
+    pub async fn daemon(&self, number: u8, seeds: &[SocketAddr]) -> Daemon {
+        let daemon = self.unready_daemon(number, seeds).await;
+        until("the daemon is ready", || knows(&daemon, 8)).await;
+        daemon
+    }
+
+    /// Starts a daemon.
+    pub async fn unready_daemon(&self, number: u8, seeds: &[SocketAddr]) -> Daemon {
+        let [clients, ready, peers] = free_ports();
+        let boot = Boot {
+            name: name::Member::new(&format!("d-{number}")),
+            domain: name::Domain::new("z-1"),
+            clients,
+            ready,
+            peers,
+            ip: clients.ip(),
+            seeds: seeds.to_vec(),
+            store: self.store.address,
+            strength: 250,
+            memory_bytes: 260 << 20,
+            connections: 1_000,
+            grace: Millis(4_000),
+            budget: Terms {
+                per_thousand: 200,
+                slack: 50,
+                window: Millis(10_000),
+            },
+        };
+        Daemon::start(boot).await.expect("the ports are free")
+    }
+
+    /// Returns how many requests of an attempt reached any target.
+    pub fn runs(&self, attempt: &str) -> usize {
+        let all = [&self.plain, &self.engines];
+        let seen = all.into_iter().flatten().flat_map(Target::seen);
+        seen.filter(|one| one.header("Attempt-Id") == attempt)
+            .count()
+    }
+}
+
+/// Returns where clients reach a daemon.
+pub fn front(daemon: &Daemon) -> SocketAddr {
+    daemon.context().boot.clients
+}
+
+/// Tells whether a daemon knows settings and so many targets.
+pub fn knows(daemon: &Daemon, targets: usize) -> bool {
+    let state = daemon.context().state();
+    state.is_ready() && state.listed() == targets
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Waits until a request is answered with the status.
+pub async fn until_status(daemon: &Daemon, client: impl Fn() -> Client, status: u16) {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let answer = client().send(front(daemon)).await;
+        let found = answer.map(|answer| answer.status);
+        if found == Some(status) {
+            return;
+        }
+        assert!(
+            Instant::now() < end,
+            "waited in vain for {status}, got {found:?}"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn free_ports() -> [SocketAddr; 3] {
+    let listeners = [0; 3].map(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
+    listeners.map(|listener| listener.local_addr().expect("it is bound"))
+}
