Make results again for a run that needs them, and tell a request's story

Cause, found by walking from a broken request's id through the logs: results are freed with the first event of a run, so a stream with stages could not go on elsewhere: nine targets answered 400 to the same faulty request, and each try was taken from the repeat budget. A result that was gone at the run (409) was likewise tried at every target.

Change: the passage owns the plan and has the stages made again when a run needs results that are not there, twice at most; a 400 from a target ends the request. gooseberryctl story prints what became of an id across daemons; lines for what was taken in and each stage that was made.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 //!   costs grow; [`bounds`] are what a change must not fall below.
 //! - [`load`] sends requests at it and accounts for each.
 //! - [`report`] writes what came of them.
+//! - [`story`] tells what became of a request, from the logs of the daemons.
 //!
 //! # Example
 //!
@@ -43,5 +44,6 @@
 pub mod slope;
 pub mod slope_command;
 pub mod status;
+pub mod story;
 pub mod table;
 pub mod usage;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -23,6 +23,8 @@
 use gooseberryctl::score;
 use gooseberryctl::slope_command;
 use gooseberryctl::status;
+use gooseberryctl::story::Line;
+use gooseberryctl::story::Story;
 
 /// The exit code for settings that have faults.
 const FAULTS: u8 = 2;
@@ -31,6 +33,8 @@
 const NOT_READY: u8 = 3;
 /// The exit code if the request that was asked about would be refused.
 const REFUSED: u8 = 4;
+/// The exit code if no log names the request that was asked about.
+const NOT_FOUND: u8 = 5;
 
 /// Operates gooseberryarch: checks settings, asks daemons, runs the demo.
 ///
@@ -47,6 +51,7 @@
 ///   2  check: the settings have faults
 ///   3  status: the daemon takes no requests
 ///   4  explain: the request would be refused now
+///   5  story: no log names the request
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 enum Command {
@@ -134,6 +139,29 @@
         #[bpaf(positional("ADDRESS"))]
         daemon: SocketAddr,
     },
+    /// Tell the story of a request from the logs of the daemons
+    ///
+    ///
+    /// Lines marked t tell of a target that the request met, lines marked d of
+    /// a daemon that served it.
+    ///
+    ///
+    /// Examples:
+    ///   gooseberryctl story 9c41d07be2a35f68 daemon-1.log daemon-2.log
+    ///   collect-logs | gooseberryctl story 9c41d07be2a35f68 -
+    /// Exit codes:
+    ///   0  the request was found
+    ///   1  a log could not be read
+    ///   5  no line names the request
+    #[bpaf(command)]
+    Story {
+        /// The request, as its client named it
+        #[bpaf(positional("ID"))]
+        request: String,
+        /// Logs of daemons, or - for standard input
+        #[bpaf(positional("LOG"), some("expected a log, or - for standard input"))]
+        logs: Vec<PathBuf>,
+    },
     /// Run one example site on the loopback, with a load on it
     #[bpaf(command)]
     Demo {
@@ -199,6 +227,7 @@
             };
             show_explanation(daemon, question, json).await
         }
+        Command::Story { request, logs } => tell_story(&request, &logs),
         Command::Demo {
             site,
             rate,
@@ -265,6 +294,23 @@
     }
 }
 
+fn tell_story(request: &str, logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
+    let mut lines = Vec::new();
+    for log in logs {
+        let bytes = check::read(log)?;
+        let name = log.display().to_string();
+        let text = String::from_utf8_lossy(&bytes);
+        lines.extend(text.lines().filter_map(|line| Line::read(line, &name)));
+    }
+    let story = Story::find(&lines, request);
+    if story.lines.is_empty() {
+        eprintln!("gooseberryctl: no line names the request {request}");
+        return Ok(ExitCode::from(NOT_FOUND));
+    }
+    print!("{story}");
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn demo(site: &str, plan: &Plan) -> anyhow::Result<ExitCode> {
     let site = Site::find(site).with_context(|| format!("there is no example site `{site}`"))?;
     println!(
--- /dev/null
+++ b/crates/ctl/src/story.rs
@@ -0,0 +1,171 @@
+//! Tells the story of one request from the logs of the daemons.
+//!
+//! Daemons write one line for each decision. This finds the lines that name a
+//! request, adds what happened meanwhile to the targets that it met and to the
+//! daemons that served it, and orders them by time. Logs may be whole files, one
+//! for each daemon, or one stream in which a collector has put the name of the
+//! daemon before each line.
+
+use std::fmt;
+
+/// The words that a line's level can be.
+const LEVELS: [&str; 5] = ["ERROR", "WARN", "INFO", "DEBUG", "TRACE"];
+/// The fewest digits of the time at the start of a line, in milliseconds.
+const TIME_DIGITS: usize = 12;
+/// How long before a request what happened may still explain it.
+const BEFORE_MS: u64 = 3_000;
+/// What a line says that changes what a whole daemon does.
+const OF_DAEMON: [&str; 9] = [
+    "settings adopted",
+    "the store is lost",
+    "the store is back",
+    "domains taken out",
+    "shutting down",
+    "stopped",
+    "started",
+    "fell silent",
+    "forgotten its history",
+];
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// The time of the daemon's wall clock, in milliseconds.
+    pub time_ms: u64,
+    /// The daemon, by the collector's prefix or the name of the file.
+    pub daemon: String,
+    /// What it says.
+    pub text: String,
+}
+
+/// Why a line belongs to a story.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// It names the request.
+    Request,
+    /// It tells of a target that the request met.
+    Target,
+    /// It tells of a daemon that served the request.
+    Daemon,
+}
+
+/// The lines that belong to a request, by time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Story {
+    /// The lines with the reason why each is here.
+    pub lines: Vec<(Part, Line)>,
+}
+
+impl Line {
+    /// Reads a line; `None` if it is no line of a daemon's log.
+    #[must_use]
+    pub fn read(line: &str, file: &str) -> Option<Self> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let is_time = |word: &str| {
+            word.len() >= TIME_DIGITS && word.bytes().all(|byte| byte.is_ascii_digit())
+        };
+        let pairs = words.windows(2);
+        let place = pairs
+            .into_iter()
+            .position(|pair| is_time(pair[0]) && LEVELS.contains(&pair[1]))?;
+        let prefix = words[..place].join(" ");
+        Some(Self {
+            time_ms: words[place].parse().ok()?,
+            daemon: if prefix.is_empty() {
+                file.to_owned()
+            } else {
+                prefix
+            },
+            text: words[place + 1..].join(" "),
+        })
+    }
+
+    /// Tells whether the line names the request, by itself or in a list.
+    #[must_use]
+    pub fn names(&self, request: &str) -> bool {
+        let values = self.text.split_whitespace().filter_map(|word| {
+            let (field, value) = word.split_once('=')?;
+            ["request", "requests"].contains(&field).then_some(value)
+        });
+        let mut values = values.flat_map(|value| value.trim_matches('"').split(','));
+        values.any(|value| value == request)
+    }
+
+    fn field(&self, name: &str) -> Option<&str> {
+        let words = self.text.split_whitespace();
+        let mut pairs = words.filter_map(|word| word.split_once('='));
+        pairs
+            .find(|(field, _)| *field == name)
+            .map(|(_, value)| value)
+    }
+
+    /// The name of the daemon without the time that a collector may have put
+    /// before it.
+    fn writer(&self) -> &str {
+        self.daemon.rsplit(' ').next().unwrap_or_default()
+    }
+}
+
+impl Story {
+    /// Finds what belongs to a request.
+    #[must_use]
+    pub fn find(lines: &[Line], request: &str) -> Self {
+        let own: Vec<&Line> = lines.iter().filter(|line| line.names(request)).collect();
+        let Some(first) = own.iter().map(|line| line.time_ms).min() else {
+            return Self::default();
+        };
+        let last = own.iter().map(|line| line.time_ms).max().unwrap_or(first);
+        let targets: Vec<&str> = own.iter().filter_map(|line| line.field("target")).collect();
+        let writers: Vec<&str> = own.iter().map(|line| line.writer()).collect();
+        let part = |line: &Line| {
+            if line.names(request) {
+                return Some(Part::Request);
+            }
+            let is_near = (first.saturating_sub(BEFORE_MS)..=last).contains(&line.time_ms);
+            // Lines of other requests at the same target tell nothing of this.
+            let is_others = line.field("request").or(line.field("requests")).is_some();
+            if !is_near || is_others {
+                return None;
+            }
+            let is_of_target = line
+                .field("target")
+                .is_some_and(|one| targets.contains(&one));
+            let is_of_daemon = writers.contains(&line.writer())
+                && OF_DAEMON.iter().any(|words| line.text.contains(words));
+            match (is_of_target, is_of_daemon) {
+                (true, _) => Some(Part::Target),
+                (false, true) => Some(Part::Daemon),
+                (false, false) => None,
+            }
+        };
+        let found = lines
+            .iter()
+            .filter_map(|line| Some((part(line)?, line.clone())));
+        let mut lines: Vec<(Part, Line)> = found.collect();
+        lines.sort_by_key(|(_, line)| line.time_ms);
+        Self { lines }
+    }
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let start = self.lines.iter().find(|(part, _)| *part == Part::Request);
+        let start = start.map_or(0, |(_, line)| line.time_ms);
+        for (part, line) in &self.lines {
+            let mark = match part {
+                Part::Request => ' ',
+                Part::Target => 't',
+                Part::Daemon => 'd',
+            };
+            let sign = if line.time_ms < start { '-' } else { '+' };
+            let span = line.time_ms.abs_diff(start);
+            writeln!(
+                out,
+                "{mark} {sign}{span:>6} ms  {}  {}",
+                line.writer(),
+                line.text
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/relay/src/passage.rs
+++ b/crates/relay/src/passage.rs
@@ -17,11 +17,13 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::events::Events;
 use gooseberry_kernel::request::table::Form;
+use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
 use gooseberry_platform::target::Standing;
 use gooseberry_platform::target::Terms;
 use http::Response;
+use http::StatusCode;
 use http::header::CONTENT_LENGTH;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -38,6 +40,7 @@
 use crate::front::Answer;
 use crate::pool::KEPT_MAX;
 use crate::request::Job;
+use crate::stages;
 use crate::stages::Results;
 use crate::state::Pick;
 use crate::state::Picked;
@@ -48,21 +51,26 @@
 const PLAIN_MAX_BYTES: usize = 8 << 20;
 /// For how many objectives a repeatable request waits for its first byte.
 const FIRST_BYTE_OBJECTIVES: u64 = 2;
+/// How often the stages of a request are made: a second time if results are
+/// gone at the run, or if its stream has to go on at another target.
+const MAKINGS_MAX: u32 = 2;
 /// How long a resumable stream may pause before it goes on elsewhere.
 ///
 /// A target's slowest pauses while it reads long prompts are below half of it.
 const GAP_MAX: Millis = Millis(1_500);
 
-/// Runs a request and returns its answer.
+/// Runs a request, its stages first, and returns its answer.
 pub(crate) async fn run(
     context: Arc<Context>,
     job: Job,
-    results: Option<Results>,
+    plan: Option<Plan>,
 ) -> Result<Response<Answer>, Failure> {
     let passage = Passage {
         context,
         job,
-        results,
+        plan,
+        makings: 0,
+        results: None,
         tried: Vec::new(),
         sends: 0,
         runs: 0,
@@ -78,6 +86,10 @@
 struct Passage {
     context: Arc<Context>,
     job: Job,
+    /// The stages whose results the run reads, if it has any.
+    plan: Option<Plan>,
+    /// How often the stages were made.
+    makings: u32,
     /// What the run reads, until it has been read.
     results: Option<Results>,
     /// The targets that are not tried again.
@@ -117,6 +129,8 @@
     Begun(Box<Sent>),
     /// It certainly did not run the request.
     NotRun(Failure),
+    /// It did not run the request, and no other target would.
+    Faulty(Failure),
     /// It may have run the request, and there is no answer to pass on.
     MayHaveRun(Failure),
 }
@@ -152,10 +166,41 @@
         }
     }
 
+    /// Has the stages made whose results the run reads, if they are not there.
+    async fn prepare(&mut self) -> Result<(), Failure> {
+        let Some(plan) = self.plan.as_ref().filter(|_| self.results.is_none()) else {
+            return Ok(());
+        };
+        if self.makings >= MAKINGS_MAX {
+            return Err(Kind::NoTarget.into());
+        }
+        self.makings += 1;
+        let (context, job) = (&self.context, &self.job);
+        let now = context.now();
+        let end = if self.events.count() == 0 {
+            job.begin_by
+        } else {
+            job.deadline
+        };
+        let domain = {
+            let mut state = context.state();
+            state.forecast(&job.service, job.head.shared, job.draw(), now)
+        };
+        let making = stages::run(context, job, plan, domain.as_ref());
+        let within = Duration::from_millis((end - now).0);
+        let made = tokio::select! {
+            made = timeout(within, making) => made.map_err(|_| Failure::from(Kind::QueueFull))?,
+            () = context.ending.refused() => Err(Kind::ShuttingDown.into()),
+        };
+        self.results = Some(made?);
+        Ok(())
+    }
+
     /// Sends the request until a target's answer begins.
     async fn send(&mut self) -> Result<Sent, Failure> {
         let mut last: Option<Failure> = None;
         loop {
+            self.prepare().await.map_err(|failure| self.fate(failure))?;
             let picked = match self.pick(last.as_ref()).await {
                 Ok(picked) => picked,
                 Err(failure) => return Err(last.unwrap_or(failure)),
@@ -165,6 +210,7 @@
                     self.runs += 1;
                     return Ok(*sent);
                 }
+                Try::Faulty(failure) => return Err(self.fate(failure)),
                 Try::NotRun(failure) => {
                     if self.sends > 0 && !self.may_send_again("not-run") {
                         return Err(self.fate(failure));
@@ -280,6 +326,7 @@
         let outcome = match &try_ {
             Try::Begun(_) => "begun",
             Try::NotRun(_) => "not run",
+            Try::Faulty(_) => "not run, and faulty",
             Try::MayHaveRun(_) => "may have run",
         };
         log::info!(
@@ -311,7 +358,15 @@
                 }
                 (Try::Begun(Box::new(sent)), detail)
             }
-            Standing::NotRun => (Try::NotRun(Kind::QueueFull.into()), detail),
+            Standing::NotRun => match sent.reply.status {
+                StatusCode::CONFLICT => {
+                    // A result is gone; the others are no use without it.
+                    self.results = None;
+                    (Try::NotRun(Kind::NoTarget.into()), detail)
+                }
+                StatusCode::BAD_REQUEST => (Try::Faulty(Kind::NoTarget.into()), detail),
+                _ => (Try::NotRun(Kind::QueueFull.into()), detail),
+            },
             standing @ (Standing::Foreign | Standing::Spoiled) => {
                 self.note_failure(&target);
                 let failure = Failure::from(Kind::TargetFailed).unknown();
@@ -462,7 +517,6 @@
         log::info!(
             request:% = job.head.attempt,
             route:% = job.route.name,
-            workspace:? = job.workspace,
             target:% = target,
             status,
             sends = self.sends,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -130,28 +130,21 @@
     body: Incoming,
 ) -> Result<Response<Answer>, Failure> {
     let job = admit(context, arrived, head, body).await?;
-    let plan = Plan::new(&job.route.stages, &job.head.pieces).map_err(|error| {
+    // A route without stages takes whatever a client says of pieces.
+    let pieces = if job.route.stages.is_empty() {
+        &[][..]
+    } else {
+        &job.head.pieces
+    };
+    let plan = Plan::new(&job.route.stages, pieces).map_err(|error| {
         log::info!(request:% = job.head.attempt; "the stages do not fit: {error:?}");
         Kind::BadRequest
     })?;
-    let results = if job.route.stages.is_empty() {
-        None
-    } else {
-        stages::admit(context, &job, &plan)?;
-        let domain = {
-            let now = context.now();
-            let mut state = context.state();
-            state.forecast(&job.service, job.head.shared, job.draw(), now)
-        };
-        let within = Duration::from_millis((job.begin_by - context.now()).0);
-        let making = timeout(within, stages::run(context, &job, &plan, domain.as_ref()));
-        let made = tokio::select! {
-            made = making => made.map_err(|_| Failure::from(Kind::QueueFull))?,
-            () = context.ending.refused() => Err(Kind::ShuttingDown.into()),
-        };
-        Some(made?)
-    };
-    passage::run(context.clone(), job, results).await
+    if plan.is_complete() {
+        return passage::run(context.clone(), job, None).await;
+    }
+    stages::admit(context, &job, &plan)?;
+    passage::run(context.clone(), job, Some(plan)).await
 }
 
 /// Finds the route and the workspace, and reads the body.
@@ -161,7 +154,7 @@
     head: Head,
     body: Incoming,
 ) -> Result<Job, Failure> {
-    let (route, service, workspace, rank, limits) = {
+    let (route, service, workspace, rank, limits, version) = {
         let state = context.state();
         let table = state.table().ok_or(Kind::NotReady)?;
         let route = table
@@ -176,7 +169,14 @@
         let service = service.ok_or(Kind::NoTarget)?.clone();
         let rank = Rank::of(key.and_then(|key| key.rank), route.rank);
         let workspace = key.map(|key| key.workspace.clone());
-        (route.clone(), service, workspace, rank, table.limits)
+        (
+            route.clone(),
+            service,
+            workspace,
+            rank,
+            table.limits,
+            table.version,
+        )
     };
     if let Some(end) = context.ending.at() {
         let left = end - context.now();
@@ -205,6 +205,17 @@
         .map(|patience| state.waited(&route.name, patience));
     let waited = waited.unwrap_or_default();
     drop(state);
+    log::info!(
+        request:% = head.attempt,
+        route:% = route.name,
+        service:% = service.name,
+        workspace:% = workspace.clone().unwrap_or_default(),
+        rank = rank.0,
+        version,
+        patience_ms = patience.0,
+        waited_ms = waited.0;
+        "request taken in"
+    );
     Ok(Job {
         on_time: arrived + (route.objective - waited),
         begin_by: deadline.min(arrived + route.silence_max()),
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -198,6 +198,7 @@
     keepers: Vec<Keeper>,
 ) -> (usize, Made) {
     let (service, group) = group;
+    let asked = context.now();
     let order = context.state().dispatchers(&service, context.now());
     for dispatcher in order {
         let made = match dispatcher {
@@ -214,7 +215,19 @@
         };
         match made {
             Ok(Err(Unmade::Elsewhere)) => {}
-            Ok(Ok(batch)) => return (index, Ok((batch, dispatcher))),
+            Ok(Ok(batch)) => {
+                let now = context.now();
+                log::info!(
+                    request:% = group.attempt,
+                    stage = index,
+                    service:% = service,
+                    pieces = group.pieces.len(),
+                    took_ms = (now - asked).0,
+                    spare_ms = (group.on_time - now).0;
+                    "stage made"
+                );
+                return (index, Ok((batch, dispatcher)));
+            }
             Ok(Err(why)) => return (index, Err(why)),
             Err(_) => {
                 log::warn!(
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -115,3 +115,63 @@
     let answer = client.send(front(&daemon)).await.expect("an answer");
     assert_eq!((answer.status, answer.is_whole), (200, true));
 }
+
+/// Found by reading the story of a broken request: its results had been freed
+/// with its first event, so no target would resume it.
+#[tokio::test]
+async fn a_stream_with_stages_is_resumed_with_results_that_were_made_again() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let probe = Client::new("/long/").generates("2");
+    assert!(
+        probe
+            .send(front(&daemon))
+            .await
+            .is_some_and(|answer| answer.is_whole)
+    );
+    let first = world
+        .engines
+        .iter()
+        .position(|engine| !engine.seen().is_empty());
+    world.engines[first.expect("one ran it")].then(&[Mode::BreakWithin(3)]);
+    let client = Client::new("/long/").generates("2");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    let seen = world.engines.iter().flat_map(Target::seen);
+    let runs: Vec<Seen> = seen
+        .filter(|seen| seen.header("Attempt-Id") == client.attempt)
+        .collect();
+    assert_eq!(runs.len(), 2);
+    assert_eq!(
+        runs.iter()
+            .filter(|run| run.header("Last-Event-Id") == "2")
+            .count(),
+        1
+    );
+    for run in runs {
+        assert_eq!(run.header("Inputs").split(',').count(), 2);
+    }
+}
+
+#[tokio::test]
+async fn results_that_are_gone_at_the_run_are_made_again() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let probe = Client::new("/long/").generates("2");
+    assert!(
+        probe
+            .send(front(&daemon))
+            .await
+            .is_some_and(|answer| answer.is_whole)
+    );
+    let first = world
+        .engines
+        .iter()
+        .position(|engine| !engine.seen().is_empty());
+    world.engines[first.expect("one ran it")].then(&[Mode::InputsGone]);
+    let before = calls(&world.first).len();
+    let client = Client::new("/long/").generates("2");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(calls(&world.first).len(), before + 2);
+}
