--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -621,6 +621,10 @@
         now: Millis,
     ) {
         let name = name::Target::new(target);
+        let listed = self
+            .roster
+            .get(&name)
+            .map(|listed| listed.target.service.clone());
         let decoded = self
             .mirror
             .get(key)
@@ -639,10 +643,9 @@
             }
         };
         if let Some(change) = change.filter(|change| *change != Change::Changed) {
-            let service = self
-                .roster
-                .get(&name)
-                .map(|listed| listed.target.service.clone());
+            let service = self.roster.get(&name);
+            let service = service.map(|listed| listed.target.service.clone());
+            let service = service.or(listed);
             log::info!(
                 target:% = name,
                 service:% = service.unwrap_or_default(),
