--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,48 @@
+//! The soak: real daemons on the direct path, with faults from outside.
+//!
+//! CI plays the seeds that ever failed and two more. By hand:
+//!
+//!     SOAK_SEEDS=100..150 cargo test --release -p gooseberryd --test soak -- --ignored --nocapture
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::path::Path;
+
+use gooseberry_soak::run;
+
+/// Seeds that failed once, each with a line on its cause, and two that did not.
+const SEEDS: [u64; 2] = [1, 2];
+
+async fn play(seeds: impl Iterator<Item = u64>) {
+    let binary = Path::new(env!("CARGO_BIN_EXE_gooseberryd"));
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let report = run(binary, seed).await.unwrap();
+        let count = report.breaches.len();
+        println!(
+            "seed {seed}: {} requests, {} served, {count} breaches, {:?}",
+            report.requests, report.served, report.faults
+        );
+        if count > 0 {
+            println!("  logs in {}", report.folder.display());
+            for breach in report.breaches.iter().take(5) {
+                println!("  {breach}");
+            }
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} broke a promise");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_promises_hold_under_faults() {
+    play(SEEDS.into_iter()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "plays the seeds that SOAK_SEEDS names, such as 100..150"]
+async fn many_seeds() {
+    let seeds = std::env::var("SOAK_SEEDS").unwrap();
+    let (from, until) = seeds.split_once("..").unwrap();
+    play(from.parse().unwrap()..until.parse().unwrap()).await;
+}
--- /dev/null
+++ b/crates/runtime/tests/logs.rs
@@ -0,0 +1,44 @@
+//! Logging to a reader that does not read.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::env;
+use std::process::Command;
+use std::process::Stdio;
+
+use gooseberry_kernel::settings::LogFormat;
+use gooseberry_runtime::logs;
+
+/// Tells the child process of the test what it is.
+const CHILD: &str = "LOGS_TEST_CHILD";
+const LINES: u64 = 50_000;
+
+#[test]
+fn a_reader_that_does_not_read_stops_nobody() {
+    if env::var_os(CHILD).is_some() {
+        logs::start_unblocked("info", LogFormat::Text).unwrap();
+        for number in 0..LINES {
+            log::info!(target: "gooseberry_relay", number; "a line that fills the pipe");
+        }
+        eprintln!("dropped {}", logs::dropped());
+        // The harness would wait for standard output to be read.
+        std::process::exit(0);
+    }
+    let own_name = "a_reader_that_does_not_read_stops_nobody";
+    let mut child = Command::new(env::current_exe().unwrap())
+        .args(["--exact", own_name, "--nocapture"])
+        .env(CHILD, "1")
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // Its standard output is a pipe that nobody reads; it ends all the same.
+    let unread = child.stdout.take().unwrap();
+    let output = child.wait_with_output().unwrap();
+    drop(unread);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stderr).unwrap();
+    let dropped = text.lines().find_map(|line| line.strip_prefix("dropped "));
+    let dropped: u64 = dropped.unwrap().parse().unwrap();
+    assert!(dropped > 0 && dropped < LINES, "{dropped} of {LINES} lines");
+}
