--- a/crates/kernel/src/stage.rs
+++ b/crates/kernel/src/stage.rs
@@ -8,3 +8,6 @@
 pub mod plan;
 pub mod queue;
 pub mod results;
+
+mod arrivals;
+mod near;
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -28,25 +28,19 @@
 use crate::request::door::RETURN_MIN;
 use crate::request::table::Pieces;
 use crate::request::table::Rank;
+use crate::stage::arrivals::Arrivals;
+use crate::stage::near::is_near;
+use crate::stage::near::may_go;
+use crate::stage::near::needed_room;
 use crate::stage::results::Results;
 
 /// One in so many calls takes the oldest groups, whatever their rank.
 const OLDEST_EVERY: u64 = 8;
-/// The length of a step in which arrivals are counted, and how many count: two
-/// seconds are long against a call and short against a burst.
-const STEP: Millis = Millis(250);
-const STEPS: usize = 8;
-/// The weight of the newest piece in the mean size, as one part of so many.
-const SIZES: u64 = 64;
 /// Up to which missing time a refused request may still be on time when it
 /// comes back.
 const RETURN_SOON: Millis = Millis(400);
 /// When the others are asked to come back: most bursts last a few seconds.
 const RETURN_LATER: Millis = Millis(5_000);
-/// From how many bytes on a group waits for a target in its own domain.
-const NEAR_MIN_BYTES: u64 = 200_000;
-/// How long a target near a group may take to fall free: about a call.
-const NEAR_WAIT: Millis = Millis(300);
 /// How long a target rests after it had no room or no place for a call; a call
 /// takes about as long to end.
 pub const REST: Millis = Millis(250);
@@ -470,77 +464,3 @@
         pieces.room_bytes.saturating_sub(kept + promised)
     }
 }
-
-/// Counts pieces in steps of a quarter of a second, and their mean size.
-#[derive(Clone, Copy, Debug, Default)]
-struct Arrivals {
-    steps: [(u64, [u64; Rank::LEVELS]); STEPS],
-    bytes: u64,
-}
-
-impl Arrivals {
-    fn note(&mut self, group: &Group, now: Millis) {
-        for _ in &group.pieces {
-            self.bytes = (self.bytes * (SIZES - 1) + group.bytes) / SIZES;
-        }
-        let number = now.0 / STEP.0 + 1;
-        let step = &mut self.steps[usize::try_from(number).unwrap_or_default() % STEPS];
-        if step.0 != number {
-            *step = (number, [0; Rank::LEVELS]);
-        }
-        step.1[group.rank.level()] += group.pieces.len() as u64;
-    }
-
-    /// Returns how many pieces of the levels before this one came in a second
-    /// of late.
-    fn rate_before(&self, level: usize, now: Millis) -> u64 {
-        let number = now.0 / STEP.0 + 1;
-        let fresh = self.steps.iter();
-        let fresh = fresh.filter(|step| step.0 + (STEPS as u64) > number);
-        let pieces: u64 = fresh.flat_map(|step| &step.1[..level]).sum();
-        pieces * 1000 / (STEP.0 * STEPS as u64)
-    }
-}
-
-/// Returns the room that a target must have for a group: for all of it, unless
-/// no target ever has that much.
-fn needed_room(group: &Group, pieces: &Pieces) -> u64 {
-    let batch = usize::try_from(pieces.batch).unwrap_or(usize::MAX);
-    let count = group.pieces.len().min(batch) as u64;
-    let whole = group.bytes.saturating_mul(count);
-    if whole <= pieces.room_bytes {
-        whole
-    } else {
-        group.bytes
-    }
-}
-
-fn is_near(group: &Group, maker: &Maker) -> bool {
-    group
-        .near
-        .as_ref()
-        .is_none_or(|near| near.domain == maker.domain)
-}
-
-/// Tells whether a group may be made by a target.
-///
-/// What crosses domains is paid for, so a group with much to fetch or to hand
-/// on waits for a target near it, as long as it can still be made in time by
-/// the next call there.
-fn may_go(group: &Group, maker: &Maker, makers: &[Maker], pieces: &Pieces, now: Millis) -> bool {
-    let Some(near) = &group.near else {
-        return true;
-    };
-    if near.domain == maker.domain || near.bytes < NEAR_MIN_BYTES {
-        return true;
-    }
-    let is_served = |maker: &Maker| maker.domain == near.domain && !maker.is_avoided;
-    if !makers.iter().any(is_served) {
-        return true;
-    }
-    let count = u32::try_from(group.pieces.len()).unwrap_or(u32::MAX);
-    let is_late = now + pieces.call(count) > group.on_time;
-    let end = if is_late { group.until } else { group.on_time };
-    let next_end = now + NEAR_WAIT + pieces.call(count);
-    next_end > end.min(group.inputs_until + pieces.call(count))
-}
--- /dev/null
+++ b/crates/relay/src/dispatcher/desk.rs
@@ -0,0 +1,114 @@
+//! The requests that wait at one service, beside its queue.
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::queue::Queue;
+use gooseberry_kernel::stage::queue::Ticket;
+use gooseberry_wire::fleet::Unmade;
+use tokio::sync::oneshot;
+
+use crate::dispatcher::Batch;
+use crate::dispatcher::Keeper;
+use crate::dispatcher::Reply;
+
+/// How often the pieces of a group are tried.
+const TRIES_MAX: u32 = 3;
+
+/// A group whose request waits here for its pieces.
+#[derive(Debug)]
+pub(super) struct Open {
+    pub(super) ticket: Ticket,
+    pub(super) wanted: Vec<u32>,
+    pub(super) made: Vec<(u32, name::Handle)>,
+    pub(super) tries: u32,
+    pub(super) keepers: Vec<Keeper>,
+    pub(super) are_inputs_freed: bool,
+    pub(super) reply: oneshot::Sender<Reply>,
+}
+
+#[derive(Debug)]
+pub(super) struct Desk {
+    pub(super) service: name::Service,
+    pub(super) queue: Queue,
+    pub(super) open: Vec<Open>,
+    /// Whether the targets were asked what they keep already.
+    pub(super) is_known: bool,
+}
+
+impl Desk {
+    pub(super) fn take(&mut self, ticket: Ticket) -> Option<Open> {
+        let index = self.open.iter().position(|open| open.ticket == ticket)?;
+        Some(self.open.remove(index))
+    }
+
+    /// Ends a group; what was made of it in vain is given up.
+    pub(super) fn close(&mut self, ticket: Ticket, reply: Reply) {
+        let Some(open) = self.take(ticket) else {
+            return;
+        };
+        self.queue.cancel(ticket);
+        if reply.is_err() {
+            let made: Vec<name::Handle> = open.made.into_iter().map(|(_, handle)| handle).collect();
+            self.queue.results().free(&made);
+        }
+        // The request may have gone in this moment; its guard freed nothing
+        // then, so the results age out.
+        open.reply.send(reply).ok();
+    }
+
+    pub(super) fn note_made(
+        &mut self,
+        ticket: Ticket,
+        piece: u32,
+        handle: name::Handle,
+        domain: &name::Domain,
+    ) {
+        let Some(open) = self.open.iter_mut().find(|open| open.ticket == ticket) else {
+            self.queue.results().free(&[handle]);
+            return;
+        };
+        open.made.push((piece, handle));
+        if open.made.len() == open.wanted.len() {
+            let mut made = std::mem::take(&mut open.made);
+            made.sort_by_key(|(piece, _)| *piece);
+            let handles = made.into_iter().map(|(_, handle)| handle).collect();
+            let batch = Batch {
+                handles,
+                domain: domain.clone(),
+                are_inputs_freed: open.are_inputs_freed,
+            };
+            self.close(ticket, Ok(batch));
+        }
+    }
+
+    /// Queues pieces again, unless they were tried often enough.
+    pub(super) fn again(&mut self, ticket: Ticket, group: Group, counts: bool, now: Millis) {
+        let Some(open) = self.open.iter_mut().find(|open| open.ticket == ticket) else {
+            return;
+        };
+        open.tries += u32::from(counts);
+        if open.are_inputs_freed {
+            self.close(ticket, Err(Unmade::Gone));
+        } else if open.tries >= TRIES_MAX {
+            self.close(ticket, Err(Unmade::Failed));
+        } else {
+            self.queue.push_back(ticket, group, now);
+        }
+    }
+}
+
+pub(super) fn desk<'a>(desks: &'a mut Vec<Desk>, service: &name::Service) -> &'a mut Desk {
+    let found = desks.binary_search_by(|desk| desk.service.cmp(service));
+    let index = found.unwrap_or_else(|index| {
+        let desk = Desk {
+            service: service.clone(),
+            queue: Queue::default(),
+            open: Vec::new(),
+            is_known: false,
+        };
+        desks.insert(index, desk);
+        index
+    });
+    &mut desks[index]
+}
--- /dev/null
+++ b/crates/relay/src/dispatcher/room.rs
@@ -0,0 +1,88 @@
+//! What stage targets keep: asking for it, and giving it up.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::table::Pieces;
+use gooseberry_platform::pieces;
+use tokio::time::timeout;
+
+use crate::context::Context;
+use crate::dispatcher::call::ANSWER_MAX_BYTES;
+use crate::dispatcher::desk::desk;
+use crate::exchange::Callee;
+use crate::exchange::Exchange;
+use crate::pool::KEPT_MAX;
+
+/// How long a target may take to say what it keeps.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a target may take to hear which results are freed.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks targets what they keep, so that what another daemon dispatched counts.
+pub(super) async fn ask_rooms(
+    context: &Arc<Context>,
+    service: &name::Service,
+    pieces: Pieces,
+    targets: &[name::Target],
+) {
+    let asked = targets.iter().map(async |target| {
+        let room = ask_room(context, target).await?;
+        Some((target, pieces.room_bytes.saturating_sub(room)))
+    });
+    let kept = futures::future::join_all(asked).await;
+    let now = context.now();
+    let mut desks = context.dispatcher.lock();
+    let results = desk(&mut desks, service).queue.results();
+    for (target, bytes) in kept.into_iter().flatten() {
+        results.note_kept(target, bytes, pieces.kept, now);
+        log::info!(service:% = service, target:% = target, bytes; "a target told what it keeps");
+    }
+}
+
+pub(super) async fn ask_room(context: &Arc<Context>, target: &name::Target) -> Option<u64> {
+    let address = context.state().address(target)?;
+    let callee = Callee {
+        target: target.clone(),
+        address,
+        idle_max: KEPT_MAX,
+        runs_once: false,
+    };
+    let request = pieces::ask_room(&address.to_string(), target).ok()?;
+    let asked = timeout(ASK_TIMEOUT, async {
+        let mut exchange = Exchange::begin(context, &callee, request).await.ok()?;
+        let body = exchange.read(ANSWER_MAX_BYTES).await.ok()?;
+        exchange.keep(context, None);
+        pieces::read_room(&body).ok()
+    });
+    asked.await.ok().flatten()
+}
+
+pub(super) async fn free(
+    context: &Arc<Context>,
+    target: name::Target,
+    address: SocketAddr,
+    handles: &[name::Handle],
+) {
+    let callee = Callee {
+        target,
+        address,
+        idle_max: KEPT_MAX,
+        runs_once: false,
+    };
+    let Ok(request) = pieces::free(handles, &address.to_string(), &callee.target) else {
+        return;
+    };
+    let told = timeout(FREE_TIMEOUT, async {
+        let mut exchange = Exchange::begin(context, &callee, request).await?;
+        exchange.read(ANSWER_MAX_BYTES).await?;
+        exchange.keep(context, None);
+        Ok::<_, crate::exchange::Error>(())
+    });
+    // Results that are not freed age out at their makers.
+    if !matches!(told.await, Ok(Ok(()))) {
+        log::debug!(target:% = callee.target, results = handles.len(); "results were not freed");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/state/stage.rs
@@ -0,0 +1,73 @@
+//! Who makes the pieces of stages, and how long they wait.
+
+use std::net::SocketAddr;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::choice;
+use gooseberry_kernel::fleet::member;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::door::WAIT_AGE_MAX;
+use gooseberry_kernel::request::door::Wait;
+use gooseberry_kernel::request::table::Pieces;
+use gooseberry_kernel::request::table::Rank;
+use gooseberry_kernel::request::table::Work;
+use gooseberry_kernel::stage::queue::Maker;
+
+use crate::state::State;
+
+impl State {
+    /// Returns the targets of a stage service that may get calls.
+    #[must_use]
+    pub fn makers(&self, service: &name::Service, now: Millis) -> Vec<Maker> {
+        let usable = self.roster.usable(service, &self.taken_out, now);
+        let makers = usable.map(|listed| Maker {
+            target: listed.target.name.clone(),
+            domain: listed.target.domain.clone(),
+            is_avoided: self.health.is_avoided(&listed.target.name, now),
+        });
+        makers.collect()
+    }
+
+    /// Returns what a stage service bears.
+    #[must_use]
+    pub fn pieces(&self, service: &name::Service) -> Option<Pieces> {
+        match self.table.as_ref()?.service(service)?.work {
+            Work::Pieces(pieces) => Some(pieces),
+            Work::Plain | Work::Engine(_) => None,
+        }
+    }
+
+    /// Returns whom to ask for the pieces of a service, in order; `None` stands
+    /// for this daemon.
+    #[must_use]
+    pub fn dispatchers(&self, service: &name::Service, now: Millis) -> Vec<Option<SocketAddr>> {
+        let me = self.members.me();
+        let live = self.members.live(now);
+        let order = choice::order(service, &live);
+        let addresses = order.into_iter();
+        let address = |row: &member::Row| (row.name != me.name).then_some(row.address);
+        addresses.map(address).collect()
+    }
+
+    /// Notes how long pieces wait at a dispatcher.
+    pub fn note_wait(&mut self, wait: Wait, now: Millis) {
+        let found = self
+            .waits
+            .binary_search_by(|(known, _)| known.service.cmp(&wait.service));
+        match found {
+            Ok(index) => self.waits[index] = (wait, now),
+            Err(index) => self.waits.insert(index, (wait, now)),
+        }
+    }
+
+    /// Returns how long pieces of a rank wait at a service, as was last told.
+    #[must_use]
+    pub fn wait(&self, service: &name::Service, rank: Rank, now: Millis) -> Millis {
+        let found = self
+            .waits
+            .binary_search_by(|(known, _)| known.service.cmp(service));
+        let told = found.ok().map(|index| &self.waits[index]);
+        let fresh = told.filter(|(_, at)| *at + WAIT_AGE_MAX > now);
+        fresh.map_or(Millis::ZERO, |(wait, _)| wait.of(rank))
+    }
+}
