Take the rate of a stage service from what its targets make

Ruled out: gossip age (the same with a dispatcher at the entry).

Change: as long as something waits, the rate is what was sent in the last two seconds; a wait counts what is on its way through earlier stages.

--- a/crates/kernel/src/stage/arrivals.rs
+++ b/crates/kernel/src/stage/arrivals.rs
@@ -1,4 +1,4 @@
-//! The pieces that came in of late, by rank.
+//! How many pieces came in, or were sent, of late, by rank.
 
 use crate::clock::Millis;
 use crate::request::table::Rank;
@@ -9,6 +9,8 @@
 const STEP: Millis = Millis(250);
 /// How many steps count.
 const STEPS: usize = 8;
+/// The span over which a rate is taken.
+pub(super) const WINDOW: Millis = Millis(STEP.0 * STEPS as u64);
 /// The weight of the newest piece in the mean size, as one part of so many.
 const SIZES: u64 = 64;
 
@@ -20,6 +22,7 @@
 }
 
 impl Arrivals {
+    /// Counts a group's pieces, and their size.
     pub(super) fn note(&mut self, group: &Group, now: Millis) {
         for _ in &group.pieces {
             self.bytes = (self.bytes * (SIZES - 1) + group.bytes) / SIZES;
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -29,6 +29,7 @@
 use crate::request::table::Pieces;
 use crate::request::table::Rank;
 use crate::stage::arrivals::Arrivals;
+use crate::stage::arrivals::WINDOW;
 use crate::stage::near::is_near;
 use crate::stage::near::may_go;
 use crate::stage::near::needed_room;
@@ -36,6 +37,10 @@
 
 /// One in so many calls takes the oldest groups, whatever their rank.
 const OLDEST_EVERY: u64 = 8;
+/// The part of what targets can make that they are taken to make at least.
+const SHOWN_PART: u64 = 4;
+/// For how long pieces are on their way through an earlier stage.
+const ON_ITS_WAY: Millis = Millis(500);
 /// Up to which missing time a refused request may still be on time when it
 /// comes back.
 const RETURN_SOON: Millis = Millis(400);
@@ -166,6 +171,10 @@
     results: Results,
     /// The pieces on time that came in of late.
     arrivals: Arrivals,
+    /// The pieces that were sent of late.
+    sent: Arrivals,
+    /// When nothing waited last.
+    empty_at: Millis,
     tickets: u64,
     calls: u64,
 }
@@ -205,6 +214,9 @@
     pub fn push(&mut self, group: Group, now: Millis) -> Ticket {
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
+        if self.waiting.is_empty() {
+            self.empty_at = now;
+        }
         if group.on_time > now {
             self.arrivals.note(&group, now);
         }
@@ -338,7 +350,7 @@
             let level = if is_late { Rank::LEVELS - 1 } else { level };
             ahead[level] += group.pieces.len() as u64;
         }
-        let rate = self.rate(targets, pieces);
+        let rate = self.rate(targets, pieces, now);
         let first = self.first_free(targets, now);
         let mut before = 0;
         let mut waits = [Millis::ZERO; Rank::LEVELS];
@@ -347,7 +359,11 @@
             // What is more urgent and comes in meanwhile goes first as well.
             let taken = self.arrivals.rate_before(level, now);
             let left = rate.saturating_sub(taken).max(rate / OLDEST_EVERY).max(1);
-            *wait = first + Millis(before * 1000 / left);
+            // What is on its way through earlier stages makes the wait longer
+            // by the time that it arrives.
+            let coming = self.arrivals.rate_before(level + 1, now);
+            let growth = coming.saturating_sub(rate) * ON_ITS_WAY.0 / rate;
+            *wait = first + Millis(before * 1000 / left + growth);
         }
         waits
     }
@@ -356,20 +372,28 @@
     /// coming in as they do.
     fn late_wait(&self, targets: usize, pieces: &Pieces, now: Millis) -> Millis {
         let all = u64::try_from(self.pieces()).unwrap_or(u64::MAX);
-        let rate = self.rate(targets, pieces);
+        let rate = self.rate(targets, pieces, now);
         let taken = self.arrivals.rate_before(Rank::LEVELS, now);
         let left = rate.saturating_sub(taken).max(rate / 20).max(1);
         self.first_free(targets, now) + Millis(all * 1000 / left)
     }
 
-    /// Returns how many pieces a second the targets make, as bounded by the
-    /// time of their calls and by their room for results.
-    fn rate(&self, targets: usize, pieces: &Pieces) -> u64 {
+    /// Returns how many pieces a second the targets make.
+    ///
+    /// As long as something waits, what they have made of late shows it. Else
+    /// it follows from the time of their calls and their room for results,
+    /// which both leave out what calls lose between them.
+    fn rate(&self, targets: usize, pieces: &Pieces, now: Millis) -> u64 {
         let targets = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
         let turn = pieces.call(pieces.batch / 2) + self.results.hold();
         let bytes = self.arrivals.bytes.max(1);
         let by_room = targets * pieces.room_bytes / bytes * 1000 / turn.0.max(1);
-        (targets * pieces.rate()).min(by_room).max(1)
+        let possible = (targets * pieces.rate()).min(by_room).max(1);
+        if self.empty_at + WINDOW > now {
+            return possible;
+        }
+        let shown = self.sent.rate_before(Rank::LEVELS, now);
+        shown.clamp((possible / SHOWN_PART).max(1), possible)
     }
 
     /// Returns when the first target falls free, if none is free now.
@@ -419,7 +443,13 @@
                 break;
             }
         }
+        for part in &parts {
+            self.sent.note(&part.group, now);
+        }
         self.waiting.retain(|one| !one.group.pieces.is_empty());
+        if self.waiting.is_empty() {
+            self.empty_at = now;
+        }
         self.calls += 1;
         let expected = now + pieces.call(u32::try_from(count).unwrap_or(u32::MAX));
         self.busy.push(Busy {
