Count the late waits of later stages at the first one

Change: dispatchers tell what late pieces wait; a late group is let in only if the later stages have time for it as well. Kept: what is known to be unservable is refused before work is done.

--- a/crates/kernel/src/request/door.rs
+++ b/crates/kernel/src/request/door.rs
@@ -33,6 +33,8 @@
         pub service: name::Service,
         /// The wait of each rank.
         pub waits: [Millis; Rank::LEVELS],
+        /// The wait of what is late already.
+        pub late: Millis,
     }
 }
 
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -88,6 +88,9 @@
         pub near: Option<Near>,
         /// Whether nothing of the request has been made yet.
         pub is_first: bool,
+        /// How much longer the later stages take if the request is late, since
+        /// what is on time goes before it there as well.
+        pub late_tail: Millis,
     }
 
     /// A domain near which pieces are best made.
@@ -199,7 +202,8 @@
         let rank = group.rank.level();
         let wait = self.waits(targets, pieces, now)[rank];
         let is_on_time = now + wait + call <= group.on_time;
-        if is_on_time || now + self.late_wait(targets, pieces, now) + call <= group.until {
+        let late = self.late_wait(targets, pieces, now) + call + group.late_tail;
+        if is_on_time || now + late <= group.until {
             return Ok(());
         }
         let missing = now + wait + call - group.on_time;
@@ -370,7 +374,8 @@
 
     /// Returns how long a group that is late already waits, if requests go on
     /// coming in as they do.
-    fn late_wait(&self, targets: usize, pieces: &Pieces, now: Millis) -> Millis {
+    #[must_use]
+    pub fn late_wait(&self, targets: usize, pieces: &Pieces, now: Millis) -> Millis {
         let all = u64::try_from(self.pieces()).unwrap_or(u64::MAX);
         let rate = self.rate(targets, pieces, now);
         let taken = self.arrivals.rate_before(Rank::LEVELS, now);
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -248,16 +248,20 @@
         door::decide(&legs, left) == Verdict::Enter
     }
 
-    fn tail(&self, number: usize, stage: usize) -> Millis {
+    fn tail(&self, number: usize, stage: usize, is_late: bool) -> Millis {
         let request = &self.requests[number];
         let rank = Rank::of(None, self.kinds[request.kind].rank).level();
         let readers = request.plan.readers(stage).into_iter();
         let tails = readers.map(|reader| {
             let service = self.service(request.kind, reader);
             let queue = &self.queues[request.desk][service];
-            let wait = queue.waits(TARGETS, &pieces(service), self.now)[rank];
+            let wait = if is_late {
+                queue.late_wait(TARGETS, &pieces(service), self.now)
+            } else {
+                queue.waits(TARGETS, &pieces(service), self.now)[rank]
+            };
             let step = request.plan.step(reader).expect("it exists");
-            wait + pieces(service).call(step.pieces) + self.tail(number, reader)
+            wait + pieces(service).call(step.pieces) + self.tail(number, reader, is_late)
         });
         tails.max().unwrap_or_default()
     }
@@ -285,7 +289,7 @@
             let service = self.service(kind, stage);
             let request = &self.requests[number];
             let step = request.plan.step(stage).expect("it has begun");
-            let tail = self.tail(number, stage) + FIRST_BYTE;
+            let tail = self.tail(number, stage, false) + FIRST_BYTE;
             let group = Group {
                 attempt: name::Attempt::new(&number.to_string()),
                 stage,
@@ -298,6 +302,7 @@
                 inputs_until: Millis::NEVER,
                 near: None,
                 is_first: !request.plan.is_begun(),
+                late_tail: self.tail(number, stage, true) + FIRST_BYTE - tail,
             };
             let queue = &mut self.queues[desk][service];
             if queue
--- a/crates/kernel/tests/direct/queue.rs
+++ b/crates/kernel/tests/direct/queue.rs
@@ -42,6 +42,7 @@
         inputs_until: Millis::NEVER,
         near: None,
         is_first: true,
+        late_tail: Millis::ZERO,
     }
 }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -166,7 +166,12 @@
             let mut desks = self.lock();
             let queue = &desk(&mut desks, &service).queue;
             let waits = queue.waits(targets, &pieces, now);
-            Some(Wait { service, waits })
+            let late = queue.late_wait(targets, &pieces, now);
+            Some(Wait {
+                service,
+                waits,
+                late,
+            })
         });
         waits.collect()
     }
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -258,7 +258,10 @@
     let Some(step) = plan.step(index) else {
         unreachable!("a plan begins only its own stages");
     };
-    let tail = tail(&state, job, plan, index, now) + FIRST_BYTE;
+    let wait = |service: &name::Service| state.wait(service, job.rank, now);
+    let tail = tail(&state, plan, index, &wait) + FIRST_BYTE;
+    let late_wait = |service: &name::Service| state.late_wait(service, now);
+    let late_tail = self::tail(&state, plan, index, &late_wait) + FIRST_BYTE - tail;
     let inputs = plan.inputs(index);
     let source = if inputs.is_empty() {
         Source::Key(job.head.piece_key.clone().unwrap_or_default())
@@ -277,18 +280,24 @@
         inputs_until: inputs_until(step, kept),
         near: near(plan, index, step, kept, domain),
         is_first: !plan.is_begun(),
+        late_tail,
     };
     (step.service.clone(), group)
 }
 
-/// Returns how long the stages after a stage take, on the longest way.
-fn tail(state: &State, job: &Job, plan: &Plan, index: usize, now: Millis) -> Millis {
+/// Returns how long the stages after a stage take, on the longest way, with the
+/// wait that each service has.
+fn tail(
+    state: &State,
+    plan: &Plan,
+    index: usize,
+    wait: &impl Fn(&name::Service) -> Millis,
+) -> Millis {
     let readers = plan.readers(index).into_iter();
     let tails = readers.filter_map(|reader| {
         let step = plan.step(reader)?;
-        let wait = state.wait(&step.service, job.rank, now);
         let call = state.pieces(&step.service)?.call(step.pieces);
-        Some(wait + call + tail(state, job, plan, reader, now))
+        Some(wait(&step.service) + call + tail(state, plan, reader, wait))
     });
     tails.max().unwrap_or_default()
 }
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -63,11 +63,23 @@
     /// Returns how long pieces of a rank wait at a service, as was last told.
     #[must_use]
     pub fn wait(&self, service: &name::Service, rank: Rank, now: Millis) -> Millis {
+        let told = self.told_wait(service, now);
+        told.map_or(Millis::ZERO, |wait| wait.of(rank))
+    }
+
+    /// Returns how long pieces that are late wait at a service, as was last
+    /// told.
+    #[must_use]
+    pub fn late_wait(&self, service: &name::Service, now: Millis) -> Millis {
+        let told = self.told_wait(service, now);
+        told.map_or(Millis::ZERO, |wait| wait.late)
+    }
+
+    fn told_wait(&self, service: &name::Service, now: Millis) -> Option<&Wait> {
         let found = self
             .waits
             .binary_search_by(|(known, _)| known.service.cmp(service));
-        let told = found.ok().map(|index| &self.waits[index]);
-        let fresh = told.filter(|(_, at)| *at + WAIT_AGE_MAX > now);
-        fresh.map_or(Millis::ZERO, |(wait, _)| wait.of(rank))
+        let (wait, at) = found.ok().map(|index| &self.waits[index])?;
+        (*at + WAIT_AGE_MAX > now).then_some(wait)
     }
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -74,6 +74,8 @@
     pub service: CompactString,
     /// The wait of each rank, in milliseconds.
     pub waits_ms: [u64; Rank::LEVELS],
+    /// The wait of what is late already, in milliseconds.
+    pub late_ms: u64,
 }
 
 /// An entry of the platform's store.
@@ -134,6 +136,8 @@
     pub near: Option<Near>,
     /// Whether nothing of the request has been made yet.
     pub is_first: bool,
+    /// How much longer the later stages take if it is late, in milliseconds.
+    pub late_tail_ms: u64,
     /// Who is told as soon as the inputs have been read.
     pub keepers: Vec<Keeper>,
 }
@@ -216,6 +220,7 @@
         Self {
             service: wait.service.as_str().into(),
             waits_ms: wait.waits.map(|wait| wait.0),
+            late_ms: wait.late.0,
         }
     }
 }
@@ -225,6 +230,7 @@
         Self {
             service: name::Service::new(&wait.service),
             waits: wait.waits_ms.map(Millis),
+            late: Millis(wait.late_ms),
         }
     }
 }
@@ -285,6 +291,7 @@
                 bytes: near.bytes,
             }),
             is_first: group.is_first,
+            late_tail_ms: group.late_tail.0,
             keepers: Vec::new(),
         }
     }
@@ -313,6 +320,7 @@
                 bytes: near.bytes,
             }),
             is_first: self.is_first,
+            late_tail: Millis(self.late_tail_ms),
         };
         (name::Service::new(&self.service), group)
     }
