Bound the memory that bodies of requests take

A body is kept until its request ends; a few hundred large ones at once would have taken an instance's memory. A request whose body goes beyond a quarter of it is refused before it is read.

--- /dev/null
+++ b/crates/relay/src/bodies.rs
@@ -0,0 +1,38 @@
+//! The memory that bodies of requests take.
+//!
+//! A body is kept until its request has ended, since it may have to be sent
+//! again. Many large ones at once would take a small instance's memory, so a
+//! request whose body would go beyond the bound is refused before it is read.
+
+use std::sync::Arc;
+
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+
+/// The unit in which memory is counted, in bytes.
+const UNIT_BYTES: u64 = 1024;
+
+/// The memory for bodies.
+#[derive(Clone, Debug)]
+pub struct Bodies(Arc<Semaphore>);
+
+/// The memory of one body; it is given back when this is dropped.
+#[derive(Debug)]
+pub struct Body(#[allow(dead_code, reason = "it is held, not read")] OwnedSemaphorePermit);
+
+impl Bodies {
+    /// Allows so many bytes at a time.
+    #[must_use]
+    pub fn new(bytes: u64) -> Self {
+        let units = usize::try_from(bytes / UNIT_BYTES).unwrap_or(usize::MAX);
+        Self(Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))))
+    }
+
+    /// Takes memory for a body; `None` if there is not enough.
+    #[must_use]
+    pub fn take(&self, bytes: u64) -> Option<Body> {
+        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok()?;
+        let permit = self.0.clone().try_acquire_many_owned(units);
+        permit.ok().map(Body)
+    }
+}
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -9,6 +9,7 @@
 use gooseberry_platform::boot::Boot;
 use gooseberry_runtime::clock::Clock;
 
+use crate::bodies::Bodies;
 use crate::dispatcher::Dispatcher;
 use crate::ending::Ending;
 use crate::metrics::Metrics;
@@ -16,6 +17,10 @@
 use crate::pool::Pool;
 use crate::state::State;
 
+/// The part of a daemon's memory that bodies of requests may take; the rest is
+/// for connections, which take a few tens of kilobytes each.
+const BODIES_PART: u64 = 4;
+
 /// What all parts of the daemon share.
 #[derive(Debug)]
 pub struct Context {
@@ -33,6 +38,8 @@
     pub metrics: Metrics,
     /// When the process ends, once it is shutting down.
     pub ending: Ending,
+    /// The memory that bodies of requests may take.
+    pub bodies: Bodies,
     state: Mutex<State>,
 }
 
@@ -51,6 +58,7 @@
             dispatcher: Dispatcher::default(),
             metrics,
             ending: Ending::default(),
+            bodies: Bodies::new(boot.memory_bytes / BODIES_PART),
             boot,
         }))
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 //! # }
 //! ```
 
+pub mod bodies;
 pub mod context;
 pub mod daemon;
 pub mod dispatcher;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -28,6 +28,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::bodies;
 use crate::context::Context;
 use crate::front;
 use crate::front::Answer;
@@ -41,6 +42,8 @@
     pub head: Head,
     /// Its body.
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub memory: bodies::Body,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that runs it.
@@ -189,6 +192,10 @@
     if patience == Millis::ZERO {
         return Err(Kind::TooLate.into());
     }
+    // A body without a length may be as large as the limit allows.
+    let most = u64::try_from(limits.body_bytes).unwrap_or(u64::MAX);
+    let size = body.size_hint().upper().unwrap_or(most).min(most);
+    let memory = context.bodies.take(size).ok_or(Kind::Overloaded)?;
     let body = read_body(body, limits.body_bytes, patience).await?;
     let digest = digest(&head, workspace.as_ref(), &body);
     let now = context.now();
@@ -221,6 +228,7 @@
         begin_by: deadline.min(arrived + route.silence_max()),
         head,
         body,
+        memory,
         route,
         service,
         workspace,
--- a/crates/relay/tests/direct/connections.rs
+++ b/crates/relay/tests/direct/connections.rs
@@ -129,3 +129,13 @@
     assert_eq!(answer.status, 503);
     assert!(!answer.header("Retry-After").is_empty());
 }
+
+#[test]
+fn bodies_beyond_the_memory_are_refused_unread() {
+    let bodies = gooseberry_relay::bodies::Bodies::new(10_000);
+    let first = bodies.take(6_000).expect("there is room");
+    assert!(bodies.take(6_000).is_none());
+    assert!(bodies.take(3_000).is_some());
+    drop(first);
+    assert!(bodies.take(9_000).is_some());
+}
