Keep a failed answer until another target has one, and let answers clear suspects

Faults found by reading the code, both with tests that failed first: - An idempotent request whose first target answered 500, and for which no second target was left, was refused as 'not run' (503): untrue, and the target's answer was lost. It is passed on now. - A body that ran well never cleared the breaks noted beside it, so three broken connections within a minute refused a common request everywhere. Besides: the query is part of a request's digest; a client that gives less than half of a route's longest time is of another kind, not one that waited.

--- a/crates/relay/src/passage.rs
+++ b/crates/relay/src/passage.rs
@@ -112,8 +112,14 @@
 
 impl Passage {
     async fn start(mut self) -> Result<Response<Answer>, Failure> {
+        // What the first target answered, if it failed and another one is tried.
+        let mut failed: Option<Response<Answer>> = None;
         loop {
-            let sent = self.send().await?;
+            let sent = match (self.send().await, failed.take()) {
+                (Ok(sent), _) => sent,
+                (Err(_), Some(answer)) => return Ok(self.pass_failed(answer)),
+                (Err(failure), None) => return Err(failure),
+            };
             let status = sent.reply.status;
             let head = head(&sent);
             self.current = Some(sent);
@@ -130,7 +136,7 @@
                     self.finish();
                     return Ok(head.map(|()| front::whole(body)));
                 }
-                Ok(_) => {}
+                Ok(body) => failed = Some(head.map(|()| front::whole(body))),
                 Err(failure) => {
                     if !self.job.route.is_repeatable() || !self.may_repeat("broken") {
                         return Err(failure);
@@ -165,6 +171,22 @@
         }
     }
 
+    /// Passes on what a target answered that failed, since no other one has.
+    fn pass_failed(&mut self, answer: Response<Answer>) -> Response<Answer> {
+        self.is_ended = true;
+        self.context
+            .metrics
+            .request(self.job.form(), "target-failed");
+        log::info!(
+            request:% = self.job.head.attempt,
+            status = answer.status().as_u16(),
+            sends = self.sends,
+            took_ms = (self.context.now() - self.job.arrived).0;
+            "request answered with the failure of its first target"
+        );
+        answer
+    }
+
     /// Notes a complete answer, and keeps the connection.
     fn finish(&mut self) {
         self.is_ended = true;
@@ -182,6 +204,9 @@
         let job = &self.job;
         let status = reply.status.as_u16();
         let end = if status < 500 {
+            // Whatever broke beside this request before was not its fault.
+            let mut state = self.context.state();
+            state.suspects().note_answer(job.digest);
             "answered"
         } else {
             "target-failed"
--- a/crates/relay/src/passage/attempt.rs
+++ b/crates/relay/src/passage/attempt.rs
@@ -74,7 +74,7 @@
             self.prepare().await.map_err(|failure| self.fate(failure))?;
             let picked = match self.pick(last.as_ref()).await {
                 Ok(picked) => picked,
-                Err(failure) => return Err(last.unwrap_or(failure)),
+                Err(failure) => return Err(last.unwrap_or(self.fate(failure))),
             };
             match self.attempt(picked).await {
                 Try::Begun(sent) => {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -21,6 +21,7 @@
 use gooseberry_platform::client::Head;
 use http::Request;
 use http::Response;
+use http::uri::PathAndQuery;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -252,14 +253,14 @@
     }
 }
 
-/// Names the work of a request: its caller, path and body.
+/// Names the work of a request: its caller, path, query and body.
 fn digest(head: &Head, workspace: Option<&name::Workspace>, body: &[u8]) -> id::Digest {
     let mut text = Vec::with_capacity(body.len() + 64);
     for part in [
         workspace.map_or("", name::Workspace::as_str),
         head.method.as_str(),
         head.host.as_str(),
-        head.uri.path(),
+        head.uri.path_and_query().map_or("", PathAndQuery::as_str),
     ] {
         text.extend_from_slice(part.as_bytes());
         text.push(b'\n');
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -135,6 +135,9 @@
 
     /// Returns how long a client has been waiting for an answer already, as the
     /// time that it still gives shows.
+    ///
+    /// A client that was refused comes back within a third of its time, so one
+    /// that gives less than half of the most is one of another kind.
     pub fn waited(&mut self, route: &name::Route, patience: Millis) -> Millis {
         let found = self
             .patience
@@ -143,7 +146,11 @@
             Ok(index) => {
                 let most = &mut self.patience[index].1;
                 *most = patience.max(*most);
-                *most - patience
+                let waited = *most - patience;
+                if waited.0 * 2 > most.0 {
+                    return Millis::ZERO;
+                }
+                waited
             }
             Err(index) => {
                 self.patience.insert(index, (route.clone(), patience));
--- a/crates/relay/tests/direct/answers.rs
+++ b/crates/relay/tests/direct/answers.rs
@@ -6,6 +6,7 @@
 
 use crate::world::World;
 use crate::world::front;
+use crate::world::knows;
 use crate::world::until;
 
 #[tokio::test]
@@ -177,3 +178,44 @@
     let answer = other.send(front(&daemon)).await.expect("an answer");
     assert_ne!(answer.status, 503);
 }
+
+/// Found by reading the code: the failure of the search for a second target
+/// replaced the first one's answer, and said that the request had not run.
+#[tokio::test]
+async fn the_answer_of_a_target_is_passed_on_if_no_other_one_is_left() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    world.store.remove("servers/plain-2");
+    until("one target is left", || knows(&daemon, 7)).await;
+    world.plain[0].then(&[Mode::Error]);
+    let client = Client::new("/read/");
+    let answer = client.send(front(&daemon)).await.expect("an answer");
+    assert_eq!(answer.status, 500);
+    assert_eq!(answer.header("Response-Seal"), "seal-plain-1");
+    assert_eq!(answer.body, "error");
+    // A break leaves nothing to pass on, and no promise either.
+    world.plain[0].then(&[Mode::Break]);
+    let answer = Client::new("/read/").send(front(&daemon)).await;
+    assert_eq!(answer.expect("an answer").status, 502);
+}
+
+#[tokio::test]
+async fn an_answer_clears_a_request_of_what_broke_beside_it() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    for _ in 0..4 {
+        for target in &world.plain {
+            target.recover();
+            target.then(&[Mode::Break]);
+        }
+        let broken = Client::new("/once/").body("the same body");
+        let answer = broken.send(front(&daemon)).await.expect("an answer");
+        assert_eq!(answer.status, 502);
+        for target in &world.plain {
+            target.recover();
+        }
+        let good = Client::new("/once/").body("the same body");
+        let answer = good.send(front(&daemon)).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+}
