--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -1,8 +1,13 @@
 //! The dispatcher of stage services: one queue for the pieces of the fleet.
 //!
-//! Which pieces go where is decided by [`Queue`]; here are the calls, and the
+//! Which pieces go where is decided by
+//! [`Queue`](gooseberry_kernel::stage::queue::Queue); here are the calls, and the
 //! daemons' requests that wait for their pieces. A daemon dispatches for a
 //! service as soon as it is asked to, and stops when nobody asks any more.
+//!
+//! - `desk` holds the requests that wait at one service, beside its queue.
+//! - `call` sends one call and gives out what came of it.
+//! - `room` asks targets what they keep, and gives results up.
 
 mod call;
 mod desk;
