Ask targets again what they keep for another dispatcher

Cause: after the death of a dispatcher its successor asks each target once what it keeps, and counts what it does not know for the whole span that the settings name.

Ruled out: the death itself (its queue was taken over within 0.5 s); the demand (11 of 18 seconds had groups waiting).

Change: as long as a target keeps what is not known here it is asked again every 250 ms; what it is at work on is not counted twice.

The test with a target that tells room later fails without the change after the request's whole time.

--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -332,6 +332,13 @@
         self.resting.push((target.clone(), now + REST));
     }
 
+    /// Notes how many bytes a target keeps as it says itself, with what it is
+    /// making just now.
+    pub fn note_kept(&mut self, target: &name::Target, bytes: u64, span: Millis, now: Millis) {
+        let bytes = bytes.saturating_sub(self.promised(target));
+        self.results.note_kept(target, bytes, span, now);
+    }
+
     /// Returns the account of results.
     pub fn results(&mut self) -> &mut Results {
         &mut self.results
@@ -493,9 +500,14 @@
     }
 
     fn room(&self, target: &name::Target, pieces: &Pieces, now: Millis) -> u64 {
-        let busy = self.busy.iter().filter(|busy| busy.target == *target);
-        let promised: u64 = busy.map(|busy| busy.bytes).sum();
         let kept = self.results.bytes(target, now);
-        pieces.room_bytes.saturating_sub(kept + promised)
+        let taken = kept + self.promised(target);
+        pieces.room_bytes.saturating_sub(taken)
+    }
+
+    /// Returns how many bytes the call at a target will take there.
+    fn promised(&self, target: &name::Target) -> u64 {
+        let busy = self.busy.iter().filter(|busy| busy.target == *target);
+        busy.map(|busy| busy.bytes).sum()
     }
 }
--- a/crates/kernel/src/stage/results.rs
+++ b/crates/kernel/src/stage/results.rs
@@ -160,6 +160,13 @@
         known + of_target.map(|one| one.bytes).sum::<u64>()
     }
 
+    /// Returns the targets that keep results which are not known here.
+    #[must_use]
+    pub fn unknown_keepers(&self, now: Millis) -> Vec<name::Target> {
+        let unknown = self.unknown.iter().filter(|one| one.until > now);
+        unknown.map(|one| one.target.clone()).collect()
+    }
+
     /// Forgets what has aged out.
     pub fn tick(&mut self, now: Millis) {
         self.held.retain(|held| held.until > now);
--- a/crates/kernel/tests/direct/queue.rs
+++ b/crates/kernel/tests/direct/queue.rs
@@ -166,6 +166,30 @@
     assert_eq!(attempts(&call), ["b"]);
 }
 
+#[test]
+fn what_a_target_keeps_for_another_dispatcher_counts_until_it_says_otherwise() {
+    let mut queue = Queue::default();
+    let makers = makers(1);
+    let large = |attempt| Group {
+        bytes: 4_000,
+        ..group(attempt, 2)
+    };
+    queue.push(large("a"), Millis(0));
+    let target = &makers[0].target;
+    queue.note_kept(target, 9_000, PIECES.kept, Millis(0));
+    assert_eq!(queue.next(&makers, &PIECES, Millis(0)), None);
+    assert_eq!(queue.results().unknown_keepers(Millis(0)), [target.clone()]);
+    queue.note_kept(target, 0, PIECES.kept, Millis(300));
+    assert!(queue.results().unknown_keepers(Millis(300)).is_empty());
+    let call = queue
+        .next(&makers, &PIECES, Millis(300))
+        .expect("it is free");
+    // What the target makes just now is known, whether it counts that or not.
+    queue.note_kept(target, 8_000, PIECES.kept, Millis(400));
+    assert!(queue.results().unknown_keepers(Millis(400)).is_empty());
+    queue.end(&call.target);
+}
+
 #[test]
 fn results_are_made_where_they_are_read_if_a_target_there_is_free() {
     let mut queue = Queue::default();
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -208,6 +208,11 @@
             });
             return;
         }
+        let due = desk.due_rooms(now);
+        if !due.is_empty() {
+            let (context, service) = (context.clone(), service.clone());
+            tokio::spawn(async move { ask_rooms(&context, &service, pieces, &due).await });
+        }
         for expired in desk.queue.expire(makers.len(), &pieces, now) {
             context.metrics.pieces("expired", 1);
             let why = match expired.why {
--- a/crates/relay/src/dispatcher/desk.rs
+++ b/crates/relay/src/dispatcher/desk.rs
@@ -15,6 +15,10 @@
 /// How often the pieces of a group are tried.
 const TRIES_MAX: u32 = 3;
 
+/// How often targets with results of another dispatcher are asked what they
+/// keep: about as often as a call ends, and a report costs next to nothing.
+const ROOMS_EVERY: Millis = Millis(250);
+
 /// A group whose request waits here for its pieces.
 #[derive(Debug)]
 pub(super) struct Open {
@@ -34,9 +38,21 @@
     pub(super) open: Vec<Open>,
     /// Whether the targets were asked what they keep already.
     pub(super) is_known: bool,
+    /// When targets were last asked what they keep beside the known results.
+    asked: Millis,
 }
 
 impl Desk {
+    /// Returns the targets that are asked now what they keep: those that kept
+    /// results which another daemon dispatched, and may have lost them since.
+    pub(super) fn due_rooms(&mut self, now: Millis) -> Vec<name::Target> {
+        if self.asked + ROOMS_EVERY > now {
+            return Vec::new();
+        }
+        self.asked = now;
+        self.queue.results().unknown_keepers(now)
+    }
+
     pub(super) fn take(&mut self, ticket: Ticket) -> Option<Open> {
         let index = self.open.iter().position(|open| open.ticket == ticket)?;
         Some(self.open.remove(index))
@@ -106,6 +122,7 @@
             queue: Queue::default(),
             open: Vec::new(),
             is_known: false,
+            asked: Millis::ZERO,
         };
         desks.insert(index, desk);
         index
--- a/crates/relay/src/dispatcher/room.rs
+++ b/crates/relay/src/dispatcher/room.rs
@@ -35,9 +35,9 @@
     let kept = futures::future::join_all(asked).await;
     let now = context.now();
     let mut desks = context.dispatcher.lock();
-    let results = desk(&mut desks, service).queue.results();
+    let queue = &mut desk(&mut desks, service).queue;
     for (target, bytes) in kept.into_iter().flatten() {
-        results.note_kept(target, bytes, pieces.kept, now);
+        queue.note_kept(target, bytes, pieces.kept, now);
         log::info!(service:% = service, target:% = target, bytes; "a target told what it keeps");
     }
 }
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -5,6 +5,7 @@
 use gooseberry_platform_standin::target::Seen;
 use gooseberry_platform_standin::target::Target;
 
+use crate::world::SETTINGS;
 use crate::world::World;
 use crate::world::front;
 use crate::world::until;
@@ -175,3 +176,32 @@
     assert_eq!((answer.status, answer.is_whole), (200, true));
     assert_eq!(calls(&world.first).len(), before + 2);
 }
+
+/// Found in a day's logs: a dispatcher that had followed another one left room
+/// unused for four seconds, though its targets had lost the other's results.
+#[tokio::test]
+async fn room_that_another_dispatcher_had_filled_is_used_once_it_is_free() {
+    let world = World::start().await;
+    let lasting = SETTINGS
+        .replace("\"handle_s\": 3", "\"handle_s\": 600")
+        .replace("\"bytes\": 1000", "\"bytes\": 2000000");
+    world.store.put("op/config", &lasting);
+    for target in &world.first {
+        target.set_free(0);
+    }
+    let daemon = world.daemon(1, &[]).await;
+    let address = front(&daemon);
+    let waiting = tokio::spawn(async move {
+        let client = Client::new("/long/").generates("2");
+        client.send(address).await.expect("an answer")
+    });
+    until("the daemon has asked its targets", || {
+        world.first.iter().all(|target| target.asked() > 0)
+    })
+    .await;
+    for target in &world.first {
+        target.set_free(9);
+    }
+    let answer = waiting.await.expect("it did not panic");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+}
