Give up a dead dispatcher's results at their makers

Cause: results are given up through the daemon that dispatched them. For the 1.5 s until its silence was noticed that call failed and nobody freed them, so they took room until they aged out. The same for inputs that a stage had read: there no other way was tried at all.

Ruled out: calls that were under way at the death; their results nobody knows.

Change: one function gives results up, through their dispatcher, or at the makers if that is gone or does not answer. It replaces two that differed. The links of a daemon that is killed in a test now end with it, as with a process.

The test kills a dispatcher while an engine works and fails without the change.

--- a/crates/kernel/src/stage/plan.rs
+++ b/crates/kernel/src/stage/plan.rs
@@ -134,13 +134,6 @@
         last.flat_map(|index| self.made(index)).cloned().collect()
     }
 
-    /// Returns every result that is still kept for this request.
-    #[must_use]
-    pub fn kept(&self) -> Vec<Freed> {
-        let made = (0..self.steps.len()).filter(|index| !self.made(*index).is_empty());
-        made.map(|index| self.freed(index)).collect()
-    }
-
     /// Returns the stages of the longest chain, in order.
     #[must_use]
     pub fn longest(&self) -> Vec<usize> {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -39,11 +39,10 @@
 use crate::dispatcher::desk::desk;
 use crate::dispatcher::room::ask_rooms;
 use crate::dispatcher::room::free;
+pub(crate) use crate::dispatcher::room::give_up;
 
 /// How often waiting groups are looked at without another cause.
 const TICK: Duration = Duration::from_millis(50);
-/// Every how many ticks freed results are told to their makers.
-const FREE_EVERY: u64 = 1;
 
 /// Pieces that were made.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -271,12 +270,10 @@
 pub async fn watch(context: Arc<Context>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-    for count in 0_u64.. {
+    loop {
         ticks.tick().await;
         context.dispatcher.tick(&context);
-        if count.is_multiple_of(FREE_EVERY) {
-            context.dispatcher.tell_freed(&context);
-        }
+        context.dispatcher.tell_freed(&context);
     }
 }
 
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -18,6 +18,7 @@
 use crate::dispatcher::desk::Desk;
 use crate::dispatcher::desk::desk;
 use crate::dispatcher::room::ask_rooms;
+use crate::dispatcher::room::give_up;
 use crate::exchange::Callee;
 use crate::exchange::Exchange;
 use crate::pool::KEPT_MAX;
@@ -119,19 +120,7 @@
         }
     }
     for keeper in keepers {
-        if keeper.address == context.boot.peers {
-            context
-                .dispatcher
-                .free(context, &keeper.service, &keeper.handles);
-        } else {
-            let context = context.clone();
-            tokio::spawn(async move {
-                let peers = &context.peers;
-                peers
-                    .free(keeper.address, &keeper.service, &keeper.handles)
-                    .await;
-            });
-        }
+        give_up(context, keeper);
     }
 }
 
--- a/crates/relay/src/dispatcher/room.rs
+++ b/crates/relay/src/dispatcher/room.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
+use crate::dispatcher::Keeper;
 use crate::dispatcher::call::ANSWER_MAX_BYTES;
 use crate::dispatcher::desk::desk;
 use crate::exchange::Callee;
@@ -60,6 +61,36 @@
     asked.await.ok().flatten()
 }
 
+/// Gives up results through the daemon that dispatched them, which counts what
+/// targets keep; through this one if that daemon is gone.
+///
+/// A target may have room for less than two calls, so results that nobody gave
+/// up would keep it idle until they age out.
+pub(crate) fn give_up(context: &Arc<Context>, keeper: Keeper) {
+    let free_here = |context: &Arc<Context>, keeper: &Keeper| {
+        let dispatcher = &context.dispatcher;
+        dispatcher.free(context, &keeper.service, &keeper.handles);
+    };
+    let is_here = keeper.address == context.boot.peers;
+    let now = context.now();
+    if is_here || !context.state().members().is_live(keeper.address, now) {
+        free_here(context, &keeper);
+        return;
+    }
+    let context = context.clone();
+    tokio::spawn(async move {
+        if context.peers.free(&keeper).await.is_err() {
+            log::info!(
+                service:% = keeper.service,
+                dispatcher:% = keeper.address,
+                results = keeper.handles.len();
+                "a dispatcher was not reached; its results are given up here"
+            );
+            free_here(&context, &keeper);
+        }
+    });
+}
+
 pub(super) async fn free(
     context: &Arc<Context>,
     target: name::Target,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -33,6 +33,7 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::timeout;
@@ -120,22 +121,21 @@
         }))
     }
 
-    /// Tells a peer that nobody reads the results any more.
-    pub async fn free(
-        &self,
-        address: SocketAddr,
-        service: &name::Service,
-        handles: &[name::Handle],
-    ) {
-        let handles = handles.iter().map(|handle| handle.as_str().into());
+    /// Tells the peer that dispatched some results that nobody reads them any
+    /// more.
+    ///
+    /// # Errors
+    /// Returns [`Unreachable`] if the peer does not answer.
+    pub async fn free(&self, keeper: &Keeper) -> Result<(), Unreachable> {
+        let handles = keeper.handles.iter().map(|one| one.as_str().into());
         let handles = handles.collect();
-        if let Ok(client) = self.client(address).await {
-            let call = client.free(within(GREET_TIMEOUT), service.as_str().into(), handles);
-            // Results that are not freed age out at their makers.
-            if call.await.is_err() {
-                self.forget(address);
-            }
-        }
+        let client = self.client(keeper.address).await?;
+        let service = keeper.service.as_str().into();
+        let call = client.free(within(GREET_TIMEOUT), service, handles);
+        call.await.map_err(|_| {
+            self.forget(keeper.address);
+            Unreachable
+        })
     }
 
     async fn greet(
@@ -199,7 +199,10 @@
 /// Serves the peers for as long as the process runs.
 pub async fn serve(context: Arc<Context>, listener: TcpListener) {
     let mut incoming = control_stream::incoming(listener, context.metrics.control_bytes());
+    // They end with this task, as they would with the process.
+    let mut links = JoinSet::new();
     while let Some(accepted) = incoming.next().await {
+        while links.try_join_next().is_some() {}
         let Ok(transport) = accepted else {
             continue;
         };
@@ -207,7 +210,7 @@
             context: context.clone(),
         };
         let requests = BaseChannel::with_defaults(transport).execute(server.serve());
-        tokio::spawn(requests.for_each_concurrent(None, |request| async {
+        links.spawn(requests.for_each_concurrent(None, |request| async {
             tokio::spawn(request).await.ok();
         }));
     }
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -13,7 +13,6 @@
 use gooseberry_kernel::request::door::FIRST_BYTE;
 use gooseberry_kernel::request::door::Leg;
 use gooseberry_kernel::request::door::Verdict;
-use gooseberry_kernel::stage::plan::Freed;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_kernel::stage::plan::Step;
 use gooseberry_kernel::stage::queue::Group;
@@ -24,6 +23,7 @@
 use crate::context::Context;
 use crate::dispatcher::Batch;
 use crate::dispatcher::Keeper;
+use crate::dispatcher::give_up;
 use crate::request::Job;
 use crate::state::State;
 
@@ -43,20 +43,19 @@
     kept: Vec<Kept>,
 }
 
-/// Results with the daemon that dispatched them; `None` stands for this one.
+/// Results of a stage that was made.
 #[derive(Debug)]
 struct Kept {
     stage: usize,
-    freed: Freed,
+    keeper: Keeper,
     domain: name::Domain,
     until: Millis,
-    dispatcher: Option<SocketAddr>,
 }
 
 impl Drop for Results {
     fn drop(&mut self) {
         for kept in self.kept.drain(..) {
-            free(&self.context, kept);
+            give_up(&self.context, kept.keeper);
         }
     }
 }
@@ -151,7 +150,7 @@
     while !plan.is_complete() {
         for index in plan.begin() {
             let group = group(context, job, &plan, index, &results.kept, domain);
-            let keepers = keepers(context, &plan, index, &results.kept);
+            let keepers = keepers(&plan, index, &results.kept);
             running.push(make(context, index, group, keepers));
         }
         let Some((index, made)) = running.next().await else {
@@ -165,21 +164,21 @@
                 .map(|pieces| pieces.kept);
             results.kept.push(Kept {
                 stage: index,
-                freed: Freed {
+                keeper: Keeper {
                     service: step.service.clone(),
+                    address: dispatcher.unwrap_or(context.boot.peers),
                     handles: batch.handles.clone(),
                 },
                 domain: batch.domain,
                 until: context.now() + kept.unwrap_or_default(),
-                dispatcher,
             });
         }
         for freed in plan.finish(index, batch.handles) {
-            let is_same = |kept: &Kept| kept.freed == freed;
+            let is_same = |kept: &Kept| kept.keeper.handles == freed.handles;
             if let Some(place) = results.kept.iter().position(is_same) {
                 let kept = results.kept.swap_remove(place);
                 if !batch.are_inputs_freed {
-                    free(context, kept);
+                    give_up(context, kept.keeper);
                 }
             }
         }
@@ -304,18 +303,13 @@
 
 /// Returns who is told when the inputs of a stage have been read: those that
 /// only this stage reads.
-fn keepers(context: &Context, plan: &Plan, index: usize, kept: &[Kept]) -> Vec<Keeper> {
+fn keepers(plan: &Plan, index: usize, kept: &[Kept]) -> Vec<Keeper> {
     let Some(step) = plan.step(index) else {
         return Vec::new();
     };
     let inputs = kept.iter().filter(|kept| step.after.contains(&kept.stage));
     let own = inputs.filter(|kept| plan.readers(kept.stage) == [index]);
-    let keepers = own.map(|kept| Keeper {
-        service: kept.freed.service.clone(),
-        address: kept.dispatcher.unwrap_or(context.boot.peers),
-        handles: kept.freed.handles.clone(),
-    });
-    keepers.collect()
+    own.map(|kept| kept.keeper.clone()).collect()
 }
 
 /// Returns until when the inputs of a stage exist.
@@ -338,7 +332,7 @@
     let inputs = kept.iter().filter(|kept| step.after.contains(&kept.stage));
     let read = inputs.map(|kept| {
         let size = plan.step(kept.stage).map_or(0, |step| step.bytes);
-        let count = u64::try_from(kept.freed.handles.len()).unwrap_or(u64::MAX);
+        let count = u64::try_from(kept.keeper.handles.len()).unwrap_or(u64::MAX);
         Near {
             domain: kept.domain.clone(),
             bytes: size.saturating_mul(count).saturating_mul(pieces),
@@ -352,32 +346,3 @@
         });
     read.chain(made).max_by_key(|near| near.bytes)
 }
-
-fn free(context: &Arc<Context>, kept: Kept) {
-    let Kept {
-        freed, dispatcher, ..
-    } = kept;
-    match dispatcher {
-        None => context
-            .dispatcher
-            .free(context, &freed.service, &freed.handles),
-        // The results are given up through this daemon if that one is gone.
-        Some(address) if !is_live(context, address) => {
-            context
-                .dispatcher
-                .free(context, &freed.service, &freed.handles);
-        }
-        Some(address) => {
-            let context = context.clone();
-            tokio::spawn(async move {
-                let peers = &context.peers;
-                peers.free(address, &freed.service, &freed.handles).await;
-            });
-        }
-    }
-}
-
-fn is_live(context: &Context, address: SocketAddr) -> bool {
-    let now = context.now();
-    context.state().members().is_live(address, now)
-}
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
+use gooseberry_kernel::name;
 use gooseberry_platform_standin::client::Client;
-use gooseberry_platform_standin::store::Mode;
+use gooseberry_platform_standin::store;
+use gooseberry_platform_standin::target::Mode;
 use gooseberry_relay::daemon::Daemon;
 
 use crate::world::SETTINGS;
@@ -21,12 +23,24 @@
     daemon.context().state().members().live(now).len() == count
 }
 
+/// Parts the dispatcher of a service from the other daemons.
+fn part_dispatcher(daemons: [Daemon; 3], service: &str) -> (Vec<Daemon>, Vec<Daemon>) {
+    let service = name::Service::new(service);
+    let dispatcher = {
+        let context = daemons[0].context();
+        let order = context.state().dispatchers(&service, context.now());
+        order[0].unwrap_or(context.boot.peers)
+    };
+    let daemons = daemons.into_iter();
+    daemons.partition(|daemon| peers(daemon) == dispatcher)
+}
+
 #[tokio::test]
 async fn a_daemon_that_never_reached_the_store_learns_all_from_its_peers() {
     let world = World::start().await;
     let one = world.daemon(1, &[]).await;
     // From now on the store answers nobody; the one that knows passes it on.
-    world.store.set(Mode::Silent);
+    world.store.set(store::Mode::Silent);
     let other = world.unready_daemon(2, &[peers(&one)]).await;
     until("the other one knows", || knows(&other, 8)).await;
     let answer = Client::new("/read/").send(front(&other)).await;
@@ -58,18 +72,10 @@
     for daemon in &daemons {
         until("all are heard", || hears(daemon, 3)).await;
     }
-    let service = gooseberry_kernel::name::Service::new("first");
-    let dispatcher = {
-        let context = daemons[0].context();
-        let order = context.state().dispatchers(&service, context.now());
-        order[0].unwrap_or(context.boot.peers)
-    };
     // A daemon that is not the dispatcher itself serves the clients.
-    let (dead, alive): (Vec<Daemon>, Vec<Daemon>) = daemons
-        .into_iter()
-        .partition(|daemon| peers(daemon) == dispatcher);
+    let (dead, alive) = part_dispatcher(daemons, "first");
     for target in &world.first {
-        target.then(&[gooseberry_platform_standin::target::Mode::Slow(900)]);
+        target.then(&[Mode::Slow(900)]);
     }
     let address = front(&alive[0]);
     let waiting = tokio::spawn(async move {
@@ -87,6 +93,43 @@
     assert_eq!((answer.status, answer.is_whole), (200, true));
 }
 
+/// Found in a day's logs: after the death of a dispatcher the service with the
+/// least room stood nearly still until its results had aged out.
+#[tokio::test]
+async fn results_of_a_dead_dispatcher_are_given_up() {
+    let world = World::start().await;
+    let one = world.daemon(1, &[]).await;
+    let two = world.daemon(2, &[peers(&one)]).await;
+    let three = world.daemon(3, &[peers(&one)]).await;
+    let daemons = [one, two, three];
+    for daemon in &daemons {
+        until("all are heard", || hears(daemon, 3)).await;
+    }
+    let (dead, alive) = part_dispatcher(daemons, "first");
+    for engine in &world.engines {
+        engine.then(&[Mode::Slow(400)]);
+    }
+    let address = front(&alive[0]);
+    let waiting = tokio::spawn(async move {
+        let client = Client::new("/long/").generates("3");
+        client.with("Deadline-Ms", "8000").send(address).await
+    });
+    until("an engine has the request", || {
+        world.engines.iter().any(|engine| !engine.seen().is_empty())
+    })
+    .await;
+    for daemon in dead {
+        daemon.kill().await;
+    }
+    let answer = waiting.await.expect("it did not panic").expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    until("the results are given up", || {
+        let freed = world.first.iter().map(|target| target.freed().len());
+        freed.sum::<usize>() == 3
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_key_that_was_taken_away_is_refused_by_a_daemon_without_the_store() {
     let world = World::start().await;
@@ -94,7 +137,7 @@
     let two = world.daemon(2, &[peers(&one)]).await;
     until("they hear each other", || hears(&one, 2) && hears(&two, 2)).await;
     // Both lose the store; the first gets the change before the second can.
-    world.store.set(Mode::Busy);
+    world.store.set(store::Mode::Busy);
     let revoked = SETTINGS
         .replacen("\"version\": 1", "\"version\": 2", 1)
         .replace("\"key-1\", ", "");
