Hand waiting groups over to the next dispatcher

Cause: when the dispatcher of a service leaves or a stronger one returns, both dispatch for a second: the new one takes every target for free and sends each a call of one to three pieces, the old one goes on with its backlog.

Ruled out: calls that the targets refused (none); lost reports of room.

Change: a dispatcher that is no longer the first to be asked gives back the groups that no target works on, and their daemons ask the one that is first now. A dispatcher that begins, also after a pause, asks its targets what they keep and whether they work, and spares those that do for a moment.

The test with a leaving dispatcher fails without the change.

--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -129,6 +129,17 @@
         pub is_avoided: bool,
     }
 
+    /// What a target tells of itself.
+    pub struct Told {
+        /// Its name.
+        pub target: name::Target,
+        /// How many bytes of results it keeps at least, with those of the call
+        /// that it works on.
+        pub kept_bytes: u64,
+        /// Whether it has a call to work on.
+        pub is_busy: bool,
+    }
+
     /// A part of a group in a call.
     pub struct Part {
         /// The group.
@@ -332,11 +343,25 @@
         self.resting.push((target.clone(), now + REST));
     }
 
-    /// Notes how many bytes a target keeps as it says itself, with what it is
-    /// making just now.
-    pub fn note_kept(&mut self, target: &name::Target, bytes: u64, span: Millis, now: Millis) {
-        let bytes = bytes.saturating_sub(self.promised(target));
+    /// Notes what a target tells of itself; what it keeps for others ages out
+    /// within the span.
+    ///
+    /// A call of another dispatcher keeps it from getting one of this queue for
+    /// a moment: it would wait there, and take few pieces with it.
+    pub fn note_told(&mut self, told: &Told, span: Millis, now: Millis) {
+        let target = &told.target;
+        let bytes = told.kept_bytes.saturating_sub(self.promised(target));
         self.results.note_kept(target, bytes, span, now);
+        if told.is_busy && !self.busy.iter().any(|busy| busy.target == *target) {
+            self.rest(target, now);
+        }
+    }
+
+    /// Tells whether so many pieces of a group wait.
+    #[must_use]
+    pub fn holds(&self, ticket: Ticket, pieces: usize) -> bool {
+        let found = self.waiting.iter().find(|one| one.ticket == ticket);
+        found.is_some_and(|waiting| waiting.group.pieces.len() == pieces)
     }
 
     /// Returns the account of results.
--- a/crates/kernel/tests/direct/queue.rs
+++ b/crates/kernel/tests/direct/queue.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::stage::queue::Queue;
 use gooseberry_kernel::stage::queue::REST;
 use gooseberry_kernel::stage::queue::Source;
+use gooseberry_kernel::stage::queue::Told;
 use gooseberry_kernel::stage::queue::Why;
 
 const PIECES: Pieces = Pieces {
@@ -176,20 +177,48 @@
     };
     queue.push(large("a"), Millis(0));
     let target = &makers[0].target;
-    queue.note_kept(target, 9_000, PIECES.kept, Millis(0));
+    let told = |kept_bytes| Told {
+        target: makers[0].target.clone(),
+        kept_bytes,
+        is_busy: false,
+    };
+    queue.note_told(&told(9_000), PIECES.kept, Millis(0));
     assert_eq!(queue.next(&makers, &PIECES, Millis(0)), None);
     assert_eq!(queue.results().unknown_keepers(Millis(0)), [target.clone()]);
-    queue.note_kept(target, 0, PIECES.kept, Millis(300));
+    queue.note_told(&told(0), PIECES.kept, Millis(300));
     assert!(queue.results().unknown_keepers(Millis(300)).is_empty());
     let call = queue
         .next(&makers, &PIECES, Millis(300))
         .expect("it is free");
     // What the target makes just now is known, whether it counts that or not.
-    queue.note_kept(target, 8_000, PIECES.kept, Millis(400));
+    queue.note_told(&told(8_000), PIECES.kept, Millis(400));
     assert!(queue.results().unknown_keepers(Millis(400)).is_empty());
     queue.end(&call.target);
 }
 
+#[test]
+fn a_target_that_works_for_another_dispatcher_gets_no_call_for_a_moment() {
+    let mut queue = Queue::default();
+    let makers = makers(1);
+    let told = Told {
+        target: makers[0].target.clone(),
+        kept_bytes: 0,
+        is_busy: true,
+    };
+    queue.note_told(&told, PIECES.kept, Millis(0));
+    queue.push(group("a", 2), Millis(0));
+    queue.push(group("b", 2), Millis(100));
+    assert_eq!(queue.next(&makers, &PIECES, Millis(100)), None);
+    queue.expire(1, &PIECES, REST);
+    let call = queue.next(&makers, &PIECES, REST).expect("it is free");
+    assert_eq!(attempts(&call), ["a", "b"]);
+    // A report that counts this queue's own call changes nothing.
+    queue.note_told(&told, PIECES.kept, REST);
+    queue.end(&call.target);
+    queue.push(group("c", 2), Millis(500));
+    assert!(queue.next(&makers, &PIECES, Millis(500)).is_some());
+}
+
 #[test]
 fn results_are_made_where_they_are_read_if_a_target_there_is_free() {
     let mut queue = Queue::default();
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -89,10 +89,11 @@
         keepers: Vec<Keeper>,
     ) -> Reply {
         let now = context.now();
-        let (pieces, targets) = {
+        let (pieces, targets, is_first) = {
             let state = context.state();
             let pieces = state.pieces(service).ok_or(Unmade::Elsewhere)?;
-            (pieces, state.makers(service, now).len())
+            let is_first = state.dispatches(service, now);
+            (pieces, state.makers(service, now).len(), is_first)
         };
         let (reply, replied) = oneshot::channel();
         let ticket = {
@@ -113,6 +114,8 @@
                 );
                 return Err(Unmade::Full(span.0));
             }
+            desk.note_group(now);
+            desk.is_first |= is_first;
             let wanted = group.pieces.clone();
             let ticket = desk.queue.push(group, now);
             desk.open.push(Open {
@@ -197,8 +200,7 @@
         };
         let mut desks = self.lock();
         let desk = desk(&mut desks, service);
-        if !desk.is_known {
-            desk.is_known = true;
+        if desk.take_unknown() {
             let (context, service) = (context.clone(), service.clone());
             let targets: Vec<name::Target> = makers.into_iter().map(|one| one.target).collect();
             tokio::spawn(async move {
@@ -234,10 +236,25 @@
             desks.iter().map(|desk| desk.service.clone()).collect()
         };
         for service in services {
+            self.look_who_is_first(context, &service);
             self.pump(context, &service);
         }
     }
 
+    /// Hands the waiting groups over if another daemon is now the first to be
+    /// asked, since two that dispatch at once send more and smaller calls.
+    fn look_who_is_first(&self, context: &Arc<Context>, service: &name::Service) {
+        let now = context.now();
+        let is_first = context.state().dispatches(service, now);
+        let mut desks = self.lock();
+        let desk = desk(&mut desks, service);
+        let was_first = std::mem::replace(&mut desk.is_first, is_first);
+        if was_first && !is_first {
+            let groups = desk.hand_over();
+            log::info!(service:% = service, groups; "another daemon dispatches from now on");
+        }
+    }
+
     fn tell_freed(&self, context: &Arc<Context>) {
         let mut freed = Vec::new();
         for desk in self.lock().iter_mut() {
--- a/crates/relay/src/dispatcher/desk.rs
+++ b/crates/relay/src/dispatcher/desk.rs
@@ -19,6 +19,10 @@
 /// keep: about as often as a call ends, and a report costs next to nothing.
 const ROOMS_EVERY: Millis = Millis(250);
 
+/// After how long without a group targets are asked again what they keep: a
+/// dispatcher that others ask gets several groups a second.
+const KNOWN_FOR: Millis = Millis(1_000);
+
 /// A group whose request waits here for its pieces.
 #[derive(Debug)]
 pub(super) struct Open {
@@ -36,13 +40,45 @@
     pub(super) service: name::Service,
     pub(super) queue: Queue,
     pub(super) open: Vec<Open>,
-    /// Whether the targets were asked what they keep already.
-    pub(super) is_known: bool,
+    /// Whether this daemon was the first to be asked, when it last looked.
+    pub(super) is_first: bool,
+    /// Whether its targets' reports are not older than its last calls.
+    is_known: bool,
+    /// When a group came in last.
+    last: Millis,
     /// When targets were last asked what they keep beside the known results.
     asked: Millis,
 }
 
 impl Desk {
+    /// Notes that a group came in. After a pause another daemon may have
+    /// dispatched, so that the targets are asked what they keep.
+    pub(super) fn note_group(&mut self, now: Millis) {
+        self.is_known &= self.last + KNOWN_FOR > now;
+        self.last = now;
+    }
+
+    /// Tells whether the targets are to be asked before the next call.
+    pub(super) fn take_unknown(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_known, true)
+    }
+
+    /// Gives back the groups that no target has worked on, for the daemon that
+    /// is the first to be asked from now on.
+    pub(super) fn hand_over(&mut self) -> usize {
+        let queue = &self.queue;
+        let is_untouched = |open: &&Open| {
+            let all = open.wanted.len();
+            open.made.is_empty() && queue.holds(open.ticket, all)
+        };
+        let untouched = self.open.iter().filter(is_untouched);
+        let tickets: Vec<Ticket> = untouched.map(|open| open.ticket).collect();
+        for ticket in &tickets {
+            self.close(*ticket, Err(Unmade::Elsewhere));
+        }
+        tickets.len()
+    }
+
     /// Returns the targets that are asked now what they keep: those that kept
     /// results which another daemon dispatched, and may have lost them since.
     pub(super) fn due_rooms(&mut self, now: Millis) -> Vec<name::Target> {
@@ -121,7 +157,9 @@
             service: service.clone(),
             queue: Queue::default(),
             open: Vec::new(),
+            is_first: false,
             is_known: false,
+            last: Millis::ZERO,
             asked: Millis::ZERO,
         };
         desks.insert(index, desk);
--- a/crates/relay/src/dispatcher/room.rs
+++ b/crates/relay/src/dispatcher/room.rs
@@ -6,6 +6,7 @@
 
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::table::Pieces;
+use gooseberry_kernel::stage::queue::Told;
 use gooseberry_platform::pieces;
 use tokio::time::timeout;
 
@@ -22,28 +23,34 @@
 /// How long a target may take to hear which results are freed.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Asks targets what they keep, so that what another daemon dispatched counts.
+/// Asks targets what they keep and whether they work, so that what another
+/// daemon dispatched counts.
 pub(super) async fn ask_rooms(
     context: &Arc<Context>,
     service: &name::Service,
     pieces: Pieces,
     targets: &[name::Target],
 ) {
-    let asked = targets.iter().map(async |target| {
-        let room = ask_room(context, target).await?;
-        Some((target, pieces.room_bytes.saturating_sub(room)))
-    });
-    let kept = futures::future::join_all(asked).await;
+    let asked = targets
+        .iter()
+        .map(|target| ask_room(context, pieces, target));
+    let told = futures::future::join_all(asked).await;
     let now = context.now();
     let mut desks = context.dispatcher.lock();
     let queue = &mut desk(&mut desks, service).queue;
-    for (target, bytes) in kept.into_iter().flatten() {
-        queue.note_kept(target, bytes, pieces.kept, now);
-        log::info!(service:% = service, target:% = target, bytes; "a target told what it keeps");
+    for told in told.into_iter().flatten() {
+        queue.note_told(&told, pieces.kept, now);
+        log::info!(
+            service:% = service,
+            target:% = told.target,
+            bytes = told.kept_bytes,
+            is_busy = told.is_busy;
+            "a target told what it keeps"
+        );
     }
 }
 
-pub(super) async fn ask_room(context: &Arc<Context>, target: &name::Target) -> Option<u64> {
+async fn ask_room(context: &Arc<Context>, pieces: Pieces, target: &name::Target) -> Option<Told> {
     let address = context.state().address(target)?;
     let callee = Callee {
         target: target.clone(),
@@ -56,9 +63,14 @@
         let mut exchange = Exchange::begin(context, &callee, request).await.ok()?;
         let body = exchange.read(ANSWER_MAX_BYTES).await.ok()?;
         exchange.keep(context, None);
-        pieces::read_room(&body).ok()
+        pieces::read_told(&body).ok()
     });
-    asked.await.ok().flatten()
+    let told = asked.await.ok().flatten()?;
+    Some(Told {
+        target: target.clone(),
+        kept_bytes: pieces.room_bytes.saturating_sub(told.room_bytes),
+        is_busy: told.is_busy,
+    })
 }
 
 /// Gives up results through the daemon that dispatched them, which counts what
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -198,8 +198,16 @@
 ) -> (usize, Made) {
     let (service, group) = group;
     let asked = context.now();
-    let order = context.state().dispatchers(&service, context.now());
-    for dispatcher in order {
+    // The order is looked up for each try: a daemon that hands its groups over
+    // does so because it has changed.
+    let mut tried: Vec<Option<SocketAddr>> = Vec::new();
+    loop {
+        let order = context.state().dispatchers(&service, context.now());
+        let next = order.into_iter().find(|one| !tried.contains(one));
+        let Some(dispatcher) = next else {
+            return (index, Err(Unmade::Elsewhere));
+        };
+        tried.push(dispatcher);
         let made = match dispatcher {
             None => Ok(context
                 .dispatcher
@@ -241,7 +249,6 @@
             return (index, Err(Unmade::Late));
         }
     }
-    (index, Err(Unmade::Elsewhere))
 }
 
 fn group(
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -49,6 +49,12 @@
         addresses.map(address).collect()
     }
 
+    /// Tells whether this daemon is the first to be asked for a service.
+    #[must_use]
+    pub fn dispatches(&self, service: &name::Service, now: Millis) -> bool {
+        matches!(self.dispatchers(service, now).first(), Some(None))
+    }
+
     /// Notes how long pieces wait at a dispatcher.
     pub fn note_wait(&mut self, wait: Wait, now: Millis) {
         let found = self
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_platform_standin::client::Client;
 use gooseberry_platform_standin::store;
 use gooseberry_platform_standin::target::Mode;
+use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
 
 use crate::world::SETTINGS;
@@ -130,6 +132,56 @@
     .await;
 }
 
+/// Two daemons that dispatch for one service at once send more and smaller
+/// calls, so the one that leaves keeps only what its targets work on.
+#[tokio::test]
+async fn groups_that_wait_at_a_leaving_dispatcher_go_to_the_next_one() {
+    let world = World::start().await;
+    let slow = SETTINGS.replace("\"call_ms\": 40", "\"call_ms\": 1500");
+    world.store.put("op/config", &slow);
+    let one = world.daemon(1, &[]).await;
+    let two = world.daemon(2, &[peers(&one)]).await;
+    let three = world.daemon(3, &[peers(&one)]).await;
+    let daemons = [one, two, three];
+    for daemon in &daemons {
+        until("all are heard", || hears(daemon, 3)).await;
+    }
+    let (leaving, staying) = part_dispatcher(daemons, "first");
+    let address = front(&staying[0]);
+    let send = || async move {
+        let client = Client::new("/long/").generates("1");
+        client.with("Deadline-Ms", "8000").send(address).await
+    };
+    for target in &world.first {
+        target.then(&[Mode::Slow(4_000)]);
+    }
+    let mut slow = Vec::new();
+    for calls in 1..=2 {
+        slow.push(tokio::spawn(send()));
+        until("a target has a call", || {
+            let busy = |target: &&Target| !target.seen().is_empty();
+            world.first.iter().filter(busy).count() == calls
+        })
+        .await;
+    }
+    let waiting = tokio::spawn(send());
+    let is_waiting = || {
+        let now = leaving[0].context().now();
+        let waits = leaving[0]
+            .context()
+            .dispatcher
+            .waits(leaving[0].context(), now);
+        waits.iter().any(|wait| wait.late > Millis(1_500))
+    };
+    until("the third request waits", is_waiting).await;
+    for daemon in leaving {
+        tokio::spawn(async move { daemon.shut_down().await });
+    }
+    let answer = waiting.await.expect("it did not panic").expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(slow.iter().all(|slow| !slow.is_finished()));
+}
+
 #[tokio::test]
 async fn a_key_that_was_taken_away_is_refused_by_a_daemon_without_the_store() {
     let world = World::start().await;
