Refuse at the door what would outlast its own results

Cause: a client that came back late entered if the waits of all its services fitted into its time.

Ruled out: late work that displaces work on time; it goes last everywhere.

Change: the door looks at the waits of what is late too, and refuses at once what a later service would not begin before the results of the earlier one are gone. Both refusals of a full queue say the same Retry-After.

--- a/crates/kernel/src/request/door.rs
+++ b/crates/kernel/src/request/door.rs
@@ -17,6 +17,11 @@
 pub const FIRST_BYTE: Millis = Millis(150);
 /// The least span after which a refused client is asked to come back.
 pub const RETURN_MIN: Millis = Millis(200);
+/// Up to which missing time a refused request may still be on time when it
+/// comes back.
+const RETURN_SOON: Millis = Millis(400);
+/// When the others are asked to come back: most bursts last a few seconds.
+pub const RETURN_LATER: Millis = Millis(5_000);
 /// How many objectives a plain request may take at a daemon that is ending; one
 /// that is tried twice takes two.
 const PLAIN_OBJECTIVES: u64 = 3;
@@ -41,8 +46,10 @@
 scalar! {
     /// One stage on the longest way to the request's run.
     pub struct Leg {
-        /// How long its pieces wait.
+        /// How long its pieces wait if the request is on time.
         pub wait: Millis,
+        /// How long they wait if it is late anyway.
+        pub late: Millis,
         /// What its service bears.
         pub pieces: Pieces,
         /// How many pieces it has.
@@ -79,16 +86,41 @@
     needed <= left
 }
 
-/// Decides on a request with so much time left and such a way before it.
+/// Decides on a request that is on time for so much longer, and has so much
+/// time left, with such a way before it.
+///
+/// One that cannot be on time enters if capacity that is left over makes it
+/// late. Its results must outlast its wait at each later service, or they would
+/// be made in vain. The load that this answers are clients that come back while
+/// a later service is still full: two of five requests that such a service gave
+/// up had come back, after an earlier one had worked for them.
 #[must_use]
-pub fn decide(legs: &[Leg], left: Millis) -> Verdict {
-    let stages: Millis = legs.iter().fold(Millis::ZERO, |sum, leg| {
-        sum + leg.wait + leg.pieces.call(leg.count)
-    });
-    let needed = stages + FIRST_BYTE;
-    if needed <= left {
+pub fn decide(legs: &[Leg], on_time: Millis, left: Millis) -> Verdict {
+    let calls = legs
+        .iter()
+        .fold(FIRST_BYTE, |sum, leg| sum + leg.pieces.call(leg.count));
+    let needed = legs.iter().fold(calls, |sum, leg| sum + leg.wait);
+    if needed <= on_time.min(left) {
+        return Verdict::Enter;
+    }
+    let late = legs.iter().fold(calls, |sum, leg| sum + leg.late);
+    let outlasts = |pair: &[Leg]| pair[1].late < pair[0].pieces.kept;
+    if late <= left && legs.windows(2).all(outlasts) {
         return Verdict::Enter;
     }
     // The wait that has to pass before the same request would fit.
-    Verdict::Refuse((needed - left).max(RETURN_MIN))
+    Verdict::Refuse(return_after(needed - on_time.min(left)))
+}
+
+/// Returns when a client may come back whose request lacks so much time.
+///
+/// One that lacks little may still be on time then; the others come after the
+/// burst.
+#[must_use]
+pub fn return_after(missing: Millis) -> Millis {
+    if missing < RETURN_SOON {
+        missing.max(RETURN_MIN)
+    } else {
+        missing.max(RETURN_LATER)
+    }
 }
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -25,7 +25,8 @@
 use crate::derive::scalar;
 use crate::derive::value;
 use crate::name;
-use crate::request::door::RETURN_MIN;
+use crate::request::door::RETURN_LATER;
+use crate::request::door::return_after;
 use crate::request::table::Pieces;
 use crate::request::table::Rank;
 use crate::stage::arrivals::Arrivals;
@@ -41,11 +42,6 @@
 const SHOWN_PART: u64 = 4;
 /// For how long pieces are on their way through an earlier stage.
 const ON_ITS_WAY: Millis = Millis(500);
-/// Up to which missing time a refused request may still be on time when it
-/// comes back.
-const RETURN_SOON: Millis = Millis(400);
-/// When the others are asked to come back: most bursts last a few seconds.
-const RETURN_LATER: Millis = Millis(5_000);
 /// How long a target rests after it had no room or no place for a call; a call
 /// takes about as long to end.
 pub const REST: Millis = Millis(250);
@@ -217,12 +213,7 @@
         if is_on_time || now + late <= group.until {
             return Ok(());
         }
-        let missing = now + wait + call - group.on_time;
-        Err(if missing < RETURN_SOON {
-            missing.max(RETURN_MIN)
-        } else {
-            missing.max(RETURN_LATER)
-        })
+        Err(return_after(now + wait + call - group.on_time))
     }
 
     /// Takes in a group.
--- a/crates/kernel/tests/direct/door.rs
+++ b/crates/kernel/tests/direct/door.rs
@@ -15,8 +15,13 @@
 };
 
 fn leg(wait: u64) -> Leg {
+    late_leg(wait, wait)
+}
+
+fn late_leg(wait: u64, late: u64) -> Leg {
     Leg {
         wait: Millis(wait),
+        late: Millis(late),
         pieces: PIECES,
         count: 2,
     }
@@ -24,19 +29,52 @@
 
 #[test]
 fn what_can_be_made_in_time_enters() {
-    assert_eq!(door::decide(&[], Millis(200)), Verdict::Enter);
-    assert_eq!(door::decide(&[leg(500)], Millis(1_000)), Verdict::Enter);
+    let enters = |legs: &[Leg], left| {
+        let left = Millis(left);
+        door::decide(legs, left, left) == Verdict::Enter
+    };
+    assert!(enters(&[], 200));
+    assert!(enters(&[leg(500)], 1_000));
+}
+
+#[test]
+fn what_cannot_be_on_time_enters_if_what_is_left_over_makes_it_late() {
+    let (on_time, left) = (Millis(0), Millis(6_000));
+    let decide = |legs: &[Leg]| door::decide(legs, on_time, left);
+    let ways = [late_leg(100, 1_000), late_leg(100, 3_000)];
+    assert_eq!(decide(&ways), Verdict::Enter);
+    let slow = [late_leg(100, 3_000), late_leg(100, 3_000)];
+    assert_eq!(decide(&slow), Verdict::Refuse(Millis(5_000)));
+}
+
+/// Found in a day's logs: clients that came back had their first stage made,
+/// and were given up at the second, since its wait outlasted the results.
+#[test]
+fn what_would_outlast_its_own_results_is_refused_before_any_is_made() {
+    let ways = [late_leg(0, 0), late_leg(100, 4_000)];
+    let verdict = door::decide(&ways, Millis(0), Millis(9_000));
+    assert_eq!(verdict, Verdict::Refuse(Millis(5_000)));
+    // The first service keeps nothing for a request while that waits there.
+    let ways = [late_leg(100, 4_000), late_leg(0, 0)];
+    let verdict = door::decide(&ways, Millis(0), Millis(9_000));
+    assert_eq!(verdict, Verdict::Enter);
 }
 
 #[test]
 fn what_cannot_be_made_is_refused_with_the_time_that_is_missing() {
-    let Verdict::Refuse(span) = door::decide(&[leg(3_000), leg(0)], Millis(2_000)) else {
+    let decide = |legs: &[Leg], left| door::decide(legs, Millis(left), Millis(left));
+    let Verdict::Refuse(span) = decide(&[leg(8_000), leg(0)], 2_000) else {
+        panic!("9 s of stages do not fit into 2 s");
+    };
+    // 8 s of waiting, two calls of 270 ms and the way to the first byte.
+    assert_eq!(span, Millis(8_000 + 540 + 150 - 2_000));
+    // What lacks more than a moment comes back after the burst.
+    let Verdict::Refuse(span) = decide(&[leg(3_000), leg(0)], 2_000) else {
         panic!("4 s of stages do not fit into 2 s");
     };
-    // 3 s of waiting, two calls of 270 ms and the way to the first byte.
-    assert_eq!(span, Millis(3_000 + 540 + 150 - 2_000));
-    let close = door::decide(&[leg(0)], Millis(419));
-    assert_eq!(close, Verdict::Refuse(RETURN_MIN));
+    assert_eq!(span, Millis(5_000));
+    assert_eq!(decide(&[leg(0)], 419), Verdict::Refuse(RETURN_MIN));
+    assert_eq!(decide(&[leg(0)], 120), Verdict::Refuse(Millis(300)));
 }
 
 #[test]
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -257,12 +257,14 @@
                 let queue = &self.queues[request.desk][service];
                 Some(Leg {
                     wait: queue.waits(TARGETS, &pieces(service), self.now)[rank],
+                    late: queue.late_wait(TARGETS, &pieces(service), self.now),
                     pieces: pieces(service),
                     count: step.pieces,
                 })
             })
             .collect();
-        door::decide(&legs, request.given) == Verdict::Enter
+        let due = request.due - request.arrived;
+        door::decide(&legs, due, request.given) == Verdict::Enter
     }
 
     fn tail(&self, number: usize, stage: usize, is_late: bool) -> Millis {
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -73,19 +73,23 @@
             let step = plan.step(index)?;
             Some(Leg {
                 wait: state.wait(&step.service, job.rank, now),
+                late: state.late_wait(&step.service, now),
                 pieces: state.pieces(&step.service)?,
                 count: step.pieces,
             })
         };
         chain.filter_map(leg).collect()
     };
-    match door::decide(&legs, job.begin_by - now) {
+    match door::decide(&legs, job.on_time - now, job.begin_by - now) {
         Verdict::Enter => Ok(()),
         Verdict::Refuse(span) => {
             let waits: Vec<u64> = legs.iter().map(|leg| leg.wait.0).collect();
+            let late: Vec<u64> = legs.iter().map(|leg| leg.late.0).collect();
             log::info!(
                 request:% = job.head.attempt,
                 waits_ms:? = waits,
+                late_waits_ms:? = late,
+                on_time_ms = (job.on_time - now).0,
                 left_ms = (job.begin_by - now).0,
                 retry_ms = span.0;
                 "refused at the door: the stages cannot be made in time"
