Keep the inputs of calls that wait behind another dispatcher's

Cause: a dispatcher gives inputs up 120 ms after it sent a call, when the target has surely fetched them. That holds only if the call's turn comes at once. For up to 300 ms after a leaver had told all others, they still asked it: its word had the beat that they knew.

Ruled out: results that had aged out (0.3 s old); a second dispatcher by different views of who is alive (all saw the same members).

Change: inputs are given up early only at a target that has ended a call of this dispatcher since it is the first to be asked. Leaving counts as a beat. The line of a call says what was not made, and why.

Both tests fail without it.

--- a/crates/kernel/src/fleet/member.rs
+++ b/crates/kernel/src/fleet/member.rs
@@ -99,9 +99,11 @@
         &self.me
     }
 
-    /// Marks this daemon as shutting down.
+    /// Marks this daemon as shutting down. It counts as a beat, since others
+    /// believe only what is newer than what they know.
     pub fn leave(&mut self) {
         self.me.is_leaving = true;
+        self.me.beat += 1;
     }
 
     /// Counts a beat of this daemon, and returns who is greeted now.
--- a/crates/kernel/tests/direct/member.rs
+++ b/crates/kernel/tests/direct/member.rs
@@ -48,6 +48,21 @@
     assert_eq!(table.rows(Millis(200))[0].incarnation, 3_000);
 }
 
+/// Found in a day's logs: for up to a round of greetings the others went on
+/// asking a dispatcher that had told them it was leaving.
+#[test]
+fn a_member_that_leaves_is_believed_at_once() {
+    let mut leaver = Table::new(row(0, 1, 0));
+    let mut other = Table::new(row(1, 1, 0));
+    leaver.beat(Millis(0));
+    other.hear(leaver.me().clone(), Millis(0));
+    leaver.leave();
+    other.hear(leaver.me().clone(), Millis(100));
+    let live = other.live(Millis(100));
+    let leaving = live.iter().filter(|row| row.is_leaving);
+    assert_eq!(leaving.count(), 1);
+}
+
 #[test]
 fn shares_count_the_fleet_from_before_a_partition() {
     let mut table = Table::new(row(0, 1, 0));
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -115,7 +115,9 @@
                 return Err(Unmade::Full(span.0));
             }
             desk.note_group(now);
-            desk.is_first |= is_first;
+            if is_first {
+                desk.note_first(true);
+            }
             let wanted = group.pieces.clone();
             let ticket = desk.queue.push(group, now);
             desk.open.push(Open {
@@ -248,8 +250,7 @@
         let is_first = context.state().dispatches(service, now);
         let mut desks = self.lock();
         let desk = desk(&mut desks, service);
-        let was_first = std::mem::replace(&mut desk.is_first, is_first);
-        if was_first && !is_first {
+        if desk.note_first(is_first) {
             let groups = desk.hand_over();
             log::info!(service:% = service, groups; "another daemon dispatches from now on");
         }
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::table::Pieces;
@@ -63,9 +64,9 @@
     let now = context.now();
     let count: usize = call.parts.iter().map(|part| part.group.pieces.len()).sum();
     let (label, detail) = match &outcome {
-        Outcome::Answered(_) => ("answered", ""),
-        Outcome::Refused => ("refused", ""),
-        Outcome::Failed(why) => ("failed", why.as_str()),
+        Outcome::Answered(made) => ("answered", unmade(made)),
+        Outcome::Refused => ("refused", CompactString::default()),
+        Outcome::Failed(why) => ("failed", why.as_str().into()),
     };
     context.metrics.pieces(label, count);
     let attempts: Vec<&str> = call
@@ -80,7 +81,7 @@
         pieces = count,
         expected_ms = (call.expected - sent).0,
         took_ms = (now - sent).0,
-        detail;
+        detail:%;
         "stage call {label}"
     );
     note_health(context, &call.target, &outcome, now);
@@ -89,7 +90,7 @@
     let is_full = {
         let mut desks = dispatcher.lock();
         let desk = desk(&mut desks, service);
-        desk.queue.end(&call.target);
+        desk.note_end(&call.target);
         if matches!(outcome, Outcome::Refused) {
             desk.queue.rest(&call.target, now);
         }
@@ -101,15 +102,35 @@
     dispatcher.pump(context, service);
 }
 
+/// Says how many pieces were not made, and why; empty if all were.
+fn unmade(made: &[Made]) -> CompactString {
+    let reasons = [
+        (Made::Late, "late"),
+        (Made::Gone, "gone"),
+        (Made::Room, "room"),
+        (Made::Error, "error"),
+    ];
+    let counts = reasons.iter().filter_map(|(reason, name)| {
+        let count = made.iter().filter(|made| *made == reason).count();
+        (count > 0).then(|| format!("{count} {name}"))
+    });
+    counts.collect::<Vec<_>>().join(", ").into()
+}
+
 /// Tells the keepers of a call's inputs that they have been read.
 ///
 /// A target fetches the inputs when the turn of its call comes, and it had no
-/// other call. A group that is made in several calls keeps its inputs.
+/// other call, unless another daemon dispatches as well: then they are given up
+/// when the call has ended. A group that is made in several calls keeps its
+/// inputs.
 pub(super) fn free_inputs(context: &Arc<Context>, service: &name::Service, call: &Call) {
     let mut keepers = Vec::new();
     {
         let mut desks = context.dispatcher.lock();
         let desk = desk(&mut desks, service);
+        if !desk.is_alone_at(&call.target) {
+            return;
+        }
         for part in &call.parts {
             let open = desk.open.iter_mut().find(|open| open.ticket == part.ticket);
             let whole = open.filter(|open| open.wanted.len() == part.group.pieces.len());
--- a/crates/relay/src/dispatcher/desk.rs
+++ b/crates/relay/src/dispatcher/desk.rs
@@ -41,7 +41,10 @@
     pub(super) queue: Queue,
     pub(super) open: Vec<Open>,
     /// Whether this daemon was the first to be asked, when it last looked.
-    pub(super) is_first: bool,
+    is_first: bool,
+    /// The targets that have ended a call of this daemon since it began to
+    /// dispatch, sorted: what another one had sent before has ended, too.
+    proved: Vec<name::Target>,
     /// Whether its targets' reports are not older than its last calls.
     is_known: bool,
     /// When a group came in last.
@@ -60,7 +63,35 @@
 
     /// Tells whether the targets are to be asked before the next call.
     pub(super) fn take_unknown(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_known, true)
+        let is_unknown = !std::mem::replace(&mut self.is_known, true);
+        if is_unknown {
+            self.proved.clear();
+        }
+        is_unknown
+    }
+
+    /// Notes whether this daemon is the first to be asked; returns whether it
+    /// no longer is.
+    pub(super) fn note_first(&mut self, is_first: bool) -> bool {
+        let was_first = std::mem::replace(&mut self.is_first, is_first);
+        if was_first != is_first {
+            self.proved.clear();
+        }
+        was_first && !is_first
+    }
+
+    /// Notes that a target has ended a call.
+    pub(super) fn note_end(&mut self, target: &name::Target) {
+        self.queue.end(target);
+        if let Err(index) = self.proved.binary_search(target) {
+            self.proved.insert(index, target.clone());
+        }
+    }
+
+    /// Tells whether the turn of a call comes as soon as it is at the target:
+    /// no other daemon has calls there.
+    pub(super) fn is_alone_at(&self, target: &name::Target) -> bool {
+        self.is_first && self.proved.binary_search(target).is_ok()
     }
 
     /// Gives back the groups that no target has worked on, for the daemon that
@@ -158,6 +189,7 @@
             queue: Queue::default(),
             open: Vec::new(),
             is_first: false,
+            proved: Vec::new(),
             is_known: false,
             last: Millis::ZERO,
             asked: Millis::ZERO,
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -205,3 +205,46 @@
     let answer = waiting.await.expect("it did not panic");
     assert_eq!((answer.status, answer.is_whole), (200, true));
 }
+
+/// Found in a day's logs: each time that a dispatcher followed another one its
+/// first calls waited behind the other's, and their inputs had been given up
+/// when their turn came.
+#[tokio::test]
+async fn inputs_are_given_up_early_only_by_a_dispatcher_that_is_alone() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let address = front(&daemon);
+    // Each request has one piece at the first stage.
+    let all_freed = || {
+        let freed = world.first.iter().map(|target| target.freed().len());
+        freed.sum::<usize>() == calls(&world.first).len()
+    };
+    let mut early = Vec::new();
+    for _ in 0..40 {
+        until("the former results are given up", all_freed).await;
+        let before = calls(&world.second).len();
+        let runs = || world.engines.iter().map(|one| one.seen().len());
+        let had = runs().sum::<usize>();
+        for target in &world.second {
+            target.recover();
+            target.then(&[Mode::Slow(400)]);
+        }
+        let waiting = tokio::spawn(async move {
+            let client = Client::new("/staged/").generates("1,1");
+            client.send(address).await.expect("an answer")
+        });
+        until("the second stage has its call", || {
+            calls(&world.second).len() > before
+        })
+        .await;
+        until("the inputs are given up", all_freed).await;
+        early.push(runs().sum::<usize>() == had);
+        let answer = waiting.await.expect("it did not panic");
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+        if early.ends_with(&[true]) {
+            break;
+        }
+    }
+    assert!(!early[0], "another daemon's calls could still go on");
+    assert_eq!(early.last(), Some(&true), "{early:?}");
+}
