Give up what requests left behind that ended with their daemon

Cause: only the daemon that has a request knows of its results. When it was killed they took room at their makers until they aged out, and its waiting groups were made in vain: at a loss of power no connection closes.

Ruled out: results of calls under way at the death of their dispatcher, which nobody can name.

Change: a group names the run of the daemon that asks; once that is silent or has a follower, its groups and results are given up. A daemon that was not heard yet has not ended.

The test with a peer that is not heard again fails without it.

--- a/crates/kernel/src/fleet/member.rs
+++ b/crates/kernel/src/fleet/member.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::derive::scalar;
 use crate::derive::value;
 use crate::name;
 
@@ -54,6 +55,16 @@
     }
 }
 
+scalar! {
+    /// One run of a daemon: a restart is another one at the same address.
+    pub struct Process {
+        /// Where its peers reach it.
+        pub address: SocketAddr,
+        /// The start of its process by its wall clock.
+        pub incarnation: u64,
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     row: Row,
@@ -93,6 +104,15 @@
         }
     }
 
+    /// Returns this run of this daemon.
+    #[must_use]
+    pub fn process(&self) -> Process {
+        Process {
+            address: self.me.address,
+            incarnation: self.me.incarnation,
+        }
+    }
+
     /// Returns this daemon's own row.
     #[must_use]
     pub fn me(&self) -> &Row {
@@ -177,6 +197,17 @@
         found.is_some_and(|known| self.is_fresh(known, now))
     }
 
+    /// Tells whether a run of a daemon is known to have ended, or is silent. One
+    /// that has not been heard yet has not ended.
+    #[must_use]
+    pub fn is_gone(&self, process: Process, now: Millis) -> bool {
+        let at = |known: &&Known| known.row.address == process.address;
+        let found = self.known.iter().find(at);
+        found.is_some_and(|known| {
+            known.row.incarnation != process.incarnation || !self.is_fresh(known, now)
+        })
+    }
+
     /// Returns how many daemons shares are counted for: the most that were
     /// live at a time of late.
     pub fn fleet(&mut self, now: Millis) -> usize {
--- a/crates/kernel/src/stage/results.rs
+++ b/crates/kernel/src/stage/results.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Millis;
 use crate::derive::value;
+use crate::fleet::member::Process;
 use crate::name;
 
 value! {
@@ -18,6 +19,8 @@
         made: Millis,
         until: Millis,
         state: State,
+        /// The daemon that has its request, once it knows of the result.
+        reader: Option<Process>,
     }
 
     /// Results of a target that were made through another dispatcher.
@@ -79,6 +82,7 @@
             made: now,
             until: now + span,
             state: State::Needed,
+            reader: None,
         };
         match self.find(&held.handle) {
             Ok(index) => self.held[index] = held,
@@ -102,6 +106,24 @@
         unknown
     }
 
+    /// Notes which daemon knows of results from now on and will free them.
+    pub fn hand_to(&mut self, handles: &[name::Handle], reader: Process) {
+        for handle in handles {
+            if let Ok(index) = self.find(handle) {
+                self.held[index].reader = Some(reader);
+            }
+        }
+    }
+
+    /// Frees the results of requests that ended with their daemon; returns how
+    /// many there were.
+    pub fn free_gone(&mut self, is_gone: impl Fn(Process) -> bool) -> usize {
+        let needed = self.held.iter_mut();
+        let needed = needed.filter(|held| held.state == State::Needed);
+        let gone = needed.filter(|held| held.reader.is_some_and(&is_gone));
+        gone.map(|held| held.state = State::Freed).count()
+    }
+
     /// Returns which results each target is to be told of now.
     pub fn take_freed(&mut self) -> Vec<(name::Target, Vec<name::Handle>)> {
         let mut by_target: Vec<(name::Target, Vec<name::Handle>)> = Vec::new();
--- a/crates/kernel/tests/direct/member.rs
+++ b/crates/kernel/tests/direct/member.rs
@@ -4,6 +4,7 @@
 use gooseberry_kernel::fleet::member::Change;
 use gooseberry_kernel::fleet::member::FLEET_MEMORY;
 use gooseberry_kernel::fleet::member::GREET_MAX;
+use gooseberry_kernel::fleet::member::Process;
 use gooseberry_kernel::fleet::member::ROWS_MAX;
 use gooseberry_kernel::fleet::member::Row;
 use gooseberry_kernel::fleet::member::SILENT_AFTER;
@@ -63,6 +64,23 @@
     assert_eq!(leaving.count(), 1);
 }
 
+#[test]
+fn a_run_of_a_daemon_is_gone_when_it_is_silent_or_has_a_follower() {
+    let mut table = Table::new(row(0, 1, 0));
+    let of = |incarnation| Process {
+        address: address(1),
+        incarnation,
+    };
+    // A daemon that asks before its first greeting has not ended.
+    assert!(!table.is_gone(of(5), Millis(0)));
+    table.hear(row(1, 5, 1), Millis(0));
+    assert!(!table.is_gone(of(5), Millis(100)));
+    table.hear(row(1, 6, 1), Millis(200));
+    assert!(table.is_gone(of(5), Millis(200)));
+    assert!(!table.is_gone(of(6), Millis(200)));
+    assert!(table.is_gone(of(6), Millis(200) + SILENT_AFTER));
+}
+
 #[test]
 fn shares_count_the_fleet_from_before_a_partition() {
     let mut table = Table::new(row(0, 1, 0));
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::member::Process;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::door::Wait;
 use gooseberry_kernel::stage::queue::Group;
@@ -87,6 +88,7 @@
         service: &name::Service,
         group: Group,
         keepers: Vec<Keeper>,
+        asker: Process,
     ) -> Reply {
         let now = context.now();
         let (pieces, targets, is_first) = {
@@ -126,6 +128,7 @@
                 made: Vec::new(),
                 tries: 0,
                 keepers,
+                asker,
                 are_inputs_freed: false,
                 reply,
             });
@@ -239,6 +242,7 @@
         };
         for service in services {
             self.look_who_is_first(context, &service);
+            self.look_who_is_gone(context, &service);
             self.pump(context, &service);
         }
     }
@@ -256,6 +260,20 @@
         }
     }
 
+    /// Gives up what daemons left behind that ended or fell silent: nobody else
+    /// knows of it, and it would take room until it ages out.
+    fn look_who_is_gone(&self, context: &Arc<Context>, service: &name::Service) {
+        let now = context.now();
+        let mut desks = self.lock();
+        let desk = desk(&mut desks, service);
+        let mut state = context.state();
+        let members = state.members();
+        let (groups, results) = desk.forget_gone(|asker| members.is_gone(asker, now));
+        if groups + results > 0 {
+            log::info!(service:% = service, groups, results; "a daemon has left groups and results behind");
+        }
+    }
+
     fn tell_freed(&self, context: &Arc<Context>) {
         let mut freed = Vec::new();
         for desk in self.lock().iter_mut() {
--- a/crates/relay/src/dispatcher/desk.rs
+++ b/crates/relay/src/dispatcher/desk.rs
@@ -1,6 +1,7 @@
 //! The requests that wait at one service, beside its queue.
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::member::Process;
 use gooseberry_kernel::name;
 use gooseberry_kernel::stage::queue::Group;
 use gooseberry_kernel::stage::queue::Queue;
@@ -31,6 +32,8 @@
     pub(super) made: Vec<(u32, name::Handle)>,
     pub(super) tries: u32,
     pub(super) keepers: Vec<Keeper>,
+    /// The daemon that has the request.
+    pub(super) asker: Process,
     pub(super) are_inputs_freed: bool,
     pub(super) reply: oneshot::Sender<Reply>,
 }
@@ -94,6 +97,17 @@
         self.is_first && self.proved.binary_search(target).is_ok()
     }
 
+    /// Gives up what requests had made or waited for that ended with their
+    /// daemon; returns how many groups and results there were.
+    pub(super) fn forget_gone(&mut self, is_gone: impl Fn(Process) -> bool) -> (usize, usize) {
+        let gone = self.open.iter().filter(|open| is_gone(open.asker));
+        let tickets: Vec<Ticket> = gone.map(|open| open.ticket).collect();
+        for ticket in &tickets {
+            self.close(*ticket, Err(Unmade::Failed));
+        }
+        (tickets.len(), self.queue.results().free_gone(is_gone))
+    }
+
     /// Gives back the groups that no target has worked on, for the daemon that
     /// is the first to be asked from now on.
     pub(super) fn hand_over(&mut self) -> usize {
@@ -155,7 +169,8 @@
         if open.made.len() == open.wanted.len() {
             let mut made = std::mem::take(&mut open.made);
             made.sort_by_key(|(piece, _)| *piece);
-            let handles = made.into_iter().map(|(_, handle)| handle).collect();
+            let handles: Vec<name::Handle> = made.into_iter().map(|(_, handle)| handle).collect();
+            self.queue.results().hand_to(&handles, open.asker);
             let batch = Batch {
                 handles,
                 domain: domain.clone(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -95,7 +95,8 @@
         let now = context.now();
         let limit = Duration::from_millis((group.until - now).0) + GREET_TIMEOUT;
         let client = self.client(address).await?;
-        let mut message = Group::new(service, group, now);
+        let own = context.state().members().process();
+        let mut message = Group::new(service, group, own, now);
         message.keepers = keepers.iter().map(Into::into).collect();
         let call = client.make(within(limit), message);
         tokio::pin!(call);
@@ -352,11 +353,12 @@
 
     async fn make(self, _: context::Context, group: Group) -> Result<Made, Unmade> {
         let keepers = group.keepers.iter().map(Into::into).collect();
+        let asker = group.asker.into();
         let (service, group) = group.read(self.context.now());
         let context = self.context.clone();
         let made = context
             .dispatcher
-            .make(&self.context, &service, group, keepers)
+            .make(&self.context, &service, group, keepers, asker)
             .await?;
         Ok(Made {
             handles: made.handles.iter().map(|one| one.as_str().into()).collect(),
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -202,6 +202,7 @@
 ) -> (usize, Made) {
     let (service, group) = group;
     let asked = context.now();
+    let own = context.state().members().process();
     // The order is looked up for each try: a daemon that hands its groups over
     // does so because it has changed.
     let mut tried: Vec<Option<SocketAddr>> = Vec::new();
@@ -215,7 +216,7 @@
         let made = match dispatcher {
             None => Ok(context
                 .dispatcher
-                .make(context, &service, group.clone(), keepers.clone())
+                .make(context, &service, group.clone(), keepers.clone(), own)
                 .await),
             Some(address) => {
                 context
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -4,11 +4,19 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::table::Rank;
+use gooseberry_kernel::stage::queue;
 use gooseberry_platform_standin::client::Client;
 use gooseberry_platform_standin::store;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
+use gooseberry_runtime::control_stream;
+use gooseberry_wire::fleet::FleetClient;
+use gooseberry_wire::fleet::Greeting;
+use gooseberry_wire::fleet::Group;
+use gooseberry_wire::fleet::Member;
+use gooseberry_wire::fleet::Process;
 
 use crate::world::SETTINGS;
 use crate::world::World;
@@ -132,6 +140,61 @@
     .await;
 }
 
+/// The daemon that has a request is the only one that knows of its results. A
+/// daemon that is killed within a test still frees them, so a peer of the test
+/// stands for it: it has pieces made and is not heard again.
+#[tokio::test]
+async fn results_of_requests_that_ended_with_their_daemon_are_given_up() {
+    let world = World::start().await;
+    let daemon = world.daemon(1, &[]).await;
+    let peer = Member {
+        name: "d-2".into(),
+        incarnation: 7,
+        beat: 1,
+        address: ([127, 0, 0, 1], 9).into(),
+        strength: 1,
+        is_leaving: false,
+    };
+    let asker = Process {
+        address: peer.address,
+        incarnation: peer.incarnation,
+    };
+    let counters = daemon.context().metrics.control_bytes();
+    let link = control_stream::connect(peers(&daemon), counters).await;
+    let client = FleetClient::new(tarpc::client::Config::default(), link.expect("a link"));
+    let client = client.spawn();
+    let greeting = Greeting {
+        from: peer,
+        others: Vec::new(),
+        through: 0,
+        confirmed_ms: 0,
+        waits: Vec::new(),
+        suspects: Vec::new(),
+    };
+    let context = tarpc::context::current;
+    client.greet(context(), greeting).await.expect("a reply");
+    let group = queue::Group {
+        attempt: name::Attempt::new("abandoned"),
+        stage: 0,
+        pieces: vec![0, 1, 2],
+        source: queue::Source::Key("key".to_owned()),
+        bytes: 1_000,
+        rank: Rank(0),
+        on_time: Millis(5_000),
+        until: Millis(5_000),
+        inputs_until: Millis(60_000),
+        near: None,
+        is_first: true,
+        late_tail: Millis::ZERO,
+    };
+    let service = name::Service::new("first");
+    let group = Group::new(&service, &group, asker.into(), Millis::ZERO);
+    let made = client.make(context(), group).await.expect("a reply");
+    assert_eq!(made.map(|made| made.handles.len()), Ok(3));
+    let freed = || world.first.iter().map(|target| target.freed().len());
+    until("the results are given up", || freed().sum::<usize>() == 3).await;
+}
+
 /// Two daemons that dispatch for one service at once send more and smaller
 /// calls, so the one that leaves keeps only what its targets work on.
 #[tokio::test]
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -114,6 +114,8 @@
 pub struct Group {
     /// The service that makes them.
     pub service: CompactString,
+    /// The daemon that has the request.
+    pub asker: Process,
     /// The request.
     pub attempt: CompactString,
     /// The number of the stage.
@@ -142,6 +144,15 @@
     pub keepers: Vec<Keeper>,
 }
 
+/// One run of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Process {
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// The start of its process.
+    pub incarnation: u64,
+}
+
 /// A daemon that dispatched the inputs of a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Keeper {
@@ -215,6 +226,24 @@
     }
 }
 
+impl From<member::Process> for Process {
+    fn from(process: member::Process) -> Self {
+        Self {
+            address: process.address,
+            incarnation: process.incarnation,
+        }
+    }
+}
+
+impl From<Process> for member::Process {
+    fn from(process: Process) -> Self {
+        Self {
+            address: process.address,
+            incarnation: process.incarnation,
+        }
+    }
+}
+
 impl From<&door::Wait> for Wait {
     fn from(wait: &door::Wait) -> Self {
         Self {
@@ -268,9 +297,15 @@
 impl Group {
     /// Writes a group for the dispatcher of a service.
     #[must_use]
-    pub fn new(service: &name::Service, group: &queue::Group, now: Millis) -> Self {
+    pub fn new(
+        service: &name::Service,
+        group: &queue::Group,
+        asker: member::Process,
+        now: Millis,
+    ) -> Self {
         Self {
             service: service.as_str().into(),
+            asker: asker.into(),
             attempt: group.attempt.as_str().into(),
             stage: u32::try_from(group.stage).unwrap_or(u32::MAX),
             pieces: group.pieces.clone(),
