Start the run of a key with the decision about it

Cause: the owner of a key decides in its actor that the key may run, and the task of the caller's connection starts the run. A caller that hung up between the two left the key begun and never run: busy, and unknown after two horizons.

Ruled out: the run itself, which has been in a task of its own all along.

Change: decision and start are one task that the connection only waits for. It returns the waiter, so that a run that ends at once is not missed.

Before: 409 for a second request with the key; after: 200, and one run. The test drops the first caller exactly there and fails without the change.

--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -76,24 +76,41 @@
     let Some(key) = job.key.clone() else {
         return refuse(&job, is_first_attempt, Kind::KeyMissing.into());
     };
-    let asked = key.clone();
-    let digest = job.digest;
-    let message = |reply| Message::Begin(asked, digest, is_first_attempt, reply);
-    match context.node.try_ask(message).await {
+    match begin(context, &job, &key, is_first_attempt).await {
         Err(failure) => refuse(&job, is_first_attempt, failure),
-        Ok(Verdict::Refuse(kind)) => refuse(&job, is_first_attempt, kind.into()),
-        Ok(Verdict::Replay(record)) => answer::replay(&record),
-        Ok(Verdict::Join) => join(context, &job, &key).await,
-        Ok(Verdict::Run) => {
-            start(context, job, key.clone());
-            wait(context, &key).await
-        }
+        Ok((_, Some(waiter))) => wait(waiter).await,
+        Ok((Verdict::Refuse(kind), None)) => refuse(&job, is_first_attempt, kind.into()),
+        Ok((Verdict::Replay(record), None)) => answer::replay(&record),
+        Ok((Verdict::Join | Verdict::Run, None)) => join(context, &job, &key).await,
     }
 }
 
-fn start(context: &Arc<Context>, job: Job, key: Key) {
+/// Decides about a key, and starts the run if that is the verdict; returns who
+/// waits for it then.
+///
+/// Both happen in a task of their own: a caller that hangs up in between would
+/// leave a key that is begun and never run, and is unknown later.
+async fn begin(
+    context: &Arc<Context>,
+    job: &Job,
+    key: &Key,
+    is_first_attempt: bool,
+) -> Result<(Verdict, Option<Waiter>), Failure> {
+    let (context, job, key) = (context.clone(), job.clone(), key.clone());
+    let deciding = tokio::spawn(async move {
+        let (asked, digest) = (key.clone(), job.digest);
+        let message = |reply| Message::Begin(asked, digest, is_first_attempt, reply);
+        let verdict = context.node.try_ask(message).await?;
+        let waiter = (verdict == Verdict::Run).then(|| start(&context, job, key));
+        Ok((verdict, waiter))
+    });
+    let decided = deciding.await;
+    decided.unwrap_or_else(|_| Err(Kind::Internal.into()))
+}
+
+fn start(context: &Arc<Context>, job: Job, key: Key) -> Waiter {
     let (sender, waiter) = watch::channel(None);
-    context.joins.insert(key.clone(), waiter);
+    context.joins.insert(key.clone(), waiter.clone());
     let context = context.clone();
     tokio::spawn(async move {
         let answer = pipeline::run(&context, &job).await;
@@ -106,20 +123,21 @@
         sender.send_replace(Some(answer.to_http()));
         context.joins.remove(&key);
     });
+    waiter
 }
 
-async fn wait(context: &Context, key: &Key) -> HttpAnswer {
-    let Some(mut waiter) = context.joins.find(key) else {
-        return answer::error(&Kind::KeyBusy.into());
-    };
+async fn wait(mut waiter: Waiter) -> HttpAnswer {
     let answered = waiter.wait_for(Option::is_some).await;
     let answer = answered.ok().and_then(|answer| answer.clone());
     answer.unwrap_or_else(|| answer::error(&Failure::from(Kind::Internal)))
 }
 
 async fn join(context: &Context, job: &Job, key: &Key) -> HttpAnswer {
+    let Some(waiter) = context.joins.find(key) else {
+        return answer::error(&Kind::KeyBusy.into());
+    };
     let left = context.clock.until(pipeline::ends_by(&job.admission));
-    match timeout(left, wait(context, key)).await {
+    match timeout(left, wait(waiter)).await {
         Ok(answer) => answer,
         Err(_) => refuse(job, false, Kind::KeyBusy.into()),
     }
--- a/crates/daemon/tests/single/keys.rs
+++ b/crates/daemon/tests/single/keys.rs
@@ -3,7 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::id::Digest;
+use gooseberry_kernel::node::Admission;
+use gooseberry_kernel::node::Node;
+use gooseberry_kernel::once::Key;
 use gooseberry_standin::target::Fault;
+use gooseberryd::keyed;
+use gooseberryd::pipeline::Job;
 
 use crate::fleet::Fleet;
 use crate::fleet::LEDGER;
@@ -97,3 +104,52 @@
     assert_eq!(runs(&fleet), 1);
     fleet.daemon.shut_down().await;
 }
+
+fn job(fleet: &Fleet, key: &str) -> impl Future<Output = Job> {
+    let context = fleet.daemon.context().clone();
+    let key = Key {
+        workspace: "desk.trekkers".parse().unwrap(),
+        pipeline: "booking-ledger".parse().unwrap(),
+        text: key.to_owned(),
+    };
+    async move {
+        let wanted = key.clone();
+        let find = move |node: &Node, now| {
+            let workspace = node.book().workspace(&wanted.workspace).unwrap();
+            let pipeline = node.book().pipeline(workspace, &wanted.pipeline);
+            Admission {
+                workspace: workspace.clone(),
+                pipeline: pipeline.unwrap().clone(),
+                deadline: now + Millis(5_000),
+            }
+        };
+        Job {
+            request: "0123456789abcdef0123456789abcdef".parse().unwrap(),
+            admission: context.node.look(find).await.unwrap(),
+            key: Some(key),
+            digest: Digest::of(b"a deposit"),
+            body: "a deposit".into(),
+        }
+    }
+}
+
+/// A caller that hangs up after the decision about its key and before the run
+/// begins would leave the key busy, and unknown later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_run_though_its_caller_hangs_up_before_the_run_begins() {
+    let fleet = Fleet::start().await;
+    let context = fleet.daemon.context();
+    let job = job(&fleet, "four").await;
+    {
+        let mut caller = Box::pin(keyed::perform(context, job.clone(), true));
+        let polled = futures::poll!(caller.as_mut());
+        assert!(polled.is_pending());
+        // The decision has been made once the node has got further.
+        let now = context.node.look(|_, now| now).await.unwrap();
+        assert!(now > Millis::ZERO);
+    }
+    let answer = keyed::perform(context, job, false).await;
+    assert_eq!(answer.status().as_u16(), 200);
+    assert_eq!(runs(&fleet), 1);
+    fleet.daemon.shut_down().await;
+}
