--- a/crates/kernel/src/request/table.rs
+++ b/crates/kernel/src/request/table.rs
@@ -45,8 +45,6 @@
     pub struct Engine {
         /// How many requests it works on at a time.
         pub slots: u32,
-        /// How many tokens its memory holds.
-        pub tokens: u64,
     }
 
     /// What a target of a stage service bears, and what a call costs.
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -101,8 +101,12 @@
     pub struct Expired {
         /// The group.
         pub ticket: Ticket,
+        /// Its request.
+        pub attempt: name::Attempt,
         /// Why it was given up.
         pub why: Why,
+        /// How long what is late would have waited.
+        pub late_wait: Millis,
     }
 
     /// Why a group was given up.
@@ -274,8 +278,12 @@
         let mut expired = Vec::new();
         self.waiting.retain(|waiting| {
             let why = why(waiting);
-            let ticket = waiting.ticket;
-            expired.extend(why.clone().map(|why| Expired { ticket, why }));
+            expired.extend(why.clone().map(|why| Expired {
+                ticket: waiting.ticket,
+                attempt: waiting.group.attempt.clone(),
+                why,
+                late_wait,
+            }));
             why.is_none()
         });
         self.results.tick(now);
--- a/crates/kernel/tests/direct/queue.rs
+++ b/crates/kernel/tests/direct/queue.rs
@@ -247,11 +247,12 @@
     let over = queue.push(short, Millis(0));
     let gone = queue.push(group("gone", 1), Millis(0));
     assert!(queue.expire(1, &PIECES, Millis(100)).is_empty());
-    let expired = Expired {
-        ticket: over,
-        why: Why::Late,
-    };
-    assert_eq!(queue.expire(1, &PIECES, Millis(200)), [expired]);
+    let [expired]: [Expired; 1] = queue
+        .expire(1, &PIECES, Millis(200))
+        .try_into()
+        .expect("one is given up");
+    assert_eq!((expired.ticket, expired.why), (over, Why::Late));
+    assert_eq!(expired.attempt, name::Attempt::new("short"));
     queue.cancel(gone);
     assert_eq!(queue.next(&makers(1), &PIECES, Millis(200)), None);
 }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -221,6 +221,13 @@
         }
         for expired in desk.queue.expire(makers.len(), &pieces, now) {
             context.metrics.pieces("expired", 1);
+            log::info!(
+                request:% = expired.attempt,
+                service:% = service,
+                targets = makers.len(),
+                late_wait_ms = expired.late_wait.0;
+                "given up at the queue: {:?}", expired.why
+            );
             let why = match expired.why {
                 Why::Late => Unmade::Late,
                 Why::Gone => Unmade::Gone,
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -22,7 +22,6 @@
 use crate::dispatcher::room::give_up;
 use crate::exchange::Callee;
 use crate::exchange::Exchange;
-use crate::pool::KEPT_MAX;
 
 const CALL_SLACK: Millis = Millis(300);
 
@@ -217,12 +216,7 @@
     let Some(address) = context.state().address(&call.target) else {
         return Outcome::Refused;
     };
-    let callee = Callee {
-        target: call.target.clone(),
-        address,
-        idle_max: KEPT_MAX,
-        runs_once: false,
-    };
+    let callee = Callee::of_stage(call.target.clone(), address);
     let request = match pieces::run(call, &address.to_string(), now) {
         Ok(request) => request,
         Err(error) => return Outcome::Failed(format!("{error:#}")),
--- a/crates/relay/src/dispatcher/room.rs
+++ b/crates/relay/src/dispatcher/room.rs
@@ -16,7 +16,6 @@
 use crate::dispatcher::desk::desk;
 use crate::exchange::Callee;
 use crate::exchange::Exchange;
-use crate::pool::KEPT_MAX;
 
 /// How long a target may take to say what it keeps.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
@@ -52,12 +51,7 @@
 
 async fn ask_room(context: &Arc<Context>, pieces: Pieces, target: &name::Target) -> Option<Told> {
     let address = context.state().address(target)?;
-    let callee = Callee {
-        target: target.clone(),
-        address,
-        idle_max: KEPT_MAX,
-        runs_once: false,
-    };
+    let callee = Callee::of_stage(target.clone(), address);
     let request = pieces::ask_room(&address.to_string(), target).ok()?;
     let asked = timeout(ASK_TIMEOUT, async {
         let mut exchange = Exchange::begin(context, &callee, request).await.ok()?;
@@ -109,12 +103,7 @@
     address: SocketAddr,
     handles: &[name::Handle],
 ) {
-    let callee = Callee {
-        target,
-        address,
-        idle_max: KEPT_MAX,
-        runs_once: false,
-    };
+    let callee = Callee::of_stage(target, address);
     let Ok(request) = pieces::free(handles, &address.to_string(), &callee.target) else {
         return;
     };
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use crate::context::Context;
+use crate::pool::KEPT_MAX;
 
 /// How long a connection to a target may take to be made.
 ///
@@ -65,6 +66,20 @@
     pub runs_once: bool,
 }
 
+impl Callee {
+    /// Returns a target of a stage service: what is asked of it may be asked
+    /// again.
+    #[must_use]
+    pub fn of_stage(target: name::Target, address: SocketAddr) -> Self {
+        Self {
+            target,
+            address,
+            idle_max: KEPT_MAX,
+            runs_once: false,
+        }
+    }
+}
+
 /// A call whose reply has begun; dropping it breaks the connection off.
 #[derive(Debug)]
 pub struct Exchange {
