--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -11,6 +11,8 @@
 use gooseberry_kernel::fleet::choice::READERS_ALL;
 use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::hash;
+use gooseberry_kernel::name;
 use gooseberry_platform::store::Store;
 use gooseberry_platform::store::Watched;
 use tokio::time::sleep;
@@ -28,8 +30,9 @@
 /// The least time between two calls; changes that come in quick succession
 /// are read together.
 const PAUSE: Duration = Duration::from_millis(100);
-/// How long to wait after a failed call.
-const PAUSE_FAILED: Duration = Duration::from_millis(400);
+/// How long to wait after a failed call, at least; up to twice as long, since
+/// the daemons that a store turned away would else come back together.
+const PAUSE_FAILED: Millis = Millis(250);
 
 /// Keeps the daemon's copy of the store up to date.
 pub async fn follow(context: Arc<Context>) {
@@ -74,13 +77,19 @@
                 // One failure is often a connection that was cut; the next
                 // call goes over a new one at once.
                 if failures > 1 {
-                    sleep(PAUSE_FAILED).await;
+                    sleep(pause(&context.boot.name, failures)).await;
                 }
             }
         }
     }
 }
 
+/// Returns how long a daemon waits after so many failures.
+fn pause(name: &name::Member, failures: u32) -> Duration {
+    let draw = hash::mix(hash::text(name.as_str()), u64::from(failures));
+    Duration::from_millis(PAUSE_FAILED.0 + draw % PAUSE_FAILED.0)
+}
+
 /// Takes in what was read; returns whether anything is new.
 fn adopt(context: &Context, changes: Changes, now: Millis) -> bool {
     let mut state = context.state();
--- a/crates/relay/tests/direct/changes.rs
+++ b/crates/relay/tests/direct/changes.rs
@@ -119,3 +119,15 @@
     let answer = Client::new("/moved/").send(front(&daemon)).await;
     assert_eq!(answer.map(|one| one.status), Some(200));
 }
+
+/// Many daemons that start at once make more calls than the store takes. One
+/// that began again with the first page after each refusal would never end.
+#[tokio::test]
+async fn a_store_that_takes_each_other_call_is_read_whole() {
+    let world = World::start().await;
+    world.store.set(Mode::Limited);
+    let daemon = world.unready_daemon(1, &[]).await;
+    until("the daemon knows all", || knows(&daemon, 8)).await;
+    let answer = Client::new("/read/").send(front(&daemon)).await;
+    assert_eq!(answer.map(|one| one.status), Some(200));
+}
