--- a/crates/kernel/src/fleet/choice.rs
+++ b/crates/kernel/src/fleet/choice.rs
@@ -1,9 +1,10 @@
 //! The choice of the daemons that do something for the others.
 //!
 //! One of them gathers the pieces of a stage service; a few read the store, and
-//! the others learn from them. Every daemon makes the same choice from the members that it knows. The
-//! choice gives no right: two dispatchers of one service cost extra calls and
-//! nothing else, so nothing waits for an agreement.
+//! the others learn from them. Every daemon makes the same choice from the
+//! members that it knows. The choice gives no right: two dispatchers of one
+//! service cost extra calls, so nothing waits for an agreement. The one that is
+//! no longer chosen hands over what waits.
 
 use std::cmp::Reverse;
 
