Have one piece of code for three twins

Found in a reading of the whole change; behaviour stays as it is.

- Connections whose bytes are told of: relay's Observed and runtime's Counted were the same wrapper; runtime::watched serves both.
- Types that own a text: names and ids had the same type, Display and as_str; one macro gives both, and each keeps its own way of becoming one.

--- a/crates/daemon/src/head.rs
+++ b/crates/daemon/src/head.rs
@@ -7,6 +7,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id;
 use gooseberry_wire::header;
+use gooseberry_wire::header::only;
 use http::HeaderMap;
 use http::header::AUTHORIZATION;
 
@@ -64,15 +65,3 @@
         Ok(number) => Ok(number == 1),
     }
 }
-
-/// Reads a header that may stand only once, as visible ASCII.
-fn only<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Kind> {
-    let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else {
-        return Ok(None);
-    };
-    if values.next().is_some() {
-        return Err(Kind::BadRequest);
-    }
-    value.to_str().map(Some).map_err(|_| Kind::BadRequest)
-}
--- a/crates/kernel/src/derive.rs
+++ b/crates/kernel/src/derive.rs
@@ -28,5 +28,33 @@
     };
 }
 
+/// Defines types that own a text, with what all of them can do; how a text
+/// becomes one of them is their own.
+macro_rules! text {
+    ($($(#[$meta:meta])* $name:ident)*) => {
+        $(
+            $(#[$meta])*
+            #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+            pub struct $name(compact_str::CompactString);
+
+            impl $name {
+                /// Returns the text.
+                #[inline]
+                #[must_use]
+                pub fn as_str(&self) -> &str {
+                    &self.0
+                }
+            }
+
+            impl std::fmt::Display for $name {
+                fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                    out.write_str(&self.0)
+                }
+            }
+        )*
+    };
+}
+
 pub(crate) use scalar;
+pub(crate) use text;
 pub(crate) use value;
--- a/crates/kernel/src/id.rs
+++ b/crates/kernel/src/id.rs
@@ -10,6 +10,7 @@
 use compact_str::CompactString;
 
 use crate::derive::scalar;
+use crate::derive::text;
 use crate::derive::value;
 
 /// The longest text id, in bytes.
@@ -55,11 +56,14 @@
 
 macro_rules! text_id {
     ($($(#[$meta:meta])* $name:ident)*) => {
-        $(
-            $(#[$meta])*
-            #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-            pub struct $name(CompactString);
+        text! {
+            $(
+                $(#[$meta])*
+                $name
+            )*
+        }
 
+        $(
             impl $name {
                 /// Checks the text and makes an id of it.
                 ///
@@ -73,19 +77,6 @@
                         Err(invalid(text))
                     }
                 }
-
-                /// Returns the id as text.
-                #[inline]
-                #[must_use]
-                pub fn as_str(&self) -> &str {
-                    &self.0
-                }
-            }
-
-            impl fmt::Display for $name {
-                fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-                    out.write_str(&self.0)
-                }
             }
 
             impl FromStr for $name {
--- a/crates/kernel/src/name.rs
+++ b/crates/kernel/src/name.rs
@@ -4,37 +4,29 @@
 //! from outside, so each text is taken as it is and only kept apart by type.
 
 use std::convert::Infallible;
-use std::fmt;
 use std::str::FromStr;
 
 use compact_str::CompactString;
 
+use crate::derive::text;
+
 macro_rules! names {
     ($($(#[$meta:meta])* $name:ident)*) => {
-        $(
-            $(#[$meta])*
-            #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-            pub struct $name(CompactString);
+        text! {
+            $(
+                $(#[$meta])*
+                #[derive(Default)]
+                $name
+            )*
+        }
 
+        $(
             impl $name {
                 /// Takes the text as a name.
                 #[must_use]
                 pub fn new(text: &str) -> Self {
                     Self(CompactString::from(text))
                 }
-
-                /// Returns the name as text.
-                #[inline]
-                #[must_use]
-                pub fn as_str(&self) -> &str {
-                    &self.0
-                }
-            }
-
-            impl fmt::Display for $name {
-                fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-                    out.write_str(&self.0)
-                }
             }
 
             impl FromStr for $name {
--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -1,21 +1,14 @@
 //! What happens on one connection of a client, for its time limits.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::request::table::Limits;
 use gooseberry_runtime::clock::Clock;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
+use gooseberry_runtime::watched::Watch;
 
 /// No byte of a next request has been read.
 const NOTHING: u64 = 0;
@@ -80,7 +73,7 @@
         }
     }
 
-    fn note_read(&self) {
+    fn note_bytes(&self) {
         if self.in_progress.load(Ordering::Relaxed) == 0 {
             let now = self.clock.now().0 + 1;
             let unset = (Ordering::Relaxed, Ordering::Relaxed);
@@ -104,60 +97,12 @@
     }
 }
 
-/// A connection whose reads are noted.
-#[derive(Debug)]
-pub(crate) struct Observed {
-    stream: TcpStream,
-    activity: Arc<Activity>,
-}
-
-impl Observed {
-    pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity }
-    }
-}
-
-impl AsyncRead for Observed {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.activity.note_read();
+impl Watch for Activity {
+    fn note_read(&self, bytes: usize) {
+        if bytes > 0 {
+            self.note_bytes();
         }
-        polled
-    }
-}
-
-impl AsyncWrite for Observed {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
+    fn note_written(&self, _: usize) {}
 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -15,6 +15,7 @@
 use gooseberry_kernel::request::table::Limits;
 use gooseberry_platform::client;
 use gooseberry_runtime::socket;
+use gooseberry_runtime::watched::Watched;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -38,7 +39,6 @@
 use crate::activity::Activity;
 use crate::activity::Busy;
 use crate::activity::Due;
-use crate::activity::Observed;
 use crate::context::Context;
 
 /// The body of an answer.
@@ -231,7 +231,7 @@
         .title_case_headers(true)
         .max_buf_size(head_bytes)
         .serve_connection(
-            TokioIo::new(Observed::new(stream, activity.clone())),
+            TokioIo::new(Watched::new(stream, activity.clone())),
             service,
         );
     tokio::pin!(connection);
--- a/crates/runtime/src/control_stream.rs
+++ b/crates/runtime/src/control_stream.rs
@@ -5,9 +5,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::task::Context;
-use std::task::Poll;
 
 use futures::Stream;
 use futures::stream;
@@ -19,13 +16,12 @@
 use serde::Serialize;
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::socket;
+use crate::watched::Watch;
+use crate::watched::Watched;
 
 /// Where the bytes of control messages are counted.
 #[derive(Clone, Debug)]
@@ -55,15 +51,19 @@
     }
 }
 
-/// A connection whose bytes are counted.
-#[derive(Debug)]
-pub struct Counted {
-    stream: TcpStream,
-    counters: Counters,
+impl Watch for Counters {
+    fn note_read(&self, bytes: usize) {
+        add(&self.received, bytes);
+    }
+
+    fn note_written(&self, bytes: usize) {
+        add(&self.sent, bytes);
+    }
 }
 
-/// A transport of messages over such a connection.
-pub type Channel<Item, SinkItem> = Transport<Counted, Item, SinkItem, Bincode<Item, SinkItem>>;
+/// A transport of messages over a connection whose bytes are counted.
+pub type Channel<Item, SinkItem> =
+    Transport<Watched<Counters>, Item, SinkItem, Bincode<Item, SinkItem>>;
 
 /// Connects to a peer.
 ///
@@ -107,44 +107,9 @@
     Item: for<'de> Deserialize<'de>,
     SinkItem: Serialize,
 {
-    Channel::from((Counted { stream, counters }, Bincode::default()))
+    Channel::from((Watched::new(stream, counters), Bincode::default()))
 }
 
 fn add(counter: &IntCounter, bytes: usize) {
     counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
 }
-
-impl AsyncRead for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        add(&self.counters.received, buffer.filled().len() - before);
-        polled
-    }
-}
-
-impl AsyncWrite for Counted {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(context, buffer);
-        if let Poll::Ready(Ok(written)) = &polled {
-            add(&self.counters.sent, *written);
-        }
-        polled
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -5,6 +5,7 @@
 
 use std::str::FromStr;
 
+use gooseberry_kernel::answer::Kind;
 use http::HeaderMap;
 
 /// The caller's key for a non-idempotent pipeline.
@@ -54,6 +55,21 @@
 /// The priority of the request, from 0 (first) to 9.
 pub const PRIORITY: &str = "gooseberry-priority";
 
+/// Reads a header that may stand only once, as visible ASCII.
+///
+/// # Errors
+/// Returns [`Kind::BadRequest`] if it stands twice or cannot be read.
+pub fn only<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Kind> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Kind::BadRequest);
+    }
+    value.to_str().map(Some).map_err(|_| Kind::BadRequest)
+}
+
 /// Reads a header, if it is there and parses.
 #[must_use]
 pub fn read<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
