Take needless work out of picks, calls and ticks, and part two files

- A pick copied the names of all members and worked out this daemon's share of every target's cold rate; now only for targets that are cold.
- Who is asked first was found by sorting all members with keys worked out anew for each comparison, at each group and tick; now by one pass.
- The room of each free target was summed up anew for each waiting group; now once a call.
- Each tick judged the daemon of each result, with the lock of the state inside that of the queues; now each daemon once, and one lock at a time.
- stage::queue has its groups in stage::group and its estimates in a file of their own; what a daemon does for its peers is in peers::server.
- Four repeated set-ups of tests are functions; their assertions are the same.

--- a/crates/kernel/src/fleet/choice.rs
+++ b/crates/kernel/src/fleet/choice.rs
@@ -36,10 +36,17 @@
 #[must_use]
 pub fn order<'a>(service: &name::Service, members: &[&'a Row]) -> Vec<&'a Row> {
     let mut order = members.to_vec();
-    let seed = hash::text(service.as_str());
-    order.sort_by_key(|row| {
-        let weight = hash::mix(seed, hash::text(row.name.as_str()));
-        (row.is_leaving, Reverse(row.strength), Reverse(weight))
-    });
+    order.sort_by_cached_key(|row| key(service, row));
     order
 }
+
+/// Returns the member that is asked first.
+#[must_use]
+pub fn first<'a>(service: &name::Service, members: &[&'a Row]) -> Option<&'a Row> {
+    members.iter().copied().min_by_key(|row| key(service, row))
+}
+
+fn key(service: &name::Service, row: &Row) -> (bool, Reverse<u32>, Reverse<u64>) {
+    let weight = hash::mix(hash::text(service.as_str()), hash::text(row.name.as_str()));
+    (row.is_leaving, Reverse(row.strength), Reverse(weight))
+}
--- a/crates/kernel/src/stage/arrivals.rs
+++ b/crates/kernel/src/stage/arrivals.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Millis;
 use crate::request::table::Rank;
-use crate::stage::queue::Group;
+use crate::stage::group::Group;
 
 /// The length of a step in which arrivals are counted: all of them are two
 /// seconds, which is long against a call and short against a burst.
--- a/crates/kernel/src/stage/near.rs
+++ b/crates/kernel/src/stage/near.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Millis;
 use crate::request::table::Pieces;
-use crate::stage::queue::Group;
+use crate::stage::group::Group;
 use crate::stage::queue::Maker;
 
 /// From how many bytes on a group waits for a target in its own domain.
--- a/crates/kernel/src/stage/queue.rs
+++ b/crates/kernel/src/stage/queue.rs
@@ -19,6 +19,8 @@
 //! of five targets gone. Nothing that was begun is refused here: the calls for
 //! it have been paid.
 
+mod waits;
+
 use std::cmp::Reverse;
 
 use crate::clock::Millis;
@@ -28,9 +30,8 @@
 use crate::request::door::RETURN_LATER;
 use crate::request::door::return_after;
 use crate::request::table::Pieces;
-use crate::request::table::Rank;
 use crate::stage::arrivals::Arrivals;
-use crate::stage::arrivals::WINDOW;
+use crate::stage::group::Group;
 use crate::stage::near::is_near;
 use crate::stage::near::may_go;
 use crate::stage::near::needed_room;
@@ -38,10 +39,6 @@
 
 /// One in so many calls takes the oldest groups, whatever their rank.
 const OLDEST_EVERY: u64 = 8;
-/// The part of what targets can make that they are taken to make at least.
-const SHOWN_PART: u64 = 4;
-/// For how long pieces are on their way through an earlier stage.
-const ON_ITS_WAY: Millis = Millis(500);
 /// How long a target rests after it had no room or no place for a call; a call
 /// takes about as long to end.
 pub const REST: Millis = Millis(250);
@@ -52,51 +49,6 @@
 }
 
 value! {
-    /// What the pieces of a group are made from.
-    pub enum Source {
-        /// The key of the request.
-        Key(String),
-        /// The results of earlier stages.
-        Inputs(Vec<name::Handle>),
-    }
-
-    /// The pieces of one request at one stage.
-    pub struct Group {
-        /// The request.
-        pub attempt: name::Attempt,
-        /// The number of the stage.
-        pub stage: usize,
-        /// The numbers of the pieces that are still to be made.
-        pub pieces: Vec<u32>,
-        /// What they are made from.
-        pub source: Source,
-        /// The size of one result, in bytes.
-        pub bytes: u64,
-        /// How urgent the request is.
-        pub rank: Rank,
-        /// Until when the pieces must be made for the answer to be on time.
-        pub on_time: Millis,
-        /// Until when they are of any use.
-        pub until: Millis,
-        /// Until when the inputs exist.
-        pub inputs_until: Millis,
-        /// Where the pieces are best made.
-        pub near: Option<Near>,
-        /// Whether nothing of the request has been made yet.
-        pub is_first: bool,
-        /// How much longer the later stages take if the request is late, since
-        /// what is on time goes before it there as well.
-        pub late_tail: Millis,
-    }
-
-    /// A domain near which pieces are best made.
-    pub struct Near {
-        /// Where most of what is read or made lies.
-        pub domain: name::Domain,
-        /// How many bytes cross domains if the pieces are made elsewhere.
-        pub bytes: u64,
-    }
-
     /// A group that was given up.
     pub struct Expired {
         /// The group.
@@ -297,7 +249,8 @@
             return None;
         }
         let is_free = |maker: &&Maker| !self.is_busy(&maker.target);
-        let free: Vec<&Maker> = makers.iter().filter(is_free).collect();
+        let with_room = |maker| (maker, self.room(maker, pieces, now));
+        let free: Vec<(&Maker, u64)> = makers.iter().filter(is_free).map(with_room).collect();
         let is_any_sound = makers.iter().any(|maker| !maker.is_avoided);
         let mut order = self.order(pieces, now);
         if (self.calls + 1).is_multiple_of(OLDEST_EVERY) {
@@ -307,20 +260,18 @@
         // others are tried before the target stays idle.
         for first in &order {
             let group = &self.waiting[*first].group;
-            let room = |maker: &Maker| self.room(&maker.target, pieces, now);
-            let fits = free.iter().filter(|maker| {
+            let fits = free.iter().filter(|(maker, room)| {
                 let is_sound = !(is_any_sound && maker.is_avoided);
-                let is_roomy = room(maker) >= needed_room(group, pieces);
+                let is_roomy = *room >= needed_room(group, pieces);
                 is_sound && is_roomy && may_go(group, maker, makers, pieces, now)
             });
-            let key = |maker: &&&Maker| {
+            let key = |(maker, room): &&(&Maker, u64)| {
                 let is_near = is_near(group, maker);
-                (is_near, room(maker), Reverse(maker.target.clone()))
+                (is_near, *room, Reverse(maker.target.clone()))
             };
-            let Some(maker) = fits.max_by_key(key) else {
+            let Some((maker, room)) = fits.max_by_key(key).copied() else {
                 continue;
             };
-            let room = room(maker);
             let may_go = |group: &Group| may_go(group, maker, makers, pieces, now);
             let order = order
                 .iter()
@@ -374,71 +325,6 @@
         self.waiting.iter().map(|one| one.group.pieces.len()).sum()
     }
 
-    /// Returns how long a new group of each rank waits for so many targets.
-    #[must_use]
-    pub fn waits(&self, targets: usize, pieces: &Pieces, now: Millis) -> [Millis; Rank::LEVELS] {
-        let mut ahead = [0; Rank::LEVELS];
-        for waiting in &self.waiting {
-            let group = &waiting.group;
-            let is_late = now > group.on_time;
-            let level = group.rank.level();
-            let level = if is_late { Rank::LEVELS - 1 } else { level };
-            ahead[level] += group.pieces.len() as u64;
-        }
-        let rate = self.rate(targets, pieces, now);
-        let first = self.first_free(targets, now);
-        let mut before = 0;
-        let mut waits = [Millis::ZERO; Rank::LEVELS];
-        for (level, wait) in waits.iter_mut().enumerate() {
-            before += ahead[level];
-            // What is more urgent and comes in meanwhile goes first as well.
-            let taken = self.arrivals.rate_before(level, now);
-            let left = rate.saturating_sub(taken).max(rate / OLDEST_EVERY).max(1);
-            // What is on its way through earlier stages makes the wait longer
-            // by the time that it arrives.
-            let coming = self.arrivals.rate_before(level + 1, now);
-            let growth = coming.saturating_sub(rate) * ON_ITS_WAY.0 / rate;
-            *wait = first + Millis(before * 1000 / left + growth);
-        }
-        waits
-    }
-
-    /// Returns how long a group that is late already waits, if requests go on
-    /// coming in as they do.
-    #[must_use]
-    pub fn late_wait(&self, targets: usize, pieces: &Pieces, now: Millis) -> Millis {
-        let all = u64::try_from(self.pieces()).unwrap_or(u64::MAX);
-        let rate = self.rate(targets, pieces, now);
-        let taken = self.arrivals.rate_before(Rank::LEVELS, now);
-        let left = rate.saturating_sub(taken).max(rate / 20).max(1);
-        self.first_free(targets, now) + Millis(all * 1000 / left)
-    }
-
-    /// Returns how many pieces a second the targets make.
-    ///
-    /// As long as something waits, what they have made of late shows it. Else
-    /// it follows from the time of their calls and their room for results,
-    /// which both leave out what calls lose between them.
-    fn rate(&self, targets: usize, pieces: &Pieces, now: Millis) -> u64 {
-        let targets = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
-        let turn = pieces.call(pieces.batch / 2) + self.results.hold();
-        let bytes = self.arrivals.bytes.max(1);
-        let by_room = targets * pieces.room_bytes / bytes * 1000 / turn.0.max(1);
-        let possible = (targets * pieces.rate()).min(by_room).max(1);
-        if self.empty_at + WINDOW > now {
-            return possible;
-        }
-        let shown = self.sent.rate_before(Rank::LEVELS, now);
-        shown.clamp((possible / SHOWN_PART).max(1), possible)
-    }
-
-    /// Returns when the first target falls free, if none is free now.
-    fn first_free(&self, targets: usize, now: Millis) -> Millis {
-        let soonest = self.busy.iter().map(|busy| busy.until - now).min();
-        let is_full = self.busy.len() >= targets;
-        soonest.filter(|_| is_full).unwrap_or_default()
-    }
-
     fn take(
         &mut self,
         maker: &Maker,
@@ -523,9 +409,9 @@
         is_resting || self.busy.iter().any(|busy| busy.target == *target)
     }
 
-    fn room(&self, target: &name::Target, pieces: &Pieces, now: Millis) -> u64 {
-        let kept = self.results.bytes(target, now);
-        let taken = kept + self.promised(target);
+    fn room(&self, maker: &Maker, pieces: &Pieces, now: Millis) -> u64 {
+        let kept = self.results.bytes(&maker.target, now);
+        let taken = kept + self.promised(&maker.target);
         pieces.room_bytes.saturating_sub(taken)
     }
 
--- a/crates/kernel/src/stage/results.rs
+++ b/crates/kernel/src/stage/results.rs
@@ -115,12 +115,19 @@
         }
     }
 
-    /// Frees the results of requests that ended with their daemon; returns how
-    /// many there were.
-    pub fn free_gone(&mut self, is_gone: impl Fn(Process) -> bool) -> usize {
+    /// Returns the daemons that know of results here, one for each result.
+    #[must_use]
+    pub fn readers(&self) -> Vec<Process> {
+        self.held.iter().filter_map(|held| held.reader).collect()
+    }
+
+    /// Frees the results that daemons know of which have ended; returns how many
+    /// there were.
+    pub fn free_of(&mut self, readers: &[Process]) -> usize {
         let needed = self.held.iter_mut();
         let needed = needed.filter(|held| held.state == State::Needed);
-        let gone = needed.filter(|held| held.reader.is_some_and(&is_gone));
+        let is_gone = |reader: Process| readers.contains(&reader);
+        let gone = needed.filter(|held| held.reader.is_some_and(is_gone));
         gone.map(|held| held.state = State::Freed).count()
     }
 
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -15,12 +15,12 @@
 use gooseberry_kernel::request::table::Pieces;
 use gooseberry_kernel::request::table::Rank;
 use gooseberry_kernel::request::table::Stage;
+use gooseberry_kernel::stage::group::Group;
+use gooseberry_kernel::stage::group::Source;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_kernel::stage::queue::Call;
-use gooseberry_kernel::stage::queue::Group;
 use gooseberry_kernel::stage::queue::Maker;
 use gooseberry_kernel::stage::queue::Queue;
-use gooseberry_kernel::stage::queue::Source;
 use gooseberry_kernel::stage::queue::Ticket;
 
 const SERVICES: [&str; 3] = ["desk", "roll", "returns"];
@@ -348,13 +348,7 @@
         }
         while let Some(call) = self.queues[desk][service].next(&Self::makers(service), &bounds, now)
         {
-            let index = call
-                .target
-                .as_str()
-                .rsplit('-')
-                .next()
-                .expect("it has a number");
-            let index: usize = index.parse().expect("it is a number");
+            let index = index(&call);
             let target = &mut self.targets[service][index];
             // A target works on one call and lets two more wait.
             if target.free_at > now && target.waiting >= 2 {
@@ -390,13 +384,7 @@
 
     fn end(&mut self, desk: usize, service: usize, number: usize) {
         let call = self.calls[number].take().expect("it ends once");
-        let index = call
-            .target
-            .as_str()
-            .rsplit('-')
-            .next()
-            .expect("it has a number");
-        let index: usize = index.parse().expect("it is a number");
+        let index = index(&call);
         let target = &mut self.targets[service][index];
         target.waiting = target.waiting.saturating_sub(1);
         self.queues[desk][service].end(&call.target);
@@ -475,6 +463,16 @@
     }
 }
 
+/// Returns the number of the target that a call goes to.
+fn index(call: &Call) -> usize {
+    let (_, number) = call
+        .target
+        .as_str()
+        .rsplit_once('-')
+        .expect("it has a number");
+    number.parse().expect("it is a number")
+}
+
 /// Returns the share of the worth that clients get.
 fn play(load: f64, desks: usize, spread: u32) -> f64 {
     let mut draw = Draw(7);
--- a/crates/kernel/tests/direct/queue.rs
+++ b/crates/kernel/tests/direct/queue.rs
@@ -2,14 +2,14 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::table::Pieces;
 use gooseberry_kernel::request::table::Rank;
+use gooseberry_kernel::stage::group::Group;
+use gooseberry_kernel::stage::group::Near;
+use gooseberry_kernel::stage::group::Source;
 use gooseberry_kernel::stage::queue::Call;
 use gooseberry_kernel::stage::queue::Expired;
-use gooseberry_kernel::stage::queue::Group;
 use gooseberry_kernel::stage::queue::Maker;
-use gooseberry_kernel::stage::queue::Near;
 use gooseberry_kernel::stage::queue::Queue;
 use gooseberry_kernel::stage::queue::REST;
-use gooseberry_kernel::stage::queue::Source;
 use gooseberry_kernel::stage::queue::Told;
 use gooseberry_kernel::stage::queue::Why;
 
@@ -47,6 +47,14 @@
     }
 }
 
+/// A group of which a target has room for one.
+fn large(attempt: &str) -> Group {
+    Group {
+        bytes: 4_000,
+        ..group(attempt, 2)
+    }
+}
+
 fn attempts(call: &Call) -> Vec<&str> {
     let parts = call.parts.iter();
     parts.map(|part| part.group.attempt.as_str()).collect()
@@ -128,10 +136,6 @@
 fn a_target_is_given_no_more_than_it_has_room_for() {
     let mut queue = Queue::default();
     let makers = makers(1);
-    let large = |attempt| Group {
-        bytes: 4_000,
-        ..group(attempt, 2)
-    };
     queue.push(large("a"), Millis(0));
     queue.push(large("b"), Millis(0));
     let call = queue.next(&makers, &PIECES, Millis(0)).expect("it is free");
@@ -171,10 +175,6 @@
 fn what_a_target_keeps_for_another_dispatcher_counts_until_it_says_otherwise() {
     let mut queue = Queue::default();
     let makers = makers(1);
-    let large = |attempt| Group {
-        bytes: 4_000,
-        ..group(attempt, 2)
-    };
     queue.push(large("a"), Millis(0));
     let target = &makers[0].target;
     let told = |kept_bytes| Told {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -24,7 +24,7 @@
 use gooseberry_kernel::fleet::member::Process;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::door::Wait;
-use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::group::Group;
 use gooseberry_kernel::stage::queue::Ticket;
 use gooseberry_kernel::stage::queue::Why;
 use gooseberry_platform::pieces;
@@ -271,11 +271,12 @@
     /// knows of it, and it would take room until it ages out.
     fn look_who_is_gone(&self, context: &Arc<Context>, service: &name::Service) {
         let now = context.now();
-        let mut desks = self.lock();
-        let desk = desk(&mut desks, service);
-        let mut state = context.state();
-        let members = state.members();
-        let (groups, results) = desk.forget_gone(|asker| members.is_gone(asker, now));
+        let mut askers = desk(&mut self.lock(), service).askers();
+        askers.retain(|asker| context.state().members().is_gone(*asker, now));
+        if askers.is_empty() {
+            return;
+        }
+        let (groups, results) = desk(&mut self.lock(), service).forget(&askers);
         if groups + results > 0 {
             log::info!(service:% = service, groups, results; "a daemon has left groups and results behind");
         }
--- a/crates/relay/src/dispatcher/desk.rs
+++ b/crates/relay/src/dispatcher/desk.rs
@@ -3,7 +3,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::member::Process;
 use gooseberry_kernel::name;
-use gooseberry_kernel::stage::queue::Group;
+use gooseberry_kernel::stage::group::Group;
 use gooseberry_kernel::stage::queue::Queue;
 use gooseberry_kernel::stage::queue::Ticket;
 use gooseberry_wire::fleet::Unmade;
@@ -97,15 +97,24 @@
         self.is_first && self.proved.binary_search(target).is_ok()
     }
 
-    /// Gives up what requests had made or waited for that ended with their
-    /// daemon; returns how many groups and results there were.
-    pub(super) fn forget_gone(&mut self, is_gone: impl Fn(Process) -> bool) -> (usize, usize) {
-        let gone = self.open.iter().filter(|open| is_gone(open.asker));
+    /// Returns the daemons whose requests wait here or have results, each once.
+    pub(super) fn askers(&mut self) -> Vec<Process> {
+        let mut askers = self.queue.results().readers();
+        askers.extend(self.open.iter().map(|open| open.asker));
+        askers.sort_unstable();
+        askers.dedup();
+        askers
+    }
+
+    /// Gives up what the requests of daemons had made or waited for; returns how
+    /// many groups and results there were.
+    pub(super) fn forget(&mut self, askers: &[Process]) -> (usize, usize) {
+        let gone = self.open.iter().filter(|open| askers.contains(&open.asker));
         let tickets: Vec<Ticket> = gone.map(|open| open.ticket).collect();
         for ticket in &tickets {
             self.close(*ticket, Err(Unmade::Failed));
         }
-        (tickets.len(), self.queue.results().free_gone(is_gone))
+        (tickets.len(), self.queue.results().free_of(askers))
     }
 
     /// Gives back the groups that no target has worked on, for the daemon that
--- /dev/null
+++ b/crates/relay/src/peers/server.rs
@@ -0,0 +1,84 @@
+//! What a daemon does for its peers.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use futures::StreamExt;
+use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::name;
+use gooseberry_runtime::control_stream;
+use gooseberry_wire::fleet::Changes;
+use gooseberry_wire::fleet::Fleet;
+use gooseberry_wire::fleet::Greeting;
+use gooseberry_wire::fleet::Group;
+use gooseberry_wire::fleet::Made;
+use gooseberry_wire::fleet::Unmade;
+use tarpc::context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use crate::context::Context;
+use crate::peers::greeting;
+use crate::peers::hear;
+
+/// Serves the peers for as long as the process runs.
+pub async fn serve(context: Arc<Context>, listener: TcpListener) {
+    let mut incoming = control_stream::incoming(listener, context.metrics.control_bytes());
+    // They end with this task, as they would with the process.
+    let mut links = JoinSet::new();
+    while let Some(accepted) = incoming.next().await {
+        while links.try_join_next().is_some() {}
+        let Ok(transport) = accepted else {
+            continue;
+        };
+        let server = Server {
+            context: context.clone(),
+        };
+        let requests = BaseChannel::with_defaults(transport).execute(server.serve());
+        links.spawn(requests.for_each_concurrent(None, |request| async {
+            tokio::spawn(request).await.ok();
+        }));
+    }
+}
+
+#[derive(Clone)]
+struct Server {
+    context: Arc<Context>,
+}
+
+impl Fleet for Server {
+    async fn greet(self, _: context::Context, greeting_of_peer: Greeting) -> Greeting {
+        hear(&self.context, greeting_of_peer);
+        greeting(&self.context)
+    }
+
+    async fn changes(self, _: context::Context, after: u64) -> Changes {
+        self.context.state().changes(Revision(after)).into()
+    }
+
+    async fn make(self, _: context::Context, group: Group) -> Result<Made, Unmade> {
+        let keepers = group.keepers.iter().map(Into::into).collect();
+        let asker = group.asker.into();
+        let (service, group) = group.read(self.context.now());
+        let context = self.context.clone();
+        let made = context
+            .dispatcher
+            .make(&self.context, &service, group, keepers, asker)
+            .await?;
+        Ok(Made {
+            handles: made.handles.iter().map(|one| one.as_str().into()).collect(),
+            domain: made.domain.as_str().into(),
+            are_inputs_freed: made.are_inputs_freed,
+        })
+    }
+
+    async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
+        let handles: Vec<name::Handle> = handles.iter().map(|one| name::Handle::new(one)).collect();
+        let service = name::Service::new(&service);
+        self.context
+            .dispatcher
+            .free(&self.context, &service, &handles);
+    }
+}
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -13,11 +13,11 @@
 use gooseberry_kernel::request::door::FIRST_BYTE;
 use gooseberry_kernel::request::door::Leg;
 use gooseberry_kernel::request::door::Verdict;
+use gooseberry_kernel::stage::group::Group;
+use gooseberry_kernel::stage::group::Near;
+use gooseberry_kernel::stage::group::Source;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_kernel::stage::plan::Step;
-use gooseberry_kernel::stage::queue::Group;
-use gooseberry_kernel::stage::queue::Near;
-use gooseberry_kernel::stage::queue::Source;
 use gooseberry_wire::fleet::Unmade;
 
 use crate::context::Context;
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -52,7 +52,9 @@
     /// Tells whether this daemon is the first to be asked for a service.
     #[must_use]
     pub fn dispatches(&self, service: &name::Service, now: Millis) -> bool {
-        matches!(self.dispatchers(service, now).first(), Some(None))
+        let live = self.members.live(now);
+        let first = choice::first(service, &live);
+        first.is_some_and(|row| row.name == self.members.me().name)
     }
 
     /// Notes how long pieces wait at a dispatcher.
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -1,5 +1,6 @@
 //! Which target gets a request, and what is at the targets now.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 
 use gooseberry_kernel::clock::Millis;
@@ -148,8 +149,6 @@
         now: Millis,
     ) -> Pick {
         let fleet = self.members.fleet(now);
-        let members = self.members.live(now);
-        let members: Vec<name::Member> = members.iter().map(|row| row.name.clone()).collect();
         let usable = self.roster.usable(&service.name, &self.taken_out, now);
         let listed: Vec<&Listed> = usable
             .filter(|listed| !tried.contains(&listed.target.name))
@@ -158,21 +157,24 @@
             return Pick::Nobody;
         }
         let most = connections(service, fleet);
+        // Most picks meet no cold target, and need no names.
+        let members: OnceCell<Vec<name::Member>> = OnceCell::new();
+        let names = || {
+            let live = self.members.live(now);
+            live.iter().map(|row| row.name.clone()).collect()
+        };
+        let share = |target: &name::Target| {
+            if now < JOINING {
+                return UNKNOWN_SHARE;
+            }
+            let me = &self.members.me().name;
+            let members = members.get_or_init(names);
+            pace::share(service.cold_rate, target, me, members, fleet)
+        };
         let is_open = |listed: &&&Listed| {
             let target = &listed.target.name;
             let is_cold = listed.cold_until > now && service.cold_rate > 0;
-            let share = if now < JOINING {
-                UNKNOWN_SHARE
-            } else {
-                pace::share(
-                    service.cold_rate,
-                    target,
-                    &self.members.me().name,
-                    &members,
-                    fleet,
-                )
-            };
-            let has_share = !is_cold || self.pace.recent(target, now) < share;
+            let has_share = !is_cold || self.pace.recent(target, now) < share(target);
             has_share && self.own(target) < most
         };
         let open: Vec<&Listed> = listed.iter().filter(is_open).copied().collect();
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -5,7 +5,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::table::Rank;
-use gooseberry_kernel::stage::queue;
+use gooseberry_kernel::stage::group;
 use gooseberry_platform_standin::client::Client;
 use gooseberry_platform_standin::store;
 use gooseberry_platform_standin::target::Mode;
@@ -33,6 +33,18 @@
     daemon.context().state().members().live(now).len() == count
 }
 
+/// Starts three daemons that hear each other.
+async fn trio(world: &World) -> [Daemon; 3] {
+    let one = world.daemon(1, &[]).await;
+    let two = world.daemon(2, &[peers(&one)]).await;
+    let three = world.daemon(3, &[peers(&one)]).await;
+    let daemons = [one, two, three];
+    for daemon in &daemons {
+        until("all are heard", || hears(daemon, 3)).await;
+    }
+    daemons
+}
+
 /// Parts the dispatcher of a service from the other daemons.
 fn part_dispatcher(daemons: [Daemon; 3], service: &str) -> (Vec<Daemon>, Vec<Daemon>) {
     let service = name::Service::new(service);
@@ -60,12 +72,7 @@
 #[tokio::test]
 async fn daemons_find_each_other_by_a_seed_and_notice_a_death() {
     let world = World::start().await;
-    let one = world.daemon(1, &[]).await;
-    let two = world.daemon(2, &[peers(&one)]).await;
-    let three = world.daemon(3, &[peers(&one)]).await;
-    for daemon in [&one, &two, &three] {
-        until("all are heard", || hears(daemon, 3)).await;
-    }
+    let [one, two, three] = trio(&world).await;
     one.kill().await;
     for daemon in [&two, &three] {
         until("the death is noticed", || hears(daemon, 2)).await;
@@ -75,13 +82,7 @@
 #[tokio::test]
 async fn pieces_are_made_though_their_dispatcher_dies() {
     let world = World::start().await;
-    let one = world.daemon(1, &[]).await;
-    let two = world.daemon(2, &[peers(&one)]).await;
-    let three = world.daemon(3, &[peers(&one)]).await;
-    let daemons = [one, two, three];
-    for daemon in &daemons {
-        until("all are heard", || hears(daemon, 3)).await;
-    }
+    let daemons = trio(&world).await;
     // A daemon that is not the dispatcher itself serves the clients.
     let (dead, alive) = part_dispatcher(daemons, "first");
     for target in &world.first {
@@ -108,13 +109,7 @@
 #[tokio::test]
 async fn results_of_a_dead_dispatcher_are_given_up() {
     let world = World::start().await;
-    let one = world.daemon(1, &[]).await;
-    let two = world.daemon(2, &[peers(&one)]).await;
-    let three = world.daemon(3, &[peers(&one)]).await;
-    let daemons = [one, two, three];
-    for daemon in &daemons {
-        until("all are heard", || hears(daemon, 3)).await;
-    }
+    let daemons = trio(&world).await;
     let (dead, alive) = part_dispatcher(daemons, "first");
     for engine in &world.engines {
         engine.then(&[Mode::Slow(400)]);
@@ -173,11 +168,11 @@
     };
     let context = tarpc::context::current;
     client.greet(context(), greeting).await.expect("a reply");
-    let group = queue::Group {
+    let group = group::Group {
         attempt: name::Attempt::new("abandoned"),
         stage: 0,
         pieces: vec![0, 1, 2],
-        source: queue::Source::Key("key".to_owned()),
+        source: group::Source::Key("key".to_owned()),
         bytes: 1_000,
         rank: Rank(0),
         on_time: Millis(5_000),
@@ -202,13 +197,7 @@
     let world = World::start().await;
     let slow = SETTINGS.replace("\"call_ms\": 40", "\"call_ms\": 1500");
     world.store.put("op/config", &slow);
-    let one = world.daemon(1, &[]).await;
-    let two = world.daemon(2, &[peers(&one)]).await;
-    let three = world.daemon(3, &[peers(&one)]).await;
-    let daemons = [one, two, three];
-    for daemon in &daemons {
-        until("all are heard", || hears(daemon, 3)).await;
-    }
+    let daemons = trio(&world).await;
     let (leaving, staying) = part_dispatcher(daemons, "first");
     let address = front(&staying[0]);
     let send = || async move {
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -4,6 +4,7 @@
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Seen;
 use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
 
 use crate::world::SETTINGS;
 use crate::world::World;
@@ -15,6 +16,16 @@
     seen.filter(|seen| seen.path == "/v1/stage-run").collect()
 }
 
+/// Returns the engine that requests to the long route go to.
+async fn engine_of_long<'a>(world: &'a World, daemon: &Daemon) -> &'a Target {
+    let probe = Client::new("/long/").generates("2");
+    let answer = probe.send(front(daemon)).await;
+    assert!(answer.is_some_and(|answer| answer.is_whole));
+    let mut engines = world.engines.iter();
+    let first = engines.find(|engine| !engine.seen().is_empty());
+    first.expect("one ran it")
+}
+
 #[tokio::test]
 async fn stages_are_made_in_order_and_their_results_are_handed_on_and_freed() {
     let world = World::start().await;
@@ -123,18 +134,9 @@
 async fn a_stream_with_stages_is_resumed_with_results_that_were_made_again() {
     let world = World::start().await;
     let daemon = world.daemon(1, &[]).await;
-    let probe = Client::new("/long/").generates("2");
-    assert!(
-        probe
-            .send(front(&daemon))
-            .await
-            .is_some_and(|answer| answer.is_whole)
-    );
-    let first = world
-        .engines
-        .iter()
-        .position(|engine| !engine.seen().is_empty());
-    world.engines[first.expect("one ran it")].then(&[Mode::BreakWithin(3)]);
+    engine_of_long(&world, &daemon)
+        .await
+        .then(&[Mode::BreakWithin(3)]);
     let client = Client::new("/long/").generates("2");
     let answer = client.send(front(&daemon)).await.expect("an answer");
     assert_eq!((answer.status, answer.is_whole), (200, true));
@@ -158,18 +160,9 @@
 async fn results_that_are_gone_at_the_run_are_made_again() {
     let world = World::start().await;
     let daemon = world.daemon(1, &[]).await;
-    let probe = Client::new("/long/").generates("2");
-    assert!(
-        probe
-            .send(front(&daemon))
-            .await
-            .is_some_and(|answer| answer.is_whole)
-    );
-    let first = world
-        .engines
-        .iter()
-        .position(|engine| !engine.seen().is_empty());
-    world.engines[first.expect("one ran it")].then(&[Mode::InputsGone]);
+    engine_of_long(&world, &daemon)
+        .await
+        .then(&[Mode::InputsGone]);
     let before = calls(&world.first).len();
     let client = Client::new("/long/").generates("2");
     let answer = client.send(front(&daemon)).await.expect("an answer");
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -13,7 +13,7 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::door;
 use gooseberry_kernel::request::table::Rank;
-use gooseberry_kernel::stage::queue;
+use gooseberry_kernel::stage::group;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -299,7 +299,7 @@
     #[must_use]
     pub fn new(
         service: &name::Service,
-        group: &queue::Group,
+        group: &group::Group,
         asker: member::Process,
         now: Millis,
     ) -> Self {
@@ -310,8 +310,8 @@
             stage: u32::try_from(group.stage).unwrap_or(u32::MAX),
             pieces: group.pieces.clone(),
             source: match &group.source {
-                queue::Source::Key(key) => Source::Key(key.clone()),
-                queue::Source::Inputs(handles) => {
+                group::Source::Key(key) => Source::Key(key.clone()),
+                group::Source::Inputs(handles) => {
                     let handles = handles.iter().map(|handle| handle.as_str().into());
                     Source::Inputs(handles.collect())
                 }
@@ -333,16 +333,16 @@
 
     /// Reads the group, with its spans as moments of this process.
     #[must_use]
-    pub fn read(self, now: Millis) -> (name::Service, queue::Group) {
-        let group = queue::Group {
+    pub fn read(self, now: Millis) -> (name::Service, group::Group) {
+        let group = group::Group {
             attempt: name::Attempt::new(&self.attempt),
             stage: usize::try_from(self.stage).unwrap_or(usize::MAX),
             pieces: self.pieces,
             source: match self.source {
-                Source::Key(key) => queue::Source::Key(key),
+                Source::Key(key) => group::Source::Key(key),
                 Source::Inputs(handles) => {
                     let handles = handles.iter().map(|handle| name::Handle::new(handle));
-                    queue::Source::Inputs(handles.collect())
+                    group::Source::Inputs(handles.collect())
                 }
             },
             bytes: self.bytes,
@@ -350,7 +350,7 @@
             on_time: now + Millis(self.on_time_ms),
             until: now + Millis(self.until_ms),
             inputs_until: now + Millis(self.inputs_until_ms),
-            near: self.near.map(|near| queue::Near {
+            near: self.near.map(|near| group::Near {
                 domain: name::Domain::new(&near.domain),
                 bytes: near.bytes,
             }),
