Decide about a key before a later try can, and never call it not run unread

Cause: the message that asks for the decision about a key was sent by a task of its own. On a busy machine that task ran after the caller had hung up and sent its key again, so the later try was decided first and got 409 key-unknown although the first one ran. Second cause: a new owner of a key that had not read the settings yet answered its peers 404 no-pipeline with the outcome not-run, which was untrue of earlier tries at the former owner.

Change: asking the actor sends the message before the future is polled, so messages keep the order of the calls. An owner without settings answers 503 not-ready, and what an owner refuses before it knows the workspace has the outcome unknown.

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -40,7 +40,6 @@
 use ractor::ActorProcessingErr;
 use ractor::ActorRef;
 use ractor::RpcReplyPort;
-use ractor::rpc::CallResult;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -387,29 +386,33 @@
         self.actor.cast(message).ok();
     }
 
-    /// Sends a message and waits for the reply.
+    /// Sends a message at once, and returns a future of its reply.
+    ///
+    /// The message is sent before the future is first polled, so that messages
+    /// reach the actor in the order of these calls, whatever task awaits them.
     ///
     /// # Errors
-    /// Returns [`Kind::Internal`] if the actor has ended.
-    pub async fn ask<T: Send + 'static>(
+    /// The future returns [`Kind::Internal`] if the actor has ended.
+    pub fn ask<T: Send + 'static, F: FnOnce(RpcReplyPort<T>) -> Message>(
         &self,
-        message: impl FnOnce(RpcReplyPort<T>) -> Message,
-    ) -> Result<T, Failure> {
-        match self.actor.call(message, None).await {
-            Ok(CallResult::Success(value)) => Ok(value),
-            _ => Err(Kind::Internal.into()),
-        }
+        message: F,
+    ) -> impl Future<Output = Result<T, Failure>> + Send + use<T, F> {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(message(sender.into()));
+        async move { receiver.await.map_err(|_| Kind::Internal.into()) }
     }
 
-    /// Sends a message whose reply may be a refusal.
+    /// Sends a message at once whose reply may be a refusal, like [`Self::ask`].
     ///
     /// # Errors
-    /// Returns the refusal, or [`Kind::Internal`] if the actor has ended.
-    pub async fn try_ask<T: Send + 'static>(
+    /// The future returns the refusal, or [`Kind::Internal`] if the actor has
+    /// ended.
+    pub fn try_ask<T: Send + 'static, F: FnOnce(RpcReplyPort<Result<T, Failure>>) -> Message>(
         &self,
-        message: impl FnOnce(RpcReplyPort<Result<T, Failure>>) -> Message,
-    ) -> Result<T, Failure> {
-        self.ask(message).await?
+        message: F,
+    ) -> impl Future<Output = Result<T, Failure>> + Send + use<T, F> {
+        let reply = self.ask(message);
+        async move { reply.await? }
     }
 
     /// Reads the node with a closure that runs in the actor.
--- a/crates/daemon/src/idempotency.rs
+++ b/crates/daemon/src/idempotency.rs
@@ -91,9 +91,10 @@
 /// Decides whether a request with a key runs. If so, starts the run and returns
 /// the receiver of its answer with the decision.
 ///
-/// Both happen in a task of their own. Otherwise a caller that hangs up in
-/// between would leave a key that is begun but never run, and whose outcome is
-/// unknown later.
+/// The run is started by a task of its own. Otherwise a caller that hangs up
+/// after the decision would leave a key that is begun but never run, and whose
+/// outcome is unknown later. The decision is asked for before that task starts,
+/// so that a later try of the caller cannot overtake this one.
 async fn begin(
     context: &Arc<Context>,
     job: &Job,
@@ -101,10 +102,12 @@
     is_first_attempt: bool,
 ) -> Result<(Decision, Option<AnswerReceiver>), Failure> {
     let (context, job, key) = (context.clone(), job.clone(), key.clone());
+    let (begin_key, digest) = (key.clone(), job.digest);
+    let decision = context
+        .node
+        .try_ask(move |reply| Message::BeginKey(begin_key, digest, is_first_attempt, reply));
     let decision = tokio::spawn(async move {
-        let (begin_key, digest) = (key.clone(), job.digest);
-        let message = |reply| Message::BeginKey(begin_key, digest, is_first_attempt, reply);
-        let decision = context.node.try_ask(message).await?;
+        let decision = decision.await?;
         let receiver = (decision == Decision::Run).then(|| spawn_run(&context, job, key));
         Ok((decision, receiver))
     });
@@ -184,7 +187,9 @@
     let is_first = is_first_attempt(&head.headers);
     match read_job(&context, &head.headers, body).await {
         Ok(job) => perform(&context, job, is_first).await,
-        Err(failure) => answer::error(&failure),
+        // This daemon cannot tell whether the workspace's first attempts are to
+        // be trusted, so an earlier try may have run.
+        Err(failure) => answer::error(&refusal_of_resend(failure)),
     }
 }
 
@@ -254,12 +259,15 @@
         text: read(header::IDEMPOTENCY_KEY)?.to_owned(),
     };
     let find = move |node: &Node, now| {
-        let workspace = node
-            .settings()
-            .workspace(&workspace)
-            .ok_or(Kind::NoPipeline)?;
-        let pipeline = node.settings().pipeline(workspace, &pipeline);
-        Ok::<_, Kind>(AdmittedRequest {
+        let settings = node.settings();
+        // The peer knows the pipeline, so this daemon lacks it only until it has
+        // read the settings.
+        if settings.teams().is_empty() {
+            return Err(Kind::NotReady);
+        }
+        let workspace = settings.workspace(&workspace).ok_or(Kind::NoPipeline)?;
+        let pipeline = settings.pipeline(workspace, &pipeline);
+        Ok(AdmittedRequest {
             workspace: workspace.clone(),
             pipeline: pipeline.ok_or(Kind::NoPipeline)?.clone(),
             deadline: now + timeout,
--- a/crates/daemon/tests/single/fleet.rs
+++ b/crates/daemon/tests/single/fleet.rs
@@ -37,13 +37,7 @@
         site::HUARAZ.publish(&platform);
         platform.put("/fleet", FLEET_SETTINGS);
         let targets = site::HUARAZ.start_targets(&platform).await.unwrap();
-        let text = format!(
-            r#"{{ "instance": "entry-1", "domain": "huaraz", "callers": "127.0.0.1:0",
-              "data": "127.0.0.1:0", "control": "127.0.0.1:0",
-              "operators": "127.0.0.1:0", "platform": "{}" }}"#,
-            platform.address()
-        );
-        let daemon = Daemon::start(Local::parse(&text).unwrap()).await.unwrap();
+        let daemon = daemon(&platform).await;
         let local = daemon.local();
         platform.add_instance(Instance {
             id: local.instance.as_str().into(),
@@ -95,6 +89,17 @@
     }
 }
 
+/// Starts a daemon that reads this platform.
+pub async fn daemon(platform: &Platform) -> Daemon {
+    let text = format!(
+        r#"{{ "instance": "entry-1", "domain": "huaraz", "callers": "127.0.0.1:0",
+          "data": "127.0.0.1:0", "control": "127.0.0.1:0",
+          "operators": "127.0.0.1:0", "platform": "{}" }}"#,
+        platform.address()
+    );
+    Daemon::start(Local::parse(&text).unwrap()).await.unwrap()
+}
+
 /// How long a test waits for a condition before it fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
--- a/crates/daemon/tests/single/idempotency_keys.rs
+++ b/crates/daemon/tests/single/idempotency_keys.rs
@@ -5,15 +5,19 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id::Digest;
+use gooseberry_kernel::idempotency::Decision;
 use gooseberry_kernel::idempotency::Key;
 use gooseberry_kernel::node::AdmittedRequest;
 use gooseberry_kernel::node::Node;
+use gooseberry_standin::platform::Platform;
 use gooseberry_standin::target::Fault;
+use gooseberryd::actor::Message;
 use gooseberryd::idempotency;
 use gooseberryd::pipeline::Job;
 
 use crate::fleet::Fleet;
 use crate::fleet::LEDGER_PATH;
+use crate::fleet::daemon;
 use crate::fleet::header_value;
 use crate::fleet::request;
 use crate::fleet::send;
@@ -163,3 +167,51 @@
     assert_eq!(deposit_runs(&fleet), 1);
     fleet.daemon.shut_down().await;
 }
+
+/// A caller that hangs up may send its key again at once. If the later try were
+/// decided first, its key would be unknown although the first try runs.
+#[tokio::test]
+async fn a_later_try_of_a_key_does_not_overtake_the_first_one() {
+    let fleet = Fleet::start().await;
+    let context = fleet.daemon.context();
+    let job = job(&fleet, "five").await;
+    let key = job.key.clone().unwrap();
+    let digest = job.digest;
+    {
+        let mut caller = Box::pin(idempotency::perform(context, job, true));
+        assert!(futures::poll!(caller.as_mut()).is_pending());
+    }
+    // This test has one thread, so no task has run since the caller hung up.
+    let later = context
+        .node
+        .try_ask(|reply| Message::BeginKey(key, digest, false, reply));
+    assert_eq!(later.await.unwrap(), Decision::AwaitRunning);
+    fleet.daemon.shut_down().await;
+}
+
+/// A daemon that has just started may own a key before it has read the settings.
+/// An earlier try of the key may have run at its former owner, so the answer must
+/// not say that the request did not run.
+#[tokio::test]
+async fn an_owner_without_settings_does_not_say_that_a_key_did_not_run() {
+    let platform = Platform::start().await.unwrap();
+    let daemon = daemon(&platform).await;
+    let head = [
+        "Gooseberry-Workspace: desk.trekkers",
+        "Gooseberry-Pipeline: booking-ledger",
+        "Gooseberry-Timeout-Ms: 5000",
+        "Gooseberry-Request: 0123456789abcdef0123456789abcdef",
+        &format!("Gooseberry-Digest: {}", Digest::of(b"a deposit")),
+        "Idempotency-Key: six",
+        "Idempotency-Attempt: 2",
+    ];
+    let forwarded = request(idempotency::PATH, "desk.trekkers", &head, "a deposit");
+    let answer = send(daemon.local().data, &forwarded, false).await;
+    assert_eq!(
+        status_error_outcome(&answer),
+        ["503", "not-ready", "unknown"],
+        "{answer}"
+    );
+    assert_eq!(header_value(&answer, "retry-after"), Some("1"));
+    daemon.shut_down().await;
+}
