Retain read inputs for retries while their memory is not needed

Cause: inputs of a stage were freed 120 ms into its call, when they had been read. If one piece of the call failed afterwards, its inputs were gone, and all earlier stages of the request were computed again.

A failed piece is computed again with the same inputs.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -138,7 +138,7 @@
                 tries: 0,
                 input_owners,
                 origin,
-                are_inputs_freed: false,
+                inputs_released_at: None,
                 reply,
             });
             ticket
@@ -152,15 +152,16 @@
         replied.await.unwrap_or(Err(Unmade::Failed))
     }
 
-    /// Releases results that nobody reads any more.
+    /// Releases results that have been read.
     ///
-    /// Results that this daemon dispatched are freed at their targets with the
-    /// next tick. Others are unknown here, and freed at their targets at once.
+    /// Results that this daemon dispatched are freed at their targets once their
+    /// memory is needed or no retry can need them. Others are unknown here, and
+    /// freed at their targets at once.
     pub fn free(&self, context: &Arc<Context>, service: &name::Service, handles: &[name::Handle]) {
         let unknown = {
             let mut services = self.lock();
             let dispatch = dispatch_of(&mut services, service);
-            dispatch.queue.results().free(handles)
+            dispatch.queue.results().release(handles, context.now())
         };
         for handle in unknown {
             let target = stage_call::target_address(&handle)
@@ -311,9 +312,11 @@
 
     /// Tells targets which of their results are freed.
     fn send_freed(&self, context: &Arc<Context>) {
+        let now = context.now();
         let mut freed = Vec::new();
         for dispatch in self.lock().iter_mut() {
-            for (target, handles) in dispatch.queue.results().take_freed() {
+            let spec = context.state().batch_spec(&dispatch.service);
+            for (target, handles) in dispatch.take_freed(spec.as_ref(), now) {
                 freed.push((dispatch.service.clone(), target, handles));
             }
         }
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -133,6 +133,7 @@
 /// case the inputs are released only after the group has completed. So are
 /// those of a group whose pieces are split over several calls.
 pub(super) fn release_inputs(context: &Arc<Context>, service: &name::Service, call: &BatchCall) {
+    let now = context.now();
     let mut input_owners = Vec::new();
     {
         let mut services = context.dispatcher.lock();
@@ -147,7 +148,7 @@
                 .find(|pending| pending.ticket == part.ticket);
             let unsplit = pending.filter(|pending| pending.wanted.len() == part.group.pieces.len());
             if let Some(pending) = unsplit.filter(|pending| !pending.input_owners.is_empty()) {
-                pending.are_inputs_freed = true;
+                pending.inputs_released_at = Some(now);
                 input_owners.append(&mut pending.input_owners);
             }
         }
