Revert "Retain read inputs for retries while their memory is not needed"

Tried: retention for a second, and for 450 ms with only as many results reclaimed as are needed.

Conclusion: memory of results may not be spent on what is only perhaps needed after the call that read it.

--- a/crates/kernel/src/stage/batch_queue.rs
+++ b/crates/kernel/src/stage/batch_queue.rs
@@ -18,7 +18,6 @@
 //! targets gone. Later groups are not refused, since the earlier calls of their
 //! request have already been spent.
 
-mod reclaim;
 mod wait_estimate;
 
 use std::cmp::Reverse;
--- a/crates/kernel/src/stage/piece_rate.rs
+++ b/crates/kernel/src/stage/piece_rate.rs
@@ -12,7 +12,7 @@
 /// The window over which rates are averaged.
 pub(super) const WINDOW: Millis = Millis(BUCKET_LENGTH.0 * BUCKETS as u64);
 /// The newest piece counts as one part of this many in the moving mean of
-/// result sizes; the largest size decays by one part of this many.
+/// result sizes.
 const SIZE_WEIGHT_PARTS: u64 = 64;
 
 /// Counts pieces by time bucket and rank, and averages the size of their
@@ -22,8 +22,6 @@
     /// Bucket number, and the number of pieces by rank level.
     pub(super) buckets: [(u64, [u64; Rank::LEVELS]); BUCKETS],
     pub(super) mean_bytes: u64,
-    /// The size of the largest recent result, which decays with each group.
-    pub(super) peak_bytes: u64,
 }
 
 impl PieceRate {
@@ -34,8 +32,6 @@
             self.mean_bytes = (self.mean_bytes * (SIZE_WEIGHT_PARTS - 1) + group.result_bytes)
                 / SIZE_WEIGHT_PARTS;
         }
-        let decayed = self.peak_bytes - self.peak_bytes / SIZE_WEIGHT_PARTS;
-        self.peak_bytes = group.result_bytes.max(decayed);
         let bucket_number = now.0 / BUCKET_LENGTH.0 + 1;
         let bucket =
             &mut self.buckets[usize::try_from(bucket_number).unwrap_or_default() % BUCKETS];
--- a/crates/kernel/src/stage/result_tracker.rs
+++ b/crates/kernel/src/stage/result_tracker.rs
@@ -4,12 +4,6 @@
 //! told to free it, or until the time to live from the settings ends. The
 //! dispatcher sends all calls and forwards all frees, so it can compute the
 //! memory in use. A result counts until the call that frees it has ended.
-//!
-//! A stage has read its inputs long before its call ends. Their memory is then
-//! available for other results, but a piece that fails in that call can be
-//! retried only with the same inputs. A released result is therefore retained
-//! for [`RETENTION`], unless its memory is needed earlier (see
-//! [`crate::stage::batch_queue::BatchQueue::take_freed`]).
 
 use crate::clock::Millis;
 use crate::derive::value;
@@ -39,23 +33,13 @@
     enum State {
         /// Some stage or the final run will read it.
         Needed,
-        /// Its reader has read it; a retry may still need it.
-        Retained {
-            since: Millis,
-        },
         /// No longer needed; its target has not been told yet.
         Freed,
         /// The free is being sent to its target.
-        FreeSent {
-            retained_for: Millis,
-        },
+        FreeSent,
     }
 }
 
-/// How long a released result is retained for retries if its memory is not
-/// needed: the rest of the call that has read it, and the wait for the next one.
-pub const RETENTION: Millis = Millis(1_000);
-
 /// The mean lifetime that is assumed until the first result is freed: about the
 /// duration of one call of the next stage.
 const LIFETIME_DEFAULT: Millis = Millis(500);
@@ -107,16 +91,20 @@
         }
     }
 
-    /// Marks results as no longer needed, also for retries. Returns the handles
-    /// that aren't tracked here.
+    /// Marks results as no longer needed. Returns the handles that aren't
+    /// tracked here.
     pub fn free(&mut self, handles: &[name::Handle]) -> Vec<name::Handle> {
-        self.mark_needed(handles, State::Freed)
-    }
-
-    /// Marks results as read, so that they are freed after [`RETENTION`] or when
-    /// their memory is needed. Returns the handles that aren't tracked here.
-    pub fn release(&mut self, handles: &[name::Handle], now: Millis) -> Vec<name::Handle> {
-        self.mark_needed(handles, State::Retained { since: now })
+        let mut unknown = Vec::new();
+        for handle in handles {
+            match self.find(handle) {
+                Ok(index) if self.results[index].state == State::Needed => {
+                    self.results[index].state = State::Freed;
+                }
+                Ok(_) => {}
+                Err(_) => unknown.push(handle.clone()),
+            }
+        }
+        unknown
     }
 
     /// Records the daemon that has received the results and will free them.
@@ -148,22 +136,12 @@
         orphaned.map(|result| result.state = State::Freed).count()
     }
 
-    /// Returns the results that are to be freed now, by target, with the retained
-    /// ones of each target that needs their memory.
-    pub fn take_freed(
-        &mut self,
-        needs_memory: impl Fn(&name::Target) -> bool,
-        now: Millis,
-    ) -> Vec<(name::Target, Vec<name::Handle>)> {
+    /// Returns the results that are to be freed now, by target.
+    pub fn take_freed(&mut self) -> Vec<(name::Target, Vec<name::Handle>)> {
         let mut by_target: Vec<(name::Target, Vec<name::Handle>)> = Vec::new();
-        for result in &mut self.results {
-            let retained_for = match result.state {
-                State::Freed => Millis::ZERO,
-                State::Retained { .. } if needs_memory(&result.target) => Millis::ZERO,
-                State::Retained { since } if since + RETENTION <= now => now - since,
-                State::Needed | State::Retained { .. } | State::FreeSent { .. } => continue,
-            };
-            result.state = State::FreeSent { retained_for };
+        let results = self.results.iter_mut();
+        for result in results.filter(|result| result.state == State::Freed) {
+            result.state = State::FreeSent;
             let found = by_target.binary_search_by(|(target, _)| target.cmp(&result.target));
             let handle = result.handle.clone();
             match found {
@@ -174,17 +152,12 @@
         by_target
     }
 
-    /// Removes results whose free was sent, and updates the mean lifetime, in
-    /// which the time of retention does not count.
+    /// Removes results whose free was sent, and updates the mean lifetime.
     pub fn remove_freed(&mut self, handles: &[name::Handle], now: Millis) {
         for handle in handles {
             if let Ok(index) = self.find(handle) {
                 let result = self.results.remove(index);
-                let retained_for = match result.state {
-                    State::FreeSent { retained_for } => retained_for,
-                    State::Needed | State::Retained { .. } | State::Freed => Millis::ZERO,
-                };
-                let lifetime = (now - result.created_at - retained_for).0;
+                let lifetime = (now - result.created_at).0;
                 self.mean_lifetime = Millis(
                     (self.mean_lifetime.0 * (MEAN_WEIGHT_PARTS - 1) + lifetime) / MEAN_WEIGHT_PARTS,
                 );
@@ -231,27 +204,6 @@
         known + of_target.map(|untracked| untracked.bytes).sum::<u64>()
     }
 
-    /// Returns the memory that results of this dispatcher and others take at each
-    /// target that keeps any, in bytes, sorted by target.
-    #[must_use]
-    pub fn kept_by_target(&self, now: Millis) -> Vec<(name::Target, u64)> {
-        let results = self.results.iter();
-        let known = results.map(|result| (&result.target, result.bytes, result.expires_at));
-        let untracked = self.untracked.iter();
-        let untracked = untracked.map(|other| (&other.target, other.bytes, other.expires_at));
-        let mut kept: Vec<(name::Target, u64)> = Vec::new();
-        for (target, bytes, expires_at) in known.chain(untracked) {
-            if expires_at <= now {
-                continue;
-            }
-            match kept.binary_search_by(|(known, _)| known.cmp(target)) {
-                Ok(index) => kept[index].1 += bytes,
-                Err(index) => kept.insert(index, (target.clone(), bytes)),
-            }
-        }
-        kept
-    }
-
     /// Returns the targets that keep results of other dispatchers.
     #[must_use]
     pub fn targets_with_untracked(&self, now: Millis) -> Vec<name::Target> {
@@ -271,22 +223,6 @@
             .retain(|untracked| untracked.expires_at > now);
     }
 
-    /// Sets the state of those results that are still needed. Returns the handles
-    /// that aren't tracked here.
-    fn mark_needed(&mut self, handles: &[name::Handle], state: State) -> Vec<name::Handle> {
-        let mut unknown = Vec::new();
-        for handle in handles {
-            match self.find(handle) {
-                Ok(index) if self.results[index].state == State::Needed => {
-                    self.results[index].state = state.clone();
-                }
-                Ok(_) => {}
-                Err(_) => unknown.push(handle.clone()),
-            }
-        }
-        unknown
-    }
-
     fn find(&self, handle: &name::Handle) -> Result<usize, usize> {
         self.results
             .binary_search_by(|result| result.handle.cmp(handle))
--- a/crates/kernel/tests/direct/batch_queue.rs
+++ b/crates/kernel/tests/direct/batch_queue.rs
@@ -166,8 +166,8 @@
     queue.finish_call(&call.target);
     queue.results().free(&kept);
     // The results count until the call that frees them has ended.
-    assert_eq!(queue.take_freed(&SPEC, Millis(600))[0].1.len(), 2);
-    assert!(queue.take_freed(&SPEC, Millis(600)).is_empty());
+    assert_eq!(queue.results().take_freed()[0].1.len(), 2);
+    assert!(queue.results().take_freed().is_empty());
     assert_eq!(queue.next_call(&targets, &SPEC, Millis(600)), None);
     queue.results().remove_freed(&kept, Millis(600));
     let call = queue
--- a/crates/kernel/tests/direct/load.rs
+++ b/crates/kernel/tests/direct/load.rs
@@ -470,7 +470,7 @@
     fn free(&mut self, dispatcher: usize, service: usize, handles: &[name::Handle]) {
         let results = self.queues[dispatcher][service].results();
         assert!(results.free(handles).len() <= handles.len());
-        results.take_freed(|_| true, self.now);
+        results.take_freed();
         results.remove_freed(handles, self.now);
     }
 
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -12,7 +12,6 @@
 mod plan;
 mod prior_wait;
 mod registry;
-mod result_retention;
 mod retry_budget;
 mod routing_table;
 mod selection;
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -138,7 +138,7 @@
                 tries: 0,
                 input_owners,
                 origin,
-                inputs_released_at: None,
+                are_inputs_freed: false,
                 reply,
             });
             ticket
@@ -152,16 +152,15 @@
         replied.await.unwrap_or(Err(Unmade::Failed))
     }
 
-    /// Releases results that have been read.
+    /// Releases results that nobody reads any more.
     ///
-    /// Results that this daemon dispatched are freed at their targets once their
-    /// memory is needed or no retry can need them. Others are unknown here, and
-    /// freed at their targets at once.
+    /// Results that this daemon dispatched are freed at their targets with the
+    /// next tick. Others are unknown here, and freed at their targets at once.
     pub fn free(&self, context: &Arc<Context>, service: &name::Service, handles: &[name::Handle]) {
         let unknown = {
             let mut services = self.lock();
             let dispatch = dispatch_of(&mut services, service);
-            dispatch.queue.results().release(handles, context.now())
+            dispatch.queue.results().free(handles)
         };
         for handle in unknown {
             let target = stage_call::target_address(&handle)
@@ -312,11 +311,9 @@
 
     /// Tells targets which of their results are freed.
     fn send_freed(&self, context: &Arc<Context>) {
-        let now = context.now();
         let mut freed = Vec::new();
         for dispatch in self.lock().iter_mut() {
-            let spec = context.state().batch_spec(&dispatch.service);
-            for (target, handles) in dispatch.take_freed(spec.as_ref(), now) {
+            for (target, handles) in dispatch.queue.results().take_freed() {
                 freed.push((dispatch.service.clone(), target, handles));
             }
         }
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -133,7 +133,6 @@
 /// case the inputs are released only after the group has completed. So are
 /// those of a group whose pieces are split over several calls.
 pub(super) fn release_inputs(context: &Arc<Context>, service: &name::Service, call: &BatchCall) {
-    let now = context.now();
     let mut input_owners = Vec::new();
     {
         let mut services = context.dispatcher.lock();
@@ -148,7 +147,7 @@
                 .find(|pending| pending.ticket == part.ticket);
             let unsplit = pending.filter(|pending| pending.wanted.len() == part.group.pieces.len());
             if let Some(pending) = unsplit.filter(|pending| !pending.input_owners.is_empty()) {
-                pending.inputs_released_at = Some(now);
+                pending.are_inputs_freed = true;
                 input_owners.append(&mut pending.input_owners);
             }
         }
--- a/crates/relay/src/dispatcher/service_dispatch.rs
+++ b/crates/relay/src/dispatcher/service_dispatch.rs
@@ -5,11 +5,9 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::membership::Process;
 use gooseberry_kernel::name;
-use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::stage::batch_queue::BatchQueue;
 use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
-use gooseberry_kernel::stage::result_tracker::RETENTION;
 use gooseberry_wire::fleet::Unmade;
 use tokio::sync::oneshot;
 
@@ -30,10 +28,6 @@
 /// daemon may have dispatched in a longer gap.
 const USAGE_KNOWN_FOR: Millis = Millis(1_000);
 
-/// Released inputs count as gone this long before their retention ends, since the
-/// target that reads them has to fetch them in time.
-const RETENTION_MARGIN: Millis = Millis(150);
-
 /// A group that waits for its pieces.
 #[derive(Debug)]
 pub(super) struct PendingGroup {
@@ -50,8 +44,8 @@
     pub(super) input_owners: Vec<ResultOwner>,
     /// The daemon that handles the request.
     pub(super) origin: Process,
-    /// When the inputs were released, if that was while the call was running.
-    pub(super) inputs_released_at: Option<Millis>,
+    /// Whether the inputs have been released while the call was running.
+    pub(super) are_inputs_freed: bool,
     /// Completes the waiting future.
     pub(super) reply: oneshot::Sender<GroupResult>,
 }
@@ -169,19 +163,6 @@
         self.queue.results().targets_with_untracked(now)
     }
 
-    /// Returns the results to be freed now, by target. If another daemon
-    /// dispatches, none are retained, since it would not know of them.
-    pub(super) fn take_freed(
-        &mut self,
-        spec: Option<&BatchSpec>,
-        now: Millis,
-    ) -> Vec<(name::Target, Vec<name::Handle>)> {
-        match spec.filter(|_| self.is_first) {
-            Some(spec) => self.queue.take_freed(spec, now),
-            None => self.queue.results().take_freed(|_| true, now),
-        }
-    }
-
     /// Removes a group from the pending ones without completing it.
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<PendingGroup> {
         let index = self
@@ -236,18 +217,18 @@
             let output = GroupOutput {
                 handles,
                 domain: domain.clone(),
-                are_inputs_freed: pending.inputs_released_at.is_some(),
+                are_inputs_freed: pending.are_inputs_freed,
             };
             self.complete(ticket, Ok(output));
         }
     }
 
     /// Queues failed pieces again, unless the group has had all its tries or its
-    /// inputs, which may have been released, are no longer retained.
+    /// inputs have been released.
     pub(super) fn requeue(
         &mut self,
         ticket: Ticket,
-        mut group: Group,
+        group: Group,
         counts_as_try: bool,
         now: Millis,
     ) {
@@ -259,11 +240,7 @@
             return;
         };
         pending.tries += u32::from(counts_as_try);
-        if let Some(released_at) = pending.inputs_released_at {
-            let retained_until = released_at + RETENTION - RETENTION_MARGIN;
-            group.inputs_expire_at = group.inputs_expire_at.min(retained_until);
-        }
-        if group.inputs_expire_at <= now {
+        if pending.are_inputs_freed {
             self.complete(ticket, Err(Unmade::Gone));
         } else if pending.tries >= GROUP_TRIES_MAX {
             self.complete(ticket, Err(Unmade::Failed));
