--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -229,12 +229,63 @@
     assert_eq!((answer.status, answer.is_complete), (200, true));
 }
 
+/// A stage reads its inputs when its call begins, and they are released then. If a
+/// piece fails later in that call, only that piece must be computed again, and not
+/// the inputs of its group.
+#[tokio::test]
+async fn a_piece_that_fails_late_is_retried_with_the_same_inputs() {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    let address = client_address(&daemon);
+    // Inputs are released early only at targets that have ended a call.
+    let has_idle_target = || {
+        let mut targets = platform.second.iter();
+        targets.any(|target| target.received().is_empty())
+    };
+    while has_idle_target() {
+        for target in &platform.second {
+            target.queue_modes(&[Mode::Delayed(60)]);
+        }
+        let sends = (0..4).map(|_| async move {
+            let client = ClientRequest::new("/staged/").with_stage_pieces("1,8");
+            client.send(address).await.expect("an answer")
+        });
+        futures::future::join_all(sends).await;
+    }
+    let calls_before = [
+        stage_calls(&platform.first).len(),
+        stage_calls(&platform.second).len(),
+    ];
+    for target in &platform.second {
+        target.clear_modes();
+        target.queue_modes(&[Mode::UnmadeAfter(300, "error")]);
+    }
+    let waiting = tokio::spawn(async move {
+        let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
+        client.send(address).await.expect("an answer")
+    });
+    wait_until("the second stage has its call", || {
+        stage_calls(&platform.second).len() > calls_before[1]
+    })
+    .await;
+    for target in &platform.second {
+        target.clear_modes();
+    }
+    let answer = waiting.await.expect("the task did not panic");
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(stage_calls(&platform.first).len(), calls_before[0] + 1);
+    assert_eq!(stage_calls(&platform.second).len(), calls_before[1] + 2);
+}
+
 /// The first calls of a dispatcher that replaces another one wait at the targets
 /// behind the other's calls. Their inputs must not be released before the target
-/// has started on them.
+/// has started on them. The results are so large that a target has no memory for
+/// another full call beside them, so released ones are freed at once.
 #[tokio::test]
 async fn inputs_are_released_early_only_by_a_sole_dispatcher() {
     let platform = TestPlatform::start().await;
+    let large_results = SETTINGS.replace("\"bytes\": 1000", "\"bytes\": 2000000");
+    platform.store.put("op/config", &large_results);
     let daemon = platform.daemon(1, &[]).await;
     let address = client_address(&daemon);
     // Each request has one piece at the first stage.
