Keep the inputs of a running call while their service has no backlog

Cause: inputs of a stage were freed 120 ms into its call, when they had been read.

Change: inputs of a running call are released early only while groups wait at the service that computed them, which is checked again every 120 ms.

--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -17,8 +17,10 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
+use crate::dispatcher::ResultOwner;
 use crate::dispatcher::result_memory::query_usage;
 use crate::dispatcher::result_memory::release_results;
+use crate::dispatcher::service_dispatch::PendingGroup;
 use crate::dispatcher::service_dispatch::ServiceDispatch;
 use crate::dispatcher::service_dispatch::dispatch_of;
 use crate::exchange::Callee;
@@ -58,11 +60,11 @@
     let outcome = {
         let sending = send_call(context, &call);
         tokio::pin!(sending);
-        if let Ok(outcome) = timeout(INPUTS_FETCHED_AFTER, sending.as_mut()).await {
-            outcome
-        } else {
-            release_inputs(context, service, &call);
-            sending.await
+        loop {
+            match timeout(INPUTS_FETCHED_AFTER, sending.as_mut()).await {
+                Ok(outcome) => break outcome,
+                Err(_) => release_inputs(context, service, &call),
+            }
         }
     };
     let now = context.now();
@@ -126,30 +128,37 @@
 }
 
 /// Releases the inputs of a call that is still running, as its target must have
-/// fetched them by now.
+/// fetched them by now, if other groups may be waiting for their memory.
 ///
 /// A target fetches the inputs when it starts on a call. That is as soon as the
 /// call arrives, unless another daemon has calls at the target too; in that
 /// case the inputs are released only after the group has completed. So are
-/// those of a group whose pieces are split over several calls.
+/// those of a group whose pieces are split over several calls, and those whose
+/// service has no backlog: with its inputs, a piece that fails can be retried.
 pub(super) fn release_inputs(context: &Arc<Context>, service: &name::Service, call: &BatchCall) {
     let mut input_owners = Vec::new();
-    {
+    for part in &call.parts {
+        let is_unsplit = |pending: &&mut PendingGroup| {
+            let all = pending.wanted.len();
+            pending.ticket == part.ticket && all == part.group.pieces.len()
+        };
+        let owners = {
+            let mut services = context.dispatcher.lock();
+            let dispatch = dispatch_of(&mut services, service);
+            if !dispatch.is_sole_dispatcher_at(&call.target) {
+                return;
+            }
+            let pending = dispatch.pending.iter_mut().find(is_unsplit);
+            pending.map_or_else(Vec::new, |pending| pending.input_owners.clone())
+        };
+        if !owners.iter().any(|owner| has_backlog(context, owner)) {
+            continue;
+        }
         let mut services = context.dispatcher.lock();
         let dispatch = dispatch_of(&mut services, service);
-        if !dispatch.is_sole_dispatcher_at(&call.target) {
-            return;
-        }
-        for part in &call.parts {
-            let pending = dispatch
-                .pending
-                .iter_mut()
-                .find(|pending| pending.ticket == part.ticket);
-            let unsplit = pending.filter(|pending| pending.wanted.len() == part.group.pieces.len());
-            if let Some(pending) = unsplit.filter(|pending| !pending.input_owners.is_empty()) {
-                pending.are_inputs_freed = true;
-                input_owners.append(&mut pending.input_owners);
-            }
+        if let Some(pending) = dispatch.pending.iter_mut().find(is_unsplit) {
+            pending.are_inputs_freed = true;
+            input_owners.append(&mut pending.input_owners);
         }
     }
     for owner in input_owners {
@@ -157,6 +166,17 @@
     }
 }
 
+/// Returns whether groups wait at the service that computed some results.
+fn has_backlog(context: &Context, owner: &ResultOwner) -> bool {
+    if owner.address == context.boot.peer_address {
+        let mut services = context.dispatcher.lock();
+        let queue = &dispatch_of(&mut services, &owner.service).queue;
+        return queue.waiting_pieces() > 0;
+    }
+    let now = context.now();
+    context.state().has_backlog(&owner.service, now)
+}
+
 /// Records whether the target of a call is reachable.
 pub(super) fn record_health(
     context: &Context,
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -87,6 +87,14 @@
         wait.map_or(Millis::ZERO, |wait| wait.late_wait)
     }
 
+    /// Returns whether groups wait at a service, or would wait for a free target,
+    /// by the dispatcher's last report.
+    #[must_use]
+    pub fn has_backlog(&self, service: &name::Service, now: Millis) -> bool {
+        let wait = self.recent_wait(service, now);
+        wait.is_some_and(|wait| wait.wait_by_rank.iter().any(|wait| *wait > Millis::ZERO))
+    }
+
     fn recent_wait(&self, service: &name::Service, now: Millis) -> Option<&ServiceWait> {
         let found = self
             .stage_waits
