Spread the confirmations of the store's readers

Cause: in a large fleet six daemons read the store, and the others read it themselves when its last confirmation is older than 1.2 s.

Change: the first waits after a change differ by the reader's position (assignment::watch_wait), so that later watches end evenly spread.

--- a/crates/kernel/src/fleet/assignment.rs
+++ b/crates/kernel/src/fleet/assignment.rs
@@ -9,6 +9,8 @@
 
 use std::cmp::Reverse;
 
+use crate::clock::Millis;
+use crate::derive::scalar;
 use crate::fleet::membership::MemberState;
 use crate::hash;
 use crate::name;
@@ -22,17 +24,56 @@
 /// fleet.
 pub const ALL_READ_MAX_MEMBERS: usize = 8;
 
-/// Returns whether a member reads the store itself.
+/// How old the store's last confirmation may be before a daemon that is not one
+/// of the chosen readers reads the store itself.
+pub const CONFIRMATION_AGE_MAX: Millis = Millis(1_200);
+/// How long a watch of the store waits for a change.
+///
+/// If a connection goes silent without an error, changes are missed until the
+/// watch times out, so this is well below the time within which a change must
+/// take effect. A shorter one would cost more calls.
+pub const WATCH_TIMEOUT: Millis = Millis(1_500);
+
+scalar! {
+    /// How a member gets the contents of the store.
+    pub enum StoreRole {
+        /// The fleet is small, and each member reads for itself.
+        ReadsForItself,
+        /// It reads for the others, as the reader at this position.
+        Reader(usize),
+        /// It gets the contents from the readers.
+        Follower,
+    }
+}
+
+/// Returns how a member gets the contents of the store.
 #[must_use]
-pub fn is_store_reader(me: &name::Member, members: &[&MemberState]) -> bool {
+pub fn store_role(me: &name::Member, members: &[&MemberState]) -> StoreRole {
     if members.len() <= ALL_READ_MAX_MEMBERS {
-        return true;
+        return StoreRole::ReadsForItself;
     }
     let order = dispatcher_order(&name::Service::new("store"), members);
-    order
-        .iter()
-        .take(STORE_READERS)
-        .any(|member| member.name == *me)
+    let mut readers = order.iter().take(STORE_READERS);
+    let position = readers.position(|member| member.name == *me);
+    position.map_or(StoreRole::Follower, StoreRole::Reader)
+}
+
+/// Returns how long the next watch of the store waits for a change.
+///
+/// Each watch that ends confirms to the whole fleet that its contents are current.
+/// A change ends the watches of all readers at the same moment. If all of them
+/// then waited equally long, confirmations would come only once in
+/// [`WATCH_TIMEOUT`], which is more than [`CONFIRMATION_AGE_MAX`], and all followers
+/// would call the store each time. Their first waits after a change therefore
+/// differ, which spreads the later ones evenly.
+#[must_use]
+pub fn watch_wait(role: StoreRole, follows_change: bool) -> Millis {
+    match role {
+        StoreRole::Reader(position) if follows_change => {
+            Millis(WATCH_TIMEOUT.0 * (position as u64 + 1) / STORE_READERS as u64)
+        }
+        StoreRole::Reader(_) | StoreRole::ReadsForItself | StoreRole::Follower => WATCH_TIMEOUT,
+    }
 }
 
 /// Returns the members in the order in which they are asked to dispatch a
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -15,3 +15,4 @@
 mod retry_budget;
 mod routing_table;
 mod selection;
+mod store_readers;
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -7,6 +7,8 @@
 use compact_str::CompactString;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::assignment;
+use gooseberry_kernel::fleet::assignment::CONFIRMATION_AGE_MAX;
+use gooseberry_kernel::fleet::assignment::StoreRole;
 use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_kernel::name;
@@ -17,9 +19,6 @@
 use crate::state::STORE;
 use crate::state::State;
 
-/// How old the store's last confirmation may be before a daemon that is not one
-/// of the chosen readers reads the store itself.
-const CONFIRMATION_AGE_MAX: Millis = Millis(1_200);
 /// How long to wait for changes from a peer before another peer may be asked.
 const PEER_FETCH_TIMEOUT: Millis = Millis(700);
 /// The shortest outage of the store in which the entries of live targets may
@@ -49,6 +48,13 @@
         }
     }
 
+    /// Returns how this daemon gets the contents of the store.
+    #[must_use]
+    pub fn store_role(&self, now: Millis) -> StoreRole {
+        let live = self.members.live(now);
+        assignment::store_role(&self.members.me().name, &live)
+    }
+
     /// Returns whether this daemon reads the store: it is one of the chosen
     /// readers, or has had no recent confirmation from them.
     #[must_use]
@@ -56,8 +62,7 @@
         let is_stale = self
             .confirmed_age(now)
             .is_none_or(|age| age > CONFIRMATION_AGE_MAX);
-        let live = self.members.live(now);
-        is_stale || assignment::is_store_reader(&self.members.me().name, &live)
+        is_stale || self.store_role(now) != StoreRole::Follower
     }
 
     /// Returns whether changes are being fetched from a peer.
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::assignment;
 use gooseberry_kernel::fleet::assignment::ALL_READ_MAX_MEMBERS;
 use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
@@ -21,12 +22,6 @@
 use crate::peers;
 use crate::state;
 
-/// How long one watch call waits for a change.
-///
-/// If a connection goes silent without an error, changes are missed until the
-/// watch times out, so this is well below the time within which a change must
-/// take effect. A shorter one would cost more calls.
-const WATCH_TIMEOUT: Millis = Millis(1_500);
 /// The shortest time between two calls, so that changes in quick succession are
 /// read together.
 const READ_INTERVAL_MIN: Duration = Duration::from_millis(100);
@@ -39,6 +34,7 @@
 pub async fn run(context: Arc<Context>) {
     let mut store = Store::new(context.boot.store_address);
     let mut is_full_read_due = true;
+    let mut follows_change = true;
     let mut failures = 0_u32;
     loop {
         let now = context.now();
@@ -50,7 +46,9 @@
         let read = if is_full_read_due || after == Revision::default() {
             store.read_all().await.map(WatchResult::Changes)
         } else {
-            store.watch(after, WATCH_TIMEOUT).await
+            let role = context.state().store_role(now);
+            let wait = assignment::watch_wait(role, follows_change);
+            store.watch(after, wait).await
         };
         let now = context.now();
         match read {
@@ -58,6 +56,7 @@
                 context.metrics.store_call("answered");
                 is_full_read_due = false;
                 failures = 0;
+                follows_change = !changes.entries.is_empty();
                 if apply(&context, changes, now) {
                     // Peers that do not read the store get the changes this way.
                     let context = context.clone();
