Query no targets for their memory while no group waits

Cause: a daemon that had dispatched once asked each target that holds results of others for its memory every 250 ms for the rest of its life. The present dispatcher always keeps results there, so this never ended.

Change: targets are queried only while a group waits.

--- a/crates/relay/src/dispatcher/service_dispatch.rs
+++ b/crates/relay/src/dispatcher/service_dispatch.rs
@@ -82,6 +82,9 @@
     /// Returns whether the targets must be queried for their memory use before
     /// the next call, and regards it as known from then on.
     pub(super) fn take_query_due(&mut self) -> bool {
+        if self.pending.is_empty() {
+            return false;
+        }
         let is_query_due = !std::mem::replace(&mut self.is_usage_known, true);
         if is_query_due {
             self.drained.clear();
@@ -154,9 +157,10 @@
     }
 
     /// Returns the targets to query now for their memory use: those that held
-    /// results of another dispatcher, and may have freed them since.
+    /// results of another dispatcher, and may have freed them since. There are none
+    /// while no group waits, since the other dispatcher goes on computing results.
     pub(super) fn targets_to_query(&mut self, now: Millis) -> Vec<name::Target> {
-        if self.last_query_at + USAGE_QUERY_INTERVAL > now {
+        if self.pending.is_empty() || self.last_query_at + USAGE_QUERY_INTERVAL > now {
             return Vec::new();
         }
         self.last_query_at = now;
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -232,6 +232,28 @@
     assert_eq!((answer.status, answer.is_complete), (200, true));
 }
 
+/// Another dispatcher computes results all the time, so its targets always hold
+/// some. A daemon that was a dispatcher must not go on to ask for them.
+#[tokio::test]
+async fn a_former_dispatcher_does_not_query_targets_while_it_is_idle() {
+    let platform = TestPlatform::start().await;
+    for target in &platform.first {
+        target.set_free_megabytes(4);
+    }
+    let daemon = platform.daemon(1, &[]).await;
+    let client = ClientRequest::new("/long/").with_stage_pieces("2");
+    let answer = client.send(client_address(&daemon)).await;
+    assert!(answer.is_some_and(|answer| answer.is_complete));
+    let query_count = || {
+        let targets = platform.first.iter();
+        targets.map(Target::report_requests).sum::<usize>()
+    };
+    let queries = query_count();
+    assert!(queries > 0, "the memory of the targets is queried at first");
+    sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(query_count(), queries);
+}
+
 /// A stage reads its inputs when its call begins, and their memory is free for
 /// others then. If no other group needs it and a piece fails later in that call,
 /// only that piece must be computed again, and not the inputs of its group.
