--- a/crates/kernel/src/fleet/membership.rs
+++ b/crates/kernel/src/fleet/membership.rs
@@ -8,9 +8,10 @@
 //!
 //! The traffic of a daemon is independent of the size of the fleet: each round
 //! greets [`GREET_MAX`] peers with the states of [`GREETING_STATES_MAX`] other
-//! members. The peers are those of which there was no news for the longest time,
-//! and none counts as silent before it has left a greeting unanswered. With the states of all members in each greeting, 63 daemons filled
-//! links of 10 Mbit/s.
+//! members. With the states of all members in each greeting, 63 daemons filled
+//! links of 10 Mbit/s. The peers are those of which there was no news for the
+//! longest time, and in a large fleet none counts as silent before it has left a
+//! greeting unanswered.
 
 use std::net::SocketAddr;
 
