Count and log the fetches of the store's contents from peers

A fetch that fails now writes a line with peer, revision and duration, and gooseberry_relay_peer_fetches_total counts fetches by end.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -24,6 +24,7 @@
     retries: IntCounterVec,
     pieces: IntCounterVec,
     store: IntCounterVec,
+    peer_fetches: IntCounterVec,
     latency: HistogramVec,
     connections: IntCounter,
     logs_dropped: IntGauge,
@@ -62,6 +63,11 @@
             "Calls to the platform's store.",
             &["end"],
         )?;
+        let peer_fetches = counters(
+            "gooseberry_relay_peer_fetches_total",
+            "Calls that fetch the store's contents from peers.",
+            &["what", "end"],
+        )?;
         let options = HistogramOpts::new(
             "gooseberry_relay_seconds",
             "Time from the head of a request to a point of its answer.",
@@ -86,6 +92,7 @@
             retries,
             pieces,
             store,
+            peer_fetches,
             latency,
             connections,
             logs_dropped,
@@ -123,6 +130,12 @@
         self.store.with_label_values(&[end]).inc();
     }
 
+    /// Counts a call to a peer that fetches `what` of the store's contents.
+    pub fn peer_fetch(&self, what: &str, is_answered: bool) {
+        let end = if is_answered { "answered" } else { "failed" };
+        self.peer_fetches.with_label_values(&[what, end]).inc();
+    }
+
     /// Counts an attempt to open a connection to a target.
     pub fn connection(&self) {
         self.connections.inc();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -320,12 +320,17 @@
 
 /// Fetches changes of the store from a peer and applies them.
 async fn fetch_changes(context: &Context, address: SocketAddr, after: Revision) {
+    let begun = context.now();
     let changes = context.peers.changes(address, after).await;
+    context.metrics.peer_fetch("changes", changes.is_ok());
     let now = context.now();
     let mut state = context.state();
     state.end_peer_fetch();
-    if let Ok(changes) = changes {
-        state.apply_changes(changes.into(), &address.to_string(), now);
+    match changes {
+        Ok(changes) => state.apply_changes(changes.into(), &address.to_string(), now),
+        Err(Unreachable) => {
+            log::warn!(peer:% = address, after = after.0, took_ms = (now - begun).0; "changes of the store were not fetched from a peer");
+        }
     }
 }
 
