Reproduce late settings and targets behind a slow link; both tests fail

Two daemons, of which one is cut off from the store, are connected by a link of 10 Mbit/s. Settings with 4,200 more routes, 1.3 MB, are not in force there after 6 s, and a target that leaves 0.2 s after they were published is still usable after 6 s; the bounds are 3 s each, those of the deployments with such links.

--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -4,7 +4,9 @@
 mod answers;
 mod changes;
 mod connections;
+mod distribution;
 mod fleet;
 mod platform;
+mod slow_link;
 mod stages;
 mod streams;
--- a/crates/relay/tests/direct/platform.rs
+++ b/crates/relay/tests/direct/platform.rs
@@ -1,5 +1,6 @@
 //! The test platform: a stand-in store and targets, and daemons that use them.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -123,27 +124,7 @@
 
     /// Starts a daemon with these seeds.
     pub async fn unready_daemon(&self, number: u8, seeds: &[SocketAddr]) -> Daemon {
-        let [client_address, ready_address, peer_address] = unused_addresses();
-        let boot = Boot {
-            name: name::Member::new(&format!("d-{number}")),
-            domain: name::Domain::new("z-1"),
-            client_address,
-            ready_address,
-            peer_address,
-            ip: client_address.ip(),
-            seeds: seeds.to_vec(),
-            store_address: self.store.address,
-            cpu_millicores: 250,
-            memory_bytes: 260 << 20,
-            max_connections: 1_000,
-            shutdown_grace: Millis(4_000),
-            retry_budget: RetryBudgetLimits {
-                retries_per_thousand: 200,
-                slack_retries: 50,
-                window: Millis(10_000),
-            },
-        };
-        Daemon::start(boot).await.expect("the ports are free")
+        start_daemon(number, seeds, self.store.address).await
     }
 
     /// Returns how many requests of an attempt have reached targets.
@@ -155,6 +136,31 @@
     }
 }
 
+/// Starts a daemon that reads this store.
+pub async fn start_daemon(number: u8, seeds: &[SocketAddr], store_address: SocketAddr) -> Daemon {
+    let [client_address, ready_address, peer_address] = unused_addresses();
+    let boot = Boot {
+        name: name::Member::new(&format!("d-{number}")),
+        domain: name::Domain::new("z-1"),
+        client_address,
+        ready_address,
+        peer_address,
+        ip: client_address.ip(),
+        seeds: seeds.to_vec(),
+        store_address,
+        cpu_millicores: 250,
+        memory_bytes: 260 << 20,
+        max_connections: 1_000,
+        shutdown_grace: Millis(4_000),
+        retry_budget: RetryBudgetLimits {
+            retries_per_thousand: 200,
+            slack_retries: 50,
+            window: Millis(10_000),
+        },
+    };
+    Daemon::start(boot).await.expect("the ports are free")
+}
+
 /// Returns the address at which clients reach a daemon.
 pub fn client_address(daemon: &Daemon) -> SocketAddr {
     daemon.context().boot.client_address
@@ -196,14 +202,20 @@
 }
 
 /// Returns addresses that no other daemon uses: for clients, readiness and peers.
-///
-/// Each daemon gets a loopback address of its own, since a port that was free a
-/// moment ago may have become the source port of another test's connection.
 fn unused_addresses() -> [SocketAddr; 3] {
+    let ip = unused_ip();
+    [8001, 8002, 8003].map(|port| (ip, port).into())
+}
+
+/// Returns a loopback address that nothing else uses.
+///
+/// Each daemon gets an address of its own, since a port that was free a moment ago
+/// may have become the source port of another test's connection.
+pub fn unused_ip() -> Ipv4Addr {
     static DAEMONS: AtomicU32 = AtomicU32::new(1);
     let number = DAEMONS.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id() % 65_536;
     let part = |value: u32| u8::try_from(value % 256).expect("it is below 256");
-    let ip = [127, 1 + part(process) / 2, part(process >> 8), part(number)];
-    [8001, 8002, 8003].map(|port| (ip, port).into())
+    let octets = [127, 1 + part(process) / 2, part(process >> 8), part(number)];
+    octets.into()
 }
