Pass large settings between daemons in chunks, apart from small changes

Cause: a follower fetched all changes in one reply within 1 s. 1.3 MB take longer there, so the call failed and began again from nothing with the next greeting, on to the end; entries of targets were in the same reply. Each small change of the settings cost their whole size again. The class: a transfer of unbounded size under a fixed limit, which starts over without progress and fills the link for all others.

Change: a value above 32 KiB is passed on as an outline and fetched in chunks that its content cuts (fastcdc), by their digests, 64 KiB a call. Chunks of the value in force and of an unfinished transfer are used again, small entries of the same reply count at once, and a daemon announces only what it has whole. fleet::fetch decides what to fetch and asks all peers that have the chunks, instead of the first that tells. One call for changes and one for chunks run at a time.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -1,10 +1,13 @@
 //! How daemons find each other, exchange state and divide roles.
 //!
 //! - [`membership`] detects which daemons are alive.
-//! - [`mirror`] replicates what the platform publishes.
+//! - [`mirror`] replicates what the platform publishes. [`chunks`] cuts its large
+//!   values into parts, and [`fetch`] decides from which peers to fetch what is missing.
 //! - [`assignment`] chooses the dispatcher of a stage service and the readers
 //!   of the store.
 
 pub mod assignment;
+pub mod chunks;
+pub mod fetch;
 pub mod membership;
 pub mod mirror;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -2,9 +2,11 @@
 
 mod assignment;
 mod batch_queue;
+mod chunks;
 mod cold_rate;
 mod deadline_admission;
 mod event_buffer;
+mod fetch;
 mod health;
 mod large_fleet;
 mod load;
--- a/crates/kernel/tests/direct/mirror.rs
+++ b/crates/kernel/tests/direct/mirror.rs
@@ -15,6 +15,7 @@
 fn changes(entries: Vec<Entry>, through: u64, is_whole: bool) -> Changes {
     Changes {
         entries,
+        outlines: Vec::new(),
         through: Revision(through),
         is_whole,
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -15,9 +15,11 @@
 use std::time::Instant;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::fetch;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::membership::MemberChange;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine;
 use gooseberry_kernel::stage::group;
@@ -44,16 +46,12 @@
 /// How long it may take to connect to a peer, and how long a peer may take to
 /// answer a greeting or to free results.
 const GREET_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a peer may take to return changes of the store.
-const CHANGES_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a peer may take to return changes of the store or chunks of its values.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(fetch::CALL_TIMEOUT.0);
 /// How often a waiting call checks whether its peer is still alive.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How many suspects a greeting carries at most.
 const SUSPECTS_MAX: usize = 8;
-/// How old the store's last answer to this daemon may be before changes are
-/// fetched from a peer instead.
-const STORE_AGE_MAX: Millis = Millis(400);
-
 /// The error of a call to a peer that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unreachable;
@@ -158,7 +156,18 @@
 
     async fn changes(&self, address: SocketAddr, after: Revision) -> Result<Changes, Unreachable> {
         let client = self.client(address).await?;
-        let call = client.changes(with_timeout(CHANGES_TIMEOUT), after.0);
+        let call = client.changes(with_timeout(FETCH_TIMEOUT), after.0);
+        call.await.map_err(|_| Unreachable)
+    }
+
+    async fn chunks(
+        &self,
+        address: SocketAddr,
+        digests: &[id::Digest],
+    ) -> Result<Vec<Vec<u8>>, Unreachable> {
+        let client = self.client(address).await?;
+        let digests = digests.iter().map(|digest| digest.0).collect();
+        let call = client.chunks(with_timeout(FETCH_TIMEOUT), digests);
         call.await.map_err(|_| Unreachable)
     }
 
@@ -267,6 +276,7 @@
         state.record_wait(wait.clone(), now);
     }
     let suspects = state.suspects().newest_uncleared(SUSPECTS_MAX, now);
+    let (through, confirmed_age) = state.announcement(now);
     Greeting {
         from: state.members().me().into(),
         others: state
@@ -275,15 +285,15 @@
             .iter()
             .map(Into::into)
             .collect(),
-        through: state.through().0,
-        confirmed_ms: state.confirmed_age(now).unwrap_or(Millis::NEVER).0,
+        through: through.0,
+        confirmed_ms: confirmed_age.0,
         waits: waits.iter().map(Into::into).collect(),
         suspects: suspects.iter().map(Suspect::from).collect(),
     }
 }
 
-/// Merges a peer's greeting into the state. Starts to fetch changes from the peer
-/// if its copy of the store is newer and this daemon cannot reach the store.
+/// Merges a peer's greeting into the state, and starts to fetch what the peer has of
+/// the store and this daemon lacks.
 fn apply_greeting(context: &Arc<Context>, greeting: Greeting) {
     let now = context.now();
     let address = greeting.from.address;
@@ -307,15 +317,20 @@
         Millis(greeting.confirmed_ms),
         now,
     );
-    let is_behind = greeting.through > state.through().0;
-    let is_cut_off = state.store_age(now).is_none_or(|age| age > STORE_AGE_MAX);
-    if is_behind && is_cut_off && !state.is_fetching_from_peer(now) {
-        state.begin_peer_fetch(now);
-        let after = state.through();
-        drop(state);
-        let context = context.clone();
-        tokio::spawn(async move { fetch_changes(&context, address, after).await });
+    let theirs = Revision(greeting.through);
+    let is_chunk_missing = state.add_chunk_source(address, theirs);
+    let after = state.begin_changes_fetch(theirs, now);
+    drop(state);
+    if after.is_none() && !is_chunk_missing {
+        return;
     }
+    let context = context.clone();
+    tokio::spawn(async move {
+        if let Some(after) = after {
+            fetch_changes(&context, address, after).await;
+        }
+        fetch_chunks(&context).await;
+    });
 }
 
 /// Fetches changes of the store from a peer and applies them.
@@ -325,7 +340,7 @@
     context.metrics.peer_fetch("changes", changes.is_ok());
     let now = context.now();
     let mut state = context.state();
-    state.end_peer_fetch();
+    state.end_changes_fetch();
     match changes {
         Ok(changes) => state.apply_changes(changes.into(), &address.to_string(), now),
         Err(Unreachable) => {
@@ -334,6 +349,25 @@
     }
 }
 
+/// Fetches the missing chunks of large values from peers that have them, until none
+/// is missing or no peer is known to have them.
+async fn fetch_chunks(context: &Context) {
+    loop {
+        let begun = context.now();
+        let Some((peer, digests)) = context.state().begin_chunks_fetch(begun) else {
+            return;
+        };
+        let chunks = context.peers.chunks(peer, &digests).await;
+        context.metrics.peer_fetch("chunks", chunks.is_ok());
+        let now = context.now();
+        let bytes: usize = chunks.iter().flatten().map(Vec::len).sum();
+        log::debug!(peer:% = peer, asked = digests.len(), bytes, took_ms = (now - begun).0; "chunks of large values fetched");
+        context
+            .state()
+            .end_chunks_fetch(peer, &chunks.unwrap_or_default(), now);
+    }
+}
+
 /// Returns a call context whose deadline is `limit` from now.
 fn with_timeout(limit: Duration) -> context::Context {
     let mut context = context::current();
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use futures::StreamExt;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_runtime::control_stream;
 use gooseberry_wire::fleet::Changes;
@@ -59,6 +60,11 @@
         self.context.state().changes(Revision(after)).into()
     }
 
+    async fn chunks(self, _: context::Context, digests: Vec<[u8; 32]>) -> Vec<Vec<u8>> {
+        let digests: Vec<id::Digest> = digests.into_iter().map(id::Digest).collect();
+        self.context.state().chunks(&digests)
+    }
+
     async fn make(self, _: context::Context, group: Group) -> Result<Made, Unmade> {
         let input_owners = group.keepers.iter().map(Into::into).collect();
         let origin = group.asker.into();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::fetch::Fetches;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Mirror;
@@ -86,8 +87,8 @@
     /// When the store last confirmed to any daemon that this daemon's copy of it
     /// is complete.
     confirmed_at: Option<Millis>,
-    /// When the current fetch of changes from a peer began.
-    peer_fetch_since: Option<Millis>,
+    /// What is being fetched from peers.
+    fetches: Fetches,
 }
 
 /// The result of picking a target for a request.
@@ -139,7 +140,7 @@
             prior_waits: PriorWaitEstimator::default(),
             store_status: StoreStatus::default(),
             confirmed_at: None,
-            peer_fetch_since: None,
+            fetches: Fetches::default(),
         }
     }
 
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -2,6 +2,7 @@
 //! failure domains taken out of service. Changes come from the store itself or
 //! from a peer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -11,6 +12,8 @@
 use gooseberry_kernel::fleet::assignment::StoreRole;
 use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::hash;
+use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_kernel::target::registry::Change;
 use gooseberry_platform::operator_settings;
@@ -19,8 +22,6 @@
 use crate::state::STORE;
 use crate::state::State;
 
-/// How long to wait for changes from a peer before another peer may be asked.
-const PEER_FETCH_TIMEOUT: Millis = Millis(700);
 /// The shortest outage of the store in which the entries of live targets may
 /// have expired.
 const OUTAGE_MIN: Millis = Millis(1_000);
@@ -65,21 +66,75 @@
         is_stale || self.store_role(now) != StoreRole::Follower
     }
 
-    /// Returns whether changes are being fetched from a peer.
+    /// Returns what a greeting says of the store: the revision up to which this
+    /// daemon has its contents, and how long ago the store confirmed them.
+    ///
+    /// Contents of which chunks are missing are not announced: a peer could not get
+    /// them here.
     #[must_use]
-    pub fn is_fetching_from_peer(&self, now: Millis) -> bool {
-        self.peer_fetch_since
-            .is_some_and(|since| since + PEER_FETCH_TIMEOUT > now)
+    pub fn announcement(&self, now: Millis) -> (Revision, Millis) {
+        let whole = self.mirror.whole_through();
+        let is_whole = whole == self.mirror.through();
+        let confirmed_age = self.confirmed_age(now).filter(|_| is_whole);
+        (whole, confirmed_age.unwrap_or(Millis::NEVER))
     }
 
-    /// Records that a fetch of changes from a peer begins.
-    pub fn begin_peer_fetch(&mut self, now: Millis) {
-        self.peer_fetch_since = Some(now);
+    /// Begins to fetch changes from a peer that has the contents of the store
+    /// through this revision. Returns the revision after which to ask for them;
+    /// `None` if they are not to be fetched now.
+    pub fn begin_changes_fetch(&mut self, theirs: Revision, now: Millis) -> Option<Revision> {
+        let own = self.mirror.through();
+        let store_age = self.store_age(now);
+        let is_due = self.fetches.begin_changes(theirs, own, store_age, now);
+        is_due.then_some(own)
     }
 
-    /// Records that the fetch from a peer has ended, with or without success.
-    pub fn end_peer_fetch(&mut self) {
-        self.peer_fetch_since = None;
+    /// Records that the fetch of changes has ended, with or without success.
+    pub fn end_changes_fetch(&mut self) {
+        self.fetches.end_changes();
+    }
+
+    /// Records a peer that has the contents of the store through this revision, which
+    /// may include chunks that are missing here. Returns whether any are missing.
+    pub fn add_chunk_source(&mut self, peer: SocketAddr, theirs: Revision) -> bool {
+        let own = self.mirror.whole_through();
+        self.fetches.add_source(peer, theirs, own);
+        own < self.mirror.through()
+    }
+
+    /// Begins to fetch missing chunks. Returns the peer to ask, and for which;
+    /// `None` if none are to be fetched now.
+    pub fn begin_chunks_fetch(&mut self, now: Millis) -> Option<(SocketAddr, Vec<id::Digest>)> {
+        let missing = self.mirror.missing_chunks();
+        if missing.is_empty() {
+            return None;
+        }
+        let draw = hash::text(self.members.me().name.as_str());
+        let peer = self.fetches.begin_chunks(draw, now)?;
+        Some((peer, missing))
+    }
+
+    /// Ends a fetch of chunks, and applies the entries that have become whole.
+    pub fn end_chunks_fetch(&mut self, peer: SocketAddr, chunks: &[Vec<u8>], now: Millis) {
+        self.fetches.end_chunks(peer, !chunks.is_empty());
+        let through = self.mirror.through();
+        for key in self.mirror.add_chunks(chunks) {
+            self.apply_entry(&key, &peer.to_string(), through, now);
+        }
+        self.forget_unneeded_sources();
+    }
+
+    /// Forgets which peers have chunks, once none is missing.
+    fn forget_unneeded_sources(&mut self) {
+        if self.mirror.whole_through() == self.mirror.through() {
+            self.fetches.clear_sources();
+        }
+    }
+
+    /// Returns the chunks with these digests that this daemon has, for a peer.
+    #[must_use]
+    pub fn chunks(&self, digests: &[id::Digest]) -> Vec<Vec<u8>> {
+        self.mirror.chunks(digests)
     }
 
     /// Records whether a call to the store succeeded, and logs when the store is
@@ -112,6 +167,7 @@
         for key in self.mirror.apply(changes) {
             self.apply_entry(&key, source, through, now);
         }
+        self.forget_unneeded_sources();
     }
 
     /// Applies the changed entry of a key.
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -295,6 +295,7 @@
             value: Some(revoked.into_bytes()),
             revision: gooseberry_kernel::fleet::mirror::Revision(1_000),
         }],
+        outlines: Vec::new(),
         through: gooseberry_kernel::fleet::mirror::Revision(1_000),
         is_whole: false,
     };
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -3,14 +3,16 @@
 //! The clocks of two processes cannot be compared, so every time here is a
 //! duration that remains or has passed. Bincode tells fields, variants and calls
 //! apart by their order alone, so their order is part of the protocol.
+//!
+//! - `replica` has the contents of the platform's store.
+
+mod replica;
 
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::membership;
-use gooseberry_kernel::fleet::mirror;
-use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
 use gooseberry_kernel::request::routing_table::Rank;
@@ -19,18 +21,25 @@
 use serde::Serialize;
 
 use crate::control::Suspect;
+pub use crate::fleet::replica::Changes;
+pub use crate::fleet::replica::Entry;
+pub use crate::fleet::replica::Outline;
 
 /// The service that each daemon offers its peers.
 #[tarpc::service]
 pub trait Fleet {
     /// Exchanges membership state: the daemon replies with its own greeting.
     async fn greet(greeting: Greeting) -> Greeting;
-    /// Returns the changes in the platform's store after a revision.
+    /// Returns the changes in the platform's store after a revision; large values
+    /// are outlined.
     async fn changes(after: u64) -> Changes;
     /// Computes the pieces of a group on targets of its service.
     async fn make(group: Group) -> Result<Made, Unmade>;
     /// Frees results that are no longer read.
     async fn free(service: CompactString, handles: Vec<CompactString>);
+    /// Returns the bytes of those chunks of large values that the daemon has, in any
+    /// order. They are asked for by their SHA-256.
+    async fn chunks(digests: Vec<[u8; 32]>) -> Vec<Vec<u8>>;
 }
 
 /// A heartbeat with membership state, or the reply to one.
@@ -40,7 +49,7 @@
     pub from: Member,
     /// The state of some other members that the sender knows.
     pub others: Vec<Member>,
-    /// Revision up to which the sender knows the platform's store.
+    /// Revision up to which the sender has the contents of the platform's store.
     pub through: u64,
     /// How long ago the store confirmed this revision, in milliseconds. The
     /// sender may know this from another daemon.
@@ -79,28 +88,6 @@
     pub late_ms: u64,
 }
 
-/// An entry of the platform's store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Its key.
-    pub key: CompactString,
-    /// Its value; `None` if the entry was removed.
-    pub value: Option<Vec<u8>>,
-    /// The revision of its last change.
-    pub revision: u64,
-}
-
-/// Changes in the platform's store, or its whole content.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Changes {
-    /// The changed entries, or all entries.
-    pub entries: Vec<Entry>,
-    /// Revision up to which the entries are complete.
-    pub through: u64,
-    /// Whether these are all entries rather than only the changed ones.
-    pub is_whole: bool,
-}
-
 /// The inputs of pieces.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Source {
@@ -272,36 +259,6 @@
     }
 }
 
-impl From<mirror::Changes> for Changes {
-    fn from(changes: mirror::Changes) -> Self {
-        let entries = changes.entries.into_iter().map(|entry| Entry {
-            key: entry.key,
-            value: entry.value,
-            revision: entry.revision.0,
-        });
-        Self {
-            entries: entries.collect(),
-            through: changes.through.0,
-            is_whole: changes.is_whole,
-        }
-    }
-}
-
-impl From<Changes> for mirror::Changes {
-    fn from(changes: Changes) -> Self {
-        let entries = changes.entries.into_iter().map(|entry| mirror::Entry {
-            key: entry.key,
-            value: entry.value,
-            revision: Revision(entry.revision),
-        });
-        Self {
-            entries: entries.collect(),
-            through: Revision(changes.through),
-            is_whole: changes.is_whole,
-        }
-    }
-}
-
 impl Group {
     /// Encodes a group for the daemon that dispatches the calls of its service.
     /// `keepers` is left empty.
