--- a/crates/relay/tests/direct/distribution.rs
+++ b/crates/relay/tests/direct/distribution.rs
@@ -108,3 +108,32 @@
     let took = time_until(DRAIN_TIME, || usable_targets(&second, "plain") == 1).await;
     assert!(took < DRAIN_TIME, "the target was usable for {took:?}");
 }
+
+/// A reply of the store with such settings takes longer than the store may take to
+/// begin it.
+#[tokio::test]
+async fn large_settings_are_read_from_the_store_over_a_slow_link() {
+    let platform = TestPlatform::start().await;
+    let store = slow_link::in_front_of(platform.store.address, LINK_BYTES_PER_SECOND).await;
+    platform.store.put("op/config", &settings(2, ROUTES));
+    let daemon = start_daemon(1, &[], store).await;
+    let took = time_until(SETTINGS_TIME, || is_ready_with(&daemon, 8)).await;
+    assert!(took < SETTINGS_TIME, "the first read took {took:?}");
+    platform.store.put("op/config", &settings(3, ROUTES));
+    let took = time_until(SETTINGS_TIME, || version(&daemon) == 3).await;
+    assert!(took < SETTINGS_TIME, "a change took {took:?}");
+}
+
+#[tokio::test]
+async fn a_store_that_falls_silent_within_an_answer_is_called_again() {
+    let platform = TestPlatform::start().await;
+    let store = slow_link::in_front_of(platform.store.address, LINK_BYTES_PER_SECOND).await;
+    let daemon = start_daemon(1, &[], store).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 8)).await;
+    platform.store.set_mode(store::Mode::Truncated);
+    platform.store.put("op/config", &settings(2, 100));
+    sleep(Duration::from_millis(300)).await;
+    platform.store.set_mode(store::Mode::Normal);
+    let took = time_until(SETTINGS_TIME, || version(&daemon) == 2).await;
+    assert!(took < SETTINGS_TIME, "the settings took {took:?}");
+}
--- a/crates/relay/tests/direct/slow_link.rs
+++ b/crates/relay/tests/direct/slow_link.rs
@@ -81,6 +81,21 @@
     }
 }
 
+/// Starts a link with this rate in each direction to an address, and returns the
+/// address of its near end.
+pub async fn in_front_of(target: SocketAddr, bytes_per_second: u64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let near_end = listener.local_addr().expect("it is bound");
+    let lanes = [Lane::new(bytes_per_second), Lane::new(bytes_per_second)];
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            tokio::spawn(serve(client, target, Vec::new(), lanes.clone()));
+        }
+    });
+    near_end
+}
+
 async fn serve(
     peer: TcpStream,
     daemon: SocketAddr,
