Log the version of targets and the attempt that a client resumes

'sent to a target' has target_version now, and 'request admitted' has resumes, the attempt that the client names in Resumes.

--- a/crates/kernel/src/name.rs
+++ b/crates/kernel/src/name.rs
@@ -55,6 +55,8 @@
     Service
     /// The name of one run of a target; a restarted target usually has another.
     Target
+    /// The version of a target's software.
+    Version
     /// The name of a customer.
     Workspace
 }
--- a/crates/kernel/src/request/routing_table.rs
+++ b/crates/kernel/src/request/routing_table.rs
@@ -181,6 +181,8 @@
         pub address: SocketAddr,
         /// The failure domain.
         pub domain: name::Domain,
+        /// The version of its software.
+        pub version: name::Version,
         /// Whether it is shutting down and takes no new work.
         pub is_leaving: bool,
         /// How much longer it is cold, counted from when its entry is read.
--- a/crates/kernel/tests/direct/registry.rs
+++ b/crates/kernel/tests/direct/registry.rs
@@ -11,6 +11,7 @@
         service: name::Service::new("s"),
         address: ([10, 0, 0, 1], 80).into(),
         domain: name::Domain::new("z"),
+        version: name::Version::new("v1"),
         is_leaving: false,
         cold_remaining: Millis::ZERO,
         started: 0,
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -217,6 +217,7 @@
         log::info!(
             request:% = self.job.head.attempt,
             target:% = picked.target,
+            target_version:% = picked.version,
             send = self.sends,
             left_ms = left.0,
             took_ms = (self.context.now() - now).0,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -229,6 +229,7 @@
         workspace:% = workspace.clone().unwrap_or_default(),
         rank = rank.0,
         version,
+        resumes:% = head.resumed_attempt.clone().unwrap_or_default(),
         patience_ms = time_limit.0,
         waited_ms = waited.0;
         "request admitted"
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -111,6 +111,8 @@
     pub address: SocketAddr,
     /// The failure domain in which it runs.
     pub domain: name::Domain,
+    /// The version of its software.
+    pub version: name::Version,
 }
 
 impl State {
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -205,6 +205,7 @@
             target: target.name.clone(),
             address: target.address,
             domain: target.domain.clone(),
+            version: target.version.clone(),
         })
     }
 
