Reproduce streams that go on at another version; both tests fail

Four engines, two of each of two versions. A stream that breaks off goes on at the other version within an answer, and after its daemon was killed and one engine of each version left, 1 of 12 streams that clients resume goes on at the other version at another daemon.

--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -10,3 +10,4 @@
 mod slow_link;
 mod stages;
 mod streams;
+mod versions;
--- /dev/null
+++ b/crates/relay/tests/direct/versions.rs
@@ -0,0 +1,162 @@
+//! Streams of a service whose targets run several versions of their software.
+
+use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::target::Mode;
+use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
+
+use crate::platform::TestPlatform;
+use crate::platform::client_address;
+use crate::platform::is_ready_with;
+use crate::platform::wait_until;
+
+/// The number of streams, each with another prompt, so that they begin at different
+/// targets.
+const STREAMS: usize = 12;
+
+/// Two engines of each of two versions.
+struct Engines {
+    all: Vec<(Target, &'static str)>,
+}
+
+impl Engines {
+    async fn start(platform: &TestPlatform) -> Self {
+        let [first, second] = platform.engines.clone();
+        let third = Target::start("engine-3").await;
+        let fourth = Target::start("engine-4").await;
+        let all = vec![(first, "v1"), (second, "v2"), (third, "v1"), (fourth, "v2")];
+        let engines = Self { all };
+        for index in 0..engines.all.len() {
+            engines.list(platform, index, "ready");
+        }
+        engines
+    }
+
+    fn list(&self, platform: &TestPlatform, index: usize, state: &str) {
+        let (target, version) = &self.all[index];
+        let entry = target.entry("engine", "z-1", state);
+        let entry = entry.replace("\"v1\"", &format!("\"{version}\""));
+        platform
+            .store
+            .put(&format!("servers/{}", target.name), &entry);
+    }
+
+    fn break_streams(&self, count: usize) {
+        for (target, _) in &self.all {
+            target.queue_modes(&vec![Mode::DisconnectWithin(3); count]);
+        }
+    }
+
+    fn clear_modes(&self) {
+        for (target, _) in &self.all {
+            target.clear_modes();
+        }
+    }
+
+    /// Returns the versions of the targets that ran an attempt; the one that began
+    /// its stream is the first.
+    fn versions(&self, attempt: &str) -> Vec<&'static str> {
+        let mut runs = Vec::new();
+        for (target, version) in &self.all {
+            let received = target.received().into_iter();
+            let of_attempt = received
+                .filter(|request| request.has_run && request.header("Attempt-Id") == attempt);
+            runs.extend(of_attempt.map(|run| (run.header("Last-Event-Id").to_owned(), *version)));
+        }
+        runs.sort_unstable();
+        runs.into_iter().map(|(_, version)| version).collect()
+    }
+}
+
+fn request(number: usize) -> ClientRequest {
+    ClientRequest::new("/resume/")
+        .with_stage_pieces("")
+        .with("Prompt-Prefix", &format!("a{number}:50,bb:50"))
+        .body(&format!("prompt {number}"))
+}
+
+/// Sends streams that all break off after two events; returns their attempts.
+async fn broken_streams(engines: &Engines, daemon: &Daemon) -> Vec<String> {
+    engines.break_streams(2 * STREAMS);
+    let mut attempts = Vec::new();
+    for number in 0..STREAMS {
+        let client = request(number);
+        let answer = client.send(client_address(daemon)).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, answer.is_complete), (200, false));
+        attempts.push(client.attempt);
+    }
+    engines.clear_modes();
+    attempts
+}
+
+/// Resumes each stream, and returns how many went on at a target of their version,
+/// and how many at one of another version.
+async fn resume(engines: &Engines, daemon: &Daemon, attempts: &[String]) -> (usize, usize) {
+    let (mut same, mut other) = (0, 0);
+    for (number, attempt) in attempts.iter().enumerate() {
+        let client = request(number)
+            .with("Last-Event-Id", "2")
+            .with("Resumes", attempt);
+        let answer = client.send(client_address(daemon)).await;
+        let answer = answer.expect("an answer");
+        if answer.status != 200 {
+            continue;
+        }
+        assert!(answer.body.starts_with("id: 3\n"), "{}", answer.body);
+        let began_at = engines.versions(attempt)[0];
+        if engines.versions(&client.attempt) == [began_at] {
+            same += 1;
+        } else {
+            other += 1;
+        }
+    }
+    (same, other)
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_only_at_a_target_of_its_version() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let daemon = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 10)).await;
+    for attempt in broken_streams(&engines, &daemon).await {
+        let versions = engines.versions(&attempt);
+        assert_eq!(versions.len(), 2, "{attempt}");
+        assert_eq!(versions[0], versions[1], "{attempt}");
+    }
+}
+
+#[tokio::test]
+async fn a_client_resumes_its_stream_only_at_targets_of_the_version_that_began_it() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let first = platform.unready_daemon(1, &[]).await;
+    let seeds = [first.context().boot.peer_address];
+    let others = [2, 3, 4].map(|number| platform.unready_daemon(number, &seeds));
+    let others = futures::future::join_all(others).await;
+    for daemon in others.iter().chain([&first]) {
+        wait_until("the daemons know each other", || {
+            let now = daemon.context().now();
+            let members = daemon.context().state().members().live(now).len();
+            members == 4 && is_ready_with(daemon, 10)
+        })
+        .await;
+    }
+    let attempts = broken_streams(&engines, &first).await;
+    // The daemon that passed the streams on is lost, and one target of each version
+    // leaves, so that streams have to move.
+    first.kill().await;
+    engines.list(&platform, 0, "draining");
+    engines.list(&platform, 1, "draining");
+    for daemon in &others {
+        wait_until("the targets leave", || {
+            let service = gooseberry_kernel::name::Service::new("engine");
+            let now = daemon.context().now();
+            daemon.context().state().stage_targets(&service, now).len() == 2
+        })
+        .await;
+    }
+    let (same, other) = resume(&engines, &others[0], &attempts).await;
+    assert_eq!((same, other), (STREAMS, 0));
+}
