--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,8 +2,10 @@
 //! the store's revision. Other calls fetch changes of the store, have the
 //! dispatcher of a service run a group of pieces, and free results there.
 //!
+//! - `fetch` fetches the store's contents from peers.
 //! - `server` answers the calls of peers.
 
+mod fetch;
 mod server;
 
 use std::net::SocketAddr;
@@ -15,7 +17,7 @@
 use std::time::Instant;
 
 use gooseberry_kernel::clock::Millis;
-use gooseberry_kernel::fleet::fetch;
+use gooseberry_kernel::fleet::fetch::CALL_TIMEOUT;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::membership::MemberChange;
 use gooseberry_kernel::fleet::mirror::Revision;
@@ -47,7 +49,7 @@
 /// answer a greeting or to free results.
 const GREET_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a peer may take to return changes of the store or chunks of its values.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(fetch::CALL_TIMEOUT.0);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(CALL_TIMEOUT.0);
 /// How often a waiting call checks whether its peer is still alive.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How many suspects a greeting carries at most.
@@ -327,47 +329,12 @@
     let context = context.clone();
     tokio::spawn(async move {
         if let Some(after) = after {
-            fetch_changes(&context, address, after).await;
+            fetch::changes(&context, address, after).await;
         }
-        fetch_chunks(&context).await;
+        fetch::chunks(&context).await;
     });
 }
 
-/// Fetches changes of the store from a peer and applies them.
-async fn fetch_changes(context: &Context, address: SocketAddr, after: Revision) {
-    let begun = context.now();
-    let changes = context.peers.changes(address, after).await;
-    context.metrics.peer_fetch("changes", changes.is_ok());
-    let now = context.now();
-    let mut state = context.state();
-    state.end_changes_fetch();
-    match changes {
-        Ok(changes) => state.apply_changes(changes.into(), &address.to_string(), now),
-        Err(Unreachable) => {
-            log::warn!(peer:% = address, after = after.0, took_ms = (now - begun).0; "changes of the store were not fetched from a peer");
-        }
-    }
-}
-
-/// Fetches the missing chunks of large values from peers that have them, until none
-/// is missing or no peer is known to have them.
-async fn fetch_chunks(context: &Context) {
-    loop {
-        let begun = context.now();
-        let Some((peer, digests)) = context.state().begin_chunks_fetch(begun) else {
-            return;
-        };
-        let chunks = context.peers.chunks(peer, &digests).await;
-        context.metrics.peer_fetch("chunks", chunks.is_ok());
-        let now = context.now();
-        let bytes: usize = chunks.iter().flatten().map(Vec::len).sum();
-        log::debug!(peer:% = peer, asked = digests.len(), bytes, took_ms = (now - begun).0; "chunks of large values fetched");
-        context
-            .state()
-            .end_chunks_fetch(peer, &chunks.unwrap_or_default(), now);
-    }
-}
-
 /// Returns a call context whose deadline is `limit` from now.
 fn with_timeout(limit: Duration) -> context::Context {
     let mut context = context::current();
