Let a stream go on only at the software version that began it

Cause: the version in the entries of targets was not read. A daemon resumed a broken stream at any target, and one to which a client came back knew nothing of the stream.

Within an answer a stream that has brought events goes on only at that service and version. Over a client's attempts: each daemon tells two others, chosen by the attempt (request::stream_origin), where a resumable stream began, and asks four for the attempt that Resumes names; who passed the stream on may be lost. If all targets of the last 30 s are of one version, nobody is asked. A stream whose version is unknown, or no longer serves, is refused at once as not run.

--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -4,7 +4,8 @@
 //! - [`retry_budget`] bounds how often requests are sent more than once.
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
-//! - [`event_buffer`] forwards only complete events of a stream.
+//! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
+//!   decides at which targets a broken one may go on.
 //!
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
 //! schedules its stages. These modules read no clock and no socket.
@@ -14,3 +15,4 @@
 pub mod prior_wait;
 pub mod retry_budget;
 pub mod routing_table;
+pub mod stream_origin;
--- /dev/null
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -0,0 +1,126 @@
+//! At which service and software version streams began.
+//!
+//! What two versions of a target's software write does not fit together, so a stream
+//! that breaks off goes on only at the version that began it. A client that resumes
+//! a stream mostly does so at another daemon, and the former one may be lost. Each
+//! daemon therefore tells a few others where its streams began. These backups are
+//! chosen by the attempt alone, so that every daemon finds them.
+
+use std::net::SocketAddr;
+
+use crate::clock::Millis;
+use crate::derive::value;
+use crate::fleet::membership::MemberState;
+use crate::hash;
+use crate::name;
+
+/// How long an origin is remembered. It is longer than clients wait for a stream.
+pub const MEMORY: Millis = Millis(30_000);
+/// Number of other daemons that keep an origin.
+pub const BACKUPS: usize = 2;
+/// Number of daemons that are asked for an origin. Two daemons differ in the order of
+/// the others by at most themselves and those of which only one has heard.
+pub const BACKUPS_ASKED: usize = 4;
+/// The largest number of origins that a daemon remembers; the oldest are dropped.
+const COUNT_MAX: usize = 20_000;
+
+value! {
+    /// Where a stream began.
+    pub struct Origin {
+        /// The service of the target.
+        pub service: name::Service,
+        /// The version of the target's software.
+        pub version: name::Version,
+    }
+
+    /// Where a stream may go on.
+    pub enum Resumption {
+        /// At any target: all targets of the service are of one version.
+        Anywhere,
+        /// At targets like the one that began it.
+        At(Origin),
+        /// Several versions serve, and it is not known which one began it.
+        Unknown,
+    }
+
+    struct Record {
+        attempt: name::Attempt,
+        origin: Origin,
+        since: Millis,
+    }
+}
+
+/// The origins that one daemon knows, sorted by attempt.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    records: Vec<Record>,
+}
+
+impl Origins {
+    /// Records where the stream of an attempt began.
+    pub fn record(&mut self, attempt: &name::Attempt, origin: Origin, now: Millis) {
+        let record = Record {
+            attempt: attempt.clone(),
+            origin,
+            since: now,
+        };
+        match self.find(attempt) {
+            Ok(index) => self.records[index] = record,
+            Err(index) => self.records.insert(index, record),
+        }
+        if self.records.len() > COUNT_MAX {
+            self.drop_oldest();
+        }
+    }
+
+    /// Returns where the stream of an attempt began, if this daemon knows.
+    #[must_use]
+    pub fn get(&self, attempt: &name::Attempt) -> Option<&Origin> {
+        let index = self.find(attempt).ok()?;
+        Some(&self.records[index].origin)
+    }
+
+    /// Forgets the origins that are older than [`MEMORY`].
+    pub fn expire(&mut self, now: Millis) {
+        self.records.retain(|record| record.since + MEMORY > now);
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.records.iter().map(|record| record.since).min();
+        self.records.retain(|record| Some(record.since) != oldest);
+    }
+
+    fn find(&self, attempt: &name::Attempt) -> Result<usize, usize> {
+        self.records
+            .binary_search_by(|record| record.attempt.cmp(attempt))
+    }
+}
+
+/// Decides where a stream may go on. `versions` are those of the service's targets
+/// that serve now or did so while the stream may have begun.
+#[must_use]
+pub fn resumption(origin: Option<&Origin>, versions: &[name::Version]) -> Resumption {
+    match origin {
+        Some(origin) => Resumption::At(origin.clone()),
+        None if versions.len() <= 1 => Resumption::Anywhere,
+        None => Resumption::Unknown,
+    }
+}
+
+/// Returns the first `count` backups of an attempt, without `me`, in the order in which
+/// they are chosen.
+#[must_use]
+pub fn backups(
+    attempt: &name::Attempt,
+    members: &[&MemberState],
+    me: &name::Member,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let seed = hash::text(attempt.as_str());
+    let weight = |member: &MemberState| hash::mix(seed, hash::text(member.name.as_str()));
+    let others = members.iter().filter(|member| member.name != *me);
+    let mut others: Vec<&MemberState> = others.copied().collect();
+    others.sort_by_cached_key(|member| !weight(member));
+    let backups = others.into_iter().take(count);
+    backups.map(|member| member.address).collect()
+}
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -12,6 +12,7 @@
 use crate::derive::value;
 use crate::name;
 use crate::request::routing_table::Target;
+use crate::request::stream_origin;
 
 /// How long after an outage a lapsed target may be listed again.
 ///
@@ -46,10 +47,20 @@
     Lapsed,
 }
 
+/// The version of a target that was removed or has changed its version.
+#[derive(Clone, Debug)]
+struct FormerVersion {
+    service: name::Service,
+    version: name::Version,
+    until: Millis,
+}
+
 /// The targets of all services, sorted by name.
 #[derive(Clone, Debug, Default)]
 pub struct TargetRegistry {
     targets: Vec<RegisteredTarget>,
+    /// The versions that served within [`stream_origin::MEMORY`].
+    former_versions: Vec<FormerVersion>,
 }
 
 impl TargetRegistry {
@@ -68,7 +79,8 @@
         match self.find(&listed.target.name) {
             Ok(index) => {
                 let was_leaving = self.targets[index].target.is_leaving;
-                self.targets[index] = listed;
+                let former = std::mem::replace(&mut self.targets[index], listed);
+                self.remember_version(former.target, now);
                 if is_leaving && !was_leaving {
                     Change::Leaving
                 } else {
@@ -101,17 +113,49 @@
             listed.lapse_ends = lapse_ends;
             return Some(Change::Lapsed);
         }
-        self.targets.remove(index);
+        let gone = self.targets.remove(index);
+        self.remember_version(gone.target, now);
         Some(Change::Gone)
     }
 
+    /// Returns the software versions of a service's targets that serve now or did so
+    /// within [`stream_origin::MEMORY`], sorted.
+    #[must_use]
+    pub fn versions(&self, service: &name::Service, now: Millis) -> Vec<name::Version> {
+        let listed = self.targets.iter().map(|listed| &listed.target);
+        let listed = listed.map(|target| (&target.service, &target.version));
+        let former = self.former_versions.iter().filter(|one| one.until > now);
+        let former = former.map(|one| (&one.service, &one.version));
+        let of_service = listed.chain(former).filter(|(of, _)| *of == service);
+        let mut versions: Vec<_> = of_service.map(|(_, version)| version.clone()).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    fn remember_version(&mut self, former: Target, now: Millis) {
+        self.former_versions.retain(|one| {
+            let is_same = one.service == former.service && one.version == former.version;
+            one.until > now && !is_same
+        });
+        self.former_versions.push(FormerVersion {
+            service: former.service,
+            version: former.version,
+            until: now + stream_origin::MEMORY,
+        });
+    }
+
     /// Removes the lapsed targets whose grace has ended, and returns their
     /// names.
     pub fn remove_lapsed(&mut self, now: Millis) -> Vec<name::Target> {
         let is_over = |listed: &RegisteredTarget| listed.lapse_ends.is_some_and(|at| at <= now);
         let lapsed = self.targets.iter().filter(|listed| is_over(listed));
-        let gone = lapsed.map(|listed| listed.target.name.clone()).collect();
+        let lapsed: Vec<Target> = lapsed.map(|listed| listed.target.clone()).collect();
         self.targets.retain(|listed| !is_over(listed));
+        let gone = lapsed.iter().map(|target| target.name.clone()).collect();
+        for target in lapsed {
+            self.remember_version(target, now);
+        }
         gone
     }
 
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -19,3 +19,4 @@
 mod routing_table;
 mod selection;
 mod store_readers;
+mod stream_origin;
--- a/crates/kernel/tests/direct/registry.rs
+++ b/crates/kernel/tests/direct/registry.rs
@@ -84,3 +84,33 @@
     assert_eq!(registry.upsert(leaving, Millis(1)), Change::Leaving);
     assert_eq!(usable(&registry, Millis(1)), 0);
 }
+
+#[test]
+fn versions_that_served_lately_are_remembered() {
+    let service = name::Service::new("s");
+    let versions = |registry: &TargetRegistry, now: u64| -> Vec<String> {
+        let versions = registry.versions(&service, Millis(now)).into_iter();
+        versions.map(|version| version.to_string()).collect()
+    };
+    let second = |name: &str| Target {
+        version: name::Version::new("v2"),
+        ..target(name)
+    };
+    let mut registry = TargetRegistry::default();
+    registry.upsert(target("a"), Millis(0));
+    assert_eq!(versions(&registry, 0), ["v1"]);
+    registry.upsert(second("b"), Millis(0));
+    assert_eq!(versions(&registry, 0), ["v1", "v2"]);
+    registry.remove(&name::Target::new("b"), None, Millis(1_000));
+    assert_eq!(versions(&registry, 20_000), ["v1", "v2"]);
+    assert_eq!(versions(&registry, 31_000), ["v1"]);
+    // A target that comes back under its name with another version.
+    registry.upsert(second("a"), Millis(40_000));
+    assert_eq!(versions(&registry, 40_000), ["v1", "v2"]);
+    assert_eq!(versions(&registry, 70_000), ["v2"]);
+    assert!(
+        registry
+            .versions(&name::Service::new("t"), Millis(0))
+            .is_empty()
+    );
+}
--- /dev/null
+++ b/crates/kernel/tests/direct/stream_origin.rs
@@ -0,0 +1,101 @@
+use std::net::SocketAddr;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::membership::MemberState;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::stream_origin;
+use gooseberry_kernel::request::stream_origin::BACKUPS;
+use gooseberry_kernel::request::stream_origin::BACKUPS_ASKED;
+use gooseberry_kernel::request::stream_origin::MEMORY;
+use gooseberry_kernel::request::stream_origin::Origin;
+use gooseberry_kernel::request::stream_origin::Origins;
+use gooseberry_kernel::request::stream_origin::Resumption;
+
+fn origin(version: &str) -> Origin {
+    Origin {
+        service: name::Service::new("engine"),
+        version: name::Version::new(version),
+    }
+}
+
+fn member(number: u16) -> MemberState {
+    let [high, low] = number.to_be_bytes();
+    MemberState {
+        name: name::Member::new(&format!("d-{number}")),
+        incarnation: 1,
+        beat: 1,
+        address: ([10, 0, high, low], 7000).into(),
+        cpu_millicores: 250,
+        is_leaving: false,
+    }
+}
+
+#[test]
+fn a_stream_goes_on_where_it_began_or_where_versions_do_not_differ() {
+    let versions = ["v1", "v2"].map(name::Version::new);
+    let known = origin("v1");
+    let at_known = Resumption::At(known.clone());
+    assert_eq!(
+        stream_origin::resumption(Some(&known), &versions[..1]),
+        at_known
+    );
+    assert_eq!(stream_origin::resumption(Some(&known), &versions), at_known);
+    assert_eq!(
+        stream_origin::resumption(None, &versions[..1]),
+        Resumption::Anywhere
+    );
+    assert_eq!(
+        stream_origin::resumption(None, &versions),
+        Resumption::Unknown
+    );
+}
+
+#[test]
+fn origins_are_forgotten_after_their_time() {
+    let mut origins = Origins::default();
+    let attempts = ["b", "a"].map(name::Attempt::new);
+    origins.record(&attempts[0], origin("v1"), Millis(0));
+    origins.record(&attempts[1], origin("v2"), Millis(1_000));
+    assert_eq!(origins.get(&attempts[0]), Some(&origin("v1")));
+    origins.expire(MEMORY);
+    assert_eq!(origins.get(&attempts[0]), None);
+    assert_eq!(origins.get(&attempts[1]), Some(&origin("v2")));
+}
+
+#[test]
+fn a_flood_of_streams_does_not_grow_the_memory_without_bound() {
+    let mut origins = Origins::default();
+    for number in 0..30_000 {
+        let attempt = name::Attempt::new(&number.to_string());
+        origins.record(&attempt, origin("v1"), Millis(number / 10));
+    }
+    assert_eq!(origins.get(&name::Attempt::new("0")), None);
+    assert!(origins.get(&name::Attempt::new("29999")).is_some());
+}
+
+/// Of the daemons, the one that passed a stream on is lost, and so is any other one.
+#[test]
+fn a_backup_is_asked_whichever_daemons_are_lost() {
+    for size in [3_u16, 7, 63, 295] {
+        let all: Vec<MemberState> = (0..size).map(member).collect();
+        let view: Vec<&MemberState> = all.iter().collect();
+        for number in 0..200 {
+            let attempt = name::Attempt::new(&format!("attempt-{number}"));
+            let writer = &all[number % usize::from(size)];
+            let asker = &all[(number + 1) % usize::from(size)];
+            let kept = stream_origin::backups(&attempt, &view, &writer.name, BACKUPS);
+            assert!(!kept.contains(&writer.address));
+            let lost = kept[number % kept.len()];
+            let is_alive = |address: &SocketAddr| *address != lost && *address != writer.address;
+            // The asker has already noticed one loss, and not the other.
+            let noticed = all.iter().filter(|member| member.address != lost);
+            let noticed: Vec<&MemberState> = noticed.collect();
+            for view in [&view, &noticed] {
+                let backups = stream_origin::backups(&attempt, view, &asker.name, BACKUPS_ASKED);
+                let mut alive = backups.iter().filter(|address| is_alive(address));
+                let is_own = kept.contains(&asker.address);
+                assert!(is_own || alive.any(|address| kept.contains(address)));
+            }
+        }
+    }
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -21,6 +21,7 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::routing_table::ResponseForm;
+use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
@@ -46,6 +47,7 @@
     job: Job,
     plan: Option<Plan>,
 ) -> Result<Response<ResponseBody>, Failure> {
+    let job_origin = job.origin.clone();
     let forwarder = Forwarder {
         context,
         job,
@@ -53,6 +55,7 @@
         stage_runs: 0,
         results: None,
         tried: Vec::new(),
+        origin: job_origin,
         sends: 0,
         possible_runs: 0,
         events: EventBuffer::default(),
@@ -75,6 +78,8 @@
     results: Option<Results>,
     /// The targets that are not tried again.
     tried: Vec<name::Target>,
+    /// Where the stream began, if it may go on only at such targets.
+    origin: Option<Origin>,
     /// How often the request was sent.
     sends: u32,
     /// How many targets may have run it.
@@ -93,6 +98,8 @@
 struct StartedReply {
     exchange: Exchange,
     reply: Reply,
+    /// The version of the target's software.
+    version: name::Version,
     _in_flight_guard: InFlightGuard,
 }
 
@@ -136,7 +143,10 @@
             self.current = Some(started);
             if self.job.route.form == ResponseForm::Stream && status.is_success() {
                 return match self.next_events().await {
-                    Some(Ok(first)) => Ok(self.into_response(head, first)),
+                    Some(Ok(first)) => {
+                        self.record_origin();
+                        Ok(self.into_response(head, first))
+                    }
                     Some(Err(_)) => Err(self.stream_failure()),
                     None => Ok(head.map(|()| http_server::full_body(Bytes::new()))),
                 };
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -26,6 +26,7 @@
 use crate::forward::deadline_passed;
 use crate::pool::IDLE_MAX;
 use crate::stages;
+use crate::state::Need;
 use crate::state::Pick;
 use crate::state::PickedTarget;
 
@@ -57,7 +58,7 @@
         };
         let domain = {
             let mut state = context.state();
-            state.forecast_domain(&job.service, job.head.shared_prefix_hash, job.draw(), now)
+            state.forecast_domain(self.need(&[]), now)
         };
         let running_stages = stages::run(context, job, plan, domain.as_ref());
         let time_limit = Duration::from_millis((end - now).0);
@@ -114,13 +115,7 @@
             if now >= self.job.deadline {
                 return Err(last_failure.cloned().unwrap_or(Kind::TooLate.into()));
             }
-            let pick = self.context.state().pick(
-                &self.job.service,
-                self.job.head.shared_prefix_hash,
-                &self.tried,
-                self.job.draw(),
-                now,
-            );
+            let pick = self.context.state().pick(self.need(&self.tried), now);
             match pick {
                 Pick::Target(picked) => return Ok(picked),
                 Pick::NoTarget => return Err(Kind::NoTarget.into()),
@@ -129,6 +124,17 @@
         }
     }
 
+    /// Returns what the request needs of its target, which is none of those in `tried`.
+    fn need<'a>(&'a self, tried: &'a [name::Target]) -> Need<'a> {
+        Need {
+            service: &self.job.service,
+            version: self.origin.as_ref().map(|origin| &origin.version),
+            affinity: self.job.head.shared_prefix_hash,
+            tried,
+            draw: self.job.draw(),
+        }
+    }
+
     /// Sends the request to one target and waits for the head of its reply.
     pub(super) async fn send_once(&mut self, picked: PickedTarget) -> SendOutcome {
         let now = self.context.now();
@@ -204,6 +210,7 @@
                 self.classify(StartedReply {
                     exchange,
                     reply,
+                    version: picked.version.clone(),
                     _in_flight_guard: in_flight_guard,
                 })
             }
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures::stream;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::stream_origin::Origin;
 use http::Response;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -15,6 +16,7 @@
 
 use crate::forward::Forwarder;
 use crate::http_server::ResponseBody;
+use crate::resumption;
 
 /// How long a resumable stream may pause before it is resumed at another target.
 ///
@@ -101,6 +103,22 @@
         Ok(())
     }
 
+    /// Remembers where the stream began, for this daemon and for those at which its
+    /// client may resume it.
+    pub(super) fn record_origin(&mut self) {
+        let Some(started) = &self.current else {
+            return;
+        };
+        let origin = Origin {
+            service: self.job.service.name.clone(),
+            version: started.version.clone(),
+        };
+        if self.job.route.is_resumable {
+            resumption::record(&self.context, &self.job, &origin);
+        }
+        self.origin = Some(origin);
+    }
+
     /// Returns the response whose body passes on the stream, from its first
     /// events on.
     pub(super) fn into_response(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`state`] holds the daemon's view of the fleet, and calls the decision
 //!   logic of the kernel with it.
 //! - [`http_server`] serves client connections; [`request`] handles one request.
+//! - `resumption` finds out where a stream that a client resumes may go on.
 //! - [`stages`] runs the stages of a request. Their pieces are batched by the
 //!   [`dispatcher`] of one daemon for each service.
 //! - [`exchange`] is one call to a target, over the connections in [`pool`].
@@ -47,3 +48,4 @@
 
 mod activity;
 mod forward;
+mod resumption;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,6 +24,7 @@
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine;
+use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::group;
 use gooseberry_runtime::control_stream;
 use gooseberry_runtime::control_stream::Counters;
@@ -142,6 +143,37 @@
         })
     }
 
+    /// Has a peer keep where the stream of an attempt began.
+    ///
+    /// # Errors
+    /// Returns [`Unreachable`] if the peer does not answer.
+    pub async fn back_up_origin(
+        &self,
+        address: SocketAddr,
+        attempt: &name::Attempt,
+        origin: &Origin,
+    ) -> Result<(), Unreachable> {
+        let client = self.client(address).await?;
+        let attempt = attempt.as_str().into();
+        let call = client.back_up_origin(with_timeout(GREET_TIMEOUT), attempt, origin.into());
+        call.await.map_err(|_| Unreachable)
+    }
+
+    /// Asks a peer where the stream of an attempt began; `None` if it does not know.
+    ///
+    /// # Errors
+    /// Returns [`Unreachable`] if the peer does not answer.
+    pub async fn origin(
+        &self,
+        address: SocketAddr,
+        attempt: &name::Attempt,
+    ) -> Result<Option<Origin>, Unreachable> {
+        let client = self.client(address).await?;
+        let call = client.origin(with_timeout(GREET_TIMEOUT), attempt.as_str().into());
+        let origin = call.await.map_err(|_| Unreachable)?;
+        Ok(origin.map(Into::into))
+    }
+
     async fn greet(
         &self,
         address: SocketAddr,
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -13,6 +13,7 @@
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
 use gooseberry_wire::fleet::Made;
+use gooseberry_wire::fleet::Origin;
 use gooseberry_wire::fleet::Unmade;
 use tarpc::context;
 use tarpc::server::BaseChannel;
@@ -65,6 +66,21 @@
         self.context.state().chunks(&digests)
     }
 
+    async fn back_up_origin(self, _: context::Context, attempt: CompactString, origin: Origin) {
+        let now = self.context.now();
+        let attempt = name::Attempt::new(&attempt);
+        self.context
+            .state()
+            .origins()
+            .record(&attempt, origin.into(), now);
+    }
+
+    async fn origin(self, _: context::Context, attempt: CompactString) -> Option<Origin> {
+        let attempt = name::Attempt::new(&attempt);
+        let mut state = self.context.state();
+        state.origins().get(&attempt).map(Into::into)
+    }
+
     async fn make(self, _: context::Context, group: Group) -> Result<Made, Unmade> {
         let input_owners = group.keepers.iter().map(Into::into).collect();
         let origin = group.asker.into();
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -17,6 +17,7 @@
 use gooseberry_kernel::request::routing_table::Route;
 use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::routing_table::ServiceKind;
+use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_platform::client;
 use gooseberry_platform::client::Head;
@@ -35,6 +36,7 @@
 use crate::forward;
 use crate::http_server;
 use crate::http_server::ResponseBody;
+use crate::resumption;
 use crate::stages;
 
 /// An admitted request.
@@ -50,6 +52,8 @@
     pub route: Arc<Route>,
     /// The service whose targets run it.
     pub service: Arc<Service>,
+    /// Where the stream began that the request resumes, if it may go on only there.
+    pub origin: Option<Origin>,
     /// The workspace that its API key belongs to; `None` without a valid key.
     pub workspace: Option<name::Workspace>,
     /// Its priority.
@@ -136,6 +140,7 @@
     body: Incoming,
 ) -> Result<Response<ResponseBody>, Failure> {
     let job = admit(context, arrived, head, body).await?;
+    let job = resumption::restrict(context, job).await?;
     // Routes without stages ignore the client's numbers of pieces.
     let pieces = if job.route.stages.is_empty() {
         &[][..]
@@ -242,6 +247,7 @@
         memory,
         route,
         service,
+        origin: None,
         workspace,
         rank,
         arrived,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -27,6 +27,8 @@
 use gooseberry_kernel::request::prior_wait::PriorWaitEstimator;
 use gooseberry_kernel::request::retry_budget::RetryBudget;
 use gooseberry_kernel::request::routing_table::RoutingTable;
+use gooseberry_kernel::request::routing_table::Service;
+use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::target::cold_rate::ColdRateLimiter;
 use gooseberry_kernel::target::health::Health;
 use gooseberry_kernel::target::registry::TargetRegistry;
@@ -75,6 +77,8 @@
     cold_rate_limiter: ColdRateLimiter,
     retry_budget: RetryBudget,
     suspects: Suspects,
+    /// Where streams began.
+    origins: Origins,
     /// The load of targets, sorted by target.
     usages: Vec<TargetUsage>,
     /// The last reported wait at each stage service and when it was reported,
@@ -102,6 +106,21 @@
     NoTarget,
 }
 
+/// What a request needs of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// The service of the target.
+    pub service: &'a Service,
+    /// The version of its software, if no other one will do.
+    pub version: Option<&'a name::Version>,
+    /// Identifies the prompt prefix that the request shares with others.
+    pub affinity: Option<u64>,
+    /// The targets that are left out.
+    pub tried: &'a [name::Target],
+    /// The request's random number.
+    pub draw: u64,
+}
+
 /// A target that was picked for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PickedTarget {
@@ -137,6 +156,7 @@
             cold_rate_limiter: ColdRateLimiter::default(),
             retry_budget: RetryBudget::new(boot.retry_budget),
             suspects: Suspects::default(),
+            origins: Origins::default(),
             usages: Vec::new(),
             stage_waits: Vec::new(),
             prior_waits: PriorWaitEstimator::default(),
@@ -162,6 +182,11 @@
         &mut self.suspects
     }
 
+    /// Returns where streams began, as far as this daemon knows.
+    pub fn origins(&mut self) -> &mut Origins {
+        &mut self.origins
+    }
+
     /// Returns the health of targets, as calls to them show.
     pub fn health(&mut self) -> &mut Health {
         &mut self.health
@@ -198,6 +223,7 @@
             log::info!(target:% = target; "a target that lapsed did not come back and is removed");
         }
         self.suspects.expire(now);
+        self.origins.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
         self.cold_rate_limiter
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -7,12 +7,14 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::routing_table::ServiceKind;
+use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::target::cold_rate;
 use gooseberry_kernel::target::registry::RegisteredTarget;
 use gooseberry_kernel::target::selection;
 use gooseberry_kernel::target::selection::Candidate;
 use gooseberry_platform::target::Load;
 
+use crate::state::Need;
 use crate::state::Pick;
 use crate::state::PickedTarget;
 use crate::state::State;
@@ -50,6 +52,13 @@
         self.targets.all().len()
     }
 
+    /// Returns the software versions of a service's targets that serve now or did so
+    /// while a stream of now may have begun.
+    #[must_use]
+    pub fn versions(&self, service: &name::Service, now: Millis) -> Vec<name::Version> {
+        self.targets.versions(service, now)
+    }
+
     /// Returns the address on which a target listens; `None` if it is unknown.
     #[must_use]
     pub fn address(&self, target: &name::Target) -> Option<SocketAddr> {
@@ -69,18 +78,8 @@
     }
 
     /// Picks the target of a request and counts the request as in flight there.
-    ///
-    /// `affinity` identifies the prompt prefix that the request shares with others;
-    /// targets in `tried` are left out; `draw` is the request's random number.
-    pub fn pick(
-        &mut self,
-        service: &Service,
-        affinity: Option<u64>,
-        tried: &[name::Target],
-        draw: u64,
-        now: Millis,
-    ) -> Pick {
-        let pick = self.choose(service, affinity, tried, draw, now);
+    pub fn pick(&mut self, need: Need<'_>, now: Millis) -> Pick {
+        let pick = self.choose(need, now);
         if let Pick::Target(picked) = &pick {
             self.cold_rate_limiter.record_send(&picked.target, now);
             self.usage_mut(&picked.target).in_flight += 1;
@@ -90,14 +89,8 @@
 
     /// Returns the failure domain in which a request would run if it were sent
     /// now; counts nothing.
-    pub fn forecast_domain(
-        &mut self,
-        service: &Service,
-        affinity: Option<u64>,
-        draw: u64,
-        now: Millis,
-    ) -> Option<name::Domain> {
-        match self.choose(service, affinity, &[], draw, now) {
+    pub fn forecast_domain(&mut self, need: Need<'_>, now: Millis) -> Option<name::Domain> {
+        match self.choose(need, now) {
             Pick::Target(picked) => Some(picked.domain),
             Pick::Wait | Pick::NoTarget => None,
         }
@@ -147,19 +140,17 @@
 
     /// Chooses among the usable targets that are below their connection limit
     /// and, if cold, below this daemon's share of their cold rate.
-    pub(super) fn choose(
-        &mut self,
-        service: &Service,
-        affinity: Option<u64>,
-        tried: &[name::Target],
-        draw: u64,
-        now: Millis,
-    ) -> Pick {
+    pub(super) fn choose(&mut self, need: Need<'_>, now: Millis) -> Pick {
+        let service = need.service;
         let fleet_size = self.members.fleet_size(now);
         let usable = self.targets.usable(&service.name, &self.taken_out, now);
-        let listed: Vec<&RegisteredTarget> = usable
-            .filter(|listed| !tried.contains(&listed.target.name))
-            .collect();
+        let fits = |target: &Target| {
+            let is_version = need
+                .version
+                .is_none_or(|version| target.version == *version);
+            is_version && !need.tried.contains(&target.name)
+        };
+        let listed: Vec<&RegisteredTarget> = usable.filter(|listed| fits(&listed.target)).collect();
         if listed.is_empty() {
             return Pick::NoTarget;
         }
@@ -197,7 +188,7 @@
             .iter()
             .map(|listed| self.candidate(listed, service, now))
             .collect();
-        let Some(index) = selection::pick(&candidates, affinity, draw) else {
+        let Some(index) = selection::pick(&candidates, need.affinity, need.draw) else {
             return Pick::Wait;
         };
         let target = &available[index].target;
--- a/crates/relay/tests/direct/versions.rs
+++ b/crates/relay/tests/direct/versions.rs
@@ -160,3 +160,45 @@
     let (same, other) = resume(&engines, &others[0], &attempts).await;
     assert_eq!((same, other), (STREAMS, 0));
 }
+
+#[tokio::test]
+async fn a_stream_of_unknown_version_is_refused_at_once_while_versions_differ() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let daemon = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 10)).await;
+    for client in [
+        request(0)
+            .with("Last-Event-Id", "2")
+            .with("Resumes", "gone"),
+        request(0).with("Last-Event-Id", "2"),
+    ] {
+        let answer = client.send(client_address(&daemon)).await;
+        assert_eq!(answer.map(|answer| answer.status), Some(503));
+        assert!(engines.versions(&client.attempt).is_empty());
+    }
+}
+
+#[tokio::test]
+async fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let daemon = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 10)).await;
+    let attempts = broken_streams(&engines, &daemon).await;
+    engines.list(&platform, 0, "draining");
+    engines.list(&platform, 2, "draining");
+    wait_until("the targets leave", || {
+        let service = gooseberry_kernel::name::Service::new("engine");
+        let now = daemon.context().now();
+        daemon.context().state().stage_targets(&service, now).len() == 2
+    })
+    .await;
+    let began_at_first = attempts
+        .iter()
+        .filter(|attempt| engines.versions(attempt)[0] == "v1");
+    let count = began_at_first.count();
+    assert!((1..STREAMS).contains(&count), "{count}");
+    let (same, other) = resume(&engines, &daemon, &attempts).await;
+    assert_eq!((same, other), (STREAMS - count, 0));
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -16,6 +16,7 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
 use gooseberry_kernel::request::routing_table::Rank;
+use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::stage::group;
 use serde::Deserialize;
 use serde::Serialize;
@@ -40,6 +41,10 @@
     /// Returns the bytes of those chunks of large values that the daemon has, in any
     /// order. They are asked for by their SHA-256.
     async fn chunks(digests: Vec<[u8; 32]>) -> Vec<Vec<u8>>;
+    /// Keeps where the stream of an attempt began.
+    async fn back_up_origin(attempt: CompactString, origin: Origin);
+    /// Returns where the stream of an attempt began, if the daemon knows.
+    async fn origin(attempt: CompactString) -> Option<Origin>;
 }
 
 /// A heartbeat with membership state, or the reply to one.
@@ -77,6 +82,15 @@
     pub is_leaving: bool,
 }
 
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The service of the target.
+    pub service: CompactString,
+    /// The version of the target's software.
+    pub version: CompactString,
+}
+
 /// How long pieces wait at a stage service, by rank.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wait {
@@ -239,6 +253,24 @@
     }
 }
 
+impl From<&stream_origin::Origin> for Origin {
+    fn from(origin: &stream_origin::Origin) -> Self {
+        Self {
+            service: origin.service.as_str().into(),
+            version: origin.version.as_str().into(),
+        }
+    }
+}
+
+impl From<Origin> for stream_origin::Origin {
+    fn from(origin: Origin) -> Self {
+        Self {
+            service: name::Service::new(&origin.service),
+            version: name::Version::new(&origin.version),
+        }
+    }
+}
+
 impl From<&deadline_admission::ServiceWait> for Wait {
     fn from(wait: &deadline_admission::ServiceWait) -> Self {
         Self {
