Send nothing more to a target that says in an answer that it leaves

Change: relay::exchange, through which calls of every kind go, records the word of an answer; target::notice holds it for that run of the target, by the start that its entry names, and the registry leaves the target out wherever targets are chosen: requests, second tries, resumed streams, stage calls. An answer with 421 comes from another target and tells nothing. Peers are not told: they learn from the store and from their own answers, and the rule binds the daemon that got the answer.

--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -4,9 +4,11 @@
 //!   lapsed.
 //! - [`health`] avoids targets whose calls fail.
 //! - [`cold_rate`] limits the rate at which a cold target gets requests.
+//! - [`notice`] holds what targets say in their answers about the work they want.
 //! - [`selection`] picks the target of a request.
 
 pub mod cold_rate;
 pub mod health;
+pub mod notice;
 pub mod registry;
 pub mod selection;
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -13,6 +13,7 @@
 use crate::name;
 use crate::request::routing_table::Target;
 use crate::request::stream_origin;
+use crate::target::notice::Notices;
 
 /// How long after an outage a lapsed target may be listed again.
 ///
@@ -61,6 +62,7 @@
     targets: Vec<RegisteredTarget>,
     /// The versions that served within [`stream_origin::MEMORY`].
     former_versions: Vec<FormerVersion>,
+    notices: Notices,
 }
 
 impl TargetRegistry {
@@ -171,6 +173,17 @@
         &self.targets
     }
 
+    /// Records an answer in which a target says that it leaves. Returns whether it is
+    /// listed and this is the first such answer.
+    pub fn record_leaving(&mut self, name: &name::Target, now: Millis) -> bool {
+        self.notices.expire(now);
+        let Ok(index) = self.find(name) else {
+            return false;
+        };
+        self.notices
+            .record_leaving(&self.targets[index].target, now)
+    }
+
     /// Returns the targets of a service that take new work and whose failure
     /// domain is not taken out.
     pub fn usable<'a>(
@@ -182,7 +195,8 @@
         self.targets.iter().filter(move |listed| {
             let target = &listed.target;
             let is_current = listed.lapse_ends.is_none_or(|at| at > now);
-            let accepts_work = !target.is_leaving && !taken_out.contains(&target.domain);
+            let is_leaving = target.is_leaving || self.notices.is_leaving(target);
+            let accepts_work = !is_leaving && !taken_out.contains(&target.domain);
             target.service == *service && is_current && accepts_work
         })
     }
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -12,6 +12,7 @@
 mod load;
 mod membership;
 mod mirror;
+mod notice;
 mod plan;
 mod prior_wait;
 mod registry;
--- /dev/null
+++ b/crates/kernel/tests/direct/notice.rs
@@ -0,0 +1,62 @@
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::routing_table::Target;
+use gooseberry_kernel::target::registry::TargetRegistry;
+
+fn target(name: &str, started: u64) -> Target {
+    Target {
+        name: name::Target::new(name),
+        service: name::Service::new("s"),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: name::Domain::new("z"),
+        version: name::Version::new("v1"),
+        is_leaving: false,
+        cold_remaining: Millis::ZERO,
+        started,
+    }
+}
+
+fn usable(registry: &TargetRegistry, now: u64) -> Vec<String> {
+    let service = name::Service::new("s");
+    let usable = registry.usable(&service, &[], Millis(now));
+    let names = usable.map(|listed| listed.target.name.to_string());
+    names.collect()
+}
+
+#[test]
+fn a_notice_outweighs_entries_of_the_same_run() {
+    let mut registry = TargetRegistry::default();
+    registry.upsert(target("a", 7), Millis(0));
+    registry.upsert(target("b", 7), Millis(0));
+    let name = name::Target::new("a");
+    assert!(registry.record_leaving(&name, Millis(10)));
+    assert!(!registry.record_leaving(&name, Millis(20)));
+    assert_eq!(usable(&registry, 20), ["b"]);
+    // The entry lapses and comes back, or a peer passes on an older one.
+    registry.upsert(target("a", 7), Millis(1_000));
+    assert_eq!(usable(&registry, 1_000), ["b"]);
+    registry.remove(&name, None, Millis(2_000));
+    registry.upsert(target("a", 7), Millis(9_000));
+    assert_eq!(usable(&registry, 9_000), ["b"]);
+}
+
+#[test]
+fn a_notice_ends_with_the_run_of_its_target() {
+    let mut registry = TargetRegistry::default();
+    registry.upsert(target("a", 7), Millis(0));
+    let name = name::Target::new("a");
+    registry.record_leaving(&name, Millis(10));
+    registry.upsert(target("a", 8), Millis(1_000));
+    assert_eq!(usable(&registry, 1_000), ["a"]);
+    // The new run may leave, too.
+    assert!(registry.record_leaving(&name, Millis(2_000)));
+    assert!(usable(&registry, 2_000).is_empty());
+}
+
+#[test]
+fn an_answer_of_an_unlisted_target_is_no_notice() {
+    let mut registry = TargetRegistry::default();
+    assert!(!registry.record_leaving(&name::Target::new("a"), Millis(0)));
+    registry.upsert(target("a", 7), Millis(10));
+    assert_eq!(usable(&registry, 10), ["a"]);
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,6 +13,7 @@
 use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_platform::target;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
@@ -132,6 +133,7 @@
             (Err(error), _) => return Err(error.into()),
         };
         let (parts, body) = reply.into_parts();
+        record_notice(context, &callee.target, parts.status, &parts.headers);
         Ok(Self {
             status: parts.status,
             headers: parts.headers,
@@ -197,6 +199,27 @@
     }
 }
 
+/// Records what the target says in a reply about the work that it wants.
+fn record_notice(
+    context: &Context,
+    target: &name::Target,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    match target::read_leaving(status, headers) {
+        Ok(false) => {}
+        Ok(true) => {
+            let now = context.now();
+            if context.state().record_leaving(target, now) {
+                log::info!(target:% = target; "a target says in an answer that it leaves; it gets no more requests");
+            }
+        }
+        Err(text) => {
+            log::warn!(target:% = target, text:%; "an answer's word on leaving is ignored: it has no meaning");
+        }
+    }
+}
+
 /// Opens a connection and waits until the target must have accepted it. A target
 /// with too many connections resets a new one at once; a request that had been
 /// sent on it would have an unknown outcome.
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -59,6 +59,12 @@
         self.targets.versions(service, now)
     }
 
+    /// Records an answer in which a target says that it leaves. Returns whether it is
+    /// listed and this is the first such answer.
+    pub fn record_leaving(&mut self, target: &name::Target, now: Millis) -> bool {
+        self.targets.record_leaving(target, now)
+    }
+
     /// Returns the address on which a target listens; `None` if it is unknown.
     #[must_use]
     pub fn address(&self, target: &name::Target) -> Option<SocketAddr> {
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod distribution;
 mod fleet;
+mod notices;
 mod platform;
 mod slow_link;
 mod stages;
