Send nothing to a target for the time that its refusal asks for

Change: relay::exchange records the time for that run of the target, as it does the word of leaving, and checks once more before it sends on an open connection. target::notice holds it, the longest one if there are several; the registry leaves the target out of all choices, so what was meant for it goes to others within the retry budget. If all targets pause, a request waits for the first end that leaves it time, and is refused at once otherwise, with that time as its Retry-After. The time is a number of seconds, with fractions; a date or anything else is logged and has no effect. It has no upper bound, since a restart of the target ends it.

--- a/crates/kernel/src/target/notice.rs
+++ b/crates/kernel/src/target/notice.rs
@@ -19,7 +19,10 @@
     target: name::Target,
     /// When the run began to which it belongs, as the target's entry says.
     started: u64,
-    last_at: Millis,
+    /// Until when it is remembered that the target leaves, if it said so.
+    leaving_until: Millis,
+    /// Until when the target wants no work.
+    paused_until: Millis,
 }
 
 /// The notices of targets, sorted by target.
@@ -32,33 +35,60 @@
     /// Records an answer in which a target says that it leaves. Returns whether this
     /// is the first one of this run.
     pub fn record_leaving(&mut self, target: &Target, now: Millis) -> bool {
-        let notice = Notice {
-            target: target.name.clone(),
-            started: target.started,
-            last_at: now,
-        };
-        match self.find(&target.name) {
-            Ok(index) => {
-                let former = std::mem::replace(&mut self.notices[index], notice);
-                former.started != target.started
-            }
-            Err(index) => {
-                self.notices.insert(index, notice);
-                true
-            }
-        }
+        let notice = self.notice_mut(target);
+        let is_first = notice.leaving_until <= now;
+        notice.leaving_until = now + MEMORY;
+        is_first
+    }
+
+    /// Records an answer in which a target asks for no work for a time. An earlier
+    /// one that asks for longer stays in force.
+    pub fn record_pause(&mut self, target: &Target, pause: Millis, now: Millis) {
+        let notice = self.notice_mut(target);
+        notice.paused_until = notice.paused_until.max(now + pause);
     }
 
     /// Returns whether this run of a target has said that it leaves.
     #[must_use]
-    pub fn is_leaving(&self, target: &Target) -> bool {
-        let notice = self.find(&target.name).ok();
-        notice.is_some_and(|index| self.notices[index].started == target.started)
+    pub fn is_leaving(&self, target: &Target, now: Millis) -> bool {
+        let notice = self.notice(target);
+        notice.is_some_and(|notice| notice.leaving_until > now)
+    }
+
+    /// Returns until when this run of a target wants no work; `None` if it wants some.
+    #[must_use]
+    pub fn paused_until(&self, target: &Target, now: Millis) -> Option<Millis> {
+        let paused_until = self.notice(target)?.paused_until;
+        (paused_until > now).then_some(paused_until)
     }
 
-    /// Forgets old notices.
+    /// Forgets what is over.
     pub fn expire(&mut self, now: Millis) {
-        self.notices.retain(|notice| notice.last_at + MEMORY > now);
+        self.notices
+            .retain(|notice| notice.leaving_until.max(notice.paused_until) > now);
+    }
+
+    fn notice(&self, target: &Target) -> Option<&Notice> {
+        let index = self.find(&target.name).ok()?;
+        Some(&self.notices[index]).filter(|notice| notice.started == target.started)
+    }
+
+    /// Returns the notice of this run of a target, which replaces that of another one.
+    fn notice_mut(&mut self, target: &Target) -> &mut Notice {
+        let fresh = || Notice {
+            target: target.name.clone(),
+            started: target.started,
+            leaving_until: Millis::ZERO,
+            paused_until: Millis::ZERO,
+        };
+        let index = self.find(&target.name).unwrap_or_else(|index| {
+            self.notices.insert(index, fresh());
+            index
+        });
+        if self.notices[index].started != target.started {
+            self.notices[index] = fresh();
+        }
+        &mut self.notices[index]
     }
 
     fn find(&self, target: &name::Target) -> Result<usize, usize> {
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -184,18 +184,50 @@
             .record_leaving(&self.targets[index].target, now)
     }
 
-    /// Returns the targets of a service that take new work and whose failure
+    /// Records an answer in which a target asks for no work for a time. Returns whether
+    /// the target is listed.
+    pub fn record_pause(&mut self, name: &name::Target, pause: Millis, now: Millis) -> bool {
+        self.notices.expire(now);
+        let Ok(index) = self.find(name) else {
+            return false;
+        };
+        let target = &self.targets[index].target;
+        self.notices.record_pause(target, pause, now);
+        true
+    }
+
+    /// Returns until when a target wants no work; `None` if it wants some or is
+    /// unknown.
+    #[must_use]
+    pub fn paused_until(&self, name: &name::Target, now: Millis) -> Option<Millis> {
+        let listed = self.get(name)?;
+        self.notices.paused_until(&listed.target, now)
+    }
+
+    /// Returns the targets of a service that take new work now and whose failure
     /// domain is not taken out.
     pub fn usable<'a>(
         &'a self,
         service: &'a name::Service,
         taken_out: &'a [name::Domain],
         now: Millis,
+    ) -> impl Iterator<Item = &'a RegisteredTarget> + 'a {
+        let staying = self.staying(service, taken_out, now);
+        staying.filter(move |listed| self.notices.paused_until(&listed.target, now).is_none())
+    }
+
+    /// Returns the targets of a service that take new work now or after a pause that
+    /// they asked for, and whose failure domain is not taken out.
+    pub fn staying<'a>(
+        &'a self,
+        service: &'a name::Service,
+        taken_out: &'a [name::Domain],
+        now: Millis,
     ) -> impl Iterator<Item = &'a RegisteredTarget> + 'a {
         self.targets.iter().filter(move |listed| {
             let target = &listed.target;
             let is_current = listed.lapse_ends.is_none_or(|at| at > now);
-            let is_leaving = target.is_leaving || self.notices.is_leaving(target);
+            let is_leaving = target.is_leaving || self.notices.is_leaving(target, now);
             let accepts_work = !is_leaving && !taken_out.contains(&target.domain);
             target.service == *service && is_current && accepts_work
         })
--- a/crates/kernel/tests/direct/notice.rs
+++ b/crates/kernel/tests/direct/notice.rs
@@ -60,3 +60,41 @@
     registry.upsert(target("a", 7), Millis(10));
     assert_eq!(usable(&registry, 10), ["a"]);
 }
+
+#[test]
+fn a_pause_ends_by_itself_and_with_the_run_of_its_target() {
+    let mut registry = TargetRegistry::default();
+    registry.upsert(target("a", 7), Millis(0));
+    registry.upsert(target("b", 7), Millis(0));
+    let [first, second] = ["a", "b"].map(name::Target::new);
+    assert!(registry.record_pause(&first, Millis(1_500), Millis(1_000)));
+    assert_eq!(usable(&registry, 2_499), ["b"]);
+    assert_eq!(
+        registry.paused_until(&first, Millis(2_499)),
+        Some(Millis(2_500))
+    );
+    assert_eq!(usable(&registry, 2_500), ["a", "b"]);
+    registry.record_pause(&second, Millis(600_000), Millis(3_000));
+    assert_eq!(usable(&registry, 600_000), ["a"]);
+    registry.upsert(target("b", 8), Millis(600_001));
+    assert_eq!(usable(&registry, 600_001), ["a", "b"]);
+    assert!(!registry.record_pause(&name::Target::new("c"), Millis(1), Millis(0)));
+}
+
+#[test]
+fn the_longest_pause_holds_and_a_leaving_target_does_not_come_back_after_it() {
+    let mut registry = TargetRegistry::default();
+    registry.upsert(target("a", 7), Millis(0));
+    let name = name::Target::new("a");
+    registry.record_pause(&name, Millis(5_000), Millis(0));
+    registry.record_pause(&name, Millis(100), Millis(1_000));
+    assert_eq!(
+        registry.paused_until(&name, Millis(1_000)),
+        Some(Millis(5_000))
+    );
+    let service = name::Service::new("s");
+    assert_eq!(registry.staying(&service, &[], Millis(1_000)).count(), 1);
+    registry.record_leaving(&name, Millis(2_000));
+    assert_eq!(registry.staying(&service, &[], Millis(2_000)).count(), 0);
+    assert!(usable(&registry, 6_000).is_empty());
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -122,12 +122,14 @@
             None if callee.runs_once => open_checked(context, callee).await?,
             None => open(context, callee).await?,
         };
+        check_not_paused(context, &callee.target)?;
         let reply = match (connection.send(request).await, retry_request) {
             (Ok(reply), _) => reply,
             // The target had closed the idle connection, so it did not receive
             // the request; it is sent over a new one.
             (Err(http_connection::Error::NotSent(_)), Some(request)) => {
                 connection = open(context, callee).await?;
+                check_not_paused(context, &callee.target)?;
                 connection.send(request).await.map_err(Error::from)?
             }
             (Err(error), _) => return Err(error.into()),
@@ -206,10 +208,10 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) {
+    let now = context.now();
     match target::read_leaving(status, headers) {
         Ok(false) => {}
         Ok(true) => {
-            let now = context.now();
             if context.state().record_leaving(target, now) {
                 log::info!(target:% = target; "a target says in an answer that it leaves; it gets no more requests");
             }
@@ -218,6 +220,25 @@
             log::warn!(target:% = target, text:%; "an answer's word on leaving is ignored: it has no meaning");
         }
     }
+    match target::read_pause(status, headers) {
+        Ok(None) => {}
+        Ok(Some(pause)) => {
+            if context.state().record_pause(target, pause, now) {
+                log::info!(target:% = target, pause_ms = pause.0; "a target turned a request away and gets nothing for the time that it asks for");
+            }
+        }
+        Err(text) => {
+            log::warn!(target:% = target, text:%; "an answer's time to wait is ignored: it is not a number of seconds");
+        }
+    }
+}
+
+/// Checks that the target has not asked for a pause since it was chosen.
+fn check_not_paused(context: &Context, target: &name::Target) -> Result<(), Error> {
+    match context.state().paused_until(target, context.now()) {
+        None => Ok(()),
+        Some(_) => Err(Error::NotSent("the target asked for a pause".to_owned())),
+    }
 }
 
 /// Opens a connection and waits until the target must have accepted it. A target
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -51,11 +51,7 @@
         self.stage_runs += 1;
         let (context, job) = (&self.context, &self.job);
         let now = context.now();
-        let end = if self.events.count() == 0 {
-            job.begin_by
-        } else {
-            job.deadline
-        };
+        let end = self.answer_due();
         let domain = {
             let mut state = context.state();
             state.forecast_domain(self.need(&[]), now)
@@ -79,7 +75,11 @@
                 .map_err(|failure| self.unknown_if_run(failure))?;
             let picked = match self.pick(last_failure.as_ref()).await {
                 Ok(picked) => picked,
-                Err(failure) => return Err(last_failure.unwrap_or(self.unknown_if_run(failure))),
+                Err(failure) => {
+                    let failure = self.unknown_if_run(failure);
+                    let last_failure = last_failure.filter(|_| failure.retry_after.is_none());
+                    return Err(last_failure.unwrap_or(failure));
+                }
             };
             match self.send_once(picked).await {
                 SendOutcome::Started(started) => {
@@ -119,11 +119,24 @@
             match pick {
                 Pick::Target(picked) => return Ok(picked),
                 Pick::NoTarget => return Err(Kind::NoTarget.into()),
-                Pick::Wait => sleep(PICK_RETRY_DELAY).await,
+                // Holding the request until then would be of no use to its client.
+                Pick::Paused(until) if until >= self.answer_due() => {
+                    return Err(Failure::from(Kind::QueueFull).with_retry_after(until - now));
+                }
+                Pick::Wait | Pick::Paused(_) => sleep(PICK_RETRY_DELAY).await,
             }
         }
     }
 
+    /// Returns when the answer must begin, or when it must be complete if it has begun.
+    fn answer_due(&self) -> Millis {
+        if self.events.count() == 0 {
+            self.job.begin_by
+        } else {
+            self.job.deadline
+        }
+    }
+
     /// Returns what the request needs of its target, which is none of those in `tried`.
     fn need<'a>(&'a self, tried: &'a [name::Target]) -> Need<'a> {
         Need {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -102,6 +102,9 @@
     Target(PickedTarget),
     /// All usable targets are cold or full; one may have capacity soon.
     Wait,
+    /// All targets that have not been tried have asked for no work; the first of these
+    /// pauses ends then.
+    Paused(Millis),
     /// The service has no usable target that has not been tried.
     NoTarget,
 }
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -65,6 +65,19 @@
         self.targets.record_leaving(target, now)
     }
 
+    /// Records an answer in which a target asks for no work for a time. Returns whether
+    /// the target is listed.
+    pub fn record_pause(&mut self, target: &name::Target, pause: Millis, now: Millis) -> bool {
+        self.targets.record_pause(target, pause, now)
+    }
+
+    /// Returns until when a target wants no work; `None` if it wants some or is
+    /// unknown.
+    #[must_use]
+    pub fn paused_until(&self, target: &name::Target, now: Millis) -> Option<Millis> {
+        self.targets.paused_until(target, now)
+    }
+
     /// Returns the address on which a target listens; `None` if it is unknown.
     #[must_use]
     pub fn address(&self, target: &name::Target) -> Option<SocketAddr> {
@@ -98,7 +111,7 @@
     pub fn forecast_domain(&mut self, need: Need<'_>, now: Millis) -> Option<name::Domain> {
         match self.choose(need, now) {
             Pick::Target(picked) => Some(picked.domain),
-            Pick::Wait | Pick::NoTarget => None,
+            Pick::Wait | Pick::Paused(_) | Pick::NoTarget => None,
         }
     }
 
@@ -149,16 +162,19 @@
     pub(super) fn choose(&mut self, need: Need<'_>, now: Millis) -> Pick {
         let service = need.service;
         let fleet_size = self.members.fleet_size(now);
-        let usable = self.targets.usable(&service.name, &self.taken_out, now);
         let fits = |target: &Target| {
             let is_version = need
                 .version
                 .is_none_or(|version| target.version == *version);
             is_version && !need.tried.contains(&target.name)
         };
+        let usable = self.targets.usable(&service.name, &self.taken_out, now);
         let listed: Vec<&RegisteredTarget> = usable.filter(|listed| fits(&listed.target)).collect();
         if listed.is_empty() {
-            return Pick::NoTarget;
+            let staying = self.targets.staying(&service.name, &self.taken_out, now);
+            let paused = staying.filter(|listed| fits(&listed.target));
+            let ends = paused.filter_map(|listed| self.paused_until(&listed.target.name, now));
+            return ends.min().map_or(Pick::NoTarget, Pick::Paused);
         }
         let limit = connection_limit(service, fleet_size);
         // Computed on first use: most picks meet no cold target.
--- a/crates/relay/tests/direct/notices.rs
+++ b/crates/relay/tests/direct/notices.rs
@@ -8,6 +8,7 @@
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::platform::TestPlatform;
@@ -135,3 +136,133 @@
         assert_eq!(usable, 2, "{text}");
     }
 }
+
+/// Has a target turn the next request away and ask for a pause, and sends requests
+/// until it has done so.
+async fn pause(daemon: &Daemon, target: &Target, seconds: &str) {
+    target.add_headers(&[("Retry-After", seconds)]);
+    target.queue_modes(&[Mode::NotRun]);
+    let before = target.received().len();
+    for _ in 0..50 {
+        assert!(status(daemon, "/read/").await.is_some());
+        if target.received().len() > before {
+            return;
+        }
+    }
+    panic!("the target has got no request");
+}
+
+#[tokio::test]
+async fn a_target_that_asks_for_a_pause_gets_nothing_until_its_end() {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    let [paused, _] = &platform.plain;
+    pause(&daemon, paused, "1.2").await;
+    let since = Instant::now();
+    let before = paused.received().len();
+    while since.elapsed() < Duration::from_secs(1) {
+        assert_eq!(status(&daemon, "/read/").await, Some(200));
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(paused.received().len(), before);
+    sleep(Duration::from_millis(300)).await;
+    for _ in 0..50 {
+        assert_eq!(status(&daemon, "/read/").await, Some(200));
+    }
+    assert!(paused.received().len() > before);
+}
+
+#[tokio::test]
+async fn a_request_is_refused_at_once_if_all_targets_pause_for_longer_than_it_waits() {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    for target in &platform.plain {
+        pause(&daemon, target, "30").await;
+    }
+    let before: usize = platform
+        .plain
+        .iter()
+        .map(|target| target.received().len())
+        .sum();
+    let since = Instant::now();
+    let answer = ClientRequest::new("/read/")
+        .send(client_address(&daemon))
+        .await;
+    let answer = answer.expect("an answer");
+    assert!(since.elapsed() < Duration::from_millis(500));
+    assert_eq!(answer.status, 503);
+    let retry_after: f64 = answer.header("Retry-After").parse().expect("a number");
+    assert!((20.0..=30.0).contains(&retry_after), "{retry_after}");
+    let after: usize = platform
+        .plain
+        .iter()
+        .map(|target| target.received().len())
+        .sum();
+    assert_eq!(after, before);
+}
+
+#[tokio::test]
+async fn a_request_waits_for_the_end_of_a_pause_that_leaves_it_time() {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    for target in &platform.plain {
+        pause(&daemon, target, "0.6").await;
+    }
+    assert_eq!(status(&daemon, "/read/").await, Some(200));
+}
+
+#[tokio::test]
+async fn a_paused_stage_target_gets_no_pieces() {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    let [paused, _] = &platform.first;
+    paused.add_headers(&[("Retry-After", "20")]);
+    paused.queue_modes(&[Mode::NotRun]);
+    let run = async || {
+        let client = ClientRequest::new("/staged/").with_stage_pieces("2,1");
+        let answer = client.send(client_address(&daemon)).await;
+        assert_eq!(answer.map(|answer| answer.status), Some(200));
+    };
+    for _ in 0..20 {
+        run().await;
+        if !paused.received().is_empty() {
+            break;
+        }
+    }
+    assert_eq!(paused.received().len(), 1);
+    sleep(Duration::from_millis(600)).await;
+    let reports = paused.report_requests();
+    for _ in 0..5 {
+        run().await;
+    }
+    assert_eq!(paused.received().len(), 1);
+    assert_eq!(paused.report_requests(), reports);
+}
+
+#[tokio::test]
+async fn a_time_to_wait_that_is_no_number_of_seconds_changes_nothing() {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    let service = name::Service::new("plain");
+    for text in [
+        "Fri, 04 Dec 2026 08:00:00 GMT",
+        "-3",
+        "soon",
+        "",
+        "1e9",
+        ".",
+    ] {
+        pause(&daemon, &platform.plain[0], text).await;
+        let now = daemon.context().now();
+        let usable = daemon.context().state().stage_targets(&service, now).len();
+        assert_eq!(usable, 2, "{text}");
+    }
+    // Only a target that turns a request away asks for a pause.
+    platform.plain[0].add_headers(&[("Retry-After", "30")]);
+    for _ in 0..20 {
+        assert_eq!(status(&daemon, "/read/").await, Some(200));
+    }
+    let now = daemon.context().now();
+    let usable = daemon.context().state().stage_targets(&service, now).len();
+    assert_eq!(usable, 2);
+}
