Bound the changes that one call between daemons returns

Change: a reply has the changes up to the revision at which they fill 64 KiB, and the caller goes on from there. A replica that has nothing gets its first contents so, too; a full copy remains where tombstones were dropped, and is not bounded.

--- a/crates/kernel/src/fleet/chunks.rs
+++ b/crates/kernel/src/fleet/chunks.rs
@@ -15,7 +15,7 @@
 
 /// Values of at least this many bytes are passed on in chunks.
 pub const LARGE_VALUE_MIN: usize = 32 << 10;
-/// The largest number of bytes of the chunks in one call. A link of 10 Mbit/s
+/// The largest number of bytes of the chunks or small entries in one call. A link of 10 Mbit/s
 /// carries them in 52 ms, so that other messages do not wait long.
 pub const CALL_BYTES_MAX: usize = 64 << 10;
 
--- a/crates/kernel/src/fleet/mirror.rs
+++ b/crates/kernel/src/fleet/mirror.rs
@@ -169,29 +169,76 @@
             .map(|entry| entry.key.as_str())
     }
 
-    /// Returns the changes since revision `after`, or a full copy if tombstones
-    /// since then were dropped. Large values are outlined.
+    /// Returns the first changes since revision `after`, of about [`chunks::CALL_BYTES_MAX`], or
+    /// a full copy if tombstones since then were dropped. Large values are outlined.
     #[must_use]
     pub fn changes(&self, after: Revision) -> Changes {
-        let is_whole = after < self.trimmed || after == Revision::default();
-        let is_included = |revision: Revision| is_whole || revision > after;
-        let entries = self.entries.iter().filter(|entry| {
-            is_included(entry.revision)
-                && self.find_outline(&entry.key).is_err()
-                && self.find_partial(&entry.key).is_err()
-        });
-        let outlines = self.outlines.iter();
-        let outlines = outlines.filter(|outline| self.find_partial(&outline.key).is_err());
-        let outlines = outlines.chain(self.partials.iter().map(Partial::outline));
-        let outlines = outlines.filter(|outline| is_included(outline.revision));
+        // A replica that has nothing needs no tombstones.
+        let is_whole = after < self.trimmed && after > Revision::default();
+        let through = if is_whole {
+            self.through
+        } else {
+            self.first_changes_end(after)
+        };
+        let is_included =
+            |revision: Revision| is_whole || (after < revision && revision <= through);
+        let entries = self.small_entries();
+        let outlines = self.current_outlines();
         Changes {
-            entries: entries.cloned().collect(),
-            outlines: outlines.cloned().collect(),
-            through: self.through,
+            entries: entries
+                .filter(|entry| is_included(entry.revision))
+                .cloned()
+                .collect(),
+            outlines: outlines
+                .filter(|outline| is_included(outline.revision))
+                .cloned()
+                .collect(),
+            through,
             is_whole,
         }
     }
 
+    /// Returns the revision up to which the changes after `after` fit into a call, at
+    /// least one if there is any.
+    fn first_changes_end(&self, after: Revision) -> Revision {
+        let entries = self.small_entries().map(|entry| {
+            let value = entry.value.as_ref().map_or(0, Vec::len);
+            (entry.revision, entry.key.len() + value)
+        });
+        let outlines = self.current_outlines();
+        let outlines =
+            outlines.map(|outline| (outline.revision, size_of_val(outline.chunks.as_slice())));
+        let changes = entries.chain(outlines);
+        let mut changes: Vec<(Revision, usize)> =
+            changes.filter(|(revision, _)| *revision > after).collect();
+        changes.sort_unstable();
+        let mut end = None;
+        let mut bytes = 0;
+        for (revision, size) in changes {
+            bytes += size;
+            // Entries of one revision go together.
+            match end {
+                Some(end) if bytes > chunks::CALL_BYTES_MAX && revision > end => return end,
+                _ => end = Some(revision),
+            }
+        }
+        self.through
+    }
+
+    /// Returns the entries that are passed on whole.
+    fn small_entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().filter(|entry| {
+            self.find_outline(&entry.key).is_err() && self.find_partial(&entry.key).is_err()
+        })
+    }
+
+    /// Returns the outline of the newest known value of each large entry.
+    fn current_outlines(&self) -> impl Iterator<Item = &Outline> {
+        let whole = self.outlines.iter();
+        let whole = whole.filter(|outline| self.find_partial(&outline.key).is_err());
+        whole.chain(self.partials.iter().map(Partial::outline))
+    }
+
     /// Removes the entries that a full copy does not list.
     fn remove_unlisted(&mut self, copy: &Changes, changed_keys: &mut Vec<CompactString>) {
         let entries = copy.entries.iter().map(|entry| entry.key.as_str());
--- a/crates/kernel/tests/direct/chunks.rs
+++ b/crates/kernel/tests/direct/chunks.rs
@@ -186,3 +186,38 @@
     })
     .budget_ms(500);
 }
+
+#[test]
+fn a_daemon_that_is_far_behind_catches_up_in_bounded_calls() {
+    let mut source = Mirror::default();
+    for number in 0..3_300 {
+        let key = format!("servers/{number}");
+        let content = value(number, 250);
+        source.apply(changes(
+            vec![entry(&key, Some(content), number + 2)],
+            number + 2,
+        ));
+    }
+    source.apply(changes(
+        vec![entry("a", Some(value(1, 500_000)), 4_000)],
+        4_000,
+    ));
+    let mut copy = Mirror::default();
+    let mut calls = 0;
+    while copy.through() < source.through() {
+        let page = source.changes(copy.through());
+        let sizes = page.entries.iter();
+        let sizes = sizes.map(|entry| entry.value.as_ref().map_or(0, Vec::len));
+        assert!(sizes.sum::<usize>() <= chunks::CALL_BYTES_MAX);
+        assert!(page.through > copy.through());
+        copy.apply(page);
+        calls += 1;
+    }
+    assert!((13..=16).contains(&calls), "{calls} calls");
+    fetch_all(&mut copy, &source);
+    for number in 0..3_300 {
+        let key = format!("servers/{number}");
+        assert_eq!(copy.get(&key), source.get(&key));
+    }
+    assert_eq!(copy.get("a"), source.get("a"));
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -361,7 +361,7 @@
     let context = context.clone();
     tokio::spawn(async move {
         if let Some(after) = after {
-            fetch::changes(&context, address, after).await;
+            fetch::changes(&context, address, theirs, after).await;
         }
         fetch::chunks(&context).await;
     });
--- a/crates/relay/src/peers/fetch.rs
+++ b/crates/relay/src/peers/fetch.rs
@@ -5,21 +5,42 @@
 use gooseberry_kernel::fleet::mirror::Revision;
 
 use crate::context::Context;
-use crate::peers::Unreachable;
 
-/// Fetches changes of the store from a peer and applies them.
-pub(super) async fn changes(context: &Context, address: SocketAddr, after: Revision) {
+/// Fetches changes of the store from a peer that has them through `theirs`, call by
+/// call, and applies them.
+pub(super) async fn changes(
+    context: &Context,
+    address: SocketAddr,
+    theirs: Revision,
+    mut after: Revision,
+) {
+    while fetch_changes(context, address, after).await {
+        let next = context.state().begin_changes_fetch(theirs, context.now());
+        match next {
+            Some(next) if next > after => after = next,
+            Some(_) => {
+                context.state().end_changes_fetch();
+                return;
+            }
+            None => return,
+        }
+    }
+}
+
+/// Makes one call for changes, and applies them. Returns whether it succeeded.
+async fn fetch_changes(context: &Context, address: SocketAddr, after: Revision) -> bool {
     let begun = context.now();
     let changes = context.peers.changes(address, after).await;
     context.metrics.peer_fetch("changes", changes.is_ok());
     let now = context.now();
     let mut state = context.state();
     state.end_changes_fetch();
-    match changes {
-        Ok(changes) => state.apply_changes(changes.into(), &address.to_string(), now),
-        Err(Unreachable) => {
-            log::warn!(peer:% = address, after = after.0, took_ms = (now - begun).0; "changes of the store were not fetched from a peer");
-        }
+    if let Ok(changes) = changes {
+        state.apply_changes(changes.into(), &address.to_string(), now);
+        true
+    } else {
+        log::warn!(peer:% = address, after = after.0, took_ms = (now - begun).0; "changes of the store were not fetched from a peer");
+        false
     }
 }
 
