Read a large value from the store if no peer has its chunks

Found in review of the transfer in chunks: a daemon that has only the outline of the settings watched the store from the revision of that outline, which never brings them. If all daemons that have the chunks are lost at that moment, as in a kill of many, the former settings would stay in force until the next change.

Change: the watch begins at the revision up to which all values are whole.

Measured: settings_whose_chunks_no_peer_has_are_read_from_the_store failed before (not within 6 s, bound 3 s) and passes.

--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -201,6 +201,12 @@
         self.mirror.through()
     }
 
+    /// Returns the store's revision up to which the daemon has all values whole.
+    #[must_use]
+    pub fn whole_through(&self) -> Revision {
+        self.mirror.whole_through()
+    }
+
     /// Returns the changes after a revision, for a peer.
     #[must_use]
     pub fn changes(&self, after: Revision) -> Changes {
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -39,7 +39,8 @@
             sleep(READ_INTERVAL_MIN).await;
             continue;
         }
-        let after = context.state().through();
+        // Values of which chunks are missing come with the watch, too.
+        let after = context.state().whole_through();
         let read = if is_full_read_due || after == Revision::default() {
             store.read_all().await.map(WatchResult::Changes)
         } else {
--- a/crates/relay/tests/direct/distribution.rs
+++ b/crates/relay/tests/direct/distribution.rs
@@ -3,6 +3,9 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
+use gooseberry_kernel::fleet::chunks::Outline;
+use gooseberry_kernel::fleet::mirror::Changes;
+use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::name;
 use gooseberry_platform_standin::store;
@@ -137,3 +140,26 @@
     let took = time_until(SETTINGS_TIME, || version(&daemon) == 2).await;
     assert!(took < SETTINGS_TIME, "the settings took {took:?}");
 }
+
+/// The peers that told of the settings are lost before they have passed them on.
+#[tokio::test]
+async fn settings_whose_chunks_no_peer_has_are_read_from_the_store() {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    platform.store.set_mode(store::Mode::Busy);
+    let large = settings(2, 500);
+    platform.store.put("op/config", &large);
+    let revision = Revision(daemon.context().state().through().0 + 1);
+    let outline = Outline::of(&"op/config".into(), revision, large.as_bytes());
+    let told = Changes {
+        entries: Vec::new(),
+        outlines: vec![outline],
+        through: revision,
+        is_whole: false,
+    };
+    let now = daemon.context().now();
+    daemon.context().state().apply_changes(told, "test", now);
+    platform.store.set_mode(store::Mode::Normal);
+    let took = time_until(SETTINGS_TIME, || version(&daemon) == 2).await;
+    assert!(took < SETTINGS_TIME, "the settings took {took:?}");
+}
