--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -30,10 +30,12 @@
         return Ok(job);
     }
     let versions = context.state().versions(&job.service.name, context.now());
-    let attempt = job.head.resumed_attempt.clone().unwrap_or_default();
-    let mut origin = context.state().origins().get(&attempt).cloned();
-    if stream_origin::resumption(origin.as_ref(), &versions) == Resumption::Unknown {
-        origin = ask_backups(context, &attempt).await;
+    let mut origin = None;
+    if let Some(attempt) = &job.head.resumed_attempt {
+        origin = context.state().origins().get(attempt).cloned();
+        if stream_origin::resumption(origin.as_ref(), &versions) == Resumption::Unknown {
+            origin = ask_backups(context, attempt).await;
+        }
     }
     match stream_origin::resumption(origin.as_ref(), &versions) {
         Resumption::Anywhere => {}
@@ -48,7 +50,7 @@
         Resumption::Unknown => {
             log::info!(
                 request:% = job.head.attempt,
-                resumes:% = attempt,
+                resumes:% = job.head.resumed_attempt.unwrap_or_default(),
                 versions:? = versions;
                 "refused: it is not known at which version the stream began"
             );
