Log the rate limits that targets name in their answers

No log line of the incident has the limit that a target names, so the logs could not tell a limit that is not read from one that each daemon keeps for itself.

Change: the answers of targets are read for a rate limit, and a daemon logs the first answer with it, each other value, and its end. Nothing is decided by the limit yet.

--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -5,10 +5,12 @@
 //! - [`health`] avoids targets whose calls fail.
 //! - [`cold_rate`] limits the rate at which a cold target gets requests.
 //! - [`notice`] holds what targets say in their answers about the work they want.
+//! - [`rate_limit`] holds the rate limits that targets name in their answers.
 //! - [`selection`] picks the target of a request.
 
 pub mod cold_rate;
 pub mod health;
 pub mod notice;
+pub mod rate_limit;
 pub mod registry;
 pub mod selection;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,6 +13,7 @@
 use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::target::rate_limit::Change;
 use gooseberry_platform::target;
 use http::HeaderMap;
 use http::Request;
@@ -220,6 +221,9 @@
             log::warn!(target:% = target, text:%; "an answer's word on leaving is ignored: it has no meaning");
         }
     }
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        record_rate_limit(context, target, status, headers);
+    }
     match target::read_pause(status, headers) {
         Ok(None) => {}
         Ok(Some(pause)) => {
@@ -233,6 +237,33 @@
     }
 }
 
+/// Records the rate limit that the target names in a reply. Only a success ends an
+/// earlier one, since an error may not come from the target itself.
+fn record_rate_limit(
+    context: &Context,
+    target: &name::Target,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let rate = match target::read_rate_limit(headers) {
+        Ok(None) if !status.is_success() => return,
+        Ok(rate) => rate,
+        Err(text) => {
+            log::warn!(target:% = target, text:%; "an answer's rate limit is ignored: it is not a number");
+            return;
+        }
+    };
+    match context.state().record_rate_limit(target, rate) {
+        None => {}
+        Some(Change::Named(rate)) => {
+            log::info!(target:% = target, per_second:% = rate; "a target limits the rate of its requests");
+        }
+        Some(Change::Ended) => {
+            log::info!(target:% = target; "a target no longer limits the rate of its requests");
+        }
+    }
+}
+
 /// Checks that the target has not asked for a pause since it was chosen.
 fn check_not_paused(context: &Context, target: &name::Target) -> Result<(), Error> {
     match context.state().paused_until(target, context.now()) {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -31,6 +31,7 @@
 use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::target::cold_rate::ColdRateLimiter;
 use gooseberry_kernel::target::health::Health;
+use gooseberry_kernel::target::rate_limit::RateLimits;
 use gooseberry_kernel::target::registry::TargetRegistry;
 use gooseberry_platform::boot::Boot;
 use gooseberry_platform::target::Load;
@@ -75,6 +76,7 @@
     members: membership::Membership,
     health: Health,
     cold_rate_limiter: ColdRateLimiter,
+    rate_limits: RateLimits,
     retry_budget: RetryBudget,
     suspects: Suspects,
     /// Where streams began.
@@ -157,6 +159,7 @@
             }),
             health: Health::default(),
             cold_rate_limiter: ColdRateLimiter::default(),
+            rate_limits: RateLimits::default(),
             retry_budget: RetryBudget::new(boot.retry_budget),
             suspects: Suspects::default(),
             origins: Origins::default(),
@@ -237,6 +240,8 @@
         self.health.retain(|target| targets.get(target).is_some());
         self.cold_rate_limiter
             .retain(|target| targets.get(target).is_some());
+        self.rate_limits
+            .retain(|target| targets.get(target).is_some());
         self.usages
             .retain(|usage| usage.in_flight > 0 || targets.get(&usage.target).is_some());
     }
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -9,6 +9,8 @@
 use gooseberry_kernel::request::routing_table::ServiceKind;
 use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::target::cold_rate;
+use gooseberry_kernel::target::rate_limit;
+use gooseberry_kernel::target::rate_limit::Rate;
 use gooseberry_kernel::target::registry::RegisteredTarget;
 use gooseberry_kernel::target::selection;
 use gooseberry_kernel::target::selection::Candidate;
@@ -71,6 +73,17 @@
         self.targets.record_pause(target, pause, now)
     }
 
+    /// Records the rate limit that an answer of a target names, if any; returns what
+    /// has changed.
+    pub fn record_rate_limit(
+        &mut self,
+        target: &name::Target,
+        rate: Option<Rate>,
+    ) -> Option<rate_limit::Change> {
+        let listed = self.targets.get(target)?;
+        self.rate_limits.observe(&listed.target, rate)
+    }
+
     /// Returns until when a target wants no work; `None` if it wants some or is
     /// unknown.
     #[must_use]
