Tests: targets that limit the rate of their requests, failing

Three daemons send 50 requests a second to a service of two targets, one of which names a limit of 1.2 a second.

--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod notices;
 mod platform;
+mod rate_limits;
 mod slow_link;
 mod stages;
 mod streams;
