Keep the rate limits that targets name, over the whole fleet

Callers saw: a target in need that named a limit of 1.3 requests a second went on getting as many as before, 16 in 4 s from daemons that it had told, for 13.

Cause: nothing read the limit. The class is a limit of the whole fleet without an owner: each daemon would have to know it and keep a part of it, and none did.

Change: target::rate_limit holds the limit of each run of a target. A few daemons, by rendezvous hashing, share the rate, so that the shares add up to it in a fleet of any size and each gets a request at least every 2 s; the others leave the target out. A share is spent from an allowance that is empty at first, since a daemon that has just got it cannot know what others, or its own former process, have sent. Greetings pass limits and their ends on: in a large fleet most daemons have not called the target for a while. Calls to stage targets go through the same allowance, all of it at the dispatcher; a target with a limit is not queried for its memory. If all targets of a service have limits, a request books the first place in time and is refused at once if there is none, with the time until the next one.

State's parts of limits are now in state::share, and the exchange of greetings in peers::greeting.

--- a/crates/kernel/src/target/cold_rate.rs
+++ b/crates/kernel/src/target/cold_rate.rs
@@ -8,7 +8,7 @@
 //! recently.
 
 use crate::clock::Millis;
-use crate::hash;
+use crate::fleet::share;
 use crate::name;
 
 /// The window over which sends are counted.
@@ -43,11 +43,7 @@
     if rate >= fleet_size {
         return rate / fleet_size;
     }
-    let weight =
-        |member: &name::Member| hash::mix(hash::text(target.as_str()), hash::text(member.as_str()));
-    let own_weight = weight(me);
-    let ahead = members.iter().filter(|member| weight(member) > own_weight);
-    usize::from(ahead.count() < rate)
+    usize::from(share::position(target, me, members) < rate)
 }
 
 impl ColdRateLimiter {
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod notice;
 mod plan;
 mod prior_wait;
+mod rate_limit;
 mod registry;
 mod retry_budget;
 mod routing_table;
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -260,6 +260,9 @@
     let Some(address) = context.state().address(&call.target) else {
         return CallOutcome::Refused;
     };
+    if !context.state().try_take_call(&call.target, now) {
+        return CallOutcome::Refused;
+    }
     let callee = Callee::of_stage(call.target.clone(), address);
     let request = match stage_call::run_request(call, &address.to_string(), now) {
         Ok(request) => request,
--- a/crates/relay/src/dispatcher/result_memory.rs
+++ b/crates/relay/src/dispatcher/result_memory.rs
@@ -50,6 +50,8 @@
     }
 }
 
+/// Queries one target; the calls that a target with a rate limit takes are left for
+/// pieces.
 async fn query_target(
     context: &Arc<Context>,
     spec: BatchSpec,
@@ -57,6 +59,9 @@
 ) -> Option<TargetReport> {
     let address = context.state().address(target)?;
     let callee = Callee::of_stage(target.clone(), address);
+    if context.state().has_rate_limit(target) {
+        return None;
+    }
     let request = stage_call::memory_report_request(&address.to_string(), target).ok()?;
     let query = timeout(USAGE_QUERY_TIMEOUT, async {
         let mut exchange = Exchange::begin(context, &callee, request).await.ok()?;
@@ -109,6 +114,9 @@
     address: SocketAddr,
     handles: &[name::Handle],
 ) {
+    if !context.state().try_take_call(&target, context.now()) {
+        return;
+    }
     let callee = Callee::of_stage(target, address);
     let Ok(request) = stage_call::free_request(handles, &address.to_string(), &callee.target)
     else {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -253,7 +253,8 @@
             return;
         }
     };
-    match context.state().record_rate_limit(target, rate) {
+    let now = context.now();
+    match context.state().record_rate_limit(target, rate, now) {
         None => {}
         Some(Change::Named(rate)) => {
             log::info!(target:% = target, per_second:% = rate; "a target limits the rate of its requests");
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -123,6 +123,21 @@
                 Pick::Paused(until) if until >= self.answer_due() => {
                     return Err(Failure::from(Kind::QueueFull).with_retry_after(until - now));
                 }
+                Pick::NoShare => {
+                    self.context.metrics.rate_limited("refused");
+                    log::info!(request:% = self.job.head.attempt, service:% = self.job.service.name; "refused: all targets limit their rate, and other daemons have the shares");
+                    return Err(Kind::QueueFull.into());
+                }
+                Pick::Booked(picked, at) => {
+                    self.context.metrics.rate_limited("booked");
+                    sleep(Duration::from_millis((at - now).0)).await;
+                    let now = self.context.now();
+                    let service = &self.job.service;
+                    let mut state = self.context.state();
+                    if state.begin_booked(&picked.target, service, now) {
+                        return Ok(picked);
+                    }
+                }
                 Pick::Wait | Pick::Paused(_) => sleep(PICK_RETRY_DELAY).await,
             }
         }
@@ -145,6 +160,7 @@
             affinity: self.job.head.shared_prefix_hash,
             tried,
             draw: self.job.draw(),
+            due: self.answer_due(),
         }
     }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -22,6 +22,7 @@
     registry: Registry,
     requests: IntCounterVec,
     retries: IntCounterVec,
+    rate_limited: IntCounterVec,
     pieces: IntCounterVec,
     store: IntCounterVec,
     peer_fetches: IntCounterVec,
@@ -53,6 +54,11 @@
             "Requests that were sent again, by reason.",
             &["reason"],
         )?;
+        let rate_limited = counters(
+            "gooseberry_relay_rate_limited_total",
+            "Requests all of whose targets limit the rate of their requests.",
+            &["end"],
+        )?;
         let pieces = counters(
             "gooseberry_relay_pieces_total",
             "Pieces that this daemon dispatched, by what became of them.",
@@ -90,6 +96,7 @@
             registry,
             requests,
             retries,
+            rate_limited,
             pieces,
             store,
             peer_fetches,
@@ -118,6 +125,12 @@
         self.retries.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a request all of whose targets limit the rate of their requests; `end`
+    /// says whether it got a place at one of them.
+    pub fn rate_limited(&self, end: &str) {
+        self.rate_limited.with_label_values(&[end]).inc();
+    }
+
     /// Counts dispatched pieces; `end` says how their call ended. A group that
     /// expired in the queue counts as one.
     pub fn pieces(&self, end: &str, count: usize) {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,33 +2,29 @@
 //! the store's revision. Other calls fetch changes of the store, have the
 //! dispatcher of a service run a group of pieces, and free results there.
 //!
+//! - `greeting` exchanges greetings.
 //! - `fetch` fetches the store's contents from peers.
 //! - `server` answers the calls of peers.
 
 mod fetch;
+mod greeting;
 mod server;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
-use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::fetch::CALL_TIMEOUT;
-use gooseberry_kernel::fleet::membership;
-use gooseberry_kernel::fleet::membership::MemberChange;
 use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
-use gooseberry_kernel::quarantine;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::group;
 use gooseberry_runtime::control_stream;
 use gooseberry_runtime::control_stream::Counters;
-use gooseberry_wire::control::Suspect;
 use gooseberry_wire::fleet;
 use gooseberry_wire::fleet::Changes;
 use gooseberry_wire::fleet::FleetClient;
@@ -37,13 +33,13 @@
 use gooseberry_wire::fleet::Unmade;
 use tarpc::client;
 use tarpc::context;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use tokio::time::timeout;
 
 use crate::context::Context;
 use crate::dispatcher::GroupOutput;
 use crate::dispatcher::ResultOwner;
+pub use crate::peers::greeting::greet_all;
+pub use crate::peers::greeting::greet_periodically;
 pub use crate::peers::server::serve;
 
 /// How long it may take to connect to a peer, and how long a peer may take to
@@ -53,8 +49,6 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(CALL_TIMEOUT.0);
 /// How often a waiting call checks whether its peer is still alive.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// How many suspects a greeting carries at most.
-const SUSPECTS_MAX: usize = 8;
 /// The error of a call to a peer that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unreachable;
@@ -248,125 +242,6 @@
     }
 }
 
-/// Greets peers periodically, for as long as the process runs, and logs those
-/// that fall silent.
-pub async fn greet_periodically(context: Arc<Context>) {
-    let mut ticks = interval(Duration::from_millis(membership::GREET_INTERVAL.0));
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-    let mut last_tick = context.now();
-    loop {
-        ticks.tick().await;
-        let now = context.now();
-        let mut due = {
-            let mut state = context.state();
-            let members = state.members();
-            for name in members.silent_since(last_tick, now) {
-                log::warn!(member:% = name; "a peer fell silent");
-            }
-            members.next_greetings(now)
-        };
-        last_tick = now;
-        // With fewer peers due than there are seeds, the seeds are greeted too:
-        // they may know daemons that do not know this one.
-        if due.len() < context.boot.seeds.len() {
-            due.extend(context.boot.seeds.iter().copied());
-        }
-        due.retain(|address| *address != context.boot.peer_address);
-        due.sort_unstable();
-        due.dedup();
-        for address in due {
-            let context = context.clone();
-            tokio::spawn(async move { greet_peer(&context, address).await });
-        }
-    }
-}
-
-/// Greets every live peer at once, as after a change of the store or when this
-/// daemon begins to shut down.
-pub async fn greet_all(context: &Arc<Context>) {
-    let live: Vec<SocketAddr> = {
-        let now = context.now();
-        let mut state = context.state();
-        state.members().live_addresses(now)
-    };
-    let calls = live.into_iter().map(|address| greet_peer(context, address));
-    futures::future::join_all(calls).await;
-}
-
-/// Greets a peer, and applies the greeting that it replies with.
-async fn greet_peer(context: &Arc<Context>, address: SocketAddr) {
-    let greeting = greeting(context);
-    if let Ok(reply) = context.peers.greet(address, greeting).await {
-        apply_greeting(context, reply);
-    }
-}
-
-/// Returns this daemon's current greeting.
-fn greeting(context: &Context) -> Greeting {
-    let now = context.now();
-    let waits = context.dispatcher.waits(context, now);
-    let mut state = context.state();
-    for wait in &waits {
-        state.record_wait(wait.clone(), now);
-    }
-    let suspects = state.suspects().newest_uncleared(SUSPECTS_MAX, now);
-    let (through, confirmed_age) = state.announcement(now);
-    Greeting {
-        from: state.members().me().into(),
-        others: state
-            .members()
-            .states_for_greeting(now)
-            .iter()
-            .map(Into::into)
-            .collect(),
-        through: through.0,
-        confirmed_ms: confirmed_age.0,
-        waits: waits.iter().map(Into::into).collect(),
-        suspects: suspects.iter().map(Suspect::from).collect(),
-    }
-}
-
-/// Merges a peer's greeting into the state, and starts to fetch what the peer has of
-/// the store and this daemon lacks.
-fn apply_greeting(context: &Arc<Context>, greeting: Greeting) {
-    let now = context.now();
-    let address = greeting.from.address;
-    let mut state = context.state();
-    let direct = state.members().update_direct(greeting.from.into(), now);
-    let others = greeting.others.into_iter();
-    let relayed = others.filter_map(|member| state.members().update_relayed(member.into(), now));
-    for change in direct.into_iter().chain(relayed.collect::<Vec<_>>()) {
-        if let MemberChange::Found(name) = change {
-            log::info!(member:% = name; "a peer was discovered");
-        }
-    }
-    for wait in greeting.waits {
-        state.record_wait(wait.into(), now);
-    }
-    let suspects = greeting.suspects.into_iter().map(quarantine::Suspect::from);
-    let suspects: Vec<quarantine::Suspect> = suspects.collect();
-    state.suspects().merge(&suspects, now);
-    state.record_confirmation(
-        Revision(greeting.through),
-        Millis(greeting.confirmed_ms),
-        now,
-    );
-    let theirs = Revision(greeting.through);
-    let is_chunk_missing = state.add_chunk_source(address, theirs);
-    let after = state.begin_changes_fetch(theirs, now);
-    drop(state);
-    if after.is_none() && !is_chunk_missing {
-        return;
-    }
-    let context = context.clone();
-    tokio::spawn(async move {
-        if let Some(after) = after {
-            fetch::changes(&context, address, theirs, after).await;
-        }
-        fetch::chunks(&context).await;
-    });
-}
-
 /// Returns a call context whose deadline is `limit` from now.
 fn with_timeout(limit: Duration) -> context::Context {
     let mut context = context::current();
--- /dev/null
+++ b/crates/relay/src/peers/greeting.rs
@@ -0,0 +1,148 @@
+//! Greets peers periodically and merges their greetings into the state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::membership;
+use gooseberry_kernel::fleet::membership::MemberChange;
+use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::quarantine;
+use gooseberry_wire::control::Suspect;
+use gooseberry_wire::fleet::Greeting;
+use gooseberry_wire::fleet::RateLimit;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::context::Context;
+use crate::peers::fetch;
+
+/// How many suspects a greeting carries at most.
+const SUSPECTS_MAX: usize = 8;
+
+/// Greets peers periodically, for as long as the process runs, and logs those
+/// that fall silent.
+pub async fn greet_periodically(context: Arc<Context>) {
+    let mut ticks = interval(Duration::from_millis(membership::GREET_INTERVAL.0));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut last_tick = context.now();
+    loop {
+        ticks.tick().await;
+        let now = context.now();
+        let mut due = {
+            let mut state = context.state();
+            let members = state.members();
+            for name in members.silent_since(last_tick, now) {
+                log::warn!(member:% = name; "a peer fell silent");
+            }
+            members.next_greetings(now)
+        };
+        last_tick = now;
+        // With fewer peers due than there are seeds, the seeds are greeted too:
+        // they may know daemons that do not know this one.
+        if due.len() < context.boot.seeds.len() {
+            due.extend(context.boot.seeds.iter().copied());
+        }
+        due.retain(|address| *address != context.boot.peer_address);
+        due.sort_unstable();
+        due.dedup();
+        for address in due {
+            let context = context.clone();
+            tokio::spawn(async move { greet_peer(&context, address).await });
+        }
+    }
+}
+
+/// Greets every live peer at once, as after a change of the store or when this
+/// daemon begins to shut down.
+pub async fn greet_all(context: &Arc<Context>) {
+    let live: Vec<SocketAddr> = {
+        let now = context.now();
+        let mut state = context.state();
+        state.members().live_addresses(now)
+    };
+    let calls = live.into_iter().map(|address| greet_peer(context, address));
+    futures::future::join_all(calls).await;
+}
+
+/// Greets a peer, and applies the greeting that it replies with.
+async fn greet_peer(context: &Arc<Context>, address: SocketAddr) {
+    let greeting = greeting(context);
+    if let Ok(reply) = context.peers.greet(address, greeting).await {
+        apply_greeting(context, reply);
+    }
+}
+
+/// Returns this daemon's current greeting.
+pub(super) fn greeting(context: &Context) -> Greeting {
+    let now = context.now();
+    let waits = context.dispatcher.waits(context, now);
+    let mut state = context.state();
+    for wait in &waits {
+        state.record_wait(wait.clone(), now);
+    }
+    let suspects = state.suspects().newest_uncleared(SUSPECTS_MAX, now);
+    let rate_limits = state.rate_limits_for_greeting();
+    let (through, confirmed_age) = state.announcement(now);
+    Greeting {
+        from: state.members().me().into(),
+        others: state
+            .members()
+            .states_for_greeting(now)
+            .iter()
+            .map(Into::into)
+            .collect(),
+        through: through.0,
+        confirmed_ms: confirmed_age.0,
+        waits: waits.iter().map(Into::into).collect(),
+        suspects: suspects.iter().map(Suspect::from).collect(),
+        rate_limits: rate_limits
+            .iter()
+            .map(|limit| RateLimit::new(limit, now))
+            .collect(),
+    }
+}
+
+/// Merges a peer's greeting into the state, and starts to fetch what the peer has of
+/// the store and this daemon lacks.
+pub(super) fn apply_greeting(context: &Arc<Context>, greeting: Greeting) {
+    let now = context.now();
+    let address = greeting.from.address;
+    let mut state = context.state();
+    let direct = state.members().update_direct(greeting.from.into(), now);
+    let others = greeting.others.into_iter();
+    let relayed = others.filter_map(|member| state.members().update_relayed(member.into(), now));
+    for change in direct.into_iter().chain(relayed.collect::<Vec<_>>()) {
+        if let MemberChange::Found(name) = change {
+            log::info!(member:% = name; "a peer was discovered");
+        }
+    }
+    for wait in greeting.waits {
+        state.record_wait(wait.into(), now);
+    }
+    let suspects = greeting.suspects.into_iter().map(quarantine::Suspect::from);
+    let suspects: Vec<quarantine::Suspect> = suspects.collect();
+    state.suspects().merge(&suspects, now);
+    let limits = greeting.rate_limits.into_iter();
+    state.merge_rate_limits(limits.map(|limit| limit.decode(now)));
+    state.record_confirmation(
+        Revision(greeting.through),
+        Millis(greeting.confirmed_ms),
+        now,
+    );
+    let theirs = Revision(greeting.through);
+    let is_chunk_missing = state.add_chunk_source(address, theirs);
+    let after = state.begin_changes_fetch(theirs, now);
+    drop(state);
+    if after.is_none() && !is_chunk_missing {
+        return;
+    }
+    let context = context.clone();
+    tokio::spawn(async move {
+        if let Some(after) = after {
+            fetch::changes(&context, address, theirs, after).await;
+        }
+        fetch::chunks(&context).await;
+    });
+}
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -22,8 +22,8 @@
 use tokio::task::JoinSet;
 
 use crate::context::Context;
-use crate::peers::apply_greeting;
-use crate::peers::greeting;
+use crate::peers::greeting::apply_greeting;
+use crate::peers::greeting::greeting;
 
 /// Accepts connections of peers and answers their calls, for as long as the
 /// process runs.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,9 +5,11 @@
 //!
 //! - `store` applies the settings and targets that the platform publishes.
 //! - `target` picks the target of a request, and counts requests in flight.
+//! - `share` computes this daemon's parts of limits of the whole fleet.
 //! - `stage` knows the dispatchers and targets of stage services, and how long
 //!   pieces wait at them.
 
+mod share;
 mod stage;
 mod store;
 mod target;
@@ -28,6 +30,7 @@
 use gooseberry_kernel::request::retry_budget::RetryBudget;
 use gooseberry_kernel::request::routing_table::RoutingTable;
 use gooseberry_kernel::request::routing_table::Service;
+use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::target::cold_rate::ColdRateLimiter;
 use gooseberry_kernel::target::health::Health;
@@ -104,8 +107,14 @@
     Target(PickedTarget),
     /// All usable targets are cold or full; one may have capacity soon.
     Wait,
-    /// All targets that have not been tried have asked for no work; the first of these
-    /// pauses ends then.
+    /// All usable targets limit the rate of their requests. The request has a place at
+    /// this target and may be sent at that time.
+    Booked(PickedTarget, Millis),
+    /// All usable targets limit the rate of their requests, and other daemons have the
+    /// shares.
+    NoShare,
+    /// All targets that have not been tried have asked for no work, or have a limit that
+    /// is used up until after the request is due; the first may take work then.
     Paused(Millis),
     /// The service has no usable target that has not been tried.
     NoTarget,
@@ -124,6 +133,8 @@
     pub tried: &'a [name::Target],
     /// The request's random number.
     pub draw: u64,
+    /// By when the request must be sent to be of any use.
+    pub due: Millis,
 }
 
 /// A target that was picked for a request.
@@ -139,6 +150,17 @@
     pub version: name::Version,
 }
 
+impl From<&Target> for PickedTarget {
+    fn from(target: &Target) -> Self {
+        Self {
+            target: target.name.clone(),
+            address: target.address,
+            domain: target.domain.clone(),
+            version: target.version.clone(),
+        }
+    }
+}
+
 impl State {
     /// Creates a view that contains nothing but this daemon itself.
     #[must_use]
@@ -241,9 +263,10 @@
         self.cold_rate_limiter
             .retain(|target| targets.get(target).is_some());
         self.rate_limits
-            .retain(|target| targets.get(target).is_some());
+            .expire(|target| targets.get(target).is_some(), now);
         self.usages
             .retain(|usage| usage.in_flight > 0 || targets.get(&usage.target).is_some());
+        self.update_rate_shares(now);
     }
 
     /// Returns the failure domains that operators have taken out of service.
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -13,6 +13,7 @@
 use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_kernel::request::routing_table::ServiceKind;
 use gooseberry_kernel::stage::batch_queue::StageTarget;
+use gooseberry_kernel::target::registry::RegisteredTarget;
 
 use crate::state::State;
 
@@ -21,7 +22,14 @@
     #[must_use]
     pub fn stage_targets(&self, service: &name::Service, now: Millis) -> Vec<StageTarget> {
         let usable = self.targets.usable(service, &self.taken_out, now);
-        let targets = usable.map(|listed| StageTarget {
+        // The largest size that was recently seen matters for requests only.
+        let shares = self.shares(1, now);
+        let is_due = |listed: &&RegisteredTarget| {
+            let share = shares.of_rate(&listed.target);
+            let next_send = self.rate_limits.next_send(&listed.target, share, now);
+            next_send.is_due(now)
+        };
+        let targets = usable.filter(is_due).map(|listed| StageTarget {
             name: listed.target.name.clone(),
             domain: listed.target.domain.clone(),
             is_avoided: self.health.is_avoided(&listed.target.name, now),
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -1,6 +1,5 @@
 //! Picks the target of a request, and counts the requests in flight at targets.
 
-use std::cell::OnceCell;
 use std::net::SocketAddr;
 
 use gooseberry_kernel::clock::Millis;
@@ -8,8 +7,8 @@
 use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::routing_table::ServiceKind;
 use gooseberry_kernel::request::routing_table::Target;
-use gooseberry_kernel::target::cold_rate;
 use gooseberry_kernel::target::rate_limit;
+use gooseberry_kernel::target::rate_limit::Booking;
 use gooseberry_kernel::target::rate_limit::Rate;
 use gooseberry_kernel::target::registry::RegisteredTarget;
 use gooseberry_kernel::target::selection;
@@ -24,11 +23,6 @@
 
 /// How long the load that a target reported is used.
 const LOAD_AGE_MAX: Millis = Millis(1_000);
-/// How many requests a second a cold target gets from a daemon that has just
-/// started and cannot compute its share, as it does not know its peers yet.
-const COLD_SHARE_BEFORE_DISCOVERY: usize = 1;
-/// How long after its start a daemon has discovered its peers.
-const PEER_DISCOVERY_TIME: Millis = Millis(3_000);
 /// How many requests a target runs at once if it has not reported its slots.
 const SLOTS_DEFAULT: u32 = 8;
 /// The fewest connections to one target that a daemon may use.
@@ -79,9 +73,10 @@
         &mut self,
         target: &name::Target,
         rate: Option<Rate>,
+        now: Millis,
     ) -> Option<rate_limit::Change> {
         let listed = self.targets.get(target)?;
-        self.rate_limits.observe(&listed.target, rate)
+        self.rate_limits.observe(&listed.target, rate, now)
     }
 
     /// Returns until when a target wants no work; `None` if it wants some or is
@@ -109,22 +104,44 @@
         Some((found.name.clone(), address))
     }
 
-    /// Picks the target of a request and counts the request as in flight there.
+    /// Picks the target of a request and counts the request as in flight there, unless
+    /// it has to wait.
     pub fn pick(&mut self, need: Need<'_>, now: Millis) -> Pick {
         let pick = self.choose(need, now);
+        if let Pick::Target(picked) | Pick::Booked(picked, _) = &pick {
+            self.spend_rate(&picked.target, now);
+        }
         if let Pick::Target(picked) = &pick {
-            self.cold_rate_limiter.record_send(&picked.target, now);
-            self.usage_mut(&picked.target).in_flight += 1;
+            self.record_send(&picked.target, now);
         }
         pick
     }
 
+    /// Counts a request as in flight at the target at which it was booked; returns
+    /// false if the target no longer takes it.
+    pub fn begin_booked(&mut self, target: &name::Target, service: &Service, now: Millis) -> bool {
+        let limit = connection_limit(service, self.members.fleet_size(now));
+        let mut usable = self.targets.usable(&service.name, &self.taken_out, now);
+        let is_usable = usable.any(|listed| listed.target.name == *target);
+        drop(usable);
+        if !is_usable || self.in_flight(target) >= limit {
+            return false;
+        }
+        self.record_send(target, now);
+        true
+    }
+
+    fn record_send(&mut self, target: &name::Target, now: Millis) {
+        self.cold_rate_limiter.record_send(target, now);
+        self.usage_mut(target).in_flight += 1;
+    }
+
     /// Returns the failure domain in which a request would run if it were sent
     /// now; counts nothing.
     pub fn forecast_domain(&mut self, need: Need<'_>, now: Millis) -> Option<name::Domain> {
         match self.choose(need, now) {
-            Pick::Target(picked) => Some(picked.domain),
-            Pick::Wait | Pick::Paused(_) | Pick::NoTarget => None,
+            Pick::Target(picked) | Pick::Booked(picked, _) => Some(picked.domain),
+            Pick::Wait | Pick::NoShare | Pick::Paused(_) | Pick::NoTarget => None,
         }
     }
 
@@ -170,8 +187,8 @@
         self.prior_waits.estimate(route, client_timeout)
     }
 
-    /// Chooses among the usable targets that are below their connection limit
-    /// and, if cold, below this daemon's share of their cold rate.
+    /// Chooses among the usable targets that are below their connection limit and their
+    /// rate limit and, if cold, below this daemon's share of their cold rate.
     pub(super) fn choose(&mut self, need: Need<'_>, now: Millis) -> Pick {
         let service = need.service;
         let fleet_size = self.members.fleet_size(now);
@@ -190,32 +207,18 @@
             return ends.min().map_or(Pick::NoTarget, Pick::Paused);
         }
         let limit = connection_limit(service, fleet_size);
-        // Computed on first use: most picks meet no cold target.
-        let members: OnceCell<Vec<name::Member>> = OnceCell::new();
-        let live_names = || {
-            let live = self.members.live(now);
-            live.iter().map(|member| member.name.clone()).collect()
-        };
-        let share = |target: &name::Target| {
-            if now < PEER_DISCOVERY_TIME {
-                return COLD_SHARE_BEFORE_DISCOVERY;
-            }
-            let me = &self.members.me().name;
-            let members = members.get_or_init(live_names);
-            cold_rate::share(
-                service.cold_requests_per_second,
-                target,
-                me,
-                members,
-                fleet_size,
-            )
+        let shares = self.shares(fleet_size, now);
+        let next_send = |listed: &RegisteredTarget| {
+            let share = shares.of_rate(&listed.target);
+            self.rate_limits.next_send(&listed.target, share, now)
         };
         let has_capacity = |listed: &&&RegisteredTarget| {
             let target = &listed.target.name;
             let is_cold = listed.cold_until > now && service.cold_requests_per_second > 0;
-            let has_share =
-                !is_cold || self.cold_rate_limiter.recent_sends(target, now) < share(target);
-            has_share && self.in_flight(target) < limit
+            let has_share = !is_cold
+                || self.cold_rate_limiter.recent_sends(target, now)
+                    < shares.of_cold_rate(service, target);
+            has_share && self.in_flight(target) < limit && next_send(listed).is_due(now)
         };
         let available: Vec<&RegisteredTarget> =
             listed.iter().filter(has_capacity).copied().collect();
@@ -223,16 +226,18 @@
             .iter()
             .map(|listed| self.candidate(listed, service, now))
             .collect();
-        let Some(index) = selection::pick(&candidates, need.affinity, need.draw) else {
-            return Pick::Wait;
-        };
-        let target = &available[index].target;
-        Pick::Target(PickedTarget {
-            target: target.name.clone(),
-            address: target.address,
-            domain: target.domain.clone(),
-            version: target.version.clone(),
-        })
+        if let Some(index) = selection::pick(&candidates, need.affinity, need.draw) {
+            return Pick::Target(PickedTarget::from(&available[index].target));
+        }
+        let next_sends = listed
+            .iter()
+            .map(|listed| (next_send(listed), &listed.target));
+        match rate_limit::booking(next_sends) {
+            Booking::Unlimited => Pick::Wait,
+            Booking::NoShare => Pick::NoShare,
+            Booking::At(at, _) if at >= need.due => Pick::Paused(at),
+            Booking::At(at, target) => Pick::Booked(PickedTarget::from(target), at),
+        }
     }
 
     /// Returns a target with its load, the greater of the reported load and this
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -195,6 +195,7 @@
         through: 0,
         confirmed_ms: 0,
         waits: Vec::new(),
+        rate_limits: Vec::new(),
         suspects: Vec::new(),
     };
     let context = tarpc::context::current;
--- a/crates/relay/tests/direct/rate_limits.rs
+++ b/crates/relay/tests/direct/rate_limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gooseberry_kernel::name;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
@@ -95,3 +96,71 @@
     let daemons = fleet(&platform, 3).await;
     check_limit(&daemons, &platform.first[0], "/staged/").await;
 }
+
+#[tokio::test]
+async fn a_daemon_keeps_to_a_limit_that_only_its_peers_were_told() {
+    let platform = TestPlatform::start().await;
+    let daemons = fleet(&platform, 2).await;
+    let [limited, _] = &platform.plain;
+    limited.add_headers(&[("Server-Limit", LIMIT)]);
+    send_for(&daemons[..1], "/read/", Duration::from_secs(1)).await;
+    let is_told = |daemon: &Daemon| {
+        let name = name::Target::new(&limited.name);
+        daemon.context().state().has_rate_limit(&name)
+    };
+    wait_until("the peer knows the limit", || is_told(&daemons[1])).await;
+    let before = calls(limited);
+    assert_eq!(send_for(&daemons[1..], "/read/", WINDOW).await, 0);
+    let got = calls(limited) - before;
+    assert!(got <= ALLOWED, "{got} calls in {WINDOW:?}");
+}
+
+#[tokio::test]
+async fn a_target_gets_its_part_of_the_requests_again_after_its_limit() {
+    let platform = TestPlatform::start().await;
+    let daemons = fleet(&platform, 2).await;
+    let [limited, _] = &platform.plain;
+    limited.add_headers(&[("Server-Limit", LIMIT)]);
+    send_for(&daemons, "/read/", CONTACT).await;
+    limited.add_headers(&[]);
+    send_for(&daemons, "/read/", CONTACT).await;
+    let before = calls(limited);
+    send_for(&daemons, "/read/", Duration::from_secs(1)).await;
+    let got = calls(limited) - before;
+    assert!(got > 10, "{got} of 50 requests");
+}
+
+#[tokio::test]
+async fn requests_beyond_the_limits_of_all_targets_are_refused_at_once() {
+    let platform = TestPlatform::start().await;
+    let daemons = fleet(&platform, 1).await;
+    for target in &platform.plain {
+        target.add_headers(&[("Server-Limit", LIMIT)]);
+    }
+    send_for(&daemons, "/read/", CONTACT).await;
+    let mut waits = Vec::new();
+    for _ in 0..20 {
+        let address = client_address(&daemons[0]);
+        let client = ClientRequest::new("/read/");
+        waits.push(tokio::spawn(async move {
+            let since = Instant::now();
+            let answer = client.send(address).await.expect("an answer");
+            (answer, since.elapsed())
+        }));
+    }
+    let mut served = 0;
+    for wait in waits {
+        let (answer, took) = wait.await.expect("no panic");
+        assert_eq!(answer.header("Server-Limit"), "");
+        if answer.status == 200 {
+            served += 1;
+            continue;
+        }
+        assert_eq!(answer.status, 503);
+        assert!(took < Duration::from_millis(500), "{took:?}");
+        let retry_after: f64 = answer.header("Retry-After").parse().expect("a number");
+        assert!(retry_after > 0.0, "{retry_after}");
+    }
+    // Those with a place at a target wait for it, within their 1.5 s.
+    assert!((2..=6).contains(&served), "{served}");
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -18,6 +18,7 @@
 use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::stage::group;
+use gooseberry_kernel::target::rate_limit;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -63,6 +64,8 @@
     pub waits: Vec<Wait>,
     /// The requests that are suspected of crashing targets.
     pub suspects: Vec<Suspect>,
+    /// Some of the rate limits that targets have named.
+    pub rate_limits: Vec<RateLimit>,
 }
 
 /// The state of a daemon, as it publishes it itself or as others pass it on.
@@ -82,6 +85,20 @@
     pub is_leaving: bool,
 }
 
+/// The rate limit of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateLimit {
+    /// The name of the target.
+    pub target: CompactString,
+    /// When its run began, as its entry says.
+    pub started: u64,
+    /// Requests that it takes from all daemons, in thousandths a second; `None` if it
+    /// has no limit any more.
+    pub per_second_thousandths: Option<u64>,
+    /// How long ago an answer of the target said so, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -271,6 +288,30 @@
     }
 }
 
+impl RateLimit {
+    /// Encodes what a daemon has observed.
+    #[must_use]
+    pub fn new(observation: &rate_limit::Observation, now: Millis) -> Self {
+        Self {
+            target: observation.target.as_str().into(),
+            started: observation.started,
+            per_second_thousandths: observation.rate.map(|rate| rate.0),
+            age_ms: (now - observation.seen_at).0,
+        }
+    }
+
+    /// Decodes an observation; its age becomes a time on this process's clock.
+    #[must_use]
+    pub fn decode(self, now: Millis) -> rate_limit::Observation {
+        rate_limit::Observation {
+            target: name::Target::new(&self.target),
+            started: self.started,
+            rate: self.per_second_thousandths.map(rate_limit::Rate),
+            seen_at: now - Millis(self.age_ms),
+        }
+    }
+}
+
 impl From<&deadline_admission::ServiceWait> for Wait {
     fn from(wait: &deadline_admission::ServiceWait) -> Self {
         Self {
