--- a/crates/kernel/tests/direct/rate_limit.rs
+++ b/crates/kernel/tests/direct/rate_limit.rs
@@ -33,7 +33,7 @@
 /// The most requests that the platform allows in a window: one and a half times the
 /// limit, and 5.
 fn allowed(rate: Rate) -> usize {
-    usize::try_from(rate.0 * 6 / 1000).unwrap() + 5
+    usize::try_from(rate.0 * 6 / 1000).expect("small") + 5
 }
 
 /// Returns the largest number of requests in a window.
@@ -95,7 +95,7 @@
                 "{count} daemons send {most} for {rate} a second"
             );
             let total: usize = sends.iter().sum();
-            let intended = usize::try_from(rate.0).unwrap() * 20 / 1000;
+            let intended = usize::try_from(rate.0).expect("small") * 20 / 1000;
             assert!(
                 total * 2 >= intended,
                 "{count} daemons send {total} of {intended}"
@@ -116,7 +116,7 @@
     for now in 0..30_000 {
         let now = Millis(now);
         if now.0.is_multiple_of(400) {
-            let index = usize::try_from(now.0 / 400).unwrap() % members.len();
+            let index = usize::try_from(now.0 / 400).expect("small") % members.len();
             daemons[index] = Daemon::new(&members[index], rate, now);
         }
         let steps = daemons.iter_mut();
