Tests: the retry budget over restarts, failing

A daemon that is started three times within one window spends its part of the fixed slack three times: 105 retries for 180 requests, where 86 are allowed.

--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod notices;
 mod platform;
 mod rate_limits;
+mod retries;
 mod slow_link;
 mod stages;
 mod streams;
