Begin with an empty part of the retry budget's slack

Cause: a daemon counted its retries in its own memory, so each run of it began with its whole part of the fixed slack, and until it had discovered its peers with the slack of the whole fleet. The class is a part of a limit of the fleet that lives in one process's memory and begins anew with it.

Change: the slack is saved up in an allowance, like the share of a target's rate limit (fleet::allowance): it is empty at the start, and fills in one window with a part of half of the slack. What was saved up before a restart and what is saved up after it together stay within the slack, whatever restarts when. A daemon that does not know the fleet yet retries by the ratio only. Where the slack has less than two retries a daemon, some daemons have a part and the others none.

The tests' daemons are given a large slack, since they retry just after their start, and none of those tests was about the budget; the tests of the budget use the former one.

--- a/crates/kernel/src/target/rate_limit/allowance.rs
+++ b/crates/kernel/src/fleet/allowance.rs
@@ -1,20 +1,25 @@
-//! The requests that a daemon may send to a target with a rate limit.
+//! What one daemon may send of a limit that holds for the whole fleet.
+//!
+//! An allowance is empty at first and fills at the daemon's share of the limit. A
+//! process that has just started cannot know what its former run has sent, nor a daemon
+//! that takes a share over what the one before it has. With a whole share at the start,
+//! a fleet that restarts in turn would send its limit twice.
 
 use crate::clock::Millis;
 use crate::derive::scalar;
-use crate::target::rate_limit::Rate;
+use crate::fleet::share::Rate;
 
 /// One request, in millionths. A rate in thousandths of a request a second adds that
 /// many millionths in a millisecond.
 const REQUEST: i64 = 1_000_000;
-/// The time whose requests may be saved up, but at least one request.
-const SAVED_UP: Millis = Millis(1_000);
 
 scalar! {
     /// Requests that are saved up at a rate, and less than none after some were booked
     /// for later.
-    pub(super) struct Allowance {
+    pub struct Allowance {
         share: Rate,
+        /// The time whose requests may be saved up, but at least one request.
+        saved_up: Millis,
         /// In millionths of a request.
         level: i64,
         /// When `level` was computed.
@@ -23,28 +28,34 @@
 }
 
 impl Allowance {
-    /// Creates an allowance of no requests.
-    pub(super) fn empty_at(now: Millis) -> Self {
+    /// Creates an allowance that has no requests and no share yet. Later it saves up
+    /// the requests of the time `saved_up`, but at least one.
+    #[must_use]
+    pub fn empty_at(now: Millis, saved_up: Millis) -> Self {
         Self {
             share: Rate(0),
+            saved_up,
             level: 0,
             at: now,
         }
     }
 
     /// Returns the allowance at a time, from which on it has this share.
-    pub(super) fn with_share(self, share: Rate, now: Millis) -> Self {
+    #[must_use]
+    pub fn with_share(self, share: Rate, now: Millis) -> Self {
         let level = self.level.saturating_add(amount(self.share, now - self.at));
-        let level_max = amount(self.share, SAVED_UP).max(REQUEST);
+        let level_max = amount(share, self.saved_up).max(REQUEST);
         Self {
             share,
             level: level.min(level_max),
             at: now.max(self.at),
+            ..self
         }
     }
 
     /// Returns when one more request may be sent; [`Millis::NEVER`] without a share.
-    pub(super) fn next_at(self, now: Millis) -> Millis {
+    #[must_use]
+    pub fn next_at(self, now: Millis) -> Millis {
         let missing = REQUEST.saturating_sub(self.level).max(0);
         let missing = u64::try_from(missing).unwrap_or(u64::MAX);
         if missing == 0 {
@@ -57,7 +68,8 @@
     }
 
     /// Returns the allowance without the next request.
-    pub(super) fn spent(self) -> Self {
+    #[must_use]
+    pub fn spent(self) -> Self {
         Self {
             level: self.level.saturating_sub(REQUEST),
             ..self
--- a/crates/kernel/src/request/retry_budget.rs
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -2,11 +2,18 @@
 //!
 //! All daemons share one budget for each service. A daemon doesn't know what
 //! the others send, so each uses only its share: the ratio of its own requests,
-//! and an equal part of the fixed slack. The shares sum to at most the fleet's
+//! and a part of the fixed slack. The shares sum to at most the fleet's
 //! budget as long as each daemon counts no fewer members than there are.
+//!
+//! A daemon saves up its part of half of the slack, which takes one window: in any
+//! window it then spends what it had saved up and as much again. It has saved up
+//! nothing when it starts, as its former run may have spent its part just before.
 
 use crate::clock::Millis;
 use crate::derive::scalar;
+use crate::fleet::allowance::Allowance;
+use crate::fleet::share;
+use crate::fleet::share::Rate;
 use crate::name;
 
 scalar! {
@@ -30,6 +37,7 @@
 struct TimeBucket {
     number: u64,
     requests: u64,
+    /// Those that the ratio allowed, without those of the slack.
     retries: u64,
 }
 
@@ -37,6 +45,30 @@
 struct ServiceUsage {
     service: name::Service,
     buckets: [TimeBucket; BUCKETS + 1],
+    /// What this daemon has saved up of the slack; `None` until its part is known.
+    slack: Option<Allowance>,
+}
+
+impl ServiceUsage {
+    /// Saves up slack until now. With the first part that is known, it does so since the
+    /// start of the process.
+    fn update_slack(&mut self, share: Rate, window: Millis, now: Millis) -> Allowance {
+        let start = Millis::ZERO;
+        let known = self.slack;
+        let slack =
+            known.unwrap_or_else(|| Allowance::empty_at(start, window).with_share(share, start));
+        *self.slack.insert(slack.with_share(share, now))
+    }
+}
+
+/// Returns a daemon's part of the rate at which the fleet saves up slack for a service;
+/// zero if other daemons share it.
+#[must_use]
+pub fn slack_share(limits: &RetryBudgetLimits, place: &share::Place<'_>) -> Rate {
+    let saved_up = limits.slack_retries / 2;
+    let rate = saved_up.saturating_mul(1_000_000) / limits.window.0.max(1);
+    // A part of less than one retry would never be spent.
+    share::of_rate(Rate(rate), saved_up, place).unwrap_or(Rate(0))
 }
 
 /// Requests and retries that one daemon has sent in the window, by service.
@@ -64,12 +96,18 @@
     /// Counts a retry to the service if this daemon's share allows one; returns
     /// whether it does.
     ///
-    /// `members` is the number of daemons that share the budget.
-    pub fn try_spend(&mut self, service: &name::Service, members: usize, now: Millis) -> bool {
-        let members = u64::try_from(members.max(1)).unwrap_or(u64::MAX);
+    /// `slack_share` is its part of the slack, from [`slack_share`]; `None` as long as it
+    /// does not know the fleet.
+    pub fn try_spend(
+        &mut self,
+        service: &name::Service,
+        slack_share: Option<Rate>,
+        now: Millis,
+    ) -> bool {
         let oldest = self.bucket_number(now).saturating_sub(BUCKETS as u64);
         let limits = self.limits;
         let usage = self.usage(service);
+        let slack = slack_share.map(|share| usage.update_slack(share, limits.window, now));
         let in_window = usage
             .buckets
             .iter()
@@ -79,13 +117,33 @@
             requests += bucket.requests;
             retries += bucket.retries;
         }
-        let allowed =
-            requests * limits.retries_per_thousand / 1000 + limits.slack_retries / members;
-        if retries >= allowed {
-            return false;
+        if retries < requests * limits.retries_per_thousand / 1000 {
+            self.bucket(service, now).retries += 1;
+            return true;
+        }
+        let slack = slack.filter(|slack| slack.next_at(now) <= now);
+        if let Some(slack) = slack {
+            self.usage(service).slack = Some(slack.spent());
         }
-        self.bucket(service, now).retries += 1;
-        true
+        slack.is_some()
+    }
+
+    /// Returns the services for which requests were counted.
+    pub fn services(&self) -> impl Iterator<Item = &name::Service> {
+        self.usages.iter().map(|usage| &usage.service)
+    }
+
+    /// Saves up slack for a service. This daemon's part changes with the members of the
+    /// fleet.
+    pub fn set_slack_share(&mut self, service: &name::Service, share: Rate, now: Millis) {
+        let window = self.limits.window;
+        self.usage(service).update_slack(share, window, now);
+    }
+
+    /// Returns the limits of the budget.
+    #[must_use]
+    pub fn limits(&self) -> &RetryBudgetLimits {
+        &self.limits
     }
 
     fn bucket_number(&self, now: Millis) -> u64 {
@@ -103,6 +161,7 @@
             let usage = ServiceUsage {
                 service: service.clone(),
                 buckets: Default::default(),
+                slack: None,
             };
             self.usages.insert(index, usage);
             index
--- a/crates/kernel/src/target/cold_rate.rs
+++ b/crates/kernel/src/target/cold_rate.rs
@@ -39,11 +39,17 @@
     fleet_size: usize,
 ) -> usize {
     let rate = usize::try_from(rate).unwrap_or(usize::MAX);
-    let fleet_size = fleet_size.max(members.len()).max(1);
+    let place = share::Place {
+        key: target.as_str(),
+        me,
+        members,
+        fleet_size,
+    };
+    let fleet_size = place.fleet_size();
     if rate >= fleet_size {
         return rate / fleet_size;
     }
-    usize::from(share::position(target, me, members) < rate)
+    usize::from(place.position() < rate)
 }
 
 impl ColdRateLimiter {
--- a/crates/kernel/src/target/rate_limit.rs
+++ b/crates/kernel/src/target/rate_limit.rs
@@ -10,23 +10,20 @@
 //! [`Allowance`] that is empty at first: a daemon that has just got its share cannot
 //! know what others, or its own former process, have sent until now.
 
-mod allowance;
-
-use std::fmt;
-use std::str::FromStr;
-
 use crate::clock::Millis;
-use crate::derive::scalar;
 use crate::derive::value;
+use crate::fleet::allowance::Allowance;
 use crate::fleet::share;
+pub use crate::fleet::share::Rate;
 use crate::name;
 use crate::request::routing_table::Target;
-use crate::target::rate_limit::allowance::Allowance;
 
 /// The longest time between two requests of a daemon that has a share: in a larger
 /// fleet fewer daemons have one. Each of them may save up one request, so many small
 /// shares would allow a burst far above the limit.
 const SEND_INTERVAL_MAX: Millis = Millis(2_000);
+/// The time whose requests a daemon may save up, if they are more than one.
+const SAVED_UP: Millis = Millis(1_000);
 /// The lowest rate that is kept to. With none at all, nobody would learn that the
 /// limit has ended.
 const RATE_MIN: Rate = Rate(100);
@@ -36,11 +33,6 @@
 /// How many limits a greeting carries at most.
 const GREETING_LIMITS_MAX: usize = 4;
 
-scalar! {
-    /// A rate, in thousandths of a request a second.
-    pub struct Rate(pub u64);
-}
-
 value! {
     /// What a daemon tells its peers of the limit of a target.
     pub struct Observation {
@@ -126,15 +118,17 @@
     fleet_size: usize,
 ) -> Option<Rate> {
     let rate = rate.max(RATE_MIN);
-    let in_interval = rate
+    let holders = rate
         .0
         .saturating_mul(SEND_INTERVAL_MAX.0)
         .div_ceil(1_000_000);
-    let fleet_size = u64::try_from(fleet_size.max(members.len()).max(1)).unwrap_or(u64::MAX);
-    let holders = in_interval.clamp(1, fleet_size);
-    let position = share::position(target, me, members);
-    let has_share = u64::try_from(position).is_ok_and(|position| position < holders);
-    has_share.then(|| Rate(rate.0 / holders))
+    let place = share::Place {
+        key: target.as_str(),
+        me,
+        members,
+        fleet_size,
+    };
+    share::of_rate(rate, holders, &place)
 }
 
 /// Returns what a request can get whose targets are all out of capacity.
@@ -256,7 +250,7 @@
                         rate: None,
                         ..observation.clone()
                     },
-                    allowance: Allowance::empty_at(observation.seen_at),
+                    allowance: Allowance::empty_at(observation.seen_at, SAVED_UP),
                 };
                 self.limits.insert(index, limit);
                 index
@@ -266,7 +260,7 @@
         let is_same_run = limit.observation.started == observation.started;
         let former = limit.observation.rate.filter(|_| is_same_run);
         if former.is_none() {
-            limit.allowance = Allowance::empty_at(observation.seen_at);
+            limit.allowance = Allowance::empty_at(observation.seen_at, SAVED_UP);
         }
         limit.observation = observation;
         (former != rate).then(|| rate.map_or(Change::Ended, Change::Named))
@@ -283,39 +277,3 @@
             .binary_search_by(|limit| limit.observation.target.cmp(target))
     }
 }
-
-impl fmt::Display for Rate {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{}.{:03}", self.0 / 1000, self.0 % 1000)
-    }
-}
-
-impl FromStr for Rate {
-    type Err = RateError;
-
-    /// Parses a decimal number of requests a second; digits beyond thousandths are
-    /// dropped.
-    fn from_str(text: &str) -> Result<Self, RateError> {
-        let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
-        let is_number = |digits: &str| digits.bytes().all(|byte| byte.is_ascii_digit());
-        if whole.len() + fraction.len() == 0 || !is_number(whole) || !is_number(fraction) {
-            return Err(RateError);
-        }
-        let whole: u64 = format!("0{whole}").parse().unwrap_or(u64::MAX);
-        let thousandths: String = fraction.chars().chain("000".chars()).take(3).collect();
-        let thousandths: u64 = thousandths.parse().map_err(|_| RateError)?;
-        Ok(Self(whole.saturating_mul(1000).saturating_add(thousandths)))
-    }
-}
-
-/// A text is not a number of requests a second.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RateError;
-
-impl fmt::Display for RateError {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        out.write_str("not a decimal number of requests a second")
-    }
-}
-
-impl std::error::Error for RateError {}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -69,6 +69,8 @@
 pub struct State {
     /// The failure domain of this daemon.
     domain: name::Domain,
+    /// Whether there are addresses at which this daemon finds its peers.
+    has_seeds: bool,
     /// The copy of the store.
     mirror: Mirror,
     /// The settings in force.
@@ -167,6 +169,7 @@
     pub fn new(boot: &Boot, incarnation: u64) -> Self {
         Self {
             domain: boot.domain.clone(),
+            has_seeds: boot.seeds.iter().any(|seed| *seed != boot.peer_address),
             mirror: Mirror::default(),
             routing_table: None,
             targets: TargetRegistry::default(),
@@ -266,7 +269,7 @@
             .expire(|target| targets.get(target).is_some(), now);
         self.usages
             .retain(|usage| usage.in_flight > 0 || targets.get(&usage.target).is_some());
-        self.update_rate_shares(now);
+        self.update_shares(now);
     }
 
     /// Returns the failure domains that operators have taken out of service.
--- a/crates/relay/src/state/share.rs
+++ b/crates/relay/src/state/share.rs
@@ -4,7 +4,9 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::membership::Membership;
+use gooseberry_kernel::fleet::share::Place;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::retry_budget;
 use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::routing_table::ServiceKind;
 use gooseberry_kernel::request::routing_table::Target;
@@ -34,7 +36,7 @@
 impl Shares<'_> {
     /// Returns how many requests a second this daemon may send to a cold target.
     pub(super) fn of_cold_rate(&self, service: &Service, target: &name::Target) -> usize {
-        if self.now < PEER_DISCOVERY_TIME {
+        if !self.is_fleet_known() {
             return COLD_SHARE_BEFORE_DISCOVERY;
         }
         cold_rate::share(
@@ -50,7 +52,7 @@
     /// or the target names no limit.
     pub(super) fn of_rate(&self, target: &Target) -> Option<Rate> {
         let rate = self.state.rate_limits.rate(target)?;
-        if self.now < PEER_DISCOVERY_TIME {
+        if !self.is_fleet_known() {
             return None;
         }
         let table = self.state.routing_table.as_ref();
@@ -69,6 +71,27 @@
         )
     }
 
+    /// Returns this daemon's part of the fixed slack of a service's retry budget; `None`
+    /// as long as it does not know the fleet.
+    pub(super) fn of_retry_slack(&self, service: &name::Service) -> Option<Rate> {
+        if !self.is_fleet_known() {
+            return None;
+        }
+        let place = Place {
+            key: service.as_str(),
+            me: self.me(),
+            members: self.members(),
+            fleet_size: self.fleet_size,
+        };
+        let limits = self.state.retry_budget.limits();
+        Some(retry_budget::slack_share(limits, &place))
+    }
+
+    /// Returns whether this daemon has discovered its peers.
+    fn is_fleet_known(&self) -> bool {
+        !self.state.has_seeds || self.now >= PEER_DISCOVERY_TIME
+    }
+
     fn me(&self) -> &name::Member {
         &self.state.members.me().name
     }
@@ -134,9 +157,9 @@
         listed.is_some_and(|listed| self.rate_limits.rate(&listed.target).is_some())
     }
 
-    /// Recomputes this daemon's parts of rate limits, which change with the members of
-    /// the fleet.
-    pub(super) fn update_rate_shares(&mut self, now: Millis) {
+    /// Recomputes this daemon's parts of rate limits and retry budgets, which change
+    /// with the members of the fleet.
+    pub(super) fn update_shares(&mut self, now: Millis) {
         let fleet_size = self.members.fleet_size(now);
         let shares = self.shares(fleet_size, now);
         let limited = self.rate_limits.limited();
@@ -146,6 +169,15 @@
             (target.name.clone(), shares.of_rate(target))
         });
         let parts: Vec<(name::Target, Option<Rate>)> = parts.collect();
+        let services = self.retry_budget.services().cloned();
+        let slack = services.filter_map(|service| {
+            let share = shares.of_retry_slack(&service)?;
+            Some((service, share))
+        });
+        let slack: Vec<(name::Service, Rate)> = slack.collect();
+        for (service, share) in slack {
+            self.retry_budget.set_slack_share(&service, share, now);
+        }
         for (target, share) in parts {
             self.rate_limits.set_share(&target, share, now);
         }
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -178,7 +178,8 @@
     /// if none is left.
     pub fn try_take_retry(&mut self, service: &name::Service, now: Millis) -> bool {
         let fleet_size = self.members.fleet_size(now);
-        self.retry_budget.try_spend(service, fleet_size, now)
+        let share = self.shares(fleet_size, now).of_retry_slack(service);
+        self.retry_budget.try_spend(service, share, now)
     }
 
     /// Returns how long a client has waited at least before this attempt, judged
--- a/crates/relay/tests/direct/platform.rs
+++ b/crates/relay/tests/direct/platform.rs
@@ -136,8 +136,19 @@
     }
 }
 
-/// Starts a daemon that reads this store.
+/// Starts a daemon that reads this store. It may retry soon after its start, since its
+/// part of the retry budget's slack is large.
 pub async fn start_daemon(number: u8, seeds: &[SocketAddr], store_address: SocketAddr) -> Daemon {
+    start_daemon_with(number, seeds, store_address, 10_000).await
+}
+
+/// Starts a daemon that reads this store, with this slack in the retry budget.
+pub async fn start_daemon_with(
+    number: u8,
+    seeds: &[SocketAddr],
+    store_address: SocketAddr,
+    slack_retries: u64,
+) -> Daemon {
     let [client_address, ready_address, peer_address] = unused_addresses();
     let boot = Boot {
         name: name::Member::new(&format!("d-{number}")),
@@ -154,7 +165,7 @@
         shutdown_grace: Millis(4_000),
         retry_budget: RetryBudgetLimits {
             retries_per_thousand: 200,
-            slack_retries: 50,
+            slack_retries,
             window: Millis(10_000),
         },
     };
--- a/crates/relay/tests/direct/retries.rs
+++ b/crates/relay/tests/direct/retries.rs
@@ -10,21 +10,31 @@
 
 use crate::platform::TestPlatform;
 use crate::platform::client_address;
+use crate::platform::is_ready_with;
+use crate::platform::start_daemon_with;
+use crate::platform::wait_until;
 
 /// The requests of the tests, fewer than the targets take in one window.
 const REQUESTS: usize = 60;
 /// The window of the budget, and what it allows for a number of requests in it.
 const WINDOW: Duration = Duration::from_secs(10);
-const SLACK: usize = 50;
+const SLACK: u64 = 50;
 
 fn allowed(requests: usize) -> usize {
-    requests / 5 + SLACK
+    requests / 5 + usize::try_from(SLACK).expect("small")
+}
+
+/// Starts a daemon, and waits until it knows the settings and all targets.
+async fn start(platform: &TestPlatform) -> Daemon {
+    let daemon = start_daemon_with(1, &[], platform.store.address, SLACK).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 8)).await;
+    daemon
 }
 
 /// Has all targets turn all requests away.
 fn refuse_all(platform: &TestPlatform) {
     for target in &platform.plain {
-        target.queue_modes(&[Mode::NotRun; 1_000]);
+        target.queue_modes(&vec![Mode::NotRun; 1_000]);
     }
 }
 
@@ -48,7 +58,7 @@
     refuse_all(&platform);
     let since = Instant::now();
     for _ in 0..3 {
-        let daemon = platform.daemon(1, &[]).await;
+        let daemon = start(&platform).await;
         send(&daemon, REQUESTS).await;
         drop(daemon);
     }
@@ -60,7 +70,7 @@
 #[tokio::test]
 async fn a_daemon_may_retry_beyond_the_ratio_some_time_after_its_start() {
     let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let daemon = start(&platform).await;
     sleep(Duration::from_secs(2)).await;
     refuse_all(&platform);
     send(&daemon, 4).await;
