Count no requests in the retry budget that may be older than its window

The window is kept in buckets, of which the oldest is only partly within it. Its requests allowed retries although they may be older: a burst of retries after a quiet time was up to a tenth of the ratio above the budget (863 for 4,000 requests, 860 allowed, in a kernel test of one daemon).

Change: the retries of the oldest bucket count, its requests do not. Measured: the test fails without the change and passes with it.

--- a/crates/kernel/src/request/retry_budget.rs
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -30,7 +30,7 @@
 }
 
 /// Number of time buckets in the window. One more is kept, since the oldest is
-/// only partly within the window.
+/// only partly within the window: its retries count, and its requests do not.
 const BUCKETS: usize = 10;
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -114,8 +114,10 @@
             .filter(|bucket| bucket.number >= oldest);
         let (mut requests, mut retries) = (0, 0);
         for bucket in in_window {
-            requests += bucket.requests;
             retries += bucket.retries;
+            if bucket.number > oldest {
+                requests += bucket.requests;
+            }
         }
         if retries < requests * limits.retries_per_thousand / 1000 {
             self.bucket(service, now).retries += 1;
--- a/crates/kernel/tests/direct/retry_budget.rs
+++ b/crates/kernel/tests/direct/retry_budget.rs
@@ -40,9 +40,10 @@
         .count()
 }
 
-/// A daemon that has a retry at any time.
+/// A daemon that has a retry at any time, if it has any.
 struct Daemon {
     me: name::Member,
+    has_retries: bool,
     budget: RetryBudget,
     started: u64,
 }
@@ -51,6 +52,7 @@
     fn new(me: &name::Member, started: u64) -> Self {
         Self {
             me: me.clone(),
+            has_retries: true,
             budget: RetryBudget::new(LIMITS),
             started,
         }
@@ -67,7 +69,8 @@
         if let Some(share) = share {
             self.budget.set_slack_share(&service, share, now);
         }
-        let tries = (0..1_000).take_while(|_| self.budget.try_spend(&service, share, now));
+        let tries = if self.has_retries { 0..1_000 } else { 0..0 };
+        let tries = tries.take_while(|_| self.budget.try_spend(&service, share, now));
         tries.count()
     }
 }
@@ -139,6 +142,20 @@
     }
 }
 
+#[test]
+fn a_burst_of_retries_is_within_the_budget_of_its_window() {
+    // The window of the budget may begin at any time within a bucket.
+    for first_retry in 400..420 {
+        let members = members(1);
+        let mut daemon = Daemon::new(&members[0], 0);
+        let steps = (1..1_200).map(|step| {
+            daemon.has_retries = step >= first_retry;
+            (daemon.step(20, &members, step * STEP_MS), 20)
+        });
+        check_windows(&steps.collect::<Vec<_>>());
+    }
+}
+
 #[test]
 fn daemons_that_restart_in_turn_stay_within_the_budget_of_every_window() {
     for restart_steps in [7, 16, 30, 71] {
