Count a retry that has waited in the window in which it is sent

The retry budget was charged when a retry was allowed.

Change: a retry that is sent more than 500 ms after the budget allowed it is counted again, and given up if the budget is used up by then.

--- a/crates/kernel/src/request/retry_budget.rs
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -29,6 +29,12 @@
     }
 }
 
+/// How long after it was allowed a retry may be sent without being counted again.
+///
+/// A retry may wait for a target. Were it counted only when it is allowed, the retries
+/// of several windows could be sent in one, when a target becomes available.
+pub const SEND_DELAY_MAX: Millis = Millis(500);
+
 /// Number of time buckets in the window. One more is kept, since the oldest is
 /// only partly within the window: its retries count, and its requests do not.
 const BUCKETS: usize = 10;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -57,6 +57,7 @@
         tried: Vec::new(),
         origin: job_origin,
         sends: 0,
+        retry_allowed_at: None,
         possible_runs: 0,
         events: EventBuffer::default(),
         current: None,
@@ -82,6 +83,8 @@
     origin: Option<Origin>,
     /// How often the request was sent.
     sends: u32,
+    /// When the retry budget allowed the next send, if it is a retry.
+    retry_allowed_at: Option<Millis>,
     /// How many targets may have run it.
     possible_runs: u32,
     /// The events of a stream that were passed on.
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::retry_budget::SEND_DELAY_MAX;
 use gooseberry_platform::target;
 use gooseberry_platform::target::CallParameters;
 use gooseberry_platform::target::Validity;
@@ -81,6 +82,13 @@
                     return Err(last_failure.unwrap_or(failure));
                 }
             };
+            if !self.may_still_retry() {
+                let mut state = self.context.state();
+                state.record_request_end(&picked.target);
+                drop(state);
+                let failure = last_failure.unwrap_or(Kind::QueueFull.into());
+                return Err(self.unknown_if_run(failure));
+            }
             match self.send_once(picked).await {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
@@ -360,6 +368,7 @@
             .state()
             .try_take_retry(&self.job.service.name, now);
         if is_allowed {
+            self.retry_allowed_at = Some(now);
             self.context.metrics.retry(reason);
         } else {
             log::info!(request:% = self.job.head.attempt, reason; "the retry budget is used up");
@@ -367,6 +376,17 @@
         is_allowed
     }
 
+    /// Returns whether the request may be sent now, and counts it again in the retry
+    /// budget if it is a retry that has waited.
+    fn may_still_retry(&mut self) -> bool {
+        let now = self.context.now();
+        let allowed_at = self.retry_allowed_at;
+        let may_send =
+            allowed_at.is_none_or(|at| at + SEND_DELAY_MAX >= now || self.may_send_again("waited"));
+        self.retry_allowed_at = None;
+        may_send
+    }
+
     /// Marks a failure as of unknown outcome if a target may have run the
     /// request: the client may be told that it did not run only if none did.
     pub(super) fn unknown_if_run(&self, failure: Failure) -> Failure {
--- a/crates/relay/tests/direct/platform.rs
+++ b/crates/relay/tests/direct/platform.rs
@@ -139,15 +139,20 @@
 /// Starts a daemon that reads this store. It may retry soon after its start, since its
 /// part of the retry budget's slack is large.
 pub async fn start_daemon(number: u8, seeds: &[SocketAddr], store_address: SocketAddr) -> Daemon {
-    start_daemon_with(number, seeds, store_address, 10_000).await
+    let limits = RetryBudgetLimits {
+        retries_per_thousand: 200,
+        slack_retries: 10_000,
+        window: Millis(10_000),
+    };
+    start_daemon_with(number, seeds, store_address, limits).await
 }
 
-/// Starts a daemon that reads this store, with this slack in the retry budget.
+/// Starts a daemon that reads this store, with this retry budget.
 pub async fn start_daemon_with(
     number: u8,
     seeds: &[SocketAddr],
     store_address: SocketAddr,
-    slack_retries: u64,
+    retry_budget: RetryBudgetLimits,
 ) -> Daemon {
     let [client_address, ready_address, peer_address] = unused_addresses();
     let boot = Boot {
@@ -163,11 +168,7 @@
         memory_bytes: 260 << 20,
         max_connections: 1_000,
         shutdown_grace: Millis(4_000),
-        retry_budget: RetryBudgetLimits {
-            retries_per_thousand: 200,
-            slack_retries,
-            window: Millis(10_000),
-        },
+        retry_budget,
     };
     Daemon::start(boot).await.expect("the ports are free")
 }
