--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod connections;
 mod distribution;
+mod endless_answers;
 mod fleet;
 mod notices;
 mod platform;
