Limit the bytes that are read before the head of a reply

A target that sends interim heads without end, each of them valid, kept the daemon reading for as long as the request may wait: 16 MB in 1.5 s on one connection. A head in small parts was parsed again with each part, up to 400 KB.

Cause: the HTTP library limits one head, and at a size far above those of targets; nothing limits how many there are. Change: a head may have 64 KB, and a connection reads no more than twice that until the final head is there. The limit sits in the observer of the connection's bytes, which may now fail a read.

--- a/crates/connectors/src/http_connection.rs
+++ b/crates/connectors/src/http_connection.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gooseberry_runtime::observed_stream::ObservedStream;
 use gooseberry_runtime::socket;
 use http::Request;
 use http::Response;
@@ -24,6 +25,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::read_limit::ReadLimit;
+
+/// The largest head of a reply, in bytes; usual ones have a few hundred.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+
 /// The reason why a request got no reply.
 #[derive(Debug)]
 pub enum Error {
@@ -50,6 +56,7 @@
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    read_limit: ReadLimit,
 }
 
 impl HttpConnection {
@@ -63,8 +70,11 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         socket::set_options(&stream)?;
+        let read_limit = ReadLimit::none();
+        let stream = ObservedStream::new(stream, read_limit.clone());
         let (sender, connection) = http1::Builder::new()
             .title_case_headers(true)
+            .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -76,6 +86,7 @@
         Ok(Self {
             sender,
             task: running.abort_handle(),
+            read_limit,
         })
     }
 
@@ -102,13 +113,15 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
         self.ready().await.map_err(Error::NotSent)?;
+        // The head, and what follows it in the same buffer.
+        self.read_limit.set(2 * HEAD_MAX_BYTES);
         let sending = self.sender.try_send_request(request);
-        sending
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(_) => Error::NotSent(io::Error::other(error.into_error())),
-                None => Error::Broken(error.into_error()),
-            })
+        let reply = sending.await;
+        self.read_limit.lift();
+        reply.map_err(|mut error| match error.take_message() {
+            Some(_) => Error::NotSent(io::Error::other(error.into_error())),
+            None => Error::Broken(error.into_error()),
+        })
     }
 }
 
--- a/crates/connectors/src/lib.rs
+++ b/crates/connectors/src/lib.rs
@@ -28,3 +28,5 @@
 pub mod retriever;
 pub mod service;
 pub mod target;
+
+mod read_limit;
--- a/crates/runtime/src/observed_stream.rs
+++ b/crates/runtime/src/observed_stream.rs
@@ -13,6 +13,14 @@
 
 /// Receives the byte counts of an [`ObservedStream`].
 pub trait ByteObserver {
+    /// Called before each poll for reading.
+    ///
+    /// # Errors
+    /// The read fails with the error that is returned.
+    fn before_read(&self) -> io::Result<()> {
+        Ok(())
+    }
+
     /// Called after each poll for reading, with the bytes read; may be zero.
     fn on_read(&self, bytes: usize);
 
@@ -21,6 +29,10 @@
 }
 
 impl<O: ByteObserver + ?Sized> ByteObserver for Arc<O> {
+    fn before_read(&self) -> io::Result<()> {
+        (**self).before_read()
+    }
+
     fn on_read(&self, bytes: usize) {
         (**self).on_read(bytes);
     }
@@ -59,6 +71,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.observer.before_read()?;
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         self.observer.on_read(buffer.filled().len() - before);
