Leave time for another target if a reply's body does not end

An idempotent request whose first target sends a body without end was held until its deadline and got 504, though its route allows another target.

Cause: the time for the rest of a reply was computed as that for the head of the next one: with the run that has begun counted, it seemed that no other target could be tried. Change: the limit takes the number of runs.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -175,7 +175,7 @@
     /// so that another target's can still replace it if it breaks off.
     async fn read_plain(&mut self) -> Result<Bytes, Failure> {
         let left = self.job.deadline - self.context.now();
-        let limit = Duration::from_millis(self.first_byte_timeout(left).0);
+        let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs).0);
         let Some(started) = self.current.as_mut() else {
             return Err(Kind::Internal.into());
         };
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -33,9 +33,9 @@
 
 /// How long to wait before picking a target again when all are cold or full.
 const PICK_RETRY_DELAY: Duration = Duration::from_millis(25);
-/// How long a request that may be retried waits for the first byte of a reply,
-/// as a multiple of its route's latency objective.
-const FIRST_BYTE_TIMEOUT_FACTOR: u64 = 2;
+/// How long a request that may be retried waits for the head of a reply, and then for
+/// the rest of it, as a multiple of its route's latency objective.
+const REPLY_TIMEOUT_FACTOR: u64 = 2;
 /// How often the stages of a request are run: a second time if results are gone
 /// when the target reads them, or if its stream is resumed at another target.
 const STAGE_RUNS_MAX: u32 = 2;
@@ -210,7 +210,7 @@
             context: self.context.clone(),
             target: picked.target.clone(),
         };
-        let limit = Duration::from_millis(self.first_byte_timeout(left).0);
+        let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
         let begun = timeout(limit, Exchange::begin(&self.context, &callee, request)).await;
         self.tried.push(picked.target.clone());
         let (outcome, detail) = match begun {
@@ -312,14 +312,14 @@
         }
     }
 
-    /// Returns how long to wait for the first byte of a reply: all the time that
-    /// is left, unless another target could still be tried.
-    pub(super) fn first_byte_timeout(&self, left: Millis) -> Millis {
-        if !self.job.route.is_repeatable() || self.possible_runs + 1 >= self.job.route.max_attempts
-        {
+    /// Returns how long to wait for the head of a reply, or for the rest of one that is
+    /// not a stream: all the time that is left, unless another target could still be
+    /// tried. `runs` is how many targets may have run the request by then.
+    pub(super) fn reply_timeout(&self, left: Millis, runs: u32) -> Millis {
+        if !self.job.route.is_repeatable() || runs >= self.job.route.max_attempts {
             return left;
         }
-        let limit = Millis(self.job.route.objective.0 * FIRST_BYTE_TIMEOUT_FACTOR);
+        let limit = Millis(self.job.route.objective.0 * REPLY_TIMEOUT_FACTOR);
         limit.min(left)
     }
 
