Resume a stream elsewhere if one of its events has no end

A resumable stream whose target sends an event without end was answered 502, or broken off, though another target could go on. Cause: a broken connection led to a resumption, an event above the size limit did not. Change: both do.

--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures::stream;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::event_buffer::EventTooLong;
 use gooseberry_kernel::request::stream_origin::Origin;
 use http::Response;
 use http_body::Frame;
@@ -28,30 +29,25 @@
     /// Returns the next complete events; `None` at the end of a complete stream.
     pub(super) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
         loop {
-            match self.next_bytes().await {
+            let broken = match self.next_bytes().await {
                 Ok(Some(bytes)) => {
                     // The first byte shows that the target has read the results.
                     self.results = None;
-                    let Ok(events) = self.events.push(&bytes) else {
-                        return Some(Err(io::Error::other("an event is too long")));
-                    };
-                    if !events.is_empty() {
-                        return Some(Ok(events.into()));
+                    match self.events.push(&bytes) {
+                        Ok(events) if events.is_empty() => continue,
+                        Ok(events) => return Some(Ok(events.into())),
+                        Err(EventTooLong) => "an event is too long".to_owned(),
                     }
                 }
                 Ok(None) if self.events.is_at_event_boundary() => {
                     self.finish();
                     return None;
                 }
-                broken => {
-                    let why = match broken {
-                        Err(why) => why,
-                        Ok(_) => "the stream ended within an event".to_owned(),
-                    };
-                    if let Err(error) = self.resume(&why).await {
-                        return Some(Err(error));
-                    }
-                }
+                Ok(None) => "the stream ended within an event".to_owned(),
+                Err(why) => why,
+            };
+            if let Err(error) = self.resume(&broken).await {
+                return Some(Err(error));
             }
         }
     }
