Reserve memory for replies as they grow

150 replies without end took 1,244 MB, on an instance of 260 MB: each may have 8 MB, and nothing limits how many there are. The process would be killed, with all requests of its clients.

Change: replies above 64 KB share a sixteenth of the instance's memory, reserved as they are read, and events of streams likewise; a reply for which there is none counts as broken. Smaller ones, which are all that targets usually send, need no reservation and are passed on also while faulty ones take it all. The memory stays reserved until the client has read the reply.

--- a/crates/kernel/src/request/event_buffer.rs
+++ b/crates/kernel/src/request/event_buffer.rs
@@ -60,6 +60,12 @@
         self.count
     }
 
+    /// Returns the size of the incomplete event that is buffered, in bytes.
+    #[must_use]
+    pub fn partial_bytes(&self) -> u64 {
+        self.partial.len() as u64
+    }
+
     /// Returns whether no incomplete event is buffered.
     #[must_use]
     pub fn is_at_event_boundary(&self) -> bool {
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -20,6 +20,9 @@
 /// Request bodies may take one part in this many of the daemon's memory; the rest
 /// is for connections, which take a few tens of kilobytes each.
 const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Replies may take one part in this many. A buffer that grows takes up to three times
+/// what is in it while it is moved.
+const REPLY_MEMORY_DIVISOR: u64 = 16;
 
 /// The state that all tasks of the daemon share.
 #[derive(Debug)]
@@ -40,6 +43,8 @@
     pub shutdown: Shutdown,
     /// The limit on the memory that request bodies take.
     pub body_memory: BodyMemory,
+    /// The limit on the memory that the replies of targets take.
+    pub reply_memory: BodyMemory,
     state: Mutex<State>,
 }
 
@@ -60,6 +65,7 @@
             metrics,
             shutdown: Shutdown::default(),
             body_memory: BodyMemory::new(boot.memory_bytes / BODY_MEMORY_DIVISOR),
+            reply_memory: BodyMemory::new(boot.memory_bytes / REPLY_MEMORY_DIVISOR),
             boot,
         }))
     }
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -274,7 +274,9 @@
     let exchanged = timeout(Duration::from_millis(limit.0), async {
         let mut exchange = Exchange::begin(context, &callee, request).await?;
         let status = exchange.status;
-        let body = exchange.read_all(RESPONSE_MAX_BYTES).await?;
+        let body = exchange
+            .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
+            .await?;
         exchange.release(context, None);
         Ok::<_, crate::exchange::Error>((status, body))
     });
--- a/crates/relay/src/dispatcher/result_memory.rs
+++ b/crates/relay/src/dispatcher/result_memory.rs
@@ -65,7 +65,10 @@
     let request = stage_call::memory_report_request(&address.to_string(), target).ok()?;
     let query = timeout(USAGE_QUERY_TIMEOUT, async {
         let mut exchange = Exchange::begin(context, &callee, request).await.ok()?;
-        let body = exchange.read_all(RESPONSE_MAX_BYTES).await.ok()?;
+        let body = exchange
+            .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
+            .await
+            .ok()?;
         exchange.release(context, None);
         stage_call::read_memory_report(&body).ok()
     });
@@ -124,7 +127,9 @@
     };
     let freed = timeout(FREE_TIMEOUT, async {
         let mut exchange = Exchange::begin(context, &callee, request).await?;
-        exchange.read_all(RESPONSE_MAX_BYTES).await?;
+        exchange
+            .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
+            .await?;
         exchange.release(context, None);
         Ok::<_, crate::exchange::Error>(())
     });
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -23,6 +23,7 @@
 use hyper::body::Incoming;
 use tokio::time::sleep;
 
+use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::pool::IDLE_MAX;
 
@@ -164,16 +165,24 @@
         }
     }
 
-    /// Reads the whole reply, of at most `max_bytes`.
+    /// Reads the whole reply, of at most `max_bytes`, into memory that `memory` reserves.
     ///
     /// # Errors
     /// Returns [`Error::Broken`] if the reply ends early or is too large.
-    pub async fn read_all(&mut self, max_bytes: usize) -> Result<Bytes, Error> {
+    pub async fn read_all(
+        &mut self,
+        max_bytes: usize,
+        memory: &mut ReplyPermit,
+    ) -> Result<Bytes, Error> {
         let mut whole = Vec::new();
         while let Some(bytes) = self.next_chunk().await? {
-            if whole.len() + bytes.len() > max_bytes {
+            let size = whole.len() + bytes.len();
+            if size > max_bytes {
                 return Err(Error::Broken("the reply is too large".to_owned()));
             }
+            if !memory.grow(size as u64) {
+                return Err(Error::Broken("there is no memory for the reply".to_owned()));
+            }
             whole.extend_from_slice(&bytes);
         }
         Ok(whole.into())
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -29,6 +29,7 @@
 use http::header::CONTENT_LENGTH;
 use tokio::time::timeout;
 
+use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::http_server;
@@ -48,6 +49,7 @@
     plan: Option<Plan>,
 ) -> Result<Response<ResponseBody>, Failure> {
     let job_origin = job.origin.clone();
+    let event_memory = context.reply_memory.reply();
     let forwarder = Forwarder {
         context,
         job,
@@ -60,6 +62,7 @@
         retry_allowed_at: None,
         possible_runs: 0,
         events: EventBuffer::default(),
+        event_memory,
         current: None,
         first_byte_at: None,
         is_ended: false,
@@ -89,6 +92,8 @@
     possible_runs: u32,
     /// The events of a stream that were passed on.
     events: EventBuffer,
+    /// The memory for the event of which a part has been received.
+    event_memory: ReplyPermit,
     /// The reply that is being passed on.
     current: Option<StartedReply>,
     /// When the first byte of the response was ready to be sent to the client.
@@ -158,9 +163,9 @@
             match self.read_plain().await {
                 Ok(body) if is_final || !self.may_run_again("target-failed") => {
                     self.finish();
-                    return Ok(head.map(|()| http_server::full_body(body)));
+                    return Ok(head.map(|()| body));
                 }
-                Ok(body) => error_reply = Some(head.map(|()| http_server::full_body(body))),
+                Ok(body) => error_reply = Some(head.map(|()| body)),
                 Err(failure) => {
                     if !self.job.route.is_repeatable() || !self.may_run_again("broken") {
                         return Err(failure);
@@ -173,17 +178,19 @@
 
     /// Reads a reply that is not a stream whole before any of it is passed on,
     /// so that another target's can still replace it if it breaks off.
-    async fn read_plain(&mut self) -> Result<Bytes, Failure> {
+    async fn read_plain(&mut self) -> Result<ResponseBody, Failure> {
         let left = self.job.deadline - self.context.now();
         let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs).0);
         let Some(started) = self.current.as_mut() else {
             return Err(Kind::Internal.into());
         };
         let target = started.exchange.callee.target.clone();
-        match timeout(limit, started.exchange.read_all(PLAIN_MAX_BYTES)).await {
+        let mut memory = self.context.reply_memory.reply();
+        let reading = started.exchange.read_all(PLAIN_MAX_BYTES, &mut memory);
+        match timeout(limit, reading).await {
             Ok(Ok(body)) => {
                 self.first_byte_at = Some(self.context.now());
-                Ok(body)
+                Ok(http_server::reserved_body(body, memory))
             }
             Ok(Err(_)) => {
                 self.record_failure(&target);
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -34,8 +34,12 @@
                     // The first byte shows that the target has read the results.
                     self.results = None;
                     match self.events.push(&bytes) {
-                        Ok(events) if events.is_empty() => continue,
-                        Ok(events) => return Some(Ok(events.into())),
+                        Ok(events) if !events.is_empty() => {
+                            self.event_memory = self.context.reply_memory.reply();
+                            return Some(Ok(events.into()));
+                        }
+                        Ok(_) if self.event_memory.grow(self.events.partial_bytes()) => continue,
+                        Ok(_) => "there is no memory for an event".to_owned(),
                         Err(EventTooLong) => "an event is too long".to_owned(),
                     }
                 }
