Wait for the run of a key that has been decided and not begun

Cause: the decision on a key and the list of running keys are two states that change one after the other. Change: a try that finds no run asks for the decision again, until there is a run, an answer or its deadline.

--- a/crates/daemon/src/idempotency.rs
+++ b/crates/daemon/src/idempotency.rs
@@ -29,6 +29,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::actor::Message;
@@ -43,6 +44,10 @@
 /// The path on the data port for requests forwarded to the owner of their key.
 pub const PATH: &str = "/v1/keyed";
 
+/// How often a request whose key is said to run looks for that run. A decision and the
+/// start or the end of its run are microseconds apart.
+const RUN_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 type AnswerReceiver = watch::Receiver<Option<HttpAnswer>>;
 
 /// The keys whose requests run here, so that duplicates can wait for the answer.
@@ -77,14 +82,25 @@
     let Some(key) = job.key.clone() else {
         return refuse(&job, is_first_attempt, Kind::KeyMissing.into());
     };
-    match begin(context, &job, &key, is_first_attempt).await {
-        Err(failure) => refuse(&job, is_first_attempt, failure),
-        Ok((_, Some(receiver))) => wait_for_answer(receiver).await,
-        Ok((Decision::Refuse(kind), None)) => refuse(&job, is_first_attempt, kind.into()),
-        Ok((Decision::Replay(record), None)) => answer::replay(&record),
-        Ok((Decision::AwaitRunning | Decision::Run, None)) => {
-            wait_for_running(context, &job, &key).await
+    let deadline = pipeline::run_deadline(&job.admission);
+    loop {
+        match begin(context, &job, &key, is_first_attempt).await {
+            Err(failure) => return refuse(&job, is_first_attempt, failure),
+            Ok((_, Some(receiver))) => return wait_for_answer(receiver).await,
+            Ok((Decision::Refuse(kind), None)) => {
+                return refuse(&job, is_first_attempt, kind.into());
+            }
+            Ok((Decision::Replay(record), None)) => return answer::replay(&record),
+            Ok((Decision::AwaitRunning | Decision::Run, None)) => {}
+        }
+        if let Some(receiver) = context.running_keys.find(&key) {
+            return wait_for_running(context, &job, receiver).await;
         }
+        // The run that was decided has not begun yet, or has just ended.
+        if context.clock.now() >= deadline {
+            return refuse(&job, false, Kind::KeyBusy.into());
+        }
+        sleep(RUN_POLL_INTERVAL).await;
     }
 }
 
@@ -139,10 +155,7 @@
     answer.unwrap_or_else(|| answer::error(&Failure::from(Kind::Internal)))
 }
 
-async fn wait_for_running(context: &Context, job: &Job, key: &Key) -> HttpAnswer {
-    let Some(receiver) = context.running_keys.find(key) else {
-        return answer::error(&Kind::KeyBusy.into());
-    };
+async fn wait_for_running(context: &Context, job: &Job, receiver: AnswerReceiver) -> HttpAnswer {
     let remaining = context.clock.until(pipeline::run_deadline(&job.admission));
     match timeout(remaining, wait_for_answer(receiver)).await {
         Ok(answer) => answer,
--- a/crates/daemon/tests/single/idempotency_keys.rs
+++ b/crates/daemon/tests/single/idempotency_keys.rs
@@ -5,8 +5,10 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::id::Digest;
+use gooseberry_kernel::idempotency::Completion;
 use gooseberry_kernel::idempotency::Decision;
 use gooseberry_kernel::idempotency::Key;
+use gooseberry_kernel::idempotency::RecordedAnswer;
 use gooseberry_kernel::node::AdmittedRequest;
 use gooseberry_kernel::node::Node;
 use gooseberry_standin::platform::Platform;
@@ -168,6 +170,32 @@
     fleet.daemon.shut_down().await;
 }
 
+/// The run of a key begins a moment after its decision.
+#[tokio::test]
+async fn a_later_try_waits_for_a_run_that_has_been_decided_and_not_begun() {
+    let fleet = Fleet::start().await;
+    let context = fleet.daemon.context();
+    let job = job(&fleet, "six").await;
+    let key = job.key.clone().unwrap();
+    let (begin_key, digest) = (key.clone(), job.digest);
+    let decision = context
+        .node
+        .try_ask(move |reply| Message::BeginKey(begin_key, digest, true, reply));
+    assert_eq!(decision.await.unwrap(), Decision::Run);
+    let mut later = Box::pin(idempotency::perform(context, job, false));
+    let waited = tokio::time::timeout(Duration::from_millis(100), later.as_mut()).await;
+    assert!(waited.is_err(), "it is answered before the run has ended");
+    let record = RecordedAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: b"ran".as_slice().into(),
+    };
+    let completion = Completion::Answered(record);
+    context.node.tell(Message::EndKey(key, completion));
+    assert_eq!(later.await.status().as_u16(), 200);
+    fleet.daemon.shut_down().await;
+}
+
 /// A caller that hangs up may send its key again at once. If the later try were
 /// decided first, its key would be unknown although the first try runs.
 #[tokio::test]
