Keep a rate limit of zero at a low rate at stage targets too

The lowest rate that is kept to applied to the shares of requests only; a stage target that names a limit of 0 would never have been called again, and nobody would have learnt that its limit ended. Now the limit itself is never below it. A pick of a target without a limit no longer copies its entry.

--- a/crates/kernel/src/target/rate_limit.rs
+++ b/crates/kernel/src/target/rate_limit.rs
@@ -105,8 +105,8 @@
     next_in_greeting: usize,
 }
 
-/// Returns the part of a target's rate that falls to one daemon; `None` if other
-/// daemons share it.
+/// Returns the part of a target's rate, as [`RateLimits::rate`] returns it, that falls to
+/// one daemon; `None` if other daemons share it.
 ///
 /// `fleet_size` is the largest number of daemons that was recently seen.
 #[must_use]
@@ -117,7 +117,6 @@
     members: &[name::Member],
     fleet_size: usize,
 ) -> Option<Rate> {
-    let rate = rate.max(RATE_MIN);
     let holders = rate
         .0
         .saturating_mul(SEND_INTERVAL_MAX.0)
@@ -184,10 +183,11 @@
         observations
     }
 
-    /// Returns the limit of this run of a target.
+    /// Returns the limit of this run of a target, or a low one if that is lower still.
     #[must_use]
     pub fn rate(&self, target: &Target) -> Option<Rate> {
-        self.limit(target)?.observation.rate
+        let rate = self.limit(target)?.observation.rate?;
+        Some(rate.max(RATE_MIN))
     }
 
     /// Returns when this daemon, with this share of the limit, may send its next
--- a/crates/kernel/tests/direct/rate_limit.rs
+++ b/crates/kernel/tests/direct/rate_limit.rs
@@ -174,6 +174,18 @@
     assert!(limits.for_greeting().is_empty());
 }
 
+#[test]
+fn a_limit_of_zero_lets_a_request_through_now_and_then() {
+    let mut limits = RateLimits::default();
+    limits.observe(&target(1), Some(Rate(0)), Millis(0));
+    let rate = limits.rate(&target(1));
+    limits.set_share(&target(1).name, rate, Millis(0));
+    assert_eq!(
+        limits.next_send(&target(1), rate, Millis(0)),
+        NextSend::At(Millis(10_000))
+    );
+}
+
 #[test]
 fn greetings_pass_on_all_limits_in_turn() {
     let mut limits = RateLimits::default();
--- a/crates/relay/src/state/share.rs
+++ b/crates/relay/src/state/share.rs
@@ -128,10 +128,11 @@
     /// Counts a request in the rate limit of its target, if it has one.
     pub(super) fn spend_rate(&mut self, target: &name::Target, now: Millis) {
         let fleet_size = self.members.fleet_size(now);
-        let Some(listed) = self.targets.get(target) else {
+        let listed = self.targets.get(target);
+        let limited = listed.filter(|listed| self.rate_limits.rate(&listed.target).is_some());
+        let Some(target) = limited.map(|listed| listed.target.clone()) else {
             return;
         };
-        let target = listed.target.clone();
         let share = self.shares(fleet_size, now).of_rate(&target);
         self.rate_limits.spend(&target, share, now);
     }
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -22,7 +22,7 @@
     #[must_use]
     pub fn stage_targets(&self, service: &name::Service, now: Millis) -> Vec<StageTarget> {
         let usable = self.targets.usable(service, &self.taken_out, now);
-        // The largest size that was recently seen matters for requests only.
+        // The calls of a stage service are not divided by the size of the fleet.
         let shares = self.shares(1, now);
         let is_due = |listed: &&RegisteredTarget| {
             let share = shares.of_rate(&listed.target);
