Book no place at a cold target beyond its cold rate

Found in review: if all targets of a service have rate limits and are cold, a request whose daemon had used up its share of the cold rate was booked at one of them at once, as its rate limit allowed it: 46 requests reached a cold target in 2.5 s, which takes 2 a second.

Cause: a booking looked at rate limits alone. Change: a target that is cold or full counts as one that may have capacity soon, and a booked request checks for room before it is sent. Measured: the new test fails without the change and passes with it.

--- a/crates/relay/src/state/share.rs
+++ b/crates/relay/src/state/share.rs
@@ -27,8 +27,8 @@
 /// What the parts of one daemon are computed from.
 pub(super) struct Shares<'a> {
     state: &'a State,
-    fleet_size: usize,
-    now: Millis,
+    pub(super) fleet_size: usize,
+    pub(super) now: Millis,
     /// Computed on first use: most choices meet no limit.
     members: OnceCell<Vec<name::Member>>,
 }
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -9,6 +9,7 @@
 use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::target::rate_limit;
 use gooseberry_kernel::target::rate_limit::Booking;
+use gooseberry_kernel::target::rate_limit::NextSend;
 use gooseberry_kernel::target::rate_limit::Rate;
 use gooseberry_kernel::target::registry::RegisteredTarget;
 use gooseberry_kernel::target::selection;
@@ -20,6 +21,7 @@
 use crate::state::PickedTarget;
 use crate::state::State;
 use crate::state::TargetUsage;
+use crate::state::share::Shares;
 
 /// How long the load that a target reported is used.
 const LOAD_AGE_MAX: Millis = Millis(1_000);
@@ -120,15 +122,16 @@
     /// Counts a request as in flight at the target at which it was booked; returns
     /// false if the target no longer takes it.
     pub fn begin_booked(&mut self, target: &name::Target, service: &Service, now: Millis) -> bool {
-        let limit = connection_limit(service, self.members.fleet_size(now));
+        let fleet_size = self.members.fleet_size(now);
+        let shares = self.shares(fleet_size, now);
         let mut usable = self.targets.usable(&service.name, &self.taken_out, now);
-        let is_usable = usable.any(|listed| listed.target.name == *target);
+        let listed = usable.find(|listed| listed.target.name == *target);
+        let has_room = listed.is_some_and(|listed| self.has_room(listed, service, &shares));
         drop(usable);
-        if !is_usable || self.in_flight(target) >= limit {
-            return false;
+        if has_room {
+            self.record_send(target, now);
         }
-        self.record_send(target, now);
-        true
+        has_room
     }
 
     fn record_send(&mut self, target: &name::Target, now: Millis) {
@@ -207,19 +210,13 @@
             let ends = paused.filter_map(|listed| self.paused_until(&listed.target.name, now));
             return ends.min().map_or(Pick::NoTarget, Pick::Paused);
         }
-        let limit = connection_limit(service, fleet_size);
         let shares = self.shares(fleet_size, now);
         let next_send = |listed: &RegisteredTarget| {
             let share = shares.of_rate(&listed.target);
             self.rate_limits.next_send(&listed.target, share, now)
         };
         let has_capacity = |listed: &&&RegisteredTarget| {
-            let target = &listed.target.name;
-            let is_cold = listed.cold_until > now && service.cold_requests_per_second > 0;
-            let has_share = !is_cold
-                || self.cold_rate_limiter.recent_sends(target, now)
-                    < shares.of_cold_rate(service, target);
-            has_share && self.in_flight(target) < limit && next_send(listed).is_due(now)
+            self.has_room(listed, service, &shares) && next_send(listed).is_due(now)
         };
         let available: Vec<&RegisteredTarget> =
             listed.iter().filter(has_capacity).copied().collect();
@@ -230,9 +227,14 @@
         if let Some(index) = selection::pick(&candidates, need.affinity, need.draw) {
             return Pick::Target(PickedTarget::from(&available[index].target));
         }
-        let next_sends = listed
-            .iter()
-            .map(|listed| (next_send(listed), &listed.target));
+        let next_sends = listed.iter().map(|listed| {
+            let next_send = match next_send(listed) {
+                // It is cold or full, as is one without a limit.
+                NextSend::At(_) if !self.has_room(listed, service, &shares) => NextSend::Unlimited,
+                next_send => next_send,
+            };
+            (next_send, &listed.target)
+        });
         match rate_limit::booking(next_sends) {
             Booking::Unlimited => Pick::Wait,
             Booking::NoShare => Pick::NoShare,
@@ -241,6 +243,17 @@
         }
     }
 
+    /// Returns whether a target is below its connection limit and, if cold, below this
+    /// daemon's share of its cold rate.
+    fn has_room(&self, listed: &RegisteredTarget, service: &Service, shares: &Shares<'_>) -> bool {
+        let target = &listed.target.name;
+        let is_cold = listed.cold_until > shares.now && service.cold_requests_per_second > 0;
+        let has_share = !is_cold
+            || self.cold_rate_limiter.recent_sends(target, shares.now)
+                < shares.of_cold_rate(service, target);
+        has_share && self.in_flight(target) < connection_limit(service, shares.fleet_size)
+    }
+
     /// Returns a target with its load, the greater of the reported load and this
     /// daemon's requests in flight.
     pub(super) fn candidate(
--- a/crates/relay/tests/direct/rate_limits.rs
+++ b/crates/relay/tests/direct/rate_limits.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::platform::SETTINGS;
 use crate::platform::TestPlatform;
 use crate::platform::client_address;
 use crate::platform::wait_until;
@@ -164,3 +165,35 @@
     // Those with a place at a target wait for it, within their 1.5 s.
     assert!((2..=6).contains(&served), "{served}");
 }
+
+/// Requests a second that a cold target tolerates, and how many may reach it in a second.
+const COLD_PER_SECOND: &str = "\"cold_per_s\": 2, \"max_conns\": 100";
+const COLD_ALLOWED: usize = 8;
+
+#[tokio::test]
+async fn targets_that_are_cold_and_limited_get_no_more_than_cold_ones() {
+    let platform = TestPlatform::start().await;
+    let settings = SETTINGS
+        .replace("\"max_conns\": 100", COLD_PER_SECOND)
+        .replace("\"version\": 1", "\"version\": 2");
+    platform.store.put("op/config", &settings);
+    let daemons = fleet(&platform, 1).await;
+    for target in &platform.plain {
+        target.add_headers(&[("Server-Limit", "50")]);
+    }
+    send_for(&daemons, "/read/", Duration::from_secs(1)).await;
+    for target in &platform.plain {
+        let entry = target.entry("plain", "z-1", "ready");
+        let entry = entry.replace("\"cold_left_ms\":0", "\"cold_left_ms\":60000");
+        let key = format!("servers/{}", target.name);
+        platform.store.put(&key, &entry);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let before = platform.plain.each_ref().map(calls);
+    send_for(&daemons, "/read/", Duration::from_secs(1)).await;
+    // The last requests wait for up to 1.5 s more.
+    for (target, before) in platform.plain.iter().zip(before) {
+        let got = calls(target) - before;
+        assert!(got <= 3 * COLD_ALLOWED, "{got} requests in about 2.5 s");
+    }
+}
