Count results as kept that a limited target was not told to free

Found in review: a stage target with a rate limit may not be called to free results, yet the queue took them for freed, and would have filled the target's memory with calls that fail for lack of it. Now they count until they expire. Not shown by a test of its own; 76 of the relay's pass.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -165,6 +165,10 @@
         for handle in unknown {
             let target = stage_call::target_address(&handle)
                 .and_then(|address| context.state().target_at(service, address));
+            let target = target.filter(|(target, _)| {
+                let now = context.now();
+                context.state().try_take_call(target, now)
+            });
             if let Some((target, address)) = target {
                 let context = context.clone();
                 tokio::spawn(
@@ -318,6 +322,11 @@
             }
         }
         for (service, target, handles) in freed {
+            let now = context.now();
+            if !context.state().try_take_call(&target, now) {
+                // The target keeps these results until they expire, and so does the queue.
+                continue;
+            }
             let address = context.state().address(&target);
             let context = context.clone();
             tokio::spawn(async move {
--- a/crates/relay/src/dispatcher/result_memory.rs
+++ b/crates/relay/src/dispatcher/result_memory.rs
@@ -117,9 +117,6 @@
     address: SocketAddr,
     handles: &[name::Handle],
 ) {
-    if !context.state().try_take_call(&target, context.now()) {
-        return;
-    }
     let callee = Callee::of_stage(target, address);
     let Ok(request) = stage_call::free_request(handles, &address.to_string(), &callee.target)
     else {
