--- a/crates/daemon/tests/process/fleet.rs
+++ b/crates/daemon/tests/process/fleet.rs
@@ -308,6 +308,17 @@
         .await;
     }
 
+    /// Starts a fleet whose calls take this long, and waits until every target is warm.
+    pub async fn start_warm(document: &str, work_ms: u64) -> Self {
+        let plan = Plan {
+            work: Duration::from_millis(work_ms),
+            ..Plan::default()
+        };
+        let fleet = Self::start(document, plan).await;
+        fleet.warm_up().await;
+        fleet
+    }
+
     /// Sends requests until every target is warm.
     pub async fn warm_up(&self) {
         let mut number = 0;
--- a/crates/daemon/tests/process/results.rs
+++ b/crates/daemon/tests/process/results.rs
@@ -10,7 +10,6 @@
 use gooseberry_standin::platform;
 use gooseberry_standin::target;
 use gooseberry_standin::target::Fault;
-use gooseberry_standin::target::Plan;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -25,13 +24,7 @@
 use crate::load_generator;
 
 async fn start() -> Fleet {
-    let plan = Plan {
-        work: Duration::from_millis(20),
-        ..Plan::default()
-    };
-    let fleet = Fleet::start(FLEET_SETTINGS, plan).await;
-    fleet.warm_up().await;
-    fleet
+    Fleet::start_warm(FLEET_SETTINGS, 20).await
 }
 
 /// Makes requests of all pipelines. Both workspaces send the same bodies, so
--- a/crates/daemon/tests/process/shutdown.rs
+++ b/crates/daemon/tests/process/shutdown.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use gooseberry_standin::target::Fault;
-use gooseberry_standin::target::Plan;
 use gooseberry_wire::platform::State;
 
 use crate::fleet::Call;
@@ -15,13 +14,7 @@
 use crate::load_generator;
 
 async fn start() -> Fleet {
-    let plan = Plan {
-        work: Duration::from_millis(40),
-        ..Plan::default()
-    };
-    let fleet = Fleet::start(FLEET_SETTINGS, plan).await;
-    fleet.warm_up().await;
-    fleet
+    Fleet::start_warm(FLEET_SETTINGS, 40).await
 }
 
 fn mixed_request(number: usize) -> Call {
--- a/crates/kernel/tests/direct/cold_rate.rs
+++ b/crates/kernel/tests/direct/cold_rate.rs
@@ -3,10 +3,7 @@
 use gooseberry_kernel::target::cold_rate;
 use gooseberry_kernel::target::cold_rate::ColdRateLimiter;
 
-fn members(count: usize) -> Vec<name::Member> {
-    let names = (0..count).map(|index| name::Member::new(&format!("d-{index}")));
-    names.collect()
-}
+use crate::fixtures::members;
 
 #[test]
 fn daemon_shares_sum_to_at_most_the_cold_rate() {
--- a/crates/kernel/tests/direct/large_fleet.rs
+++ b/crates/kernel/tests/direct/large_fleet.rs
@@ -4,22 +4,9 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::membership::GREET_INTERVAL;
-use gooseberry_kernel::fleet::membership::MemberState;
 use gooseberry_kernel::fleet::membership::Membership;
-use gooseberry_kernel::name;
 
-fn member(index: usize) -> MemberState {
-    let low = u8::try_from(index % 250 + 1).expect("it is below 251");
-    let high = u8::try_from(index / 250).expect("the fleet is small");
-    MemberState {
-        name: name::Member::new(&format!("d-{index}")),
-        incarnation: 1,
-        beat: 1,
-        address: SocketAddr::from(([10, 0, high, low], 80)),
-        cpu_millicores: 120,
-        is_leaving: false,
-    }
-}
+use crate::fixtures::member;
 
 /// Exchanges greetings between two daemons.
 fn greet(daemons: &mut [Membership], from: usize, to: usize, now: Millis) {
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod deadline_admission;
 mod event_buffer;
 mod fetch;
+mod fixtures;
 mod health;
 mod large_fleet;
 mod load;
--- a/crates/kernel/tests/direct/notice.rs
+++ b/crates/kernel/tests/direct/notice.rs
@@ -1,20 +1,8 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
-use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::target::registry::TargetRegistry;
 
-fn target(name: &str, started: u64) -> Target {
-    Target {
-        name: name::Target::new(name),
-        service: name::Service::new("s"),
-        address: ([10, 0, 0, 1], 80).into(),
-        domain: name::Domain::new("z"),
-        version: name::Version::new("v1"),
-        is_leaving: false,
-        cold_remaining: Millis::ZERO,
-        started,
-    }
-}
+use crate::fixtures::target;
 
 fn usable(registry: &TargetRegistry, now: u64) -> Vec<String> {
     let service = name::Service::new("s");
--- a/crates/kernel/tests/direct/rate_limit.rs
+++ b/crates/kernel/tests/direct/rate_limit.rs
@@ -9,25 +9,14 @@
 use gooseberry_kernel::target::rate_limit::Rate;
 use gooseberry_kernel::target::rate_limit::RateLimits;
 
+use crate::fixtures;
+use crate::fixtures::members;
+
 /// Length of the window in which the platform judges a limit.
 const WINDOW_MS: usize = 4_000;
 
 fn target(started: u64) -> Target {
-    Target {
-        name: name::Target::new("t"),
-        service: name::Service::new("s"),
-        address: ([10, 0, 0, 1], 80).into(),
-        domain: name::Domain::new("z"),
-        version: name::Version::new("v1"),
-        is_leaving: false,
-        cold_remaining: Millis::ZERO,
-        started,
-    }
-}
-
-fn members(count: usize) -> Vec<name::Member> {
-    let names = (0..count).map(|index| name::Member::new(&format!("d-{index}")));
-    names.collect()
+    fixtures::target("t", started)
 }
 
 /// The most requests that the platform allows in a window: one and a half times the
--- a/crates/kernel/tests/direct/registry.rs
+++ b/crates/kernel/tests/direct/registry.rs
@@ -5,17 +5,10 @@
 use gooseberry_kernel::target::registry::LAPSE_GRACE;
 use gooseberry_kernel::target::registry::TargetRegistry;
 
+use crate::fixtures;
+
 fn target(name: &str) -> Target {
-    Target {
-        name: name::Target::new(name),
-        service: name::Service::new("s"),
-        address: ([10, 0, 0, 1], 80).into(),
-        domain: name::Domain::new("z"),
-        version: name::Version::new("v1"),
-        is_leaving: false,
-        cold_remaining: Millis::ZERO,
-        started: 0,
-    }
+    fixtures::target(name, 0)
 }
 
 fn usable(registry: &TargetRegistry, now: Millis) -> usize {
--- a/crates/kernel/tests/direct/retry_budget.rs
+++ b/crates/kernel/tests/direct/retry_budget.rs
@@ -7,6 +7,8 @@
 use gooseberry_kernel::request::retry_budget::RetryBudgetLimits;
 use gooseberry_kernel::request::retry_budget::SEND_DELAY_MAX;
 
+use crate::fixtures::members;
+
 const LIMITS: RetryBudgetLimits = RetryBudgetLimits {
     retries_per_thousand: 200,
     slack_retries: 60,
@@ -20,11 +22,6 @@
 /// When a process has saved up all that it may.
 const SAVED_UP: Millis = Millis(20_000);
 
-fn members(count: usize) -> Vec<name::Member> {
-    let names = (0..count).map(|index| name::Member::new(&format!("d-{index}")));
-    names.collect()
-}
-
 fn share(service: &name::Service, me: &name::Member, members: &[name::Member]) -> Rate {
     let place = Place {
         key: service.as_str(),
--- a/crates/kernel/tests/direct/store_readers.rs
+++ b/crates/kernel/tests/direct/store_readers.rs
@@ -9,9 +9,9 @@
 use gooseberry_kernel::fleet::assignment::CONFIRMATION_AGE_MAX;
 use gooseberry_kernel::fleet::assignment::StoreRole;
 use gooseberry_kernel::fleet::membership::GREET_INTERVAL;
-use gooseberry_kernel::fleet::membership::MemberState;
 use gooseberry_kernel::fleet::membership::Membership;
-use gooseberry_kernel::name;
+
+use crate::fixtures::member;
 
 /// The time between the end of a watch and the next one.
 const READ_PAUSE: Millis = Millis(100);
@@ -25,19 +25,6 @@
     watch_end: Option<Millis>,
 }
 
-fn member(index: usize) -> MemberState {
-    let low = u8::try_from(index % 250 + 1).expect("it is below 251");
-    let high = u8::try_from(index / 250).expect("the fleet is small");
-    MemberState {
-        name: name::Member::new(&format!("d-{index}")),
-        incarnation: 1,
-        beat: 1,
-        address: SocketAddr::from(([10, 0, high, low], 80)),
-        cpu_millicores: 120,
-        is_leaving: false,
-    }
-}
-
 fn role(daemon: &Daemon, now: Millis) -> StoreRole {
     let live = daemon.membership.live(now);
     assignment::store_role(&daemon.membership.me().name, &live)
--- a/crates/kernel/tests/lease.rs
+++ b/crates/kernel/tests/lease.rs
@@ -260,6 +260,25 @@
     );
 }
 
+/// Has seven new daemons join five, and cuts the fleet in two: only the side of the new
+/// ones reads the second list. `split` is the number of daemons on the other side.
+fn seven_join_five(split: usize) -> impl Fn(Rules) -> bool {
+    move |rules| {
+        let mut cluster = Cluster::new(5, rules);
+        let everyone: Vec<usize> = (0..12).collect();
+        let after = list(2, &everyone);
+        let key = key_of(&[(&list(1, &[0, 1, 2, 3, 4]), 0), (&after, 5)]);
+        for index in 5..12 {
+            cluster.start(index, rules);
+        }
+        let (on_first_list, on_second_list) = everyone.split_at(split);
+        for index in on_second_list {
+            cluster.read(*index, &after);
+        }
+        cluster.both_held_within(20, &[on_first_list, on_second_list], &key, [0, 5])
+    }
+}
+
 #[test]
 fn new_daemons_cannot_outvote_a_recent_list() {
     // No daemon is dropped, so counting dropped members does not help. The new
@@ -267,20 +286,7 @@
     // list have not read.
     check_rule_is_needed(
         |rules| rules.majority_of_each_list = false,
-        |rules| {
-            let mut cluster = Cluster::new(5, rules);
-            let everyone: Vec<usize> = (0..12).collect();
-            let after = list(2, &everyone);
-            let key = key_of(&[(&list(1, &[0, 1, 2, 3, 4]), 0), (&after, 5)]);
-            for index in 5..12 {
-                cluster.start(index, rules);
-            }
-            let on_second_list: Vec<usize> = (4..12).collect();
-            for index in &on_second_list {
-                cluster.read(*index, &after);
-            }
-            cluster.both_held_within(20, &[&[0, 1, 2, 3], &on_second_list], &key, [0, 5])
-        },
+        seven_join_five(4),
     );
 }
 
@@ -288,23 +294,7 @@
 fn a_new_daemon_holds_no_lease_until_it_knows_the_recent_lists() {
     // As in the test above, but none of the former members is on the side of the
     // new ones.
-    check_rule_is_needed(
-        |rules| rules.needs_recent_lists = false,
-        |rules| {
-            let mut cluster = Cluster::new(5, rules);
-            let everyone: Vec<usize> = (0..12).collect();
-            let after = list(2, &everyone);
-            let key = key_of(&[(&list(1, &[0, 1, 2, 3, 4]), 0), (&after, 5)]);
-            for index in 5..12 {
-                cluster.start(index, rules);
-            }
-            let on_second_list: Vec<usize> = (5..12).collect();
-            for index in &on_second_list {
-                cluster.read(*index, &after);
-            }
-            cluster.both_held_within(20, &[&[0, 1, 2, 3, 4], &on_second_list], &key, [0, 5])
-        },
-    );
+    check_rule_is_needed(|rules| rules.needs_recent_lists = false, seven_join_five(5));
 }
 
 #[test]
--- a/crates/relay/tests/direct/answers.rs
+++ b/crates/relay/tests/direct/answers.rs
@@ -5,14 +5,15 @@
 use gooseberry_platform_standin::target::Target;
 
 use crate::platform::TestPlatform;
+use crate::platform::answer_to;
 use crate::platform::client_address;
 use crate::platform::is_ready_with;
+use crate::platform::start_one;
 use crate::platform::wait_until;
 
 #[tokio::test]
 async fn only_end_to_end_headers_of_the_client_reach_the_target() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let client = ClientRequest::new("/once/a?b=c")
         .with("Tenant", "somebody-else")
         .with("Hold", "h-1")
@@ -21,10 +22,7 @@
         .with("X-Hop", "1")
         .with("X-Kept", "1")
         .body("the body");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
+    let answer = answer_to(&client, &daemon).await;
     assert_eq!(answer.status, 200);
     assert!(answer.header("Response-Seal").starts_with("seal-plain-"));
     assert_eq!(answer.header("Attempt-Id"), client.attempt);
@@ -47,8 +45,7 @@
 
 #[tokio::test]
 async fn requests_that_the_settings_do_not_allow_get_the_right_status() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (_platform, daemon) = start_one().await;
     for (client, status) in [
         (ClientRequest::new("/nowhere/"), 404),
         (ClientRequest::new("/once/").with("Host", "b.example"), 404),
@@ -70,10 +67,7 @@
             400,
         ),
     ] {
-        let answer = client
-            .send(client_address(&daemon))
-            .await
-            .expect("an answer");
+        let answer = answer_to(&client, &daemon).await;
         assert_eq!(answer.status, status, "{client:?}");
         assert_eq!(answer.header("Response-Seal").is_empty(), status != 200);
     }
@@ -96,16 +90,12 @@
 
 #[tokio::test]
 async fn a_non_idempotent_request_is_resent_only_if_the_target_says_it_did_not_run() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for target in &platform.plain {
         target.queue_modes(&[Mode::NotRun]);
     }
     let client = ClientRequest::new("/once/");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
+    let answer = answer_to(&client, &daemon).await;
     assert_eq!((answer.status, platform.runs(&client.attempt)), (503, 2));
     for (mode, status) in [
         (Mode::Disconnect, 502),
@@ -118,10 +108,7 @@
             target.queue_modes(&[mode]);
         }
         let client = ClientRequest::new("/once/");
-        let answer = client
-            .send(client_address(&daemon))
-            .await
-            .expect("an answer");
+        let answer = answer_to(&client, &daemon).await;
         assert_eq!(answer.status, status, "{mode:?}");
         assert_eq!(platform.runs(&client.attempt), 1, "{mode:?}");
         assert!(!answer.body.contains("not yours"));
@@ -137,8 +124,7 @@
 
 #[tokio::test]
 async fn a_failed_idempotent_request_is_retried_at_a_second_target() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for mode in [
         Mode::NotRun,
         Mode::Disconnect,
@@ -153,10 +139,7 @@
         let before = (first.received().len(), second.received().len());
         first.queue_modes(&[mode]);
         second.queue_modes(&[mode]);
-        let answer = client
-            .send(client_address(&daemon))
-            .await
-            .expect("an answer");
+        let answer = answer_to(&client, &daemon).await;
         if mode == Mode::NotRun {
             // Both targets refused, so the client is told that it did not run.
             assert_eq!(answer.status, 503);
@@ -174,8 +157,7 @@
 
 #[tokio::test]
 async fn the_target_request_is_cancelled_when_the_client_disconnects() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for engine in &platform.engines {
         engine.queue_modes(&[Mode::NoAnswer]);
     }
@@ -198,8 +180,7 @@
 
 #[tokio::test]
 async fn a_request_that_crashed_three_targets_is_quarantined() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let send = async || {
         let client = ClientRequest::new("/once/").body("the same body");
         client
@@ -214,23 +195,12 @@
     for _ in 0..3 {
         assert_eq!(send().await, 502);
     }
-    let before: usize = platform
-        .plain
-        .iter()
-        .map(|target| target.received().len())
-        .sum();
+    let before = platform.plain_requests();
     assert_eq!(send().await, 503);
-    let after: usize = platform
-        .plain
-        .iter()
-        .map(|target| target.received().len())
-        .sum();
+    let after = platform.plain_requests();
     assert_eq!(after, before);
     let other = ClientRequest::new("/once/").body("another body");
-    let answer = other
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
+    let answer = answer_to(&other, &daemon).await;
     assert_ne!(answer.status, 503);
 }
 
@@ -238,16 +208,12 @@
 /// replaced by a refusal that says that the request did not run.
 #[tokio::test]
 async fn an_error_answer_is_forwarded_if_no_other_target_is_left() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     platform.store.remove("servers/plain-2");
     wait_until("one target is left", || is_ready_with(&daemon, 7)).await;
     platform.plain[0].queue_modes(&[Mode::Error]);
     let client = ClientRequest::new("/read/");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
+    let answer = answer_to(&client, &daemon).await;
     assert_eq!(answer.status, 500);
     assert_eq!(answer.header("Response-Seal"), "seal-plain-1");
     assert_eq!(answer.body, "error");
@@ -262,18 +228,14 @@
 
 #[tokio::test]
 async fn a_successful_answer_clears_the_crash_count_of_a_request() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for _ in 0..4 {
         for target in &platform.plain {
             target.clear_modes();
             target.queue_modes(&[Mode::Disconnect]);
         }
         let broken = ClientRequest::new("/once/").body("the same body");
-        let answer = broken
-            .send(client_address(&daemon))
-            .await
-            .expect("an answer");
+        let answer = answer_to(&broken, &daemon).await;
         assert_eq!(answer.status, 502);
         for target in &platform.plain {
             target.clear_modes();
--- a/crates/relay/tests/direct/connections.rs
+++ b/crates/relay/tests/direct/connections.rs
@@ -10,14 +10,13 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::platform::TestPlatform;
 use crate::platform::client_address;
+use crate::platform::start_one;
 use crate::platform::wait_until;
 
 #[tokio::test]
 async fn client_and_target_connections_are_reused() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (_platform, daemon) = start_one().await;
     let mut connection = HttpConnection::open(client_address(&daemon), Duration::from_secs(1))
         .await
         .expect("the daemon listens");
@@ -42,8 +41,7 @@
 
 #[tokio::test]
 async fn a_request_smuggled_in_a_body_reaches_no_target() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let smuggled = "POST /once/hidden HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: hidden\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n";
     for framing in [
         format!(
@@ -79,8 +77,7 @@
 
 #[tokio::test]
 async fn a_shutdown_completes_requests_and_closes_connections_with_a_response() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let address = client_address(&daemon);
     let mut connection = HttpConnection::open(address, Duration::from_secs(1))
         .await
@@ -121,8 +118,7 @@
 
 #[tokio::test]
 async fn a_request_that_cannot_finish_before_shutdown_is_refused_as_not_run() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (_platform, daemon) = start_one().await;
     let address = client_address(&daemon);
     let shutdown = daemon.shut_down();
     let request = async {
--- a/crates/relay/tests/direct/distribution.rs
+++ b/crates/relay/tests/direct/distribution.rs
@@ -18,6 +18,7 @@
 use crate::platform::TestPlatform;
 use crate::platform::is_ready_with;
 use crate::platform::start_daemon;
+use crate::platform::start_one;
 use crate::platform::unused_ip;
 use crate::platform::wait_until;
 use crate::slow_link;
@@ -144,8 +145,7 @@
 /// The peers that told of the settings are lost before they have passed them on.
 #[tokio::test]
 async fn settings_whose_chunks_no_peer_has_are_read_from_the_store() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     platform.store.set_mode(store::Mode::Busy);
     let large = settings(2, 500);
     platform.store.put("op/config", &large);
--- a/crates/relay/tests/direct/endless_answers.rs
+++ b/crates/relay/tests/direct/endless_answers.rs
@@ -20,56 +20,51 @@
 const INSTANCE_BYTES: usize = 260 << 20;
 
 const LONG_LINE: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
-const HEAD_WITHOUT_END: Bytes = Bytes {
-    first: "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nX-Long: ",
-    repeated: LONG_LINE,
-    pause: Duration::ZERO,
-};
-const INTERIM_HEADS: Bytes = Bytes {
-    first: "HTTP/1.1 100 Continue\r\n\r\n",
-    repeated: "HTTP/1.1 102 Processing\r\nX-Long: 0123456789abcdef\r\n\r\n",
-    pause: Duration::ZERO,
-};
-const BODY_WITHOUT_END: Bytes = Bytes {
-    first: "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\n\r\n",
-    repeated: LONG_LINE,
-    pause: Duration::ZERO,
-};
-const ERROR_WITHOUT_END: Bytes = Bytes {
-    first: "HTTP/1.1 500 Error\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\n\r\n",
-    repeated: LONG_LINE,
-    pause: Duration::ZERO,
-};
-const REFUSAL_WITHOUT_END: Bytes = Bytes {
-    first: "HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n\r\n",
-    repeated: LONG_LINE,
-    pause: Duration::ZERO,
-};
-const CHUNKS_WITHOUT_END: Bytes = Bytes {
-    first: "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
-    repeated: "10\r\n0123456789abcdef\r\n",
-    pause: Duration::ZERO,
-};
-const TRAILERS_WITHOUT_END: Bytes = Bytes {
-    first: "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
-    repeated: "X-Long: 0123456789abcdef\r\n",
-    pause: Duration::ZERO,
-};
-const NO_HTTP: Bytes = Bytes {
-    first: "",
-    repeated: LONG_LINE,
-    pause: Duration::ZERO,
-};
+const HEAD_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nX-Long: ",
+    LONG_LINE,
+);
+const INTERIM_HEADS: Bytes = endless(
+    "",
+    "HTTP/1.1 102 Processing\r\nX-Long: 0123456789abcdef\r\n\r\n",
+);
+const BODY_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\n\r\n",
+    LONG_LINE,
+);
+const ERROR_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 500 Error\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\n\r\n",
+    LONG_LINE,
+);
+const REFUSAL_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n\r\n",
+    LONG_LINE,
+);
+const CHUNKS_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "10\r\n0123456789abcdef\r\n",
+);
+const TRAILERS_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "X-Long: 0123456789abcdef\r\n",
+);
+const NO_HTTP: Bytes = endless("", LONG_LINE);
 const SLOW_HEAD: Bytes = Bytes {
-    first: "HTTP/1.1 200 OK\r\nX-Long: ",
-    repeated: "0",
     pause: Duration::from_millis(10),
+    ..endless("HTTP/1.1 200 OK\r\nX-Long: ", "0")
 };
-const BYTES_AFTER_THE_ANSWER: Bytes = Bytes {
-    first: "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok",
-    repeated: LONG_LINE,
-    pause: Duration::ZERO,
-};
+const BYTES_AFTER_THE_ANSWER: Bytes = endless(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+    LONG_LINE,
+);
+
+const fn endless(first: &'static str, repeated: &'static str) -> Bytes {
+    Bytes {
+        first,
+        repeated,
+        pause: Duration::ZERO,
+    }
+}
 
 /// Replaces the first target of a service by a faulty one.
 async fn replace(
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -20,8 +20,10 @@
 
 use crate::platform::SETTINGS;
 use crate::platform::TestPlatform;
+use crate::platform::answer_to;
 use crate::platform::client_address;
 use crate::platform::is_ready_with;
+use crate::platform::start_one;
 use crate::platform::wait_until;
 
 fn peer_address(daemon: &Daemon) -> SocketAddr {
@@ -71,10 +73,8 @@
         is_ready_with(&second, 8)
     })
     .await;
-    let answer = ClientRequest::new("/read/")
-        .send(client_address(&second))
-        .await;
-    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    let answer = answer_to(&ClientRequest::new("/read/"), &second).await;
+    assert_eq!(answer.status, 200);
 }
 
 #[tokio::test]
@@ -90,35 +90,40 @@
     }
 }
 
-#[tokio::test]
-async fn a_request_succeeds_though_its_dispatcher_is_killed() {
-    let platform = TestPlatform::start().await;
-    let daemons = start_three(&platform).await;
-    // The client uses a daemon that is not the dispatcher.
+/// Sends a request through a daemon that is not the dispatcher of its first stage, kills
+/// the dispatcher once a target of `busy` has got a request, and checks that the answer
+/// is whole. Returns the daemons that are left.
+async fn kill_dispatcher(
+    platform: &TestPlatform,
+    busy: &[Target; 2],
+    request: ClientRequest,
+) -> Vec<Daemon> {
+    let daemons = start_three(platform).await;
     let (dispatcher, others) = split_off_dispatcher(daemons, "first");
-    for target in &platform.first {
-        target.queue_modes(&[Mode::Delayed(900)]);
-    }
     let address = client_address(&others[0]);
-    let waiting = tokio::spawn(async move {
-        let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
-        client.with("Deadline-Ms", "8000").send(address).await
-    });
-    wait_until("the dispatcher has sent a call", || {
-        platform
-            .first
-            .iter()
-            .any(|target| !target.received().is_empty())
+    let request = request.with("Deadline-Ms", "8000");
+    let waiting = tokio::spawn(async move { request.send(address).await });
+    wait_until("a target has got a request", || {
+        busy.iter().any(|target| !target.received().is_empty())
     })
     .await;
     for daemon in dispatcher {
         daemon.kill().await;
     }
-    let answer = waiting
-        .await
-        .expect("the task did not panic")
-        .expect("an answer");
+    let answer = waiting.await.expect("the task did not panic");
+    let answer = answer.expect("an answer");
     assert_eq!((answer.status, answer.is_complete), (200, true));
+    others
+}
+
+#[tokio::test]
+async fn a_request_succeeds_though_its_dispatcher_is_killed() {
+    let platform = TestPlatform::start().await;
+    for target in &platform.first {
+        target.queue_modes(&[Mode::Delayed(900)]);
+    }
+    let request = ClientRequest::new("/staged/").with_stage_pieces("1,1");
+    kill_dispatcher(&platform, &platform.first, request).await;
 }
 
 /// Results of a dispatcher that was killed must be freed by another daemon.
@@ -127,31 +132,11 @@
 #[tokio::test]
 async fn results_of_a_killed_dispatcher_are_freed() {
     let platform = TestPlatform::start().await;
-    let daemons = start_three(&platform).await;
-    let (dispatcher, others) = split_off_dispatcher(daemons, "first");
     for engine in &platform.engines {
         engine.queue_modes(&[Mode::Delayed(400)]);
     }
-    let address = client_address(&others[0]);
-    let waiting = tokio::spawn(async move {
-        let client = ClientRequest::new("/long/").with_stage_pieces("3");
-        client.with("Deadline-Ms", "8000").send(address).await
-    });
-    wait_until("an engine has the request", || {
-        platform
-            .engines
-            .iter()
-            .any(|engine| !engine.received().is_empty())
-    })
-    .await;
-    for daemon in dispatcher {
-        daemon.kill().await;
-    }
-    let answer = waiting
-        .await
-        .expect("the task did not panic")
-        .expect("an answer");
-    assert_eq!((answer.status, answer.is_complete), (200, true));
+    let request = ClientRequest::new("/long/").with_stage_pieces("3");
+    let _others = kill_dispatcher(&platform, &platform.engines, request).await;
     wait_until("the results are freed", || {
         let freed = platform
             .first
@@ -168,8 +153,7 @@
 /// sends a group and is then silent.
 #[tokio::test]
 async fn results_of_requests_of_a_killed_daemon_are_freed() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let peer = Member {
         name: "d-2".into(),
         incarnation: 7,
--- a/crates/relay/tests/direct/notices.rs
+++ b/crates/relay/tests/direct/notices.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::platform::TestPlatform;
 use crate::platform::client_address;
+use crate::platform::start_one;
 use crate::platform::wait_until;
 
 const LEAVING: (&str, &str) = ("Server-Leaving", "1");
@@ -40,8 +40,7 @@
 
 #[tokio::test]
 async fn a_target_that_says_that_it_leaves_gets_no_more_requests() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     // The store cannot tell of it.
     platform.store.set_mode(store::Mode::Busy);
     let [leaving, staying] = &platform.plain;
@@ -69,8 +68,7 @@
 
 #[tokio::test]
 async fn a_restarted_target_gets_requests_again() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let [leaving, _] = &platform.plain;
     leaving.add_headers(&[LEAVING]);
     reach_all(&daemon, &platform.plain).await;
@@ -93,8 +91,7 @@
 
 #[tokio::test]
 async fn refusals_reports_and_stage_calls_tell_that_a_target_leaves() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     platform.store.set_mode(store::Mode::Busy);
     let usable = |service: &str| {
         let now = daemon.context().now();
@@ -124,8 +121,7 @@
 
 #[tokio::test]
 async fn a_word_on_leaving_that_has_no_meaning_changes_nothing() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for text in ["0", "true", "", "11"] {
         platform.plain[0].add_headers(&[("Server-Leaving", text)]);
         reach_all(&daemon, &platform.plain).await;
@@ -154,8 +150,7 @@
 
 #[tokio::test]
 async fn a_target_that_asks_for_a_pause_gets_nothing_until_its_end() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let [paused, _] = &platform.plain;
     pause(&daemon, paused, "1.2").await;
     let since = Instant::now();
@@ -174,16 +169,11 @@
 
 #[tokio::test]
 async fn a_request_is_refused_at_once_if_all_targets_pause_for_longer_than_it_waits() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for target in &platform.plain {
         pause(&daemon, target, "30").await;
     }
-    let before: usize = platform
-        .plain
-        .iter()
-        .map(|target| target.received().len())
-        .sum();
+    let before = platform.plain_requests();
     let since = Instant::now();
     let answer = ClientRequest::new("/read/")
         .send(client_address(&daemon))
@@ -193,18 +183,13 @@
     assert_eq!(answer.status, 503);
     let retry_after: f64 = answer.header("Retry-After").parse().expect("a number");
     assert!((20.0..=30.0).contains(&retry_after), "{retry_after}");
-    let after: usize = platform
-        .plain
-        .iter()
-        .map(|target| target.received().len())
-        .sum();
+    let after = platform.plain_requests();
     assert_eq!(after, before);
 }
 
 #[tokio::test]
 async fn a_request_waits_for_the_end_of_a_pause_that_leaves_it_time() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for target in &platform.plain {
         pause(&daemon, target, "0.6").await;
     }
@@ -213,8 +198,7 @@
 
 #[tokio::test]
 async fn a_paused_stage_target_gets_no_pieces() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let [paused, _] = &platform.first;
     paused.add_headers(&[("Retry-After", "20")]);
     paused.queue_modes(&[Mode::NotRun]);
@@ -241,8 +225,7 @@
 
 #[tokio::test]
 async fn a_time_to_wait_that_is_no_number_of_seconds_changes_nothing() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let service = name::Service::new("plain");
     for text in [
         "Fri, 04 Dec 2026 08:00:00 GMT",
--- a/crates/relay/tests/direct/platform.rs
+++ b/crates/relay/tests/direct/platform.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::retry_budget::RetryBudgetLimits;
 use gooseberry_platform::boot::Boot;
+use gooseberry_platform_standin::client::Answer;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::store::Store;
 use gooseberry_platform_standin::target::Target;
@@ -127,6 +128,12 @@
         start_daemon(number, seeds, self.store.address).await
     }
 
+    /// Returns how many requests have reached the targets of the plain service.
+    pub fn plain_requests(&self) -> usize {
+        let targets = self.plain.iter();
+        targets.map(|target| target.received().len()).sum()
+    }
+
     /// Returns how many requests of an attempt have reached targets.
     pub fn runs(&self, attempt: &str) -> usize {
         let all = [&self.plain, &self.engines];
@@ -136,6 +143,26 @@
     }
 }
 
+/// Starts the platform, and one daemon that is ready.
+pub async fn start_one() -> (TestPlatform, Daemon) {
+    let platform = TestPlatform::start().await;
+    let daemon = platform.daemon(1, &[]).await;
+    (platform, daemon)
+}
+
+/// Sends a request to a daemon, and returns the answer.
+pub async fn answer_to(client: &ClientRequest, daemon: &Daemon) -> Answer {
+    let answer = client.send(client_address(daemon)).await;
+    answer.expect("an answer")
+}
+
+/// Sends a request to a daemon, and returns the answer, which must be whole.
+pub async fn complete_answer_to(client: &ClientRequest, daemon: &Daemon) -> Answer {
+    let answer = answer_to(client, daemon).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    answer
+}
+
 /// Starts a daemon that reads this store. It may retry soon after its start, since its
 /// part of the retry budget's slack is large.
 pub async fn start_daemon(number: u8, seeds: &[SocketAddr], store_address: SocketAddr) -> Daemon {
--- a/crates/relay/tests/direct/retries.rs
+++ b/crates/relay/tests/direct/retries.rs
@@ -44,12 +44,6 @@
     }
 }
 
-/// Returns how many requests have reached the targets.
-fn arrivals(platform: &TestPlatform) -> usize {
-    let targets = platform.plain.iter();
-    targets.map(|target| target.received().len()).sum()
-}
-
 async fn send(daemon: &Daemon, count: usize) {
     for _ in 0..count {
         let request = ClientRequest::new("/read/");
@@ -66,10 +60,10 @@
     for _ in 0..3 {
         let daemon = start(&platform, LIMITS).await;
         send(&daemon, REQUESTS).await;
-        drop(daemon);
+        daemon.kill().await;
     }
     assert!(since.elapsed() < Duration::from_millis(LIMITS.window.0));
-    let retries = arrivals(&platform) - 3 * REQUESTS;
+    let retries = platform.plain_requests() - 3 * REQUESTS;
     assert!(
         retries <= allowed(3 * REQUESTS, LIMITS),
         "{retries} retries"
@@ -83,7 +77,7 @@
     sleep(Duration::from_secs(2)).await;
     refuse_all(&platform);
     send(&daemon, 4).await;
-    assert!(arrivals(&platform) > 4);
+    assert!(platform.plain_requests() > 4);
 }
 
 /// Sends requests at the same time, without waiting for their answers.
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -11,7 +11,10 @@
 
 use crate::platform::SETTINGS;
 use crate::platform::TestPlatform;
+use crate::platform::answer_to;
 use crate::platform::client_address;
+use crate::platform::complete_answer_to;
+use crate::platform::start_one;
 use crate::platform::wait_until;
 
 fn stage_calls(targets: &[Target; 2]) -> Vec<ReceivedRequest> {
@@ -31,14 +34,9 @@
 
 #[tokio::test]
 async fn stages_run_in_order_and_their_results_are_passed_on_and_freed() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let client = ClientRequest::new("/staged/").with_stage_pieces("2,3");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
-    assert_eq!((answer.status, answer.is_complete), (200, true));
+    complete_answer_to(&client, &daemon).await;
     let [first] = &stage_calls(&platform.first)[..] else {
         panic!("the pieces of one request are sent in one call");
     };
@@ -68,44 +66,31 @@
 #[tokio::test]
 async fn a_failed_piece_is_retried() {
     for reason in ["error", "room"] {
-        let platform = TestPlatform::start().await;
-        let daemon = platform.daemon(1, &[]).await;
+        let (platform, daemon) = start_one().await;
         for target in &platform.first {
             target.queue_modes(&[Mode::Unmade(reason)]);
         }
         let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
-        let answer = client
-            .send(client_address(&daemon))
-            .await
-            .expect("an answer");
+        let answer = answer_to(&client, &daemon).await;
         assert_eq!((answer.status, answer.is_complete), (200, true), "{reason}");
     }
     // If an input is gone, the stage that computes it must run again first.
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for target in &platform.second {
         target.queue_modes(&[Mode::Unmade("gone")]);
     }
     let before = stage_calls(&platform.first).len();
     let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
-    assert_eq!((answer.status, answer.is_complete), (200, true));
+    complete_answer_to(&client, &daemon).await;
     assert!(stage_calls(&platform.first).len() >= before + 2);
 }
 
 #[tokio::test]
 async fn a_request_whose_stages_cannot_finish_in_time_is_refused_at_once() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
     let client = client.with("Deadline-Ms", "100");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
+    let answer = answer_to(&client, &daemon).await;
     assert_eq!(answer.status, 503);
     assert!(!answer.header("Retry-After").is_empty());
     assert!(stage_calls(&platform.first).is_empty());
@@ -114,8 +99,7 @@
 
 #[tokio::test]
 async fn concurrent_requests_are_batched_into_shared_calls() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for target in &platform.first {
         target.queue_modes(&[Mode::Delayed(60), Mode::Delayed(60)]);
     }
@@ -138,34 +122,24 @@
 /// target, or to the same one again, until the request's deadline.
 #[tokio::test]
 async fn pieces_refused_for_lack_of_memory_are_retried_until_the_deadline() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     for target in &platform.first {
         target.queue_modes(&[Mode::Unmade("room"); 3]);
     }
     let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
-    assert_eq!((answer.status, answer.is_complete), (200, true));
+    complete_answer_to(&client, &daemon).await;
 }
 
 /// Results are released with the first event of the stream, so no target could
 /// resume a broken stream unless its stages were run again.
 #[tokio::test]
 async fn resuming_a_stream_with_stages_recomputes_its_results() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     engine_of_long_route(&platform, &daemon)
         .await
         .queue_modes(&[Mode::DisconnectWithin(3)]);
     let client = ClientRequest::new("/long/").with_stage_pieces("2");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
-    assert_eq!((answer.status, answer.is_complete), (200, true));
+    complete_answer_to(&client, &daemon).await;
     let seen = platform.engines.iter().flat_map(Target::received);
     let runs: Vec<ReceivedRequest> = seen
         .filter(|seen| seen.header("Attempt-Id") == client.attempt)
@@ -184,18 +158,13 @@
 
 #[tokio::test]
 async fn results_missing_at_the_run_are_recomputed() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     engine_of_long_route(&platform, &daemon)
         .await
         .queue_modes(&[Mode::InputsGone]);
     let before = stage_calls(&platform.first).len();
     let client = ClientRequest::new("/long/").with_stage_pieces("2");
-    let answer = client
-        .send(client_address(&daemon))
-        .await
-        .expect("an answer");
-    assert_eq!((answer.status, answer.is_complete), (200, true));
+    complete_answer_to(&client, &daemon).await;
     assert_eq!(stage_calls(&platform.first).len(), before + 2);
 }
 
@@ -259,8 +228,7 @@
 /// only that piece must be computed again, and not the inputs of its group.
 #[tokio::test]
 async fn a_piece_that_fails_late_is_retried_with_the_same_inputs() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let address = client_address(&daemon);
     // Inputs are released early only at targets that have ended a call.
     let has_idle_target = || {
@@ -308,8 +276,7 @@
 /// their memory may be needed, that is, if other groups wait at their service.
 #[tokio::test]
 async fn inputs_are_released_early_only_by_a_sole_dispatcher() {
-    let platform = TestPlatform::start().await;
-    let daemon = platform.daemon(1, &[]).await;
+    let (platform, daemon) = start_one().await;
     let address = client_address(&daemon);
     let freed_count = || {
         let freed = platform
