Log and show the era that the platform's store names

A store that comes back from an older copy says so by a higher era in all its answers. Nothing read it, so no log or metric could tell a daemon that takes new entries for old from one that has not received them. Each change is logged with the revision that the daemon knew, and the era is a gauge.

--- a/crates/kernel/src/fleet/mirror.rs
+++ b/crates/kernel/src/fleet/mirror.rs
@@ -22,9 +22,14 @@
 use crate::id::Digest;
 
 scalar! {
-    /// A revision of the platform's store; it only increases.
+    /// A revision of the platform's store; it only increases within an era.
     #[derive(Default)]
     pub struct Revision(pub u64);
+
+    /// An era of the platform's store. It rises by one each time the store comes back
+    /// from an older copy, after which revisions are given out again.
+    #[derive(Default)]
+    pub struct Era(pub u64);
 }
 
 /// The largest number of tombstones.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of the daemon, in the text format of Prometheus.
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::mirror::Era;
 use gooseberry_runtime::control_stream::Counters;
 use gooseberry_runtime::logs;
 use prometheus::Encoder;
@@ -25,6 +26,7 @@
     rate_limited: IntCounterVec,
     pieces: IntCounterVec,
     store: IntCounterVec,
+    store_era: IntGauge,
     peer_fetches: IntCounterVec,
     latency: HistogramVec,
     connections: IntCounter,
@@ -69,6 +71,11 @@
             "Calls to the platform's store.",
             &["end"],
         )?;
+        let store_era = IntGauge::new(
+            "gooseberry_relay_store_era",
+            "The era of the platform's store; it rises when the store goes back to an older copy.",
+        )?;
+        registry.register(Box::new(store_era.clone()))?;
         let peer_fetches = counters(
             "gooseberry_relay_peer_fetches_total",
             "Calls that fetch the store's contents from peers.",
@@ -99,6 +106,7 @@
             rate_limited,
             pieces,
             store,
+            store_era,
             peer_fetches,
             latency,
             connections,
@@ -143,6 +151,11 @@
         self.store.with_label_values(&[end]).inc();
     }
 
+    /// Sets the era of the store.
+    pub fn store_era(&self, era: Era) {
+        self.store_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+    }
+
     /// Counts a call to a peer that fetches `what` of the store's contents.
     pub fn peer_fetch(&self, what: &str, is_answered: bool) {
         let end = if is_answered { "answered" } else { "failed" };
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -33,6 +33,7 @@
     let mut is_full_read_due = true;
     let mut follows_change = true;
     let mut failures = 0_u32;
+    let mut era = store.era();
     loop {
         let now = context.now();
         if !context.state().is_reader(now) {
@@ -49,6 +50,11 @@
             store.watch(after, wait).await
         };
         let now = context.now();
+        if store.era() != era {
+            era = store.era();
+            context.metrics.store_era(era);
+            log::info!(era = era.0, known = after.0; "the store names its era");
+        }
         match read {
             Ok(WatchResult::Changes(changes)) => {
                 context.metrics.store_call("answered");
