--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -13,5 +13,6 @@
 mod retries;
 mod slow_link;
 mod stages;
+mod store_return;
 mod streams;
 mod versions;
