Order the store's contents by its era, then by revision

Callers saw requests handled by settings that had been replaced (CONFIG), and requests at targets that had left (DRAIN), if the platform's store had come back from an older copy.

The class is an order that is compared without its epoch. A position is an era and a revision now, in the replica, in greetings, in fetches and in what confirms a copy. A replica stays in its era until it has all contents of a later one, from the store or part by part from a peer, and then replaces its own, but keeps the chunks of large values. What was withdrawn before the return, targets that leave or are gone and domains that are out, stays so for 10 s or until it is written again; targets that the copy lacks stay usable as after an outage; settings never go back to a lower version.

Peers of the former build lack the calls that name an era. A daemon asks for the version of the calls on each new connection and uses the former calls with such peers; after a return it takes no contents from them, since their revisions may be of any era.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -1,8 +1,10 @@
 //! How daemons find each other, exchange state and divide roles.
 //!
 //! - [`membership`] detects which daemons are alive.
-//! - [`mirror`] replicates what the platform publishes. [`chunks`] cuts its large
-//!   values into parts, and [`fetch`] decides from which peers to fetch what is missing.
+//! - [`mirror`] replicates what the platform publishes, and [`replica`] does so over the
+//!   eras of its store. [`chunks`] cuts large values into parts, and [`fetch`] decides
+//!   from which peers to fetch what is missing.
+//! - [`withdrawal`] keeps in force what a store that went back has forgotten.
 //! - [`assignment`] chooses the dispatcher of a stage service and the readers
 //!   of the store, and [`share`] divides limits of the whole fleet, of which an
 //!   [`allowance`] says what a daemon may send.
@@ -13,4 +15,6 @@
 pub mod fetch;
 pub mod membership;
 pub mod mirror;
+pub mod replica;
 pub mod share;
+pub mod withdrawal;
--- a/crates/kernel/src/fleet/fetch.rs
+++ b/crates/kernel/src/fleet/fetch.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
-use crate::fleet::mirror::Revision;
+use crate::fleet::replica::Position;
 use crate::hash;
 
 /// How long a peer may take to answer a call.
@@ -36,8 +36,8 @@
     /// in progress. Returns whether to make the call.
     pub fn begin_changes(
         &mut self,
-        theirs: Revision,
-        own: Revision,
+        theirs: Position,
+        own: Position,
         store_age: Option<Millis>,
         now: Millis,
     ) -> bool {
@@ -56,7 +56,7 @@
 
     /// Records a peer that has the store's contents through `theirs`, if this daemon
     /// has them only through `own`: it may be asked for chunks.
-    pub fn add_source(&mut self, peer: SocketAddr, theirs: Revision, own: Revision) {
+    pub fn add_source(&mut self, peer: SocketAddr, theirs: Position, own: Position) {
         if theirs > own
             && let Err(index) = self.sources.binary_search(&peer)
         {
--- a/crates/kernel/src/fleet/mirror.rs
+++ b/crates/kernel/src/fleet/mirror.rs
@@ -10,6 +10,12 @@
 //! Large values come from a peer as outlines, and their chunks follow
 //! ([`chunks`]). Until all of them are there the former value holds, while smaller
 //! entries of the same and of later changes are in force at once.
+//!
+//! - `page` passes the contents on in parts.
+//! - `replacement` replaces the contents by those of another era.
+
+mod page;
+mod replacement;
 
 use compact_str::CompactString;
 
@@ -19,17 +25,13 @@
 use crate::fleet::chunks::Chunk;
 use crate::fleet::chunks::Outline;
 use crate::fleet::chunks::Partial;
+pub use crate::fleet::mirror::page::Page;
 use crate::id::Digest;
 
 scalar! {
     /// A revision of the platform's store; it only increases within an era.
     #[derive(Default)]
     pub struct Revision(pub u64);
-
-    /// An era of the platform's store. It rises by one each time the store comes back
-    /// from an older copy, after which revisions are given out again.
-    #[derive(Default)]
-    pub struct Era(pub u64);
 }
 
 /// The largest number of tombstones.
@@ -126,14 +128,8 @@
     /// Returns the bytes of those of the chunks that are known, for a peer.
     #[must_use]
     pub fn chunks(&self, digests: &[Digest]) -> Vec<Vec<u8>> {
-        let outlined = self.outlines.iter();
-        let whole = outlined.flat_map(|outline| {
-            let value = self.get(&outline.key).unwrap_or_default();
-            outline.slices(value)
-        });
-        let partial = self.partials.iter().flat_map(Partial::known);
-        let mut found: Vec<(Chunk, &[u8])> = whole
-            .chain(partial)
+        let known = self.known_chunks();
+        let mut found: Vec<(Chunk, &[u8])> = known
             .filter(|(chunk, _)| digests.contains(&chunk.digest))
             .collect();
         found.sort_unstable();
@@ -141,6 +137,15 @@
         found.into_iter().map(|(_, bytes)| bytes.to_vec()).collect()
     }
 
+    /// Returns the chunks of all large values with their bytes, as far as they are known.
+    fn known_chunks(&self) -> impl Iterator<Item = (Chunk, &[u8])> {
+        let whole = self.outlines.iter().flat_map(|outline| {
+            let value = self.get(&outline.key).unwrap_or_default();
+            outline.slices(value)
+        });
+        whole.chain(self.partials.iter().flat_map(Partial::known))
+    }
+
     /// Adds chunks that a peer has sent, and returns the keys whose values have
     /// become whole and have changed.
     pub fn add_chunks(&mut self, chunks: &[Vec<u8>]) -> Vec<CompactString> {
@@ -174,76 +179,6 @@
             .map(|entry| entry.key.as_str())
     }
 
-    /// Returns the first changes since revision `after`, of about [`chunks::CALL_BYTES_MAX`], or
-    /// a full copy if tombstones since then were dropped. Large values are outlined.
-    #[must_use]
-    pub fn changes(&self, after: Revision) -> Changes {
-        // A replica that has nothing needs no tombstones.
-        let is_whole = after < self.trimmed && after > Revision::default();
-        let through = if is_whole {
-            self.through
-        } else {
-            self.first_changes_end(after)
-        };
-        let is_included =
-            |revision: Revision| is_whole || (after < revision && revision <= through);
-        let entries = self.small_entries();
-        let outlines = self.current_outlines();
-        Changes {
-            entries: entries
-                .filter(|entry| is_included(entry.revision))
-                .cloned()
-                .collect(),
-            outlines: outlines
-                .filter(|outline| is_included(outline.revision))
-                .cloned()
-                .collect(),
-            through,
-            is_whole,
-        }
-    }
-
-    /// Returns the revision up to which the changes after `after` fit into a call, at
-    /// least one if there is any.
-    fn first_changes_end(&self, after: Revision) -> Revision {
-        let entries = self.small_entries().map(|entry| {
-            let value = entry.value.as_ref().map_or(0, Vec::len);
-            (entry.revision, entry.key.len() + value)
-        });
-        let outlines = self.current_outlines();
-        let outlines =
-            outlines.map(|outline| (outline.revision, size_of_val(outline.chunks.as_slice())));
-        let changes = entries.chain(outlines);
-        let mut changes: Vec<(Revision, usize)> =
-            changes.filter(|(revision, _)| *revision > after).collect();
-        changes.sort_unstable();
-        let mut end = None;
-        let mut bytes = 0;
-        for (revision, size) in changes {
-            bytes += size;
-            // Entries of one revision go together.
-            match end {
-                Some(end) if bytes > chunks::CALL_BYTES_MAX && revision > end => return end,
-                _ => end = Some(revision),
-            }
-        }
-        self.through
-    }
-
-    /// Returns the entries that are passed on whole.
-    fn small_entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter().filter(|entry| {
-            self.find_outline(&entry.key).is_err() && self.find_partial(&entry.key).is_err()
-        })
-    }
-
-    /// Returns the outline of the newest known value of each large entry.
-    fn current_outlines(&self) -> impl Iterator<Item = &Outline> {
-        let whole = self.outlines.iter();
-        let whole = whole.filter(|outline| self.find_partial(&outline.key).is_err());
-        whole.chain(self.partials.iter().map(Partial::outline))
-    }
-
     /// Removes the entries that a full copy does not list.
     fn remove_unlisted(&mut self, copy: &Changes, changed_keys: &mut Vec<CompactString>) {
         let entries = copy.entries.iter().map(|entry| entry.key.as_str());
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -7,9 +7,13 @@
 //! ends. The grace counts from the end of the outage and not from the removal,
 //! so that a target that leaves just after an outage isn't used longer than one
 //! that leaves at any other time.
+//!
+//! A store that comes back from an older copy lists targets as ready that leave or have
+//! gone since. Their runs stay unused for a while ([`Withdrawals`]).
 
 use crate::clock::Millis;
 use crate::derive::value;
+use crate::fleet::withdrawal::Withdrawals;
 use crate::name;
 use crate::request::routing_table::Target;
 use crate::request::stream_origin;
@@ -20,6 +24,9 @@
 /// The platform promises two seconds. A target that left at the end of the
 /// outage must also be unused within two seconds, hence the margin.
 pub const LAPSE_GRACE: Millis = Millis(1_800);
+/// How long a run that was removed is remembered. The store comes back from copies that
+/// are some seconds old.
+const REMOVED_MEMORY: Millis = Millis(30_000);
 
 value! {
     /// A target and its state as this daemon knows it.
@@ -56,6 +63,9 @@
     until: Millis,
 }
 
+/// One run of a target: its name, and when it started.
+type Run = (name::Target, u64);
+
 /// The targets of all services, sorted by name.
 #[derive(Clone, Debug, Default)]
 pub struct TargetRegistry {
@@ -63,6 +73,10 @@
     /// The versions that served within [`stream_origin::MEMORY`].
     former_versions: Vec<FormerVersion>,
     notices: Notices,
+    /// The runs that were removed within [`REMOVED_MEMORY`], and when.
+    removed: Vec<(Run, Millis)>,
+    /// The runs that were withdrawn before the store went back to an older copy.
+    withdrawals: Withdrawals<Run>,
 }
 
 impl TargetRegistry {
@@ -73,6 +87,8 @@
             cold => now + cold,
         };
         let is_leaving = target.is_leaving;
+        let run = run_of(&target);
+        self.removed.retain(|(removed, _)| *removed != run);
         let listed = RegisteredTarget {
             target,
             cold_until,
@@ -116,10 +132,32 @@
             return Some(Change::Lapsed);
         }
         let gone = self.targets.remove(index);
-        self.remember_version(gone.target, now);
+        self.remember_removed(gone.target, now);
         Some(Change::Gone)
     }
 
+    /// Keeps the runs unused that leave or were removed lately, for
+    /// [`HOLD_TIME`](crate::fleet::withdrawal::HOLD_TIME): the store has come back from an older copy, which may
+    /// list them as ready.
+    pub fn hold_withdrawn(&mut self, now: Millis) {
+        let leaving = self.targets.iter().map(|listed| &listed.target);
+        let leaving = leaving.filter(|target| target.is_leaving).map(run_of);
+        let removed = self.removed.iter();
+        let removed = removed.filter(|(_, at)| *at + REMOVED_MEMORY > now);
+        let withdrawn = leaving.chain(removed.map(|(run, _)| run.clone()));
+        for run in withdrawn {
+            self.withdrawals.hold(run, now);
+        }
+    }
+
+    /// Ends the hold of a target whose entry was written since the store has come back.
+    pub fn release(&mut self, name: &name::Target) {
+        if let Some(listed) = self.get(name) {
+            let run = run_of(&listed.target);
+            self.withdrawals.release(&run);
+        }
+    }
+
     /// Returns the software versions of a service's targets that serve now or did so
     /// within [`stream_origin::MEMORY`], sorted.
     #[must_use]
@@ -135,6 +173,12 @@
         versions
     }
 
+    fn remember_removed(&mut self, gone: Target, now: Millis) {
+        self.removed.retain(|(_, at)| *at + REMOVED_MEMORY > now);
+        self.removed.push((run_of(&gone), now));
+        self.remember_version(gone, now);
+    }
+
     fn remember_version(&mut self, former: Target, now: Millis) {
         self.former_versions.retain(|one| {
             let is_same = one.service == former.service && one.version == former.version;
@@ -156,7 +200,7 @@
         self.targets.retain(|listed| !is_over(listed));
         let gone = lapsed.iter().map(|target| target.name.clone()).collect();
         for target in lapsed {
-            self.remember_version(target, now);
+            self.remember_removed(target, now);
         }
         gone
     }
@@ -228,6 +272,7 @@
             let target = &listed.target;
             let is_current = listed.lapse_ends.is_none_or(|at| at > now);
             let is_leaving = target.is_leaving || self.notices.is_leaving(target, now);
+            let is_leaving = is_leaving || self.withdrawals.is_held(&run_of(target), now);
             let accepts_work = !is_leaving && !taken_out.contains(&target.domain);
             target.service == *service && is_current && accepts_work
         })
@@ -238,3 +283,7 @@
             .binary_search_by(|listed| listed.target.name.cmp(name))
     }
 }
+
+fn run_of(target: &Target) -> Run {
+    (target.name.clone(), target.started)
+}
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -18,6 +18,7 @@
 mod prior_wait;
 mod rate_limit;
 mod registry;
+mod replica;
 mod retry_budget;
 mod routing_table;
 mod selection;
--- a/crates/kernel/tests/direct/registry.rs
+++ b/crates/kernel/tests/direct/registry.rs
@@ -1,4 +1,5 @@
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::withdrawal::HOLD_TIME;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::target::registry::Change;
@@ -107,3 +108,32 @@
             .is_empty()
     );
 }
+
+#[test]
+fn withdrawn_runs_stay_unused_after_the_store_went_back() {
+    let mut registry = TargetRegistry::default();
+    let run = |name: &str, started: u64, is_leaving: bool| Target {
+        is_leaving,
+        ..fixtures::target(name, started)
+    };
+    registry.upsert(run("leaving", 1, false), Millis(0));
+    registry.upsert(run("leaving", 1, true), Millis(100));
+    registry.upsert(run("gone", 1, false), Millis(0));
+    registry.remove(&name::Target::new("gone"), None, Millis(100));
+    registry.upsert(run("staying", 1, false), Millis(0));
+    let back_at = Millis(5_000);
+    registry.hold_withdrawn(back_at);
+    for name in ["leaving", "gone", "staying"] {
+        registry.upsert(run(name, 1, false), back_at);
+    }
+    assert_eq!(usable(&registry, back_at), 1);
+    // Another run under the name is another target.
+    registry.upsert(run("gone", 2, false), back_at);
+    assert_eq!(usable(&registry, back_at), 2);
+    // The entry of the run was written again, and calls it ready.
+    registry.release(&name::Target::new("leaving"));
+    assert_eq!(usable(&registry, back_at), 3);
+    registry.upsert(run("gone", 1, false), back_at);
+    assert_eq!(usable(&registry, back_at), 2);
+    assert_eq!(usable(&registry, back_at + HOLD_TIME), 3);
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of the daemon, in the text format of Prometheus.
 
 use gooseberry_kernel::clock::Millis;
-use gooseberry_kernel::fleet::mirror::Era;
+use gooseberry_kernel::fleet::replica::Era;
 use gooseberry_runtime::control_stream::Counters;
 use gooseberry_runtime::logs;
 use prometheus::Encoder;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -18,7 +18,9 @@
 use std::time::Instant;
 
 use gooseberry_kernel::fleet::fetch::CALL_TIMEOUT;
-use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Contents;
+use gooseberry_kernel::fleet::replica::Era;
+use gooseberry_kernel::fleet::replica::Request;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::stream_origin::Origin;
@@ -26,12 +28,12 @@
 use gooseberry_runtime::control_stream;
 use gooseberry_runtime::control_stream::Counters;
 use gooseberry_wire::fleet;
-use gooseberry_wire::fleet::Changes;
 use gooseberry_wire::fleet::FleetClient;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
 use gooseberry_wire::fleet::Unmade;
 use tarpc::client;
+use tarpc::client::RpcError;
 use tarpc::context;
 use tokio::time::timeout;
 
@@ -49,6 +51,10 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(CALL_TIMEOUT.0);
 /// How often a waiting call checks whether its peer is still alive.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// How often a peer that closes the connection is asked for the version of its calls.
+const VERSION_CALLS: u32 = 2;
+/// The version from which on peers have the calls that name the era of the store.
+const ERA_VERSION: u32 = 1;
 /// The error of a call to a peer that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unreachable;
@@ -58,6 +64,8 @@
 struct Connection {
     address: SocketAddr,
     client: FleetClient,
+    /// Whether the peer has the calls that name the era of the store.
+    knows_eras: bool,
 }
 
 /// The connections to peers, sorted by address.
@@ -172,9 +180,21 @@
         &self,
         address: SocketAddr,
         greeting: Greeting,
-    ) -> Result<Greeting, Unreachable> {
-        let client = self.client(address).await?;
-        let call = client.greet(with_timeout(GREET_TIMEOUT), greeting);
+        era: Option<Era>,
+    ) -> Result<(Greeting, Option<Era>), Unreachable> {
+        let Connection {
+            client, knows_eras, ..
+        } = self.connection(address).await?;
+        let limit = with_timeout(GREET_TIMEOUT);
+        let call = async {
+            if knows_eras {
+                let era = era.map(|era| era.0);
+                let (reply, era) = client.greet_in_era(limit, greeting, era).await?;
+                return Ok((reply, era.map(Era)));
+            }
+            let reply = client.greet(limit, greeting).await?;
+            Ok::<_, RpcError>((reply, None))
+        };
         if let Ok(Ok(reply)) = timeout(GREET_TIMEOUT, call).await {
             return Ok(reply);
         }
@@ -182,10 +202,22 @@
         Err(Unreachable)
     }
 
-    async fn changes(&self, address: SocketAddr, after: Revision) -> Result<Changes, Unreachable> {
-        let client = self.client(address).await?;
-        let call = client.changes(with_timeout(FETCH_TIMEOUT), after.0);
-        call.await.map_err(|_| Unreachable)
+    async fn contents(
+        &self,
+        address: SocketAddr,
+        request: Request,
+    ) -> Result<Contents, Unreachable> {
+        let Connection {
+            client, knows_eras, ..
+        } = self.connection(address).await?;
+        let limit = with_timeout(FETCH_TIMEOUT);
+        if knows_eras {
+            let call = client.contents(limit, request.into());
+            return call.await.map(Into::into).map_err(|_| Unreachable);
+        }
+        let call = client.changes(limit, request.after.0);
+        let changes = call.await.map_err(|_| Unreachable)?;
+        Ok(Contents::of(request.era, changes.into()))
     }
 
     async fn chunks(
@@ -201,32 +233,65 @@
 
     /// Returns the client of a peer, and connects to the peer if there is none.
     async fn client(&self, address: SocketAddr) -> Result<FleetClient, Unreachable> {
-        if let Some(client) = self.cached_client(address) {
-            return Ok(client);
+        Ok(self.connection(address).await?.client)
+    }
+
+    /// Returns the connection to a peer, and connects to the peer if there is none.
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, Unreachable> {
+        if let Some(connection) = self.cached_connection(address) {
+            return Ok(connection);
+        }
+        let connection = self.connect(address).await?;
+        let mut connections = self.lock();
+        let found = connections.binary_search_by_key(&address, |connection| connection.address);
+        match found {
+            Ok(index) => connections[index] = connection.clone(),
+            Err(index) => connections.insert(index, connection.clone()),
+        }
+        Ok(connection)
+    }
+
+    /// Connects to a peer and asks which calls it has.
+    ///
+    /// A peer of a former build closes a connection on a call that it lacks, and so does
+    /// one that ends. The question is therefore asked twice, before other calls depend on
+    /// the connection.
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Unreachable> {
+        for _ in 0..VERSION_CALLS {
+            let client = self.open(address).await?;
+            let call = client.protocol_version(with_timeout(GREET_TIMEOUT));
+            match call.await {
+                Ok(version) => {
+                    return Ok(Connection {
+                        address,
+                        client,
+                        knows_eras: version >= ERA_VERSION,
+                    });
+                }
+                Err(RpcError::DeadlineExceeded) => return Err(Unreachable),
+                Err(_) => {}
+            }
         }
+        Ok(Connection {
+            address,
+            client: self.open(address).await?,
+            knows_eras: false,
+        })
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<FleetClient, Unreachable> {
         let connecting = control_stream::connect(address, self.counters.clone());
         let connected = timeout(GREET_TIMEOUT, connecting).await;
         let transport = connected
             .map_err(|_| Unreachable)?
             .map_err(|_| Unreachable)?;
-        let client = FleetClient::new(client::Config::default(), transport).spawn();
-        let mut connections = self.lock();
-        let found = connections.binary_search_by_key(&address, |connection| connection.address);
-        let connection = Connection {
-            address,
-            client: client.clone(),
-        };
-        match found {
-            Ok(index) => connections[index] = connection,
-            Err(index) => connections.insert(index, connection),
-        }
-        Ok(client)
+        Ok(FleetClient::new(client::Config::default(), transport).spawn())
     }
 
-    fn cached_client(&self, address: SocketAddr) -> Option<FleetClient> {
+    fn cached_connection(&self, address: SocketAddr) -> Option<Connection> {
         let connections = self.lock();
         let found = connections.binary_search_by_key(&address, |connection| connection.address);
-        found.ok().map(|index| connections[index].client.clone())
+        found.ok().map(|index| connections[index].clone())
     }
 
     /// Drops the connection to a peer; the next call opens a new one.
--- a/crates/relay/src/peers/fetch.rs
+++ b/crates/relay/src/peers/fetch.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Position;
+use gooseberry_kernel::fleet::replica::Request;
 
 use crate::context::Context;
 
@@ -11,13 +12,13 @@
 pub(super) async fn changes(
     context: &Context,
     address: SocketAddr,
-    theirs: Revision,
-    mut after: Revision,
+    theirs: Position,
+    mut request: Request,
 ) {
-    while fetch_changes(context, address, after).await {
+    while fetch_changes(context, address, request).await {
         let next = context.state().begin_changes_fetch(theirs, context.now());
         match next {
-            Some(next) if next > after => after = next,
+            Some(next) if next != request => request = next,
             Some(_) => {
                 context.state().end_changes_fetch();
                 return;
@@ -28,18 +29,18 @@
 }
 
 /// Makes one call for changes, and applies them. Returns whether it succeeded.
-async fn fetch_changes(context: &Context, address: SocketAddr, after: Revision) -> bool {
+async fn fetch_changes(context: &Context, address: SocketAddr, request: Request) -> bool {
     let begun = context.now();
-    let changes = context.peers.changes(address, after).await;
-    context.metrics.peer_fetch("changes", changes.is_ok());
+    let contents = context.peers.contents(address, request).await;
+    context.metrics.peer_fetch("changes", contents.is_ok());
     let now = context.now();
     let mut state = context.state();
     state.end_changes_fetch();
-    if let Ok(changes) = changes {
-        state.apply_changes(changes.into(), &address.to_string(), now);
+    if let Ok(contents) = contents {
+        state.apply_contents(contents, &address.to_string(), now);
         true
     } else {
-        log::warn!(peer:% = address, after = after.0, took_ms = (now - begun).0; "changes of the store were not fetched from a peer");
+        log::warn!(peer:% = address, after = request.after.0, took_ms = (now - begun).0; "changes of the store were not fetched from a peer");
         false
     }
 }
--- a/crates/relay/src/peers/greeting.rs
+++ b/crates/relay/src/peers/greeting.rs
@@ -8,6 +8,7 @@
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::membership::MemberChange;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Era;
 use gooseberry_kernel::quarantine;
 use gooseberry_wire::control::Suspect;
 use gooseberry_wire::fleet::Greeting;
@@ -68,14 +69,14 @@
 
 /// Greets a peer, and applies the greeting that it replies with.
 async fn greet_peer(context: &Arc<Context>, address: SocketAddr) {
-    let greeting = greeting(context);
-    if let Ok(reply) = context.peers.greet(address, greeting).await {
-        apply_greeting(context, reply);
+    let (greeting, era) = greeting(context);
+    if let Ok((reply, era)) = context.peers.greet(address, greeting, era).await {
+        apply_greeting(context, reply, era);
     }
 }
 
-/// Returns this daemon's current greeting.
-pub(super) fn greeting(context: &Context) -> Greeting {
+/// Returns this daemon's current greeting, and the era of what it says of the store.
+pub(super) fn greeting(context: &Context) -> (Greeting, Option<Era>) {
     let now = context.now();
     let waits = context.dispatcher.waits(context, now);
     let mut state = context.state();
@@ -84,8 +85,8 @@
     }
     let suspects = state.suspects().newest_uncleared(SUSPECTS_MAX, now);
     let rate_limits = state.rate_limits_for_greeting();
-    let (through, confirmed_age) = state.announcement(now);
-    Greeting {
+    let (position, confirmed_age) = state.announcement(now);
+    let greeting = Greeting {
         from: state.members().me().into(),
         others: state
             .members()
@@ -93,7 +94,7 @@
             .iter()
             .map(Into::into)
             .collect(),
-        through: through.0,
+        through: position.revision.0,
         confirmed_ms: confirmed_age.0,
         waits: waits.iter().map(Into::into).collect(),
         suspects: suspects.iter().map(Suspect::from).collect(),
@@ -101,12 +102,13 @@
             .iter()
             .map(|limit| RateLimit::new(limit, now))
             .collect(),
-    }
+    };
+    (greeting, position.era)
 }
 
 /// Merges a peer's greeting into the state, and starts to fetch what the peer has of
-/// the store and this daemon lacks.
-pub(super) fn apply_greeting(context: &Arc<Context>, greeting: Greeting) {
+/// the store and this daemon lacks. A peer of a former build names no era.
+pub(super) fn apply_greeting(context: &Arc<Context>, greeting: Greeting, era: Option<Era>) {
     let now = context.now();
     let address = greeting.from.address;
     let mut state = context.state();
@@ -126,22 +128,21 @@
     state.suspects().merge(&suspects, now);
     let limits = greeting.rate_limits.into_iter();
     state.merge_rate_limits(limits.map(|limit| limit.decode(now)));
-    state.record_confirmation(
-        Revision(greeting.through),
-        Millis(greeting.confirmed_ms),
-        now,
-    );
-    let theirs = Revision(greeting.through);
+    let revision = Revision(greeting.through);
+    let Some(theirs) = state.replica().position_of_peer(era, revision) else {
+        return;
+    };
+    state.record_confirmation(theirs, Millis(greeting.confirmed_ms), now);
     let is_chunk_missing = state.add_chunk_source(address, theirs);
-    let after = state.begin_changes_fetch(theirs, now);
+    let request = state.begin_changes_fetch(theirs, now);
     drop(state);
-    if after.is_none() && !is_chunk_missing {
+    if request.is_none() && !is_chunk_missing {
         return;
     }
     let context = context.clone();
     tokio::spawn(async move {
-        if let Some(after) = after {
-            fetch::changes(&context, address, theirs, after).await;
+        if let Some(request) = request {
+            fetch::changes(&context, address, theirs, request).await;
         }
         fetch::chunks(&context).await;
     });
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -5,15 +5,19 @@
 use compact_str::CompactString;
 use futures::StreamExt;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Era;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_runtime::control_stream;
 use gooseberry_wire::fleet::Changes;
+use gooseberry_wire::fleet::Contents;
+use gooseberry_wire::fleet::ContentsRequest;
 use gooseberry_wire::fleet::Fleet;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
 use gooseberry_wire::fleet::Made;
 use gooseberry_wire::fleet::Origin;
+use gooseberry_wire::fleet::PROTOCOL_VERSION;
 use gooseberry_wire::fleet::Unmade;
 use tarpc::context;
 use tarpc::server::BaseChannel;
@@ -53,12 +57,33 @@
 
 impl Fleet for Server {
     async fn greet(self, _: context::Context, greeting_of_peer: Greeting) -> Greeting {
-        apply_greeting(&self.context, greeting_of_peer);
-        greeting(&self.context)
+        apply_greeting(&self.context, greeting_of_peer, None);
+        greeting(&self.context).0
+    }
+
+    async fn protocol_version(self, _: context::Context) -> u32 {
+        PROTOCOL_VERSION
+    }
+
+    async fn greet_in_era(
+        self,
+        _: context::Context,
+        greeting_of_peer: Greeting,
+        era: Option<u64>,
+    ) -> (Greeting, Option<u64>) {
+        apply_greeting(&self.context, greeting_of_peer, era.map(Era));
+        let (greeting, era) = greeting(&self.context);
+        (greeting, era.map(|era| era.0))
     }
 
     async fn changes(self, _: context::Context, after: u64) -> Changes {
-        self.context.state().changes(Revision(after)).into()
+        let state = self.context.state();
+        state.replica().mirror().changes(Revision(after)).into()
+    }
+
+    async fn contents(self, _: context::Context, request: ContentsRequest) -> Contents {
+        let state = self.context.state();
+        state.replica().contents(request.into()).into()
     }
 
     async fn chunks(self, _: context::Context, digests: Vec<[u8; 32]>) -> Vec<Vec<u8>> {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -20,9 +20,8 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::fetch::Fetches;
 use gooseberry_kernel::fleet::membership;
-use gooseberry_kernel::fleet::mirror::Changes;
-use gooseberry_kernel::fleet::mirror::Mirror;
-use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Replica;
+use gooseberry_kernel::fleet::withdrawal::Withdrawals;
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine::Suspects;
 use gooseberry_kernel::request::deadline_admission::ServiceWait;
@@ -72,12 +71,14 @@
     /// Whether there are addresses at which this daemon finds its peers.
     has_seeds: bool,
     /// The copy of the store.
-    mirror: Mirror,
+    replica: Replica,
     /// The settings in force.
     routing_table: Option<Arc<RoutingTable>>,
     targets: TargetRegistry,
     /// The failure domains that operators have taken out of service.
     taken_out: Vec<name::Domain>,
+    /// Those that were taken out before the store went back to an older copy.
+    held_out: Withdrawals<name::Domain>,
     members: membership::Membership,
     health: Health,
     cold_rate_limiter: ColdRateLimiter,
@@ -170,10 +171,11 @@
         Self {
             domain: boot.domain.clone(),
             has_seeds: boot.seeds.iter().any(|seed| *seed != boot.peer_address),
-            mirror: Mirror::default(),
+            replica: Replica::default(),
             routing_table: None,
             targets: TargetRegistry::default(),
             taken_out: Vec::new(),
+            held_out: Withdrawals::default(),
             members: membership::Membership::new(membership::MemberState {
                 name: boot.name.clone(),
                 incarnation,
@@ -223,22 +225,10 @@
         &mut self.health
     }
 
-    /// Returns the store's revision up to which the daemon's copy is complete.
+    /// Returns the daemon's copy of the store.
     #[must_use]
-    pub fn through(&self) -> Revision {
-        self.mirror.through()
-    }
-
-    /// Returns the store's revision up to which the daemon has all values whole.
-    #[must_use]
-    pub fn whole_through(&self) -> Revision {
-        self.mirror.whole_through()
-    }
-
-    /// Returns the changes after a revision, for a peer.
-    #[must_use]
-    pub fn changes(&self, after: Revision) -> Changes {
-        self.mirror.changes(after)
+    pub fn replica(&self) -> &Replica {
+        &self.replica
     }
 
     /// Returns whether the daemon can serve: it knows settings and targets, and
@@ -269,6 +259,9 @@
             .expire(|target| targets.get(target).is_some(), now);
         self.usages
             .retain(|usage| usage.in_flight > 0 || targets.get(&usage.target).is_some());
+        if self.held_out.expire(now) {
+            self.update_taken_out(now);
+        }
         self.update_shares(now);
     }
 
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -10,8 +10,10 @@
 use gooseberry_kernel::fleet::assignment;
 use gooseberry_kernel::fleet::assignment::CONFIRMATION_AGE_MAX;
 use gooseberry_kernel::fleet::assignment::StoreRole;
-use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Contents;
+use gooseberry_kernel::fleet::replica::Position;
+use gooseberry_kernel::fleet::replica::Request;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
@@ -42,9 +44,11 @@
     }
 
     /// Records that the store confirmed a peer's copy `age` ago. This counts for
-    /// this daemon only if its own copy is at least as recent as the peer's.
-    pub fn record_confirmation(&mut self, through: Revision, age: Millis, now: Millis) {
-        if through <= self.mirror.through() && age < now {
+    /// this daemon only if its own copy is at least as recent as the peer's, and not if
+    /// the peer has that of an earlier era.
+    pub fn record_confirmation(&mut self, theirs: Position, age: Millis, now: Millis) {
+        let own = self.replica.position();
+        if theirs.era == own.era && theirs <= own && age < now {
             self.confirmed_at = self.confirmed_at.max(Some(now - age));
         }
     }
@@ -66,27 +70,27 @@
         is_stale || self.store_role(now) != StoreRole::Follower
     }
 
-    /// Returns what a greeting says of the store: the revision up to which this
+    /// Returns what a greeting says of the store: the position up to which this
     /// daemon has its contents, and how long ago the store confirmed them.
     ///
     /// Contents of which chunks are missing are not announced: a peer could not get
     /// them here.
     #[must_use]
-    pub fn announcement(&self, now: Millis) -> (Revision, Millis) {
-        let whole = self.mirror.whole_through();
-        let is_whole = whole == self.mirror.through();
+    pub fn announcement(&self, now: Millis) -> (Position, Millis) {
+        let whole = self.replica.whole_position();
+        let is_whole = whole == self.replica.position();
         let confirmed_age = self.confirmed_age(now).filter(|_| is_whole);
         (whole, confirmed_age.unwrap_or(Millis::NEVER))
     }
 
     /// Begins to fetch changes from a peer that has the contents of the store
-    /// through this revision. Returns the revision after which to ask for them;
-    /// `None` if they are not to be fetched now.
-    pub fn begin_changes_fetch(&mut self, theirs: Revision, now: Millis) -> Option<Revision> {
-        let own = self.mirror.through();
+    /// through this position. Returns what to ask for; `None` if nothing is to be
+    /// fetched now.
+    pub fn begin_changes_fetch(&mut self, theirs: Position, now: Millis) -> Option<Request> {
+        let own = self.replica.position();
         let store_age = self.store_age(now);
         let is_due = self.fetches.begin_changes(theirs, own, store_age, now);
-        is_due.then_some(own)
+        is_due.then(|| self.replica.request(theirs))
     }
 
     /// Records that the fetch of changes has ended, with or without success.
@@ -94,18 +98,18 @@
         self.fetches.end_changes();
     }
 
-    /// Records a peer that has the contents of the store through this revision, which
+    /// Records a peer that has the contents of the store through this position, which
     /// may include chunks that are missing here. Returns whether any are missing.
-    pub fn add_chunk_source(&mut self, peer: SocketAddr, theirs: Revision) -> bool {
-        let own = self.mirror.whole_through();
+    pub fn add_chunk_source(&mut self, peer: SocketAddr, theirs: Position) -> bool {
+        let own = self.replica.whole_position();
         self.fetches.add_source(peer, theirs, own);
-        own < self.mirror.through()
+        own < self.replica.position()
     }
 
     /// Begins to fetch missing chunks. Returns the peer to ask, and for which;
     /// `None` if none are to be fetched now.
     pub fn begin_chunks_fetch(&mut self, now: Millis) -> Option<(SocketAddr, Vec<id::Digest>)> {
-        let missing = self.mirror.missing_chunks();
+        let missing = self.replica.mirror().missing_chunks();
         if missing.is_empty() {
             return None;
         }
@@ -117,16 +121,15 @@
     /// Ends a fetch of chunks, and applies the entries that have become whole.
     pub fn end_chunks_fetch(&mut self, peer: SocketAddr, chunks: &[Vec<u8>], now: Millis) {
         self.fetches.end_chunks(peer, !chunks.is_empty());
-        let through = self.mirror.through();
-        for key in self.mirror.add_chunks(chunks) {
-            self.apply_entry(&key, &peer.to_string(), through, now);
+        for key in self.replica.add_chunks(chunks) {
+            self.apply_entry(&key, &peer.to_string(), false, now);
         }
         self.forget_unneeded_sources();
     }
 
     /// Forgets which peers have chunks, once none is missing.
     fn forget_unneeded_sources(&mut self) {
-        if self.mirror.whole_through() == self.mirror.through() {
+        if self.replica.whole_position() == self.replica.position() {
             self.fetches.clear_sources();
         }
     }
@@ -134,7 +137,7 @@
     /// Returns the chunks with these digests that this daemon has, for a peer.
     #[must_use]
     pub fn chunks(&self, digests: &[id::Digest]) -> Vec<Vec<u8>> {
-        self.mirror.chunks(digests)
+        self.replica.mirror().chunks(digests)
     }
 
     /// Records whether a call to the store succeeded, and logs when the store is
@@ -154,47 +157,96 @@
             }
             (false, None) => {
                 self.store_status.lost_at = Some(now);
-                log::warn!(revision = self.mirror.through().0; "the store is lost");
+                log::warn!(revision = self.replica.position().revision.0; "the store is lost");
             }
             (false, Some(_)) => {}
         }
     }
 
-    /// Applies changes that the platform has published. `source` is [`STORE`] or
-    /// the address of the peer that sent them.
-    pub fn apply_changes(&mut self, changes: Changes, source: &str, now: Millis) {
-        let through = changes.through;
-        for key in self.mirror.apply(changes) {
-            self.apply_entry(&key, source, through, now);
+    /// Applies what the platform has published. `source` is [`STORE`] or the address of
+    /// the peer that sent it.
+    pub fn apply_contents(&mut self, contents: Contents, source: &str, now: Millis) {
+        let former = self.replica.position();
+        let update = self.replica.apply(contents);
+        if update.is_return {
+            self.begin_era(former, source, now);
+        }
+        for key in update.keys {
+            self.apply_entry(&key, source, update.is_return, now);
+        }
+        for key in update.rewritten {
+            self.release_withdrawal(&key, now);
         }
         self.forget_unneeded_sources();
     }
 
-    /// Applies the changed entry of a key.
+    /// Keeps in force what was withdrawn before the store came back from an older copy,
+    /// and targets usable that the copy may lack.
+    fn begin_era(&mut self, former: Position, source: &str, now: Millis) {
+        let position = self.replica.position();
+        log::warn!(
+            era = position.era.unwrap_or_default().0,
+            revision = position.revision.0,
+            former_era = former.era.unwrap_or_default().0,
+            former_revision = former.revision.0,
+            source;
+            "the store came back from an older copy"
+        );
+        self.store_status.back_at = Some(now);
+        self.targets.hold_withdrawn(now);
+        for domain in &self.taken_out {
+            self.held_out.hold(domain.clone(), now);
+        }
+    }
+
+    /// Applies the changed entry of a key. `is_of_copy` says whether the store has come
+    /// back with it from an older copy.
     pub(super) fn apply_entry(
         &mut self,
         key: &CompactString,
         source: &str,
-        through: Revision,
+        is_of_copy: bool,
         now: Millis,
     ) {
+        let revision = self.replica.position().revision;
         if key == operator_settings::SETTINGS_KEY {
-            self.apply_settings(source, through);
+            self.apply_settings(source, revision);
         } else if key.starts_with(operator_settings::DOMAIN_OUT_PREFIX) {
-            let domains = self.mirror.keys(operator_settings::DOMAIN_OUT_PREFIX);
-            let names = domains
-                .map(|key| name::Domain::new(&key[operator_settings::DOMAIN_OUT_PREFIX.len()..]));
-            self.taken_out = names.collect();
-            log::info!(domains:? = self.taken_out, source, revision = through.0; "domains taken out");
+            self.update_taken_out(now);
+            log::info!(domains:? = self.taken_out, source, revision = revision.0; "domains taken out");
         } else if let Some(target) = key.strip_prefix(target_entry::KEY_PREFIX) {
-            self.apply_target(key, target, source, through, now);
+            self.apply_target(key, target, source, is_of_copy, now);
         }
     }
 
+    /// Ends what is kept in force of a key that has been written again.
+    fn release_withdrawal(&mut self, key: &str, now: Millis) {
+        if let Some(domain) = key.strip_prefix(operator_settings::DOMAIN_OUT_PREFIX) {
+            self.held_out.release(&name::Domain::new(domain));
+            self.update_taken_out(now);
+        } else if let Some(target) = key.strip_prefix(target_entry::KEY_PREFIX) {
+            self.targets.release(&name::Target::new(target));
+        }
+    }
+
+    /// Updates the failure domains that are out of service: those that the store names,
+    /// and those that it named before it went back to an older copy.
+    pub(super) fn update_taken_out(&mut self, now: Millis) {
+        let prefix = operator_settings::DOMAIN_OUT_PREFIX;
+        let keys = self.replica.mirror().keys(prefix);
+        let named = keys.map(|key| name::Domain::new(&key[prefix.len()..]));
+        let mut domains: Vec<name::Domain> = named.collect();
+        domains.extend(self.held_out.held(now).cloned());
+        domains.sort_unstable();
+        domains.dedup();
+        self.taken_out = domains;
+    }
+
     /// Puts the published settings in force, unless they are older than those in
     /// force, unusable or removed.
-    pub(super) fn apply_settings(&mut self, source: &str, through: Revision) {
-        let Some(bytes) = self.mirror.get(operator_settings::SETTINGS_KEY) else {
+    fn apply_settings(&mut self, source: &str, through: Revision) {
+        let mirror = self.replica.mirror();
+        let Some(bytes) = mirror.get(operator_settings::SETTINGS_KEY) else {
             log::warn!(source, revision = through.0; "the settings were removed from the store; the last ones stay in force");
             return;
         };
@@ -226,21 +278,23 @@
 
     /// Applies the changed entry of a target; without a usable entry the target
     /// is removed.
-    pub(super) fn apply_target(
+    fn apply_target(
         &mut self,
         key: &str,
         target: &str,
         source: &str,
-        through: Revision,
+        is_of_copy: bool,
         now: Millis,
     ) {
+        let through = self.replica.position().revision;
         let name = name::Target::new(target);
         let former_service = self
             .targets
             .get(&name)
             .map(|listed| listed.target.service.clone());
         let decoded = self
-            .mirror
+            .replica
+            .mirror()
             .get(key)
             .map(|bytes| target_entry::decode(target, bytes));
         let change = match decoded {
@@ -252,7 +306,8 @@
             None => {
                 // A removal that a peer passes on was read from the store by that
                 // peer after the outage, so the outage did not cause it.
-                let outage_end = self.store_status.back_at.filter(|_| source == STORE);
+                let may_lapse = source == STORE || is_of_copy;
+                let outage_end = self.store_status.back_at.filter(|_| may_lapse);
                 self.targets.remove(&name, outage_end, now)
             }
         };
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -11,8 +11,10 @@
 use gooseberry_kernel::fleet::assignment;
 use gooseberry_kernel::fleet::assignment::ALL_READ_MAX_MEMBERS;
 use gooseberry_kernel::fleet::assignment::StoreRole;
-use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Contents;
+use gooseberry_kernel::fleet::replica::Era;
+use gooseberry_kernel::fleet::replica::Position;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::name;
 use gooseberry_platform::store::Store;
@@ -41,27 +43,28 @@
             continue;
         }
         // Values of which chunks are missing come with the watch, too.
-        let after = context.state().whole_through();
-        let read = if is_full_read_due || after == Revision::default() {
+        let after = context.state().replica().whole_position();
+        let read = if is_full_read_due || after.revision == Revision::default() {
             store.read_all().await.map(WatchResult::Changes)
         } else {
             let role = context.state().store_role(now);
             let wait = assignment::watch_wait(role, follows_change);
-            store.watch(after, wait).await
+            store.watch(after.revision, wait).await
         };
         let now = context.now();
         if store.era() != era {
             era = store.era();
+            let (era, known) = (era.unwrap_or_default(), after.revision);
             context.metrics.store_era(era);
-            log::info!(era = era.0, known = after.0; "the store names its era");
+            log::info!(era = era.0, known = known.0; "the store names its era");
         }
-        match read {
-            Ok(WatchResult::Changes(changes)) => {
+        match check_era(read, store.era(), after) {
+            Ok(WatchResult::Changes(contents)) => {
                 context.metrics.store_call("answered");
                 is_full_read_due = false;
                 failures = 0;
-                follows_change = !changes.entries.is_empty();
-                if apply(&context, changes, now) {
+                follows_change = !contents.changes.entries.is_empty();
+                if apply(&context, contents, now) {
                     // Peers that do not read the store get the changes this way.
                     let context = context.clone();
                     tokio::spawn(async move { peers::greet_all(&context).await });
@@ -70,7 +73,7 @@
             }
             Ok(WatchResult::HistoryLost) => {
                 context.metrics.store_call("forgotten");
-                log::info!(after = after.0; "the store has forgotten its history; reading it again in full");
+                log::info!(after = after.revision.0; "the store has forgotten its history; reading it again in full");
                 is_full_read_due = true;
             }
             Err(error) => {
@@ -89,6 +92,37 @@
     }
 }
 
+/// Checks the era that the store names against that of the daemon's copy, which peers may
+/// know to be a later one. Changes of another era do not continue the copy.
+fn check_era(
+    read: anyhow::Result<WatchResult>,
+    named: Option<Era>,
+    known: Position,
+) -> anyhow::Result<WatchResult> {
+    let result = read?;
+    if let Some(era) = named
+        && Some(era) < known.era
+    {
+        let known = known.era.unwrap_or_default();
+        anyhow::bail!(
+            "the store answered in era {}, and era {} has begun",
+            era.0,
+            known.0
+        );
+    }
+    Ok(match result {
+        WatchResult::Changes(mut contents) => {
+            contents.era = contents.era.or(known.era);
+            if contents.era == known.era || contents.changes.is_whole {
+                WatchResult::Changes(contents)
+            } else {
+                WatchResult::HistoryLost
+            }
+        }
+        WatchResult::HistoryLost => WatchResult::HistoryLost,
+    })
+}
+
 /// Returns the delay before the next retry. Up to the same time is added as jitter,
 /// which depends on the daemon's name and the number of failures, so that daemons
 /// refused by the store don't retry together.
@@ -100,11 +134,11 @@
 
 /// Applies changes that were read. Returns whether to greet peers at once: there
 /// is something new, and the fleet is too large for all to read the store.
-fn apply(context: &Context, changes: Changes, now: Millis) -> bool {
+fn apply(context: &Context, contents: Contents, now: Millis) -> bool {
     let mut state = context.state();
-    let before = state.through();
+    let before = state.replica().position();
     state.record_store_result(true, now);
-    state.apply_changes(changes, state::STORE, now);
+    state.apply_contents(contents, state::STORE, now);
     let is_large = state.members().live(now).len() > ALL_READ_MAX_MEMBERS;
-    is_large && state.through() > before
+    is_large && state.replica().position() > before
 }
--- a/crates/relay/tests/direct/distribution.rs
+++ b/crates/relay/tests/direct/distribution.rs
@@ -6,6 +6,7 @@
 use gooseberry_kernel::fleet::chunks::Outline;
 use gooseberry_kernel::fleet::mirror::Changes;
 use gooseberry_kernel::fleet::mirror::Revision;
+use gooseberry_kernel::fleet::replica::Contents;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::name;
 use gooseberry_platform_standin::store;
@@ -149,7 +150,8 @@
     platform.store.set_mode(store::Mode::Busy);
     let large = settings(2, 500);
     platform.store.put("op/config", &large);
-    let revision = Revision(daemon.context().state().through().0 + 1);
+    let known = daemon.context().state().replica().position();
+    let revision = Revision(known.revision.0 + 1);
     let outline = Outline::of(&"op/config".into(), revision, large.as_bytes());
     let told = Changes {
         entries: Vec::new(),
@@ -158,7 +160,8 @@
         is_whole: false,
     };
     let now = daemon.context().now();
-    daemon.context().state().apply_changes(told, "test", now);
+    let told = Contents::of(known.era, told);
+    daemon.context().state().apply_contents(told, "test", now);
     platform.store.set_mode(store::Mode::Normal);
     let took = time_until(SETTINGS_TIME, || version(&daemon) == 2).await;
     assert!(took < SETTINGS_TIME, "the settings took {took:?}");
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -285,6 +285,11 @@
         is_whole: false,
     };
     let now = first.context().now();
-    first.context().state().apply_changes(entries, "test", now);
+    let era = first.context().state().replica().position().era;
+    let contents = gooseberry_kernel::fleet::replica::Contents::of(era, entries);
+    first
+        .context()
+        .state()
+        .apply_contents(contents, "test", now);
     crate::platform::wait_for_status(&second, || ClientRequest::new("/once/"), 401).await;
 }
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod distribution;
 mod endless_answers;
 mod fleet;
+mod former_build;
 mod notices;
 mod platform;
 mod rate_limits;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,8 +4,10 @@
 //! duration that remains or has passed. Bincode tells fields, variants and calls
 //! apart by their order alone, so their order is part of the protocol.
 //!
+//! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
+mod rate_limit;
 mod replica;
 
 use std::net::SocketAddr;
@@ -18,12 +20,14 @@
 use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::stage::group;
-use gooseberry_kernel::target::rate_limit;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::control::Suspect;
+pub use crate::fleet::rate_limit::RateLimit;
 pub use crate::fleet::replica::Changes;
+pub use crate::fleet::replica::Contents;
+pub use crate::fleet::replica::ContentsRequest;
 pub use crate::fleet::replica::Entry;
 pub use crate::fleet::replica::Outline;
 
@@ -46,8 +50,19 @@
     async fn back_up_origin(attempt: CompactString, origin: Origin);
     /// Returns where the stream of an attempt began, if the daemon knows.
     async fn origin(attempt: CompactString) -> Option<Origin>;
+    /// Returns the [`PROTOCOL_VERSION`] of the daemon. A former build closes the
+    /// connection on this call and on those below.
+    async fn protocol_version() -> u32;
+    /// Like `greet`, with the eras of the contents that both announce.
+    async fn greet_in_era(greeting: Greeting, era: Option<u64>) -> (Greeting, Option<u64>);
+    /// Returns a part of the contents of the platform's store; large values are outlined.
+    async fn contents(request: ContentsRequest) -> Contents;
 }
 
+/// The version of the calls. Each call after `protocol_version` is made only of daemons
+/// that have it.
+pub const PROTOCOL_VERSION: u32 = 1;
+
 /// A heartbeat with membership state, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Greeting {
@@ -85,20 +100,6 @@
     pub is_leaving: bool,
 }
 
-/// The rate limit of a target.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RateLimit {
-    /// The name of the target.
-    pub target: CompactString,
-    /// When its run began, as its entry says.
-    pub started: u64,
-    /// Requests that it takes from all daemons, in thousandths a second; `None` if it
-    /// has no limit any more.
-    pub per_second_thousandths: Option<u64>,
-    /// How long ago an answer of the target said so, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -288,30 +289,6 @@
     }
 }
 
-impl RateLimit {
-    /// Encodes what a daemon has observed.
-    #[must_use]
-    pub fn new(observation: &rate_limit::Observation, now: Millis) -> Self {
-        Self {
-            target: observation.target.as_str().into(),
-            started: observation.started,
-            per_second_thousandths: observation.rate.map(|rate| rate.0),
-            age_ms: (now - observation.seen_at).0,
-        }
-    }
-
-    /// Decodes an observation; its age becomes a time on this process's clock.
-    #[must_use]
-    pub fn decode(self, now: Millis) -> rate_limit::Observation {
-        rate_limit::Observation {
-            target: name::Target::new(&self.target),
-            started: self.started,
-            rate: self.per_second_thousandths.map(rate_limit::Rate),
-            seen_at: now - Millis(self.age_ms),
-        }
-    }
-}
-
 impl From<&deadline_admission::ServiceWait> for Wait {
     fn from(wait: &deadline_admission::ServiceWait) -> Self {
         Self {
