Know which removals a replica has not seen

A replica that was read in full knows no entries that had been removed before. A peer that was behind asked it for the changes since, got no tombstone, and kept the entry: a target that had gone, or a domain that had been taken back, until the next full copy. It takes a reader of the store that ends, one that has just started in its place, and a peer that missed a removal between the two.

a_removal_reaches_peers_of_a_replica_that_was_read_after_it and replicas_converge_over_returns_of_the_store_in_any_order_of_exchange fail without the change.

--- a/crates/kernel/src/fleet/mirror.rs
+++ b/crates/kernel/src/fleet/mirror.rs
@@ -39,6 +39,8 @@
 /// It covers some minutes of changes in the largest fleet. A replica that is
 /// further behind gets a full copy.
 pub const TOMBSTONES_MAX: usize = 2_000;
+/// The largest number of gaps; older ones are joined.
+const GAPS_MAX: usize = 16;
 
 value! {
     /// An entry, or the tombstone of a removed one.
@@ -76,6 +78,10 @@
     through: Revision,
     /// Tombstones below this revision may have been dropped.
     trimmed: Revision,
+    /// The latest spans of revisions, from after the first to before the second, of which
+    /// a full copy brought only what was left at their end. Entries that came and went
+    /// within one are unknown.
+    gaps: Vec<(Revision, Revision)>,
 }
 
 impl Mirror {
@@ -104,6 +110,7 @@
     pub fn apply(&mut self, changes: Changes) -> Vec<CompactString> {
         let mut changed_keys = Vec::new();
         if changes.is_whole {
+            self.record_gap(self.through, changes.through);
             self.remove_unlisted(&changes, &mut changed_keys);
         }
         for entry in changes.entries {
@@ -292,6 +299,18 @@
         None
     }
 
+    /// Records a span of revisions whose tombstones are unknown.
+    pub(super) fn record_gap(&mut self, start: Revision, end: Revision) {
+        if start >= end {
+            return;
+        }
+        self.gaps.push((start, end));
+        if self.gaps.len() > GAPS_MAX {
+            let (start, _) = self.gaps.remove(0);
+            self.gaps[0].0 = start;
+        }
+    }
+
     fn trim(&mut self) {
         let tombstones = self.entries.iter().filter(|entry| entry.value.is_none());
         let mut revisions: Vec<Revision> = tombstones.map(|entry| entry.revision).collect();
--- a/crates/kernel/src/fleet/mirror/page.rs
+++ b/crates/kernel/src/fleet/mirror/page.rs
@@ -67,7 +67,9 @@
     /// Returns whether a replica that is complete up to a revision may have entries that
     /// were removed since, and of which there is no tombstone here.
     fn lacks_tombstones_since(&self, revision: Revision) -> bool {
-        revision < self.trimmed
+        let mut gaps = self.gaps.iter();
+        let is_in_gap = gaps.any(|(start, end)| *start < revision && revision < *end);
+        is_in_gap || revision < self.trimmed
     }
 
     /// Returns the first changes after a revision; of removals only those after `since`.
--- a/crates/kernel/src/fleet/replica.rs
+++ b/crates/kernel/src/fleet/replica.rs
@@ -243,6 +243,7 @@
             self.next = Some(next);
             return Update::default();
         }
+        next.mirror.record_gap(Revision::default(), next.since);
         if era == self.era {
             return self.merge(next.mirror.full_copy());
         }
--- a/crates/kernel/tests/direct/mirror.rs
+++ b/crates/kernel/tests/direct/mirror.rs
@@ -103,3 +103,20 @@
     assert_eq!(behind.get("k5"), None);
     assert_eq!(behind.get("kept"), Some(&b"1"[..]));
 }
+
+/// The reader of the store ends, and one that has just started takes its place.
+#[test]
+fn a_removal_reaches_peers_of_a_replica_that_was_read_after_it() {
+    let mut behind = Mirror::default();
+    let known = vec![entry("gone", Some("1"), 5), entry("kept", Some("1"), 6)];
+    behind.apply(changes(known, 7, true));
+    // "gone" was removed at 8, and "short" came at 9 and went at 10.
+    let mut fresh = Mirror::default();
+    fresh.apply(changes(vec![entry("kept", Some("1"), 6)], 12, true));
+    behind.apply(fresh.changes(behind.through()));
+    assert_eq!(behind.keys("").collect::<Vec<_>>(), ["kept"]);
+    // A replica that has read all changes up to a full copy knows what is gone since.
+    behind.apply(changes(vec![entry("kept", Some("2"), 15)], 15, true));
+    assert!(!behind.changes(Revision(12)).is_whole);
+    assert!(behind.changes(Revision(13)).is_whole);
+}
--- a/crates/kernel/tests/direct/replica.rs
+++ b/crates/kernel/tests/direct/replica.rs
@@ -133,3 +133,73 @@
     let theirs = replica.position_of_peer(Some(Era(4)), Revision(9));
     assert!(theirs < Some(replica.position()));
 }
+
+#[test]
+fn replicas_converge_over_returns_of_the_store_in_any_order_of_exchange() {
+    arbtest::arbtest(|draw| {
+        let mut store = (1, Vec::<Entry>::new(), 1);
+        let mut replicas = vec![Replica::default(); 4];
+        for _ in 0..draw.int_in_range(10..=60)? {
+            let (era, entries, revision) = &mut store;
+            match draw.int_in_range(0..=6)? {
+                0 if *revision > 3 => {
+                    *revision -= draw.int_in_range(1..=3)?;
+                    entries.retain(|entry| entry.revision.0 <= *revision);
+                    *era += 1;
+                }
+                0..=3 => {
+                    *revision += 1;
+                    let key = ["a", "b", "c"][draw.choose_index(3)?];
+                    let value = draw.ratio(2, 3)?.then(|| format!("{era}-{revision}"));
+                    entries.push(entry(key, value.as_deref(), *revision));
+                }
+                4 => {
+                    let reader = draw.choose_index(4)?;
+                    read(&mut replicas[reader], &store);
+                }
+                _ => {
+                    let (from, to) = (draw.choose_index(4)?, draw.choose_index(4)?);
+                    let source = replicas[from].clone();
+                    let before = replicas[to].position();
+                    if source.position() > before {
+                        let request = replicas[to].request(source.position());
+                        replicas[to].apply(source.contents(request));
+                    }
+                    assert!(replicas[to].position() >= before.max(source.position()));
+                }
+            }
+        }
+        for replica in &mut replicas {
+            read(replica, &store);
+            for key in ["a", "b", "c"] {
+                let last = store.1.iter().rev().find(|entry| entry.key == key);
+                let value = last.and_then(|entry| entry.value.as_deref());
+                assert_eq!(
+                    replica.mirror().get(key),
+                    value,
+                    "{key} {store:?} {replica:?}"
+                );
+            }
+        }
+        Ok(())
+    })
+    .budget_ms(300);
+}
+
+/// Reads the store as a daemon does: in full in another era, and else the changes.
+fn read(replica: &mut Replica, (era, entries, revision): &(u64, Vec<Entry>, u64)) {
+    let is_whole = replica.position().era != Some(Era(*era));
+    let after = replica.position().revision;
+    let last = |entry: &Entry| {
+        let same = entries.iter().rev().find(|other| other.key == entry.key);
+        same.is_some_and(|same| same.revision == entry.revision)
+    };
+    let seen = entries.iter().filter(|entry| {
+        if is_whole {
+            entry.value.is_some() && last(entry)
+        } else {
+            entry.revision > after
+        }
+    });
+    replica.apply(contents(*era, seen.cloned().collect(), *revision, is_whole));
+}
