Log the parts of prompts of admitted requests and of those that break off

Only the operators' report could tell that requests which crash targets share a part of their prompts: no line named the parts, nor whether the answer had begun.

--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -345,6 +345,8 @@
             request:% = self.job.head.attempt,
             target:% = target,
             digest:% = self.job.digest,
+            parts:% = self.job.head.prompt_parts.join(","),
+            events = self.events.count(),
             crashes;
             "a target broke the connection off; the request is a suspect"
         );
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -233,6 +233,7 @@
         service:% = service.name,
         workspace:% = workspace.clone().unwrap_or_default(),
         rank = rank.0,
+        parts:% = head.prompt_parts.join(","),
         version,
         resumes:% = head.resumed_attempt.clone().unwrap_or_default(),
         patience_ms = time_limit.0,
