--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod former_build;
 mod notices;
 mod platform;
+mod prompt_parts;
 mod rate_limits;
 mod retries;
 mod slow_link;
--- /dev/null
+++ b/crates/relay/tests/direct/prompt_parts.rs
@@ -0,0 +1,204 @@
+//! Parts of prompts that crash the targets which write answers on them.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::platform::TestPlatform;
+use crate::platform::client_address;
+use crate::platform::wait_until;
+
+/// How long after the fifth crash requests with the part may still reach targets.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How many requests with the part may reach targets afterwards.
+const ALLOWED: usize = 3;
+const CERTAIN_CRASHES: u64 = 5;
+
+/// The number of the next request. No two are alike, or they would be quarantined by
+/// their bodies.
+static NEXT_REQUEST: AtomicUsize = AtomicUsize::new(0);
+
+/// Lists targets that have crashed as new runs, for as long as the test runs.
+fn restart_crashed(platform: &Arc<TestPlatform>) -> JoinHandle<()> {
+    let platform = platform.clone();
+    tokio::spawn(async move {
+        let mut known = [0; 2];
+        loop {
+            for (known, target) in known.iter_mut().zip(&platform.engines) {
+                let crashes = target.crashes();
+                if crashes > *known {
+                    *known = crashes;
+                    let entry = target.entry("engine", "z-1", "ready");
+                    let born = 1_700_000_000_000 + crashes;
+                    let entry = entry.replacen('{', &format!("{{\"born\": {born}, "), 1);
+                    platform
+                        .store
+                        .put(&format!("servers/{}", target.name), &entry);
+                }
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    })
+}
+
+async fn fleet(platform: &TestPlatform) -> Vec<Daemon> {
+    let first = platform.daemon(1, &[]).await;
+    let seed = first.context().boot.peer_address;
+    let mut daemons = vec![first];
+    for number in 2..=3 {
+        daemons.push(platform.daemon(number, &[seed]).await);
+    }
+    wait_until("all daemons know each other", || {
+        let knows_all = |daemon: &Daemon| {
+            let now = daemon.context().now();
+            daemon.context().state().members().live(now).len() == 3
+        };
+        daemons.iter().all(knows_all)
+    })
+    .await;
+    daemons
+}
+
+fn request(number: usize, middle: &str) -> ClientRequest {
+    let parts = format!("system:50,{middle}:50,own-{number}:10");
+    ClientRequest::new("/resume/")
+        .body(&format!("{number}"))
+        .with_stage_pieces("")
+        .with("Prompt-Prefix", &parts)
+}
+
+/// One request that was sent, and whether its answer was complete.
+struct Sent {
+    is_bad: bool,
+    at: Instant,
+    answer: JoinHandle<Option<bool>>,
+}
+
+fn send(daemon: &Daemon, request: ClientRequest, is_bad: bool) -> Sent {
+    let address = client_address(daemon);
+    let answer = tokio::spawn(async move {
+        let answer = request.send(address).await?;
+        Some(answer.status == 200 && answer.is_complete)
+    });
+    Sent {
+        is_bad,
+        at: Instant::now(),
+        answer,
+    }
+}
+
+/// Returns how many requests with the part have reached targets.
+fn reached(targets: &[Target]) -> usize {
+    let received = targets.iter().flat_map(Target::received);
+    let bad = received.filter(|request| request.header("Prompt-Prefix").contains("bad:"));
+    bad.count()
+}
+
+fn crashes(platform: &TestPlatform) -> u64 {
+    platform.engines.iter().map(Target::crashes).sum()
+}
+
+/// Sends a request every 25 ms, one in three with the part, at the daemons in turn.
+/// Returns those that were sent.
+async fn send_for(daemons: &[Daemon], span: Duration) -> Vec<Sent> {
+    let end = Instant::now() + span;
+    let mut sent = Vec::new();
+    for daemon in daemons.iter().cycle() {
+        if Instant::now() >= end {
+            break;
+        }
+        let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+        // Each daemon gets requests of both kinds.
+        let is_bad = number % 4 == 1;
+        let middle = if is_bad {
+            "bad".to_owned()
+        } else {
+            format!("good-{}", number % 12)
+        };
+        sent.push(send(daemon, request(number, &middle), is_bad));
+        sleep(Duration::from_millis(25)).await;
+    }
+    sent
+}
+
+async fn served_share(sent: Vec<Sent>, since: Instant) -> f64 {
+    let (mut served, mut all) = (0.0, 0.0);
+    for one in sent {
+        if !one.is_bad && one.at >= since {
+            let answer = one.answer.await.expect("no panic");
+            all += 1.0;
+            served += f64::from(u8::from(answer == Some(true)));
+        }
+    }
+    served / all
+}
+
+#[tokio::test]
+async fn requests_with_a_part_that_crashes_targets_stop_reaching_them_and_sound_ones_do_not() {
+    let platform = Arc::new(TestPlatform::start().await);
+    let daemons = fleet(&platform).await;
+    let restarts = restart_crashed(&platform);
+    for target in &platform.engines {
+        target.crash_on(Some("bad"));
+    }
+    let sending = async {
+        let mut sent = send_for(&daemons, Duration::from_secs(1)).await;
+        while crashes(&platform) < CERTAIN_CRASHES {
+            sent.extend(send_for(&daemons, Duration::from_millis(100)).await);
+        }
+        sent.extend(send_for(&daemons, CONTACT).await);
+    };
+    sending.await;
+    let before = reached(&platform.engines);
+    let since = Instant::now();
+    let sent = send_for(&daemons, Duration::from_secs(5)).await;
+    let more = reached(&platform.engines) - before;
+    assert!(
+        more <= ALLOWED,
+        "{more} requests with the part reached targets"
+    );
+    let share = served_share(sent, since).await;
+    assert!(share >= 0.5, "{share} of the sound requests were served");
+    restarts.abort();
+}
+
+#[tokio::test]
+async fn a_daemon_that_restarts_learns_of_the_part_from_its_peers() {
+    let platform = Arc::new(TestPlatform::start().await);
+    let mut daemons = fleet(&platform).await;
+    let restarts = restart_crashed(&platform);
+    for target in &platform.engines {
+        target.crash_on(Some("bad"));
+    }
+    while crashes(&platform) < CERTAIN_CRASHES {
+        send_for(&daemons, Duration::from_millis(100)).await;
+    }
+    send_for(&daemons, CONTACT).await;
+    // The store is away while the daemon starts again.
+    let seeds = [daemons[1].context().boot.peer_address];
+    daemons.remove(0).kill().await;
+    let store = gooseberry_platform_standin::store::Mode::Busy;
+    platform.store.set_mode(store);
+    daemons.push(platform.unready_daemon(4, &seeds).await);
+    wait_until("the new daemon is ready", || {
+        daemons[2].context().state().is_ready()
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    let before = reached(&platform.engines);
+    send_for(&daemons[2..], Duration::from_secs(2)).await;
+    let more = reached(&platform.engines) - before;
+    assert!(
+        more <= ALLOWED,
+        "{more} requests with the part reached targets"
+    );
+    restarts.abort();
+}
