Quarantine the parts of prompts that crash targets

Requests were quarantined by a digest of their bodies, and the crashes of a digest were merged by the larger count.

The class is a fault that is counted by what varies and not by what recurs, by each process for itself. The evidence against a part is now the set of runs of targets that ended while requests with it waited for their answers to begin: sets that daemons merge in any order, so crashes that different daemons see add up, and one that several see counts once. An answer that begins clears a part. What is left is explained by as few parts as possible, so that requests that ran beside the cause, or share only their first part or their caller with it, go on; a choice that was wrong is undone by the next crash. A part in quarantine is refused at the door and at each send, is tried again by one daemon at a time, and is told to all daemons at once.

The tests were written anew since the former ones began to count before the fifth crash, if targets crashed less often; the bound is the same, and the share of sound requests is checked, too.

--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -6,12 +6,14 @@
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
 //!   decides at which targets a broken one may go on.
+//! - [`part_quarantine`] finds parts of prompts that crash targets.
 //!
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
 //! schedules its stages. These modules read no clock and no socket.
 
 pub mod deadline_admission;
 pub mod event_buffer;
+pub mod part_quarantine;
 pub mod prior_wait;
 pub mod retry_budget;
 pub mod routing_table;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod mirror;
 mod notice;
+mod part_quarantine;
 mod plan;
 mod prior_wait;
 mod rate_limit;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,9 +6,11 @@
 //! client is closed instead.
 //!
 //! - `attempt` picks targets and sends the request until a response begins.
+//! - `crash` records targets that fail, and requests that may crash them.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 
 mod attempt;
+mod crash;
 mod stream;
 
 use std::sync::Arc;
@@ -20,6 +22,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
+use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::request::routing_table::ResponseForm;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
@@ -59,6 +62,7 @@
         tried: Vec::new(),
         origin: job_origin,
         sends: 0,
+        last_send: None,
         retry_allowed_at: None,
         possible_runs: 0,
         events: EventBuffer::default(),
@@ -86,6 +90,8 @@
     origin: Option<Origin>,
     /// How often the request was sent.
     sends: u32,
+    /// The run of the target to which it was sent last, and when.
+    last_send: Option<(Run, Millis)>,
     /// When the retry budget allowed the next send, if it is a retry.
     retry_allowed_at: Option<Millis>,
     /// How many targets may have run it.
@@ -152,6 +158,7 @@
             if self.job.route.form == ResponseForm::Stream && status.is_success() {
                 return match self.next_events().await {
                     Some(Ok(first)) => {
+                        self.record_answer();
                         self.record_origin();
                         Ok(self.into_response(head, first))
                     }
@@ -194,6 +201,7 @@
             }
             Ok(Err(_)) => {
                 self.record_failure(&target);
+                self.record_part_crash();
                 Err(Failure::from(Kind::TargetFailed).with_unknown_outcome())
             }
             Err(_) => {
@@ -219,6 +227,13 @@
         response
     }
 
+    /// Records that the answer has begun, so that no part of the prompt crashes targets.
+    fn record_answer(&self) {
+        let now = self.context.now();
+        let parts = self.job.shared_parts();
+        self.context.state().parts().record_answer(&parts, now);
+    }
+
     /// Logs and counts a complete response, and returns the connection to the
     /// pool.
     fn finish(&mut self) {
@@ -241,6 +256,9 @@
             // had another cause.
             let mut state = self.context.state();
             state.suspects().record_answer(job.digest);
+            if status < 400 {
+                state.parts().record_answer(&job.shared_parts(), now);
+            }
             "answered"
         } else {
             "target-failed"
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -89,6 +89,12 @@
                 let failure = last_failure.unwrap_or(Kind::QueueFull.into());
                 return Err(self.unknown_if_run(failure));
             }
+            if self.is_part_quarantined() {
+                let mut state = self.context.state();
+                state.record_request_end(&picked.target);
+                drop(state);
+                return Err(self.quarantine_failure());
+            }
             match self.send_once(picked).await {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
@@ -175,6 +181,7 @@
     /// Sends the request to one target and waits for the head of its reply.
     pub(super) async fn send_once(&mut self, picked: PickedTarget) -> SendOutcome {
         let now = self.context.now();
+        self.last_send = Some((picked.run, now));
         let left = self.job.deadline - now;
         let job = &self.job;
         let resumed_after = self.events.last_id().or(job.head.resumed_after.as_ref());
@@ -323,35 +330,6 @@
         limit.min(left)
     }
 
-    /// Records a failed call, after which the target may be avoided for a while.
-    pub(super) fn record_failure(&self, target: &name::Target) {
-        let now = self.context.now();
-        let until = self.context.state().health().record_failure(target, now);
-        if let Some(until) = until {
-            log::info!(target:% = target, for_ms = (until - now).0; "a target is avoided after failed calls");
-        }
-    }
-
-    /// Records that a target broke off the connection, which the request may have
-    /// caused: a request is quarantined after several such crashes.
-    pub(super) fn record_crash(&self, target: &name::Target) {
-        self.record_failure(target);
-        let now = self.context.now();
-        let mut state = self.context.state();
-        state.suspects().record_crash(self.job.digest, now);
-        let crashes = state.suspects().crashes(&self.job.digest, now);
-        drop(state);
-        log::info!(
-            request:% = self.job.head.attempt,
-            target:% = target,
-            digest:% = self.job.digest,
-            parts:% = self.job.head.prompt_parts.join(","),
-            events = self.events.count(),
-            crashes;
-            "a target broke the connection off; the request is a suspect"
-        );
-    }
-
     /// Returns whether one more target may run the request, and takes a retry
     /// from the budget if so.
     pub(super) fn may_run_again(&mut self, reason: &str) -> bool {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -19,7 +19,6 @@
 
 use gooseberry_kernel::fleet::fetch::CALL_TIMEOUT;
 use gooseberry_kernel::fleet::replica::Contents;
-use gooseberry_kernel::fleet::replica::Era;
 use gooseberry_kernel::fleet::replica::Request;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
@@ -28,6 +27,7 @@
 use gooseberry_runtime::control_stream;
 use gooseberry_runtime::control_stream::Counters;
 use gooseberry_wire::fleet;
+use gooseberry_wire::fleet::Exchange;
 use gooseberry_wire::fleet::FleetClient;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
@@ -53,19 +53,27 @@
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a peer that closes the connection is asked for the version of its calls.
 const VERSION_CALLS: u32 = 2;
-/// The version from which on peers have the calls that name the era of the store.
-const ERA_VERSION: u32 = 1;
+/// The version from which on peers have the calls `exchange` and `contents`.
+const EXCHANGE_VERSION: u32 = 1;
 /// The error of a call to a peer that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unreachable;
 
+/// The reply to a greeting.
+enum Reply {
+    /// Of a peer that has all that a greeting tells now.
+    Exchange(Exchange),
+    /// Of a peer of the former build.
+    Greeting(Greeting),
+}
+
 /// The connection to one peer.
 #[derive(Clone, Debug)]
 struct Connection {
     address: SocketAddr,
     client: FleetClient,
-    /// Whether the peer has the calls that name the era of the store.
-    knows_eras: bool,
+    /// Whether the peer has the calls `exchange` and `contents`.
+    has_exchange: bool,
 }
 
 /// The connections to peers, sorted by address.
@@ -176,24 +184,19 @@
         Ok(origin.map(Into::into))
     }
 
-    async fn greet(
-        &self,
-        address: SocketAddr,
-        greeting: Greeting,
-        era: Option<Era>,
-    ) -> Result<(Greeting, Option<Era>), Unreachable> {
+    async fn greet(&self, address: SocketAddr, message: Exchange) -> Result<Reply, Unreachable> {
         let Connection {
-            client, knows_eras, ..
+            client,
+            has_exchange,
+            ..
         } = self.connection(address).await?;
         let limit = with_timeout(GREET_TIMEOUT);
         let call = async {
-            if knows_eras {
-                let era = era.map(|era| era.0);
-                let (reply, era) = client.greet_in_era(limit, greeting, era).await?;
-                return Ok((reply, era.map(Era)));
+            if has_exchange {
+                return client.exchange(limit, message).await.map(Reply::Exchange);
             }
-            let reply = client.greet(limit, greeting).await?;
-            Ok::<_, RpcError>((reply, None))
+            let reply = client.greet(limit, message.greeting).await;
+            reply.map(Reply::Greeting)
         };
         if let Ok(Ok(reply)) = timeout(GREET_TIMEOUT, call).await {
             return Ok(reply);
@@ -208,10 +211,12 @@
         request: Request,
     ) -> Result<Contents, Unreachable> {
         let Connection {
-            client, knows_eras, ..
+            client,
+            has_exchange,
+            ..
         } = self.connection(address).await?;
         let limit = with_timeout(FETCH_TIMEOUT);
-        if knows_eras {
+        if has_exchange {
             let call = client.contents(limit, request.into());
             return call.await.map(Into::into).map_err(|_| Unreachable);
         }
@@ -265,7 +270,7 @@
                     return Ok(Connection {
                         address,
                         client,
-                        knows_eras: version >= ERA_VERSION,
+                        has_exchange: version >= EXCHANGE_VERSION,
                     });
                 }
                 Err(RpcError::DeadlineExceeded) => return Err(Unreachable),
@@ -275,7 +280,7 @@
         Ok(Connection {
             address,
             client: self.open(address).await?,
-            knows_eras: false,
+            has_exchange: false,
         })
     }
 
--- a/crates/relay/src/peers/greeting.rs
+++ b/crates/relay/src/peers/greeting.rs
@@ -10,13 +10,17 @@
 use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_kernel::fleet::replica::Era;
 use gooseberry_kernel::quarantine;
+use gooseberry_kernel::request::part_quarantine;
 use gooseberry_wire::control::Suspect;
+use gooseberry_wire::fleet::Exchange;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::RateLimit;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
 use crate::context::Context;
+use crate::peers::Reply;
+use crate::peers::Unreachable;
 use crate::peers::fetch;
 
 /// How many suspects a greeting carries at most.
@@ -69,14 +73,16 @@
 
 /// Greets a peer, and applies the greeting that it replies with.
 async fn greet_peer(context: &Arc<Context>, address: SocketAddr) {
-    let (greeting, era) = greeting(context);
-    if let Ok((reply, era)) = context.peers.greet(address, greeting, era).await {
-        apply_greeting(context, reply, era);
+    let message = message(context);
+    match context.peers.greet(address, message).await {
+        Ok(Reply::Exchange(reply)) => apply_message(context, reply),
+        Ok(Reply::Greeting(reply)) => apply_greeting(context, reply, None),
+        Err(Unreachable) => {}
     }
 }
 
-/// Returns this daemon's current greeting, and the era of what it says of the store.
-pub(super) fn greeting(context: &Context) -> (Greeting, Option<Era>) {
+/// Returns this daemon's current greeting.
+pub(super) fn message(context: &Context) -> Exchange {
     let now = context.now();
     let waits = context.dispatcher.waits(context, now);
     let mut state = context.state();
@@ -85,6 +91,7 @@
     }
     let suspects = state.suspects().newest_uncleared(SUSPECTS_MAX, now);
     let rate_limits = state.rate_limits_for_greeting();
+    let parts = state.parts().evidence_for_message(now);
     let (position, confirmed_age) = state.announcement(now);
     let greeting = Greeting {
         from: state.members().me().into(),
@@ -103,7 +110,23 @@
             .map(|limit| RateLimit::new(limit, now))
             .collect(),
     };
-    (greeting, position.era)
+    Exchange {
+        greeting,
+        era: position.era.map(|era| era.0),
+        parts: parts.into_iter().map(Into::into).collect(),
+    }
+}
+
+/// Merges a peer's greeting, with what the former build does not have in it.
+pub(super) fn apply_message(context: &Arc<Context>, message: Exchange) {
+    let now = context.now();
+    let evidence = message.parts.into_iter().map(Into::into);
+    let evidence: Vec<part_quarantine::Evidence> = evidence.collect();
+    let quarantined = context.state().parts().merge(&evidence, now);
+    for part in quarantined {
+        log::info!(part:% = part, source:% = message.greeting.from.name; "a part of prompts is in quarantine: targets crash on it");
+    }
+    apply_greeting(context, message.greeting, message.era.map(Era));
 }
 
 /// Merges a peer's greeting into the state, and starts to fetch what the peer has of
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -5,13 +5,13 @@
 use compact_str::CompactString;
 use futures::StreamExt;
 use gooseberry_kernel::fleet::mirror::Revision;
-use gooseberry_kernel::fleet::replica::Era;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_runtime::control_stream;
 use gooseberry_wire::fleet::Changes;
 use gooseberry_wire::fleet::Contents;
 use gooseberry_wire::fleet::ContentsRequest;
+use gooseberry_wire::fleet::Exchange;
 use gooseberry_wire::fleet::Fleet;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
@@ -27,7 +27,8 @@
 
 use crate::context::Context;
 use crate::peers::greeting::apply_greeting;
-use crate::peers::greeting::greeting;
+use crate::peers::greeting::apply_message;
+use crate::peers::greeting::message;
 
 /// Accepts connections of peers and answers their calls, for as long as the
 /// process runs.
@@ -58,22 +59,16 @@
 impl Fleet for Server {
     async fn greet(self, _: context::Context, greeting_of_peer: Greeting) -> Greeting {
         apply_greeting(&self.context, greeting_of_peer, None);
-        greeting(&self.context).0
+        message(&self.context).greeting
     }
 
     async fn protocol_version(self, _: context::Context) -> u32 {
         PROTOCOL_VERSION
     }
 
-    async fn greet_in_era(
-        self,
-        _: context::Context,
-        greeting_of_peer: Greeting,
-        era: Option<u64>,
-    ) -> (Greeting, Option<u64>) {
-        apply_greeting(&self.context, greeting_of_peer, era.map(Era));
-        let (greeting, era) = greeting(&self.context);
-        (greeting, era.map(|era| era.0))
+    async fn exchange(self, _: context::Context, message_of_peer: Exchange) -> Exchange {
+        apply_message(&self.context, message_of_peer);
+        message(&self.context)
     }
 
     async fn changes(self, _: context::Context, after: u64) -> Changes {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -12,6 +12,8 @@
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
+use gooseberry_kernel::request::part_quarantine::Part;
+use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_kernel::request::routing_table::ResponseForm;
 use gooseberry_kernel::request::routing_table::Route;
@@ -68,6 +70,9 @@
     pub deadline: Millis,
     /// Identifies the work that is asked for; equal for all attempts at it.
     pub digest: id::Digest,
+    /// Whether it has a part of its prompt that is in quarantine, and is sent once to find
+    /// out whether targets still crash on it.
+    pub is_trial: bool,
 }
 
 impl Job {
@@ -86,6 +91,12 @@
         hash::text(self.head.attempt.as_str())
     }
 
+    /// Returns the parts of its prompt that other requests may share.
+    #[must_use]
+    pub fn shared_parts(&self) -> Vec<Part> {
+        shared_parts(&self.head, &self.service)
+    }
+
     /// Returns the priority to send to the target; only engines take one.
     #[must_use]
     pub fn engine_rank(&self) -> Option<Rank> {
@@ -218,6 +229,17 @@
         log::warn!(request:% = head.attempt, digest:% = digest; "refused: the request is in quarantine");
         return Err(Kind::Quarantined.into());
     }
+    let is_trial = match state.part_verdict(&shared_parts(&head, &service), now) {
+        Verdict::Free => false,
+        Verdict::Trial(part) => {
+            log::info!(request:% = head.attempt, part:% = part; "a part of prompts that is in quarantine is tried again");
+            true
+        }
+        Verdict::Quarantined(part) => {
+            log::info!(request:% = head.attempt, part:% = part; "refused: a part of the prompt is in quarantine");
+            return Err(Kind::Quarantined.into());
+        }
+    };
     state.record_first_send(&service.name, now);
     // A client that retries after a refusal sends a shorter deadline than on its
     // first attempt. The difference is the time it has waited already, and its
@@ -254,9 +276,20 @@
         arrived,
         deadline,
         digest,
+        is_trial,
     })
 }
 
+/// Returns the parts of a prompt that other requests may share: all but the last one.
+fn shared_parts(head: &Head, service: &Service) -> Vec<Part> {
+    let ids = head
+        .prompt_parts
+        .split_last()
+        .map_or(&[][..], |(_, ids)| ids);
+    let ids = ids.iter().filter(|id| !id.is_empty());
+    ids.map(|id| Part::of(&service.name, id)).collect()
+}
+
 /// Reads a request body of at most `max_bytes`.
 async fn read_body(body: Incoming, max_bytes: usize, time_limit: Millis) -> Result<Bytes, Failure> {
     if usize::try_from(body.size_hint().lower()).map_or(true, |lower| lower > max_bytes) {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -17,7 +17,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use compact_str::ToCompactString;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::assignment;
 use gooseberry_kernel::fleet::fetch::Fetches;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::replica::Replica;
@@ -25,6 +27,10 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine::Suspects;
 use gooseberry_kernel::request::deadline_admission::ServiceWait;
+use gooseberry_kernel::request::part_quarantine::Part;
+use gooseberry_kernel::request::part_quarantine::PartQuarantine;
+use gooseberry_kernel::request::part_quarantine::Run;
+use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::prior_wait::PriorWaitEstimator;
 use gooseberry_kernel::request::retry_budget::RetryBudget;
 use gooseberry_kernel::request::routing_table::RoutingTable;
@@ -85,6 +91,8 @@
     rate_limits: RateLimits,
     retry_budget: RetryBudget,
     suspects: Suspects,
+    /// Parts of prompts that may crash targets.
+    parts: PartQuarantine,
     /// Where streams began.
     origins: Origins,
     /// The load of targets, sorted by target.
@@ -151,6 +159,8 @@
     pub domain: name::Domain,
     /// The version of its software.
     pub version: name::Version,
+    /// Its run.
+    pub run: Run,
 }
 
 impl From<&Target> for PickedTarget {
@@ -160,6 +170,7 @@
             address: target.address,
             domain: target.domain.clone(),
             version: target.version.clone(),
+            run: Run::of(&target.name, target.started),
         }
     }
 }
@@ -189,6 +200,7 @@
             rate_limits: RateLimits::default(),
             retry_budget: RetryBudget::new(boot.retry_budget),
             suspects: Suspects::default(),
+            parts: PartQuarantine::default(),
             origins: Origins::default(),
             usages: Vec::new(),
             stage_waits: Vec::new(),
@@ -215,6 +227,23 @@
         &mut self.suspects
     }
 
+    /// Returns the parts of prompts that may crash targets.
+    pub fn parts(&mut self) -> &mut PartQuarantine {
+        &mut self.parts
+    }
+
+    /// Decides about a request with these parts of its prompt. Of the daemons that this
+    /// one knows, one tries a part again that is in quarantine.
+    pub fn part_verdict(&mut self, parts: &[Part], now: Millis) -> Verdict {
+        let may_try = |part: Part| {
+            let key = part.to_compact_string();
+            let members = self.members.live(now);
+            let first = assignment::dispatcher(&name::Service::new(&key), &members);
+            first.is_some_and(|member| member.name == self.members.me().name)
+        };
+        self.parts.verdict(parts, may_try, now)
+    }
+
     /// Returns where streams began, as far as this daemon knows.
     pub fn origins(&mut self) -> &mut Origins {
         &mut self.origins
@@ -250,6 +279,7 @@
             log::info!(target:% = target; "a target that lapsed did not come back and is removed");
         }
         self.suspects.expire(now);
+        self.parts.expire(now);
         self.origins.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,9 +4,11 @@
 //! duration that remains or has passed. Bincode tells fields, variants and calls
 //! apart by their order alone, so their order is part of the protocol.
 //!
+//! - `part_evidence` has what is known of parts of prompts that crash targets.
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
+mod part_evidence;
 mod rate_limit;
 mod replica;
 
@@ -24,6 +26,7 @@
 use serde::Serialize;
 
 use crate::control::Suspect;
+pub use crate::fleet::part_evidence::PartEvidence;
 pub use crate::fleet::rate_limit::RateLimit;
 pub use crate::fleet::replica::Changes;
 pub use crate::fleet::replica::Contents;
@@ -53,8 +56,8 @@
     /// Returns the [`PROTOCOL_VERSION`] of the daemon. A former build closes the
     /// connection on this call and on those below.
     async fn protocol_version() -> u32;
-    /// Like `greet`, with the eras of the contents that both announce.
-    async fn greet_in_era(greeting: Greeting, era: Option<u64>) -> (Greeting, Option<u64>);
+    /// Like `greet`, with what the former build does not have in its greetings.
+    async fn exchange(message: Exchange) -> Exchange;
     /// Returns a part of the contents of the platform's store; large values are outlined.
     async fn contents(request: ContentsRequest) -> Contents;
 }
@@ -83,6 +86,17 @@
     pub rate_limits: Vec<RateLimit>,
 }
 
+/// A greeting with what was added to it since, or the reply to one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// The greeting.
+    pub greeting: Greeting,
+    /// The era of the contents that the greeting announces.
+    pub era: Option<u64>,
+    /// Some of the parts of prompts that may crash targets.
+    pub parts: Vec<PartEvidence>,
+}
+
 /// The state of a daemon, as it publishes it itself or as others pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
