--- a/crates/kernel/src/request/part_quarantine.rs
+++ b/crates/kernel/src/request/part_quarantine.rs
@@ -203,9 +203,10 @@
     }
 
     /// Returns some of what is known, for a peer: the parts in quarantine, those with
-    /// most evidence, and the others in turn.
+    /// most evidence, and the others in turn. Without crashes it is nothing.
     pub fn evidence_for_message(&mut self, now: Millis) -> Vec<Evidence> {
-        let mut order: Vec<&Record> = self.records.iter().collect();
+        let is_news = |record: &&Record| self.is_quarantined(record.part) || record.has_news(now);
+        let mut order: Vec<&Record> = self.records.iter().filter(is_news).collect();
         order.sort_by_cached_key(|record| {
             let is_free = !self.is_quarantined(record.part);
             (is_free, std::cmp::Reverse(record.open_runs().count()))
--- a/crates/kernel/src/request/part_quarantine/evidence.rs
+++ b/crates/kernel/src/request/part_quarantine/evidence.rs
@@ -18,6 +18,9 @@
 /// Those of a part in quarantine must cover the ones that ended beside them, or else
 /// these would count against others.
 const RUNS_MAX: usize = 64;
+/// How long after its last crash daemons tell each other of a part that is not in
+/// quarantine.
+const NEWS_TIME: Millis = Millis(30_000);
 /// How many runs a message between daemons names.
 const MESSAGE_RUNS: usize = 16;
 
@@ -105,6 +108,12 @@
         open.map(|(run, _)| *run)
     }
 
+    /// Returns whether a run ended under the part a short time ago.
+    pub fn has_news(&self, now: Millis) -> bool {
+        let last_crash = self.runs.iter().map(|(_, at)| *at).max();
+        last_crash.is_some_and(|at| at + NEWS_TIME > now)
+    }
+
     /// Returns whether a request with the part, which is in quarantine, may be tried.
     /// `is_shared` says whether prompts with it go on with several other parts.
     pub fn is_trial_due(&self, is_shared: bool, now: Millis) -> bool {
