Do not take a stream for complete whose connection ends before its first event

A stream may come without length and chunks and end with its connection. If a target crashed when it began to write, such a stream was passed on as a complete answer without events (200), and its request counted as answered.

--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -10,6 +10,8 @@
 use gooseberry_kernel::request::event_buffer::EventTooLong;
 use gooseberry_kernel::request::stream_origin::Origin;
 use http::Response;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body::Frame;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -43,6 +45,9 @@
                         Err(EventTooLong) => "an event is too long".to_owned(),
                     }
                 }
+                Ok(None) if self.is_cut_before_first_event() => {
+                    "the connection ended before the first event".to_owned()
+                }
                 Ok(None) if self.events.is_at_event_boundary() => {
                     self.finish();
                     return None;
@@ -56,6 +61,18 @@
         }
     }
 
+    /// Returns whether a stream whose end shows only by that of its connection ended
+    /// before its first event. A target that crashes leaves the same bytes.
+    fn is_cut_before_first_event(&self) -> bool {
+        let is_unframed = self.current.as_ref().is_some_and(|started| {
+            let headers = &started.exchange.headers;
+            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+        });
+        // A stream that is taken up after its last event has none left.
+        let may_be_empty = self.first_byte_at.is_some() || self.job.head.resumed_after.is_some();
+        is_unframed && !may_be_empty
+    }
+
     /// Returns the next bytes of the current target's stream; `None` at its end.
     pub(super) async fn next_bytes(&mut self) -> Result<Option<Bytes>, String> {
         let left = self.job.deadline - self.context.now();
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -17,4 +17,5 @@
 mod stages;
 mod store_return;
 mod streams;
+mod unframed_answers;
 mod versions;
