Count a crash as evidence against parts by whether the answer had begun

The number of events counts only those with ids, which streams that cannot be resumed need not have. The credit of their answer covered for it.

--- a/crates/relay/src/forward/crash.rs
+++ b/crates/relay/src/forward/crash.rs
@@ -41,7 +41,7 @@
     /// Records that a target broke off the connection before the answer began, which a
     /// part of the prompt may have caused.
     pub(super) fn record_part_crash(&self) {
-        let Some((run, sent_at)) = self.last_send.filter(|_| self.events.count() == 0) else {
+        let Some((run, sent_at)) = self.last_send.filter(|_| self.first_byte_at.is_none()) else {
             return;
         };
         let now = self.context.now();
