Take no parts of all contents from peers of the former build

Such a peer answers with changes since a revision, which would have counted as complete though the daemon collects all contents beside its own.

--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -136,9 +136,8 @@
         Some(Change::Gone)
     }
 
-    /// Keeps the runs unused that leave or were removed lately, for
-    /// [`HOLD_TIME`](crate::fleet::withdrawal::HOLD_TIME): the store has come back from an older copy, which may
-    /// list them as ready.
+    /// Keeps the runs unused for a while that leave or were removed lately. The store has
+    /// come back from an older copy, which may list them as ready.
     pub fn hold_withdrawn(&mut self, now: Millis) {
         let leaving = self.targets.iter().map(|listed| &listed.target);
         let leaving = leaving.filter(|target| target.is_leaving).map(run_of);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -220,6 +220,10 @@
             let call = client.contents(limit, request.into());
             return call.await.map(Into::into).map_err(|_| Unreachable);
         }
+        // The former build does not pass all contents on in parts.
+        if request.is_collecting {
+            return Err(Unreachable);
+        }
         let call = client.changes(limit, request.after.0);
         let changes = call.await.map_err(|_| Unreachable)?;
         Ok(Contents::of(request.era, changes.into()))
