Log and count which services a daemon reaches no target of

The logs of a daemon that is cut off from all targets show faults of single targets, and nothing says what it takes for reachable. A call that fails, or has no reply for 600 ms while no other call to the service has one, is now followed by a check that connects to three other targets; if none answers, the link to the service counts as down until most of three do, and the links to the other services are checked, too. Nothing depends on it yet.

--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -3,6 +3,7 @@
 //! - [`registry`] holds the targets that the platform lists, and those that
 //!   lapsed.
 //! - [`health`] avoids targets whose calls fail.
+//! - [`link`] knows whether this daemon reaches the targets of a service.
 //! - [`cold_rate`] limits the rate at which a cold target gets requests.
 //! - [`notice`] holds what targets say in their answers about the work they want.
 //! - [`rate_limit`] holds the rate limits that targets name in their answers.
@@ -10,6 +11,7 @@
 
 pub mod cold_rate;
 pub mod health;
+pub mod link;
 pub mod notice;
 pub mod rate_limit;
 pub mod registry;
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::dispatcher;
 use crate::http_server;
 use crate::http_server::HttpServer;
+use crate::link;
 use crate::peers;
 use crate::request;
 use crate::store_watch;
@@ -179,6 +180,7 @@
     tasks.spawn(peers::greet_periodically(context.clone()));
     tasks.spawn(store_watch::run(context.clone()));
     tasks.spawn(dispatcher::run_ticks(context.clone()));
+    tasks.spawn(link::recheck_periodically(context.clone()));
     tasks.spawn(run_ticks(context.clone()));
     Ok(server)
 }
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -25,6 +25,7 @@
 use crate::dispatcher::service_dispatch::dispatch_of;
 use crate::exchange::Callee;
 use crate::exchange::Exchange;
+use crate::link;
 
 /// The constant part of a call's timeout, added to a multiple of its expected
 /// duration.
@@ -59,6 +60,7 @@
     let sent = context.now();
     let outcome = {
         let sending = send_call(context, &call);
+        let sending = link::watch_silence(context, service, &call.target, sending);
         tokio::pin!(sending);
         loop {
             match timeout(INPUTS_FETCHED_AFTER, sending.as_mut()).await {
@@ -91,6 +93,9 @@
         "stage call {label}"
     );
     record_health(context, &call.target, &outcome, now);
+    if matches!(outcome, CallOutcome::Failed(_)) {
+        link::check_after_failure(context, service, &call.target);
+    }
     let dispatcher = &context.dispatcher;
     let target = call.target.clone();
     let is_full = {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -31,7 +31,7 @@
 ///
 /// A round trip takes milliseconds; a lost packet is sent again only after a
 /// second, by which time another target has replied.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a target may take to reset a connection that it does not accept: a
 /// round trip, and the time that it needs to set up a connection.
 const RESET_WAIT: Duration = Duration::from_millis(4);
@@ -219,6 +219,7 @@
     headers: &HeaderMap,
 ) {
     let now = context.now();
+    context.state().record_reply(target, now);
     match target::read_leaving(status, headers) {
         Ok(false) => {}
         Ok(true) => {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
@@ -12,7 +13,9 @@
 use gooseberry_platform::target;
 use gooseberry_platform::target::CallParameters;
 use gooseberry_platform::target::Validity;
+use http::Request;
 use http::StatusCode;
+use http_body_util::Full;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -25,6 +28,7 @@
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
 use crate::forward::deadline_passed;
+use crate::link;
 use crate::pool::IDLE_MAX;
 use crate::stages;
 use crate::state::Need;
@@ -178,39 +182,38 @@
         }
     }
 
+    /// Returns the request as it is sent to a target; `left` is the time until its deadline.
+    fn target_request(&self, target: &name::Target, left: Millis) -> Request<Full<Bytes>> {
+        let job = &self.job;
+        let resumed_after = self.events.last_id().or(job.head.resumed_after.as_ref());
+        let results = self.results.as_ref();
+        let parameters = CallParameters {
+            target,
+            workspace: job.workspace.as_ref(),
+            remaining: left,
+            rank: job.engine_rank(),
+            inputs: results.map_or(&[][..], |results| &results.handles),
+            resumed_after: resumed_after.map(CompactString::as_str),
+        };
+        target::request(&job.head, job.body.clone(), &parameters)
+    }
+
     /// Sends the request to one target and waits for the head of its reply.
     pub(super) async fn send_once(&mut self, picked: PickedTarget) -> SendOutcome {
         let now = self.context.now();
         self.last_send = Some((picked.run, now));
         let left = self.job.deadline - now;
-        let job = &self.job;
-        let resumed_after = self.events.last_id().or(job.head.resumed_after.as_ref());
-        let resumed_after = resumed_after.cloned();
-        let handles = self
-            .results
-            .as_ref()
-            .map_or(&[][..], |results| &results.handles);
-        let request = target::request(
-            &job.head,
-            job.body.clone(),
-            &CallParameters {
-                target: &picked.target,
-                workspace: job.workspace.as_ref(),
-                remaining: left,
-                rank: job.engine_rank(),
-                inputs: handles,
-                resumed_after: resumed_after.as_ref().map(CompactString::as_str),
-            },
-        );
+        let request = self.target_request(&picked.target, left);
+        let is_repeatable = self.job.route.is_repeatable();
         let callee = Callee {
             target: picked.target.clone(),
             address: picked.address,
-            idle_max: if job.route.is_repeatable() {
+            idle_max: if is_repeatable {
                 IDLE_MAX
             } else {
                 RUN_ONCE_IDLE_MAX
             },
-            runs_once: !job.route.is_repeatable(),
+            runs_once: !is_repeatable,
         };
         // `State::pick` has counted the request as in flight at the target.
         let in_flight_guard = InFlightGuard {
@@ -218,8 +221,14 @@
             target: picked.target.clone(),
         };
         let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
-        let begun = timeout(limit, Exchange::begin(&self.context, &callee, request)).await;
+        let exchange = Exchange::begin(&self.context, &callee, request);
+        let service = &self.job.service.name;
+        let exchange = link::watch_silence(&self.context, service, &picked.target, exchange);
+        let begun = timeout(limit, exchange).await;
         self.tried.push(picked.target.clone());
+        if !matches!(begun, Ok(Ok(_))) {
+            link::check_after_failure(&self.context, service, &picked.target);
+        }
         let (outcome, detail) = match begun {
             Err(_) => {
                 self.sends += 1;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`stages`] runs the stages of a request. Their pieces are batched by the
 //!   [`dispatcher`] of one daemon for each service.
 //! - [`exchange`] is one call to a target, over the connections in [`pool`].
+//! - `link` checks whether this daemon reaches the targets of a service.
 //! - [`store_watch`] reads the platform's store, [`peers`] talks to other daemons.
 //!
 //! # Example
@@ -48,4 +49,5 @@
 
 mod activity;
 mod forward;
+mod link;
 mod resumption;
--- /dev/null
+++ b/crates/relay/src/link.rs
@@ -0,0 +1,124 @@
+//! Checks whether this daemon reaches the targets of a service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use gooseberry_connectors::http_connection::HttpConnection;
+use gooseberry_kernel::name;
+use gooseberry_kernel::target::link::Change;
+use gooseberry_kernel::target::link::SILENCE_MAX;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use crate::context::Context;
+use crate::exchange::CONNECT_TIMEOUT;
+
+/// How often it is looked up whether a link that is down is due to be checked.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Checks the link to a service in the background, after a call to one of its targets
+/// failed or stayed without a reply.
+pub(crate) fn check_after_failure(
+    context: &Arc<Context>,
+    service: &name::Service,
+    failed: &name::Target,
+) {
+    let now = context.now();
+    if context.state().links().begin_check(service, now) {
+        spawn_check(context, service.clone(), Some(failed.clone()));
+    }
+}
+
+/// Waits for a call to a target, and checks the link to its service if there is no reply
+/// for a while.
+pub(crate) async fn watch_silence<F: Future>(
+    context: &Arc<Context>,
+    service: &name::Service,
+    target: &name::Target,
+    call: F,
+) -> F::Output {
+    tokio::pin!(call);
+    if let Ok(reply) = timeout(Duration::from_millis(SILENCE_MAX.0), call.as_mut()).await {
+        return reply;
+    }
+    let now = context.now();
+    let is_due = {
+        let mut state = context.state();
+        state.links().begin_check_after_silence(service, now)
+    };
+    if is_due {
+        spawn_check(context, service.clone(), Some(target.clone()));
+    }
+    call.await
+}
+
+/// Checks links that are down again and again, for as long as the process runs.
+pub(crate) async fn recheck_periodically(context: Arc<Context>) {
+    let mut ticks = interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        let due = context.state().links().begin_rechecks(context.now());
+        for service in due {
+            spawn_check(&context, service, None);
+        }
+    }
+}
+
+fn spawn_check(context: &Arc<Context>, service: name::Service, failed: Option<name::Target>) {
+    let context = context.clone();
+    tokio::spawn(async move {
+        let now = context.now();
+        let targets = context
+            .state()
+            .link_check_targets(&service, failed.as_ref(), now);
+        let reached = count_reached(&context, &targets).await;
+        let change = {
+            let now = context.now();
+            let mut state = context.state();
+            let change = state
+                .links()
+                .end_check(&service, reached, targets.len(), now);
+            context.metrics.links_down(state.links().down().count());
+            change
+        };
+        match change {
+            None => {}
+            Some(Change::Up(lasted)) => {
+                log::info!(service:% = service, down_ms = lasted.0; "the targets of a service can be reached again");
+            }
+            Some(Change::Down) => {
+                let tried: Vec<&str> = targets.iter().map(|(target, _)| target.as_str()).collect();
+                log::warn!(service:% = service, targets:% = tried.join(","); "the targets of a service cannot be reached");
+                check_all(&context);
+            }
+        }
+    });
+}
+
+/// Checks the links to all services, since what cuts off one often cuts off others.
+fn check_all(context: &Arc<Context>) {
+    let now = context.now();
+    let unchecked = {
+        let mut state = context.state();
+        let mut services = state.services();
+        services.retain(|service| state.links().begin_check(service, now));
+        services
+    };
+    for service in unchecked {
+        spawn_check(context, service, None);
+    }
+}
+
+/// Connects to some targets at once; returns how many of them could be reached.
+async fn count_reached(context: &Context, targets: &[(name::Target, SocketAddr)]) -> usize {
+    let connecting = targets.iter().map(|(_, address)| {
+        context.metrics.connection();
+        HttpConnection::open(*address, CONNECT_TIMEOUT)
+    });
+    let opened = join_all(connecting).await;
+    opened.iter().filter(|opened| opened.is_ok()).count()
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -30,6 +30,7 @@
     peer_fetches: IntCounterVec,
     latency: HistogramVec,
     connections: IntCounter,
+    links_down: IntGauge,
     logs_dropped: IntGauge,
     control_bytes: Counters,
 }
@@ -93,6 +94,11 @@
             "Connections that were made to targets.",
         )?;
         registry.register(Box::new(connections.clone()))?;
+        let links_down = IntGauge::new(
+            "gooseberry_relay_links_down",
+            "Services of which this daemon reaches no target.",
+        )?;
+        registry.register(Box::new(links_down.clone()))?;
         let logs_dropped = IntGauge::new(
             "gooseberry_relay_log_lines_dropped",
             "Log lines that nobody read in time.",
@@ -110,6 +116,7 @@
             peer_fetches,
             latency,
             connections,
+            links_down,
             logs_dropped,
             control_bytes,
         })
@@ -167,6 +174,12 @@
         self.connections.inc();
     }
 
+    /// Sets the number of services of which this daemon reaches no target.
+    pub fn links_down(&self, count: usize) {
+        self.links_down
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Returns the counters of the bytes exchanged with peers.
     #[must_use]
     pub fn control_bytes(&self) -> Counters {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -6,9 +6,11 @@
 //! - `store` applies the settings and targets that the platform publishes.
 //! - `target` picks the target of a request, and counts requests in flight.
 //! - `share` computes this daemon's parts of limits of the whole fleet.
+//! - `link` knows which services this daemon reaches.
 //! - `stage` knows the dispatchers and targets of stage services, and how long
 //!   pieces wait at them.
 
+mod link;
 mod share;
 mod stage;
 mod store;
@@ -39,6 +41,7 @@
 use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::target::cold_rate::ColdRateLimiter;
 use gooseberry_kernel::target::health::Health;
+use gooseberry_kernel::target::link::Links;
 use gooseberry_kernel::target::rate_limit::RateLimits;
 use gooseberry_kernel::target::registry::TargetRegistry;
 use gooseberry_platform::boot::Boot;
@@ -87,6 +90,8 @@
     held_out: Withdrawals<name::Domain>,
     members: membership::Membership,
     health: Health,
+    /// Whether this daemon reaches the targets of each service.
+    links: Links,
     cold_rate_limiter: ColdRateLimiter,
     rate_limits: RateLimits,
     retry_budget: RetryBudget,
@@ -196,6 +201,7 @@
                 is_leaving: false,
             }),
             health: Health::default(),
+            links: Links::default(),
             cold_rate_limiter: ColdRateLimiter::default(),
             rate_limits: RateLimits::default(),
             retry_budget: RetryBudget::new(boot.retry_budget),
@@ -283,6 +289,9 @@
         self.origins.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
+        let table = self.routing_table.as_ref();
+        self.links
+            .retain(|service| table.is_some_and(|table| table.service(service).is_some()));
         self.cold_rate_limiter
             .retain(|target| targets.get(target).is_some());
         self.rate_limits
