Tests: a daemon that reaches no target, failing

A stand-in cuts one daemon of three off from all targets: its connections fall silent, are reset, or live on while new ones are refused. From 3 s on it must serve two thirds of what the others serve. The store's stand-in has views, in which the targets are at the addresses of one daemon's proxies.

--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod former_build;
 mod notices;
+mod partitions;
 mod platform;
 mod prompt_parts;
 mod rate_limits;
--- /dev/null
+++ b/crates/relay/tests/direct/partitions.rs
@@ -0,0 +1,186 @@
+//! Daemons that are cut off from all targets, while clients, the store and their peers
+//! reach them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::join_all;
+use gooseberry_kernel::name;
+use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::partition::Gateway;
+use gooseberry_platform_standin::partition::Partition;
+use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
+use tokio::time::sleep;
+
+use crate::platform::TestPlatform;
+use crate::platform::client_address;
+use crate::platform::start_daemon;
+use crate::platform::unused_ip;
+use crate::platform::wait_until;
+
+/// How long after the beginning of a partition its clients have to be served like others.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How many rounds of requests are sent before the partition and when it is judged.
+const ROUNDS: usize = 12;
+/// The kinds of requests of a round.
+const PATHS: [&str; 5] = ["/once/", "/read/", "/stream/", "/resume/", "/staged/"];
+
+/// Three daemons, each behind proxies of its own.
+pub struct Fleet {
+    pub platform: TestPlatform,
+    pub daemons: Vec<Daemon>,
+    gateways: Vec<Vec<Gateway>>,
+}
+
+impl Fleet {
+    pub async fn start() -> Self {
+        let platform = TestPlatform::start().await;
+        let mut fleet = Self {
+            platform,
+            daemons: Vec::new(),
+            gateways: Vec::new(),
+        };
+        for number in 1..=3 {
+            fleet.add_daemon(number).await;
+        }
+        wait_until("all daemons know each other and all targets", || {
+            let is_complete = |daemon: &Daemon| {
+                let now = daemon.context().now();
+                let mut state = daemon.context().state();
+                state.members().live(now).len() == 3 && state.listed_count() == 8
+            };
+            fleet.daemons.iter().all(is_complete)
+        })
+        .await;
+        fleet
+    }
+
+    async fn add_daemon(&mut self, number: u8) {
+        let platform = &self.platform;
+        let all = [
+            &platform.plain,
+            &platform.engines,
+            &platform.first,
+            &platform.second,
+        ];
+        let targets = all.into_iter().flatten();
+        let start = |target: &Target| {
+            let address = (unused_ip(), 8004).into();
+            let gateway = Gateway::start(address, target.address).expect("the address is free");
+            (gateway, target.address)
+        };
+        let gateways: Vec<(Gateway, SocketAddr)> = targets.map(start).collect();
+        let replacements = gateways.iter();
+        let replacements = replacements.map(|(gateway, target)| (*target, gateway.address));
+        let store = platform.store.view(replacements.collect()).await;
+        let seeds = self.daemons.first();
+        let seeds = seeds.map(|daemon| daemon.context().boot.peer_address);
+        let daemon = start_daemon(number, seeds.as_slice(), store).await;
+        wait_until("the daemon knows all targets", || {
+            daemon.context().state().listed_count() == 8
+        })
+        .await;
+        self.daemons.push(daemon);
+        let gateways = gateways.into_iter().map(|(gateway, _)| gateway);
+        self.gateways.push(gateways.collect());
+    }
+
+    /// Cuts a daemon off from all targets, or ends that.
+    pub fn cut_off(&self, daemon: usize, partition: Partition) {
+        for gateway in &self.gateways[daemon] {
+            gateway.set(partition);
+        }
+    }
+
+    /// Returns the daemon that dispatches for a service.
+    fn dispatcher(&self, service: &str) -> usize {
+        let service = name::Service::new(service);
+        let is_first = |daemon: &Daemon| {
+            let now = daemon.context().now();
+            daemon.context().state().is_first_dispatcher(&service, now)
+        };
+        let found = self.daemons.iter().position(is_first);
+        found.expect("one daemon is the first choice")
+    }
+
+    /// Sends rounds of requests to a daemon, in which each waits for the one before;
+    /// returns how many of them were served, by path.
+    async fn serve_rounds(&self, daemon: usize, rounds: usize) -> Vec<(&'static str, usize)> {
+        let address = client_address(&self.daemons[daemon]);
+        let paths = PATHS.map(async |path| {
+            let mut served = 0;
+            for _ in 0..rounds {
+                served += usize::from(self.is_served(path, address).await);
+            }
+            (path, served)
+        });
+        join_all(paths).await
+    }
+
+    async fn is_served(&self, path: &str, daemon: SocketAddr) -> bool {
+        let client = match path {
+            "/once/" | "/read/" => ClientRequest::new(path),
+            "/staged/" => ClientRequest::new(path).with_stage_pieces("2,2"),
+            _ => ClientRequest::new(path).with_stage_pieces(""),
+        };
+        let answer = client.send(daemon).await;
+        let runs = self.platform.runs(&client.attempt);
+        if path == "/once/" {
+            assert!(runs <= 1, "{} ran {runs} times", client.attempt);
+        }
+        if let Some(answer) = answer.as_ref().filter(|answer| answer.status == 503) {
+            assert_eq!(runs, 0, "{} ran and is refused: {answer:?}", client.attempt);
+        }
+        answer.is_some_and(|answer| answer.status == 200 && answer.is_complete)
+    }
+
+    /// Judges the daemons while one is cut off: of what the others serve, it must serve
+    /// two thirds.
+    async fn check_cut(&self, cut: usize, partition: Partition) {
+        for daemon in 0..self.daemons.len() {
+            self.serve_rounds(daemon, ROUNDS).await;
+        }
+        self.cut_off(cut, partition);
+        let end = tokio::time::Instant::now() + CONTACT;
+        while tokio::time::Instant::now() < end {
+            self.serve_rounds(cut, 1).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+        let other = (cut + 1) % self.daemons.len();
+        let served = self.serve_rounds(cut, ROUNDS).await;
+        let served_by_other = self.serve_rounds(other, ROUNDS).await;
+        for ((path, served), (_, by_other)) in served.into_iter().zip(served_by_other) {
+            assert_eq!(by_other, ROUNDS, "{path} at a daemon that is not cut off");
+            assert!(
+                3 * served >= 2 * by_other,
+                "{path} at a daemon that is cut off, {partition:?}: {served} of {ROUNDS}"
+            );
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_daemon_whose_connections_to_all_targets_fall_silent_serves_like_others() {
+    let fleet = Fleet::start().await;
+    fleet.check_cut(0, Partition::Silent).await;
+}
+
+#[tokio::test]
+async fn a_daemon_whose_connections_to_all_targets_are_reset_serves_like_others() {
+    let fleet = Fleet::start().await;
+    fleet.check_cut(0, Partition::Reset).await;
+}
+
+#[tokio::test]
+async fn a_daemon_that_can_make_no_new_connections_to_targets_serves_like_others() {
+    let fleet = Fleet::start().await;
+    fleet.check_cut(0, Partition::RefuseNew).await;
+}
+
+#[tokio::test]
+async fn a_dispatcher_that_reaches_no_target_does_not_stop_the_stages_of_others() {
+    let fleet = Fleet::start().await;
+    let cut = fleet.dispatcher("first");
+    fleet.check_cut(cut, Partition::Silent).await;
+}
