Send requests through a peer while a daemon reaches no target

Cause: whatever a daemon learned of a partition, a request that it had admitted could only be sent over its own connections. It spent 400 ms on one target after the other and refused the request.

A daemon now says in its heartbeats of which services it reaches no target (new call heartbeat, made of peers of version 2 only), and where it takes requests of others. While the link to a service is down, requests go to a peer that reaches it: over HTTP, so that streams, their ends and their abandonment pass unchanged. The daemon that admitted the request keeps its stages, retries and budget; the peer picks the target by its own knowledge, as pauses and limits are about the machine that calls, says whether the request was certainly not sent, and sends it on to targets only, so that none goes in circles. Repeatable calls without a reply leave for a peer when the link goes down.

Those with stages still fail, as the dispatcher of a stage does not know of its links; the tests stay listed.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -5,6 +5,7 @@
 //!   eras of its store. [`chunks`] cuts large values into parts, and [`fetch`] decides
 //!   from which peers to fetch what is missing.
 //! - [`withdrawal`] keeps in force what a store that went back has forgotten.
+//! - [`detour`] chooses the daemon that sends a request for one that is cut off.
 //! - [`assignment`] chooses the dispatcher of a stage service and the readers
 //!   of the store, and [`share`] divides limits of the whole fleet, of which an
 //!   [`allowance`] says what a daemon may send.
@@ -12,6 +13,7 @@
 pub mod allowance;
 pub mod assignment;
 pub mod chunks;
+pub mod detour;
 pub mod fetch;
 pub mod membership;
 pub mod mirror;
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -8,6 +8,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_platform::boot::Boot;
 use gooseberry_runtime::clock::Clock;
+use tokio::sync::Notify;
 
 use crate::body_memory::BodyMemory;
 use crate::dispatcher::Dispatcher;
@@ -45,6 +46,8 @@
     pub body_memory: BodyMemory,
     /// The limit on the memory that the replies of targets take.
     pub reply_memory: BodyMemory,
+    /// Notified when a link to a service goes down or comes up.
+    pub link_changed: Notify,
     state: Mutex<State>,
 }
 
@@ -64,6 +67,7 @@
             dispatcher: Dispatcher::default(),
             metrics,
             shutdown: Shutdown::default(),
+            link_changed: Notify::new(),
             body_memory: BodyMemory::new(boot.memory_bytes / BODY_MEMORY_DIVISOR),
             reply_memory: BodyMemory::new(boot.memory_bytes / REPLY_MEMORY_DIVISOR),
             boot,
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 
 use crate::context::Context;
+use crate::detour;
 use crate::dispatcher;
 use crate::http_server;
 use crate::http_server::HttpServer;
@@ -56,11 +57,39 @@
 /// How long the log thread gets to write the last lines.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(30);
 
+/// The servers whose requests a shutdown waits for.
+#[derive(Clone, Debug, Default)]
+struct Servers {
+    clients: Arc<HttpServer>,
+    /// Sends requests for peers.
+    detours: Arc<HttpServer>,
+}
+
+impl Servers {
+    fn requests(&self) -> usize {
+        self.clients.requests() + self.detours.requests()
+    }
+
+    fn connections(&self) -> usize {
+        self.clients.connections() + self.detours.connections()
+    }
+
+    fn drain(&self) {
+        self.clients.drain();
+        self.detours.drain();
+    }
+
+    fn abort(&self) {
+        self.clients.abort();
+        self.detours.abort();
+    }
+}
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
     context: Arc<Context>,
-    server: Arc<HttpServer>,
+    servers: Servers,
     /// The listeners and periodic tasks, which end when this is dropped.
     tasks: JoinSet<()>,
 }
@@ -76,10 +105,10 @@
         let incarnation = u64::try_from(incarnation).unwrap_or(u64::MAX);
         let context = Context::new(boot, Clock::start(), incarnation)?;
         let mut tasks = JoinSet::new();
-        let server = start_services(&context, &mut tasks).await?;
+        let servers = start_services(&context, &mut tasks).await?;
         Ok(Self {
             context,
-            server,
+            servers,
             tasks,
         })
     }
@@ -94,7 +123,7 @@
     pub async fn shut_down(&self) {
         shut_down(
             &self.context,
-            &self.server,
+            &self.servers,
             self.context.boot.shutdown_grace,
         )
         .await;
@@ -104,7 +133,7 @@
     /// closed also under requests.
     pub async fn kill(mut self) {
         self.tasks.shutdown().await;
-        self.server.abort();
+        self.servers.abort();
     }
 }
 
@@ -140,7 +169,7 @@
 async fn start_services(
     context: &Arc<Context>,
     tasks: &mut JoinSet<()>,
-) -> anyhow::Result<Arc<HttpServer>> {
+) -> anyhow::Result<Servers> {
     let boot = &context.boot;
     let clients = bind(boot.client_address, "clients").await?;
     let ready = bind(boot.ready_address, "ready").await?;
@@ -155,8 +184,8 @@
         version = env!("CARGO_PKG_VERSION");
         "started"
     );
-    let server = Arc::new(HttpServer::default());
-    let serving = server.clone();
+    let servers = Servers::default();
+    let serving = servers.clients.clone();
     let shared = context.clone();
     tasks.spawn(async move {
         let handler_context = shared.clone();
@@ -164,6 +193,22 @@
         serving.serve(shared, clients, handler).await;
     });
     let shared = context.clone();
+    if let Some(address) = boot.detour_address {
+        match bind(address, "detours").await {
+            Ok(listener) => {
+                context.state().set_detour_address(address);
+                let serving = servers.detours.clone();
+                let shared = context.clone();
+                tasks.spawn(async move {
+                    let handler_context = shared.clone();
+                    let handler = move |request| detour::serve(handler_context.clone(), request);
+                    serving.serve(shared, listener, handler).await;
+                });
+            }
+            // Without it, this daemon still serves its own clients.
+            Err(error) => log::error!("no requests are sent for peers: {error:#}"),
+        }
+    }
     tasks.spawn(http_server::serve_page(ready, move |path| {
         http_server::ready_page(&shared, path)
     }));
@@ -182,7 +227,7 @@
     tasks.spawn(dispatcher::run_ticks(context.clone()));
     tasks.spawn(link::recheck_periodically(context.clone()));
     tasks.spawn(run_ticks(context.clone()));
-    Ok(server)
+    Ok(servers)
 }
 
 /// Removes expired state and idle connections periodically.
@@ -202,7 +247,7 @@
 /// Shuts the daemon down without cutting requests. The daemon becomes not ready,
 /// so that no new clients are sent to it; it serves the requests that still
 /// arrive, and closes each connection with a response.
-async fn shut_down(context: &Arc<Context>, server: &HttpServer, grace: Millis) {
+async fn shut_down(context: &Arc<Context>, server: &Servers, grace: Millis) {
     let begun = context.now();
     let end = begun + grace - GRACE_MARGIN;
     context.state().members().mark_leaving();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -18,6 +18,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -50,6 +51,8 @@
     NotSent(String),
     /// The connection failed, and the target may have received the request.
     Broken(String),
+    /// There was no reply in time, and the target may have received the request.
+    Silent(String),
 }
 
 impl fmt::Display for Error {
@@ -57,6 +60,7 @@
         match self {
             Self::NotSent(why) => write!(out, "not sent: {why}"),
             Self::Broken(why) => write!(out, "broken: {why}"),
+            Self::Silent(why) => write!(out, "silent: {why}"),
         }
     }
 }
@@ -73,6 +77,8 @@
     /// Whether the request must not run twice. A new connection is then checked
     /// to be open before the request is sent.
     pub runs_once: bool,
+    /// Whether a peer makes the call; the address is the peer's.
+    pub is_detour: bool,
 }
 
 impl Callee {
@@ -84,6 +90,16 @@
             address,
             idle_max: IDLE_MAX,
             runs_once: false,
+            is_detour: false,
+        }
+    }
+
+    /// Returns a target that a peer has called.
+    #[must_use]
+    pub fn of_detour(target: name::Target, peer: SocketAddr) -> Self {
+        Self {
+            is_detour: true,
+            ..Self::of_stage(target, peer)
         }
     }
 }
@@ -147,6 +163,28 @@
         })
     }
 
+    /// Returns the call that a peer has made, whose reply has begun. What the target asks
+    /// of its caller concerns the peer alone; what it says of itself is recorded.
+    pub(crate) fn of_detour(
+        context: &Context,
+        callee: Callee,
+        parts: Parts,
+        body: Incoming,
+        connection: HttpConnection,
+    ) -> Self {
+        record_leaving(context, &callee.target, parts.status, &parts.headers);
+        if parts.status != StatusCode::MISDIRECTED_REQUEST {
+            record_rate_limit(context, &callee.target, parts.status, &parts.headers);
+        }
+        Self {
+            status: parts.status,
+            headers: parts.headers,
+            callee,
+            body,
+            connection,
+        }
+    }
+
     /// Returns the next bytes of the reply; `None` at its end.
     ///
     /// # Errors
@@ -196,6 +234,9 @@
             mut connection,
             ..
         } = self;
+        if callee.is_detour {
+            return;
+        }
         let context = context.clone();
         // The connection becomes ready shortly after the last byte was read; it
         // fails instead if bytes follow that do not belong to the reply.
@@ -220,17 +261,7 @@
 ) {
     let now = context.now();
     context.state().record_reply(target, now);
-    match target::read_leaving(status, headers) {
-        Ok(false) => {}
-        Ok(true) => {
-            if context.state().record_leaving(target, now) {
-                log::info!(target:% = target; "a target says in an answer that it leaves; it gets no more requests");
-            }
-        }
-        Err(text) => {
-            log::warn!(target:% = target, text:%; "an answer's word on leaving is ignored: it has no meaning");
-        }
-    }
+    record_leaving(context, target, status, headers);
     if status != StatusCode::MISDIRECTED_REQUEST {
         record_rate_limit(context, target, status, headers);
     }
@@ -247,6 +278,27 @@
     }
 }
 
+/// Records whether the target says in a reply that it leaves.
+fn record_leaving(
+    context: &Context,
+    target: &name::Target,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    match target::read_leaving(status, headers) {
+        Ok(false) => {}
+        Ok(true) => {
+            let now = context.now();
+            if context.state().record_leaving(target, now) {
+                log::info!(target:% = target; "a target says in an answer that it leaves; it gets no more requests");
+            }
+        }
+        Err(text) => {
+            log::warn!(target:% = target, text:%; "an answer's word on leaving is ignored: it has no meaning");
+        }
+    }
+}
+
 /// Records the rate limit that the target names in a reply. Only a success ends an
 /// earlier one, since an error may not come from the target itself.
 fn record_rate_limit(
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,13 +6,17 @@
 //! client is closed instead.
 //!
 //! - `attempt` picks targets and sends the request until a response begins.
+//! - `detour` sends the request through a peer if this daemon reaches no target.
 //! - `crash` records targets that fail, and requests that may crash them.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 
 mod attempt;
 mod crash;
+mod detour;
+pub(crate) mod pick;
 mod stream;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,6 +64,7 @@
         stage_runs: 0,
         results: None,
         tried: Vec::new(),
+        tried_detours: Vec::new(),
         origin: job_origin,
         sends: 0,
         last_send: None,
@@ -86,6 +91,8 @@
     results: Option<Results>,
     /// The targets that are not tried again.
     tried: Vec<name::Target>,
+    /// The peers through which it is not sent again.
+    tried_detours: Vec<SocketAddr>,
     /// Where the stream began, if it may go on only at such targets.
     origin: Option<Origin>,
     /// How often the request was sent.
@@ -114,15 +121,27 @@
     reply: Reply,
     /// The version of the target's software.
     version: name::Version,
-    _in_flight_guard: InFlightGuard,
+    /// Counts it as in flight, unless a peer does.
+    _in_flight_guard: Option<InFlightGuard>,
 }
 
 /// Counts a request as in flight at its target until it is dropped.
-struct InFlightGuard {
+pub(crate) struct InFlightGuard {
     context: Arc<Context>,
     target: name::Target,
 }
 
+impl InFlightGuard {
+    /// Creates the guard of a request that [`State::pick`](crate::state::State::pick) has
+    /// counted.
+    pub(crate) fn new(context: &Arc<Context>, target: &name::Target) -> Self {
+        Self {
+            context: context.clone(),
+            target: target.clone(),
+        }
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.context.state().record_request_end(&self.target);
@@ -141,6 +160,18 @@
     MayHaveRun(Failure),
 }
 
+impl SendOutcome {
+    /// Returns the text for logs.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Started(_) => "begun",
+            Self::NotRun(_) => "not run",
+            Self::InvalidRequest(_) => "not run, as the request is invalid",
+            Self::MayHaveRun(_) => "may have run",
+        }
+    }
+}
+
 impl Forwarder {
     /// Forwards the request until there is a response to pass on.
     async fn forward(mut self) -> Result<Response<ResponseBody>, Failure> {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target after another until a reply begins, within the
 //! deadline, the attempts of its route and the retry budget.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,6 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
-use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::exchange::Callee;
@@ -28,15 +28,13 @@
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
 use crate::forward::deadline_passed;
+use crate::forward::pick;
 use crate::link;
 use crate::pool::IDLE_MAX;
 use crate::stages;
 use crate::state::Need;
-use crate::state::Pick;
 use crate::state::PickedTarget;
 
-/// How long to wait before picking a target again when all are cold or full.
-const PICK_RETRY_DELAY: Duration = Duration::from_millis(25);
 /// How long a request that may be retried waits for the head of a reply, and then for
 /// the rest of it, as a multiple of its route's latency objective.
 const REPLY_TIMEOUT_FACTOR: u64 = 2;
@@ -44,6 +42,14 @@
 /// when the target reads them, or if its stream is resumed at another target.
 const STAGE_RUNS_MAX: u32 = 2;
 
+/// The way on which a request is sent.
+enum Path {
+    /// To this target.
+    Direct(PickedTarget),
+    /// Through this peer, which picks the target.
+    Detour(SocketAddr),
+}
+
 impl Forwarder {
     /// Runs the stages unless their results exist already.
     pub(super) async fn ensure_stages(&mut self) -> Result<(), Failure> {
@@ -78,8 +84,8 @@
             self.ensure_stages()
                 .await
                 .map_err(|failure| self.unknown_if_run(failure))?;
-            let picked = match self.pick(last_failure.as_ref()).await {
-                Ok(picked) => picked,
+            let path = match self.choose_path(last_failure.as_ref()).await {
+                Ok(path) => path,
                 Err(failure) => {
                     let failure = self.unknown_if_run(failure);
                     let last_failure = last_failure.filter(|_| failure.retry_after.is_none());
@@ -87,19 +93,19 @@
                 }
             };
             if !self.may_still_retry() {
-                let mut state = self.context.state();
-                state.record_request_end(&picked.target);
-                drop(state);
+                self.abandon(&path);
                 let failure = last_failure.unwrap_or(Kind::QueueFull.into());
                 return Err(self.unknown_if_run(failure));
             }
             if self.is_part_quarantined() {
-                let mut state = self.context.state();
-                state.record_request_end(&picked.target);
-                drop(state);
+                self.abandon(&path);
                 return Err(self.quarantine_failure());
             }
-            match self.send_once(picked).await {
+            let outcome = match path {
+                Path::Direct(picked) => self.send_once(picked).await,
+                Path::Detour(peer) => self.send_by_detour(peer).await,
+            };
+            match outcome {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
                     return Ok(*started);
@@ -122,47 +128,32 @@
         }
     }
 
-    /// Picks a target; while all of them are cold or full, waits for one until
-    /// the deadline.
-    pub(super) async fn pick(
-        &mut self,
-        last_failure: Option<&Failure>,
-    ) -> Result<PickedTarget, Failure> {
-        loop {
-            let now = self.context.now();
-            if now >= self.job.deadline {
-                return Err(last_failure.cloned().unwrap_or(Kind::TooLate.into()));
-            }
-            let pick = self.context.state().pick(self.need(&self.tried), now);
-            match pick {
-                Pick::Target(picked) => return Ok(picked),
-                Pick::NoTarget => return Err(Kind::NoTarget.into()),
-                // Holding the request until then would be of no use to its client.
-                Pick::Paused(until) if until >= self.answer_due() => {
-                    return Err(Failure::from(Kind::QueueFull).with_retry_after(until - now));
-                }
-                Pick::NoShare => {
-                    self.context.metrics.rate_limited("refused");
-                    log::info!(request:% = self.job.head.attempt, service:% = self.job.service.name; "refused: all targets limit their rate, and other daemons have the shares");
-                    return Err(Kind::QueueFull.into());
-                }
-                Pick::Booked(picked, at) => {
-                    self.context.metrics.rate_limited("booked");
-                    sleep(Duration::from_millis((at - now).0)).await;
-                    let now = self.context.now();
-                    let service = &self.job.service;
-                    let mut state = self.context.state();
-                    if state.begin_booked(&picked.target, service, now) {
-                        return Ok(picked);
-                    }
-                }
-                Pick::Wait | Pick::Paused(_) => sleep(PICK_RETRY_DELAY).await,
+    /// Releases the place of a request that is not sent after all.
+    fn abandon(&self, path: &Path) {
+        if let Path::Direct(picked) = path {
+            let mut state = self.context.state();
+            state.record_request_end(&picked.target);
+        }
+    }
+
+    /// Decides how the request is sent next, and waits until it may be.
+    async fn choose_path(&mut self, last_failure: Option<&Failure>) -> Result<Path, Failure> {
+        let now = self.context.now();
+        if let Some(peer) = self.detour(now).filter(|_| now < self.job.deadline) {
+            return Ok(Path::Detour(peer));
+        }
+        let need = self.need(&self.tried);
+        let (attempt, deadline) = (&self.job.head.attempt, self.job.deadline);
+        match pick::wait_for_target(&self.context, attempt, need, deadline).await {
+            Err(failure) if failure.kind == Kind::TooLate => {
+                Err(last_failure.cloned().unwrap_or(failure))
             }
+            picked => Ok(Path::Direct(picked?)),
         }
     }
 
     /// Returns when the answer must begin, or when it must be complete if it has begun.
-    fn answer_due(&self) -> Millis {
+    pub(super) fn answer_due(&self) -> Millis {
         if self.events.count() == 0 {
             self.job.begin_by
         } else {
@@ -171,7 +162,7 @@
     }
 
     /// Returns what the request needs of its target, which is none of those in `tried`.
-    fn need<'a>(&'a self, tried: &'a [name::Target]) -> Need<'a> {
+    pub(super) fn need<'a>(&'a self, tried: &'a [name::Target]) -> Need<'a> {
         Need {
             service: &self.job.service,
             version: self.origin.as_ref().map(|origin| &origin.version),
@@ -183,7 +174,12 @@
     }
 
     /// Returns the request as it is sent to a target; `left` is the time until its deadline.
-    fn target_request(&self, target: &name::Target, left: Millis) -> Request<Full<Bytes>> {
+    /// `target` is `None` if a peer picks it.
+    pub(super) fn target_request(
+        &self,
+        target: Option<&name::Target>,
+        left: Millis,
+    ) -> Request<Full<Bytes>> {
         let job = &self.job;
         let resumed_after = self.events.last_id().or(job.head.resumed_after.as_ref());
         let results = self.results.as_ref();
@@ -203,7 +199,7 @@
         let now = self.context.now();
         self.last_send = Some((picked.run, now));
         let left = self.job.deadline - now;
-        let request = self.target_request(&picked.target, left);
+        let request = self.target_request(Some(&picked.target), left);
         let is_repeatable = self.job.route.is_repeatable();
         let callee = Callee {
             target: picked.target.clone(),
@@ -214,31 +210,34 @@
                 RUN_ONCE_IDLE_MAX
             },
             runs_once: !is_repeatable,
+            is_detour: false,
         };
         // `State::pick` has counted the request as in flight at the target.
-        let in_flight_guard = InFlightGuard {
-            context: self.context.clone(),
-            target: picked.target.clone(),
-        };
+        let in_flight_guard = InFlightGuard::new(&self.context, &picked.target);
         let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
         let exchange = Exchange::begin(&self.context, &callee, request);
         let service = &self.job.service.name;
         let exchange = link::watch_silence(&self.context, service, &picked.target, exchange);
-        let begun = timeout(limit, exchange).await;
+        let may_repeat = is_repeatable && self.possible_runs + 1 < self.job.route.max_attempts;
+        let begun = tokio::select! {
+            begun = timeout(limit, exchange) => {
+                begun.unwrap_or_else(|_| Err(Error::Silent("no reply in time".to_owned())))
+            }
+            () = link::until_detour(&self.context, service, &self.tried_detours), if may_repeat => {
+                Err(Error::Silent("the link to the service is down".to_owned()))
+            }
+        };
         self.tried.push(picked.target.clone());
-        if !matches!(begun, Ok(Ok(_))) {
+        if begun.is_err() {
             link::check_after_failure(&self.context, service, &picked.target);
         }
         let (outcome, detail) = match begun {
-            Err(_) => {
+            Err(Error::Silent(why)) => {
                 self.sends += 1;
                 self.record_failure(&picked.target);
-                (
-                    SendOutcome::MayHaveRun(deadline_passed()),
-                    "no reply in time".to_owned(),
-                )
+                (SendOutcome::MayHaveRun(deadline_passed()), why)
             }
-            Ok(Err(Error::NotSent(why))) => {
+            Err(Error::NotSent(why)) => {
                 let now = self.context.now();
                 self.context
                     .state()
@@ -246,7 +245,7 @@
                     .record_unreachable(&picked.target, now);
                 (SendOutcome::NotRun(Kind::NoTarget.into()), why)
             }
-            Ok(Err(Error::Broken(why))) => {
+            Err(Error::Broken(why)) => {
                 self.sends += 1;
                 self.record_crash(&picked.target);
                 (
@@ -256,7 +255,7 @@
                     why,
                 )
             }
-            Ok(Ok(exchange)) => {
+            Ok(exchange) => {
                 self.sends += 1;
                 let attempt = &self.job.head.attempt;
                 let reply = target::read_reply_head(exchange.status, &exchange.headers, attempt);
@@ -264,16 +263,11 @@
                     exchange,
                     reply,
                     version: picked.version.clone(),
-                    _in_flight_guard: in_flight_guard,
+                    _in_flight_guard: Some(in_flight_guard),
                 })
             }
         };
-        let label = match &outcome {
-            SendOutcome::Started(_) => "begun",
-            SendOutcome::NotRun(_) => "not run",
-            SendOutcome::InvalidRequest(_) => "not run, as the request is invalid",
-            SendOutcome::MayHaveRun(_) => "may have run",
-        };
+        let label = outcome.label();
         log::info!(
             request:% = self.job.head.attempt,
             target:% = picked.target,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`stages`] runs the stages of a request. Their pieces are batched by the
 //!   [`dispatcher`] of one daemon for each service.
 //! - [`exchange`] is one call to a target, over the connections in [`pool`].
+//! - `detour` has a peer send a request if this daemon reaches no target.
 //! - `link` checks whether this daemon reaches the targets of a service.
 //! - [`store_watch`] reads the platform's store, [`peers`] talks to other daemons.
 //!
@@ -48,6 +49,7 @@
 pub mod store_watch;
 
 mod activity;
+mod detour;
 mod forward;
 mod link;
 mod resumption;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -15,6 +15,7 @@
 
 use crate::context::Context;
 use crate::exchange::CONNECT_TIMEOUT;
+use crate::peers;
 
 /// How often it is looked up whether a link that is down is due to be checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -85,20 +86,46 @@
             context.metrics.links_down(state.links().down().count());
             change
         };
+        let Some(change) = change else {
+            return;
+        };
         match change {
-            None => {}
-            Some(Change::Up(lasted)) => {
+            Change::Up(lasted) => {
                 log::info!(service:% = service, down_ms = lasted.0; "the targets of a service can be reached again");
             }
-            Some(Change::Down) => {
+            Change::Down => {
                 let tried: Vec<&str> = targets.iter().map(|(target, _)| target.as_str()).collect();
                 log::warn!(service:% = service, targets:% = tried.join(","); "the targets of a service cannot be reached");
+                // They may carry nothing, and would be used again when the link is up.
+                context
+                    .pool
+                    .evict_stale(now, |target| !targets_service(&context, target, &service));
                 check_all(&context);
             }
         }
+        context.link_changed.notify_waiters();
+        peers::greet_all(&context).await;
     });
 }
 
+/// Returns whether a target is one of a service.
+fn targets_service(context: &Context, target: &name::Target, service: &name::Service) -> bool {
+    context.state().service_of(target).as_ref() == Some(service)
+}
+
+/// Waits until a call to a service that has no reply yet is better sent through a peer,
+/// since this daemon no longer reaches the targets.
+pub(crate) async fn until_detour(context: &Context, service: &name::Service, tried: &[SocketAddr]) {
+    loop {
+        let changed = context.link_changed.notified();
+        let now = context.now();
+        if context.state().detour(service, tried, 0, now).is_some() {
+            return;
+        }
+        changed.await;
+    }
+}
+
 /// Checks the links to all services, since what cuts off one often cuts off others.
 fn check_all(context: &Arc<Context>) {
     let now = context.now();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -31,6 +31,7 @@
     latency: HistogramVec,
     connections: IntCounter,
     links_down: IntGauge,
+    detours: IntCounterVec,
     logs_dropped: IntGauge,
     control_bytes: Counters,
 }
@@ -82,6 +83,11 @@
             "Calls that fetch the store's contents from peers.",
             &["what", "end"],
         )?;
+        let detours = counters(
+            "gooseberry_relay_detours_total",
+            "Requests sent through peers, or taken from peers, by what became of them.",
+            &["direction", "end"],
+        )?;
         let options = HistogramOpts::new(
             "gooseberry_relay_seconds",
             "Time from the head of a request to a point of its answer.",
@@ -117,6 +123,7 @@
             latency,
             connections,
             links_down,
+            detours,
             logs_dropped,
             control_bytes,
         })
@@ -174,6 +181,12 @@
         self.connections.inc();
     }
 
+    /// Counts a request that was `sent` through a peer or `taken` from one; `end` says what
+    /// became of it.
+    pub fn detour(&self, direction: &str, end: &str) {
+        self.detours.with_label_values(&[direction, end]).inc();
+    }
+
     /// Sets the number of services of which this daemon reaches no target.
     pub fn links_down(&self, count: usize) {
         self.links_down
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -31,6 +31,7 @@
 use gooseberry_wire::fleet::FleetClient;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
+use gooseberry_wire::fleet::Heartbeat;
 use gooseberry_wire::fleet::Unmade;
 use tarpc::client;
 use tarpc::client::RpcError;
@@ -55,6 +56,10 @@
 const VERSION_CALLS: u32 = 2;
 /// The version from which on peers have the calls `exchange` and `contents`.
 const EXCHANGE_VERSION: u32 = 1;
+/// The version from which on peers have the call `heartbeat`.
+const HEARTBEAT_VERSION: u32 = 2;
+/// The version of peers that do not have the call that asks for it.
+const FORMER_VERSION: u32 = 0;
 /// The error of a call to a peer that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unreachable;
@@ -62,8 +67,10 @@
 /// The reply to a greeting.
 enum Reply {
     /// Of a peer that has all that a greeting tells now.
+    Heartbeat(Heartbeat),
+    /// Of a peer that says nothing of its links to targets.
     Exchange(Exchange),
-    /// Of a peer of the former build.
+    /// Of a peer that does not name the era of the store, either.
     Greeting(Greeting),
 }
 
@@ -72,8 +79,8 @@
 struct Connection {
     address: SocketAddr,
     client: FleetClient,
-    /// Whether the peer has the calls `exchange` and `contents`.
-    has_exchange: bool,
+    /// The version of the peer's calls.
+    version: u32,
 }
 
 /// The connections to peers, sorted by address.
@@ -184,15 +191,18 @@
         Ok(origin.map(Into::into))
     }
 
-    async fn greet(&self, address: SocketAddr, message: Exchange) -> Result<Reply, Unreachable> {
+    async fn greet(&self, address: SocketAddr, message: Heartbeat) -> Result<Reply, Unreachable> {
         let Connection {
-            client,
-            has_exchange,
-            ..
+            client, version, ..
         } = self.connection(address).await?;
         let limit = with_timeout(GREET_TIMEOUT);
         let call = async {
-            if has_exchange {
+            if version >= HEARTBEAT_VERSION {
+                let reply = client.heartbeat(limit, message).await;
+                return reply.map(Reply::Heartbeat);
+            }
+            let message = message.exchange;
+            if version >= EXCHANGE_VERSION {
                 return client.exchange(limit, message).await.map(Reply::Exchange);
             }
             let reply = client.greet(limit, message.greeting).await;
@@ -211,12 +221,10 @@
         request: Request,
     ) -> Result<Contents, Unreachable> {
         let Connection {
-            client,
-            has_exchange,
-            ..
+            client, version, ..
         } = self.connection(address).await?;
         let limit = with_timeout(FETCH_TIMEOUT);
-        if has_exchange {
+        if version >= EXCHANGE_VERSION {
             let call = client.contents(limit, request.into());
             return call.await.map(Into::into).map_err(|_| Unreachable);
         }
@@ -274,7 +282,7 @@
                     return Ok(Connection {
                         address,
                         client,
-                        has_exchange: version >= EXCHANGE_VERSION,
+                        version,
                     });
                 }
                 Err(RpcError::DeadlineExceeded) => return Err(Unreachable),
@@ -284,7 +292,7 @@
         Ok(Connection {
             address,
             client: self.open(address).await?,
-            has_exchange: false,
+            version: FORMER_VERSION,
         })
     }
 
--- a/crates/relay/src/peers/greeting.rs
+++ b/crates/relay/src/peers/greeting.rs
@@ -5,15 +5,18 @@
 use std::time::Duration;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::detour::Announcement;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::membership::MemberChange;
 use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_kernel::fleet::replica::Era;
+use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine;
 use gooseberry_kernel::request::part_quarantine;
 use gooseberry_wire::control::Suspect;
 use gooseberry_wire::fleet::Exchange;
 use gooseberry_wire::fleet::Greeting;
+use gooseberry_wire::fleet::Heartbeat;
 use gooseberry_wire::fleet::RateLimit;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -75,14 +78,15 @@
 async fn greet_peer(context: &Arc<Context>, address: SocketAddr) {
     let message = message(context);
     match context.peers.greet(address, message).await {
-        Ok(Reply::Exchange(reply)) => apply_message(context, reply),
-        Ok(Reply::Greeting(reply)) => apply_greeting(context, reply, None),
+        Ok(Reply::Heartbeat(reply)) => apply_heartbeat(context, reply),
+        Ok(Reply::Exchange(reply)) => apply_exchange(context, reply, None),
+        Ok(Reply::Greeting(reply)) => apply_greeting(context, reply, None, None),
         Err(Unreachable) => {}
     }
 }
 
 /// Returns this daemon's current greeting.
-pub(super) fn message(context: &Context) -> Exchange {
+pub(super) fn message(context: &Context) -> Heartbeat {
     let now = context.now();
     let waits = context.dispatcher.waits(context, now);
     let mut state = context.state();
@@ -92,6 +96,7 @@
     let suspects = state.suspects().newest_uncleared(SUSPECTS_MAX, now);
     let rate_limits = state.rate_limits_for_greeting();
     let parts = state.parts().evidence_for_message(now);
+    let links = state.announcement_of_links();
     let (position, confirmed_age) = state.announcement(now);
     let greeting = Greeting {
         from: state.members().me().into(),
@@ -110,15 +115,28 @@
             .map(|limit| RateLimit::new(limit, now))
             .collect(),
     };
-    Exchange {
+    let exchange = Exchange {
         greeting,
         era: position.era.map(|era| era.0),
         parts: parts.into_iter().map(Into::into).collect(),
+    };
+    Heartbeat {
+        exchange,
+        announcement: (&links).into(),
     }
 }
 
-/// Merges a peer's greeting, with what the former build does not have in it.
-pub(super) fn apply_message(context: &Arc<Context>, message: Exchange) {
+/// Merges a peer's heartbeat.
+pub(super) fn apply_heartbeat(context: &Arc<Context>, message: Heartbeat) {
+    apply_exchange(context, message.exchange, Some(message.announcement.into()));
+}
+
+/// Merges a peer's greeting, with what the first build does not have in it.
+pub(super) fn apply_exchange(
+    context: &Arc<Context>,
+    message: Exchange,
+    links: Option<Announcement>,
+) {
     let now = context.now();
     let evidence = message.parts.into_iter().map(Into::into);
     let evidence: Vec<part_quarantine::Evidence> = evidence.collect();
@@ -126,15 +144,23 @@
     for part in quarantined {
         log::info!(part:% = part, source:% = message.greeting.from.name; "a part of prompts is in quarantine: targets crash on it");
     }
-    apply_greeting(context, message.greeting, message.era.map(Era));
+    apply_greeting(context, message.greeting, message.era.map(Era), links);
 }
 
 /// Merges a peer's greeting into the state, and starts to fetch what the peer has of
-/// the store and this daemon lacks. A peer of a former build names no era.
-pub(super) fn apply_greeting(context: &Arc<Context>, greeting: Greeting, era: Option<Era>) {
+/// the store and this daemon lacks. A peer of a former build names no era, or says nothing
+/// of its links.
+pub(super) fn apply_greeting(
+    context: &Arc<Context>,
+    greeting: Greeting,
+    era: Option<Era>,
+    links: Option<Announcement>,
+) {
     let now = context.now();
     let address = greeting.from.address;
+    let member = name::Member::new(&greeting.from.name);
     let mut state = context.state();
+    state.record_links(&member, links);
     let direct = state.members().update_direct(greeting.from.into(), now);
     let others = greeting.others.into_iter();
     let relayed = others.filter_map(|member| state.members().update_relayed(member.into(), now));
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -15,6 +15,7 @@
 use gooseberry_wire::fleet::Fleet;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
+use gooseberry_wire::fleet::Heartbeat;
 use gooseberry_wire::fleet::Made;
 use gooseberry_wire::fleet::Origin;
 use gooseberry_wire::fleet::PROTOCOL_VERSION;
@@ -26,8 +27,9 @@
 use tokio::task::JoinSet;
 
 use crate::context::Context;
+use crate::peers::greeting::apply_exchange;
 use crate::peers::greeting::apply_greeting;
-use crate::peers::greeting::apply_message;
+use crate::peers::greeting::apply_heartbeat;
 use crate::peers::greeting::message;
 
 /// Accepts connections of peers and answers their calls, for as long as the
@@ -58,8 +60,8 @@
 
 impl Fleet for Server {
     async fn greet(self, _: context::Context, greeting_of_peer: Greeting) -> Greeting {
-        apply_greeting(&self.context, greeting_of_peer, None);
-        message(&self.context).greeting
+        apply_greeting(&self.context, greeting_of_peer, None, None);
+        message(&self.context).exchange.greeting
     }
 
     async fn protocol_version(self, _: context::Context) -> u32 {
@@ -67,7 +69,12 @@
     }
 
     async fn exchange(self, _: context::Context, message_of_peer: Exchange) -> Exchange {
-        apply_message(&self.context, message_of_peer);
+        apply_exchange(&self.context, message_of_peer, None);
+        message(&self.context).exchange
+    }
+
+    async fn heartbeat(self, _: context::Context, message_of_peer: Heartbeat) -> Heartbeat {
+        apply_heartbeat(&self.context, message_of_peer);
         message(&self.context)
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,6 +22,7 @@
 use compact_str::ToCompactString;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::assignment;
+use gooseberry_kernel::fleet::detour::Detours;
 use gooseberry_kernel::fleet::fetch::Fetches;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::replica::Replica;
@@ -92,6 +93,10 @@
     health: Health,
     /// Whether this daemon reaches the targets of each service.
     links: Links,
+    /// What peers say of theirs.
+    detours: Detours,
+    /// Where this daemon takes requests of peers, once it does.
+    detour_address: Option<SocketAddr>,
     cold_rate_limiter: ColdRateLimiter,
     rate_limits: RateLimits,
     retry_budget: RetryBudget,
@@ -202,6 +207,8 @@
             }),
             health: Health::default(),
             links: Links::default(),
+            detours: Detours::default(),
+            detour_address: None,
             cold_rate_limiter: ColdRateLimiter::default(),
             rate_limits: RateLimits::default(),
             retry_budget: RetryBudget::new(boot.retry_budget),
@@ -298,6 +305,9 @@
             .expire(|target| targets.get(target).is_some(), now);
         self.usages
             .retain(|usage| usage.in_flight > 0 || targets.get(&usage.target).is_some());
+        let live = self.members.live(now);
+        self.detours
+            .retain(|member| live.iter().any(|live| live.name == *member));
         if self.held_out.expire(now) {
             self.update_taken_out(now);
         }
--- a/crates/relay/src/state/link.rs
+++ b/crates/relay/src/state/link.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::detour::Announcement;
 use gooseberry_kernel::name;
 use gooseberry_kernel::target::link;
 use gooseberry_kernel::target::link::Links;
@@ -15,6 +16,42 @@
         &mut self.links
     }
 
+    /// Returns what this daemon says of its links.
+    #[must_use]
+    pub fn announcement_of_links(&self) -> Announcement {
+        Announcement {
+            address: self.detour_address,
+            unreached: self.links.down().cloned().collect(),
+        }
+    }
+
+    /// Sets where this daemon takes requests that it is to send for peers.
+    pub fn set_detour_address(&mut self, address: SocketAddr) {
+        self.detour_address = Some(address);
+    }
+
+    /// Records what a peer says of its links; `None` if it is of a build that says nothing.
+    pub fn record_links(&mut self, member: &name::Member, announcement: Option<Announcement>) {
+        self.detours.record(member, announcement);
+    }
+
+    /// Returns the address of the peer to which a request for a service is sent, since this
+    /// daemon does not reach its targets; `None` if it does, or no peer takes the request.
+    #[must_use]
+    pub fn detour(
+        &self,
+        service: &name::Service,
+        tried: &[SocketAddr],
+        draw: u64,
+        now: Millis,
+    ) -> Option<SocketAddr> {
+        if !self.links.is_down(service) {
+            return None;
+        }
+        let live = self.members.live(now);
+        self.detours.choose(service, &live, tried, draw)
+    }
+
     /// Records that a target has replied to a call of this daemon.
     pub fn record_reply(&mut self, target: &name::Target, now: Millis) {
         if let Some(listed) = self.targets.get(target) {
@@ -22,6 +59,13 @@
         }
     }
 
+    /// Returns the service of a target; `None` if it is unknown.
+    #[must_use]
+    pub fn service_of(&self, target: &name::Target) -> Option<name::Service> {
+        let listed = self.targets.get(target)?;
+        Some(listed.target.service.clone())
+    }
+
     /// Returns the services of the settings in force.
     #[must_use]
     pub fn services(&self) -> Vec<name::Service> {
--- a/crates/relay/tests/direct/platform.rs
+++ b/crates/relay/tests/direct/platform.rs
@@ -181,13 +181,14 @@
     store_address: SocketAddr,
     retry_budget: RetryBudgetLimits,
 ) -> Daemon {
-    let [client_address, ready_address, peer_address] = unused_addresses();
+    let [client_address, ready_address, peer_address, detour_address] = unused_addresses();
     let boot = Boot {
         name: name::Member::new(&format!("d-{number}")),
         domain: name::Domain::new("z-1"),
         client_address,
         ready_address,
         peer_address,
+        detour_address: Some(detour_address),
         ip: client_address.ip(),
         seeds: seeds.to_vec(),
         store_address,
@@ -240,10 +241,11 @@
     }
 }
 
-/// Returns addresses that no other daemon uses: for clients, readiness and peers.
-fn unused_addresses() -> [SocketAddr; 3] {
+/// Returns addresses that no other daemon uses: for clients, readiness, peers and
+/// detours.
+fn unused_addresses() -> [SocketAddr; 4] {
     let ip = unused_ip();
-    [8001, 8002, 8003].map(|port| (ip, port).into())
+    [8001, 8002, 8003, 8004].map(|port| (ip, port).into())
 }
 
 /// Returns a loopback address that nothing else uses.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -16,6 +16,7 @@
 
 use compact_str::CompactString;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::fleet::detour;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
@@ -60,11 +61,14 @@
     async fn exchange(message: Exchange) -> Exchange;
     /// Returns a part of the contents of the platform's store; large values are outlined.
     async fn contents(request: ContentsRequest) -> Contents;
+    /// Like `exchange`, with what a daemon says of its links to targets. It is made only
+    /// of daemons of version 2.
+    async fn heartbeat(message: Heartbeat) -> Heartbeat;
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
 /// that have it.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// A heartbeat with membership state, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,6 +101,24 @@
     pub parts: Vec<PartEvidence>,
 }
 
+/// An exchange with what was added to it since, or the reply to one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The exchange.
+    pub exchange: Exchange,
+    /// What the sender says of its links to targets.
+    pub announcement: Announcement,
+}
+
+/// What a daemon says of its links to targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Where it takes requests that it is to send for others; `None` if it takes none.
+    pub address: Option<SocketAddr>,
+    /// The services of which it reaches no target.
+    pub unreached: Vec<CompactString>,
+}
+
 /// The state of a daemon, as it publishes it itself or as others pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -267,6 +289,30 @@
     }
 }
 
+impl From<&detour::Announcement> for Announcement {
+    fn from(announcement: &detour::Announcement) -> Self {
+        let unreached = announcement.unreached.iter();
+        Self {
+            address: announcement.address,
+            unreached: unreached.map(|service| service.as_str().into()).collect(),
+        }
+    }
+}
+
+impl From<Announcement> for detour::Announcement {
+    fn from(announcement: Announcement) -> Self {
+        let unreached = announcement.unreached.iter();
+        let mut unreached: Vec<name::Service> = unreached
+            .map(|service| name::Service::new(service))
+            .collect();
+        unreached.sort_unstable();
+        Self {
+            address: announcement.address,
+            unreached,
+        }
+    }
+}
+
 impl From<membership::Process> for Process {
     fn from(process: membership::Process) -> Self {
         Self {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 //!   operators, as JSON.
 //! - [`control`]: the messages between daemons, over tarpc.
 //! - [`fleet`]: the messages between relay daemons, over tarpc.
+//! - [`detour`]: requests that one relay daemon sends for another, over HTTP.
 //!
 //! `docs/PROTOCOLS.md` documents the protocols.
 //!
@@ -29,6 +30,7 @@
 //! ```
 
 pub mod control;
+pub mod detour;
 pub mod fleet;
 pub mod header;
 pub mod operators;
