Let a daemon dispatch a stage only if it reaches the service's targets

Cause: the order of dispatchers knew who lives and who leaves, but not who reaches the service. One dispatcher that was cut off stopped the stages of the whole fleet: its groups expired in its queue, and it told nobody.

Daemons that say they do not reach a service come last in its order of dispatchers. One that loses its link returns waiting groups, and those of calls without a reply, to their origins, which send them to the next dispatcher; one that is asked all the same refuses groups at once.

--- a/crates/kernel/src/fleet/assignment.rs
+++ b/crates/kernel/src/fleet/assignment.rs
@@ -57,7 +57,7 @@
     if members.len() <= ALL_READ_MAX_MEMBERS {
         return StoreRole::ReadsForItself;
     }
-    let order = dispatcher_order(&name::Service::new("store"), members);
+    let order = dispatcher_order(&name::Service::new("store"), members, |_| true);
     let mut readers = order.iter().take(STORE_READERS);
     let position = readers.position(|member| member.name == *me);
     position.map_or(StoreRole::Follower, StoreRole::Reader)
@@ -102,15 +102,16 @@
 /// service.
 ///
 /// Dispatching takes processor time, so members with a larger processor share
-/// go first, and members that shut down go last. Equal members are ordered by
-/// rendezvous hashing.
+/// go first. Members that shut down, and those that do not reach the service's targets, go
+/// last. Equal members are ordered by rendezvous hashing.
 #[must_use]
 pub fn dispatcher_order<'a>(
     service: &name::Service,
     members: &[&'a MemberState],
+    reaches: impl Fn(&MemberState) -> bool,
 ) -> Vec<&'a MemberState> {
     let mut order = members.to_vec();
-    order.sort_by_cached_key(|member| rank_key(service, member));
+    order.sort_by_cached_key(|member| rank_key(service, member, &reaches));
     order
 }
 
@@ -119,20 +120,28 @@
 pub fn dispatcher<'a>(
     service: &name::Service,
     members: &[&'a MemberState],
+    reaches: impl Fn(&MemberState) -> bool,
 ) -> Option<&'a MemberState> {
     members
         .iter()
         .copied()
-        .min_by_key(|member| rank_key(service, member))
+        .min_by_key(|member| rank_key(service, member, &reaches))
 }
 
-fn rank_key(service: &name::Service, member: &MemberState) -> (bool, Reverse<u32>, Reverse<u64>) {
+/// Whether a member goes last, its processor share, and its weight.
+type RankKey = (bool, Reverse<u32>, Reverse<u64>);
+
+fn rank_key(
+    service: &name::Service,
+    member: &MemberState,
+    reaches: &impl Fn(&MemberState) -> bool,
+) -> RankKey {
     let weight = hash::mix(
         hash::text(service.as_str()),
         hash::text(member.name.as_str()),
     );
     (
-        member.is_leaving,
+        member.is_leaving || !reaches(member),
         Reverse(member.cpu_millicores),
         Reverse(weight),
     )
--- a/crates/kernel/tests/direct/assignment.rs
+++ b/crates/kernel/tests/direct/assignment.rs
@@ -17,7 +17,7 @@
 
 fn dispatcher(service: &str, members: &[MemberState]) -> String {
     let members: Vec<&MemberState> = members.iter().collect();
-    let order = assignment::dispatcher_order(&name::Service::new(service), &members);
+    let order = assignment::dispatcher_order(&name::Service::new(service), &members, |_| true);
     order[0].name.to_string()
 }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -104,6 +104,9 @@
             let state = context.state();
             let spec = state.batch_spec(service).ok_or(Unmade::Elsewhere)?;
             let is_first = state.is_first_dispatcher(service, now);
+            if !is_first && state.is_link_down(service) {
+                return Err(Unmade::Elsewhere);
+            }
             (spec, state.stage_targets(service, now).len(), is_first)
         };
         let (reply, replied) = oneshot::channel();
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -62,10 +62,17 @@
         let sending = send_call(context, &call);
         let sending = link::watch_silence(context, service, &call.target, sending);
         tokio::pin!(sending);
+        let link_lost = link::until_detour(context, service, &[]);
+        tokio::pin!(link_lost);
         loop {
-            match timeout(INPUTS_FETCHED_AFTER, sending.as_mut()).await {
-                Ok(outcome) => break outcome,
-                Err(_) => release_inputs(context, service, &call),
+            tokio::select! {
+                outcome = timeout(INPUTS_FETCHED_AFTER, sending.as_mut()) => match outcome {
+                    Ok(outcome) => break outcome,
+                    Err(_) => release_inputs(context, service, &call),
+                },
+                () = link_lost.as_mut() => {
+                    break CallOutcome::Failed("the link to the service is down".to_owned());
+                }
             }
         }
     };
@@ -98,6 +105,7 @@
     }
     let dispatcher = &context.dispatcher;
     let target = call.target.clone();
+    let is_cut_off = context.state().detour(service, &[], 0, now).is_some();
     let is_full = {
         let mut services = dispatcher.lock();
         let dispatch = dispatch_of(&mut services, service);
@@ -105,7 +113,12 @@
         if matches!(outcome, CallOutcome::Refused) {
             dispatch.queue.pause_target(&call.target, now);
         }
-        apply_outcome(dispatch, call, outcome, spec, now)
+        if is_cut_off && matches!(outcome, CallOutcome::Failed(_)) {
+            dispatch.give_back(call);
+            false
+        } else {
+            apply_outcome(dispatch, call, outcome, spec, now)
+        }
     };
     if is_full {
         query_usage(context, service, spec, &[target]).await;
--- a/crates/relay/src/dispatcher/service_dispatch.rs
+++ b/crates/relay/src/dispatcher/service_dispatch.rs
@@ -5,6 +5,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::membership::Process;
 use gooseberry_kernel::name;
+use gooseberry_kernel::stage::batch_queue::BatchCall;
 use gooseberry_kernel::stage::batch_queue::BatchQueue;
 use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
@@ -227,6 +228,22 @@
         }
     }
 
+    /// Returns the groups of a failed call to their origins, which send them to a daemon
+    /// that reaches the targets.
+    pub(super) fn give_back(&mut self, call: BatchCall) {
+        for part in call.parts {
+            let pending = self.pending.iter();
+            let mut pending = pending.filter(|pending| pending.ticket == part.ticket);
+            let are_inputs_freed = pending.any(|pending| pending.are_inputs_freed);
+            let why = if are_inputs_freed {
+                Unmade::Gone
+            } else {
+                Unmade::Elsewhere
+            };
+            self.complete(part.ticket, Err(why));
+        }
+    }
+
     /// Queues failed pieces again, unless the group has had all its tries or its
     /// inputs have been released.
     pub(super) fn requeue(
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -251,7 +251,7 @@
         let may_try = |part: Part| {
             let key = part.to_compact_string();
             let members = self.members.live(now);
-            let first = assignment::dispatcher(&name::Service::new(&key), &members);
+            let first = assignment::dispatcher(&name::Service::new(&key), &members, |_| true);
             first.is_some_and(|member| member.name == self.members.me().name)
         };
         self.parts.verdict(parts, may_try, now)
--- a/crates/relay/src/state/link.rs
+++ b/crates/relay/src/state/link.rs
@@ -4,6 +4,7 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::detour::Announcement;
+use gooseberry_kernel::fleet::membership::MemberState;
 use gooseberry_kernel::name;
 use gooseberry_kernel::target::link;
 use gooseberry_kernel::target::link::Links;
@@ -16,6 +17,12 @@
         &mut self.links
     }
 
+    /// Returns whether this daemon reaches no target of a service.
+    #[must_use]
+    pub fn is_link_down(&self, service: &name::Service) -> bool {
+        self.links.is_down(service)
+    }
+
     /// Returns what this daemon says of its links.
     #[must_use]
     pub fn announcement_of_links(&self) -> Announcement {
@@ -45,13 +52,21 @@
         draw: u64,
         now: Millis,
     ) -> Option<SocketAddr> {
-        if !self.links.is_down(service) {
+        if !self.is_link_down(service) {
             return None;
         }
         let live = self.members.live(now);
         self.detours.choose(service, &live, tried, draw)
     }
 
+    /// Returns whether a daemon reaches the targets of a service, as far as it has said.
+    pub(super) fn reaches(&self, member: &MemberState, service: &name::Service) -> bool {
+        if member.name == self.members.me().name {
+            return !self.is_link_down(service);
+        }
+        self.detours.reaches(&member.name, service)
+    }
+
     /// Records that a target has replied to a call of this daemon.
     pub fn record_reply(&mut self, target: &name::Target, now: Millis) {
         if let Some(listed) = self.targets.get(target) {
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -53,7 +53,8 @@
     pub fn dispatchers(&self, service: &name::Service, now: Millis) -> Vec<Option<SocketAddr>> {
         let me = self.members.me();
         let live = self.members.live(now);
-        let order = assignment::dispatcher_order(service, &live);
+        let order =
+            assignment::dispatcher_order(service, &live, |member| self.reaches(member, service));
         let addresses = order.into_iter();
         let address =
             |member: &membership::MemberState| (member.name != me.name).then_some(member.address);
@@ -64,7 +65,7 @@
     #[must_use]
     pub fn is_first_dispatcher(&self, service: &name::Service, now: Millis) -> bool {
         let live = self.members.live(now);
-        let first = assignment::dispatcher(service, &live);
+        let first = assignment::dispatcher(service, &live, |member| self.reaches(member, service));
         first.is_some_and(|member| member.name == self.members.me().name)
     }
 
