Take a link for down that reaches fewer than a quarter of the targets

Cause: a link counted as up as soon as a single target of the service could be reached.

A check that reaches some of its three targets, but not most, connects to up to five more.

--- a/crates/kernel/src/target/link.rs
+++ b/crates/kernel/src/target/link.rs
@@ -4,8 +4,9 @@
 //! store and its peers still reach it. Its calls alone do not show that: they look like
 //! faults of one target after the other. A call that fails or stays without a reply is
 //! therefore followed by a check, which connects to a few other targets of the service.
-//! If none of them can be reached, the link to the service is down until a later check
-//! reaches most.
+//! If fewer than a quarter of them can be reached, the link to the service is down until a
+//! later check reaches half. A partition may spare a single target, which cannot serve for
+//! all.
 //!
 //! New connections count and replies do not: established connections can outlive a
 //! partition in which new ones are refused.
@@ -15,8 +16,10 @@
 use crate::hash;
 use crate::name;
 
-/// How many targets a check connects to.
+/// How many targets a check connects to at first.
 pub const CHECK_TARGETS: usize = 3;
+/// How many targets a check connects to if some of the first ones are reached, but not most.
+const CHECK_TARGETS_MAX: usize = 8;
 /// How long a call may be without a reply before its link is checked.
 pub const SILENCE_MAX: Millis = Millis(600);
 /// The interval between the checks of a link that is down.
@@ -110,11 +113,10 @@
             link.reached_at = begun;
         }
         match link.down_since {
-            None if reached == 0 && tried > 0 => {
+            None if reached * 4 < tried => {
                 link.down_since = Some(now);
                 Some(Change::Down)
             }
-            // A partition may spare a single target, which cannot serve for all.
             Some(since) if reached * 2 >= tried => {
                 link.down_since = None;
                 Some(Change::Up(now - since))
@@ -174,7 +176,13 @@
     }
 }
 
-/// Returns the targets that a check connects to: some at random, and that of the failed
+/// Returns whether a check that has reached some of its first targets connects to the others.
+#[must_use]
+pub fn is_unclear(reached: usize, tried: usize) -> bool {
+    reached > 0 && reached * 2 < tried
+}
+
+/// Returns the targets that a check may connect to: some at random, and that of the failed
 /// call only if there are too few others.
 #[must_use]
 pub fn check_targets<'a>(
@@ -187,6 +195,6 @@
         let weight = hash::mix(draw, hash::text(target.as_str()));
         (failed == Some(*target), weight)
     });
-    let chosen = targets.into_iter().take(CHECK_TARGETS);
+    let chosen = targets.into_iter().take(CHECK_TARGETS_MAX);
     chosen.cloned().collect()
 }
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod fixtures;
 mod health;
 mod large_fleet;
+mod link;
 mod load;
 mod membership;
 mod mirror;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -7,6 +7,8 @@
 use futures::future::join_all;
 use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_kernel::name;
+use gooseberry_kernel::target::link;
+use gooseberry_kernel::target::link::CHECK_TARGETS;
 use gooseberry_kernel::target::link::Change;
 use gooseberry_kernel::target::link::SILENCE_MAX;
 use tokio::time::MissedTickBehavior;
@@ -73,10 +75,15 @@
     let context = context.clone();
     tokio::spawn(async move {
         let now = context.now();
-        let targets = context
+        let mut targets = context
             .state()
             .link_check_targets(&service, failed.as_ref(), now);
-        let reached = count_reached(&context, &targets).await;
+        let others = targets.split_off(targets.len().min(CHECK_TARGETS));
+        let mut reached = count_reached(&context, &targets).await;
+        if link::is_unclear(reached, targets.len()) {
+            reached += count_reached(&context, &others).await;
+            targets.extend(others);
+        }
         let change = {
             let now = context.now();
             let mut state = context.state();
@@ -95,7 +102,7 @@
             }
             Change::Down => {
                 let tried: Vec<&str> = targets.iter().map(|(target, _)| target.as_str()).collect();
-                log::warn!(service:% = service, targets:% = tried.join(","); "the targets of a service cannot be reached");
+                log::warn!(service:% = service, reached, targets:% = tried.join(","); "the targets of a service cannot be reached");
                 // They may carry nothing, and would be used again when the link is up.
                 context
                     .pool
