Test: a partition puts a sound part of prompts in quarantine, failing

Two daemons of three are cut off from eight engines while requests with one part wait there. Their connections break, which counts as the end of eight runs, and requests with the part are refused with 503 at all daemons.

--- a/crates/relay/tests/direct/partitions.rs
+++ b/crates/relay/tests/direct/partitions.rs
@@ -9,6 +9,7 @@
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::partition::Gateway;
 use gooseberry_platform_standin::partition::Partition;
+use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
 use tokio::time::sleep;
@@ -30,17 +31,31 @@
 pub struct Fleet {
     pub platform: TestPlatform,
     pub daemons: Vec<Daemon>,
+    /// Engines beside those of the platform.
+    more_engines: Vec<Target>,
     gateways: Vec<Vec<Gateway>>,
 }
 
 impl Fleet {
     pub async fn start() -> Self {
+        Self::start_with(0).await
+    }
+
+    /// Starts a fleet with this number of engines beside those of the platform.
+    async fn start_with(more_engines: usize) -> Self {
         let platform = TestPlatform::start().await;
         let mut fleet = Self {
             platform,
             daemons: Vec::new(),
+            more_engines: Vec::new(),
             gateways: Vec::new(),
         };
+        for number in 0..more_engines {
+            let engine = Target::start(&format!("engine-{}", number + 3)).await;
+            fleet.platform.list_target(&engine, "engine", "ready");
+            fleet.more_engines.push(engine);
+        }
+        let targets = fleet.target_count();
         for number in 1..=3 {
             fleet.add_daemon(number).await;
         }
@@ -48,7 +63,7 @@
             let is_complete = |daemon: &Daemon| {
                 let now = daemon.context().now();
                 let mut state = daemon.context().state();
-                state.members().live(now).len() == 3 && state.listed_count() == 8
+                state.members().live(now).len() == 3 && state.listed_count() == targets
             };
             fleet.daemons.iter().all(is_complete)
         })
@@ -64,7 +79,7 @@
             &platform.first,
             &platform.second,
         ];
-        let targets = all.into_iter().flatten();
+        let targets = all.into_iter().flatten().chain(&self.more_engines);
         let start = |target: &Target| {
             let address = (unused_ip(), 8004).into();
             let gateway = Gateway::start(address, target.address).expect("the address is free");
@@ -78,7 +93,7 @@
         let seeds = seeds.map(|daemon| daemon.context().boot.peer_address);
         let daemon = start_daemon(number, seeds.as_slice(), store).await;
         wait_until("the daemon knows all targets", || {
-            daemon.context().state().listed_count() == 8
+            daemon.context().state().listed_count() == self.target_count()
         })
         .await;
         self.daemons.push(daemon);
@@ -86,6 +101,10 @@
         self.gateways.push(gateways.collect());
     }
 
+    fn target_count(&self) -> usize {
+        8 + self.more_engines.len()
+    }
+
     /// Cuts a daemon off from all targets, or ends that.
     pub fn cut_off(&self, daemon: usize, partition: Partition) {
         for gateway in &self.gateways[daemon] {
@@ -184,3 +203,38 @@
     let cut = fleet.dispatcher("first");
     fleet.check_cut(cut, Partition::Silent).await;
 }
+
+#[tokio::test]
+async fn connections_that_a_partition_resets_put_no_part_of_prompts_in_quarantine() {
+    let fleet = Fleet::start_with(6).await;
+    let engines = fleet.platform.engines.iter().chain(&fleet.more_engines);
+    for engine in engines {
+        engine.queue_modes(&[Mode::Delayed(1_500); 8]);
+    }
+    let send = async |daemon: usize, number: usize| {
+        let parts = format!("system:50,shared:50,own-{daemon}-{number}:10");
+        let client = ClientRequest::new("/stream/")
+            .body(&format!("{daemon}-{number}"))
+            .with_stage_pieces("")
+            .with("Prompt-Prefix", &parts);
+        client.send(client_address(&fleet.daemons[daemon])).await
+    };
+    let waiting = (0..2 * 16).map(|number| send(number % 2, number));
+    let cut = async {
+        sleep(Duration::from_millis(500)).await;
+        for daemon in 0..2 {
+            fleet.cut_off(daemon, Partition::Reset);
+        }
+    };
+    futures::future::join(join_all(waiting), cut).await;
+    for engine in fleet.platform.engines.iter().chain(&fleet.more_engines) {
+        engine.clear_modes();
+    }
+    for daemon in [2, 0, 1] {
+        for number in 100..106 {
+            let answer = send(daemon, number).await;
+            let status = answer.map(|answer| answer.status);
+            assert_eq!(status, Some(200), "daemon {daemon}, request {number}");
+        }
+    }
+}
