Do not count connections that a partition breaks as crashes of targets

Cause: each connection that broke off before its answer counted as the end of a run of its target. A partition breaks those to all targets at once, and so put sound parts of prompts (and bodies) in quarantine.

A call that breaks off is judged by a check of the link that began after it: if a target of the service is reached, the fault was the target's. A peer that sent the request judges its own link and names the run that broke the call off.

--- a/crates/kernel/src/target/link.rs
+++ b/crates/kernel/src/target/link.rs
@@ -46,6 +46,8 @@
     check_begun: Option<Millis>,
     /// When the last check that reached a target began.
     reached_at: Option<Millis>,
+    /// How many targets the last check connected to.
+    tried: usize,
     /// When the last check ended.
     checked_at: Millis,
     /// When a target last replied to a call.
@@ -62,9 +64,20 @@
     /// Begins a check after a failed call; returns false if none is needed, since one is
     /// in progress or has just reached a target.
     pub fn begin_check(&mut self, service: &name::Service, now: Millis) -> bool {
+        self.begin_check_since(service, (now + Millis(1)) - CHECK_VALIDITY, now)
+    }
+
+    /// Begins a check; returns false if none is needed, since one is in progress, the link
+    /// is down, or a check that began at `since` or later has reached a target.
+    pub fn begin_check_since(
+        &mut self,
+        service: &name::Service,
+        since: Millis,
+        now: Millis,
+    ) -> bool {
         let link = self.link_mut(service);
         let is_known = link.down_since.is_some();
-        let is_valid = link.reached_at.is_some_and(|at| at + CHECK_VALIDITY > now);
+        let is_valid = link.reached_at.is_some_and(|at| at >= since);
         if link.check_begun.is_some() || is_known || is_valid {
             return false;
         }
@@ -72,6 +85,12 @@
         true
     }
 
+    /// Records that the check in progress has reached a target.
+    pub fn record_reached(&mut self, service: &name::Service) {
+        let link = self.link_mut(service);
+        link.reached_at = link.check_begun.or(link.reached_at);
+    }
+
     /// Like [`Links::begin_check`], after a call without a reply for [`SILENCE_MAX`]. No
     /// check is needed if other calls to the service had replies in that time.
     pub fn begin_check_after_silence(&mut self, service: &name::Service, now: Millis) -> bool {
@@ -109,6 +128,7 @@
         let link = self.link_mut(service);
         let begun = link.check_begun.take();
         link.checked_at = now;
+        link.tried = tried;
         if reached > 0 {
             link.reached_at = begun;
         }
@@ -138,15 +158,18 @@
         down.map(|link| &link.service)
     }
 
-    /// Returns whether a check that began at `since` or later has reached a target; `None`
-    /// while there is none.
+    /// Returns whether the fault of a call that broke off at `since` was its target's, and not
+    /// that of the link; `None` while no check has shown that.
+    ///
+    /// A check of fewer than [`CHECK_TARGETS`] targets shows nothing: they may all have
+    /// failed.
     #[must_use]
-    pub fn has_reached_since(&self, service: &name::Service, since: Millis) -> Option<bool> {
+    pub fn is_fault_of_target(&self, service: &name::Service, since: Millis) -> Option<bool> {
         let link = &self.links[self.find(service).ok()?];
         if link.reached_at.is_some_and(|at| at >= since) {
             return Some(true);
         }
-        link.down_since.map(|_| false)
+        link.down_since.map(|_| link.tried < CHECK_TARGETS)
     }
 
     /// Drops the services that are no longer there.
@@ -161,6 +184,7 @@
                 down_since: None,
                 check_begun: None,
                 reached_at: None,
+                tried: 0,
                 checked_at: Millis::ZERO,
                 heard_at: Millis::ZERO,
             };
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -46,7 +46,7 @@
     pub body_memory: BodyMemory,
     /// The limit on the memory that the replies of targets take.
     pub reply_memory: BodyMemory,
-    /// Notified when a link to a service goes down or comes up.
+    /// Notified when a check of a link to a service has reached a target or has ended.
     pub link_changed: Notify,
     state: Mutex<State>,
 }
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -18,6 +18,7 @@
 use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_wire::detour;
 use gooseberry_wire::detour::Call;
 use gooseberry_wire::detour::Outcome;
@@ -39,7 +40,15 @@
     /// No target received it; one may take it after this time, if that is known.
     NotSent(CompactString, Option<Millis>),
     /// A target may have run it.
-    Unknown(CompactString),
+    Unknown(CompactString, Option<Crash>),
+}
+
+/// The run of a target that broke off the call of a peer.
+pub(crate) struct Crash {
+    /// The target.
+    pub(crate) target: name::Target,
+    /// Its run.
+    pub(crate) run: Run,
 }
 
 /// Has a peer send a request to a target, and waits for the head of the reply.
@@ -62,7 +71,7 @@
         Err(http_connection::Error::NotSent(error)) => {
             return Reply::NotSent(error.to_string().into(), None);
         }
-        Err(error) => return Reply::Unknown(error.to_string().into()),
+        Err(error) => return Reply::Unknown(error.to_string().into(), None),
     };
     let (mut parts, body) = reply.into_parts();
     let sender = match detour::take(&mut parts.headers, detour::OUTCOME) {
@@ -70,8 +79,21 @@
         Some(Outcome::NotSent { why, retry_ms }) => {
             return Reply::NotSent(why, retry_ms.map(Millis));
         }
-        Some(Outcome::Unknown { why, .. }) => return Reply::Unknown(why),
-        None => return Reply::Unknown("the peer does not say what became of the request".into()),
+        Some(Outcome::Unknown {
+            why,
+            target,
+            crashed_run,
+        }) => {
+            let crash = crashed_run.map(|run| Crash {
+                target: name::Target::new(&target),
+                run: Run(run),
+            });
+            return Reply::Unknown(why, crash);
+        }
+        None => {
+            let why = "the peer does not say what became of the request";
+            return Reply::Unknown(why.into(), None);
+        }
     };
     if sender.is_unframed {
         parts.headers.remove(TRANSFER_ENCODING);
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
 use gooseberry_platform::target::Validity;
@@ -182,9 +183,10 @@
         link::check_after_failure(context, &service, target);
     }
     let now = context.now();
-    let unknown = |why: &str| Outcome::Unknown {
+    let unknown = |why: &str, crashed_run: Option<Run>| Outcome::Unknown {
         why: why.into(),
         target: target.as_str().into(),
+        crashed_run: crashed_run.map(|run| run.0),
     };
     let exchange = match begun {
         Ok(exchange) => exchange,
@@ -193,9 +195,14 @@
             state.health().record_unreachable(target, now);
             return Err(not_sent(&why, None));
         }
-        Err(Error::Broken(why) | Error::Silent(why)) => {
+        Err(Error::Broken(why)) => {
             context.state().health().record_failure(target, now);
-            return Err(unknown(&why));
+            let is_crash = link::is_fault_of_target(context, &service, target, now).await;
+            return Err(unknown(&why, is_crash.then_some(picked.run)));
+        }
+        Err(Error::Silent(why)) => {
+            context.state().health().record_failure(target, now);
+            return Err(unknown(&why, None));
         }
     };
     let attempt = name::Attempt::new(&call.attempt);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -222,7 +222,7 @@
         let Some(started) = self.current.as_mut() else {
             return Err(Kind::Internal.into());
         };
-        let target = started.exchange.callee.target.clone();
+        let callee = started.exchange.callee.clone();
         let mut memory = self.context.reply_memory.reply();
         let reading = started.exchange.read_all(PLAIN_MAX_BYTES, &mut memory);
         match timeout(limit, reading).await {
@@ -231,12 +231,12 @@
                 Ok(http_server::reserved_body(body, memory))
             }
             Ok(Err(_)) => {
-                self.record_failure(&target);
-                self.record_part_crash();
+                self.record_failure(&callee.target);
+                self.record_broken_reply(&callee).await;
                 Err(Failure::from(Kind::TargetFailed).with_unknown_outcome())
             }
             Err(_) => {
-                self.record_failure(&target);
+                self.record_failure(&callee.target);
                 Err(deadline_passed())
             }
         }
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -247,7 +247,7 @@
             }
             Err(Error::Broken(why)) => {
                 self.sends += 1;
-                self.record_crash(&picked.target);
+                self.record_crash(&callee).await;
                 (
                     SendOutcome::MayHaveRun(
                         Failure::from(Kind::TargetFailed).with_unknown_outcome(),
--- a/crates/relay/src/forward/crash.rs
+++ b/crates/relay/src/forward/crash.rs
@@ -2,9 +2,12 @@
 
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
+use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 
+use crate::exchange::Callee;
 use crate::forward::Forwarder;
+use crate::link;
 use crate::peers;
 
 impl Forwarder {
@@ -17,16 +20,44 @@
         }
     }
 
-    /// Records that a target broke off the connection, which the request may have
-    /// caused: a request is quarantined after several such crashes.
-    pub(super) fn record_crash(&self, target: &name::Target) {
-        self.record_failure(target);
-        let now = self.context.now();
+    /// Records that a call to a target broke off, which the request may have caused: a
+    /// request is quarantined after several such crashes.
+    pub(super) async fn record_crash(&self, callee: &Callee) {
+        self.record_failure(&callee.target);
+        let broke_at = self.context.now();
+        if self.is_fault_of_target(callee, broke_at).await {
+            self.record_suspect(&callee.target, broke_at);
+        }
+    }
+
+    /// Records that a reply which is not a stream broke off, which a part of the prompt may
+    /// have caused.
+    pub(super) async fn record_broken_reply(&self, callee: &Callee) {
+        let broke_at = self.context.now();
+        if self.is_fault_of_target(callee, broke_at).await {
+            self.record_part_crash(broke_at);
+        }
+    }
+
+    /// Returns whether a call that broke off was the fault of its target. A peer that made
+    /// the call judges that itself, as long as the reply has not begun.
+    async fn is_fault_of_target(&self, callee: &Callee, broke_at: Millis) -> bool {
+        let (service, target) = (&self.job.service.name, &callee.target);
+        let is_fault = !callee.is_detour
+            && link::is_fault_of_target(&self.context, service, target, broke_at).await;
+        if !is_fault {
+            log::info!(request:% = self.job.head.attempt, target:% = target; "a connection broke off, but not by its target; the request is no suspect");
+        }
+        is_fault
+    }
+
+    /// Records that a target broke a call off at `broke_at`.
+    pub(super) fn record_suspect(&self, target: &name::Target, broke_at: Millis) {
         let mut state = self.context.state();
-        state.suspects().record_crash(self.job.digest, now);
-        let crashes = state.suspects().crashes(&self.job.digest, now);
+        state.suspects().record_crash(self.job.digest, broke_at);
+        let crashes = state.suspects().crashes(&self.job.digest, broke_at);
         drop(state);
-        self.record_part_crash();
+        self.record_part_crash(broke_at);
         log::info!(
             request:% = self.job.head.attempt,
             target:% = target,
@@ -40,14 +71,13 @@
 
     /// Records that a target broke off the connection before the answer began, which a
     /// part of the prompt may have caused.
-    pub(super) fn record_part_crash(&self) {
+    fn record_part_crash(&self, broke_at: Millis) {
         let Some((run, sent_at)) = self.last_send.filter(|_| self.first_byte_at.is_none()) else {
             return;
         };
-        let now = self.context.now();
         let parts = self.job.shared_parts();
         let mut state = self.context.state();
-        let quarantined = state.parts().record_crash(&parts, run, sent_at, now);
+        let quarantined = state.parts().record_crash(&parts, run, sent_at, broke_at);
         drop(state);
         for part in &quarantined {
             log::warn!(request:% = self.job.head.attempt, part:% = part; "a part of prompts is in quarantine: targets crash on it");
--- a/crates/relay/src/forward/detour.rs
+++ b/crates/relay/src/forward/detour.rs
@@ -51,8 +51,13 @@
                 };
                 (SendOutcome::NotRun(failure), why)
             }
-            Ok(Reply::Unknown(why)) => {
+            Ok(Reply::Unknown(why, crash)) => {
                 self.sends += 1;
+                if let Some(crash) = crash {
+                    self.tried.push(crash.target.clone());
+                    self.last_send = Some((crash.run, now));
+                    self.record_suspect(&crash.target, self.context.now());
+                }
                 let failure = Failure::from(Kind::TargetFailed).with_unknown_outcome();
                 (SendOutcome::MayHaveRun(failure), why)
             }
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -94,15 +94,15 @@
     /// if the route and the retry budget allow it.
     pub(super) async fn resume(&mut self, why: &str) -> io::Result<()> {
         let broken = self.current.take();
-        let target = broken.map(|started| started.exchange.callee.target.clone());
-        if let Some(target) = &target {
-            self.record_crash(target);
+        let callee = broken.map(|started| started.exchange.callee.clone());
+        if let Some(callee) = &callee {
+            self.record_crash(callee).await;
         }
         self.events.discard_partial();
         let may_resume = self.job.route.is_resumable && self.may_run_again("broken-stream");
         log::info!(
             request:% = self.job.head.attempt,
-            target:? = target,
+            target:? = callee.map(|callee| callee.target),
             events = self.events.count(),
             may_resume,
             left_ms = (self.job.deadline - self.context.now()).0;
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -6,6 +6,7 @@
 
 use futures::future::join_all;
 use gooseberry_connectors::http_connection::HttpConnection;
+use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_kernel::target::link;
 use gooseberry_kernel::target::link::CHECK_TARGETS;
@@ -19,6 +20,8 @@
 use crate::exchange::CONNECT_TIMEOUT;
 use crate::peers;
 
+/// How long a check may take to tell a fault of a target from one of the link.
+const JUDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often it is looked up whether a link that is down is due to be checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -79,9 +82,9 @@
             .state()
             .link_check_targets(&service, failed.as_ref(), now);
         let others = targets.split_off(targets.len().min(CHECK_TARGETS));
-        let mut reached = count_reached(&context, &targets).await;
+        let mut reached = count_reached(&context, &service, &targets).await;
         if link::is_unclear(reached, targets.len()) {
-            reached += count_reached(&context, &others).await;
+            reached += count_reached(&context, &service, &others).await;
             targets.extend(others);
         }
         let change = {
@@ -93,6 +96,7 @@
             context.metrics.links_down(state.links().down().count());
             change
         };
+        context.link_changed.notify_waiters();
         let Some(change) = change else {
             return;
         };
@@ -110,11 +114,43 @@
                 check_all(&context);
             }
         }
-        context.link_changed.notify_waiters();
         peers::greet_all(&context).await;
     });
 }
 
+/// Returns whether the fault of a call that broke off at `since` was its target's: a
+/// partition breaks the connections to sound targets. Waits for a check of the link.
+pub(crate) async fn is_fault_of_target(
+    context: &Arc<Context>,
+    service: &name::Service,
+    target: &name::Target,
+    since: Millis,
+) -> bool {
+    let judge = async {
+        loop {
+            let changed = context.link_changed.notified();
+            let now = context.now();
+            let (is_fault_of_target, is_check_due) = {
+                let mut state = context.state();
+                let links = state.links();
+                let is_fault = links.is_fault_of_target(service, since);
+                (is_fault, links.begin_check_since(service, since, now))
+            };
+            // If no peer reaches the service, either, its targets have failed.
+            match is_fault_of_target {
+                Some(true) => return true,
+                Some(false) => return context.state().detour(service, &[], 0, now).is_none(),
+                None => {}
+            }
+            if is_check_due {
+                spawn_check(context, service.clone(), Some(target.clone()));
+            }
+            changed.await;
+        }
+    };
+    timeout(JUDGEMENT_TIMEOUT, judge).await.unwrap_or(true)
+}
+
 /// Returns whether a target is one of a service.
 fn targets_service(context: &Context, target: &name::Target, service: &name::Service) -> bool {
     context.state().service_of(target).as_ref() == Some(service)
@@ -148,11 +184,20 @@
 }
 
 /// Connects to some targets at once; returns how many of them could be reached.
-async fn count_reached(context: &Context, targets: &[(name::Target, SocketAddr)]) -> usize {
-    let connecting = targets.iter().map(|(_, address)| {
+async fn count_reached(
+    context: &Context,
+    service: &name::Service,
+    targets: &[(name::Target, SocketAddr)],
+) -> usize {
+    let connecting = targets.iter().map(async |(_, address)| {
         context.metrics.connection();
-        HttpConnection::open(*address, CONNECT_TIMEOUT)
+        let opened = HttpConnection::open(*address, CONNECT_TIMEOUT).await;
+        if opened.is_ok() {
+            context.state().links().record_reached(service);
+            context.link_changed.notify_waiters();
+        }
+        opened.is_ok()
     });
-    let opened = join_all(connecting).await;
-    opened.iter().filter(|opened| opened.is_ok()).count()
+    let reached = join_all(connecting).await;
+    reached.into_iter().filter(|reached| *reached).count()
 }
--- a/crates/wire/src/detour.rs
+++ b/crates/wire/src/detour.rs
@@ -59,6 +59,8 @@
         why: CompactString,
         /// The target.
         target: CompactString,
+        /// The run of the target, if it broke the call off and the link to it is sound.
+        crashed_run: Option<u64>,
     },
 }
 
