Tests: pauses that a target asks for and that are lost, failing

A target asks for a pause just as the call is given up (its time limit passes, or its client leaves), before the entry of its run is known, or while it is not listed. It then gets 193 to 196 requests in the pause, where 2 are allowed.

--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod former_build;
 mod notices;
 mod partitions;
+mod pauses;
 mod platform;
 mod prompt_parts;
 mod rate_limits;
