Read what a target asks for also if the call was just given up

Cause: a call whose time limit passed, or whose client left, was closed at once. A target that turned the request away at that moment, as targets do when the deadline passes in their queue, had its answer thrown away, and with it the pause that it asked for.

The head of the reply is read for another 100 ms after a call was given up, and the connection is closed then. Targets work on an abandoned request for that much longer.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,6 +3,8 @@
 //! A failure says whether the request may have reached the target, since that
 //! decides whether it may be sent to another one.
 
+mod pending_reply;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +28,7 @@
 
 use crate::body_memory::ReplyPermit;
 use crate::context::Context;
+use crate::exchange::pending_reply::PendingReply;
 use crate::pool::IDLE_MAX;
 
 /// How long it may take to connect to a target.
@@ -124,7 +127,7 @@
     /// # Errors
     /// Returns [`Error`], which says whether the request may have arrived.
     pub async fn begin(
-        context: &Context,
+        context: &Arc<Context>,
         callee: &Callee,
         request: Request<Full<Bytes>>,
     ) -> Result<Self, Error> {
@@ -135,25 +138,27 @@
             .take(&callee.target, callee.idle_max, context.now());
         let is_pooled = pooled.is_some();
         let retry_request = is_pooled.then(|| request.clone());
-        let mut connection = match pooled {
+        let connection = match pooled {
             Some(connection) => connection,
             None if callee.runs_once => open_checked(context, callee).await?,
             None => open(context, callee).await?,
         };
         check_not_paused(context, &callee.target)?;
-        let reply = match (connection.send(request).await, retry_request) {
-            (Ok(reply), _) => reply,
+        let target = &callee.target;
+        let sent = PendingReply::send(context, target, connection, request).await;
+        let (connection, reply) = match (sent, retry_request) {
+            (Ok(sent), _) => sent,
             // The target had closed the idle connection, so it did not receive
             // the request; it is sent over a new one.
             (Err(http_connection::Error::NotSent(_)), Some(request)) => {
-                connection = open(context, callee).await?;
-                check_not_paused(context, &callee.target)?;
-                connection.send(request).await.map_err(Error::from)?
+                let connection = open(context, callee).await?;
+                check_not_paused(context, target)?;
+                PendingReply::send(context, target, connection, request).await?
             }
             (Err(error), _) => return Err(error.into()),
         };
         let (parts, body) = reply.into_parts();
-        record_notice(context, &callee.target, parts.status, &parts.headers);
+        record_notice(context, target, parts.status, &parts.headers);
         Ok(Self {
             status: parts.status,
             headers: parts.headers,
--- a/crates/relay/tests/direct/pauses.rs
+++ b/crates/relay/tests/direct/pauses.rs
@@ -78,7 +78,9 @@
     // The limit is twice the objective of 150 ms.
     turn_away(target, 315);
     reach(&daemon, target, Duration::from_secs(2)).await;
-    check_pause(&daemon, target, Instant::now()).await;
+    let asked_at = Instant::now();
+    sleep(Duration::from_millis(30)).await;
+    check_pause(&daemon, target, asked_at).await;
 }
 
 #[tokio::test]
