Keep a pause for the target's name, and also while it is not listed

Cause: a pause was kept for the run that the target's entry named when the answer came. A target that has restarted under its name answers before its new entry is known; with that entry the pause was forgotten. The pause of a target that was not listed at that moment was not kept at all.

Pauses are kept by name. One that the present run may not have asked for holds for 10 s at most after it was asked for, so that a restarted target does not wait for the end of a long pause of its former run.

--- a/crates/kernel/src/target/notice.rs
+++ b/crates/kernel/src/target/notice.rs
@@ -1,9 +1,12 @@
 //! What targets say in their answers about the work that they want.
 //!
-//! A notice holds for one run of a target. It is newer than what the platform's store
-//! or a peer says of that run, and holds also while the store is away. Another run at
-//! the same address, or one under the same name that started at another time, is
-//! another target.
+//! A notice is newer than what the platform's store or a peer says of the target, and holds
+//! also while the store is away.
+//!
+//! That a target leaves holds for one run of it: another one at the same address, or one
+//! under the same name that started at another time, is another target. A pause holds for
+//! the name, since the entry of the run that has asked for it may be known only later. A
+//! long one ends early if the entry shows that it was another run.
 
 use crate::clock::Millis;
 use crate::name;
@@ -14,21 +17,42 @@
 /// longer, after an outage of the store.
 const MEMORY: Millis = Millis(120_000);
 
+/// How long after it was asked for a pause holds for a run that may not have asked for it.
+const OTHER_RUN_PAUSE_MAX: Millis = Millis(10_000);
+
 #[derive(Clone, Debug)]
 struct Notice {
     target: name::Target,
     /// When the run began to which it belongs, as the target's entry says.
     started: u64,
-    /// Until when it is remembered that the target leaves, if it said so.
+    /// Until when it is remembered that the target leaves.
     leaving_until: Millis,
-    /// Until when the target wants no work.
-    paused_until: Millis,
 }
 
-/// The notices of targets, sorted by target.
+#[derive(Clone, Debug)]
+struct Pause {
+    target: name::Target,
+    /// The run that was listed when the target asked for it, if one was.
+    started: Option<u64>,
+    asked_at: Millis,
+    until: Millis,
+}
+
+impl Pause {
+    /// Returns the end of the pause for a run of the target.
+    fn end_for(&self, started: Option<u64>) -> Millis {
+        if started.is_some() && started == self.started {
+            return self.until;
+        }
+        self.until.min(self.asked_at + OTHER_RUN_PAUSE_MAX)
+    }
+}
+
+/// The notices of targets, each list sorted by target.
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
     notices: Vec<Notice>,
+    pauses: Vec<Pause>,
 }
 
 impl Notices {
@@ -41,11 +65,28 @@
         is_first
     }
 
-    /// Records an answer in which a target asks for no work for a time. An earlier
-    /// one that asks for longer stays in force.
-    pub fn record_pause(&mut self, target: &Target, pause: Millis, now: Millis) {
-        let notice = self.notice_mut(target);
-        notice.paused_until = notice.paused_until.max(now + pause);
+    /// Records an answer in which a target asks for no work for a time; `started` is its
+    /// run, if one is listed. An earlier one that asks for longer stays in force.
+    pub fn record_pause(
+        &mut self,
+        target: &name::Target,
+        started: Option<u64>,
+        pause: Millis,
+        now: Millis,
+    ) {
+        let fresh = Pause {
+            target: target.clone(),
+            started,
+            asked_at: now,
+            until: now + pause,
+        };
+        match self.find_pause(target) {
+            Ok(index) => {
+                let until = self.pauses[index].end_for(started).max(fresh.until);
+                self.pauses[index] = Pause { until, ..fresh };
+            }
+            Err(index) => self.pauses.insert(index, fresh),
+        }
     }
 
     /// Returns whether this run of a target has said that it leaves.
@@ -55,17 +96,18 @@
         notice.is_some_and(|notice| notice.leaving_until > now)
     }
 
-    /// Returns until when this run of a target wants no work; `None` if it wants some.
+    /// Returns until when a target wants no work; `None` if it wants some.
     #[must_use]
     pub fn paused_until(&self, target: &Target, now: Millis) -> Option<Millis> {
-        let paused_until = self.notice(target)?.paused_until;
-        (paused_until > now).then_some(paused_until)
+        let pause = self.find_pause(&target.name).ok();
+        let until = self.pauses[pause?].end_for(Some(target.started));
+        (until > now).then_some(until)
     }
 
     /// Forgets what is over.
     pub fn expire(&mut self, now: Millis) {
-        self.notices
-            .retain(|notice| notice.leaving_until.max(notice.paused_until) > now);
+        self.notices.retain(|notice| notice.leaving_until > now);
+        self.pauses.retain(|pause| pause.until > now);
     }
 
     fn notice(&self, target: &Target) -> Option<&Notice> {
@@ -79,7 +121,6 @@
             target: target.name.clone(),
             started: target.started,
             leaving_until: Millis::ZERO,
-            paused_until: Millis::ZERO,
         };
         let index = self.find(&target.name).unwrap_or_else(|index| {
             self.notices.insert(index, fresh());
@@ -91,6 +132,11 @@
         &mut self.notices[index]
     }
 
+    fn find_pause(&self, target: &name::Target) -> Result<usize, usize> {
+        self.pauses
+            .binary_search_by(|pause| pause.target.cmp(target))
+    }
+
     fn find(&self, target: &name::Target) -> Result<usize, usize> {
         self.notices
             .binary_search_by(|notice| notice.target.cmp(target))
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -227,16 +227,12 @@
             .record_leaving(&self.targets[index].target, now)
     }
 
-    /// Records an answer in which a target asks for no work for a time. Returns whether
-    /// the target is listed.
-    pub fn record_pause(&mut self, name: &name::Target, pause: Millis, now: Millis) -> bool {
+    /// Records an answer in which a target asks for no work for a time. It may not be
+    /// listed any more, or not yet.
+    pub fn record_pause(&mut self, name: &name::Target, pause: Millis, now: Millis) {
         self.notices.expire(now);
-        let Ok(index) = self.find(name) else {
-            return false;
-        };
-        let target = &self.targets[index].target;
-        self.notices.record_pause(target, pause, now);
-        true
+        let started = self.get(name).map(|listed| listed.target.started);
+        self.notices.record_pause(name, started, pause, now);
     }
 
     /// Returns until when a target wants no work; `None` if it wants some or is
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -273,9 +273,8 @@
     match target::read_pause(status, headers) {
         Ok(None) => {}
         Ok(Some(pause)) => {
-            if context.state().record_pause(target, pause, now) {
-                log::info!(target:% = target, pause_ms = pause.0; "a target turned a request away and gets nothing for the time that it asks for");
-            }
+            context.state().record_pause(target, pause, now);
+            log::info!(target:% = target, pause_ms = pause.0; "a target turned a request away and gets nothing for the time that it asks for");
         }
         Err(text) => {
             log::warn!(target:% = target, text:%; "an answer's time to wait is ignored: it is not a number of seconds");
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -63,10 +63,9 @@
         self.targets.record_leaving(target, now)
     }
 
-    /// Records an answer in which a target asks for no work for a time. Returns whether
-    /// the target is listed.
-    pub fn record_pause(&mut self, target: &name::Target, pause: Millis, now: Millis) -> bool {
-        self.targets.record_pause(target, pause, now)
+    /// Records an answer in which a target asks for no work for a time.
+    pub fn record_pause(&mut self, target: &name::Target, pause: Millis, now: Millis) {
+        self.targets.record_pause(target, pause, now);
     }
 
     /// Records the rate limit that an answer of a target names, if any; returns what
