Do not take a target for unreachable that asks for a pause after it was picked

Cause: a call that was stopped since its target had asked for a pause in the meantime came back like one whose target could not be reached: the target was avoided for 2 s and left out for the rest of the request, and a stage call counted as failed.

Such a call has an outcome of its own. The target may be picked again after its pause.

--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -179,7 +179,7 @@
     let exchange = link::watch_silence(context, &service, target, exchange);
     let begun = timeout(Duration::from_millis(left.0), exchange).await;
     let begun = begun.unwrap_or_else(|_| Err(Error::Silent("no reply in time".to_owned())));
-    if begun.is_err() {
+    if begun.is_err() && !matches!(begun, Err(Error::Paused)) {
         link::check_after_failure(context, &service, target);
     }
     let now = context.now();
@@ -190,6 +190,7 @@
     };
     let exchange = match begun {
         Ok(exchange) => exchange,
+        Err(error @ Error::Paused) => return Err(not_sent(&error.to_string(), None)),
         Err(Error::NotSent(why)) => {
             let mut state = context.state();
             state.health().record_unreachable(target, now);
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -301,6 +301,7 @@
     match exchanged.await {
         Err(_) => CallOutcome::Failed(format!("no response within {limit} ms")),
         Ok(Err(crate::exchange::Error::NotSent(why))) => CallOutcome::Failed(why),
+        Ok(Err(crate::exchange::Error::Paused)) => CallOutcome::Refused,
         Ok(Err(error)) => CallOutcome::Failed(error.to_string()),
         Ok(Ok((StatusCode::OK, body))) => match stage_call::read_results(&body, count) {
             Ok(piece_results) => CallOutcome::Answered(piece_results),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -54,6 +54,9 @@
     NotSent(String),
     /// The connection failed, and the target may have received the request.
     Broken(String),
+    /// The target has asked for a pause since it was picked, and did not receive the
+    /// request.
+    Paused,
     /// There was no reply in time, and the target may have received the request.
     Silent(String),
 }
@@ -63,6 +66,7 @@
         match self {
             Self::NotSent(why) => write!(out, "not sent: {why}"),
             Self::Broken(why) => write!(out, "broken: {why}"),
+            Self::Paused => out.write_str("not sent: the target asked for a pause"),
             Self::Silent(why) => write!(out, "silent: {why}"),
         }
     }
@@ -335,7 +339,7 @@
 fn check_not_paused(context: &Context, target: &name::Target) -> Result<(), Error> {
     match context.state().paused_until(target, context.now()) {
         None => Ok(()),
-        Some(_) => Err(Error::NotSent("the target asked for a pause".to_owned())),
+        Some(_) => Err(Error::Paused),
     }
 }
 
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -227,8 +227,12 @@
                 Err(Error::Silent("the link to the service is down".to_owned()))
             }
         };
-        self.tried.push(picked.target.clone());
-        if begun.is_err() {
+        // A target that asked for a pause is sound, and may be picked again after it.
+        let is_paused = matches!(begun, Err(Error::Paused));
+        if !is_paused {
+            self.tried.push(picked.target.clone());
+        }
+        if begun.is_err() && !is_paused {
             link::check_after_failure(&self.context, service, &picked.target);
         }
         let (outcome, detail) = match begun {
@@ -237,6 +241,10 @@
                 self.record_failure(&picked.target);
                 (SendOutcome::MayHaveRun(deadline_passed()), why)
             }
+            Err(Error::Paused) => {
+                let why = Error::Paused.to_string();
+                (SendOutcome::NotRun(Kind::QueueFull.into()), why)
+            }
             Err(Error::NotSent(why)) => {
                 let now = self.context.now();
                 self.context
