Keep targets from falling over that can turn few requests away

Nothing read the number of requests that targets say they can turn away in a second, and it was passed on to clients. While the targets of a service say so, a daemon keeps at most its equal part of a target's slots in flight, at least one, and sends one that turned it away nothing for as long as all daemons together may be turned away once. If all targets of a service have turned this daemon away for longer than a request waits, it is refused at once with the time until the first takes work.

What targets say in replies has moved to exchange::notice.

--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -7,8 +7,10 @@
 //! - [`cold_rate`] limits the rate at which a cold target gets requests.
 //! - [`notice`] holds what targets say in their answers about the work they want.
 //! - [`rate_limit`] holds the rate limits that targets name in their answers.
+//! - [`brittleness`] keeps targets from falling over that can turn few requests away.
 //! - [`selection`] picks the target of a request.
 
+pub mod brittleness;
 pub mod cold_rate;
 pub mod health;
 pub mod link;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod assignment;
 mod batch_queue;
+mod brittleness;
 mod chunks;
 mod cold_rate;
 mod deadline_admission;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,6 +3,7 @@
 //! A failure says whether the request may have reached the target, since that
 //! decides whether it may be sent to another one.
 
+mod notice;
 mod pending_reply;
 
 use std::fmt;
@@ -15,8 +16,6 @@
 use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
-use gooseberry_kernel::target::rate_limit::Change;
-use gooseberry_platform::target;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
@@ -28,6 +27,8 @@
 
 use crate::body_memory::ReplyPermit;
 use crate::context::Context;
+use crate::exchange::notice::record_notice;
+use crate::exchange::notice::record_notice_of_peer;
 use crate::exchange::pending_reply::PendingReply;
 use crate::pool::IDLE_MAX;
 
@@ -181,10 +182,7 @@
         body: Incoming,
         connection: HttpConnection,
     ) -> Self {
-        record_leaving(context, &callee.target, parts.status, &parts.headers);
-        if parts.status != StatusCode::MISDIRECTED_REQUEST {
-            record_rate_limit(context, &callee.target, parts.status, &parts.headers);
-        }
+        record_notice_of_peer(context, &callee.target, parts.status, &parts.headers);
         Self {
             status: parts.status,
             headers: parts.headers,
@@ -261,80 +259,6 @@
     }
 }
 
-/// Records what the target says in a reply about the work that it wants.
-fn record_notice(
-    context: &Context,
-    target: &name::Target,
-    status: StatusCode,
-    headers: &HeaderMap,
-) {
-    let now = context.now();
-    context.state().record_reply(target, now);
-    record_leaving(context, target, status, headers);
-    if status != StatusCode::MISDIRECTED_REQUEST {
-        record_rate_limit(context, target, status, headers);
-    }
-    match target::read_pause(status, headers) {
-        Ok(None) => {}
-        Ok(Some(pause)) => {
-            context.state().record_pause(target, pause, now);
-            log::info!(target:% = target, pause_ms = pause.0; "a target turned a request away and gets nothing for the time that it asks for");
-        }
-        Err(text) => {
-            log::warn!(target:% = target, text:%; "an answer's time to wait is ignored: it is not a number of seconds");
-        }
-    }
-}
-
-/// Records whether the target says in a reply that it leaves.
-fn record_leaving(
-    context: &Context,
-    target: &name::Target,
-    status: StatusCode,
-    headers: &HeaderMap,
-) {
-    match target::read_leaving(status, headers) {
-        Ok(false) => {}
-        Ok(true) => {
-            let now = context.now();
-            if context.state().record_leaving(target, now) {
-                log::info!(target:% = target; "a target says in an answer that it leaves; it gets no more requests");
-            }
-        }
-        Err(text) => {
-            log::warn!(target:% = target, text:%; "an answer's word on leaving is ignored: it has no meaning");
-        }
-    }
-}
-
-/// Records the rate limit that the target names in a reply. Only a success ends an
-/// earlier one, since an error may not come from the target itself.
-fn record_rate_limit(
-    context: &Context,
-    target: &name::Target,
-    status: StatusCode,
-    headers: &HeaderMap,
-) {
-    let rate = match target::read_rate_limit(headers) {
-        Ok(None) if !status.is_success() => return,
-        Ok(rate) => rate,
-        Err(text) => {
-            log::warn!(target:% = target, text:%; "an answer's rate limit is ignored: it is not a number");
-            return;
-        }
-    };
-    let now = context.now();
-    match context.state().record_rate_limit(target, rate, now) {
-        None => {}
-        Some(Change::Named(rate)) => {
-            log::info!(target:% = target, per_second:% = rate; "a target limits the rate of its requests");
-        }
-        Some(Change::Ended) => {
-            log::info!(target:% = target; "a target no longer limits the rate of its requests");
-        }
-    }
-}
-
 /// Checks that the target has not asked for a pause since it was chosen.
 fn check_not_paused(context: &Context, target: &name::Target) -> Result<(), Error> {
     match context.state().paused_until(target, context.now()) {
--- a/crates/relay/src/exchange/pending_reply.rs
+++ b/crates/relay/src/exchange/pending_reply.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
-use crate::exchange::record_notice;
+use crate::exchange::notice::record_notice;
 
 /// How long the head of a reply is still read after the call was given up.
 ///
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -40,6 +40,7 @@
 use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::request::stream_origin::Origins;
+use gooseberry_kernel::target::brittleness::Brittleness;
 use gooseberry_kernel::target::cold_rate::ColdRateLimiter;
 use gooseberry_kernel::target::health::Health;
 use gooseberry_kernel::target::link::Links;
@@ -99,6 +100,7 @@
     detour_address: Option<SocketAddr>,
     cold_rate_limiter: ColdRateLimiter,
     rate_limits: RateLimits,
+    brittleness: Brittleness,
     retry_budget: RetryBudget,
     suspects: Suspects,
     /// Parts of prompts that may crash targets.
@@ -211,6 +213,7 @@
             detour_address: None,
             cold_rate_limiter: ColdRateLimiter::default(),
             rate_limits: RateLimits::default(),
+            brittleness: Brittleness::default(),
             retry_budget: RetryBudget::new(boot.retry_budget),
             suspects: Suspects::default(),
             parts: PartQuarantine::default(),
@@ -293,6 +296,7 @@
         }
         self.suspects.expire(now);
         self.parts.expire(now);
+        self.brittleness.expire(now);
         self.origins.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -29,6 +29,11 @@
             let next_send = self.rate_limits.next_send(&listed.target, share, now);
             next_send.is_due(now)
         };
+        let has_room = |listed: &&RegisteredTarget| {
+            let paused_until = self.brittleness.paused_until(&listed.target.name, now);
+            paused_until.is_none()
+        };
+        let usable = usable.filter(has_room);
         let targets = usable.filter(is_due).map(|listed| StageTarget {
             name: listed.target.name.clone(),
             domain: listed.target.domain.clone(),
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -80,6 +80,29 @@
         self.rate_limits.observe(&listed.target, rate, now)
     }
 
+    /// Records how many requests a target says that it can turn away in a second; returns
+    /// whether that is a change for its service.
+    pub fn observe_brittleness(
+        &mut self,
+        target: &name::Target,
+        turned_away_max: Option<u32>,
+        now: Millis,
+    ) -> bool {
+        let Some(service) = self.service_of(target) else {
+            return false;
+        };
+        self.brittleness.observe(&service, turned_away_max, now)
+    }
+
+    /// Records that a target turned a request away.
+    pub fn record_turned_away(&mut self, target: &name::Target, now: Millis) {
+        let fleet_size = self.members.fleet_size(now);
+        if let Some(service) = self.service_of(target) {
+            self.brittleness
+                .record_turned_away(&service, target, fleet_size, now);
+        }
+    }
+
     /// Returns until when a target wants no work; `None` if it wants some or is
     /// unknown.
     #[must_use]
@@ -226,6 +249,13 @@
         if let Some(index) = selection::pick(&candidates, need.affinity, need.draw) {
             return Pick::Target(PickedTarget::from(&available[index].target));
         }
+        let pauses = listed.iter();
+        let pauses = pauses.map(|listed| self.brittleness.paused_until(&listed.target.name, now));
+        // Without one of them, a target may have room soon.
+        let all_pauses: Option<Vec<Millis>> = pauses.collect();
+        if let Some(end) = all_pauses.and_then(|pauses| pauses.into_iter().min()) {
+            return Pick::Paused(end);
+        }
         let next_sends = listed.iter().map(|listed| {
             let next_send = match next_send(listed) {
                 // It is cold or full, as is one without a limit.
@@ -243,14 +273,33 @@
     }
 
     /// Returns whether a target is below its connection limit and, if cold, below this
-    /// daemon's share of its cold rate.
+    /// daemon's share of its cold rate. If it can turn few requests away, it must also be
+    /// below this daemon's part of its slots.
     fn has_room(&self, listed: &RegisteredTarget, service: &Service, shares: &Shares<'_>) -> bool {
         let target = &listed.target.name;
         let is_cold = listed.cold_until > shares.now && service.cold_requests_per_second > 0;
         let has_share = !is_cold
             || self.cold_rate_limiter.recent_sends(target, shares.now)
                 < shares.of_cold_rate(service, target);
-        has_share && self.in_flight(target) < connection_limit(service, shares.fleet_size)
+        let slots = self.slots(target, service);
+        let fleet_size = shares.fleet_size;
+        let brittleness = &self.brittleness;
+        let in_flight_max = brittleness.in_flight_max(&service.name, slots, fleet_size);
+        let in_flight_max = in_flight_max.unwrap_or(u32::MAX);
+        let in_flight_max = in_flight_max.min(connection_limit(service, fleet_size));
+        let is_paused = brittleness.paused_until(target, shares.now).is_some();
+        has_share && !is_paused && self.in_flight(target) < in_flight_max
+    }
+
+    /// Returns how many requests a target works on at once.
+    fn slots(&self, target: &name::Target, service: &Service) -> u32 {
+        let reported = self.usage(target).and_then(|usage| usage.reported);
+        match service.kind {
+            ServiceKind::Engine(engine) => engine.slots,
+            ServiceKind::Plain | ServiceKind::Stage(_) => {
+                reported.map_or(SLOTS_DEFAULT, |(load, _)| load.slots.max(1))
+            }
+        }
     }
 
     /// Returns a target with its load, the greater of the reported load and this
@@ -266,16 +315,10 @@
         let reported = usage.and_then(|usage| usage.reported);
         let fresh = reported.filter(|(_, at)| *at + LOAD_AGE_MAX > now);
         let reported_load = fresh.map_or(0, |(load, _)| load.running + load.waiting);
-        let slots = match service.kind {
-            ServiceKind::Engine(engine) => engine.slots,
-            ServiceKind::Plain | ServiceKind::Stage(_) => {
-                reported.map_or(SLOTS_DEFAULT, |(load, _)| load.slots.max(1))
-            }
-        };
         Candidate {
             target: target.name.clone(),
             load: reported_load.max(usage.map_or(0, |usage| usage.in_flight)),
-            slots,
+            slots: self.slots(&target.name, service),
             is_avoided: self.health.is_avoided(&target.name, now),
             is_same_domain: target.domain == self.domain,
         }
--- a/crates/relay/tests/direct/brittle_targets.rs
+++ b/crates/relay/tests/direct/brittle_targets.rs
@@ -5,6 +5,7 @@
 use futures::future::join_all;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
+use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -82,7 +83,7 @@
     };
     let falls = || {
         let targets = platform.plain.iter();
-        targets.map(|target| target.falls()).sum::<usize>()
+        targets.map(Target::falls).sum::<usize>()
     };
     send(CONTACT).await;
     let before = falls();
