--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod brittle_targets;
 mod changes;
 mod connections;
+mod detours;
 mod distribution;
 mod endless_answers;
 mod fleet;
--- a/crates/relay/tests/direct/partitions.rs
+++ b/crates/relay/tests/direct/partitions.rs
@@ -118,6 +118,20 @@
         }
     }
 
+    /// Cuts a daemon off from all targets, and waits until it knows.
+    pub async fn cut_off_until_known(&self, daemon: usize) {
+        self.cut_off(daemon, Partition::Silent);
+        let services = ["plain", "engine", "first", "second"].map(name::Service::new);
+        let cut = &self.daemons[daemon];
+        // The first request that fails has the links checked.
+        ClientRequest::new("/read/").send(client_address(cut)).await;
+        wait_until("the daemon knows that it reaches no target", || {
+            let state = cut.context().state();
+            services.iter().all(|service| state.is_link_down(service))
+        })
+        .await;
+    }
+
     /// Returns the daemon that dispatches for a service.
     fn dispatcher(&self, service: &str) -> usize {
         let service = name::Service::new(service);
