--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod endless_answers;
 mod fleet;
 mod former_build;
+mod former_heartbeats;
 mod notices;
 mod partitions;
 mod pauses;
