Bound detours, and learn at once from a peer that is cut off, too

A daemon that lost its targets greeted every other one for each service; of 295 daemons of which 100 lose five services, each would have got some 500 greetings a second. Now only the dispatcher of a stage does so, whose pieces wait; the others are heard of in the usual heartbeats. A peer that is asked for a detour and reaches no target says so at once, and is not asked again for that service until it announces something else. A request goes through three peers that reach targets at most, and is refused then instead of being tried on targets that its own daemon does not reach.

--- a/crates/kernel/src/fleet/detour.rs
+++ b/crates/kernel/src/fleet/detour.rs
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Records that the daemon at an address has said, when it was asked, that it reaches no
+    /// target of a service. Its next announcement replaces that.
+    pub fn record_unreached(&mut self, address: SocketAddr, service: &name::Service) {
+        let known = self.known.iter_mut();
+        let mut at_address = known.filter(|(_, said)| said.address == Some(address));
+        if let Some((_, said)) = at_address.next()
+            && let Err(index) = said.unreached.binary_search(service)
+        {
+            said.unreached.insert(index, service.clone());
+        }
+    }
+
     /// Returns whether another daemon reaches targets of a service, as far as it has said.
     #[must_use]
     pub fn reaches(&self, member: &name::Member, service: &name::Service) -> bool {
--- a/crates/kernel/tests/direct/link.rs
+++ b/crates/kernel/tests/direct/link.rs
@@ -132,6 +132,10 @@
         detours.choose(&service(), &live, &tried, 7),
         Some(address(4))
     );
+    detours.record_unreached(address(4), &service());
+    assert_eq!(detours.choose(&service(), &live, &tried, 7), None);
+    let other = name::Service::new("other");
+    assert_eq!(detours.choose(&other, &live, &tried, 7), Some(address(4)));
     live.truncate(3);
     assert_eq!(detours.choose(&service(), &live, &tried, 7), None);
 }
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -39,6 +39,8 @@
     Started(Box<Exchange>, name::Version),
     /// No target received it; one may take it after this time, if that is known.
     NotSent(CompactString, Option<Millis>),
+    /// The peer reaches no target, either.
+    CutOff,
     /// A target may have run it.
     Unknown(CompactString, Option<Crash>),
 }
@@ -76,7 +78,10 @@
     let (mut parts, body) = reply.into_parts();
     let sender = match detour::take(&mut parts.headers, detour::OUTCOME) {
         Some(Outcome::Replied(sender)) => sender,
-        Some(Outcome::NotSent { why, retry_ms }) => {
+        Some(Outcome::NotSent {
+            is_cut_off: true, ..
+        }) => return Reply::CutOff,
+        Some(Outcome::NotSent { why, retry_ms, .. }) => {
             return Reply::NotSent(why, retry_ms.map(Millis));
         }
         Some(Outcome::Unknown {
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -113,6 +113,13 @@
         (service, max_bytes)
     };
     let service = service.ok_or_else(|| not_sent("the service is unknown", None))?;
+    if context.state().is_link_down(&service.name) {
+        return Err(Outcome::NotSent {
+            why: "the service cannot be reached from here, either".into(),
+            retry_ms: None,
+            is_cut_off: true,
+        });
+    }
     let size = body.size_hint().upper().unwrap_or(max_bytes as u64);
     let memory = context.body_memory.acquire(size);
     let _memory = memory.ok_or_else(|| not_sent("there is no memory for the request", None))?;
@@ -287,6 +294,7 @@
     Outcome::NotSent {
         why: why.into(),
         retry_ms: retry_after.map(|delay| delay.0),
+        is_cut_off: false,
     }
 }
 
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -142,6 +142,11 @@
         if let Some(peer) = self.detour(now).filter(|_| now < self.job.deadline) {
             return Ok(Path::Detour(peer));
         }
+        if !self.tried_detours.is_empty() && self.is_cut_off() {
+            // Peers that reach the targets could not send it, and this daemon cannot.
+            let failure = last_failure.cloned();
+            return Err(failure.unwrap_or(Kind::NoTarget.into()));
+        }
         let need = self.need(&self.tried);
         let (attempt, deadline) = (&self.job.head.attempt, self.job.deadline);
         match pick::wait_for_target(&self.context, attempt, need, deadline).await {
--- a/crates/relay/src/forward/detour.rs
+++ b/crates/relay/src/forward/detour.rs
@@ -18,32 +18,54 @@
 use crate::forward::StartedReply;
 use crate::forward::deadline_passed;
 
+/// Through how many peers that reach targets a request is sent at most.
+const DETOURS_MAX: usize = 3;
+
 impl Forwarder {
     /// Returns the peer through which the request is sent; `None` if this daemon sends it
     /// to a target.
     pub(super) fn detour(&self, now: Millis) -> Option<SocketAddr> {
+        if self.tried_detours.len() >= DETOURS_MAX {
+            return None;
+        }
         let state = self.context.state();
         let service = &self.job.service.name;
         state.detour(service, &self.tried_detours, self.job.draw(), now)
     }
 
+    /// Returns whether this daemon reaches no target of the service.
+    pub(super) fn is_cut_off(&self) -> bool {
+        let state = self.context.state();
+        state.is_link_down(&self.job.service.name)
+    }
+
     /// Sends the request to a peer, which sends it to a target, and waits for the head of
     /// the reply.
     pub(super) async fn send_by_detour(&mut self, peer: SocketAddr) -> SendOutcome {
         let now = self.context.now();
         self.last_send = None;
-        self.tried_detours.push(peer);
         let left = self.job.deadline - now;
         let request = self.target_request(None, left);
         let call = self.detour_call(now, left);
         let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
         let sending = detour::send(&self.context, peer, request, &call);
-        let (outcome, detail) = match timeout(limit, sending).await {
+        let replied = timeout(limit, sending).await;
+        if let Ok(Reply::CutOff) = replied {
+            let mut state = self.context.state();
+            state.record_unreached_by(peer, &self.job.service.name);
+        } else {
+            self.tried_detours.push(peer);
+        }
+        let (outcome, detail) = match replied {
             Err(_) => {
                 self.sends += 1;
                 let why = "no reply in time".into();
                 (SendOutcome::MayHaveRun(deadline_passed()), why)
             }
+            Ok(Reply::CutOff) => {
+                let why = "the peer reaches no target, either".into();
+                (SendOutcome::NotRun(Kind::NoTarget.into()), why)
+            }
             Ok(Reply::NotSent(why, retry_after)) => {
                 let failure = match retry_after {
                     Some(delay) => Failure::from(Kind::QueueFull).with_retry_after(delay),
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -87,14 +87,15 @@
             reached += count_reached(&context, &service, &others).await;
             targets.extend(others);
         }
-        let change = {
+        let (was_first_dispatcher, change) = {
             let now = context.now();
             let mut state = context.state();
+            let was_first_dispatcher = state.is_first_dispatcher(&service, now);
             let change = state
                 .links()
                 .end_check(&service, reached, targets.len(), now);
             context.metrics.links_down(state.links().down().count());
-            change
+            (was_first_dispatcher, change)
         };
         context.link_changed.notify_waiters();
         let Some(change) = change else {
@@ -114,7 +115,11 @@
                 check_all(&context);
             }
         }
-        peers::greet_all(&context).await;
+        // Others learn of it from the next heartbeats, or when they ask for a detour; those
+        // whose pieces this daemon dispatches are waiting.
+        if was_first_dispatcher {
+            peers::greet_all(&context).await;
+        }
     });
 }
 
--- a/crates/relay/src/state/link.rs
+++ b/crates/relay/src/state/link.rs
@@ -42,6 +42,12 @@
         self.detours.record(member, announcement);
     }
 
+    /// Records that a peer, asked to send a request, has said that it reaches no target of a
+    /// service.
+    pub fn record_unreached_by(&mut self, peer: SocketAddr, service: &name::Service) {
+        self.detours.record_unreached(peer, service);
+    }
+
     /// Returns the address of the peer to which a request for a service is sent, since this
     /// daemon does not reach its targets; `None` if it does, or no peer takes the request.
     #[must_use]
--- a/crates/relay/tests/direct/detours.rs
+++ b/crates/relay/tests/direct/detours.rs
@@ -140,6 +140,19 @@
     assert_eq!(leaving.received().len(), before);
 }
 
+#[tokio::test]
+async fn requests_reach_the_only_daemon_that_is_not_cut_off() {
+    let fleet = cut_fleet().await;
+    // Peers that have lost their targets a moment ago may still be asked.
+    fleet.cut_off(1, Partition::RefuseNew);
+    for number in 0..20 {
+        let client = ClientRequest::new(["/once/", "/read/"][number % 2]);
+        let answer = answer_to(&client, &fleet.daemons[0]).await;
+        assert_eq!(answer.status, 200, "request {number}");
+        assert_eq!(executed(&fleet.platform.plain, &client.attempt), 1);
+    }
+}
+
 #[tokio::test]
 async fn requests_go_to_targets_again_when_a_partition_has_ended() {
     let fleet = cut_fleet().await;
--- a/crates/relay/tests/direct/partitions.rs
+++ b/crates/relay/tests/direct/partitions.rs
@@ -24,6 +24,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// How many rounds of requests are sent before the partition and when it is judged.
 const ROUNDS: usize = 12;
+/// The port of the first proxy of a daemon.
+const FIRST_GATEWAY_PORT: u16 = 9_000;
 /// After how many rounds of greetings all daemons know what each says of itself.
 const GREETINGS: u64 = 12;
 /// The kinds of requests of a round.
@@ -88,12 +90,14 @@
             &platform.second,
         ];
         let targets = all.into_iter().flatten().chain(&self.more_engines);
-        let start = |target: &Target| {
-            let address = (unused_ip(), 8004).into();
+        let ip = unused_ip();
+        let start = |(port, target): (u16, &Target)| {
+            let address = (ip, port).into();
             let gateway = Gateway::start(address, target.address).expect("the address is free");
             (gateway, target.address)
         };
-        let gateways: Vec<(Gateway, SocketAddr)> = targets.map(start).collect();
+        let gateways: Vec<(Gateway, SocketAddr)> =
+            (FIRST_GATEWAY_PORT..).zip(targets).map(start).collect();
         let replacements = gateways.iter();
         let replacements = replacements.map(|(gateway, target)| (*target, gateway.address));
         let store = platform.store.view(replacements.collect()).await;
--- a/crates/wire/src/detour.rs
+++ b/crates/wire/src/detour.rs
@@ -52,6 +52,8 @@
         why: CompactString,
         /// When a target may take it, in milliseconds, if that is known.
         retry_ms: Option<u64>,
+        /// Whether this daemon reaches no target of the service, either.
+        is_cut_off: bool,
     },
     /// A target may have run the request, and there is no reply.
     Unknown {
