--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -3,6 +3,9 @@
 //! CI runs the seeds in [`SEEDS`]. To run others by hand:
 //!
 //!     SOAK_SEEDS=100..150 cargo test --release -p gooseberryd --test soak -- --ignored --nocapture
+//!
+//! `SOAK_PROGRAM` names another program than the daemon of this build, such as a script that
+//! starts a former build on some instances.
 
 #![allow(missing_docs, clippy::unwrap_used)]
 
@@ -19,7 +22,9 @@
 const SEEDS: [u64; 2] = [201, 203];
 
 async fn run_seeds(seeds: impl Iterator<Item = u64>) {
-    let binary = Path::new(env!("CARGO_BIN_EXE_gooseberryd"));
+    let program = std::env::var("SOAK_PROGRAM");
+    let program = program.unwrap_or_else(|_| env!("CARGO_BIN_EXE_gooseberryd").to_owned());
+    let binary = Path::new(&program);
     let mut failed = Vec::new();
     for seed in seeds {
         let report = run(binary, seed).await.unwrap();
