--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -310,8 +310,10 @@
         self.usages
             .retain(|usage| usage.in_flight > 0 || targets.get(&usage.target).is_some());
         let live = self.members.live(now);
-        self.detours
-            .retain(|member| live.iter().any(|live| live.name == *member));
+        self.detours.retain(|member| {
+            let found = live.binary_search_by(|live| live.name.cmp(member));
+            found.is_ok()
+        });
         if self.held_out.expire(now) {
             self.update_taken_out(now);
         }
