--- a/crates/relay/tests/direct/brittle_targets.rs
+++ b/crates/relay/tests/direct/brittle_targets.rs
@@ -13,7 +13,6 @@
 use crate::platform::TestPlatform;
 use crate::platform::client_address;
 use crate::platform::start_one;
-use crate::platform::wait_until;
 
 /// How long after its first word a target may still be sent too much.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -28,24 +27,6 @@
 /// How many falls the platform allows, of two targets.
 const FALLS_MAX: usize = 2;
 
-async fn fleet(platform: &TestPlatform) -> Vec<Daemon> {
-    let first = platform.daemon(1, &[]).await;
-    let seed = first.context().boot.peer_address;
-    let mut daemons = vec![first];
-    for number in 2..=3 {
-        daemons.push(platform.daemon(number, &[seed]).await);
-    }
-    wait_until("all daemons know each other", || {
-        let knows_all = |daemon: &Daemon| {
-            let now = daemon.context().now();
-            daemon.context().state().members().live(now).len() == 3
-        };
-        daemons.iter().all(knows_all)
-    })
-    .await;
-    daemons
-}
-
 /// Sends requests at a daemon, one after the other, until a time; returns how many were
 /// served.
 async fn send_until(daemon: &Daemon, path: &str, end: Instant) -> usize {
@@ -67,7 +48,7 @@
 #[tokio::test]
 async fn targets_that_may_turn_few_requests_away_do_not_fall_over_under_load() {
     let platform = TestPlatform::start().await;
-    let daemons = fleet(&platform).await;
+    let daemons = platform.fleet().await;
     for target in &platform.plain {
         target.set_brittle(Some((ROOM, TURNED_AWAY_MAX)));
         target.queue_modes(&vec![Mode::Delayed(60); 100_000]);
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -35,19 +35,9 @@
     daemon.context().state().members().live(now).len() == count
 }
 
-/// Starts three daemons, and waits until each has discovered the others.
 async fn start_three(platform: &TestPlatform) -> [Daemon; 3] {
-    let first = platform.daemon(1, &[]).await;
-    let second = platform.daemon(2, &[peer_address(&first)]).await;
-    let third = platform.daemon(3, &[peer_address(&first)]).await;
-    let daemons = [first, second, third];
-    for daemon in &daemons {
-        wait_until("each daemon knows the others", || {
-            has_live_members(daemon, 3)
-        })
-        .await;
-    }
-    daemons
+    let daemons = platform.fleet().await;
+    daemons.try_into().expect("a fleet has three daemons")
 }
 
 /// Splits the daemons into the dispatcher of a service and the others.
--- a/crates/relay/tests/direct/platform.rs
+++ b/crates/relay/tests/direct/platform.rs
@@ -123,6 +123,25 @@
         daemon
     }
 
+    /// Starts three daemons, and waits until they know each other.
+    pub async fn fleet(&self) -> Vec<Daemon> {
+        let first = self.daemon(1, &[]).await;
+        let seed = first.context().boot.peer_address;
+        let mut daemons = vec![first];
+        for number in 2..=3 {
+            daemons.push(self.daemon(number, &[seed]).await);
+        }
+        wait_until("all daemons know each other", || {
+            let knows_all = |daemon: &Daemon| {
+                let now = daemon.context().now();
+                daemon.context().state().members().live(now).len() == 3
+            };
+            daemons.iter().all(knows_all)
+        })
+        .await;
+        daemons
+    }
+
     /// Starts a daemon with these seeds.
     pub async fn unready_daemon(&self, number: u8, seeds: &[SocketAddr]) -> Daemon {
         start_daemon(number, seeds, self.store.address).await
--- a/crates/relay/tests/direct/prompt_parts.rs
+++ b/crates/relay/tests/direct/prompt_parts.rs
@@ -88,24 +88,6 @@
     before.map_or(0, |before| reached(&platform.engines) - before)
 }
 
-async fn fleet(platform: &TestPlatform) -> Vec<Daemon> {
-    let first = platform.daemon(1, &[]).await;
-    let seed = first.context().boot.peer_address;
-    let mut daemons = vec![first];
-    for number in 2..=3 {
-        daemons.push(platform.daemon(number, &[seed]).await);
-    }
-    wait_until("all daemons know each other", || {
-        let knows_all = |daemon: &Daemon| {
-            let now = daemon.context().now();
-            daemon.context().state().members().live(now).len() == 3
-        };
-        daemons.iter().all(knows_all)
-    })
-    .await;
-    daemons
-}
-
 fn request(number: usize, middle: &str) -> ClientRequest {
     let parts = format!("system:50,{middle}:50,own-{number}:10");
     ClientRequest::new("/resume/")
@@ -182,7 +164,7 @@
 /// be known.
 async fn crash_targets() -> (Arc<TestPlatform>, Vec<Daemon>, Arc<Mutex<Watch>>) {
     let platform = Arc::new(TestPlatform::start().await);
-    let daemons = fleet(&platform).await;
+    let daemons = platform.fleet().await;
     let watch = watch(&platform);
     for target in &platform.engines {
         target.crash_on(Some("bad"));
