Judge calls to a service without targets at once; answer peers after their body

A call that broke off when its service had just lost its last target had its link checked over and over for a second, as a check without targets showed nothing. A peer that reaches no target said so before it had read the request, which can reset the connection and turn a certain refusal into an unknown outcome. Found at a read of the diff; the first has an assertion in the kernel's test that failed before (None for Some(true)).

--- a/crates/kernel/src/target/link.rs
+++ b/crates/kernel/src/target/link.rs
@@ -129,7 +129,8 @@
         let begun = link.check_begun.take();
         link.checked_at = now;
         link.tried = tried;
-        if reached > 0 {
+        // Without targets, nothing can be said against the link.
+        if reached > 0 || tried == 0 {
             link.reached_at = begun;
         }
         match link.down_since {
--- a/crates/kernel/tests/direct/link.rs
+++ b/crates/kernel/tests/direct/link.rs
@@ -45,6 +45,9 @@
     let mut links = Links::default();
     assert_eq!(check(&mut links, 0, 0, Millis(1_000)), None);
     assert!(!links.is_down(&service()));
+    // A call that broke off before waits for no other check.
+    let verdict = links.is_fault_of_target(&service(), Millis(1_000));
+    assert_eq!(verdict, Some(true));
 }
 
 #[test]
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -113,13 +113,6 @@
         (service, max_bytes)
     };
     let service = service.ok_or_else(|| not_sent("the service is unknown", None))?;
-    if context.state().is_link_down(&service.name) {
-        return Err(Outcome::NotSent {
-            why: "the service cannot be reached from here, either".into(),
-            retry_ms: None,
-            is_cut_off: true,
-        });
-    }
     let size = body.size_hint().upper().unwrap_or(max_bytes as u64);
     let memory = context.body_memory.acquire(size);
     let _memory = memory.ok_or_else(|| not_sent("there is no memory for the request", None))?;
@@ -129,6 +122,14 @@
         return Err(not_sent("the request cannot be read", None));
     };
     let body = body.to_bytes();
+    // Answered only now, since a response before the end of the body may be lost.
+    if context.state().is_link_down(&service.name) {
+        return Err(Outcome::NotSent {
+            why: "the service cannot be reached from here, either".into(),
+            retry_ms: None,
+            is_cut_off: true,
+        });
+    }
     target::remove_connection_headers(&mut parts.headers);
     let attempt = name::Attempt::new(&call.attempt);
     let version = call.version.as_deref().map(name::Version::new);
--- a/crates/relay/src/forward/crash.rs
+++ b/crates/relay/src/forward/crash.rs
@@ -46,7 +46,7 @@
         let is_fault = !callee.is_detour
             && link::is_fault_of_target(&self.context, service, target, broke_at).await;
         if !is_fault {
-            log::info!(request:% = self.job.head.attempt, target:% = target; "a connection broke off, but not by its target; the request is no suspect");
+            log::info!(request:% = self.job.head.attempt, target:% = target; "a call broke off, and its target is not known to be the cause; the request is no suspect");
         }
         is_fault
     }
