Split heartbeats off the messages between relay daemons

The types and their conversions are moved as they were; their fields keep their order, on which the encoding depends.

--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,10 +4,12 @@
 //! duration that remains or has passed. Bincode tells fields, variants and calls
 //! apart by their order alone, so their order is part of the protocol.
 //!
+//! - `heartbeat` has what daemons say of their links to targets.
 //! - `part_evidence` has what is known of parts of prompts that crash targets.
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
+mod heartbeat;
 mod part_evidence;
 mod rate_limit;
 mod replica;
@@ -16,7 +18,6 @@
 
 use compact_str::CompactString;
 use gooseberry_kernel::clock::Millis;
-use gooseberry_kernel::fleet::detour;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
@@ -27,6 +28,8 @@
 use serde::Serialize;
 
 use crate::control::Suspect;
+pub use crate::fleet::heartbeat::Announcement;
+pub use crate::fleet::heartbeat::Heartbeat;
 pub use crate::fleet::part_evidence::PartEvidence;
 pub use crate::fleet::rate_limit::RateLimit;
 pub use crate::fleet::replica::Changes;
@@ -101,24 +104,6 @@
     pub parts: Vec<PartEvidence>,
 }
 
-/// An exchange with what was added to it since, or the reply to one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The exchange.
-    pub exchange: Exchange,
-    /// What the sender says of its links to targets.
-    pub announcement: Announcement,
-}
-
-/// What a daemon says of its links to targets.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Where it takes requests that it is to send for others; `None` if it takes none.
-    pub address: Option<SocketAddr>,
-    /// The services of which it reaches no target.
-    pub unreached: Vec<CompactString>,
-}
-
 /// The state of a daemon, as it publishes it itself or as others pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -289,30 +274,6 @@
     }
 }
 
-impl From<&detour::Announcement> for Announcement {
-    fn from(announcement: &detour::Announcement) -> Self {
-        let unreached = announcement.unreached.iter();
-        Self {
-            address: announcement.address,
-            unreached: unreached.map(|service| service.as_str().into()).collect(),
-        }
-    }
-}
-
-impl From<Announcement> for detour::Announcement {
-    fn from(announcement: Announcement) -> Self {
-        let unreached = announcement.unreached.iter();
-        let mut unreached: Vec<name::Service> = unreached
-            .map(|service| name::Service::new(service))
-            .collect();
-        unreached.sort_unstable();
-        Self {
-            address: announcement.address,
-            unreached,
-        }
-    }
-}
-
 impl From<membership::Process> for Process {
     fn from(process: membership::Process) -> Self {
         Self {
