--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -7,11 +7,13 @@
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
 //!   decides at which targets a broken one may go on.
 //! - [`part_quarantine`] finds parts of prompts that crash targets.
+//! - [`demand`] is what a request asks of an engine, in tokens.
 //!
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
 //! schedules its stages. These modules read no clock and no socket.
 
 pub mod deadline_admission;
+pub mod demand;
 pub mod event_buffer;
 pub mod part_quarantine;
 pub mod prior_wait;
--- a/crates/kernel/src/request/routing_table.rs
+++ b/crates/kernel/src/request/routing_table.rs
@@ -46,6 +46,11 @@
     pub struct Engine {
         /// Number of requests that it works on at the same time.
         pub slots: u32,
+        /// Memory for the tokens of running requests and cached prompts; `None` if it is
+        /// not limited.
+        pub memory_tokens: Option<u32>,
+        /// Number of tokens in one event of a stream.
+        pub stride: u32,
     }
 
     /// Limits and cost of calls to a target of a stage service.
