--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -9,12 +9,14 @@
 //! - [`rate_limit`] holds the rate limits that targets name in their answers.
 //! - [`brittleness`] keeps targets from falling over that can turn few requests away.
 //! - [`selection`] picks the target of a request.
+//! - [`placement`] picks the engine of a request by what it costs there.
 
 pub mod brittleness;
 pub mod cold_rate;
 pub mod health;
 pub mod link;
 pub mod notice;
+pub mod placement;
 pub mod rate_limit;
 pub mod registry;
 pub mod selection;
