--- a/crates/kernel/src/request/demand.rs
+++ b/crates/kernel/src/request/demand.rs
@@ -2,6 +2,7 @@
 
 use crate::derive::scalar;
 use crate::derive::value;
+use crate::hash;
 
 scalar! {
     /// A part of a prompt.
@@ -35,6 +36,40 @@
     /// The largest number of parts of a usable demand.
     pub const PARTS_MAX: usize = 64;
 
+    /// Creates the demand of a request whose prompt has these parts, each with its id and
+    /// its length; `None` if it is beyond the limits.
+    ///
+    /// The prompt's own length takes precedence: parts that exceed it together are
+    /// truncated. A hint beyond the largest answer is reduced to that.
+    #[must_use]
+    pub fn new(
+        prompt_tokens: u32,
+        parts: &[(&str, u32)],
+        max_output_tokens: u32,
+        output_hint: Option<u32>,
+    ) -> Option<Self> {
+        let lengths = parts.iter().map(|(_, tokens)| *tokens);
+        let longest = lengths.chain([prompt_tokens, max_output_tokens]).max();
+        if longest > Some(Self::TOKENS_MAX) || parts.len() > Self::PARTS_MAX {
+            return None;
+        }
+        let mut chain = 0;
+        let mut left = prompt_tokens;
+        // Parts without tokens left stay in the list, since the last part has a meaning.
+        let parts = parts.iter().map(|(id, tokens)| {
+            chain = hash::mix(chain, hash::text(id));
+            let tokens = left.min(*tokens);
+            left -= tokens;
+            DemandPart { chain, tokens }
+        });
+        Some(Self {
+            prompt_tokens,
+            parts: parts.collect(),
+            max_output_tokens,
+            output_hint: output_hint.map(|hint| hint.min(max_output_tokens)),
+        })
+    }
+
     /// Returns the parts that other requests may share: all but the last one.
     #[must_use]
     pub fn shared_parts(&self) -> &[DemandPart] {
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod chunks;
 mod cold_rate;
 mod deadline_admission;
+mod demand;
 mod event_buffer;
 mod fetch;
 mod fixtures;
