Choose engines by cost: estimator and ledger

Cause: an engine was chosen by the hash of the prefix, without regard to what it still has to read and which streams run there. Change: kernel::target::cost learns reading speed, fixed time, time per token, speed of each engine and length of answers. The ledger of kernel::target::placement keeps the requests and cached parts of each engine and picks the engine with the least harm. The public interface of the module is unchanged.

--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -9,10 +9,12 @@
 //! - [`rate_limit`] holds the rate limits that targets name in their answers.
 //! - [`brittleness`] keeps targets from falling over that can turn few requests away.
 //! - [`selection`] picks the target of a request.
+//! - [`cost`] estimates what a request costs at an engine.
 //! - [`placement`] picks the engine of a request by what it costs there.
 
 pub mod brittleness;
 pub mod cold_rate;
+pub mod cost;
 pub mod health;
 pub mod link;
 pub mod notice;
--- a/crates/kernel/src/target/placement.rs
+++ b/crates/kernel/src/target/placement.rs
@@ -12,6 +12,30 @@
 use crate::name;
 use crate::request::demand::Demand;
 use crate::request::routing_table::Rank;
+use crate::target::cost;
+use crate::target::cost::Cost;
+use crate::target::cost::Estimator;
+use crate::target::cost::Observation;
+use crate::target::cost::Speed;
+
+use cache::Cache;
+use workload::Context;
+use workload::Prospect;
+use workload::Workload;
+
+mod cache;
+mod workload;
+
+/// Harm of a full engine, larger than that of any wait at another one that is useful.
+const FULL_MS: f64 = 60_000.0;
+/// Harm of another failure domain than the one that holds the inputs of a request. A round
+/// trip between domains takes a few milliseconds, and the inputs are fetched over it.
+const OTHER_DOMAIN_MS: f64 = 8.0;
+/// Additional harm of reading what another engine has cached, as a share of the reading
+/// time. The reading also delays requests that come later.
+const READ_AGAIN_SHARE: f64 = 0.5;
+/// Differences of harm below this are within the error of the estimates.
+const RESOLUTION_MS: f64 = 4.0;
 
 scalar! {
     /// How a placed request ended.
@@ -92,45 +116,268 @@
     }
 }
 
+/// An engine that the ledger knows.
+#[derive(Clone, Debug)]
+struct EngineState {
+    target: name::Target,
+    /// Hash of the name, for the rendezvous weight.
+    hash: u64,
+    started: u64,
+    speed: Speed,
+    workload: Workload,
+    cache: Cache,
+    /// Tokens of the request being placed that it has cached.
+    cached_tokens: u32,
+}
+
 /// What the engines of a group still have to do, and what they have cached.
 #[derive(Clone, Debug, Default)]
-pub struct Ledger {}
+pub struct Ledger {
+    slots: u32,
+    memory_tokens: Option<u32>,
+    stride: u32,
+    estimator: Estimator,
+    /// Sorted by name.
+    engines: Vec<EngineState>,
+    /// Number of requests that were placed.
+    placed: u64,
+}
 
 impl Ledger {
     /// Creates an empty ledger of engines with a number of slots, a memory for tokens, and
     /// a number of tokens in one event.
     #[must_use]
-    pub fn new(_slots: u32, _memory_tokens: Option<u32>, _stride: u32) -> Self {
-        Self {}
+    pub fn new(slots: u32, memory_tokens: Option<u32>, stride: u32) -> Self {
+        Self {
+            slots,
+            memory_tokens,
+            stride: stride.max(1),
+            ..Self::default()
+        }
     }
 
     /// Picks the engine of a request and records the request there; `None` if no engine
     /// can be used.
-    pub fn place(&mut self, request: &Request, engines: &[Engine], _now: Millis) -> Option<Placed> {
-        let usable = engines.iter();
-        let usable = usable.filter(|engine| !request.excluded.contains(&engine.target));
-        let weight = |engine: &&Engine| {
-            let seed = request.affinity.unwrap_or_default();
-            hash::mix(seed, hash::text(engine.target.as_str()))
+    pub fn place(&mut self, request: &Request, engines: &[Engine], now: Millis) -> Option<Placed> {
+        let clock = cost::millis(now);
+        let mut cached_max = 0;
+        let mut index = 0;
+        for engine in engines {
+            index = self.update(engine, index, clock);
+            let state = &mut self.engines[index];
+            state.cached_tokens = state.cache.cached_tokens(&request.demand);
+            cached_max = cached_max.max(state.cached_tokens);
+            index += 1;
+        }
+
+        let seed = request
+            .affinity
+            .unwrap_or_else(|| hash::text(request.attempt.as_str()));
+        let base = self.estimator.cost(&request.route, &request.demand, 0);
+        let mut best: Option<Choice> = None;
+        let mut index = 0;
+        for engine in engines {
+            if request.excluded.contains(&engine.target) {
+                continue;
+            }
+            let Ok(found) = self.position(&engine.target, index) else {
+                continue;
+            };
+            index = found + 1;
+            let choice = self.assess(found, request, engine, base, cached_max, clock);
+            let choice = Choice {
+                weight: hash::mix(seed, self.engines[found].hash),
+                ..choice
+            };
+            if best.is_none_or(|best| choice.is_better(&best)) {
+                best = Some(choice);
+            }
+        }
+        let best = best?;
+        self.placed += 1;
+        let state = &mut self.engines[best.index];
+        let context = Context {
+            estimator: &self.estimator,
+            speed: state.speed,
+            stride: self.stride,
+            now: clock,
         };
-        usable.max_by_key(weight).map(|engine| Placed {
-            target: engine.target.clone(),
-            wait: Millis::ZERO,
-            cached_tokens: 0,
+        state.workload.remove(&request.attempt, clock);
+        state
+            .workload
+            .add(self.placed, request, &best.prospect, &context);
+        state.cache.record(&request.demand, self.placed, now);
+        if let Some(memory_tokens) = self.memory_tokens {
+            let used = state.workload.memory_tokens();
+            state
+                .cache
+                .shrink(u64::from(memory_tokens).saturating_sub(used));
+        }
+        Some(Placed {
+            target: state.target.clone(),
+            wait: cost::whole_millis(best.prospect.first_ms),
+            cached_tokens: state.cached_tokens,
         })
     }
 
     /// Records the end of a request.
-    pub fn finish(&mut self, _finish: &Finish, _now: Millis) {}
+    pub fn finish(&mut self, finish: &Finish, now: Millis) {
+        let Ok(index) = self.position(&finish.target, 0) else {
+            return;
+        };
+        let state = &mut self.engines[index];
+        let Some(entry) = state.workload.remove(&finish.attempt, cost::millis(now)) else {
+            return;
+        };
+        let first = match (finish.end, finish.first) {
+            (End::Complete | End::Broken | End::Abandoned, Some(first)) => first,
+            (End::NotRun | End::Broken, _) => return state.cache.forget(entry.id),
+            (End::Complete | End::Abandoned, None) => return,
+        };
+        state.cache.confirm(entry.id);
+        let tokens = finish.events.saturating_sub(1).saturating_mul(self.stride);
+        let is_measured = entry.is_alone && tokens > 0 && finish.end == End::Complete;
+        let output_ms = cost::millis(finish.took - first);
+        let observation = Observation {
+            read_tokens: entry.read_tokens,
+            backlog_ms: entry.backlog_ms,
+            predicted_ms: entry.first_ms,
+            first_ms: cost::millis(first),
+            output: is_measured.then_some((tokens, output_ms)),
+            slowness_percent: finish.slowness_percent,
+        };
+        self.estimator.observe(&mut state.speed, &observation);
+        if finish.end == End::Complete {
+            let output_tokens = finish.events.saturating_mul(self.stride);
+            self.estimator
+                .observe_length(&entry.route, &entry.demand, output_tokens);
+        }
+    }
 
     /// Forgets requests of which no end was reported in time, and engines that `is_listed`
     /// does not find any more.
-    pub fn expire(&mut self, _is_listed: impl Fn(&name::Target) -> bool, _now: Millis) {}
+    pub fn expire(&mut self, is_listed: impl Fn(&name::Target) -> bool, now: Millis) {
+        self.engines.retain(|engine| is_listed(&engine.target));
+        for engine in &mut self.engines {
+            engine.workload.expire(cost::millis(now));
+        }
+        let speeds = self.engines.iter_mut().map(|engine| &mut engine.speed);
+        self.estimator.rebase(speeds);
+    }
 
     /// Returns the mean relative error of the expected times to the first event, in
     /// thousandths; `None` before the first request has ended.
     #[must_use]
     pub fn error_permille(&self) -> Option<u32> {
-        None
+        self.estimator.error_permille()
+    }
+
+    /// Brings an engine up to date and returns its index. `guess` is the likely index.
+    fn update(&mut self, engine: &Engine, guess: usize, clock: f64) -> usize {
+        let index = match self.position(&engine.target, guess) {
+            Ok(index) => index,
+            Err(index) => {
+                self.engines.insert(index, EngineState::new(engine));
+                index
+            }
+        };
+        let state = &mut self.engines[index];
+        if state.started != engine.started {
+            *state = EngineState::new(engine);
+        }
+        state.workload.expire(clock);
+        index
+    }
+
+    /// Finds an engine. Callers that go through a sorted list pass the likely index, which
+    /// saves the search.
+    fn position(&self, target: &name::Target, guess: usize) -> Result<usize, usize> {
+        if self
+            .engines
+            .get(guess)
+            .is_some_and(|state| state.target == *target)
+        {
+            return Ok(guess);
+        }
+        self.engines
+            .binary_search_by(|state| state.target.cmp(target))
+    }
+
+    fn assess(
+        &self,
+        index: usize,
+        request: &Request,
+        engine: &Engine,
+        base: Cost,
+        cached_max: u32,
+        clock: f64,
+    ) -> Choice {
+        let state = &self.engines[index];
+        let read_tokens = base.read_tokens.saturating_sub(state.cached_tokens);
+        let cost = Cost {
+            read_tokens,
+            read_ms: self.estimator.read_ms(read_tokens),
+            ..base
+        };
+        let context = Context {
+            estimator: &self.estimator,
+            speed: state.speed,
+            stride: self.stride,
+            now: clock,
+        };
+        let prospect = state.workload.prospect(request, cost, &context);
+        let mut harm_ms = prospect.harm_ms;
+        let read_again = cached_max.saturating_sub(state.cached_tokens);
+        harm_ms += self.estimator.read_ms(read_again) * READ_AGAIN_SHARE;
+        let preferred = request.preferred_domain.as_ref();
+        if preferred.is_some_and(|preferred| *preferred != engine.domain) {
+            harm_ms += OTHER_DOMAIN_MS;
+        }
+        let slots = usize::try_from(self.slots).unwrap_or(usize::MAX);
+        let memory = state.workload.memory_tokens()
+            + u64::from(request.demand.prompt_tokens)
+            + u64::from(base.output_tokens);
+        let has_memory = self
+            .memory_tokens
+            .is_none_or(|max| memory <= u64::from(max));
+        if state.workload.len() >= slots || !has_memory {
+            harm_ms += FULL_MS + state.workload.next_end_ms(clock);
+        }
+        Choice {
+            index,
+            prospect,
+            harm: (harm_ms / RESOLUTION_MS).floor(),
+            weight: 0,
+        }
+    }
+}
+
+/// A possible choice.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    index: usize,
+    prospect: Prospect,
+    harm: f64,
+    weight: u64,
+}
+
+impl Choice {
+    fn is_better(&self, other: &Self) -> bool {
+        let order = self.harm.total_cmp(&other.harm);
+        order.then(other.weight.cmp(&self.weight)).is_lt()
+    }
+}
+
+impl EngineState {
+    fn new(engine: &Engine) -> Self {
+        Self {
+            target: engine.target.clone(),
+            hash: hash::text(engine.target.as_str()),
+            started: engine.started,
+            speed: Speed::default(),
+            workload: Workload::default(),
+            cache: Cache::default(),
+            cached_tokens: 0,
+        }
     }
 }
