Streams that pause for too long count as late

Change: kernel::request::punctuality records when events are passed on and decides; request answered gets longest_gap_ms, gap_limit_ms, gap_target and late, the metrics gooseberry_relay_streams_total and the point gap, and a story marks such a stream with g. Unusable headers of demand and slowness are logged.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -144,7 +144,8 @@
     ///
     ///
     /// Lines marked t concern a target that the request was sent to, lines
-    /// marked d a daemon that served it.
+    /// marked d a daemon that served it. The line marked g ends a stream that was
+    /// late because of a pause between two events, and names the target that paused.
     ///
     ///
     /// Examples:
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -101,6 +101,14 @@
             .map(|(_, value)| value)
     }
 
+    /// Returns whether the line says that a stream was late because of a pause between two
+    /// events.
+    #[must_use]
+    pub fn is_late_by_gap(&self) -> bool {
+        self.field("late")
+            .is_some_and(|late| ["gap", "both"].contains(&late))
+    }
+
     /// Returns the name of the daemon without the time that a log collector may
     /// have put before it.
     fn writer(&self) -> &str {
@@ -156,6 +164,7 @@
         let start = start.map_or(0, |(_, line)| line.time_ms);
         for (part, line) in &self.lines {
             let mark = match part {
+                Part::Request if line.is_late_by_gap() => 'g',
                 Part::Request => ' ',
                 Part::Target => 't',
                 Part::Daemon => 'd',
--- a/crates/ctl/tests/story.rs
+++ b/crates/ctl/tests/story.rs
@@ -43,6 +43,22 @@
     assert!(Story::find(&lines(), "r-0").lines.is_empty());
 }
 
+#[test]
+fn a_stream_that_is_late_by_a_pause_is_marked() {
+    let mark = |late: &str| {
+        let text = format!(
+            "1700000000900 INFO forward: request answered request=r-1 target=e-2 \
+             longest_gap_ms=812 gap_limit_ms=500 gap_target=e-1 late={late} is_on_time=false"
+        );
+        let story = Story::find(&[Line::read(&text, "d").unwrap()], "r-1").to_string();
+        assert!(story.contains("longest_gap_ms=812 gap_limit_ms=500 gap_target=e-1"));
+        story.chars().next().unwrap()
+    };
+    // The first event of such a stream is on time, which hid the pause.
+    assert_eq!([mark("gap"), mark("both")], ['g', 'g']);
+    assert_eq!([mark("no"), mark("first")], [' ', ' ']);
+}
+
 #[test]
 fn a_line_without_prefix_belongs_to_its_file() {
     let line = Line::read("1700000000900 WARN a: b request=x", "d-7.log").unwrap();
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -7,6 +7,7 @@
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
 //!   decides at which targets a broken one may go on.
 //! - [`part_quarantine`] finds parts of prompts that crash targets.
+//! - [`punctuality`] decides whether an answer is on time.
 //! - [`demand`] is what a request asks of an engine, in tokens.
 //!
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
@@ -17,6 +18,7 @@
 pub mod event_buffer;
 pub mod part_quarantine;
 pub mod prior_wait;
+pub mod punctuality;
 pub mod retry_budget;
 pub mod routing_table;
 pub mod stream_origin;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -20,6 +20,7 @@
 mod part_quarantine;
 mod plan;
 mod prior_wait;
+mod punctuality;
 mod rate_limit;
 mod registry;
 mod replica;
--- a/crates/relay/src/exchange/notice.rs
+++ b/crates/relay/src/exchange/notice.rs
@@ -45,6 +45,9 @@
     if status != StatusCode::MISDIRECTED_REQUEST {
         record_rate_limit(context, target, status, headers);
         record_brittleness(context, target, status, headers);
+        if let Err(text) = target::read_slowness(headers) {
+            log::warn!(target:% = target, text:%; "the slowness in an answer's load is dropped: it is not a usable percentage");
+        }
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -27,6 +27,8 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::part_quarantine::Run;
+use gooseberry_kernel::request::punctuality::Lateness;
+use gooseberry_kernel::request::punctuality::Punctuality;
 use gooseberry_kernel::request::routing_table::ResponseForm;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
@@ -73,7 +75,7 @@
         events: EventBuffer::default(),
         event_memory,
         current: None,
-        first_byte_at: None,
+        punctuality: Punctuality::default(),
         is_ended: false,
     };
     forwarder.forward().await
@@ -109,8 +111,8 @@
     event_memory: ReplyPermit,
     /// The reply that is being passed on.
     current: Option<StartedReply>,
-    /// When the first byte of the response was ready to be sent to the client.
-    first_byte_at: Option<Millis>,
+    /// When the events of the response were ready to be sent to the client.
+    punctuality: Punctuality,
     /// Whether the end of the request has been logged and counted.
     is_ended: bool,
 }
@@ -227,7 +229,7 @@
         let reading = started.exchange.read_all(PLAIN_MAX_BYTES, &mut memory);
         match timeout(limit, reading).await {
             Ok(Ok(body)) => {
-                self.first_byte_at = Some(self.context.now());
+                self.punctuality.record_whole(self.context.now());
                 Ok(http_server::reserved_body(body, memory))
             }
             Ok(Err(_)) => {
@@ -297,6 +299,12 @@
         self.context.metrics.request(job.form(), end);
         let took = now - job.arrived;
         self.context.metrics.latency(job.form(), "whole", took);
+        let gap_max = job.route.max_event_gap;
+        let late = self.punctuality.lateness(now, job.on_time_by, gap_max);
+        let longest_gap = self.punctuality.longest_gap();
+        if job.route.form == ResponseForm::Stream && status < 400 {
+            self.context.metrics.stream(late, longest_gap);
+        }
         log::info!(
             request:% = job.head.attempt,
             route:% = job.route.name,
@@ -304,9 +312,13 @@
             status,
             sends = self.sends,
             events = self.events.count(),
-            first_ms = self.first_byte_at.map_or(took, |at| at - job.arrived).0,
+            first_ms = (self.punctuality.first_at().unwrap_or(now) - job.arrived).0,
             took_ms = took.0,
-            is_on_time = self.first_byte_at.unwrap_or(now) <= job.on_time_by;
+            longest_gap_ms = longest_gap.0,
+            gap_limit_ms = gap_max.0,
+            gap_target = self.punctuality.gap_target().map_or("", name::Target::as_str),
+            late:%,
+            is_on_time = late == Lateness::No;
             "request answered"
         );
     }
@@ -340,15 +352,19 @@
 
 impl Drop for Forwarder {
     fn drop(&mut self) {
-        if self.is_ended || self.first_byte_at.is_none() {
+        if self.is_ended || self.punctuality.first_at().is_none() {
             return;
         }
+        let now = self.context.now();
         self.context.metrics.request(self.job.form(), "cut");
         log::info!(
             request:% = self.job.head.attempt,
             sends = self.sends,
             events = self.events.count(),
-            took_ms = (self.context.now() - self.job.arrived).0;
+            longest_gap_ms = self.punctuality.longest_gap().0,
+            gap_target = self.punctuality.gap_target().map_or("", name::Target::as_str),
+            silent_ms = (now - self.punctuality.last_at().unwrap_or(now)).0,
+            took_ms = (now - self.job.arrived).0;
             "a stream ended before its last event was passed on"
         );
     }
--- a/crates/relay/src/forward/crash.rs
+++ b/crates/relay/src/forward/crash.rs
@@ -72,7 +72,10 @@
     /// Records that a target broke off the connection before the answer began, which a
     /// part of the prompt may have caused.
     fn record_part_crash(&self, broke_at: Millis) {
-        let Some((run, sent_at)) = self.last_send.filter(|_| self.first_byte_at.is_none()) else {
+        let Some((run, sent_at)) = self
+            .last_send
+            .filter(|_| self.punctuality.first_at().is_none())
+        else {
             return;
         };
         let parts = self.job.shared_parts();
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -38,6 +38,7 @@
                     match self.events.push(&bytes) {
                         Ok(events) if !events.is_empty() => {
                             self.event_memory = self.context.reply_memory.reply();
+                            self.record_event();
                             return Some(Ok(events.into()));
                         }
                         Ok(_) if self.event_memory.grow(self.events.partial_bytes()) => continue,
@@ -61,6 +62,15 @@
         }
     }
 
+    /// Records that complete events of the current target are passed on.
+    fn record_event(&mut self) {
+        let now = self.context.now();
+        if let Some(started) = &self.current {
+            let target = &started.exchange.callee.target;
+            self.punctuality.record_event(now, target);
+        }
+    }
+
     /// Returns whether a stream whose end shows only by that of its connection ended
     /// before its first event. A target that crashes leaves the same bytes.
     fn is_cut_before_first_event(&self) -> bool {
@@ -69,7 +79,8 @@
             !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
         });
         // A stream that is taken up after its last event has none left.
-        let may_be_empty = self.first_byte_at.is_some() || self.job.head.resumed_after.is_some();
+        let may_be_empty =
+            self.punctuality.first_at().is_some() || self.job.head.resumed_after.is_some();
         is_unframed && !may_be_empty
     }
 
@@ -138,15 +149,13 @@
 
     /// Returns the response whose body passes on the stream, from its first
     /// events on.
-    pub(super) fn into_response(
-        mut self,
-        head: Response<()>,
-        first: Bytes,
-    ) -> Response<ResponseBody> {
-        let now = self.context.now();
-        self.first_byte_at = Some(now);
-        let metrics = &self.context.metrics;
-        metrics.latency(self.job.form(), "first", now - self.job.arrived);
+    pub(super) fn into_response(self, head: Response<()>, first: Bytes) -> Response<ResponseBody> {
+        if let Some(first_at) = self.punctuality.first_at() {
+            let first = first_at - self.job.arrived;
+            self.context
+                .metrics
+                .latency(self.job.form(), "first", first);
+        }
         let rest = stream::unfold((self, Some(first)), async |(mut forwarder, first)| {
             if let Some(first) = first {
                 return Some((Ok(Frame::data(first)), (forwarder, None)));
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::replica::Era;
+use gooseberry_kernel::request::punctuality::Lateness;
 use gooseberry_runtime::control_stream::Counters;
 use gooseberry_runtime::logs;
 use prometheus::Encoder;
@@ -22,6 +23,7 @@
 pub struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
+    streams: IntCounterVec,
     retries: IntCounterVec,
     rate_limited: IntCounterVec,
     pieces: IntCounterVec,
@@ -53,6 +55,11 @@
             "Requests by how they ended.",
             &["form", "end"],
         )?;
+        let streams = counters(
+            "gooseberry_relay_streams_total",
+            "Complete streams by whether their first event, a gap or both were late.",
+            &["late"],
+        )?;
         let retries = counters(
             "gooseberry_relay_repeats_total",
             "Requests that were sent again, by reason.",
@@ -90,7 +97,7 @@
         )?;
         let options = HistogramOpts::new(
             "gooseberry_relay_seconds",
-            "Time from the head of a request to a point of its answer.",
+            "Time from the head of a request to a point of its answer; the point gap is the longest gap between two events.",
         );
         let latency =
             HistogramVec::new(options.buckets(BUCKETS_SECS.to_vec()), &["form", "point"])?;
@@ -114,6 +121,7 @@
         Ok(Self {
             registry,
             requests,
+            streams,
             retries,
             rate_limited,
             pieces,
@@ -135,13 +143,19 @@
     }
 
     /// Records how long a request took to a point of its response: `first` byte
-    /// or `whole`.
+    /// or `whole`, or the longest `gap` between its events.
     #[allow(clippy::cast_precision_loss, reason = "a span of minutes at most")]
     pub fn latency(&self, form: &str, point: &str, span: Millis) {
         let secs = span.0 as f64 / 1000.0;
         self.latency.with_label_values(&[form, point]).observe(secs);
     }
 
+    /// Counts a complete stream, and records its longest gap.
+    pub fn stream(&self, late: Lateness, longest_gap: Millis) {
+        self.streams.with_label_values(&[late.label()]).inc();
+        self.latency("stream", "gap", longest_gap);
+    }
+
     /// Counts a request that is sent again.
     pub fn retry(&self, reason: &str) {
         self.retries.with_label_values(&[reason]).inc();
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -117,6 +117,10 @@
         }
     };
     let attempt = head.attempt.clone();
+    if !head.faults.is_empty() {
+        let faults = head.faults.join("; ");
+        log::info!(request:% = attempt, faults; "headers about the demand of a request are not used as sent");
+    }
     let mut abandon_guard = AbandonGuard {
         context: &context,
         attempt: &attempt,
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -1,17 +1,105 @@
 //! Event streams: complete, broken and resumed ones.
 
+use gooseberry_platform_standin::client::Answer;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::STREAM_EVENTS;
+use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
 
+use crate::platform::TestPlatform;
 use crate::platform::answer_to;
 use crate::platform::start_one;
+use crate::platform::wait_until;
 
 fn all_events() -> String {
     let events = (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: event {event}\n\n"));
     events.collect()
 }
 
+/// Has all engines handle their next request in this mode.
+fn queue_mode(platform: &TestPlatform, mode: Mode) {
+    for engine in &platform.engines {
+        engine.queue_modes(&[mode]);
+    }
+}
+
+/// Sends a request whose first engine handles it in this mode; the other one is sound.
+async fn answer_of_stalled(
+    platform: &TestPlatform,
+    daemon: &Daemon,
+    client: &ClientRequest,
+    mode: Mode,
+) -> Answer {
+    queue_mode(platform, mode);
+    let clear_modes = async {
+        wait_until("an engine has the request", || {
+            platform.runs(&client.attempt) > 0
+        })
+        .await;
+        platform.engines.iter().for_each(Target::clear_modes);
+    };
+    tokio::join!(answer_to(client, daemon), clear_modes).0
+}
+
+/// Returns the value of a metric of the daemon; 0 if it is missing.
+fn metric(daemon: &Daemon, name: &str) -> u64 {
+    let text = daemon.context().metrics.text().expect("it is encoded");
+    let text = String::from_utf8_lossy(&text);
+    let value = text.lines().find_map(|line| line.strip_prefix(name));
+    value.map_or(0, |value| value.trim().parse().expect("it is a count"))
+}
+
+#[tokio::test]
+async fn a_stream_that_pauses_for_too_long_counts_as_late() {
+    let (platform, daemon) = start_one().await;
+    // The first event of all of them is on time; the route allows pauses of 300 ms.
+    queue_mode(&platform, Mode::PauseBefore(3, 500));
+    let client = ClientRequest::new("/stream/").with_stage_pieces("");
+    assert!(answer_to(&client, &daemon).await.is_complete);
+    let late = |label: &str| {
+        let name = format!("gooseberry_relay_streams_total{{late=\"{label}\"}}");
+        metric(&daemon, &name)
+    };
+    assert_eq!((late("gap"), late("no")), (1, 0));
+    for engine in &platform.engines {
+        engine.clear_modes();
+    }
+    // Neither malformed headers nor a malformed load make a difference.
+    let client = ClientRequest::new("/stream/").with_stage_pieces("");
+    let client = client.with("Token-Counts", "many").with("Length-Hint", "?");
+    platform
+        .engines
+        .iter()
+        .for_each(|engine| engine.add_headers(&[("Server-Load", "1,0,8,x")]));
+    assert!(answer_to(&client, &daemon).await.is_complete);
+    assert_eq!((late("gap"), late("no")), (1, 1));
+    let gaps = "gooseberry_relay_seconds_count{form=\"stream\",point=\"gap\"}";
+    assert_eq!(metric(&daemon, gaps), 2);
+    let token_counts = |engine: &Target| {
+        let seen = engine.received();
+        seen.iter()
+            .any(|seen| seen.header("Token-Counts") == "many")
+    };
+    assert!(
+        platform.engines.iter().any(token_counts),
+        "it is forwarded unchanged"
+    );
+}
+
+#[tokio::test]
+async fn a_pause_over_a_resume_counts() {
+    let (platform, daemon) = start_one().await;
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let answer = answer_of_stalled(&platform, &daemon, &client, Mode::PauseBefore(3, 3_000)).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+    assert_eq!(platform.runs(&client.attempt), 2);
+    assert_eq!(
+        metric(&daemon, "gooseberry_relay_streams_total{late=\"gap\"}"),
+        1
+    );
+}
+
 #[tokio::test]
 async fn a_stream_is_forwarded_unchanged() {
     let (platform, daemon) = start_one().await;
