Stalled streams are resumed although bytes come, and slow ones are not cut early

Cause: the limit on pauses began again with every chunk, so that a stalled target that sends a byte or a comment now and then kept a resumable stream until its deadline. A stream that no other target may go on with was cut after the same 1.5 s, also at a slow but healthy target. The owner path has neither: daemon::target_call::run_call limits the whole reply. Change: the limit holds from event to event and counts only the time that the target is waited for; comments are no events. A stream that cannot be resumed is cut after 4.5 s. The deadline is checked before the read, as a target may always have bytes ready.

--- a/crates/kernel/src/request/event_buffer.rs
+++ b/crates/kernel/src/request/event_buffer.rs
@@ -18,6 +18,7 @@
     partial: Vec<u8>,
     last_id: Option<CompactString>,
     count: u64,
+    complete: u64,
 }
 
 /// An event is larger than [`EVENT_MAX_BYTES`].
@@ -44,7 +45,7 @@
         };
         let rest = self.partial.split_off(end);
         let complete = std::mem::replace(&mut self.partial, rest);
-        self.record_ids(&complete);
+        self.record_events(&complete);
         Ok(complete)
     }
 
@@ -60,6 +61,13 @@
         self.count
     }
 
+    /// Returns the number of complete events, with or without an id. Comments are none: a
+    /// stalled target may go on sending them.
+    #[must_use]
+    pub fn complete(&self) -> u64 {
+        self.complete
+    }
+
     /// Returns the size of the incomplete event that is buffered, in bytes.
     #[must_use]
     pub fn partial_bytes(&self) -> u64 {
@@ -78,13 +86,20 @@
         self.partial.clear();
     }
 
-    fn record_ids(&mut self, complete: &[u8]) {
+    fn record_events(&mut self, complete: &[u8]) {
+        let mut has_field = false;
         for line in complete.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(id) = line.strip_prefix(b"id:") {
                 self.last_id = Some(CompactString::from_utf8_lossy(id.trim_ascii()));
                 self.count += 1;
             }
+            if line.is_empty() {
+                self.complete += u64::from(has_field);
+                has_field = false;
+            } else {
+                has_field |= !line.starts_with(b":");
+            }
         }
     }
 }
--- a/crates/kernel/tests/direct/event_buffer.rs
+++ b/crates/kernel/tests/direct/event_buffer.rs
@@ -56,3 +56,20 @@
         Err(EventTooLong)
     );
 }
+
+#[test]
+fn comments_are_no_events() {
+    // A stalled target that sends comments would count as one that makes progress.
+    let mut events = EventBuffer::default();
+    for (text, complete) in [
+        (": wait\n\n", 0),
+        ("\n\n", 0),
+        (":\r\n\r\n", 0),
+        ("data: a\n\n", 1),
+        (": wait\ndata: b\n\n: wait\n\nid: 3\r\n\r\n", 3),
+    ] {
+        let forwarded = events.push(text.as_bytes()).expect("it is short");
+        assert_eq!(forwarded, text.as_bytes());
+        assert_eq!(events.complete(), complete, "{text}");
+    }
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -41,6 +41,7 @@
 use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::exchange::Exchange;
+use crate::forward::stream::Pause;
 use crate::http_server;
 use crate::http_server::ResponseBody;
 use crate::request::Job;
@@ -75,6 +76,7 @@
         events: EventBuffer::default(),
         event_memory,
         current: None,
+        pause: Pause::default(),
         punctuality: Punctuality::default(),
         is_ended: false,
     };
@@ -111,6 +113,8 @@
     event_memory: ReplyPermit,
     /// The reply that is being passed on.
     current: Option<StartedReply>,
+    /// How long the stream of the current reply has paused.
+    pause: Pause,
     /// When the events of the response were ready to be sent to the client.
     punctuality: Punctuality,
     /// Whether the end of the request has been logged and counted.
@@ -187,7 +191,7 @@
             };
             let status = started.reply.status;
             let head = reply_head(&started);
-            self.current = Some(started);
+            self.begin_reply(started);
             if self.job.route.form == ResponseForm::Stream && status.is_success() {
                 return match self.next_events().await {
                     Some(Ok(first)) => {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -18,16 +18,58 @@
 use tokio::time::timeout;
 
 use crate::forward::Forwarder;
+use crate::forward::StartedReply;
 use crate::http_server::ResponseBody;
 use crate::resumption;
 
 /// How long a resumable stream may pause before it is resumed at another target.
 ///
-/// The longest pauses of a healthy target, while it reads long prompts, are
+/// The longest pauses of a typical healthy target, while it reads long prompts, are
 /// below half of this.
 const STREAM_GAP_MAX: Millis = Millis(1_500);
+/// How long a resumable stream may pause before it is cut, if no other target may go on
+/// with it.
+///
+/// By calculation, a slow healthy engine that reads two long prompts at the same time pauses
+/// for up to 4 s: 12 tokens per event, 60 ms for a chunk of each prompt before each token, a
+/// speed of 1/2.2, and a slowdown of 1.2 on average. A client may still resume a stream that
+/// is cut.
+const STREAM_STALL_MAX: Millis = Millis(4_500);
+
+/// The pause of a target's stream since its reply began or its last event came. Bytes that
+/// complete no event do not end it, since a stalled target may send some now and then.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pause {
+    /// How long the target was waited for. The time that the client takes to read does not
+    /// count.
+    waited: Millis,
+    max: Millis,
+}
+
+impl Default for Pause {
+    fn default() -> Self {
+        Self {
+            waited: Millis::ZERO,
+            max: STREAM_GAP_MAX,
+        }
+    }
+}
+
+/// Why there are no more bytes of a target's stream.
+enum Stop {
+    /// It broke off, or its deadline has passed.
+    Broken(String),
+    /// It paused for too long.
+    Paused,
+}
 
 impl Forwarder {
+    /// Takes over a reply that has begun.
+    pub(super) fn begin_reply(&mut self, started: StartedReply) {
+        self.pause = Pause::default();
+        self.current = Some(started);
+    }
+
     /// Returns the next complete events; `None` at the end of a complete stream.
     pub(super) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
         loop {
@@ -35,10 +77,17 @@
                 Ok(Some(bytes)) => {
                     // The first byte shows that the target has read the results.
                     self.results = None;
+                    let complete = self.events.complete();
                     match self.events.push(&bytes) {
                         Ok(events) if !events.is_empty() => {
                             self.event_memory = self.context.reply_memory.reply();
-                            self.record_event();
+                            if self.events.complete() > complete {
+                                self.record_event();
+                            } else if self.punctuality.first_at().is_none() {
+                                // Comments alone do not begin the response, since their
+                                // target may still fail to.
+                                continue;
+                            }
                             return Some(Ok(events.into()));
                         }
                         Ok(_) if self.event_memory.grow(self.events.partial_bytes()) => continue,
@@ -54,9 +103,22 @@
                     return None;
                 }
                 Ok(None) => "the stream ended within an event".to_owned(),
-                Err(why) => why,
+                Err(Stop::Broken(why)) => why,
+                Err(Stop::Paused) if self.pause.max < STREAM_STALL_MAX => {
+                    if self.may_resume() {
+                        let why = format!("no event for {} ms", self.pause.waited);
+                        if let Err(error) = self.resume(&why, true).await {
+                            return Some(Err(error));
+                        }
+                    } else {
+                        self.extend_pause();
+                    }
+                    continue;
+                }
+                Err(Stop::Paused) => format!("no event for {} ms", self.pause.waited),
             };
-            if let Err(error) = self.resume(&broken).await {
+            let may_resume = self.may_resume();
+            if let Err(error) = self.resume(&broken, may_resume).await {
                 return Some(Err(error));
             }
         }
@@ -65,6 +127,7 @@
     /// Records that complete events of the current target are passed on.
     fn record_event(&mut self) {
         let now = self.context.now();
+        self.pause.waited = Millis::ZERO;
         if let Some(started) = &self.current {
             let target = &started.exchange.callee.target;
             self.punctuality.record_event(now, target);
@@ -85,32 +148,60 @@
     }
 
     /// Returns the next bytes of the current target's stream; `None` at its end.
-    pub(super) async fn next_bytes(&mut self) -> Result<Option<Bytes>, String> {
-        let left = self.job.deadline - self.context.now();
+    async fn next_bytes(&mut self) -> Result<Option<Bytes>, Stop> {
+        let now = self.context.now();
+        let left = self.job.deadline - now;
+        // Checked first, since a target may always have bytes ready.
+        if left == Millis::ZERO {
+            return Err(Stop::Broken("the deadline has passed".to_owned()));
+        }
         let limit = if self.job.route.is_resumable {
-            left.min(STREAM_GAP_MAX)
+            left.min(self.pause.max - self.pause.waited)
         } else {
             left
         };
-        let started = self.current.as_mut().ok_or("there is no connection")?;
+        let started = self.current.as_mut();
+        let started = started.ok_or_else(|| Stop::Broken("there is no connection".to_owned()))?;
         let exchange = &mut started.exchange;
-        match timeout(Duration::from_millis(limit.0), exchange.next_chunk()).await {
+        let chunk = timeout(Duration::from_millis(limit.0), exchange.next_chunk()).await;
+        self.pause.waited = self.pause.waited + (self.context.now() - now);
+        match chunk {
             Ok(Ok(bytes)) => Ok(bytes),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err(format!("no data for {limit} ms")),
+            Ok(Err(error)) => Err(Stop::Broken(error.to_string())),
+            Err(_) if limit < left => Err(Stop::Paused),
+            Err(_) => Err(Stop::Broken(format!("no data for {limit} ms"))),
         }
     }
 
+    /// Waits on for a target that pauses, since no other one may go on with its stream. A
+    /// slow stream is not cut as early as it is resumed.
+    fn extend_pause(&mut self) {
+        self.pause.max = STREAM_STALL_MAX;
+        log::info!(
+            request:% = self.job.head.attempt,
+            target:? = self.current.as_ref().map(|started| &started.exchange.callee.target),
+            events = self.events.count(),
+            waited_ms = self.pause.waited.0,
+            left_ms = (self.job.deadline - self.context.now()).0;
+            "a stream pauses and cannot be resumed; its target is waited for"
+        );
+    }
+
+    /// Returns whether the stream may go on at another target, and takes a retry from the
+    /// budget if so.
+    fn may_resume(&mut self) -> bool {
+        self.job.route.is_resumable && self.may_run_again("broken-stream")
+    }
+
     /// Resumes a broken stream at another target after the last complete event,
     /// if the route and the retry budget allow it.
-    pub(super) async fn resume(&mut self, why: &str) -> io::Result<()> {
+    async fn resume(&mut self, why: &str, may_resume: bool) -> io::Result<()> {
         let broken = self.current.take();
         let callee = broken.map(|started| started.exchange.callee.clone());
         if let Some(callee) = &callee {
             self.record_crash(callee).await;
         }
         self.events.discard_partial();
-        let may_resume = self.job.route.is_resumable && self.may_run_again("broken-stream");
         log::info!(
             request:% = self.job.head.attempt,
             target:? = callee.map(|callee| callee.target),
@@ -127,7 +218,7 @@
         if !started.reply.status.is_success() {
             return Err(io::Error::other("the stream could not be resumed"));
         }
-        self.current = Some(started);
+        self.begin_reply(started);
         Ok(())
     }
 
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -1,11 +1,14 @@
 //! Event streams: complete, broken and resumed ones.
 
+use std::time::Duration;
+
 use gooseberry_platform_standin::client::Answer;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::STREAM_EVENTS;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
+use tokio::time::Instant;
 
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
@@ -186,3 +189,44 @@
     assert_eq!(answer.status, 504);
     assert_eq!(answer.header("Retry-After"), "");
 }
+
+#[tokio::test]
+async fn a_stalled_stream_that_sends_bytes_now_and_then_is_resumed() {
+    // Bytes that complete no event restarted the limit on pauses, up to the deadline.
+    for mode in [
+        Mode::StallWithin(3, 200),
+        Mode::StallWithComments(3, 200),
+        Mode::StallWithComments(1, 200),
+    ] {
+        let (platform, daemon) = start_one().await;
+        let client = ClientRequest::new("/resume/").with_stage_pieces("");
+        let answer = answer_of_stalled(&platform, &daemon, &client, mode).await;
+        assert!(answer.is_complete, "{mode:?}: {}", answer.body);
+        assert_eq!(answer.body.replace(": wait\n\n", ""), all_events());
+        assert_eq!(platform.runs(&client.attempt), 2);
+    }
+}
+
+#[tokio::test]
+async fn a_stalled_stream_that_cannot_be_resumed_ends_at_its_deadline() {
+    for interval_ms in [0, 50] {
+        let (platform, daemon) = start_one().await;
+        queue_mode(&platform, Mode::StallWithComments(3, interval_ms));
+        let client = ClientRequest::new("/stream/").with_stage_pieces("");
+        let client = client.with("Deadline-Ms", "600");
+        let began = Instant::now();
+        assert!(!answer_to(&client, &daemon).await.is_complete);
+        assert!(began.elapsed() < Duration::from_secs(3), "{interval_ms}");
+    }
+}
+
+#[tokio::test]
+async fn a_slow_stream_that_no_other_target_may_go_on_with_is_not_cut() {
+    let (platform, daemon) = start_one().await;
+    // Both engines are slow, and the route allows two attempts.
+    queue_mode(&platform, Mode::PauseBefore(3, 1_700));
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let answer = answer_to(&client, &daemon).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+    assert_eq!(platform.runs(&client.attempt), 2);
+}
