--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod plan;
 mod prior_wait;
+mod punctuality;
 mod rate_limit;
 mod registry;
 mod replica;
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -1,17 +1,108 @@
 //! Event streams: complete, broken and resumed ones.
 
+use std::time::Duration;
+
+use gooseberry_platform_standin::client::Answer;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::STREAM_EVENTS;
+use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
+use tokio::time::Instant;
 
+use crate::platform::TestPlatform;
 use crate::platform::answer_to;
 use crate::platform::start_one;
+use crate::platform::wait_until;
 
 fn all_events() -> String {
     let events = (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: event {event}\n\n"));
     events.collect()
 }
 
+/// Has all engines handle their next request in this mode.
+fn queue_mode(platform: &TestPlatform, mode: Mode) {
+    for engine in &platform.engines {
+        engine.queue_modes(&[mode]);
+    }
+}
+
+/// Sends a request whose first engine handles it in this mode; the other one is sound.
+async fn answer_of_stalled(
+    platform: &TestPlatform,
+    daemon: &Daemon,
+    client: &ClientRequest,
+    mode: Mode,
+) -> Answer {
+    queue_mode(platform, mode);
+    let clear_modes = async {
+        wait_until("an engine has the request", || {
+            platform.runs(&client.attempt) > 0
+        })
+        .await;
+        platform.engines.iter().for_each(Target::clear_modes);
+    };
+    tokio::join!(answer_to(client, daemon), clear_modes).0
+}
+
+/// Returns the value of a metric of the daemon; 0 if it is missing.
+fn metric(daemon: &Daemon, name: &str) -> u64 {
+    let text = daemon.context().metrics.text().expect("it is encoded");
+    let text = String::from_utf8_lossy(&text);
+    let value = text.lines().find_map(|line| line.strip_prefix(name));
+    value.map_or(0, |value| value.trim().parse().expect("it is a count"))
+}
+
+#[tokio::test]
+async fn a_stream_that_pauses_for_too_long_counts_as_late() {
+    let (platform, daemon) = start_one().await;
+    // The first event of all of them is on time; the route allows pauses of 300 ms.
+    queue_mode(&platform, Mode::PauseBefore(3, 500));
+    let client = ClientRequest::new("/stream/").with_stage_pieces("");
+    assert!(answer_to(&client, &daemon).await.is_complete);
+    let late = |label: &str| {
+        let name = format!("gooseberry_relay_streams_total{{late=\"{label}\"}}");
+        metric(&daemon, &name)
+    };
+    assert_eq!((late("gap"), late("no")), (1, 0));
+    for engine in &platform.engines {
+        engine.clear_modes();
+    }
+    // Neither malformed headers nor a malformed load make a difference.
+    let client = ClientRequest::new("/stream/").with_stage_pieces("");
+    let client = client.with("Token-Counts", "many").with("Length-Hint", "?");
+    platform
+        .engines
+        .iter()
+        .for_each(|engine| engine.add_headers(&[("Server-Load", "1,0,8,x")]));
+    assert!(answer_to(&client, &daemon).await.is_complete);
+    assert_eq!((late("gap"), late("no")), (1, 1));
+    let gaps = "gooseberry_relay_seconds_count{form=\"stream\",point=\"gap\"}";
+    assert_eq!(metric(&daemon, gaps), 2);
+    let token_counts = |engine: &Target| {
+        let seen = engine.received();
+        seen.iter()
+            .any(|seen| seen.header("Token-Counts") == "many")
+    };
+    assert!(
+        platform.engines.iter().any(token_counts),
+        "it is forwarded unchanged"
+    );
+}
+
+#[tokio::test]
+async fn a_pause_over_a_resume_counts() {
+    let (platform, daemon) = start_one().await;
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let answer = answer_of_stalled(&platform, &daemon, &client, Mode::PauseBefore(3, 3_000)).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+    assert_eq!(platform.runs(&client.attempt), 2);
+    assert_eq!(
+        metric(&daemon, "gooseberry_relay_streams_total{late=\"gap\"}"),
+        1
+    );
+}
+
 #[tokio::test]
 async fn a_stream_is_forwarded_unchanged() {
     let (platform, daemon) = start_one().await;
@@ -98,3 +189,44 @@
     assert_eq!(answer.status, 504);
     assert_eq!(answer.header("Retry-After"), "");
 }
+
+#[tokio::test]
+async fn a_stalled_stream_that_sends_bytes_now_and_then_is_resumed() {
+    // Bytes that complete no event restarted the limit on pauses, up to the deadline.
+    for mode in [
+        Mode::StallWithin(3, 200),
+        Mode::StallWithComments(3, 200),
+        Mode::StallWithComments(1, 200),
+    ] {
+        let (platform, daemon) = start_one().await;
+        let client = ClientRequest::new("/resume/").with_stage_pieces("");
+        let answer = answer_of_stalled(&platform, &daemon, &client, mode).await;
+        assert!(answer.is_complete, "{mode:?}: {}", answer.body);
+        assert_eq!(answer.body.replace(": wait\n\n", ""), all_events());
+        assert_eq!(platform.runs(&client.attempt), 2);
+    }
+}
+
+#[tokio::test]
+async fn a_stalled_stream_that_cannot_be_resumed_ends_at_its_deadline() {
+    for interval_ms in [0, 50] {
+        let (platform, daemon) = start_one().await;
+        queue_mode(&platform, Mode::StallWithComments(3, interval_ms));
+        let client = ClientRequest::new("/stream/").with_stage_pieces("");
+        let client = client.with("Deadline-Ms", "600");
+        let began = Instant::now();
+        assert!(!answer_to(&client, &daemon).await.is_complete);
+        assert!(began.elapsed() < Duration::from_secs(3), "{interval_ms}");
+    }
+}
+
+#[tokio::test]
+async fn a_slow_stream_that_no_other_target_may_go_on_with_is_not_cut() {
+    let (platform, daemon) = start_one().await;
+    // Both engines are slow, and the route allows two attempts.
+    queue_mode(&platform, Mode::PauseBefore(3, 1_700));
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let answer = answer_to(&client, &daemon).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+    assert_eq!(platform.runs(&client.attempt), 2);
+}
