Decide in the kernel when a placer is asked and told

A request whose placer is gone must not wait for it each time, and reports must not cost a message each. The modules decide the pause after an unanswered call, which reports go into one call, and that a named target is taken only if it is a candidate that is not avoided.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -6,7 +6,8 @@
 //!   from which peers to fetch what is missing.
 //! - [`withdrawal`] keeps in force what a store that went back has forgotten.
 //! - [`detour`] chooses the daemon that sends a request for one that is cut off.
-//! - [`placement`] divides engines and requests into groups, each with a daemon that chooses.
+//! - [`placement`] divides engines and requests into groups, each with a daemon that chooses,
+//!   and [`placer_call`] decides when that daemon is asked and told.
 //! - [`assignment`] chooses the dispatcher of a stage service and the readers
 //!   of the store, and [`share`] divides limits of the whole fleet, of which an
 //!   [`allowance`] says what a daemon may send.
@@ -19,6 +20,7 @@
 pub mod membership;
 pub mod mirror;
 pub mod placement;
+pub mod placer_call;
 pub mod replica;
 pub mod share;
 pub mod withdrawal;
--- a/crates/kernel/src/target/selection.rs
+++ b/crates/kernel/src/target/selection.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// Returns the index of the target that a request prefers, if that target is a candidate
+/// and is not avoided.
+#[must_use]
+pub fn pick_preferred(candidates: &[Candidate], preferred: &name::Target) -> Option<usize> {
+    let is_preferred =
+        |candidate: &Candidate| candidate.target == *preferred && !candidate.is_avoided;
+    candidates.iter().position(is_preferred)
+}
+
 /// Picks the target of a request; returns its index.
 ///
 /// `affinity` is the hash of the shared prompt prefix, if there is one, and
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod mirror;
 mod notice;
 mod part_quarantine;
+mod placer_call;
 mod plan;
 mod prior_wait;
 mod rate_limit;
--- a/crates/kernel/tests/direct/selection.rs
+++ b/crates/kernel/tests/direct/selection.rs
@@ -62,3 +62,15 @@
     assert_eq!(selection::pick(&targets, None, 0), Some(0));
     assert_eq!(selection::pick(&[], None, 0), None);
 }
+
+/// A placer that does not know yet that a target fails must not keep requests on it.
+#[test]
+fn preferred_target_is_picked_unless_it_is_avoided_or_no_candidate() {
+    let mut targets = candidates(3);
+    let preferred = targets[1].target.clone();
+    assert_eq!(selection::pick_preferred(&targets, &preferred), Some(1));
+    targets[1].is_avoided = true;
+    assert_eq!(selection::pick_preferred(&targets, &preferred), None);
+    targets.remove(1);
+    assert_eq!(selection::pick_preferred(&targets, &preferred), None);
+}
