Have the placer of a group choose the engines of streams

A daemon sees a small part of the traffic, so its choice by prefix hash ignores what the other daemons have sent.

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -14,6 +14,8 @@
 use crate::dispatcher::Dispatcher;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::placement::Asker;
+use crate::placement::Placer;
 use crate::pool::Pool;
 use crate::shutdown::Shutdown;
 use crate::state::State;
@@ -38,6 +40,10 @@
     pub peers: Peers,
     /// The queues of the stage services that this daemon dispatches for.
     pub dispatcher: Dispatcher,
+    /// The groups of engines that this daemon chooses from.
+    pub placer: Placer,
+    /// What this daemon knows of the placers that it asks.
+    pub asker: Asker,
     /// The metrics of this process.
     pub metrics: Metrics,
     /// When the daemon stops serving, once it is shutting down.
@@ -65,6 +71,8 @@
             pool: Pool::default(),
             peers: Peers::new(metrics.control_bytes()),
             dispatcher: Dispatcher::default(),
+            placer: Placer::default(),
+            asker: Asker::default(),
             metrics,
             shutdown: Shutdown::default(),
             link_changed: Notify::new(),
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::http_server::HttpServer;
 use crate::link;
 use crate::peers;
+use crate::placement;
 use crate::request;
 use crate::store_watch;
 
@@ -225,6 +226,7 @@
     tasks.spawn(peers::greet_periodically(context.clone()));
     tasks.spawn(store_watch::run(context.clone()));
     tasks.spawn(dispatcher::run_ticks(context.clone()));
+    tasks.spawn(placement::run_reports(context.clone()));
     tasks.spawn(link::recheck_periodically(context.clone()));
     tasks.spawn(run_ticks(context.clone()));
     Ok(servers)
@@ -238,6 +240,7 @@
         ticks.tick().await;
         let now = context.now();
         context.state().tick(now);
+        context.placer.tick(&context);
         context
             .pool
             .evict_stale(now, |target| context.state().is_listed(target));
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -141,6 +141,7 @@
             service: &service,
             version: version.as_ref(),
             affinity: call.affinity,
+            preferred: None,
             tried: &tried,
             draw: call.draw,
             due,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -7,6 +7,7 @@
 //!
 //! - `attempt` picks targets and sends the request until a response begins.
 //! - `detour` sends the request through a peer if this daemon reaches no target.
+//! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 
@@ -14,6 +15,7 @@
 mod crash;
 mod detour;
 pub(crate) mod pick;
+mod placement;
 mod stream;
 
 use std::net::SocketAddr;
@@ -30,6 +32,7 @@
 use gooseberry_kernel::request::routing_table::ResponseForm;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
+use gooseberry_kernel::target::placement::End;
 use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
 use http::Response;
@@ -41,6 +44,7 @@
 use crate::exchange::Exchange;
 use crate::http_server;
 use crate::http_server::ResponseBody;
+use crate::placement::PlacedRequest;
 use crate::request::Job;
 use crate::stages::Results;
 
@@ -63,6 +67,8 @@
         plan,
         stage_runs: 0,
         results: None,
+        preferred_domain: None,
+        placed: None,
         tried: Vec::new(),
         tried_detours: Vec::new(),
         origin: job_origin,
@@ -89,6 +95,10 @@
     stage_runs: u32,
     /// The results of the stages, until the target has read them.
     results: Option<Results>,
+    /// The failure domain in which the results of the stages were to be read.
+    preferred_domain: Option<name::Domain>,
+    /// What its placer is told, while it runs at the target that the placer has chosen.
+    placed: Option<PlacedRequest>,
     /// The targets that are not tried again.
     tried: Vec<name::Target>,
     /// The peers through which it is not sent again.
@@ -210,6 +220,7 @@
                     }
                 }
             }
+            self.end_placed(End::Broken);
             self.current = None;
         }
     }
@@ -231,11 +242,13 @@
                 Ok(http_server::reserved_body(body, memory))
             }
             Ok(Err(_)) => {
+                self.end_placed(End::Broken);
                 self.record_failure(&callee.target);
                 self.record_broken_reply(&callee).await;
                 Err(Failure::from(Kind::TargetFailed).with_unknown_outcome())
             }
             Err(_) => {
+                self.end_placed(End::Broken);
                 self.record_failure(&callee.target);
                 Err(deadline_passed())
             }
@@ -277,6 +290,11 @@
             return;
         };
         let target = exchange.callee.target.clone();
+        self.end_placed(if reply.status.is_success() {
+            End::Complete
+        } else {
+            End::Broken
+        });
         if reply.is_reusable {
             exchange.release(&self.context, reply.idle_timeout);
         }
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -28,7 +28,6 @@
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
 use crate::forward::deadline_passed;
-use crate::forward::pick;
 use crate::link;
 use crate::pool::IDLE_MAX;
 use crate::stages;
@@ -74,6 +73,7 @@
             () = context.shutdown.wait_until_unsent_refused() => Err(Kind::ShuttingDown.into()),
         };
         self.results = Some(results?);
+        self.preferred_domain = domain;
         Ok(())
     }
 
@@ -105,6 +105,7 @@
                 Path::Direct(picked) => self.send_once(picked).await,
                 Path::Detour(peer) => self.send_by_detour(peer).await,
             };
+            self.record_placed_outcome(&outcome);
             match outcome {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
@@ -147,9 +148,7 @@
             let failure = last_failure.cloned();
             return Err(failure.unwrap_or(Kind::NoTarget.into()));
         }
-        let need = self.need(&self.tried);
-        let (attempt, deadline) = (&self.job.head.attempt, self.job.deadline);
-        match pick::wait_for_target(&self.context, attempt, need, deadline).await {
+        match self.pick_target().await {
             Err(failure) if failure.kind == Kind::TooLate => {
                 Err(last_failure.cloned().unwrap_or(failure))
             }
@@ -172,6 +171,7 @@
             service: &self.job.service,
             version: self.origin.as_ref().map(|origin| &origin.version),
             affinity: self.job.head.shared_prefix_hash,
+            preferred: None,
             tried,
             draw: self.job.draw(),
             due: self.answer_due(),
@@ -220,6 +220,9 @@
         // `State::pick` has counted the request as in flight at the target.
         let in_flight_guard = InFlightGuard::new(&self.context, &picked.target);
         let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
+        if let Some(placed) = &mut self.placed {
+            placed.record_send();
+        }
         let exchange = Exchange::begin(&self.context, &callee, request);
         let service = &self.job.service.name;
         let exchange = link::watch_silence(&self.context, service, &picked.target, exchange);
--- /dev/null
+++ b/crates/relay/src/forward/placement.rs
@@ -0,0 +1,50 @@
+//! Picks a target by the choice of its placer, and has the placer told how the request ended.
+
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::target::placement::End;
+
+use crate::forward::Forwarder;
+use crate::forward::SendOutcome;
+use crate::forward::pick;
+use crate::placement;
+use crate::placement::PlacedRequest;
+use crate::state::Need;
+use crate::state::PickedTarget;
+
+impl Forwarder {
+    /// Picks a target: the one that its placer has chosen, if this daemon can use it. The
+    /// request then counts as in flight there.
+    pub(super) async fn pick_target(&mut self) -> Result<PickedTarget, Failure> {
+        let (context, job) = (&self.context, &self.job);
+        let need = self.need(&self.tried);
+        let domain = self.preferred_domain.as_ref();
+        let placed = placement::place(context, job, need, domain).await;
+        let need = Need {
+            preferred: placed.as_ref().map(PlacedRequest::target),
+            ..need
+        };
+        let picked = pick::wait_for_target(context, &job.head.attempt, need, job.deadline).await;
+        let chosen = picked.as_ref().ok().map(|picked| &picked.target);
+        self.placed = placed.filter(|placed| placed.record_choice(chosen));
+        picked
+    }
+
+    /// Records that the target that its placer has chosen does not answer the request.
+    pub(super) fn record_placed_outcome(&mut self, outcome: &SendOutcome) {
+        match outcome {
+            SendOutcome::Started(_) => {}
+            SendOutcome::NotRun(_) | SendOutcome::InvalidRequest(_) => {
+                self.end_placed(End::NotRun);
+            }
+            SendOutcome::MayHaveRun(_) => self.end_placed(End::Broken),
+        }
+    }
+
+    /// Records how the request ended at the target that its placer has chosen, if that was
+    /// not recorded before.
+    pub(super) fn end_placed(&mut self, end: End) {
+        if let Some(mut placed) = self.placed.take() {
+            placed.record_end(end);
+        }
+    }
+}
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -9,6 +9,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::request::event_buffer::EventTooLong;
 use gooseberry_kernel::request::stream_origin::Origin;
+use gooseberry_kernel::target::placement::End;
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
@@ -35,8 +36,12 @@
                 Ok(Some(bytes)) => {
                     // The first byte shows that the target has read the results.
                     self.results = None;
+                    let count = self.events.count();
                     match self.events.push(&bytes) {
                         Ok(events) if !events.is_empty() => {
+                            if let Some(placed) = &mut self.placed {
+                                placed.record_events(self.events.count() - count);
+                            }
                             self.event_memory = self.context.reply_memory.reply();
                             return Some(Ok(events.into()));
                         }
@@ -94,6 +99,7 @@
     /// if the route and the retry budget allow it.
     pub(super) async fn resume(&mut self, why: &str) -> io::Result<()> {
         let broken = self.current.take();
+        self.end_placed(End::Broken);
         let callee = broken.map(|started| started.exchange.callee.clone());
         if let Some(callee) = &callee {
             self.record_crash(callee).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 //!   [`dispatcher`] of one daemon for each service.
 //! - [`exchange`] is one call to a target, over the connections in [`pool`].
 //! - `detour` has a peer send a request if this daemon reaches no target.
+//! - `placement` has one daemon choose the engines of a group for all requests.
 //! - `link` checks whether this daemon reaches the targets of a service.
 //! - [`store_watch`] reads the platform's store, [`peers`] talks to other daemons.
 //!
@@ -52,4 +53,5 @@
 mod detour;
 mod forward;
 mod link;
+pub mod placement;
 mod resumption;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,10 +4,12 @@
 //!
 //! - `greeting` exchanges greetings.
 //! - `fetch` fetches the store's contents from peers.
+//! - `placement` asks placers for engines and reports to them.
 //! - `server` answers the calls of peers.
 
 mod fetch;
 mod greeting;
+mod placement;
 mod server;
 
 use std::net::SocketAddr;
@@ -43,6 +45,7 @@
 use crate::dispatcher::ResultOwner;
 pub use crate::peers::greeting::greet_all;
 pub use crate::peers::greeting::greet_periodically;
+pub use crate::peers::placement::Uncalled;
 pub use crate::peers::server::serve;
 
 /// How long it may take to connect to a peer, and how long a peer may take to
@@ -58,6 +61,8 @@
 const EXCHANGE_VERSION: u32 = 1;
 /// The version from which on peers have the call `heartbeat`.
 const HEARTBEAT_VERSION: u32 = 2;
+/// The version from which on peers have the calls `place` and `finished`.
+const PLACEMENT_VERSION: u32 = 3;
 /// The version of peers that do not have the call that asks for it.
 const FORMER_VERSION: u32 = 0;
 /// The error of a call to a peer that did not answer.
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -20,6 +20,12 @@
 use gooseberry_wire::fleet::Origin;
 use gooseberry_wire::fleet::PROTOCOL_VERSION;
 use gooseberry_wire::fleet::Unmade;
+use gooseberry_wire::fleet::placement::FINISHES_MAX;
+use gooseberry_wire::fleet::placement::Finish;
+use gooseberry_wire::fleet::placement::Malformed;
+use gooseberry_wire::fleet::placement::NotPlaced;
+use gooseberry_wire::fleet::placement::Placed;
+use gooseberry_wire::fleet::placement::Placement;
 use tarpc::context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -128,6 +134,41 @@
         })
     }
 
+    async fn place(self, _: context::Context, message: Placement) -> Result<Placed, NotPlaced> {
+        let (service, group) = (name::Service::new(&message.service), message.group);
+        let request = message.try_into().map_err(|why: Malformed| {
+            log::warn!(service:% = service, group; "a malformed call for an engine was refused: {why}");
+            NotPlaced::Elsewhere
+        })?;
+        let placer = &self.context.placer;
+        let placed = placer.place(&self.context, &service, group, &request);
+        placed.map(Into::into)
+    }
+
+    async fn finished(self, _: context::Context, reports: Vec<Finish>) {
+        if reports.len() > FINISHES_MAX {
+            log::warn!(reports = reports.len(); "a call with too many reports of requests was refused");
+            return;
+        }
+        let now = self.context.now();
+        let mut malformed = 0;
+        let mut first_fault = None;
+        for report in reports {
+            let (service, group) = (name::Service::new(&report.service), report.group);
+            match report.try_into() {
+                Ok(finish) => self.context.placer.finish(&service, group, &finish, now),
+                Err(why) => {
+                    let why: Malformed = why;
+                    malformed += 1;
+                    first_fault.get_or_insert(why);
+                }
+            }
+        }
+        if let Some(why) = first_fault {
+            log::warn!(reports = malformed; "malformed reports of requests were refused, the first one since: {why}");
+        }
+    }
+
     async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
         let handles: Vec<name::Handle> = handles
             .iter()
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -12,6 +12,7 @@
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
+use gooseberry_kernel::request::demand::Demand;
 use gooseberry_kernel::request::part_quarantine::Part;
 use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::routing_table::Rank;
@@ -97,6 +98,13 @@
         shared_parts(&self.head, &self.service)
     }
 
+    /// Returns what it asks of an engine, if its engine may be chosen by cost.
+    #[must_use]
+    pub fn placed_demand(&self) -> Option<&Demand> {
+        let is_stream = self.route.form == ResponseForm::Stream;
+        self.head.demand.as_ref().filter(|_| is_stream)
+    }
+
     /// Returns the priority to send to the target; only engines take one.
     #[must_use]
     pub fn engine_rank(&self) -> Option<Rank> {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,12 +5,14 @@
 //!
 //! - `store` applies the settings and targets that the platform publishes.
 //! - `target` picks the target of a request, and counts requests in flight.
+//! - `placement` knows the placers of groups of engines.
 //! - `share` computes this daemon's parts of limits of the whole fleet.
 //! - `link` knows which services this daemon reaches.
 //! - `stage` knows the dispatchers and targets of stage services, and how long
 //!   pieces wait at them.
 
 mod link;
+pub mod placement;
 mod share;
 mod stage;
 mod store;
@@ -152,6 +154,8 @@
     pub version: Option<&'a name::Version>,
     /// Identifies the prompt prefix that the request shares with others.
     pub affinity: Option<u64>,
+    /// The target that its placer has chosen, if one has.
+    pub preferred: Option<&'a name::Target>,
     /// The targets that are left out.
     pub tried: &'a [name::Target],
     /// The request's random number.
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -246,7 +246,10 @@
             .iter()
             .map(|listed| self.candidate(listed, service, now))
             .collect();
-        if let Some(index) = selection::pick(&candidates, need.affinity, need.draw) {
+        let preferred = need.preferred;
+        let preferred = preferred.and_then(|target| selection::pick_preferred(&candidates, target));
+        let picked = preferred.or_else(|| selection::pick(&candidates, need.affinity, need.draw));
+        if let Some(index) = picked {
             return Pick::Target(PickedTarget::from(&available[index].target));
         }
         let pauses = listed.iter();
@@ -275,7 +278,12 @@
     /// Returns whether a target is below its connection limit and, if cold, below this
     /// daemon's share of its cold rate. If it can turn few requests away, it must also be
     /// below this daemon's part of its slots.
-    fn has_room(&self, listed: &RegisteredTarget, service: &Service, shares: &Shares<'_>) -> bool {
+    pub(super) fn has_room(
+        &self,
+        listed: &RegisteredTarget,
+        service: &Service,
+        shares: &Shares<'_>,
+    ) -> bool {
         let target = &listed.target.name;
         let is_cold = listed.cold_until > shares.now && service.cold_requests_per_second > 0;
         let has_share = !is_cold
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod notices;
 mod partitions;
 mod pauses;
+mod placement;
 mod platform;
 mod prompt_parts;
 mod rate_limits;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -6,11 +6,13 @@
 //!
 //! - `heartbeat` has what daemons say of their links to targets.
 //! - `part_evidence` has what is known of parts of prompts that crash targets.
+//! - `placement` has requests to the daemon that chooses engines, and reports to it.
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
 mod heartbeat;
 mod part_evidence;
+pub mod placement;
 mod rate_limit;
 mod replica;
 
@@ -31,6 +33,10 @@
 pub use crate::fleet::heartbeat::Announcement;
 pub use crate::fleet::heartbeat::Heartbeat;
 pub use crate::fleet::part_evidence::PartEvidence;
+use crate::fleet::placement::Finish;
+use crate::fleet::placement::NotPlaced;
+use crate::fleet::placement::Placed;
+use crate::fleet::placement::Placement;
 pub use crate::fleet::rate_limit::RateLimit;
 pub use crate::fleet::replica::Changes;
 pub use crate::fleet::replica::Contents;
@@ -65,13 +71,18 @@
     /// Returns a part of the contents of the platform's store; large values are outlined.
     async fn contents(request: ContentsRequest) -> Contents;
     /// Like `exchange`, with what a daemon says of its links to targets. It is made only
-    /// of daemons of version 2.
+    /// of daemons of version 2 or later.
     async fn heartbeat(message: Heartbeat) -> Heartbeat;
+    /// Chooses the engine of a request. It is made only of daemons of version 3.
+    async fn place(request: Placement) -> Result<Placed, NotPlaced>;
+    /// Reports how requests ended that the daemon chose engines for, at most
+    /// [`placement::FINISHES_MAX`] in one call. It is made only of daemons of version 3.
+    async fn finished(reports: Vec<Finish>);
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
 /// that have it.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// A heartbeat with membership state, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
