--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,11 +1,14 @@
 //! The metrics of the daemon, in the text format of Prometheus.
+//!
+//! - `placement` has those of placement.
+
+mod placement;
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::replica::Era;
 use gooseberry_runtime::control_stream::Counters;
 use gooseberry_runtime::logs;
 use prometheus::Encoder;
-use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -15,13 +18,11 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::metrics::placement::Placements;
+
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 10] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.5, 5.0, 15.0];
 
-/// The upper bounds of the buckets of the time that the choice of an engine takes, in
-/// seconds; it is limited to 0.04.
-const PLACEMENT_BUCKETS_SECS: [f64; 7] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05];
-
 /// The metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -37,9 +38,8 @@
     connections: IntCounter,
     links_down: IntGauge,
     detours: IntCounterVec,
-    placements: IntCounterVec,
-    placement_time: Histogram,
-    placement_error: IntGauge,
+    /// Those of placement.
+    pub placements: Placements,
     logs_dropped: IntGauge,
     control_bytes: Counters,
 }
@@ -113,23 +113,7 @@
             "Services of which this daemon reaches no target.",
         )?;
         registry.register(Box::new(links_down.clone()))?;
-        let placements = counters(
-            "gooseberry_relay_placements_total",
-            "Requests whose engine is chosen by cost, by who chose it.",
-            &["end"],
-        )?;
-        let options = HistogramOpts::new(
-            "gooseberry_relay_placement_seconds",
-            "Time until a placer has chosen the engine of a request.",
-        );
-        let placement_time =
-            Histogram::with_opts(options.buckets(PLACEMENT_BUCKETS_SECS.to_vec()))?;
-        registry.register(Box::new(placement_time.clone()))?;
-        let placement_error = IntGauge::new(
-            "gooseberry_relay_placement_error_permille",
-            "Mean relative error of the expected times to the first event, in thousandths, of the group with the largest.",
-        )?;
-        registry.register(Box::new(placement_error.clone()))?;
+        let placements = Placements::register(&registry)?;
         let logs_dropped = IntGauge::new(
             "gooseberry_relay_log_lines_dropped",
             "Log lines that nobody read in time.",
@@ -150,8 +134,6 @@
             links_down,
             detours,
             placements,
-            placement_time,
-            placement_error,
             logs_dropped,
             control_bytes,
         })
@@ -215,23 +197,6 @@
         self.detours.with_label_values(&[direction, end]).inc();
     }
 
-    /// Counts a request whose engine is chosen by cost; `end` says who chose it.
-    pub fn placement(&self, end: &str) {
-        self.placements.with_label_values(&[end]).inc();
-    }
-
-    /// Records how long a placer took to choose an engine, as the asking daemon sees it.
-    #[allow(clippy::cast_precision_loss, reason = "a span of milliseconds")]
-    pub fn placement_time(&self, span: Millis) {
-        self.placement_time.observe(span.0 as f64 / 1000.0);
-    }
-
-    /// Sets the mean relative error of the expected times to the first event, in
-    /// thousandths.
-    pub fn placement_error(&self, permille: Option<u32>) {
-        self.placement_error.set(permille.unwrap_or(0).into());
-    }
-
     /// Sets the number of services of which this daemon reaches no target.
     pub fn links_down(&self, count: usize) {
         self.links_down
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -140,8 +140,8 @@
             log::warn!(service:% = service, group; "a malformed call for an engine was refused: {why}");
             NotPlaced::Elsewhere
         })?;
-        let placer = &self.context.placer;
-        let placed = placer.place(&self.context, &service, group, &request);
+        let context = &self.context;
+        let placed = context.placer.place(context, &service, group, &request);
         placed.map(Into::into)
     }
 
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -132,7 +132,7 @@
     let took = context.now() - begun;
     match result {
         Ok(placed) => {
-            context.metrics.placement_time(took);
+            context.metrics.placements.time(took);
             Some(PlacedRequest::new(
                 context,
                 assignment,
@@ -142,7 +142,7 @@
             ))
         }
         Err(why) => {
-            context.metrics.placement(why.label());
+            context.metrics.placements.end(why.label());
             log::info!(
                 request:% = job.head.attempt,
                 service:% = service,
--- a/crates/relay/src/placement/placed_request.rs
+++ b/crates/relay/src/placement/placed_request.rs
@@ -67,7 +67,7 @@
         let placer = self.assignment.placer;
         let placer: SocketAddr = placer.unwrap_or(self.context.boot.peer_address);
         let end = if is_used { "placed" } else { "unusable" };
-        self.context.metrics.placement(end);
+        self.context.metrics.placements.end(end);
         if is_used {
             log::info!(
                 request:% = self.attempt,
--- a/crates/relay/src/placement/placer.rs
+++ b/crates/relay/src/placement/placer.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 struct Group {
     service: name::Service,
-    group: u32,
+    number: u32,
     capacity: Engine,
     ledger: Ledger,
     used_at: Millis,
@@ -54,15 +54,15 @@
         let mut groups = self.lock();
         let position = groups
             .iter()
-            .position(|known| known.group == group && known.service == *service);
+            .position(|known| known.number == group && known.service == *service);
         // The ledger of other capacities is of no use.
         let position = position.filter(|index| groups[*index].capacity == capacity);
         let index = position.unwrap_or_else(|| {
-            groups.retain(|known| known.group != group || known.service != *service);
+            groups.retain(|known| known.number != group || known.service != *service);
             log::info!(service:% = service, group, engines = found.engines.len(); "this daemon chooses the engines of a group from now on");
             groups.push(Group {
                 service: service.clone(),
-                group,
+                number: group,
                 capacity,
                 ledger: Ledger::new(capacity.slots, capacity.memory_tokens, capacity.stride),
                 used_at: now,
@@ -79,7 +79,7 @@
     pub fn finish(&self, service: &name::Service, group: u32, finish: &Finish, now: Millis) {
         let mut groups = self.lock();
         let mut known = groups.iter_mut();
-        let known = known.find(|known| known.group == group && known.service == *service);
+        let known = known.find(|known| known.number == group && known.service == *service);
         // Without a ledger, the request was placed by an earlier run of this daemon.
         if let Some(known) = known {
             known.ledger.finish(finish, now);
@@ -97,7 +97,7 @@
         groups.retain(|known| {
             let is_used = known.used_at + IDLE_MAX > now;
             if !is_used {
-                log::info!(service:% = known.service, group = known.group; "this daemon has not been asked for engines of a group for a while");
+                log::info!(service:% = known.service, group = known.number; "this daemon has not been asked for engines of a group for a while");
             }
             is_used
         });
@@ -107,7 +107,7 @@
         }
         let errors = groups.iter();
         let errors = errors.filter_map(|known| known.ledger.error_permille());
-        context.metrics.placement_error(errors.max());
+        context.metrics.placements.error(errors.max());
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Group>> {
