--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -139,6 +139,7 @@
                 service,
                 &job.head.attempt,
                 placed,
+                took,
             ))
         }
         Err(why) => {
--- a/crates/relay/src/placement/placed_request.rs
+++ b/crates/relay/src/placement/placed_request.rs
@@ -21,6 +21,8 @@
     service: name::Service,
     attempt: name::Attempt,
     placed: Placed,
+    /// How long the placer took to choose the engine.
+    took: Millis,
     sent_at: Option<Millis>,
     first: Option<Millis>,
     last_event_at: Millis,
@@ -38,6 +40,7 @@
         service: &name::Service,
         attempt: &name::Attempt,
         placed: Placed,
+        took: Millis,
     ) -> Self {
         Self {
             context: context.clone(),
@@ -45,6 +48,7 @@
             service: service.clone(),
             attempt: attempt.clone(),
             placed,
+            took,
             sent_at: None,
             first: None,
             last_event_at: Millis::ZERO,
@@ -74,7 +78,8 @@
                 target:% = self.placed.target,
                 placer:% = placer,
                 wait_ms = self.placed.wait.0,
-                cached_tokens = self.placed.cached_tokens;
+                cached_tokens = self.placed.cached_tokens,
+                took_ms = self.took.0;
                 "placed"
             );
         } else {
--- a/crates/relay/src/state/placement.rs
+++ b/crates/relay/src/state/placement.rs
@@ -79,7 +79,8 @@
     }
 
     /// Returns at most `count` targets of a group that a request cannot use: those that were tried,
-    /// then those that this daemon avoids, then those at which it has no room.
+    /// then those that this daemon avoids, then those that take no work now or at
+    /// which it has no room.
     pub fn excluded(
         &mut self,
         need: Need<'_>,
@@ -91,24 +92,26 @@
         let fleet_size = self.members.fleet_size(now);
         let shares = self.shares(fleet_size, now);
         let service = need.service;
-        let usable = |listed: &RegisteredTarget| {
-            let name = &listed.target.name;
+        let has_capacity = |listed: &&RegisteredTarget| {
             let share = shares.of_rate(&listed.target);
             let next_send = self.rate_limits.next_send(&listed.target, share, now);
-            self.has_room(listed, service, &shares)
-                && next_send.is_due(now)
-                && self.paused_until(name, now).is_none()
+            self.has_room(listed, service, &shares) && next_send.is_due(now)
         };
+        let usable = self.targets.usable(&service.name, &self.taken_out, now);
+        let available = usable.filter(has_capacity);
+        // Sorted, as all targets are.
+        let available: Vec<&name::Target> = available.map(|listed| &listed.target.name).collect();
         let all = self.targets.all().iter();
         let listed = all.filter(|listed| {
             listed.target.service == service.name
                 && placement::group_of_target(&listed.target.name, groups) == group
         });
-        let (avoided, others): (Vec<&RegisteredTarget>, Vec<&RegisteredTarget>) =
-            listed.partition(|listed| self.health.is_avoided(&listed.target.name, now));
-        let full = others.into_iter().filter(|listed| !usable(listed));
+        let listed = listed.map(|listed| &listed.target.name);
+        let (avoided, others): (Vec<&name::Target>, Vec<&name::Target>) =
+            listed.partition(|target| self.health.is_avoided(target, now));
+        let others = others.into_iter();
+        let full = others.filter(|target| available.binary_search(target).is_err());
         let unusable = avoided.into_iter().chain(full);
-        let unusable = unusable.map(|listed| &listed.target.name);
         let unusable = unusable.filter(|target| !need.tried.contains(target));
         let excluded = need.tried.iter().chain(unusable);
         excluded.take(count).cloned().collect()
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod partitions;
 mod pauses;
 mod placement;
+mod placer_standin;
 mod platform;
 mod prompt_parts;
 mod rate_limits;
