--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -5,12 +5,14 @@
 //! apart by their order alone, so their order is part of the protocol.
 //!
 //! - `heartbeat` has what daemons say of their links to targets.
+//! - `origin` has where streams began.
 //! - `part_evidence` has what is known of parts of prompts that crash targets.
 //! - `placement` has requests to the daemon that chooses engines, and reports to it.
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
 mod heartbeat;
+mod origin;
 mod part_evidence;
 pub mod placement;
 mod rate_limit;
@@ -24,7 +26,6 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
 use gooseberry_kernel::request::routing_table::Rank;
-use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::stage::group;
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,6 +33,7 @@
 use crate::control::Suspect;
 pub use crate::fleet::heartbeat::Announcement;
 pub use crate::fleet::heartbeat::Heartbeat;
+pub use crate::fleet::origin::Origin;
 pub use crate::fleet::part_evidence::PartEvidence;
 use crate::fleet::placement::Finish;
 use crate::fleet::placement::NotPlaced;
@@ -132,15 +134,6 @@
     pub is_leaving: bool,
 }
 
-/// Where a stream began.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Origin {
-    /// The service of the target.
-    pub service: CompactString,
-    /// The version of the target's software.
-    pub version: CompactString,
-}
-
 /// How long pieces wait at a stage service, by rank.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wait {
@@ -303,24 +296,6 @@
     }
 }
 
-impl From<&stream_origin::Origin> for Origin {
-    fn from(origin: &stream_origin::Origin) -> Self {
-        Self {
-            service: origin.service.as_str().into(),
-            version: origin.version.as_str().into(),
-        }
-    }
-}
-
-impl From<Origin> for stream_origin::Origin {
-    fn from(origin: Origin) -> Self {
-        Self {
-            service: name::Service::new(&origin.service),
-            version: name::Version::new(&origin.version),
-        }
-    }
-}
-
 impl From<&deadline_admission::ServiceWait> for Wait {
     fn from(wait: &deadline_admission::ServiceWait) -> Self {
         Self {
