Merge placement of streams by the placer of a group

Comments before the first event are kept and passed on with it instead of being dropped, so that the body stays that of the target.

--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -19,6 +19,7 @@
 mod notice;
 mod part_quarantine;
 mod placement;
+mod placer_call;
 mod plan;
 mod prior_wait;
 mod punctuality;
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -9,6 +9,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::request::event_buffer::EventTooLong;
 use gooseberry_kernel::request::stream_origin::Origin;
+use gooseberry_kernel::target::placement::End;
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
@@ -67,6 +68,7 @@
     /// Takes over a reply that has begun.
     pub(super) fn begin_reply(&mut self, started: StartedReply) {
         self.pause = Pause::default();
+        self.comments.clear();
         self.current = Some(started);
     }
 
@@ -80,17 +82,21 @@
                     let complete = self.events.complete();
                     match self.events.push(&bytes) {
                         Ok(events) if !events.is_empty() => {
-                            self.event_memory = self.context.reply_memory.reply();
-                            if self.events.complete() > complete {
-                                self.record_event();
-                            } else if self.punctuality.first_at().is_none() {
-                                // Comments alone do not begin the response, since their
-                                // target may still fail to.
+                            let count = self.events.complete() - complete;
+                            self.comments.extend_from_slice(&events);
+                            // Comments alone do not begin the response, since their target
+                            // may still fail to.
+                            if count > 0 || self.punctuality.first_at().is_some() {
+                                self.event_memory = self.context.reply_memory.reply();
+                                self.record_events(count);
+                                return Some(Ok(std::mem::take(&mut self.comments).into()));
+                            }
+                            if self.event_memory.grow(self.held_bytes()) {
                                 continue;
                             }
-                            return Some(Ok(events.into()));
+                            "there is no memory for comments".to_owned()
                         }
-                        Ok(_) if self.event_memory.grow(self.events.partial_bytes()) => continue,
+                        Ok(_) if self.event_memory.grow(self.held_bytes()) => continue,
                         Ok(_) => "there is no memory for an event".to_owned(),
                         Err(EventTooLong) => "an event is too long".to_owned(),
                     }
@@ -124,8 +130,19 @@
         }
     }
 
-    /// Records that complete events of the current target are passed on.
-    fn record_event(&mut self) {
+    /// Returns how many bytes of the stream wait to be passed on.
+    fn held_bytes(&self) -> u64 {
+        self.events.partial_bytes() + self.comments.len() as u64
+    }
+
+    /// Records that a number of complete events of the current target are passed on.
+    fn record_events(&mut self, count: u64) {
+        if count == 0 {
+            return;
+        }
+        if let Some(placed) = &mut self.placed {
+            placed.record_events(count);
+        }
         let now = self.context.now();
         self.pause.waited = Millis::ZERO;
         if let Some(started) = &self.current {
@@ -197,6 +214,7 @@
     /// if the route and the retry budget allow it.
     async fn resume(&mut self, why: &str, may_resume: bool) -> io::Result<()> {
         let broken = self.current.take();
+        self.end_placed(End::Broken);
         let callee = broken.map(|started| started.exchange.callee.clone());
         if let Some(callee) = &callee {
             self.record_crash(callee).await;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,4 +1,8 @@
 //! The metrics of the daemon, in the text format of Prometheus.
+//!
+//! - `placement` has those of placement.
+
+mod placement;
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::replica::Era;
@@ -15,6 +19,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::metrics::placement::Placements;
+
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 10] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.5, 5.0, 15.0];
 
@@ -34,6 +40,8 @@
     connections: IntCounter,
     links_down: IntGauge,
     detours: IntCounterVec,
+    /// Those of placement.
+    pub placements: Placements,
     logs_dropped: IntGauge,
     control_bytes: Counters,
 }
@@ -112,6 +120,7 @@
             "Services of which this daemon reaches no target.",
         )?;
         registry.register(Box::new(links_down.clone()))?;
+        let placements = Placements::register(&registry)?;
         let logs_dropped = IntGauge::new(
             "gooseberry_relay_log_lines_dropped",
             "Log lines that nobody read in time.",
@@ -132,6 +141,7 @@
             connections,
             links_down,
             detours,
+            placements,
             logs_dropped,
             control_bytes,
         })
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -5,12 +5,16 @@
 //! apart by their order alone, so their order is part of the protocol.
 //!
 //! - `heartbeat` has what daemons say of their links to targets.
+//! - `origin` has where streams began.
 //! - `part_evidence` has what is known of parts of prompts that crash targets.
+//! - `placement` has requests to the daemon that chooses engines, and reports to it.
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
 mod heartbeat;
+mod origin;
 mod part_evidence;
+pub mod placement;
 mod rate_limit;
 mod replica;
 
@@ -22,7 +26,6 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
 use gooseberry_kernel::request::routing_table::Rank;
-use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::stage::group;
 use serde::Deserialize;
 use serde::Serialize;
@@ -30,7 +33,12 @@
 use crate::control::Suspect;
 pub use crate::fleet::heartbeat::Announcement;
 pub use crate::fleet::heartbeat::Heartbeat;
+pub use crate::fleet::origin::Origin;
 pub use crate::fleet::part_evidence::PartEvidence;
+use crate::fleet::placement::Finish;
+use crate::fleet::placement::NotPlaced;
+use crate::fleet::placement::Placed;
+use crate::fleet::placement::Placement;
 pub use crate::fleet::rate_limit::RateLimit;
 pub use crate::fleet::replica::Changes;
 pub use crate::fleet::replica::Contents;
@@ -65,13 +73,18 @@
     /// Returns a part of the contents of the platform's store; large values are outlined.
     async fn contents(request: ContentsRequest) -> Contents;
     /// Like `exchange`, with what a daemon says of its links to targets. It is made only
-    /// of daemons of version 2.
+    /// of daemons of version 2 or later.
     async fn heartbeat(message: Heartbeat) -> Heartbeat;
+    /// Chooses the engine of a request. It is made only of daemons of version 3.
+    async fn place(request: Placement) -> Result<Placed, NotPlaced>;
+    /// Reports how requests ended that the daemon chose engines for, at most
+    /// [`placement::FINISHES_MAX`] in one call. It is made only of daemons of version 3.
+    async fn finished(reports: Vec<Finish>);
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
 /// that have it.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// A heartbeat with membership state, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -121,15 +134,6 @@
     pub is_leaving: bool,
 }
 
-/// Where a stream began.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Origin {
-    /// The service of the target.
-    pub service: CompactString,
-    /// The version of the target's software.
-    pub version: CompactString,
-}
-
 /// How long pieces wait at a stage service, by rank.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wait {
@@ -292,24 +296,6 @@
     }
 }
 
-impl From<&stream_origin::Origin> for Origin {
-    fn from(origin: &stream_origin::Origin) -> Self {
-        Self {
-            service: origin.service.as_str().into(),
-            version: origin.version.as_str().into(),
-        }
-    }
-}
-
-impl From<Origin> for stream_origin::Origin {
-    fn from(origin: Origin) -> Self {
-        Self {
-            service: name::Service::new(&origin.service),
-            version: name::Version::new(&origin.version),
-        }
-    }
-}
-
 impl From<&deadline_admission::ServiceWait> for Wait {
     fn from(wait: &deadline_admission::ServiceWait) -> Self {
         Self {
