Test expiry, unread prompts and the worth of cached parts

Cause: removing the expiry, or the harm of reading a part again, from the ledger failed no test. Change: tests of both, and of requests that were not run before others.

--- a/crates/kernel/tests/direct/placement.rs
+++ b/crates/kernel/tests/direct/placement.rs
@@ -144,13 +144,61 @@
 /// wrong demand close an engine for hours.
 #[test]
 fn unreported_requests_expire() {
-    let mut group = Group::new(1, 1, None);
-    group.place_own(0, 54_000, 0);
-    assert!(group.place_own(1, 100, 100).wait > Millis(500));
-    assert!(group.place_own(2, 100, 10_000).wait < Millis(100));
-    group.place_own(3, 10_000_000, 10_000);
-    group.ledger.expire(|_| true, Millis(611_000));
-    assert!(group.place_own(4, 100, 611_000).wait < Millis(100));
+    for (tokens, until) in [(500, 10_000), (10_000_000, 611_000)] {
+        let mut group = Group::new(2, 1, None);
+        let mut request = request(0, 1, 1_000, 100);
+        request.demand.max_output_tokens = tokens;
+        request.demand.output_hint = None;
+        let home = group.place(&request, 0).target;
+        request.attempt = name::Attempt::new("next");
+        for (now, is_home) in [(500, false), (until, true)] {
+            let mut ledger = group.ledger.clone();
+            let placed = ledger.place(&request, &group.engines, Millis(now));
+            let target = placed.expect("there are engines").target;
+            assert_eq!(target == home, is_home, "at {now} ms");
+        }
+    }
+}
+
+/// The reading of a request that was not run is not waited for, and the one behind it reads
+/// the parts of both.
+#[test]
+fn requests_that_were_not_run_leave_nothing_to_read() {
+    let mut group = Group::new(1, 16, None);
+    let requests = [0, 1].map(|attempt| request(attempt, 1, 50_000, 100));
+    let placed = requests.each_ref().map(|request| group.place(request, 0));
+    let probe = request(2, 1, 50_000, 100);
+    for (request, cached_tokens) in requests.iter().zip([50_000, 0]) {
+        let finish = finish(request, &placed[0], End::NotRun, None);
+        group.ledger.finish(&finish, Millis(0));
+        let placed = group
+            .ledger
+            .clone()
+            .place(&probe, &group.engines, Millis(0));
+        let placed = placed.expect("there is an engine");
+        assert_eq!(placed.cached_tokens, cached_tokens);
+        assert!(
+            placed.wait < Millis(100) || cached_tokens == 0,
+            "{placed:?}"
+        );
+    }
+}
+
+/// Reading a shared part at a second engine takes time from the others there, so a request
+/// waits somewhat longer than the reading for the engine that has the part.
+#[test]
+fn a_cached_part_is_worth_some_waiting() {
+    for (backlog_tokens, stays) in [(15_000, true), (24_000, false)] {
+        let mut group = Group::new(2, 16, None);
+        let home = group.place(&request(0, 1, 12_000, 100), 0).target;
+        let mut backlog = request(1, 2, 0, backlog_tokens);
+        backlog.gap_max = Millis::ZERO;
+        let elsewhere = group.engines.iter().filter(|engine| engine.target != home);
+        backlog.excluded = elsewhere.map(|engine| engine.target.clone()).collect();
+        group.place(&backlog, 5_000);
+        let placed = group.place(&request(2, 1, 12_000, 100), 5_000);
+        assert_eq!(placed.target == home, stays, "{placed:?}");
+    }
 }
 
 /// A request that was not run read nothing; a restarted or unlisted engine lost its cache.
