Let two tests of the ledger depend on one rule each

Change: the requests of these tests have no limit for gaps and ample time, and the long prompt has the prefix of an engine with a stream. Measured: both tests now fail without the backlog, and the second also without the harm of pauses. All tests of the target direct pass.

--- a/crates/kernel/tests/direct/placement.rs
+++ b/crates/kernel/tests/direct/placement.rs
@@ -90,8 +90,12 @@
     let home = group.place(&request(0, 7, 2_000, 1_000), 0);
     let next = group.place(&request(1, 7, 2_000, 1_000), 1_000);
     assert_eq!((&next.target, next.cached_tokens), (&home.target, 2_000));
-    let requests = (2..10).map(|attempt| request(attempt, 7, 2_000, 20_000));
-    let placed = requests.map(|request| group.place(&request, 1_001).target);
+    let placed = (2..10).map(|attempt| {
+        let mut request = request(attempt, 7, 2_000, 20_000);
+        request.gap_max = Millis::ZERO;
+        request.time_left = Millis::from_secs(100);
+        group.place(&request, 1_001).target
+    });
     let used: BTreeSet<name::Target> = placed.collect();
     assert!(used.len() >= 4, "only {used:?} are used");
 }
@@ -102,7 +106,11 @@
 fn long_prompts_and_streams_avoid_each_other() {
     let mut group = Group::new(4, 16, None);
     let streams = [0, 1, 2].map(|attempt| group.place_own(attempt, 20_000, 0));
-    let long = group.place_own(10, 54_000, 500);
+    // By its prefix alone, it would go to the engine of the first stream.
+    let mut long = request(10, 0, 0, 54_000);
+    long.gap_max = Millis::ZERO;
+    long.time_left = Millis::from_secs(100);
+    let long = group.place(&long, 500);
     assert!(streams.iter().all(|stream| stream.target != long.target));
     for attempt in 11..20 {
         let placed = group.place_own(attempt, 1_000, 510);
