Placement: warm parts and slots in use weigh more, time that is on time weighs less

Change: a wait that is on time counts a tenth of it; reading again counts twelve times its reading, at most half of a late stream; slots in use count; differences below 20 ms go by the hash of the prefix.

--- a/crates/kernel/src/target/placement.rs
+++ b/crates/kernel/src/target/placement.rs
@@ -28,14 +28,21 @@
 
 /// Harm of a full engine, larger than that of any wait at another one that is useful.
 const FULL_MS: f64 = 60_000.0;
-/// Harm of another failure domain than the one that holds the inputs of a request. A round
-/// trip between domains takes a few milliseconds, and the inputs are fetched over it.
-const OTHER_DOMAIN_MS: f64 = 8.0;
-/// Additional harm of reading what another engine has cached, as a share of the reading
-/// time. The reading also delays requests that come later.
-const READ_AGAIN_SHARE: f64 = 0.5;
-/// Differences of harm below this are within the error of the estimates.
-const RESOLUTION_MS: f64 = 4.0;
+/// Harm of another failure domain than the one that holds the inputs of a request. They are
+/// some megabytes, which load the links between domains for everyone.
+const OTHER_DOMAIN_MS: f64 = 60.0;
+/// Additional harm of reading what another engine has cached, as a multiple of the reading
+/// time. The reading takes capacity that all clients need in a burst, so it has to keep
+/// somebody from being late, and an answer that is a little earlier is not worth it.
+const READ_AGAIN_FACTOR: f64 = 12.0;
+/// The largest harm of reading something again, half of that of a late stream.
+const READ_AGAIN_MS_MAX: f64 = 1_000.0;
+/// Harm of an engine all of whose slots are in use; it grows with the square of the share
+/// of them. A prompt that is read later interrupts all streams that run there.
+const OCCUPIED_MS: f64 = 400.0;
+/// Differences of harm below this are within the error of the estimates. Requests then go
+/// by the hash of their prefix, which a new placer, without a ledger, knows too.
+const RESOLUTION_MS: f64 = 20.0;
 
 scalar! {
     /// How a placed request ended.
@@ -328,7 +335,7 @@
         let prospect = state.workload.prospect(request, cost, &context);
         let mut harm_ms = prospect.harm_ms;
         let read_again = cached_max.saturating_sub(state.cached_tokens);
-        harm_ms += self.estimator.read_ms(read_again) * READ_AGAIN_SHARE;
+        harm_ms += (self.estimator.read_ms(read_again) * READ_AGAIN_FACTOR).min(READ_AGAIN_MS_MAX);
         let preferred = request.preferred_domain.as_ref();
         if preferred.is_some_and(|preferred| *preferred != engine.domain) {
             harm_ms += OTHER_DOMAIN_MS;
@@ -336,6 +343,8 @@
         let slots = usize::try_from(self.slots).unwrap_or(usize::MAX);
         let memory =
             state.workload.memory_tokens() + u64::from(read_tokens) + u64::from(base.output_tokens);
+        let occupied = f64::from(u32::try_from(state.workload.len()).unwrap_or(u32::MAX));
+        harm_ms += (occupied / f64::from(self.slots.max(1))).powi(2) * OCCUPIED_MS;
         let has_memory = self
             .memory_tokens
             .is_none_or(|max| memory <= u64::from(max));
--- a/crates/kernel/src/target/placement/workload.rs
+++ b/crates/kernel/src/target/placement/workload.rs
@@ -18,6 +18,12 @@
 /// Harm of a stream that becomes late. It outweighs any difference between waits that are
 /// on time.
 const LATE_MS: f64 = 2_000.0;
+/// Harm of a wait that is on time, as a share of it. A client gains little from an answer
+/// that comes earlier than it has to.
+const ON_TIME_SHARE: f64 = 0.1;
+/// Harm of the time that the output takes, as a share of it. As long as a stream runs, a
+/// prompt that comes later may interrupt it.
+const DURATION_SHARE: f64 = 0.05;
 /// A pause or wait begins to do harm at the first share of its limit, and does so with the
 /// square of what is beyond, up to the second one. The room between them is for errors of
 /// the prediction and for prompts that arrive within the same event. Of 26,000 simulated
@@ -124,7 +130,9 @@
 
         let read_since = self.read_since_at(context.now, event_ms, window_ms);
         let read_until = self.read_until.max(context.now);
-        let mut harm_ms = first_ms + lateness(first_ms, time_left);
+        let mut harm_ms = first_ms * ON_TIME_SHARE
+            + cost.output_ms * factor * DURATION_SHARE
+            + lateness(first_ms, time_left);
         for entry in &self.entries {
             let before_ms = (read_until - entry.read_end.max(read_since)).max(0.0);
             let pause_ms = |reading_ms: f64| event_ms + reading_ms.min(window_ms);
