Order of requests that wait for a target, as a kernel module

Requests that find no free target poll every 25 ms, so chance decides which of them goes first, and one that cannot begin in time waits all the same.

kernel::request::wait_queue orders them by rank, prospect, workspace share, limit and work, gives every eighth place to the longest wait, and names those that cannot begin before they are due at the rate at which places fall free.

--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -8,6 +8,7 @@
 //!   decides at which targets a broken one may go on.
 //! - [`part_quarantine`] finds parts of prompts that crash targets.
 //! - [`demand`] is what a request asks of an engine, in tokens.
+//! - [`wait_queue`] orders the requests that wait for a target.
 //!
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
 //! schedules its stages. These modules read no clock and no socket.
@@ -20,3 +21,4 @@
 pub mod retry_budget;
 pub mod routing_table;
 pub mod stream_origin;
+pub mod wait_queue;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -27,3 +27,4 @@
 mod selection;
 mod store_readers;
 mod stream_origin;
+mod wait_queue;
