Places at targets go to waiting requests in their order, as they fall free

Requests that find no free target slept for 25 ms each and tried again: which of them got a place was chance, a place stayed unused for up to 25 ms, and those that waited when the daemon stopped were cut.

relay::state::queue hands a place out under the lock of the state that freed it; the task of the request only takes it. A request that has gone gives it back. One task for each queue that is not empty looks every 25 ms for places that fell free with time. Waiting requests are refused with the others that are unsent when the daemon stops.

--- a/crates/kernel/tests/direct/wait_queue.rs
+++ b/crates/kernel/tests/direct/wait_queue.rs
@@ -115,7 +115,6 @@
     };
     let on_time = |served: &Served| served.on_time;
     let late = |served: &Served| served.late;
-    println!("queued {queued:?}\npolled {polled:?}");
     assert!(sum(&queued, on_time) > sum(&polled, on_time));
     assert!(sum(&queued, late) * 2 < sum(&polled, late));
     for workspace in 0..2 {
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -11,6 +11,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::part_quarantine::Run;
+use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
 use gooseberry_platform::target::Validity;
@@ -50,6 +51,10 @@
 /// To how many targets a request is sent until one can be reached.
 const TARGETS_MAX: usize = 2;
 
+/// The rank of a request whose peer does not say it, as it does only for engines: the
+/// middle one.
+const RANK_IF_UNKNOWN: Rank = Rank(4);
+
 /// A target's reply that is passed on to the peer.
 struct PassedReply {
     context: Arc<Context>,
@@ -132,6 +137,7 @@
     }
     target::remove_connection_headers(&mut parts.headers);
     let attempt = name::Attempt::new(&call.attempt);
+    let (workspace, rank) = target::read_sender(&parts.headers);
     let version = call.version.as_deref().map(name::Version::new);
     let tried = call.tried.iter().map(|target| name::Target::new(target));
     let mut tried: Vec<name::Target> = tried.collect();
@@ -144,6 +150,10 @@
             tried: &tried,
             draw: call.draw,
             due,
+            rank: rank.unwrap_or(RANK_IF_UNKNOWN),
+            workspace: workspace.as_ref(),
+            on_time_by: due,
+            work: u64::try_from(body.len()).unwrap_or(u64::MAX),
         };
         let picked = pick::wait_for_target(context, &attempt, need, deadline).await;
         let picked = picked.map_err(|failure| outcome_of(&failure))?;
@@ -167,7 +177,7 @@
     left: Millis,
 ) -> Result<PassedReply, Outcome> {
     let target = &picked.target;
-    let in_flight_guard = InFlightGuard::new(context, target);
+    let in_flight_guard = InFlightGuard::new(context, picked);
     let mut request = Request::from_parts(parts.clone(), Full::new(body));
     target::set_target(request.headers_mut(), target);
     target::set_remaining(request.headers_mut(), left);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -43,6 +43,7 @@
 use crate::http_server::ResponseBody;
 use crate::request::Job;
 use crate::stages::Results;
+use crate::state::PickedTarget;
 
 /// The largest response that is not a stream, in bytes; usual ones are a few
 /// kilobytes.
@@ -128,23 +129,24 @@
 /// Counts a request as in flight at its target until it is dropped.
 pub(crate) struct InFlightGuard {
     context: Arc<Context>,
-    target: name::Target,
+    picked: PickedTarget,
 }
 
 impl InFlightGuard {
     /// Creates the guard of a request that [`State::pick`](crate::state::State::pick) has
     /// counted.
-    pub(crate) fn new(context: &Arc<Context>, target: &name::Target) -> Self {
+    pub(crate) fn new(context: &Arc<Context>, picked: &PickedTarget) -> Self {
         Self {
             context: context.clone(),
-            target: target.clone(),
+            picked: picked.clone(),
         }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.context.state().record_request_end(&self.target);
+        let now = self.context.now();
+        self.context.state().record_request_end(&self.picked, now);
     }
 }
 
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -132,7 +132,7 @@
     fn abandon(&self, path: &Path) {
         if let Path::Direct(picked) = path {
             let mut state = self.context.state();
-            state.record_request_end(&picked.target);
+            state.record_request_end(picked, self.context.now());
         }
     }
 
@@ -175,6 +175,10 @@
             tried,
             draw: self.job.draw(),
             due: self.answer_due(),
+            rank: self.job.rank,
+            workspace: self.job.workspace.as_ref(),
+            on_time_by: self.job.on_time_by.max(self.resumed_by()),
+            work: u64::try_from(self.job.body.len()).unwrap_or(u64::MAX),
         }
     }
 
@@ -218,7 +222,7 @@
             is_detour: false,
         };
         // `State::pick` has counted the request as in flight at the target.
-        let in_flight_guard = InFlightGuard::new(&self.context, &picked.target);
+        let in_flight_guard = InFlightGuard::new(&self.context, &picked);
         let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
         let exchange = Exchange::begin(&self.context, &callee, request);
         let service = &self.job.service.name;
--- a/crates/relay/src/forward/pick.rs
+++ b/crates/relay/src/forward/pick.rs
@@ -1,29 +1,36 @@
 //! Waits for a target that takes a request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::routing_table::ServiceKind;
+use gooseberry_kernel::request::wait_queue::Ticket;
 use tokio::time::sleep;
 
 use crate::context::Context;
+use crate::state::Admission;
+use crate::state::Decision;
 use crate::state::Need;
 use crate::state::Pick;
 use crate::state::PickedTarget;
+use crate::state::Seat;
 
-/// How long to wait before picking a target again when all are cold or full.
-const PICK_RETRY_DELAY: Duration = Duration::from_millis(25);
+/// How often a queue is looked through for places that fell free without an event, as when
+/// a pause ends or a cold share is refilled.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Picks a target; while all of them are cold or full, waits for one until the deadline.
-/// The request then counts as in flight there.
+/// Picks a target; while all of them are cold or full, or others that wait go first, waits
+/// for one until the deadline. The request then counts as in flight there.
 ///
 /// # Errors
 /// Returns [`Kind::TooLate`] at the deadline, and another failure if no target takes the
 /// request in time.
 pub(crate) async fn wait_for_target(
-    context: &Context,
+    context: &Arc<Context>,
     attempt: &name::Attempt,
     need: Need<'_>,
     deadline: Millis,
@@ -33,12 +40,17 @@
         if now >= deadline {
             return Err(Kind::TooLate.into());
         }
-        let pick = context.state().pick(need, now);
+        let admission = context.state().pick_or_wait(need, now);
+        let pick = match admission {
+            Admission::Decided(pick) => pick,
+            Admission::Waits(seat) => wait_in_queue(context, attempt, need, deadline, seat).await?,
+        };
+        let now = context.now();
         match pick {
             Pick::Target(picked) => return Ok(picked),
             Pick::NoTarget => return Err(Kind::NoTarget.into()),
             // Holding the request until then would be of no use to its client.
-            Pick::Paused(until) if until >= need.due => {
+            Pick::Paused(until) => {
                 return Err(Failure::from(Kind::QueueFull).with_retry_after(until - now));
             }
             Pick::NoShare => {
@@ -51,11 +63,125 @@
                 sleep(Duration::from_millis((at - now).0)).await;
                 let now = context.now();
                 let mut state = context.state();
-                if state.begin_booked(&picked.target, need.service, now) {
+                if state.begin_booked(&picked, need.service, now) {
                     return Ok(picked);
                 }
             }
-            Pick::Wait | Pick::Paused(_) => sleep(PICK_RETRY_DELAY).await,
+            Pick::Wait => {}
+        }
+    }
+}
+
+/// Waits until there is a decision about a request in the queue of its service.
+async fn wait_in_queue(
+    context: &Arc<Context>,
+    attempt: &name::Attempt,
+    need: Need<'_>,
+    deadline: Millis,
+    seat: Seat,
+) -> Result<Pick, Failure> {
+    let entered = context.now();
+    log::info!(
+        request:% = attempt,
+        service:% = need.service.name,
+        rank = need.rank.0,
+        position = seat.position,
+        length = seat.length,
+        due_ms = (need.due - entered).0;
+        "waits for a target"
+    );
+    context.metrics.queue_depth(1);
+    let mut waiting = Waiting {
+        context,
+        attempt,
+        need,
+        entered,
+        end: "abandoned",
+        ticket: Some(seat.ticket),
+    };
+    if seat.must_sweep {
+        tokio::spawn(sweep(context.clone(), need.service.name.clone()));
+    }
+    let failure = tokio::select! {
+        biased;
+        () = seat.wake.notified() => None,
+        () = sleep(Duration::from_millis((deadline - entered).0)) => Some(Kind::TooLate),
+        // The process ends before these requests could be served.
+        () = context.shutdown.wait_until_unsent_refused() => Some(Kind::ShuttingDown),
+    };
+    // A place that came too late goes to the next request.
+    let is_too_late = context.now() >= deadline;
+    if let Some(kind) = failure.or(is_too_late.then_some(Kind::TooLate)) {
+        waiting.end = match kind {
+            Kind::TooLate => "too-late",
+            _ => "shutting-down",
+        };
+        return Err(kind.into());
+    }
+    let decision = context
+        .state()
+        .take_decision(&need.service.name, seat.ticket);
+    waiting.ticket = None;
+    match decision {
+        Some(Decision::Picked(pick)) => {
+            waiting.end = match pick {
+                Pick::Target(_) | Pick::Booked(..) => "served",
+                Pick::NoTarget => "no-target",
+                Pick::Paused(_) | Pick::NoShare | Pick::Wait => "cannot-begin",
+            };
+            Ok(pick)
+        }
+        Some(Decision::CannotBegin(retry_after)) => {
+            waiting.end = "cannot-begin";
+            Err(Failure::from(Kind::QueueFull).with_retry_after(retry_after))
+        }
+        None => Ok(Pick::Wait),
+    }
+}
+
+/// Looks through the queue of a service as long as requests wait there.
+async fn sweep(context: Arc<Context>, service: name::Service) {
+    loop {
+        sleep(SWEEP_INTERVAL).await;
+        let now = context.now();
+        if !context.state().sweep(&service, now) {
+            return;
+        }
+    }
+}
+
+/// A request in the queue, which it leaves when this is dropped.
+struct Waiting<'a> {
+    context: &'a Context,
+    attempt: &'a name::Attempt,
+    need: Need<'a>,
+    entered: Millis,
+    end: &'static str,
+    /// `None` once it has left the queue.
+    ticket: Option<Ticket>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let (context, service) = (self.context, self.need.service);
+        let now = context.now();
+        if let Some(ticket) = self.ticket {
+            context.state().leave_queue(&service.name, ticket, now);
         }
+        let waited = now - self.entered;
+        let form = match service.kind {
+            ServiceKind::Engine(_) => "stream",
+            ServiceKind::Plain | ServiceKind::Stage(_) => "plain",
+        };
+        context.metrics.latency(form, "queued", waited);
+        context.metrics.queue_depth(-1);
+        context.metrics.queue_end(self.end);
+        log::info!(
+            request:% = self.attempt,
+            service:% = service.name,
+            waited_ms = waited.0,
+            why = self.end;
+            "left the queue"
+        );
     }
 }
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -28,6 +28,15 @@
 const STREAM_GAP_MAX: Millis = Millis(1_500);
 
 impl Forwarder {
+    /// Returns when the answer must go on if it has begun; zero if it has not.
+    pub(super) fn resumed_by(&self) -> Millis {
+        if self.events.count() == 0 {
+            Millis::ZERO
+        } else {
+            self.job.deadline
+        }
+    }
+
     /// Returns the next complete events; `None` at the end of a complete stream.
     pub(super) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
         loop {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -24,6 +24,8 @@
     requests: IntCounterVec,
     retries: IntCounterVec,
     rate_limited: IntCounterVec,
+    queue: IntCounterVec,
+    queue_depth: IntGauge,
     pieces: IntCounterVec,
     store: IntCounterVec,
     store_era: IntGauge,
@@ -63,6 +65,16 @@
             "Requests all of whose targets limit the rate of their requests.",
             &["end"],
         )?;
+        let queue = counters(
+            "gooseberry_relay_queue_total",
+            "Requests that waited for a target, by why they left the queue.",
+            &["end"],
+        )?;
+        let queue_depth = IntGauge::new(
+            "gooseberry_relay_queue_depth",
+            "Requests that wait for a target.",
+        )?;
+        registry.register(Box::new(queue_depth.clone()))?;
         let pieces = counters(
             "gooseberry_relay_pieces_total",
             "Pieces that this daemon dispatched, by what became of them.",
@@ -116,6 +128,8 @@
             requests,
             retries,
             rate_limited,
+            queue,
+            queue_depth,
             pieces,
             store,
             store_era,
@@ -134,8 +148,8 @@
         self.requests.with_label_values(&[form, end]).inc();
     }
 
-    /// Records how long a request took to a point of its response: `first` byte
-    /// or `whole`.
+    /// Records how long a request took to a point of its response, `first` byte or
+    /// `whole`, or how long it was `queued`.
     #[allow(clippy::cast_precision_loss, reason = "a span of minutes at most")]
     pub fn latency(&self, form: &str, point: &str, span: Millis) {
         let secs = span.0 as f64 / 1000.0;
@@ -153,6 +167,16 @@
         self.rate_limited.with_label_values(&[end]).inc();
     }
 
+    /// Counts requests that begin to wait for a target, or, if negative, that end.
+    pub fn queue_depth(&self, change: i64) {
+        self.queue_depth.add(change);
+    }
+
+    /// Counts a request that waited for a target; `end` says why it left the queue.
+    pub fn queue_end(&self, end: &str) {
+        self.queue.with_label_values(&[end]).inc();
+    }
+
     /// Counts dispatched pieces; `end` says how their call ended. A group that
     /// expired in the queue counts as one.
     pub fn pieces(&self, end: &str, count: usize) {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -6,11 +6,13 @@
 //! - `store` applies the settings and targets that the platform publishes.
 //! - `target` picks the target of a request, and counts requests in flight.
 //! - `share` computes this daemon's parts of limits of the whole fleet.
+//! - `queue` holds the requests that wait for a place at a target.
 //! - `link` knows which services this daemon reaches.
 //! - `stage` knows the dispatchers and targets of stage services, and how long
 //!   pieces wait at them.
 
 mod link;
+mod queue;
 mod share;
 mod stage;
 mod store;
@@ -36,6 +38,7 @@
 use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::prior_wait::PriorWaitEstimator;
 use gooseberry_kernel::request::retry_budget::RetryBudget;
+use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_kernel::request::routing_table::RoutingTable;
 use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::routing_table::Target;
@@ -49,6 +52,11 @@
 use gooseberry_platform::boot::Boot;
 use gooseberry_platform::target::Load;
 
+pub use crate::state::queue::Admission;
+pub use crate::state::queue::Decision;
+pub use crate::state::queue::Seat;
+use crate::state::queue::ServiceQueue;
+
 /// The source, in logs, of changes that were read from the store and not from a
 /// peer.
 pub const STORE: &str = "store";
@@ -109,6 +117,8 @@
     origins: Origins,
     /// The load of targets, sorted by target.
     usages: Vec<TargetUsage>,
+    /// The requests that wait for a place, sorted by service.
+    queues: Vec<ServiceQueue>,
     /// The last reported wait at each stage service and when it was reported,
     /// sorted by service.
     stage_waits: Vec<(ServiceWait, Millis)>,
@@ -158,6 +168,14 @@
     pub draw: u64,
     /// By when the request must be sent to be of any use.
     pub due: Millis,
+    /// Its priority, if it has to wait.
+    pub rank: Rank,
+    /// The workspace that sent it.
+    pub workspace: Option<&'a name::Workspace>,
+    /// By when its answer must begin to be on time.
+    pub on_time_by: Millis,
+    /// How much work it is, in a unit that is the same for all requests of the service.
+    pub work: u64,
 }
 
 /// A target that was picked for a request.
@@ -173,6 +191,22 @@
     pub version: name::Version,
     /// Its run.
     pub run: Run,
+    /// Its service.
+    pub service: name::Service,
+    /// The workspace whose request uses the place there.
+    pub workspace: Option<name::Workspace>,
+}
+
+impl Need<'_> {
+    /// Returns whether the request may be sent to a target: the target has the version that
+    /// it needs and was not tried.
+    #[must_use]
+    pub fn fits(&self, target: &Target) -> bool {
+        let is_version = self
+            .version
+            .is_none_or(|version| target.version == *version);
+        is_version && !self.tried.contains(&target.name)
+    }
 }
 
 impl From<&Target> for PickedTarget {
@@ -183,6 +217,8 @@
             domain: target.domain.clone(),
             version: target.version.clone(),
             run: Run::of(&target.name, target.started),
+            service: target.service.clone(),
+            workspace: None,
         }
     }
 }
@@ -219,6 +255,7 @@
             parts: PartQuarantine::default(),
             origins: Origins::default(),
             usages: Vec::new(),
+            queues: Vec::new(),
             stage_waits: Vec::new(),
             prior_waits: PriorWaitEstimator::default(),
             store_status: StoreStatus::default(),
@@ -318,6 +355,8 @@
             self.update_taken_out(now);
         }
         self.update_shares(now);
+        self.queues
+            .retain(|queue| queue.is_swept || !queue.is_unused());
     }
 
     /// Returns the failure domains that operators have taken out of service.
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -125,6 +125,7 @@
             self.apply_entry(&key, &peer.to_string(), false, now);
         }
         self.forget_unneeded_sources();
+        self.hand_out_all(now);
     }
 
     /// Forgets which peers have chunks, once none is missing.
@@ -178,6 +179,7 @@
             self.release_withdrawal(&key, now);
         }
         self.forget_unneeded_sources();
+        self.hand_out_all(now);
     }
 
     /// Keeps in force what was withdrawn before the store came back from an older copy,
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -131,34 +131,37 @@
     /// Picks the target of a request and counts the request as in flight there, unless
     /// it has to wait.
     pub fn pick(&mut self, need: Need<'_>, now: Millis) -> Pick {
-        let pick = self.choose(need, now);
-        if let Pick::Target(picked) | Pick::Booked(picked, _) = &pick {
+        let mut pick = self.choose(need, now);
+        if let Pick::Target(picked) | Pick::Booked(picked, _) = &mut pick {
+            picked.workspace = need.workspace.cloned();
             self.spend_rate(&picked.target, now);
         }
         if let Pick::Target(picked) = &pick {
-            self.record_send(&picked.target, now);
+            self.record_send(picked, now);
         }
         pick
     }
 
     /// Counts a request as in flight at the target at which it was booked; returns
     /// false if the target no longer takes it.
-    pub fn begin_booked(&mut self, target: &name::Target, service: &Service, now: Millis) -> bool {
+    pub fn begin_booked(&mut self, picked: &PickedTarget, service: &Service, now: Millis) -> bool {
         let fleet_size = self.members.fleet_size(now);
         let shares = self.shares(fleet_size, now);
         let mut usable = self.targets.usable(&service.name, &self.taken_out, now);
-        let listed = usable.find(|listed| listed.target.name == *target);
+        let listed = usable.find(|listed| listed.target.name == picked.target);
         let has_room = listed.is_some_and(|listed| self.has_room(listed, service, &shares));
         drop(usable);
         if has_room {
-            self.record_send(target, now);
+            self.record_send(picked, now);
         }
         has_room
     }
 
-    fn record_send(&mut self, target: &name::Target, now: Millis) {
-        self.cold_rate_limiter.record_send(target, now);
-        self.usage_mut(target).in_flight += 1;
+    fn record_send(&mut self, picked: &PickedTarget, now: Millis) {
+        self.cold_rate_limiter.record_send(&picked.target, now);
+        self.usage_mut(&picked.target).in_flight += 1;
+        let queue = self.queue_mut(&picked.service);
+        queue.order.use_place(picked.workspace.as_ref());
     }
 
     /// Returns the failure domain in which a request would run if it were sent
@@ -183,10 +186,14 @@
         usize::try_from(limit.saturating_sub(self.in_flight(target))).unwrap_or(usize::MAX)
     }
 
-    /// Records that a request is no longer in flight at a target.
-    pub fn record_request_end(&mut self, target: &name::Target) {
-        let usage = self.usage_mut(target);
+    /// Records that a request is no longer in flight at a target. The first request that
+    /// waits for such a place gets it.
+    pub fn record_request_end(&mut self, picked: &PickedTarget, now: Millis) {
+        let usage = self.usage_mut(&picked.target);
         usage.in_flight = usage.in_flight.saturating_sub(1);
+        let queue = self.queue_mut(&picked.service);
+        queue.order.free_place(picked.workspace.as_ref(), now);
+        self.hand_out(&picked.service, Some(&picked.target), now);
     }
 
     /// Records the load that a target reported.
@@ -218,12 +225,7 @@
     pub(super) fn choose(&mut self, need: Need<'_>, now: Millis) -> Pick {
         let service = need.service;
         let fleet_size = self.members.fleet_size(now);
-        let fits = |target: &Target| {
-            let is_version = need
-                .version
-                .is_none_or(|version| target.version == *version);
-            is_version && !need.tried.contains(&target.name)
-        };
+        let fits = |target: &Target| need.fits(target);
         let usable = self.targets.usable(&service.name, &self.taken_out, now);
         let listed: Vec<&RegisteredTarget> = usable.filter(|listed| fits(&listed.target)).collect();
         if listed.is_empty() {
@@ -291,6 +293,21 @@
         has_share && !is_paused && self.in_flight(target) < in_flight_max
     }
 
+    /// Returns whether a request waits for a place at a target that is full, and not only for
+    /// targets that are cold or have asked for a pause.
+    pub(super) fn waits_for_full(&self, need: Need<'_>, now: Millis) -> bool {
+        let is_cold = |listed: &RegisteredTarget| {
+            listed.cold_until > now && need.service.cold_requests_per_second > 0
+        };
+        let is_paused = |target| self.brittleness.paused_until(target, now).is_some();
+        let mut usable = self
+            .targets
+            .usable(&need.service.name, &self.taken_out, now);
+        usable.any(|listed| {
+            need.fits(&listed.target) && !is_cold(listed) && !is_paused(&listed.target.name)
+        })
+    }
+
     /// Returns how many requests a target works on at once.
     fn slots(&self, target: &name::Target, service: &Service) -> u32 {
         let reported = self.usage(target).and_then(|usage| usage.reported);
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod pauses;
 mod platform;
 mod prompt_parts;
+mod queue;
 mod rate_limits;
 mod retries;
 mod slow_link;
