Requests that arrive as a daemon stops are answered

When a stopping daemon drained its connections, it closed those that it had just accepted before it had read their requests, and idle ones whose next request had arrived but had not been read; connections that the system had established for it were reset with the listener. Requests that were admitted from then on were cut 300 ms later, also if their time was not over.

The last established connections are accepted before the listener closes. A connection closes only once it is idle after a request, and is read first. The daemon waits for its last requests until the end of its grace period, as it does for the others.

What remains: a request that is sent in the instant in which an idle connection closes.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -2,6 +2,7 @@
 //! the head of a request may take.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -20,6 +21,8 @@
     clock: Clock,
     /// How many of its requests are in progress.
     in_progress: AtomicUsize,
+    /// Whether it has had a request.
+    has_begun: AtomicBool,
     /// When the last request ended, or the connection was accepted.
     idle_since: AtomicU64,
     /// When the first bytes after that were read, plus one so that time 0 is not
@@ -43,6 +46,7 @@
         Arc::new(Self {
             clock,
             in_progress: AtomicUsize::new(0),
+            has_begun: AtomicBool::new(false),
             idle_since: AtomicU64::new(clock.now().0),
             head_since: AtomicU64::new(NO_BYTES),
         })
@@ -51,10 +55,18 @@
     /// Records that a request is in progress until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> RequestGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
+        self.has_begun.store(true, Ordering::Relaxed);
         self.head_since.store(NO_BYTES, Ordering::Relaxed);
         RequestGuard(self.clone())
     }
 
+    /// Returns whether it has had a request and no byte of another one has been read.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        self.has_begun.load(Ordering::Relaxed)
+            && self.in_progress.load(Ordering::Relaxed) == 0
+            && self.head_since.load(Ordering::Relaxed) == NO_BYTES
+    }
+
     /// Returns which timeout has passed, if any; none does while a request is in
     /// progress.
     pub(crate) fn check_timeouts(&self, limits: ClientLimits) -> TimeoutCheck {
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -272,7 +272,17 @@
     }
     server.drain();
     let limit = context.now() + LAST_RESPONSES_TIMEOUT;
-    while server.connections() > 0 && context.now() < limit {
+    loop {
+        let now = context.now();
+        let is_answering = server.connections() > 0 && now < limit;
+        // The last requests that were accepted were promised the time until the end.
+        let is_serving = server.requests() > 0 && now < end;
+        if !is_answering && !is_serving {
+            break;
+        }
+        if now + REFUSE_UNSENT_BEFORE >= end {
+            context.shutdown.refuse_unsent();
+        }
         sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     log::info!(
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -60,13 +60,16 @@
 const CLIENT_CONNECTIONS_DIVISOR: usize = 2;
 /// How long to wait after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How often a connection is checked that closes once it is idle. What its client has sent
+/// before is read by then, also on a busy processor.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The state of all client connections; it only moves forward.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
     /// Connections are accepted and served.
     Serving,
-    /// Each connection closes as soon as it has no request in progress.
+    /// Each connection closes once it is idle after a request.
     Draining,
     /// Each connection closes at once.
     Aborted,
@@ -121,8 +124,8 @@
         self.connections.load(Ordering::Relaxed)
     }
 
-    /// Stops accepting connections, and closes each one as soon as it has no
-    /// request in progress.
+    /// Stops accepting connections, and closes each one once it is idle after a request.
+    /// Those that the system has already established for this server are still served.
     pub fn drain(&self) {
         self.phase.send_replace(Phase::Draining);
     }
@@ -143,30 +146,53 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = phase.wait_for(|phase| *phase != Phase::Serving) => return,
+                _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            match accepted {
+                Ok((stream, _)) => self.spawn_connection(&context, stream, &handler),
                 Err(error) => {
                     log::warn!("a connection could not be accepted: {error}");
                     sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
                 }
-            };
-            if self.connections() >= context.boot.max_connections / CLIENT_CONNECTIONS_DIVISOR {
-                log::warn!(connections = self.connections(); "too many client connections; a new one is closed");
-                continue;
             }
-            let count_guard = CountGuard::new(&self.connections);
-            let requests = self.requests.clone();
-            let (context, handler) = (context.clone(), handler.clone());
-            let phase = self.phase.subscribe();
-            tokio::spawn(async move {
-                serve_connection(context, stream, requests, phase, handler).await;
-                drop(count_guard);
-            });
+        }
+        if *self.phase.borrow() == Phase::Aborted {
+            return;
+        }
+        // The runtime may not know yet of the last connections, so the system is asked.
+        let Ok(listener) = listener.into_std() else {
+            return;
+        };
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            match stream {
+                Ok(stream) => self.spawn_connection(&context, stream, &handler),
+                Err(error) => log::warn!("a connection could not be accepted: {error}"),
+            }
         }
     }
+
+    /// Serves a connection in a task of its own, unless there are too many.
+    fn spawn_connection<H, F>(&self, context: &Arc<Context>, stream: TcpStream, handler: &H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<ResponseBody>> + Send + 'static,
+    {
+        if self.connections() >= context.boot.max_connections / CLIENT_CONNECTIONS_DIVISOR {
+            log::warn!(connections = self.connections(); "too many client connections; a new one is closed");
+            return;
+        }
+        let count_guard = CountGuard::new(&self.connections);
+        let requests = self.requests.clone();
+        let (context, handler) = (context.clone(), handler.clone());
+        let phase = self.phase.subscribe();
+        tokio::spawn(async move {
+            serve_connection(context, stream, requests, phase, handler).await;
+            drop(count_guard);
+        });
+    }
 }
 
 /// Answers each request with what `page` returns for its path, for as long as the
@@ -256,17 +282,19 @@
     let mut check_after = Duration::from_millis(limits(&context).header_timeout.0);
     let mut last_phase = Phase::Serving;
     loop {
+        // What the client has sent is read before anything else is decided.
         let ended = tokio::select! {
+            biased;
             ended = connection.as_mut() => Some(ended),
-            () = sleep(check_after) => None,
             changed = next_phase(&mut phase, last_phase) => {
                 last_phase = changed;
                 if last_phase == Phase::Aborted {
                     return;
                 }
-                connection.as_mut().graceful_shutdown();
-                None
+                check_after = DRAIN_CHECK_INTERVAL;
+                continue;
             }
+            () = sleep(check_after) => None,
         };
         if let Some(ended) = ended {
             if let Err(error) = ended {
@@ -274,6 +302,9 @@
             }
             return;
         }
+        if last_phase == Phase::Draining && activity.is_between_requests() {
+            connection.as_mut().graceful_shutdown();
+        }
         match activity.check_timeouts(limits(&context)) {
             TimeoutCheck::NotYet(left) => check_after = Duration::from_millis(left.0.max(1)),
             TimeoutCheck::Idle => {
@@ -283,6 +314,9 @@
             // The request head is incomplete, so there is nothing to respond to.
             TimeoutCheck::SlowHead => return,
         }
+        if last_phase == Phase::Draining {
+            check_after = check_after.min(DRAIN_CHECK_INTERVAL);
+        }
     }
 }
 
--- a/crates/relay/tests/direct/connections.rs
+++ b/crates/relay/tests/direct/connections.rs
@@ -1,13 +1,21 @@
 //! Client connections: reuse, request smuggling, and the shutdown of a daemon.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream as BlockingStream;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::http_server::HttpServer;
+use gooseberry_relay::http_server::full_body;
+use http::Response;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::platform::client_address;
@@ -136,6 +144,64 @@
     assert!(!answer.header("Retry-After").is_empty());
 }
 
+/// Guards against a stop that cuts requests whose connections have just been accepted or wait
+/// to be, and those that have arrived on idle connections or in part.
+#[tokio::test]
+async fn requests_that_arrive_as_a_server_drains_are_answered() {
+    let (_platform, daemon) = start_one().await;
+    let server = Arc::new(HttpServer::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (serving, context) = (server.clone(), daemon.context().clone());
+    let accepting = tokio::spawn(async move {
+        let answer = |_| async { Response::new(full_body("done".into())) };
+        serving.serve(context, listener, answer).await;
+    });
+    let head = b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
+    let connect = || BlockingStream::connect(address).expect("it listens");
+    let settle = || tokio::time::sleep(Duration::from_millis(30));
+    // The clients write while the thread of the server does nothing.
+    let mut streams: Vec<(&str, BlockingStream, usize)> = Vec::new();
+    for _ in 0..8 {
+        streams.push(("accepted", connect(), 0));
+        let mut used = connect();
+        used.write_all(head).expect("it reads");
+        settle().await;
+        assert!(used.read(&mut [0; 1000]).expect("an answer") > 0);
+        streams.push(("used before", used, 0));
+        let mut begun = connect();
+        begun.write_all(&head[..20]).expect("it reads");
+        streams.push(("partly read", begun, 20));
+    }
+    settle().await;
+    server.drain();
+    streams.extend((0..8).map(|_| ("waiting", connect(), 0)));
+    for (_, stream, begin) in &mut streams {
+        // Of some, the last bytes come after the drain has begun.
+        let end = if *begin > 0 { 30 } else { head.len() };
+        stream.write_all(&head[*begin..end]).expect("it reads");
+        *begin = end;
+    }
+    settle().await;
+    let mut cut = Vec::new();
+    for (what, mut stream, begin) in streams {
+        // It fails if the server has closed the connection, and so does the read.
+        stream.write_all(&head[begin..]).ok();
+        settle().await;
+        stream.set_nonblocking(true).expect("a socket");
+        if !matches!(stream.read(&mut [0; 1000]), Ok(1..)) {
+            cut.push(what);
+        }
+    }
+    assert!(cut.is_empty(), "cut: {cut:?}");
+    accepting.await.expect("no panic");
+    assert!(connect_is_refused(address));
+}
+
+fn connect_is_refused(address: std::net::SocketAddr) -> bool {
+    BlockingStream::connect(address).is_err()
+}
+
 #[test]
 fn bodies_beyond_the_memory_limit_get_no_permit() {
     let memory = gooseberry_relay::body_memory::BodyMemory::new(10_000);
