--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -9,6 +9,7 @@
 //! - [`part_quarantine`] finds parts of prompts that crash targets.
 //! - [`punctuality`] decides whether an answer is on time.
 //! - [`demand`] is what a request asks of an engine, in tokens.
+//! - [`wait_queue`] orders the requests that wait for a target.
 //!
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
 //! schedules its stages. These modules read no clock and no socket.
@@ -22,3 +23,4 @@
 pub mod retry_budget;
 pub mod routing_table;
 pub mod stream_origin;
+pub mod wait_queue;
--- a/crates/kernel/src/request/demand.rs
+++ b/crates/kernel/src/request/demand.rs
@@ -4,6 +4,9 @@
 use crate::derive::value;
 use crate::hash;
 
+/// How many tokens are read in the time in which one is written.
+const WRITTEN_TOKEN_WORK: u64 = 10;
+
 scalar! {
     /// A part of a prompt.
     pub struct DemandPart {
@@ -76,6 +79,14 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Returns the work of the request in tokens that are read. Where a token is written,
+    /// some ten are read in the same time at least.
+    #[must_use]
+    pub fn work_tokens(&self) -> u64 {
+        let output = self.output_hint.unwrap_or(self.max_output_tokens);
+        u64::from(self.prompt_tokens) + u64::from(output) * WRITTEN_TOKEN_WORK
+    }
+
     /// Returns the tokens of the leading parts that are cached.
     #[must_use]
     pub fn cached_tokens(&self, is_cached: impl Fn(u64) -> bool) -> u32 {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -31,7 +31,6 @@
 use crate::link;
 use crate::pool::IDLE_MAX;
 use crate::stages;
-use crate::state::Need;
 use crate::state::PickedTarget;
 
 /// How long a request that may be retried waits for the head of a reply, and then for
@@ -133,7 +132,7 @@
     fn abandon(&self, path: &Path) {
         if let Path::Direct(picked) = path {
             let mut state = self.context.state();
-            state.record_request_end(&picked.target);
+            state.record_request_end(picked, self.context.now());
         }
     }
 
@@ -165,19 +164,6 @@
         }
     }
 
-    /// Returns what the request needs of its target, which is none of those in `tried`.
-    pub(super) fn need<'a>(&'a self, tried: &'a [name::Target]) -> Need<'a> {
-        Need {
-            service: &self.job.service,
-            version: self.origin.as_ref().map(|origin| &origin.version),
-            affinity: self.job.head.shared_prefix_hash,
-            preferred: None,
-            tried,
-            draw: self.job.draw(),
-            due: self.answer_due(),
-        }
-    }
-
     /// Returns the request as it is sent to a target; `left` is the time until its deadline.
     /// `target` is `None` if a peer picks it.
     pub(super) fn target_request(
@@ -218,7 +204,7 @@
             is_detour: false,
         };
         // `State::pick` has counted the request as in flight at the target.
-        let in_flight_guard = InFlightGuard::new(&self.context, &picked.target);
+        let in_flight_guard = InFlightGuard::new(&self.context, &picked);
         let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
         if let Some(placed) = &mut self.placed {
             placed.record_send();
--- a/crates/relay/src/forward/placement.rs
+++ b/crates/relay/src/forward/placement.rs
@@ -14,6 +14,23 @@
 use crate::state::PickedTarget;
 
 impl Forwarder {
+    /// Returns what the request needs of its target, which is none of those in `tried`.
+    pub(super) fn need<'a>(&'a self, tried: &'a [name::Target]) -> Need<'a> {
+        Need {
+            service: &self.job.service,
+            version: self.origin.as_ref().map(|origin| &origin.version),
+            affinity: self.job.head.shared_prefix_hash,
+            preferred: None,
+            tried,
+            draw: self.job.draw(),
+            due: self.answer_due(),
+            rank: self.job.rank,
+            workspace: self.job.workspace.as_ref(),
+            on_time_by: self.job.on_time_by.max(self.resumed_by()),
+            work: self.job.work(),
+        }
+    }
+
     /// Picks a target: the one that its placer has chosen, if this daemon can use it. The
     /// request then counts as in flight there.
     pub(super) async fn pick_target(&mut self) -> Result<PickedTarget, Failure> {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,9 @@
 //! The metrics of the daemon, in the text format of Prometheus.
 //!
-//! - `placement` has those of placement.
+//! - `placement` has those of placement, and `queue` those of requests that wait.
 
 mod placement;
+mod queue;
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::replica::Era;
@@ -20,6 +21,7 @@
 use prometheus::TextEncoder;
 
 use crate::metrics::placement::Placements;
+use crate::metrics::queue::Queue;
 
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 10] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.5, 5.0, 15.0];
@@ -32,6 +34,7 @@
     streams: IntCounterVec,
     retries: IntCounterVec,
     rate_limited: IntCounterVec,
+    queue: Queue,
     pieces: IntCounterVec,
     store: IntCounterVec,
     store_era: IntGauge,
@@ -58,6 +61,11 @@
             registry.register(Box::new(counters.clone()))?;
             anyhow::Ok(counters)
         };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            anyhow::Ok(gauge)
+        };
         let requests = counters(
             "gooseberry_relay_requests_total",
             "Requests by how they ended.",
@@ -78,6 +86,7 @@
             "Requests all of whose targets limit the rate of their requests.",
             &["end"],
         )?;
+        let queue = Queue::register(&registry)?;
         let pieces = counters(
             "gooseberry_relay_pieces_total",
             "Pieces that this daemon dispatched, by what became of them.",
@@ -88,11 +97,10 @@
             "Calls to the platform's store.",
             &["end"],
         )?;
-        let store_era = IntGauge::new(
+        let store_era = gauge(
             "gooseberry_relay_store_era",
             "The era of the platform's store; it rises when the store goes back to an older copy.",
         )?;
-        registry.register(Box::new(store_era.clone()))?;
         let peer_fetches = counters(
             "gooseberry_relay_peer_fetches_total",
             "Calls that fetch the store's contents from peers.",
@@ -115,17 +123,15 @@
             "Connections that were made to targets.",
         )?;
         registry.register(Box::new(connections.clone()))?;
-        let links_down = IntGauge::new(
+        let links_down = gauge(
             "gooseberry_relay_links_down",
             "Services of which this daemon reaches no target.",
         )?;
-        registry.register(Box::new(links_down.clone()))?;
         let placements = Placements::register(&registry)?;
-        let logs_dropped = IntGauge::new(
+        let logs_dropped = gauge(
             "gooseberry_relay_log_lines_dropped",
             "Log lines that nobody read in time.",
         )?;
-        registry.register(Box::new(logs_dropped.clone()))?;
         let control_bytes = Counters::register(&registry)?;
         Ok(Self {
             registry,
@@ -133,6 +139,7 @@
             streams,
             retries,
             rate_limited,
+            queue,
             pieces,
             store,
             store_era,
@@ -152,8 +159,8 @@
         self.requests.with_label_values(&[form, end]).inc();
     }
 
-    /// Records how long a request took to a point of its response: `first` byte
-    /// or `whole`, or the longest `gap` between its events.
+    /// Records how long a request took to a point of its response, `first` byte or
+    /// `whole`, how long it was `queued`, or the longest `gap` between its events.
     #[allow(clippy::cast_precision_loss, reason = "a span of minutes at most")]
     pub fn latency(&self, form: &str, point: &str, span: Millis) {
         let secs = span.0 as f64 / 1000.0;
@@ -177,6 +184,16 @@
         self.rate_limited.with_label_values(&[end]).inc();
     }
 
+    /// Counts requests that begin to wait for a target, or, if negative, that end.
+    pub fn queue_depth(&self, change: i64) {
+        self.queue.depth(change);
+    }
+
+    /// Counts a request that waited for a target; `end` says why it left the queue.
+    pub fn queue_end(&self, end: &str) {
+        self.queue.end(end);
+    }
+
     /// Counts dispatched pieces; `end` says how their call ended. A group that
     /// expired in the queue counts as one.
     pub fn pieces(&self, end: &str, count: usize) {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -105,6 +105,16 @@
         self.head.demand.as_ref().filter(|_| is_stream)
     }
 
+    /// Returns how much work it is for its target: its tokens if the client names them, or
+    /// else the bytes of its body.
+    #[must_use]
+    pub fn work(&self) -> u64 {
+        match &self.head.demand {
+            Some(demand) => demand.work_tokens(),
+            None => u64::try_from(self.body.len()).unwrap_or(u64::MAX),
+        }
+    }
+
     /// Returns the priority to send to the target; only engines take one.
     #[must_use]
     pub fn engine_rank(&self) -> Option<Rank> {
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -19,6 +19,7 @@
 mod placer_standin;
 mod platform;
 mod prompt_parts;
+mod queue;
 mod rate_limits;
 mod retries;
 mod slow_link;
