Late second copies of answers cannot reach another request

A target that sends a reply twice leaves the second copy on the connection. If the next request was written before it arrives, it is read as the reply to that request. The echo of the attempt id shows that, but replies other than successes were used without an echo, and stage calls have no attempt id: a client got the 404 of the client before it, and a request the results of another one's pieces.

Calls for pieces go over connections of their own.

--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -290,12 +290,13 @@
     let expected = call.expected_end - now;
     let limit = Millis(expected.0 * CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_SLACK;
     let exchanged = timeout(Duration::from_millis(limit.0), async {
-        let mut exchange = Exchange::begin(context, &callee, request).await?;
+        let mut exchange = Exchange::begin_on_new_connection(context, &callee, request).await?;
         let status = exchange.status;
         let body = exchange
             .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
             .await?;
-        exchange.release(context, None);
+        // The connection is not used again, since a second copy of these results could
+        // follow on it.
         Ok::<_, crate::exchange::Error>((status, body))
     });
     match exchanged.await {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -136,11 +136,34 @@
         callee: &Callee,
         request: Request<Full<Bytes>>,
     ) -> Result<Self, Error> {
-        // A pooled connection may have been closed by the target, so the request
-        // is cloned to be sent again over a new one.
         let pooled = context
             .pool
             .take(&callee.target, callee.idle_max, context.now());
+        Self::begin_on(context, callee, request, pooled).await
+    }
+
+    /// Sends a request over a new connection and waits for the head of the reply. This is
+    /// for calls whose replies do not say which call they belong to: a target that sends a
+    /// reply twice sends the second copy on the connection of the first.
+    ///
+    /// # Errors
+    /// Returns [`Error`], which says whether the request may have arrived.
+    pub async fn begin_on_new_connection(
+        context: &Arc<Context>,
+        callee: &Callee,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Self, Error> {
+        Self::begin_on(context, callee, request, None).await
+    }
+
+    async fn begin_on(
+        context: &Arc<Context>,
+        callee: &Callee,
+        request: Request<Full<Bytes>>,
+        pooled: Option<HttpConnection>,
+    ) -> Result<Self, Error> {
+        // A pooled connection may have been closed by the target, so the request
+        // is cloned to be sent again over a new one.
         let is_pooled = pooled.is_some();
         let retry_request = is_pooled.then(|| request.clone());
         let connection = match pooled {
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod platform;
 mod prompt_parts;
 mod rate_limits;
+mod repeated_answers;
 mod retries;
 mod slow_link;
 mod stages;
