Malformed numbers and messages do not take a daemon down

Cause: arithmetic on numbers of targets, settings and peers overflowed. In builds with overflow checks a request or the dispatcher panicked; in others the load 4294967295,1,8 of a target counted as idle. A request could ask for 2^32 pieces beside the longest chain of its stages, which admission does not look at, and would have taken 16 GB. The RPC library panics for deadlines that are years away. A periodic task that panicked ended for good without a sign. An accept error of the control port was retried at once.

Change: these numbers saturate (Millis can be multiplied), pieces are limited to 10,000, calls to peers to an hour, periodic tasks run again after a panic, and accept errors are followed by a pause.

A peer's call with the longest deadline panics in the RPC library, which ends only its connection; the test keeps that.

--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::num::ParseIntError;
 use std::ops::Add;
+use std::ops::Mul;
 use std::ops::Sub;
 use std::str::FromStr;
 
@@ -60,6 +61,15 @@
     }
 }
 
+impl Mul<u64> for Millis {
+    type Output = Self;
+
+    #[inline]
+    fn mul(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+}
+
 impl fmt::Display for Millis {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "{}", self.0)
--- a/crates/kernel/src/request/deadline_admission.rs
+++ b/crates/kernel/src/request/deadline_admission.rs
@@ -86,7 +86,7 @@
 #[must_use]
 pub fn can_finish_before_shutdown(form: ResponseForm, objective: Millis, left: Millis) -> bool {
     let needed = match form {
-        ResponseForm::Plain => Millis(objective.0 * PLAIN_DURATION_OBJECTIVES),
+        ResponseForm::Plain => objective * PLAIN_DURATION_OBJECTIVES,
         ResponseForm::Stream => objective + STREAM_DURATION_MAX,
     };
     needed <= left
--- a/crates/kernel/src/request/prior_wait.rs
+++ b/crates/kernel/src/request/prior_wait.rs
@@ -38,7 +38,7 @@
         });
         let longest = &mut self.longest_timeouts[index].1;
         *longest = timeout.max(*longest);
-        if timeout.0 * 2 < longest.0 {
+        if timeout * 2 < *longest {
             return Millis::ZERO;
         }
         let shortest_first_timeout = *longest - Millis(longest.0 / TIMEOUT_SPREAD_PARTS);
--- a/crates/kernel/src/request/routing_table.rs
+++ b/crates/kernel/src/request/routing_table.rs
@@ -291,8 +291,8 @@
         match self.form {
             ResponseForm::Plain => self.timeout,
             ResponseForm::Stream => FIRST_BYTE_TIMEOUT_MIN
-                .max(Millis(self.objective.0 * FIRST_BYTE_TIMEOUT_OBJECTIVES))
-                .max(Millis(self.max_event_gap.0 * FIRST_BYTE_TIMEOUT_EVENT_GAPS)),
+                .max(self.objective * FIRST_BYTE_TIMEOUT_OBJECTIVES)
+                .max(self.max_event_gap * FIRST_BYTE_TIMEOUT_EVENT_GAPS),
         }
     }
 
@@ -308,7 +308,8 @@
     /// Returns the duration of a call with this number of pieces.
     #[must_use]
     pub fn call_duration(&self, pieces: u32) -> Millis {
-        let micros = self.call_micros + self.piece_micros * u64::from(pieces);
+        let of_pieces = self.piece_micros.saturating_mul(pieces.into());
+        let micros = self.call_micros.saturating_add(of_pieces);
         Millis(micros.div_ceil(1000))
     }
 
@@ -316,7 +317,8 @@
     /// calls.
     #[must_use]
     pub fn pieces_per_second(&self) -> u64 {
-        let micros = self.call_micros + self.piece_micros * u64::from(self.max_pieces);
+        let of_pieces = self.piece_micros.saturating_mul(self.max_pieces.into());
+        let micros = self.call_micros.saturating_add(of_pieces);
         u64::from(self.max_pieces) * 1_000_000 / micros.max(1)
     }
 }
--- a/crates/kernel/src/stage/batch_queue.rs
+++ b/crates/kernel/src/stage/batch_queue.rs
@@ -380,9 +380,9 @@
                 .pieces
                 .drain(..limit.min(group.pieces.len()))
                 .collect();
-            let size = group.result_bytes * taken.len() as u64;
-            free_bytes -= size;
-            bytes += size;
+            let size = group.result_bytes.saturating_mul(taken.len() as u64);
+            free_bytes = free_bytes.saturating_sub(size);
+            bytes = size.saturating_add(bytes);
             count += taken.len();
             let part = Group {
                 pieces: taken,
@@ -443,13 +443,13 @@
 
     fn free_bytes(&self, candidate: &StageTarget, spec: &BatchSpec, now: Millis) -> u64 {
         let kept = self.results.kept_bytes(&candidate.name, now);
-        let in_use = kept + self.in_flight_bytes(&candidate.name);
+        let in_use = kept.saturating_add(self.in_flight_bytes(&candidate.name));
         spec.result_capacity_bytes.saturating_sub(in_use)
     }
 
     /// Returns the size of the results of the calls in flight at a target.
     fn in_flight_bytes(&self, target: &name::Target) -> u64 {
         let in_flight = self.in_flight.iter().filter(|call| call.target == *target);
-        in_flight.map(|call| call.bytes).sum()
+        in_flight.fold(0, |sum, call| call.bytes.saturating_add(sum))
     }
 }
--- a/crates/kernel/src/stage/batch_queue/wait_estimate.rs
+++ b/crates/kernel/src/stage/batch_queue/wait_estimate.rs
@@ -70,9 +70,10 @@
         let targets = u64::try_from(targets.max(1)).unwrap_or(u64::MAX);
         let cycle = spec.call_duration(spec.max_pieces / 2) + self.results.mean_lifetime();
         let bytes = self.arrivals.mean_bytes.max(1);
-        let capacity_throughput =
-            targets * spec.result_capacity_bytes / bytes * 1000 / cycle.0.max(1);
-        let max_throughput = (targets * spec.pieces_per_second())
+        let results = targets.saturating_mul(spec.result_capacity_bytes) / bytes;
+        let capacity_throughput = results.saturating_mul(1000) / cycle.0.max(1);
+        let max_throughput = targets
+            .saturating_mul(spec.pieces_per_second())
             .min(capacity_throughput)
             .max(1);
         if self.empty_at + WINDOW > now {
--- a/crates/kernel/src/stage/piece_rate.rs
+++ b/crates/kernel/src/stage/piece_rate.rs
@@ -29,8 +29,8 @@
     /// mean.
     pub(super) fn record(&mut self, group: &Group, now: Millis) {
         for _ in &group.pieces {
-            self.mean_bytes = (self.mean_bytes * (SIZE_WEIGHT_PARTS - 1) + group.result_bytes)
-                / SIZE_WEIGHT_PARTS;
+            let former = self.mean_bytes.saturating_mul(SIZE_WEIGHT_PARTS - 1);
+            self.mean_bytes = former.saturating_add(group.result_bytes) / SIZE_WEIGHT_PARTS;
         }
         let bucket_number = now.0 / BUCKET_LENGTH.0 + 1;
         let bucket =
--- a/crates/kernel/src/stage/plan.rs
+++ b/crates/kernel/src/stage/plan.rs
@@ -10,11 +10,17 @@
 use crate::name;
 use crate::request::routing_table::Stage;
 
+/// The largest number of pieces of a request. Usual ones have some tens; each takes memory
+/// here before the stages begin, so that a number near 2^32 would end the process.
+pub const PIECES_MAX: u64 = 10_000;
+
 value! {
     /// Why stages and piece counts can't be planned.
     pub enum Invalid {
         /// There isn't one piece count for each stage.
         Counts,
+        /// There are more than [`PIECES_MAX`] pieces.
+        Pieces,
         /// A stage depends on itself, a later stage or a missing one.
         Graph,
     }
@@ -56,6 +62,9 @@
         if stages.len() != pieces.len() {
             return Err(Invalid::Counts);
         }
+        if pieces.iter().map(|count| u64::from(*count)).sum::<u64>() > PIECES_MAX {
+            return Err(Invalid::Pieces);
+        }
         let mut planned: Vec<PlannedStage> = Vec::with_capacity(stages.len());
         for (index, (stage, count)) in stages.iter().zip(pieces).enumerate() {
             // Stages are in topological order: each reads only earlier ones.
--- a/crates/kernel/src/stage/result_tracker.rs
+++ b/crates/kernel/src/stage/result_tracker.rs
@@ -197,11 +197,11 @@
     pub fn kept_bytes(&self, target: &name::Target, now: Millis) -> u64 {
         let kept = self.results.iter();
         let of_target = kept.filter(|result| result.target == *target && result.expires_at > now);
-        let known: u64 = of_target.map(|result| result.bytes).sum();
+        let known = of_target.fold(0, |sum: u64, result| sum.saturating_add(result.bytes));
         let untracked = self.untracked.iter();
         let of_target =
             untracked.filter(|untracked| untracked.target == *target && untracked.expires_at > now);
-        known + of_target.map(|untracked| untracked.bytes).sum::<u64>()
+        of_target.fold(known, |sum, untracked| sum.saturating_add(untracked.bytes))
     }
 
     /// Returns the targets that keep results of other dispatchers.
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod cold_rate;
 mod deadline_admission;
 mod event_buffer;
+mod extremes;
 mod fetch;
 mod fixtures;
 mod health;
--- a/crates/kernel/tests/direct/plan.rs
+++ b/crates/kernel/tests/direct/plan.rs
@@ -87,3 +87,13 @@
     let missing = [stage("a", &[]), stage("b", &[7])];
     assert_eq!(Plan::new(&missing, &[1, 1]).err(), Some(Invalid::Graph));
 }
+
+/// Each piece takes memory before the stages begin.
+#[test]
+fn a_number_of_pieces_that_would_exhaust_the_memory_is_invalid() {
+    let stages = chain_with_side_stage();
+    for counts in [[u32::MAX, 1, 1, 1], [u32::MAX; 4], [4_000, 4_000, 2_000, 1]] {
+        assert_eq!(Plan::new(&stages, &counts).unwrap_err(), Invalid::Pieces);
+    }
+    assert!(Plan::new(&stages, &[4_000, 4_000, 1_999, 1]).is_ok());
+}
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Starts the daemon, reacts to signals and changes of the settings file, and
 //! shuts the daemon down without cutting requests.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -8,6 +9,7 @@
 
 use anyhow::Context as _;
 use bytes::Bytes;
+use futures::FutureExt;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_platform::boot;
 use gooseberry_platform::boot::Boot;
@@ -54,6 +56,9 @@
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the last responses may take to be written.
 const LAST_RESPONSES_TIMEOUT: Millis = Millis(300);
+/// How long to wait before a task that panicked is started again, so that one that always
+/// panics does not use up the processor.
+const PANIC_PAUSE: Duration = Duration::from_millis(100);
 /// How long the log thread gets to write the last lines.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(30);
 
@@ -222,14 +227,39 @@
         Err(error) => log::error!("metrics are not served: {error:#}"),
     }
     tasks.spawn(peers::serve(context.clone(), control));
-    tasks.spawn(peers::greet_periodically(context.clone()));
-    tasks.spawn(store_watch::run(context.clone()));
-    tasks.spawn(dispatcher::run_ticks(context.clone()));
-    tasks.spawn(link::recheck_periodically(context.clone()));
-    tasks.spawn(run_ticks(context.clone()));
+    spawn_periodic(tasks, context, "greetings", peers::greet_periodically);
+    spawn_periodic(tasks, context, "store", store_watch::run);
+    spawn_periodic(tasks, context, "dispatcher", dispatcher::run_ticks);
+    spawn_periodic(tasks, context, "links", link::recheck_periodically);
+    spawn_periodic(tasks, context, "expiry", run_ticks);
     Ok(servers)
 }
 
+/// Spawns a periodic task, which runs for as long as the process.
+fn spawn_periodic<F>(
+    tasks: &mut JoinSet<()>,
+    context: &Arc<Context>,
+    name: &'static str,
+    task: fn(Arc<Context>) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let context = context.clone();
+    tasks.spawn(run_again_after_panics(name, move || task(context.clone())));
+}
+
+/// Runs a task until it ends without a panic. A daemon without one of its periodic tasks
+/// would go on with an old state, and nothing would show it.
+pub async fn run_again_after_panics<F>(name: &str, task: impl Fn() -> F)
+where
+    F: Future<Output = ()>,
+{
+    while AssertUnwindSafe(task()).catch_unwind().await.is_err() {
+        log::error!(task = name; "a periodic task panicked and is started again");
+        sleep(PANIC_PAUSE).await;
+    }
+}
+
 /// Removes expired state and idle connections periodically.
 async fn run_ticks(context: Arc<Context>) {
     let mut ticks = interval(TICK_INTERVAL);
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -288,7 +288,7 @@
     };
     let count = call.parts.iter().map(|part| part.group.pieces.len()).sum();
     let expected = call.expected_end - now;
-    let limit = Millis(expected.0 * CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_SLACK;
+    let limit = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK;
     let exchanged = timeout(Duration::from_millis(limit.0), async {
         let mut exchange = Exchange::begin_on_new_connection(context, &callee, request).await?;
         let status = exchange.status;
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -342,7 +342,7 @@
         if !self.job.route.is_repeatable() || runs >= self.job.route.max_attempts {
             return left;
         }
-        let limit = Millis(self.job.route.objective.0 * REPLY_TIMEOUT_FACTOR);
+        let limit = self.job.route.objective * REPLY_TIMEOUT_FACTOR;
         limit.min(left)
     }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -50,6 +50,9 @@
 const GREET_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a peer may take to return changes of the store or chunks of its values.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(CALL_TIMEOUT.0);
+/// How long a peer may take to answer any call. The RPC library panics for deadlines that
+/// are years away, as settings may have them.
+const CALL_TIMEOUT_MAX: Duration = Duration::from_secs(3_600);
 /// How often a waiting call checks whether its peer is still alive.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a peer that closes the connection is asked for the version of its calls.
@@ -327,7 +330,7 @@
 /// Returns a call context whose deadline is `limit` from now.
 fn with_timeout(limit: Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = Instant::now() + limit;
+    context.deadline = Instant::now() + limit.min(CALL_TIMEOUT_MAX);
     context
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -64,7 +64,8 @@
     ) {
         // Only 3/5 of the target's own limit, so that the target does not close a
         // connection just as it is used again.
-        let keep_alive = keep_alive.map_or(IDLE_DEFAULT, |keep_alive| Millis(keep_alive.0 * 3 / 5));
+        let keep_alive =
+            keep_alive.map_or(IDLE_DEFAULT, |keep_alive| Millis((keep_alive * 3).0 / 5));
         let mut idle = self.lock();
         if idle
             .iter()
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -314,7 +314,7 @@
         let usage = self.usage(&target.name);
         let reported = usage.and_then(|usage| usage.reported);
         let fresh = reported.filter(|(_, at)| *at + LOAD_AGE_MAX > now);
-        let reported_load = fresh.map_or(0, |(load, _)| load.running + load.waiting);
+        let reported_load = fresh.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
         Candidate {
             target: target.name.clone(),
             load: reported_load.max(usage.map_or(0, |usage| usage.in_flight)),
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod former_build;
 mod former_heartbeats;
+mod malformed;
 mod notices;
 mod partitions;
 mod pauses;
--- a/crates/runtime/src/control_stream.rs
+++ b/crates/runtime/src/control_stream.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures::Stream;
 use futures::stream;
@@ -18,11 +19,16 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use crate::observed_stream::ByteObserver;
 use crate::observed_stream::ObservedStream;
 use crate::socket;
 
+/// How long to wait after a connection could not be accepted. Without files left, the next
+/// one fails at once, too, and the loop would take all processor time.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// The counters of the bytes of control messages.
 #[derive(Clone, Debug)]
 pub struct Counters {
@@ -93,6 +99,9 @@
 {
     let next = async |(listener, counters): (TcpListener, Counters)| {
         let accepted: io::Result<(TcpStream, _)> = listener.accept().await;
+        if accepted.is_err() {
+            sleep(ACCEPT_RETRY_DELAY).await;
+        }
         let transport = accepted.and_then(|(stream, _)| {
             socket::set_options(&stream)?;
             Ok(channel(stream, counters.clone()))
