A restarted daemon waits until the store confirms what a peer gave it

Cause: a daemon that has just started was ready as soon as it knew settings and targets. If its own read of the store took longer than a call to a peer, and the peer was cut off from the store, it accepted keys that had been withdrawn and listed targets that had left, though the process before the restart knew better.

Change: kernel::fleet::startup lets it serve once the store has confirmed the copy, to it or to a peer that tells of it, and at the latest 1.5 s after the start, as before if the store is down.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -5,6 +5,7 @@
 //!   eras of its store. [`chunks`] cuts large values into parts, and [`fetch`] decides
 //!   from which peers to fetch what is missing.
 //! - [`withdrawal`] keeps in force what a store that went back has forgotten.
+//! - [`startup`] decides when a daemon may serve with the copy that it got at its start.
 //! - [`detour`] chooses the daemon that sends a request for one that is cut off.
 //! - [`placement`] divides engines and requests into groups, each with a daemon that chooses.
 //! - [`assignment`] chooses the dispatcher of a stage service and the readers
@@ -21,4 +22,5 @@
 pub mod placement;
 pub mod replica;
 pub mod share;
+pub mod startup;
 pub mod withdrawal;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -26,5 +26,6 @@
 mod retry_budget;
 mod routing_table;
 mod selection;
+mod startup;
 mod store_readers;
 mod stream_origin;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -180,7 +180,7 @@
 ) -> Result<Job, Failure> {
     let (route, service, workspace, rank, limits, version) = {
         let state = context.state();
-        let table = state.routing_table().ok_or(Kind::NotReady)?;
+        let table = state.usable_table().ok_or(Kind::NotReady)?;
         let route = table
             .route(&head.host, head.uri.path())
             .ok_or(Kind::NoPath)?;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -26,6 +26,7 @@
 use gooseberry_kernel::fleet::fetch::Fetches;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::replica::Replica;
+use gooseberry_kernel::fleet::startup::Startup;
 use gooseberry_kernel::fleet::withdrawal::Withdrawals;
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine::Suspects;
@@ -119,6 +120,8 @@
     /// When the store last confirmed to any daemon that this daemon's copy of it
     /// is complete.
     confirmed_at: Option<Millis>,
+    /// Whether the daemon may serve with its copy of the store.
+    startup: Startup,
     /// What is being fetched from peers.
     fetches: Fetches,
 }
@@ -223,6 +226,7 @@
             prior_waits: PriorWaitEstimator::default(),
             store_status: StoreStatus::default(),
             confirmed_at: None,
+            startup: Startup::default(),
             fetches: Fetches::default(),
         }
     }
@@ -276,11 +280,18 @@
         &self.replica
     }
 
-    /// Returns whether the daemon can serve: it knows settings and targets, and
-    /// is not shutting down.
+    /// Returns whether the daemon can serve: it knows settings and targets, may use them,
+    /// and is not shutting down.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.routing_table.is_some() && !self.targets.all().is_empty() && !self.is_leaving()
+        self.usable_table().is_some() && !self.targets.all().is_empty() && !self.is_leaving()
+    }
+
+    /// Returns the settings by which clients are served; `None` until the first are known
+    /// and may be used.
+    #[must_use]
+    pub fn usable_table(&self) -> Option<&Arc<RoutingTable>> {
+        self.routing_table().filter(|_| self.startup.is_over)
     }
 
     /// Returns whether the daemon is shutting down.
@@ -291,6 +302,7 @@
 
     /// Removes what has expired, and what belongs to targets that are gone.
     pub fn tick(&mut self, now: Millis) {
+        self.update_startup(now);
         for target in self.targets.remove_lapsed(now) {
             log::info!(target:% = target; "a target that lapsed did not come back and is removed");
         }
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -50,6 +50,21 @@
         let own = self.replica.position();
         if theirs.era == own.era && theirs <= own && age < now {
             self.confirmed_at = self.confirmed_at.max(Some(now - age));
+            self.update_startup(now);
+        }
+    }
+
+    /// Updates whether clients may be served with this daemon's copy of the store.
+    pub(super) fn update_startup(&mut self, now: Millis) {
+        let was_over = self.startup.is_over;
+        let confirmed_age = self.confirmed_age(now);
+        self.startup.update(confirmed_age, now);
+        if self.startup.is_over && !was_over {
+            log::info!(
+                confirmed_ms:? = confirmed_age.map(|age| age.0),
+                revision = self.replica.position().revision.0;
+                "the copy of the store may be used"
+            );
         }
     }
 
@@ -154,6 +169,7 @@
                 self.store_status.lost_at = None;
                 self.store_status.last_answer = Some(now);
                 self.confirmed_at = Some(now);
+                self.update_startup(now);
             }
             (false, None) => {
                 self.store_status.lost_at = Some(now);
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -19,6 +19,7 @@
 mod prompt_parts;
 mod rate_limits;
 mod repeated_answers;
+mod restarts;
 mod retries;
 mod slow_link;
 mod stages;
