Streams that break off are not complete for HTTP/1.0 clients or with odd codings

Cause: an answer by HTTP/1.0 ends with its connection, so the close after a broken stream looked like its end. A target's reply whose transfer coding is not chunked ends with its connection, too, but counted as framed: if it ended before its first event, the client got an empty 200.

Change: the connection of an HTTP/1.0 client is reset if its answer breaks off, and Exchange::is_framed, which the detour uses as well, looks at the last transfer coding.

Answers with a length or chunks that break off, streams cut at a peer and peers that die under a stream were recognised already; tests keep that.

--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -21,8 +21,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header::CONTENT_LENGTH;
-use http::header::TRANSFER_ENCODING;
 use http::request::Parts;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -240,14 +238,13 @@
 /// Returns a target's reply as the response to the peer. Its body ends as the target's
 /// does, and breaks off where that breaks off.
 fn pass_on(passed: PassedReply) -> Response<ResponseBody> {
-    let headers = &passed.exchange.headers;
-    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let is_framed = passed.exchange.is_framed();
     let outcome = Outcome::Replied(Sender {
         target: passed.exchange.callee.target.as_str().into(),
         version: passed.version.as_str().into(),
         is_unframed: !is_framed,
     });
-    let mut headers = headers.clone();
+    let mut headers = passed.exchange.headers.clone();
     target::remove_connection_headers(&mut headers);
     let status = passed.exchange.status;
     // A connection whose end was that of the reply cannot be used again.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,6 +19,8 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -215,6 +217,19 @@
         }
     }
 
+    /// Returns whether the reply itself says where it ends, so that one which breaks off is
+    /// recognised. The end of the connection is the end of any other.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        let codings = self.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let last =
+            codings.and_then(|codings| codings.as_bytes().rsplit(|byte| *byte == b',').next());
+        match last {
+            Some(coding) => coding.trim_ascii().eq_ignore_ascii_case(b"chunked"),
+            None => self.headers.contains_key(CONTENT_LENGTH),
+        }
+    }
+
     /// Returns the next bytes of the reply; `None` at its end.
     ///
     /// # Errors
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -10,8 +10,6 @@
 use gooseberry_kernel::request::event_buffer::EventTooLong;
 use gooseberry_kernel::request::stream_origin::Origin;
 use http::Response;
-use http::header::CONTENT_LENGTH;
-use http::header::TRANSFER_ENCODING;
 use http_body::Frame;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -64,10 +62,8 @@
     /// Returns whether a stream whose end shows only by that of its connection ended
     /// before its first event. A target that crashes leaves the same bytes.
     fn is_cut_before_first_event(&self) -> bool {
-        let is_unframed = self.current.as_ref().is_some_and(|started| {
-            let headers = &started.exchange.headers;
-            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-        });
+        let current = self.current.as_ref();
+        let is_unframed = current.is_some_and(|started| !started.exchange.is_framed());
         // A stream that is taken up after its last event has none left.
         let may_be_empty = self.first_byte_at.is_some() || self.job.head.resumed_after.is_some();
         is_unframed && !may_be_empty
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Poll;
@@ -21,6 +22,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header::CONNECTION;
 use http_body::Body;
 use http_body::Frame;
@@ -226,7 +228,11 @@
         log::debug!("the socket options of a connection could not be set: {error}");
     }
     let activity = Activity::new(context.clock);
-    let service = service_fn(|request| {
+    // Without chunks, the end of the connection is the end of a stream.
+    let has_chunks = AtomicBool::new(true);
+    let service = service_fn(|request: Request<Incoming>| {
+        let is_1_1 = request.version() >= Version::HTTP_11;
+        has_chunks.store(is_1_1, Ordering::Relaxed);
         let (request_guard, count_guard) = (activity.begin(), CountGuard::new(&requests));
         let response = handler(request);
         let context = context.clone();
@@ -245,39 +251,44 @@
         }
     });
     let head_bytes = limits(&context).max_header_bytes.max(BUFFER_MIN_BYTES);
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .title_case_headers(true)
         .max_buf_size(head_bytes)
         .serve_connection(
             TokioIo::new(ObservedStream::new(stream, activity.clone())),
             service,
         );
-    tokio::pin!(connection);
     let mut check_after = Duration::from_millis(limits(&context).header_timeout.0);
     let mut last_phase = Phase::Serving;
     loop {
         let ended = tokio::select! {
-            ended = connection.as_mut() => Some(ended),
+            ended = &mut connection => Some(ended),
             () = sleep(check_after) => None,
             changed = next_phase(&mut phase, last_phase) => {
                 last_phase = changed;
                 if last_phase == Phase::Aborted {
+                    if !has_chunks.load(Ordering::Relaxed) {
+                        connection.into_parts().io.into_inner().reset();
+                    }
                     return;
                 }
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
                 None
             }
         };
         if let Some(ended) = ended {
             if let Err(error) = ended {
                 log::debug!("a connection ended early: {error}");
+                if !has_chunks.load(Ordering::Relaxed) {
+                    connection.into_parts().io.into_inner().reset();
+                }
             }
             return;
         }
         match activity.check_timeouts(limits(&context)) {
             TimeoutCheck::NotYet(left) => check_after = Duration::from_millis(left.0.max(1)),
             TimeoutCheck::Idle => {
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
                 check_after = Duration::from_millis(limits(&context).idle_timeout.0);
             }
             // The request head is incomplete, so there is nothing to respond to.
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod brittle_targets;
+mod broken_answers;
 mod changes;
 mod connections;
 mod detours;
--- a/crates/relay/tests/direct/unframed_answers.rs
+++ b/crates/relay/tests/direct/unframed_answers.rs
@@ -6,6 +6,7 @@
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::endless::Bytes;
 use gooseberry_platform_standin::endless::EndlessTarget;
+use gooseberry_relay::daemon::Daemon;
 
 use crate::platform::TestPlatform;
 use crate::platform::client_address;
@@ -13,7 +14,15 @@
 
 /// Has one target of a service answer with these bytes, and returns the answer to a
 /// request. The service has no other target.
-async fn answer_of(service: &str, request: ClientRequest, first: &'static str) -> Answer {
+pub async fn answer_of(service: &str, request: ClientRequest, first: &'static str) -> Answer {
+    let (_platform, daemon) = start_with(service, first).await;
+    let answer = request.send(client_address(&daemon)).await;
+    answer.expect("an answer")
+}
+
+/// Starts a target that answers with these bytes and then closes the connection, and a
+/// daemon that knows no other target of a service.
+pub async fn start_with(service: &str, first: &'static str) -> (TestPlatform, Daemon) {
     let platform = TestPlatform::start().await;
     for target in platform.plain.iter().chain(&platform.engines) {
         platform.store.remove(&format!("servers/{}", target.name));
@@ -32,8 +41,7 @@
         daemon.context().state().is_ready()
     })
     .await;
-    let answer = request.send(client_address(&daemon)).await;
-    answer.expect("an answer")
+    (platform, daemon)
 }
 
 #[tokio::test]
--- a/crates/runtime/src/observed_stream.rs
+++ b/crates/runtime/src/observed_stream.rs
@@ -54,6 +54,13 @@
     pub fn new(stream: TcpStream, observer: O) -> Self {
         Self { stream, observer }
     }
+
+    /// Closes the connection with a reset, so that the other side does not take it for the
+    /// regular end of what was sent.
+    pub fn reset(self) {
+        // If the option cannot be set, the connection closes in the usual way.
+        self.stream.set_zero_linger().ok();
+    }
 }
 
 impl<O: ByteObserver> ObservedStream<O> {
