The process ends if its node has panicked

Cause: on the owner path all decisions are made in one actor. A panic in it ended the actor and left a process that refused every request and did not end, so that nothing started it again.

Change: gooseberryd ends with an error when the node has ended before a shutdown.

Measured: single::panics passes; without Daemon::node_ended nothing noticed the end. All tests of gooseberryd pass.

--- a/crates/daemon/src/actor.rs
+++ b/crates/daemon/src/actor.rs
@@ -437,6 +437,11 @@
         phase.unwrap_or(Phase::LimitReached)
     }
 
+    /// Waits until the actor has ended: it was stopped, or it panicked.
+    pub async fn ended(&self) {
+        self.actor.wait(None).await.ok();
+    }
+
     /// Stops the actor.
     pub fn stop(&self) {
         self.actor.stop(None);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -230,6 +230,12 @@
         }
     }
 
+    /// Waits until the node has ended. Before a shutdown, that is after a panic: the state of
+    /// the node is lost, and the process serves no one until it is started again.
+    pub async fn node_ended(&self) {
+        self.context.node.ended().await;
+    }
+
     /// Returns whether the daemon, while shutting down, refuses calls of its peers.
     async fn is_closed(&self) -> bool {
         let closed = self.context.node.read(|node, _| node.is_closed()).await;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -151,6 +151,10 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = daemon.node_ended() => {
+            log::error!("the node has ended after a panic; the process ends, to be started again");
+            anyhow::bail!("the node has ended after a panic");
+        }
     }
     log::info!("shutting down");
     daemon.begin_shut_down();
--- a/crates/daemon/tests/single/main.rs
+++ b/crates/daemon/tests/single/main.rs
@@ -7,3 +7,4 @@
 mod idempotency_keys;
 mod metrics;
 mod outcome;
+mod panics;
