--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -5,6 +5,7 @@
 //!   eras of its store. [`chunks`] cuts large values into parts, and [`fetch`] decides
 //!   from which peers to fetch what is missing.
 //! - [`withdrawal`] keeps in force what a store that went back has forgotten.
+//! - [`startup`] decides when a daemon may serve with the copy that it got at its start.
 //! - [`detour`] chooses the daemon that sends a request for one that is cut off.
 //! - [`placement`] divides engines and requests into groups, each with a daemon that chooses,
 //!   and [`placer_call`] decides when that daemon is asked and told.
@@ -23,4 +24,5 @@
 pub mod placer_call;
 pub mod replica;
 pub mod share;
+pub mod startup;
 pub mod withdrawal;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,6 +19,8 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -136,11 +138,34 @@
         callee: &Callee,
         request: Request<Full<Bytes>>,
     ) -> Result<Self, Error> {
-        // A pooled connection may have been closed by the target, so the request
-        // is cloned to be sent again over a new one.
         let pooled = context
             .pool
             .take(&callee.target, callee.idle_max, context.now());
+        Self::begin_on(context, callee, request, pooled).await
+    }
+
+    /// Sends a request over a new connection and waits for the head of the reply. This is
+    /// for calls whose replies do not say which call they belong to: a target that sends a
+    /// reply twice sends the second copy on the connection of the first.
+    ///
+    /// # Errors
+    /// Returns [`Error`], which says whether the request may have arrived.
+    pub async fn begin_on_new_connection(
+        context: &Arc<Context>,
+        callee: &Callee,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Self, Error> {
+        Self::begin_on(context, callee, request, None).await
+    }
+
+    async fn begin_on(
+        context: &Arc<Context>,
+        callee: &Callee,
+        request: Request<Full<Bytes>>,
+        pooled: Option<HttpConnection>,
+    ) -> Result<Self, Error> {
+        // A pooled connection may have been closed by the target, so the request
+        // is cloned to be sent again over a new one.
         let is_pooled = pooled.is_some();
         let retry_request = is_pooled.then(|| request.clone());
         let connection = match pooled {
@@ -192,6 +217,19 @@
         }
     }
 
+    /// Returns whether the reply itself says where it ends, so that one which breaks off is
+    /// recognised. The end of the connection is the end of any other.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        let codings = self.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let last =
+            codings.and_then(|codings| codings.as_bytes().rsplit(|byte| *byte == b',').next());
+        match last {
+            Some(coding) => coding.trim_ascii().eq_ignore_ascii_case(b"chunked"),
+            None => self.headers.contains_key(CONTENT_LENGTH),
+        }
+    }
+
     /// Returns the next bytes of the reply; `None` at its end.
     ///
     /// # Errors
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod brittle_targets;
+mod broken_answers;
 mod changes;
 mod connections;
 mod detours;
@@ -12,6 +13,7 @@
 mod former_build;
 mod former_heartbeats;
 mod former_placements;
+mod malformed;
 mod notices;
 mod partitions;
 mod pauses;
@@ -21,6 +23,8 @@
 mod prompt_parts;
 mod queue;
 mod rate_limits;
+mod repeated_answers;
+mod restarts;
 mod retries;
 mod slow_link;
 mod stages;
