--- a/crates/connectors/src/http_connection.rs
+++ b/crates/connectors/src/http_connection.rs
@@ -57,6 +57,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     read_limit: ReadLimit,
+    /// The hashes of the replies that were recorded.
+    replies: Vec<u64>,
 }
 
 impl HttpConnection {
@@ -87,6 +89,7 @@
             sender,
             task: running.abort_handle(),
             read_limit,
+            replies: Vec::new(),
         })
     }
 
@@ -96,6 +99,21 @@
         self.sender.is_closed()
     }
 
+    /// Records the hash of the body of a reply; returns false if an earlier reply on this
+    /// connection had the same. Where no two replies are the same, it is a second copy of
+    /// that one.
+    pub fn record_reply(&mut self, hash: u64) -> bool {
+        let is_new = !self.replies.contains(&hash);
+        self.replies.push(hash);
+        is_new
+    }
+
+    /// Returns how many replies were recorded.
+    #[must_use]
+    pub fn recorded_replies(&self) -> usize {
+        self.replies.len()
+    }
+
     /// Waits until the connection can send a request.
     ///
     /// # Errors
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -290,24 +290,35 @@
     let expected = call.expected_end - now;
     let limit = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK;
     let exchanged = timeout(Duration::from_millis(limit.0), async {
-        let mut exchange = Exchange::begin_on_new_connection(context, &callee, request).await?;
+        let mut exchange = Exchange::begin(context, &callee, request).await?;
         let status = exchange.status;
         let body = exchange
             .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
             .await?;
-        // The connection is not used again, since a second copy of these results could
-        // follow on it.
-        Ok::<_, crate::exchange::Error>((status, body))
+        let piece_results = match status {
+            StatusCode::OK => Some(stage_call::read_results(&body, count)),
+            _ => None,
+        };
+        let has_handles = piece_results
+            .iter()
+            .flatten()
+            .flatten()
+            .any(|result| matches!(result, PieceResult::Handle(_)));
+        // No two results have the same handle, so a copy has those of other pieces.
+        if has_handles && !exchange.record_unique_reply(&body) {
+            let why = "a second copy of an earlier reply came".to_owned();
+            return Err(crate::exchange::Error::Broken(why));
+        }
+        exchange.release(context, None);
+        Ok::<_, crate::exchange::Error>((status, piece_results))
     });
     match exchanged.await {
         Err(_) => CallOutcome::Failed(format!("no response within {limit} ms")),
         Ok(Err(crate::exchange::Error::NotSent(why))) => CallOutcome::Failed(why),
         Ok(Err(crate::exchange::Error::Paused)) => CallOutcome::Refused,
         Ok(Err(error)) => CallOutcome::Failed(error.to_string()),
-        Ok(Ok((StatusCode::OK, body))) => match stage_call::read_results(&body, count) {
-            Ok(piece_results) => CallOutcome::Answered(piece_results),
-            Err(error) => CallOutcome::Failed(format!("{error:#}")),
-        },
+        Ok(Ok((_, Some(Ok(piece_results))))) => CallOutcome::Answered(piece_results),
+        Ok(Ok((_, Some(Err(error))))) => CallOutcome::Failed(format!("{error:#}")),
         Ok(Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::MISDIRECTED_REQUEST, _))) => {
             CallOutcome::Refused
         }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,6 +15,7 @@
 use gooseberry_connectors::http_connection;
 use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::hash;
 use gooseberry_kernel::name;
 use http::HeaderMap;
 use http::Request;
@@ -50,6 +51,9 @@
 /// so it needs a connection that is certainly alive.
 pub const RUN_ONCE_IDLE_MAX: Millis = Millis(700);
 
+/// After how many recorded replies a connection is closed, which bounds their memory.
+const RECORDED_REPLIES_MAX: usize = 256;
+
 /// The failure of a call.
 #[derive(Debug)]
 pub enum Error {
@@ -138,34 +142,11 @@
         callee: &Callee,
         request: Request<Full<Bytes>>,
     ) -> Result<Self, Error> {
+        // A pooled connection may have been closed by the target, so the request
+        // is cloned to be sent again over a new one.
         let pooled = context
             .pool
             .take(&callee.target, callee.idle_max, context.now());
-        Self::begin_on(context, callee, request, pooled).await
-    }
-
-    /// Sends a request over a new connection and waits for the head of the reply. This is
-    /// for calls whose replies do not say which call they belong to: a target that sends a
-    /// reply twice sends the second copy on the connection of the first.
-    ///
-    /// # Errors
-    /// Returns [`Error`], which says whether the request may have arrived.
-    pub async fn begin_on_new_connection(
-        context: &Arc<Context>,
-        callee: &Callee,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Self, Error> {
-        Self::begin_on(context, callee, request, None).await
-    }
-
-    async fn begin_on(
-        context: &Arc<Context>,
-        callee: &Callee,
-        request: Request<Full<Bytes>>,
-        pooled: Option<HttpConnection>,
-    ) -> Result<Self, Error> {
-        // A pooled connection may have been closed by the target, so the request
-        // is cloned to be sent again over a new one.
         let is_pooled = pooled.is_some();
         let retry_request = is_pooled.then(|| request.clone());
         let connection = match pooled {
@@ -230,6 +211,13 @@
         }
     }
 
+    /// Records the body of a reply that does not say which request it belongs to, of a kind
+    /// of which no two are the same; returns false if it is a copy of an earlier one. A
+    /// target that sends a reply twice sends the second copy on the connection of the first.
+    pub fn record_unique_reply(&mut self, body: &[u8]) -> bool {
+        self.connection.record_reply(hash::bytes(body))
+    }
+
     /// Returns the next bytes of the reply; `None` at its end.
     ///
     /// # Errors
@@ -279,7 +267,7 @@
             mut connection,
             ..
         } = self;
-        if callee.is_detour {
+        if callee.is_detour || connection.recorded_replies() >= RECORDED_REPLIES_MAX {
             return;
         }
         let context = context.clone();
