A new placer takes over what the former one knows

Cause: on the first deployment each change of the placer took a third of the sessions away from the engines that had their prompts (of 531 streams of a route in 4 s, 123 moved), and a new placer has to learn again which engines are slow. Change: a daemon that begins to choose the engines of a group asks the two others that come first in the order, also those that shut down, for speeds and the parts that were used in the last 30 s (call ledger, version 3).

--- a/crates/kernel/src/target/cost.rs
+++ b/crates/kernel/src/target/cost.rs
@@ -33,6 +33,9 @@
 /// Weight of the first observation of an engine. With [`OUTLIER_RATIO`] it limits the
 /// change by one observation to a quarter.
 const SPEED_WEIGHT_MAX: f64 = 0.25;
+/// As how many observations a speed counts that another daemon tells, which is what an
+/// engine gets in some seconds.
+const ADOPTED_OBSERVATIONS: u32 = 8;
 /// An observation counts as at most this many times, and at least this fraction of, the
 /// expected value.
 const OUTLIER_RATIO: f64 = 2.0;
@@ -91,6 +94,25 @@
         permille(1.0 / self.factor)
     }
 
+    /// Returns whether there were observations.
+    #[must_use]
+    pub fn is_known(self) -> bool {
+        self.observations > 0
+    }
+
+    /// Returns how long work takes, in thousandths of that on the typical engine; `None`
+    /// without observations.
+    #[must_use]
+    pub fn time_permille(self) -> Option<u32> {
+        self.is_known().then(|| permille(self.factor))
+    }
+
+    /// Takes over what another daemon has observed.
+    pub(super) fn adopt(&mut self, time_permille: u32) {
+        self.factor = f64::from(time_permille) / 1000.0;
+        self.observations = ADOPTED_OBSERVATIONS;
+    }
+
     fn observe(&mut self, ratio: f64) {
         let age = f64::from(self.observations.min(100));
         let weight = (1.0 / (age + 4.0)).clamp(SPEED_WEIGHT_MIN, SPEED_WEIGHT_MAX);
--- a/crates/kernel/src/target/placement.rs
+++ b/crates/kernel/src/target/placement.rs
@@ -24,6 +24,7 @@
 use workload::Workload;
 
 mod cache;
+pub mod summary;
 mod workload;
 
 /// Harm of a full engine, larger than that of any wait at another one that is useful.
@@ -284,13 +285,14 @@
         let index = match self.position(&engine.target, guess) {
             Ok(index) => index,
             Err(index) => {
-                self.engines.insert(index, EngineState::new(engine));
+                self.engines
+                    .insert(index, EngineState::new(&engine.target, engine.started));
                 index
             }
         };
         let state = &mut self.engines[index];
         if state.started != engine.started {
-            *state = EngineState::new(engine);
+            *state = EngineState::new(&engine.target, engine.started);
         }
         state.workload.expire(clock);
         index
@@ -377,11 +379,11 @@
 }
 
 impl EngineState {
-    fn new(engine: &Engine) -> Self {
+    fn new(target: &name::Target, started: u64) -> Self {
         Self {
-            target: engine.target.clone(),
-            hash: hash::text(engine.target.as_str()),
-            started: engine.started,
+            target: target.clone(),
+            hash: hash::text(target.as_str()),
+            started,
             speed: Speed::default(),
             workload: Workload::default(),
             cache: Cache::default(),
--- a/crates/kernel/src/target/placement/cache.rs
+++ b/crates/kernel/src/target/placement/cache.rs
@@ -6,6 +6,8 @@
 use crate::derive::scalar;
 use crate::request::demand::Demand;
 
+use super::summary::CachedPart;
+
 /// The largest number of parts that are remembered for an engine, some 12 KB.
 const PARTS_MAX: usize = 512;
 
@@ -64,6 +66,46 @@
         }
     }
 
+    /// Returns the parts that were used within `age_max`, at most `count` of them, the last
+    /// used ones first.
+    pub(super) fn recent_parts(
+        &self,
+        count: usize,
+        age_max: Millis,
+        now: Millis,
+    ) -> Vec<CachedPart> {
+        let recent = self.parts.iter().filter(|part| part.reader.is_none());
+        let recent = recent.map(|part| CachedPart {
+            chain: part.chain,
+            tokens: part.tokens,
+            depth: part.depth,
+            age: now - part.last_use,
+        });
+        let mut recent: Vec<CachedPart> = recent.filter(|part| part.age <= age_max).collect();
+        // Of one prompt, the first parts go first: the later ones are of no use without them.
+        recent.sort_unstable_by_key(|part| (part.age, part.depth));
+        recent.truncate(count);
+        recent
+    }
+
+    /// Adds a part that another daemon knows to be cached.
+    pub(super) fn adopt(&mut self, part: CachedPart, now: Millis) {
+        if let Err(index) = self.position(part.chain) {
+            let part = Part {
+                chain: part.chain,
+                tokens: part.tokens,
+                depth: part.depth,
+                last_use: now - part.age,
+                reader: None,
+            };
+            self.parts.insert(index, part);
+            self.tokens += u64::from(part.tokens);
+        }
+        while self.parts.len() > PARTS_MAX {
+            self.evict();
+        }
+    }
+
     /// Records that a request has answered, so that its parts have been read.
     pub(super) fn confirm(&mut self, reader: u64) {
         for part in &mut self.parts {
--- a/crates/kernel/tests/direct/placement.rs
+++ b/crates/kernel/tests/direct/placement.rs
@@ -286,3 +286,47 @@
         None
     );
 }
+
+/// Load: sessions go on while another daemon becomes placer. Without what the former one
+/// knows, they would leave the engines that have their prompts, and go to slow ones.
+#[test]
+fn a_new_placer_goes_on_with_what_the_former_one_knows() {
+    let mut group = Group::new(8, 16, None);
+    // Slow engines that the hash would choose are known, and one prefix is away from home.
+    let home = group.place(&request(0, 7, 5_000, 100), 0).target;
+    let mut away = request(1, 8, 5_000, 100);
+    let by_hash = group.ledger.clone().place(&away, &group.engines, Millis(0));
+    away.excluded = by_hash.into_iter().map(|placed| placed.target).collect();
+    let placed = group.place(&away, 0);
+    let first = finish(&away, &placed, End::Complete, Some(100));
+    group.ledger.finish(&first, Millis(600));
+    for attempt in 10..40 {
+        let mut slow = request(attempt, 7, 5_000, 100);
+        let others = group.engines.iter().filter(|engine| engine.target != home);
+        slow.excluded = others.map(|engine| engine.target.clone()).collect();
+        let placed = group.place(&slow, attempt * 1_000);
+        let mut end = finish(&slow, &placed, End::Complete, Some(1_000));
+        end.took = Millis(3_000);
+        group.ledger.finish(&end, Millis(attempt * 1_000 + 900));
+    }
+    let now = Millis(40_000);
+    let mut new = Ledger::new(16, None, 9);
+    new.adopt(group.ledger.summaries(Millis(20_000)), now);
+    let place = |attempt, prefix| {
+        let request = request(attempt, prefix, 5_000, 100);
+        let placed = new.clone().place(&request, &group.engines, now);
+        placed.expect("there are engines").target
+    };
+    assert_eq!(place(50, 8), placed.target);
+    // Of the prefixes that nobody has cached, none goes to the slow engine.
+    assert!((100..150).all(|prefix| place(prefix, prefix) != home));
+    // An engine that has started again has lost what was cached.
+    let mut restarted = Ledger::new(16, None, 9);
+    let mut engines = group.engines.clone();
+    for engine in &mut engines {
+        engine.started += 1;
+    }
+    restarted.adopt(group.ledger.summaries(Millis(20_000)), now);
+    let placed = restarted.place(&request(60, 8, 5_000, 100), &engines, now);
+    assert_eq!(placed.map(|placed| placed.cached_tokens), Some(0));
+}
--- a/crates/relay/src/peers/placement.rs
+++ b/crates/relay/src/peers/placement.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use gooseberry_kernel::fleet::placer_call::PLACE_TIMEOUT;
+use gooseberry_kernel::name;
+use gooseberry_kernel::target::placement::summary::Summary;
+use gooseberry_wire::fleet::ledger;
 use gooseberry_wire::fleet::placement::Finish;
 use gooseberry_wire::fleet::placement::NotPlaced;
 use gooseberry_wire::fleet::placement::Placed;
@@ -71,6 +74,30 @@
         answered.unwrap_or(Err(Uncalled::Unreachable))
     }
 
+    /// Asks a peer what it knows of the engines of a group.
+    ///
+    /// # Errors
+    /// Returns [`Uncalled`] if the peer does not answer, or does not have the call.
+    pub async fn ledger(
+        &self,
+        address: SocketAddr,
+        service: &name::Service,
+        group: u32,
+    ) -> Result<Vec<Summary>, Uncalled> {
+        let calling = async {
+            let connection = self.connection(address).await;
+            let connection = connection.map_err(|_| Uncalled::Unreachable)?;
+            check_version(&connection)?;
+            let limit = with_timeout(GREET_TIMEOUT);
+            let service = service.as_str().into();
+            let call = connection.client.ledger(limit, service, group);
+            call.await.map_err(|error| self.uncalled(address, &error))
+        };
+        let answered = timeout(GREET_TIMEOUT, calling).await;
+        let summaries = answered.unwrap_or(Err(Uncalled::Unreachable))?;
+        Ok(ledger::decode(summaries))
+    }
+
     /// Drops a connection that has ended. One on which a call was merely late is kept, since
     /// other calls may be waiting on it.
     fn uncalled(&self, address: SocketAddr, error: &RpcError) -> Uncalled {
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -20,6 +20,7 @@
 use gooseberry_wire::fleet::Origin;
 use gooseberry_wire::fleet::PROTOCOL_VERSION;
 use gooseberry_wire::fleet::Unmade;
+use gooseberry_wire::fleet::ledger::EngineSummary;
 use gooseberry_wire::fleet::placement::FINISHES_MAX;
 use gooseberry_wire::fleet::placement::Finish;
 use gooseberry_wire::fleet::placement::Malformed;
@@ -169,6 +170,18 @@
         }
     }
 
+    async fn ledger(
+        self,
+        _: context::Context,
+        service: CompactString,
+        group: u32,
+    ) -> Vec<EngineSummary> {
+        let service = name::Service::new(&service);
+        let now = self.context.now();
+        let summaries = self.context.placer.summaries(&service, group, now);
+        summaries.iter().map(Into::into).collect()
+    }
+
     async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
         let handles: Vec<name::Handle> = handles
             .iter()
--- a/crates/relay/src/placement/placer.rs
+++ b/crates/relay/src/placement/placer.rs
@@ -1,5 +1,7 @@
 //! Chooses engines for the requests of all daemons.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -11,6 +13,7 @@
 use gooseberry_kernel::target::placement::Ledger;
 use gooseberry_kernel::target::placement::Placed;
 use gooseberry_kernel::target::placement::Request;
+use gooseberry_kernel::target::placement::summary::Summary;
 use gooseberry_wire::fleet::placement::NotPlaced;
 
 use crate::context::Context;
@@ -19,6 +22,12 @@
 /// has changed by then.
 const IDLE_MAX: Millis = Millis(30_000);
 
+/// After how long without a request another daemon may have chosen the engines of a group.
+const TAKEOVER_AFTER: Millis = Millis(1_000);
+/// How many daemons are asked what they know of a group: the one before in the order, which
+/// may be shutting down, and the one after.
+const FORMER_PLACERS_MAX: usize = 2;
+
 /// The ledger of a group.
 #[derive(Debug)]
 struct Group {
@@ -42,7 +51,7 @@
     /// Returns why it chooses none.
     pub fn place(
         &self,
-        context: &Context,
+        context: &Arc<Context>,
         service: &name::Service,
         group: u32,
         request: &Request,
@@ -70,11 +79,32 @@
             groups.len() - 1
         });
         let known = &mut groups[index];
+        if position.is_none() || known.used_at + TAKEOVER_AFTER <= now {
+            tokio::spawn(take_over(context.clone(), service.clone(), group));
+        }
         known.used_at = now;
         let placed = known.ledger.place(request, &found.engines, now);
         placed.ok_or(NotPlaced::NoEngine)
     }
 
+    /// Returns what is known of the engines of a group.
+    pub fn summaries(&self, service: &name::Service, group: u32, now: Millis) -> Vec<Summary> {
+        let groups = self.lock();
+        let mut known = groups.iter();
+        let known = known.find(|known| known.number == group && known.service == *service);
+        known.map_or_else(Vec::new, |known| known.ledger.summaries(now))
+    }
+
+    /// Takes over what another placer knows of the engines of a group.
+    fn adopt(&self, service: &name::Service, group: u32, summaries: Vec<Summary>, now: Millis) {
+        let mut groups = self.lock();
+        let mut known = groups.iter_mut();
+        let known = known.find(|known| known.number == group && known.service == *service);
+        if let Some(known) = known {
+            known.ledger.adopt(summaries, now);
+        }
+    }
+
     /// Records the end of a request.
     pub fn finish(&self, service: &name::Service, group: u32, finish: &Finish, now: Millis) {
         let mut groups = self.lock();
@@ -114,3 +144,27 @@
         self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Asks the daemons that may have chosen the engines of a group before what they know.
+async fn take_over(context: Arc<Context>, service: name::Service, group: u32) {
+    let now = context.now();
+    let former: Vec<SocketAddr> = {
+        let state = context.state();
+        let order = state.placer_order(&service, group, now);
+        order.into_iter().take(FORMER_PLACERS_MAX).collect()
+    };
+    for address in former {
+        let Ok(summaries) = context.peers.ledger(address, &service, group).await else {
+            continue;
+        };
+        if summaries.is_empty() {
+            continue;
+        }
+        let parts: usize = summaries.iter().map(|known| known.parts.len()).sum();
+        log::info!(service:% = service, group, from:% = address, engines = summaries.len(), parts; "took over what the former placer of a group knows");
+        context
+            .placer
+            .adopt(&service, group, summaries, context.now());
+        return;
+    }
+}
--- a/crates/relay/src/state/placement.rs
+++ b/crates/relay/src/state/placement.rs
@@ -4,6 +4,7 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::assignment;
+use gooseberry_kernel::fleet::membership::MemberState;
 use gooseberry_kernel::fleet::placement;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::Engine;
@@ -50,6 +51,30 @@
         Some(Assignment { group, placer })
     }
 
+    /// Returns the addresses of the other daemons in the order in which they choose the
+    /// engines of a group, also of those that shut down.
+    #[must_use]
+    pub fn placer_order(
+        &self,
+        service: &name::Service,
+        group: u32,
+        now: Millis,
+    ) -> Vec<SocketAddr> {
+        let role = placement::role(service, group);
+        let live = self.members.live(now);
+        let staying: Vec<MemberState> = live
+            .into_iter()
+            .map(|member| MemberState {
+                is_leaving: false,
+                ..member.clone()
+            })
+            .collect();
+        let staying: Vec<&MemberState> = staying.iter().collect();
+        let order = assignment::dispatcher_order(&role, &staying, |_| true).into_iter();
+        let others = order.filter(|member| member.name != self.members.me().name);
+        others.map(|member| member.address).collect()
+    }
+
     /// Returns the engines of a group that may get requests; `None` if this daemon does not
     /// choose engines of the service, or does not know the group.
     #[must_use]
--- a/crates/relay/tests/direct/placer_standin.rs
+++ b/crates/relay/tests/direct/placer_standin.rs
@@ -22,6 +22,7 @@
 use gooseberry_wire::fleet::Member;
 use gooseberry_wire::fleet::Origin;
 use gooseberry_wire::fleet::Unmade;
+use gooseberry_wire::fleet::ledger::EngineSummary;
 use gooseberry_wire::fleet::placement::Finish;
 use gooseberry_wire::fleet::placement::NotPlaced;
 use gooseberry_wire::fleet::placement::Placed;
@@ -149,6 +150,10 @@
         })
     }
 
+    async fn ledger(self, _: context::Context, _: CompactString, _: u32) -> Vec<EngineSummary> {
+        Vec::new()
+    }
+
     async fn finished(self, _: context::Context, reports: Vec<Finish>) {
         self.reports.lock().expect("not poisoned").extend(reports);
     }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -7,11 +7,13 @@
 //! - `heartbeat` has what daemons say of their links to targets.
 //! - `origin` has where streams began.
 //! - `part_evidence` has what is known of parts of prompts that crash targets.
+//! - `ledger` has what a daemon that chooses engines knows.
 //! - `placement` has requests to the daemon that chooses engines, and reports to it.
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
 mod heartbeat;
+pub mod ledger;
 mod origin;
 mod part_evidence;
 pub mod placement;
@@ -33,6 +35,7 @@
 use crate::control::Suspect;
 pub use crate::fleet::heartbeat::Announcement;
 pub use crate::fleet::heartbeat::Heartbeat;
+use crate::fleet::ledger::EngineSummary;
 pub use crate::fleet::origin::Origin;
 pub use crate::fleet::part_evidence::PartEvidence;
 use crate::fleet::placement::Finish;
@@ -80,6 +83,9 @@
     /// Reports how requests ended that the daemon chose engines for, at most
     /// [`placement::FINISHES_MAX`] in one call. It is made only of daemons of version 3.
     async fn finished(reports: Vec<Finish>);
+    /// Returns what the daemon knows of the engines of a group that it chooses, or has chosen
+    /// from until lately. It is made only of daemons of version 3.
+    async fn ledger(service: CompactString, group: u32) -> Vec<EngineSummary>;
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
