--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -7,6 +7,7 @@
 //! - [`withdrawal`] keeps in force what a store that went back has forgotten.
 //! - [`detour`] chooses the daemon that sends a request for one that is cut off.
 //! - [`placement`] divides engines and requests into groups, each with a daemon that chooses.
+//! - [`discovery`] knows whether a daemon that has started knows its peers.
 //! - [`assignment`] chooses the dispatcher of a stage service and the readers
 //!   of the store, and [`share`] divides limits of the whole fleet, of which an
 //!   [`allowance`] says what a daemon may send.
@@ -15,6 +16,7 @@
 pub mod assignment;
 pub mod chunks;
 pub mod detour;
+pub mod discovery;
 pub mod fetch;
 pub mod membership;
 pub mod mirror;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -62,7 +62,12 @@
 const FORMER_VERSION: u32 = 0;
 /// The error of a call to a peer that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Unreachable;
+pub enum Unreachable {
+    /// No connection could be opened.
+    NotConnected,
+    /// The peer broke the connection off, or did not answer in time. It may be busy.
+    NoAnswer,
+}
 
 /// The reply to a greeting.
 enum Reply {
@@ -127,10 +132,10 @@
                 Ok(Ok(result)) => break result,
                 Ok(Err(_)) => {
                     self.disconnect(address);
-                    return Err(Unreachable);
+                    return Err(Unreachable::NoAnswer);
                 }
-                Err(_) if context.state().members().is_live(address, context.now()) => {}
-                Err(_) => return Err(Unreachable),
+                Err(_) if context.state().may_answer(address, context.now()) => {}
+                Err(_) => return Err(Unreachable::NoAnswer),
             }
         };
         Ok(result.map(|result| GroupOutput {
@@ -156,7 +161,7 @@
         let call = client.free(with_timeout(GREET_TIMEOUT), service, handles);
         call.await.map_err(|_| {
             self.disconnect(owner.address);
-            Unreachable
+            Unreachable::NoAnswer
         })
     }
 
@@ -173,7 +178,7 @@
         let client = self.client(address).await?;
         let attempt = attempt.as_str().into();
         let call = client.back_up_origin(with_timeout(GREET_TIMEOUT), attempt, origin.into());
-        call.await.map_err(|_| Unreachable)
+        call.await.map_err(|_| Unreachable::NoAnswer)
     }
 
     /// Asks a peer where the stream of an attempt began; `None` if it does not know.
@@ -187,7 +192,7 @@
     ) -> Result<Option<Origin>, Unreachable> {
         let client = self.client(address).await?;
         let call = client.origin(with_timeout(GREET_TIMEOUT), attempt.as_str().into());
-        let origin = call.await.map_err(|_| Unreachable)?;
+        let origin = call.await.map_err(|_| Unreachable::NoAnswer)?;
         Ok(origin.map(Into::into))
     }
 
@@ -212,7 +217,7 @@
             return Ok(reply);
         }
         self.disconnect(address);
-        Err(Unreachable)
+        Err(Unreachable::NoAnswer)
     }
 
     async fn contents(
@@ -226,14 +231,17 @@
         let limit = with_timeout(FETCH_TIMEOUT);
         if version >= EXCHANGE_VERSION {
             let call = client.contents(limit, request.into());
-            return call.await.map(Into::into).map_err(|_| Unreachable);
+            return call
+                .await
+                .map(Into::into)
+                .map_err(|_| Unreachable::NoAnswer);
         }
         // The former build does not pass all contents on in parts.
         if request.is_collecting {
-            return Err(Unreachable);
+            return Err(Unreachable::NoAnswer);
         }
         let call = client.changes(limit, request.after.0);
-        let changes = call.await.map_err(|_| Unreachable)?;
+        let changes = call.await.map_err(|_| Unreachable::NoAnswer)?;
         Ok(Contents::of(request.era, changes.into()))
     }
 
@@ -245,7 +253,7 @@
         let client = self.client(address).await?;
         let digests = digests.iter().map(|digest| digest.0).collect();
         let call = client.chunks(with_timeout(FETCH_TIMEOUT), digests);
-        call.await.map_err(|_| Unreachable)
+        call.await.map_err(|_| Unreachable::NoAnswer)
     }
 
     /// Returns the client of a peer, and connects to the peer if there is none.
@@ -285,7 +293,7 @@
                         version,
                     });
                 }
-                Err(RpcError::DeadlineExceeded) => return Err(Unreachable),
+                Err(RpcError::DeadlineExceeded) => return Err(Unreachable::NoAnswer),
                 Err(_) => {}
             }
         }
@@ -300,8 +308,8 @@
         let connecting = control_stream::connect(address, self.counters.clone());
         let connected = timeout(GREET_TIMEOUT, connecting).await;
         let transport = connected
-            .map_err(|_| Unreachable)?
-            .map_err(|_| Unreachable)?;
+            .map_err(|_| Unreachable::NotConnected)?
+            .map_err(|_| Unreachable::NotConnected)?;
         Ok(FleetClient::new(client::Config::default(), transport).spawn())
     }
 
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -22,6 +22,7 @@
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
 use crate::platform::client_address;
+use crate::platform::complete_answer_to;
 use crate::platform::is_ready_with;
 use crate::platform::start_one;
 use crate::platform::wait_until;
@@ -80,6 +81,24 @@
     }
 }
 
+/// Guards against daemons that dispatch for themselves in the first second after a start of
+/// the whole fleet, in which they do not know each other.
+#[tokio::test]
+async fn a_daemon_that_has_just_started_has_a_seed_that_answers_dispatch() {
+    let platform = TestPlatform::start().await;
+    let seed = platform.daemon(1, &[]).await;
+    let unused = ([127, 0, 0, 1], 9).into();
+    let daemon = platform.daemon(2, &[unused, peer_address(&seed)]).await;
+    let request = ClientRequest::new("/staged/").with_stage_pieces("1,1");
+    complete_answer_to(&request, &daemon).await;
+    let has_dispatched = |daemon: &Daemon| {
+        let text = daemon.context().metrics.text().expect("it can be encoded");
+        String::from_utf8_lossy(&text).contains("gooseberry_relay_pieces_total{end=\"answered\"} 2")
+    };
+    assert!(has_dispatched(&seed));
+    assert!(!has_dispatched(&daemon));
+}
+
 /// Sends a request through a daemon that is not the dispatcher of its first stage, kills
 /// the dispatcher once a target of `busy` has got a request, and checks that the answer
 /// is whole. Returns the daemons that are left.
