--- a/crates/kernel/tests/direct/batch_queue.rs
+++ b/crates/kernel/tests/direct/batch_queue.rs
@@ -176,6 +176,94 @@
     assert_eq!(attempts(&call), ["b"]);
 }
 
+/// Guards against inputs that are released while nobody needs their memory: when one of
+/// 60 pieces failed, the stages of its request ran a second time.
+#[test]
+fn inputs_are_reclaimed_only_for_a_call_that_does_not_fit_otherwise() {
+    let mut queue = BatchQueue::default();
+    let targets = stage_targets(2);
+    let read = [name::Handle::new("h-0"), name::Handle::new("h-1")];
+    let needed = [name::Handle::new("h-2")];
+    let (first, second) = (&targets[0].name, &targets[1].name);
+    for (handle, target) in read
+        .iter()
+        .zip([first, first])
+        .chain([(&needed[0], second)])
+    {
+        let results = queue.results();
+        results.track(handle.clone(), target, 4_000, Millis(4_000), Millis(0));
+    }
+    let results = queue.results();
+    assert!(results.set_reclaimable(&read, true, Millis(10)));
+    let unknown = [name::Handle::new("unknown")];
+    assert!(!results.set_reclaimable(&unknown, true, Millis(10)));
+    queue.push(group("small", 2), Millis(20));
+    let call = queue.next_call(&targets, &SPEC, Millis(20));
+    assert_eq!(call.expect("it fits").target, *second);
+    assert_eq!(queue.take_reclaimed(), 0);
+    // The second target works now. One of the results makes room for the call.
+    queue.push(large("a"), Millis(30));
+    assert_eq!(queue.next_call(&targets, &SPEC, Millis(30)), None);
+    assert_eq!(queue.take_reclaimed(), 2);
+    let results = queue.results();
+    assert!(
+        !results.set_reclaimable(&read, false, Millis(30)),
+        "they are gone"
+    );
+    let freed = results.take_freed();
+    assert_eq!(freed, [(first.clone(), read.to_vec())]);
+    // The target is held for the call until its memory is free.
+    queue.push(group("late", 1), Millis(40));
+    assert_eq!(queue.next_call(&targets, &SPEC, Millis(40)), None);
+    queue.finish_free(first, &read, Millis(50));
+    let call = queue.next_call(&targets, &SPEC, Millis(50));
+    assert_eq!(attempts(&call.expect("its memory is free")), ["a", "late"]);
+}
+
+/// A target that does not answer a free must not stay unused.
+#[test]
+fn marks_can_be_taken_back_and_a_held_target_is_used_again() {
+    let mut queue = BatchQueue::default();
+    let targets = stage_targets(1);
+    let kept = [name::Handle::new("h-0"), name::Handle::new("h-1")];
+    for handle in &kept {
+        let results = queue.results();
+        results.track(
+            handle.clone(),
+            &targets[0].name,
+            4_000,
+            Millis(9_000),
+            Millis(0),
+        );
+    }
+    assert!(queue.results().set_reclaimable(&kept, true, Millis(0)));
+    assert!(
+        queue
+            .results()
+            .set_reclaimable(&kept[..1], false, Millis(0))
+    );
+    queue.push(large("a"), Millis(0));
+    assert_eq!(queue.next_call(&targets, &SPEC, Millis(0)), None);
+    assert_eq!(
+        queue.take_reclaimed(),
+        0,
+        "one result does not make enough room"
+    );
+    let half = Group {
+        result_bytes: 4_000,
+        ..group("b", 1)
+    };
+    queue.push(half, Millis(10));
+    assert_eq!(queue.next_call(&targets, &SPEC, Millis(10)), None);
+    assert_eq!(queue.take_reclaimed(), 1);
+    assert_eq!(queue.results().take_freed().len(), 1);
+    queue.push(group("small", 1), Millis(20));
+    assert_eq!(queue.next_call(&targets, &SPEC, Millis(20)), None);
+    assert_eq!(queue.expire(1, &SPEC, Millis(300)), []);
+    let call = queue.next_call(&targets, &SPEC, Millis(300));
+    assert_eq!(attempts(&call.expect("the hold has ended")), ["small"]);
+}
+
 #[test]
 fn results_of_another_dispatcher_take_capacity_until_the_next_report() {
     let mut queue = BatchQueue::default();
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -9,6 +9,8 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::stage::batch_queue::BatchCall;
+use gooseberry_kernel::stage::batch_queue::CallPart;
+use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
 use gooseberry_platform::stage_call;
 use gooseberry_platform::stage_call::PieceResult;
@@ -18,9 +20,9 @@
 
 use crate::context::Context;
 use crate::dispatcher::ResultOwner;
+use crate::dispatcher::inputs::keep_inputs;
+use crate::dispatcher::inputs::release_inputs;
 use crate::dispatcher::result_memory::query_usage;
-use crate::dispatcher::result_memory::release_results;
-use crate::dispatcher::service_dispatch::PendingGroup;
 use crate::dispatcher::service_dispatch::ServiceDispatch;
 use crate::dispatcher::service_dispatch::dispatch_of;
 use crate::exchange::Callee;
@@ -106,7 +108,7 @@
     let dispatcher = &context.dispatcher;
     let target = call.target.clone();
     let is_cut_off = context.state().detour(service, &[], 0, now).is_some();
-    let is_full = {
+    let applied = {
         let mut services = dispatcher.lock();
         let dispatch = dispatch_of(&mut services, service);
         dispatch.record_call_end(&call.target);
@@ -115,12 +117,21 @@
         }
         if is_cut_off && matches!(outcome, CallOutcome::Failed(_)) {
             dispatch.give_back(call);
-            false
+            Applied::default()
         } else {
             apply_outcome(dispatch, call, outcome, spec, now)
         }
     };
-    if is_full {
+    context.metrics.stage_event("retried", applied.retried);
+    for (ticket, owners) in applied.to_keep {
+        tokio::spawn(keep_inputs(
+            context.clone(),
+            service.clone(),
+            ticket,
+            owners,
+        ));
+    }
+    if applied.is_full {
         query_usage(context, service, spec, &[target]).await;
     }
     dispatcher.send_due_calls(context, service);
@@ -145,56 +156,6 @@
     counts.collect::<Vec<_>>().join(", ").into()
 }
 
-/// Releases the inputs of a call that is still running, as its target must have
-/// fetched them by now, if other groups may be waiting for their memory.
-///
-/// A target fetches the inputs when it starts on a call. That is as soon as the
-/// call arrives, unless another daemon has calls at the target too; in that
-/// case the inputs are released only after the group has completed. So are
-/// those of a group whose pieces are split over several calls, and those whose
-/// service has no backlog: with its inputs, a piece that fails can be retried.
-pub(super) fn release_inputs(context: &Arc<Context>, service: &name::Service, call: &BatchCall) {
-    let mut input_owners = Vec::new();
-    for part in &call.parts {
-        let is_unsplit = |pending: &&mut PendingGroup| {
-            let all = pending.wanted.len();
-            pending.ticket == part.ticket && all == part.group.pieces.len()
-        };
-        let owners = {
-            let mut services = context.dispatcher.lock();
-            let dispatch = dispatch_of(&mut services, service);
-            if !dispatch.is_sole_dispatcher_at(&call.target) {
-                return;
-            }
-            let pending = dispatch.pending.iter_mut().find(is_unsplit);
-            pending.map_or_else(Vec::new, |pending| pending.input_owners.clone())
-        };
-        if !owners.iter().any(|owner| has_backlog(context, owner)) {
-            continue;
-        }
-        let mut services = context.dispatcher.lock();
-        let dispatch = dispatch_of(&mut services, service);
-        if let Some(pending) = dispatch.pending.iter_mut().find(is_unsplit) {
-            pending.are_inputs_freed = true;
-            input_owners.append(&mut pending.input_owners);
-        }
-    }
-    for owner in input_owners {
-        release_results(context, owner);
-    }
-}
-
-/// Returns whether groups wait at the service that computed some results.
-fn has_backlog(context: &Context, owner: &ResultOwner) -> bool {
-    if owner.address == context.boot.peer_address {
-        let mut services = context.dispatcher.lock();
-        let queue = &dispatch_of(&mut services, &owner.service).queue;
-        return queue.waiting_pieces() > 0;
-    }
-    let now = context.now();
-    context.state().has_backlog(&owner.service, now)
-}
-
 /// Records whether the target of a call is reachable.
 pub(super) fn record_health(
     context: &Context,
@@ -210,27 +171,61 @@
     }
 }
 
+/// What is left to do for the outcome of a call.
+#[derive(Default)]
+pub(super) struct Applied {
+    /// Whether the target lacked memory for results.
+    is_full: bool,
+    /// The number of pieces that are tried again.
+    retried: usize,
+    /// The owners at which inputs are to be marked as needed again, by group.
+    to_keep: Vec<(Ticket, Vec<ResultOwner>)>,
+}
+
+impl Applied {
+    fn requeue(
+        &mut self,
+        dispatch: &mut ServiceDispatch,
+        part: CallPart,
+        counts_as_try: bool,
+        now: Millis,
+    ) {
+        let (ticket, count) = (part.ticket, part.group.pieces.len());
+        let owners = dispatch.requeue(ticket, part.group, counts_as_try, now);
+        if dispatch
+            .pending
+            .iter()
+            .any(|pending| pending.ticket == ticket)
+        {
+            self.retried += count;
+        }
+        if !owners.is_empty() {
+            self.to_keep.push((ticket, owners));
+        }
+    }
+}
+
 /// Distributes the outcome of a call to its groups, and queues failed pieces
-/// again; returns whether the target lacked memory for results.
+/// again.
 pub(super) fn apply_outcome(
     dispatch: &mut ServiceDispatch,
     call: BatchCall,
     outcome: CallOutcome,
     spec: BatchSpec,
     now: Millis,
-) -> bool {
+) -> Applied {
+    let mut applied = Applied::default();
     let target = call.target.clone();
     let mut piece_results = match outcome {
         CallOutcome::Answered(piece_results) => piece_results.into_iter(),
         CallOutcome::Refused | CallOutcome::Failed(_) => {
             let counts_as_try = matches!(outcome, CallOutcome::Failed(_));
             for part in call.parts {
-                dispatch.requeue(part.ticket, part.group, counts_as_try, now);
+                applied.requeue(dispatch, part, counts_as_try, now);
             }
-            return false;
+            return applied;
         }
     };
-    let mut is_full = false;
     for part in call.parts {
         let group = part.group;
         // A target without free memory is not a failure; it does not count as a
@@ -254,7 +249,7 @@
                 PieceResult::Gone => dispatch.complete(part.ticket, Err(Unmade::Gone)),
                 PieceResult::NoMemory => {
                     dispatch.queue.pause_target(&target, now);
-                    is_full = true;
+                    applied.is_full = true;
                     missing.push(*piece);
                 }
                 PieceResult::Error => {
@@ -265,10 +260,14 @@
         }
         if !missing.is_empty() {
             let pieces = missing;
-            dispatch.requeue(part.ticket, Group { pieces, ..group }, has_failed, now);
+            let part = CallPart {
+                ticket: part.ticket,
+                group: Group { pieces, ..group },
+            };
+            applied.requeue(dispatch, part, has_failed, now);
         }
     }
-    is_full
+    applied
 }
 
 /// Sends one call and waits for its response, within a timeout derived from its
--- a/crates/relay/src/dispatcher/service_dispatch.rs
+++ b/crates/relay/src/dispatcher/service_dispatch.rs
@@ -41,12 +41,14 @@
     /// How many of its calls have failed.
     pub(super) tries: u32,
     /// The owners of inputs that only this group reads; taken once the inputs
-    /// are released.
+    /// are released to a daemon of a former build.
     pub(super) input_owners: Vec<ResultOwner>,
     /// The daemon that handles the request.
     pub(super) origin: Process,
     /// Whether the inputs have been released while the call was running.
     pub(super) are_inputs_freed: bool,
+    /// Whether the inputs are marked as reclaimable while the call runs.
+    pub(super) are_inputs_marked: bool,
     /// Completes the waiting future.
     pub(super) reply: oneshot::Sender<GroupResult>,
 }
@@ -245,20 +247,21 @@
     }
 
     /// Queues failed pieces again, unless the group has had all its tries or its
-    /// inputs have been released.
+    /// inputs have been released. Returns the owners at which the inputs are to be marked
+    /// as needed again.
     pub(super) fn requeue(
         &mut self,
         ticket: Ticket,
         group: Group,
         counts_as_try: bool,
         now: Millis,
-    ) {
+    ) -> Vec<ResultOwner> {
         let Some(pending) = self
             .pending
             .iter_mut()
             .find(|pending| pending.ticket == ticket)
         else {
-            return;
+            return Vec::new();
         };
         pending.tries += u32::from(counts_as_try);
         if pending.are_inputs_freed {
@@ -267,7 +270,11 @@
             self.complete(ticket, Err(Unmade::Failed));
         } else {
             self.queue.requeue(ticket, group, now);
+            if std::mem::take(&mut pending.are_inputs_marked) {
+                return pending.input_owners.clone();
+            }
         }
+        Vec::new()
     }
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -25,6 +25,7 @@
     retries: IntCounterVec,
     rate_limited: IntCounterVec,
     pieces: IntCounterVec,
+    stage_events: IntCounterVec,
     store: IntCounterVec,
     store_era: IntGauge,
     peer_fetches: IntCounterVec,
@@ -68,6 +69,11 @@
             "Pieces that this daemon dispatched, by what became of them.",
             &["end"],
         )?;
+        let stage_events = counters(
+            "gooseberry_relay_stage_events_total",
+            "Pieces retried with the same inputs, and inputs reclaimed for other calls.",
+            &["event"],
+        )?;
         let store = counters(
             "gooseberry_relay_store_calls_total",
             "Calls to the platform's store.",
@@ -117,6 +123,7 @@
             retries,
             rate_limited,
             pieces,
+            stage_events,
             store,
             store_era,
             peer_fetches,
@@ -160,6 +167,13 @@
         self.pieces.with_label_values(&[end]).inc_by(count);
     }
 
+    /// Counts pieces that were `retried` with the same inputs, or inputs that were
+    /// `reclaimed` for other calls.
+    pub fn stage_event(&self, event: &str, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.stage_events.with_label_values(&[event]).inc_by(count);
+    }
+
     /// Counts a call to the store; `end` says how it ended.
     pub fn store_call(&self, end: &str) {
         self.store.with_label_values(&[end]).inc();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,10 +4,12 @@
 //!
 //! - `greeting` exchanges greetings.
 //! - `fetch` fetches the store's contents from peers.
+//! - `reclaim` marks results at the daemon that dispatched them.
 //! - `server` answers the calls of peers.
 
 mod fetch;
 mod greeting;
+mod reclaim;
 mod server;
 
 use std::net::SocketAddr;
