--- a/crates/kernel/src/stage/batch_queue.rs
+++ b/crates/kernel/src/stage/batch_queue.rs
@@ -35,6 +35,8 @@
 pub use crate::stage::batch_queue::call::StageTarget;
 pub use crate::stage::batch_queue::call::TargetReport;
 use crate::stage::group::Group;
+use crate::stage::pace::Paces;
+use crate::stage::pace::Sample;
 use crate::stage::piece_rate::PieceRate;
 use crate::stage::result_tracker::ResultTracker;
 
@@ -79,6 +81,7 @@
     /// Number of results that were reclaimed since it was last asked for.
     reclaimed: usize,
     results: ResultTracker,
+    paces: Paces,
     /// Rate of the arriving pieces that were on time.
     arrivals: PieceRate,
     /// Rate of the pieces that were sent.
@@ -199,6 +202,23 @@
         self.in_flight.retain(|call| call.target != *target);
     }
 
+    /// Learns the pace of a target from a call to it, of which it computed this number of
+    /// pieces.
+    pub fn record_pace(
+        &mut self,
+        target: &name::Target,
+        computed: usize,
+        sample: Sample,
+        spec: &BatchSpec,
+        now: Millis,
+    ) {
+        let computed = u32::try_from(computed).unwrap_or(u32::MAX);
+        if computed > 0 {
+            let expected = spec.call_duration(computed);
+            self.paces.record(target, expected, sample, now);
+        }
+    }
+
     /// Sends no call to a target for [`TARGET_PAUSE`], since it had no memory
     /// for results or no free call slot.
     pub fn pause_target(&mut self, target: &name::Target, now: Millis) {
@@ -256,9 +276,13 @@
     }
 
     fn is_unavailable(&self, target: &name::Target) -> bool {
-        let is_paused = self.paused.iter().any(|(paused, _)| paused == target);
-        let is_held = self.held.iter().any(|(held, _)| held == target);
-        is_paused || is_held || self.in_flight.iter().any(|call| call.target == *target)
+        self.is_paused(target) || self.in_flight.iter().any(|call| call.target == *target)
+    }
+
+    /// Returns whether a target gets no call for some time, or is held for one.
+    fn is_paused(&self, target: &name::Target) -> bool {
+        let mut paused = self.paused.iter().chain(&self.held);
+        paused.any(|(paused, _)| paused == target)
     }
 
     fn free_bytes(&self, candidate: &StageTarget, spec: &BatchSpec, now: Millis) -> u64 {
--- a/crates/kernel/src/stage/batch_queue/call.rs
+++ b/crates/kernel/src/stage/batch_queue/call.rs
@@ -5,6 +5,7 @@
 use crate::name;
 use crate::stage::batch_queue::Ticket;
 use crate::stage::group::Group;
+use crate::stage::pace::Pace;
 
 value! {
     /// A group that was dropped from the queue.
@@ -66,7 +67,11 @@
         pub domain: name::Domain,
         /// The groups that it computes, in this order.
         pub parts: Vec<CallPart>,
-        /// When the call is expected to end.
+        /// The pace of the target.
+        pub pace: Pace,
+        /// When the call is expected to end at this pace.
         pub expected_end: Millis,
+        /// How long after it was sent the call is given up.
+        pub timeout: Millis,
     }
 }
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod mirror;
 mod notice;
+mod pace;
 mod part_quarantine;
 mod plan;
 mod prior_wait;
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -12,6 +12,7 @@
 use gooseberry_kernel::stage::batch_queue::CallPart;
 use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
+use gooseberry_kernel::stage::pace::Sample;
 use gooseberry_platform::stage_call;
 use gooseberry_platform::stage_call::PieceResult;
 use gooseberry_wire::fleet::Unmade;
@@ -29,18 +30,11 @@
 use crate::exchange::Exchange;
 use crate::link;
 
-/// The constant part of a call's timeout, added to a multiple of its expected
-/// duration.
-const CALL_TIMEOUT_SLACK: Millis = Millis(300);
-
-/// The timeout of a call as a multiple of its expected duration, without the
-/// constant part.
-const CALL_TIMEOUT_FACTOR: u64 = 3;
 /// The largest response to a stage call, in bytes.
 pub(super) const RESPONSE_MAX_BYTES: usize = 1 << 20;
-/// How long after a call was sent its target has surely fetched the inputs:
-/// fetching those of a full call takes about 20 ms.
-const INPUTS_FETCHED_AFTER: Duration = Duration::from_millis(120);
+/// How long after a call was sent its target has surely fetched the inputs, at the expected
+/// pace: fetching those of a full call takes about 20 ms.
+const INPUTS_FETCHED_AFTER: Millis = Millis(120);
 
 /// The outcome of a call as a whole.
 pub(super) enum CallOutcome {
@@ -60,6 +54,8 @@
     call: BatchCall,
 ) {
     let sent = context.now();
+    let inputs_fetched_after = call.pace.stretch(INPUTS_FETCHED_AFTER);
+    let inputs_fetched_after = Duration::from_millis(inputs_fetched_after.0);
     let outcome = {
         let sending = send_call(context, &call);
         let sending = link::watch_silence(context, service, &call.target, sending);
@@ -68,7 +64,7 @@
         tokio::pin!(link_lost);
         loop {
             tokio::select! {
-                outcome = timeout(INPUTS_FETCHED_AFTER, sending.as_mut()) => match outcome {
+                outcome = timeout(inputs_fetched_after, sending.as_mut()) => match outcome {
                     Ok(outcome) => break outcome,
                     Err(_) => release_inputs(context, service, &call),
                 },
@@ -98,9 +94,21 @@
         pieces = count,
         expected_ms = (call.expected_end - sent).0,
         took_ms = (now - sent).0,
+        pace:% = call.pace,
         detail:%;
         "stage call {label}"
     );
+    let (computed, sample) = match &outcome {
+        CallOutcome::Answered(piece_results) => {
+            let results = piece_results.iter();
+            let computed = results.filter(|result| matches!(result, PieceResult::Handle(_)));
+            (computed.count(), Some(Sample::Answered(now - sent)))
+        }
+        CallOutcome::Failed(_) if now - sent >= call.timeout => {
+            (count, Some(Sample::GivenUp(now - sent)))
+        }
+        CallOutcome::Refused | CallOutcome::Failed(_) => (0, None),
+    };
     record_health(context, &call.target, &outcome, now);
     if matches!(outcome, CallOutcome::Failed(_)) {
         link::check_after_failure(context, service, &call.target);
@@ -111,7 +119,7 @@
     let applied = {
         let mut services = dispatcher.lock();
         let dispatch = dispatch_of(&mut services, service);
-        dispatch.record_call_end(&call.target);
+        dispatch.record_call_end(&call.target, computed, sample, &spec, now);
         if matches!(outcome, CallOutcome::Refused) {
             dispatch.queue.pause_target(&call.target, now);
         }
@@ -270,8 +278,7 @@
     applied
 }
 
-/// Sends one call and waits for its response, within a timeout derived from its
-/// expected duration.
+/// Sends one call and waits for its response, within its timeout.
 pub(super) async fn send_call(context: &Arc<Context>, call: &BatchCall) -> CallOutcome {
     let now = context.now();
     let Some(address) = context.state().address(&call.target) else {
@@ -286,8 +293,7 @@
         Err(error) => return CallOutcome::Failed(format!("{error:#}")),
     };
     let count = call.parts.iter().map(|part| part.group.pieces.len()).sum();
-    let expected = call.expected_end - now;
-    let limit = Millis(expected.0 * CALL_TIMEOUT_FACTOR) + CALL_TIMEOUT_SLACK;
+    let limit = call.timeout;
     let exchanged = timeout(Duration::from_millis(limit.0), async {
         let mut exchange = Exchange::begin(context, &callee, request).await?;
         let status = exchange.status;
--- a/crates/relay/src/dispatcher/service_dispatch.rs
+++ b/crates/relay/src/dispatcher/service_dispatch.rs
@@ -5,10 +5,12 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::membership::Process;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::stage::batch_queue::BatchCall;
 use gooseberry_kernel::stage::batch_queue::BatchQueue;
 use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
+use gooseberry_kernel::stage::pace::Sample;
 use gooseberry_wire::fleet::Unmade;
 use tokio::sync::oneshot;
 
@@ -105,9 +107,20 @@
         was_first && !is_first
     }
 
-    /// Records that a call to a target has ended.
-    pub(super) fn record_call_end(&mut self, target: &name::Target) {
+    /// Records that a call to a target has ended. The pace of the target shows only in calls
+    /// that did not wait there for those of another daemon.
+    pub(super) fn record_call_end(
+        &mut self,
+        target: &name::Target,
+        computed: usize,
+        sample: Option<Sample>,
+        spec: &BatchSpec,
+        now: Millis,
+    ) {
         self.queue.finish_call(target);
+        if let Some(sample) = sample.filter(|_| self.is_sole_dispatcher_at(target)) {
+            self.queue.record_pace(target, computed, sample, spec, now);
+        }
         if let Err(index) = self.drained.binary_search(target) {
             self.drained.insert(index, target.clone());
         }
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -296,6 +296,28 @@
     }
 }
 
+/// Guards against targets that became slow and get calls that are given up again and again.
+/// Each call is expected to take 41 ms and was given up after 423 ms.
+#[tokio::test]
+async fn calls_to_slow_targets_are_given_up_only_until_their_pace_is_known() {
+    let (platform, daemon) = start_one().await;
+    for target in &platform.first {
+        target.queue_modes(&[Mode::Delayed(500); 40]);
+    }
+    let mut calls_of_request = Vec::new();
+    for _ in 0..10 {
+        let before = stage_calls(&platform.first).len();
+        let client = ClientRequest::new("/long/").with_stage_pieces("1");
+        let answer = answer_to(&client, &daemon).await;
+        let calls = stage_calls(&platform.first).len() - before;
+        calls_of_request.push((answer.status, calls));
+        if calls_of_request.ends_with(&[(200, 1)]) {
+            return;
+        }
+    }
+    panic!("all requests had calls that were given up: {calls_of_request:?}");
+}
+
 /// Settings with which a target of the service `first` has no memory for the results of a
 /// full call of `/long/` beside the result that the second stage of `/staged/` reads.
 fn with_short_memory() -> String {
