--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::hash;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_kernel::stage::group;
@@ -88,7 +89,18 @@
     let platform = TestPlatform::start().await;
     let seed = platform.daemon(1, &[]).await;
     let unused = ([127, 0, 0, 1], 9).into();
-    let daemon = platform.daemon(2, &[unused, peer_address(&seed)]).await;
+    // By the members that it knows, this daemon dispatches both stages itself.
+    let weight = |service: &str, number: u8| {
+        hash::mix(hash::text(service), hash::text(&format!("d-{number}")))
+    };
+    let goes_first = |number: &u8| {
+        let mut services = ["first", "second"].into_iter();
+        services.all(|service| weight(service, *number) > weight(service, 1))
+    };
+    let number = (2..100).find(goes_first).expect("there is one");
+    let daemon = platform
+        .daemon(number, &[unused, peer_address(&seed)])
+        .await;
     let request = ClientRequest::new("/staged/").with_stage_pieces("1,1");
     complete_answer_to(&request, &daemon).await;
     let has_dispatched = |daemon: &Daemon| {
