--- a/crates/relay/src/peers/placement.rs
+++ b/crates/relay/src/peers/placement.rs
@@ -20,7 +20,6 @@
 use crate::peers::GREET_TIMEOUT;
 use crate::peers::PLACEMENT_VERSION;
 use crate::peers::Peers;
-use crate::peers::Unreachable;
 use crate::peers::with_timeout;
 
 /// Why a placer was not called, or did not answer.
@@ -118,7 +117,7 @@
     let connecting = tokio::spawn(async move { context.peers.connection(address).await });
     match connecting.await {
         Ok(Ok(connection)) => Ok(connection),
-        Ok(Err(Unreachable)) | Err(_) => Err(Uncalled::Unreachable),
+        Ok(Err(_)) | Err(_) => Err(Uncalled::Unreachable),
     }
 }
 
