Take back the dispatch of stages by seeds after a start

Seeds that had not started let connections hang, seeds that had just started knew no services, and discoveries ended at different moments.

--- a/crates/kernel/src/fleet.rs
+++ b/crates/kernel/src/fleet.rs
@@ -9,7 +9,6 @@
 //! - [`detour`] chooses the daemon that sends a request for one that is cut off.
 //! - [`placement`] divides engines and requests into groups, each with a daemon that chooses,
 //!   and [`placer_call`] decides when that daemon is asked and told.
-//! - [`discovery`] knows whether a daemon that has started knows its peers.
 //! - [`assignment`] chooses the dispatcher of a stage service and the readers
 //!   of the store, and [`share`] divides limits of the whole fleet, of which an
 //!   [`allowance`] says what a daemon may send.
@@ -18,7 +17,6 @@
 pub mod assignment;
 pub mod chunks;
 pub mod detour;
-pub mod discovery;
 pub mod fetch;
 pub mod membership;
 pub mod mirror;
--- a/crates/kernel/src/fleet/assignment.rs
+++ b/crates/kernel/src/fleet/assignment.rs
@@ -6,18 +6,11 @@
 //! grants no exclusive right: two dispatchers of one service only cost
 //! additional calls, so nothing waits for an agreement. A dispatcher that is no
 //! longer the chosen one hands its waiting groups over.
-//!
-//! A daemon that has not discovered its peers yet goes by the seeds, which all daemons
-//! know from their start ([`dispatchers`]).
 
 use std::cmp::Reverse;
-use std::net::SocketAddr;
-
-use compact_str::ToCompactString;
 
 use crate::clock::Millis;
 use crate::derive::scalar;
-use crate::fleet::discovery::Discovery;
 use crate::fleet::membership::MemberState;
 use crate::hash;
 use crate::name;
@@ -135,48 +128,6 @@
         .min_by_key(|member| rank_key(service, member, &reaches))
 }
 
-/// Returns the addresses of the daemons that are asked to dispatch a service, in this order;
-/// `me` is among them.
-///
-/// Until this daemon has discovered its peers it asks the seeds, ordered by rendezvous
-/// hashing, and dispatches by itself only if none of them answers. With the members that
-/// each daemon knew, 29 to 37 of 65 daemons dispatched for one service after a start of all
-/// of them.
-#[must_use]
-pub fn dispatchers(
-    service: &name::Service,
-    me: &MemberState,
-    members: &[&MemberState],
-    discovery: &Discovery,
-    reaches: impl Fn(&MemberState) -> bool,
-    now: Millis,
-) -> Vec<SocketAddr> {
-    let by_rank = dispatcher_order(service, members, &reaches);
-    let by_rank = by_rank.into_iter().map(|member| member.address);
-    if discovery.is_complete(now) {
-        return by_rank.collect();
-    }
-    // A seed that is known to shut down or to be cut off from the targets is not asked.
-    let is_usable = |seed: &SocketAddr| {
-        let member = members.iter().find(|member| member.address == *seed);
-        member.is_none_or(|member| !member.is_leaving && reaches(member))
-    };
-    let mut order: Vec<SocketAddr> = discovery.usable_seeds(now).filter(is_usable).collect();
-    order.sort_by_cached_key(|seed| {
-        let address = seed.to_compact_string();
-        Reverse(hash::mix(
-            hash::text(service.as_str()),
-            hash::text(&address),
-        ))
-    });
-    if !me.is_leaving && reaches(me) && !order.contains(&me.address) {
-        order.push(me.address);
-    }
-    let others: Vec<SocketAddr> = by_rank.filter(|address| !order.contains(address)).collect();
-    order.extend(others);
-    order
-}
-
 /// Whether a member goes last, its processor share, and its weight.
 type RankKey = (bool, Reverse<u32>, Reverse<u64>);
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -72,12 +72,7 @@
 const FORMER_VERSION: u32 = 0;
 /// The error of a call to a peer that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unreachable {
-    /// No connection could be opened.
-    NotConnected,
-    /// The peer broke the connection off, or did not answer in time. It may be busy.
-    NoAnswer,
-}
+pub struct Unreachable;
 
 /// The reply to a greeting.
 enum Reply {
@@ -142,10 +137,10 @@
                 Ok(Ok(result)) => break result,
                 Ok(Err(_)) => {
                     self.disconnect(address);
-                    return Err(Unreachable::NoAnswer);
+                    return Err(Unreachable);
                 }
-                Err(_) if context.state().may_answer(address, context.now()) => {}
-                Err(_) => return Err(Unreachable::NoAnswer),
+                Err(_) if context.state().members().is_live(address, context.now()) => {}
+                Err(_) => return Err(Unreachable),
             }
         };
         Ok(result.map(|result| GroupOutput {
@@ -171,7 +166,7 @@
         let call = client.free(with_timeout(GREET_TIMEOUT), service, handles);
         call.await.map_err(|_| {
             self.disconnect(owner.address);
-            Unreachable::NoAnswer
+            Unreachable
         })
     }
 
@@ -188,7 +183,7 @@
         let client = self.client(address).await?;
         let attempt = attempt.as_str().into();
         let call = client.back_up_origin(with_timeout(GREET_TIMEOUT), attempt, origin.into());
-        call.await.map_err(|_| Unreachable::NoAnswer)
+        call.await.map_err(|_| Unreachable)
     }
 
     /// Asks a peer where the stream of an attempt began; `None` if it does not know.
@@ -202,7 +197,7 @@
     ) -> Result<Option<Origin>, Unreachable> {
         let client = self.client(address).await?;
         let call = client.origin(with_timeout(GREET_TIMEOUT), attempt.as_str().into());
-        let origin = call.await.map_err(|_| Unreachable::NoAnswer)?;
+        let origin = call.await.map_err(|_| Unreachable)?;
         Ok(origin.map(Into::into))
     }
 
@@ -227,7 +222,7 @@
             return Ok(reply);
         }
         self.disconnect(address);
-        Err(Unreachable::NoAnswer)
+        Err(Unreachable)
     }
 
     async fn contents(
@@ -241,17 +236,14 @@
         let limit = with_timeout(FETCH_TIMEOUT);
         if version >= EXCHANGE_VERSION {
             let call = client.contents(limit, request.into());
-            return call
-                .await
-                .map(Into::into)
-                .map_err(|_| Unreachable::NoAnswer);
+            return call.await.map(Into::into).map_err(|_| Unreachable);
         }
         // The former build does not pass all contents on in parts.
         if request.is_collecting {
-            return Err(Unreachable::NoAnswer);
+            return Err(Unreachable);
         }
         let call = client.changes(limit, request.after.0);
-        let changes = call.await.map_err(|_| Unreachable::NoAnswer)?;
+        let changes = call.await.map_err(|_| Unreachable)?;
         Ok(Contents::of(request.era, changes.into()))
     }
 
@@ -263,7 +255,7 @@
         let client = self.client(address).await?;
         let digests = digests.iter().map(|digest| digest.0).collect();
         let call = client.chunks(with_timeout(FETCH_TIMEOUT), digests);
-        call.await.map_err(|_| Unreachable::NoAnswer)
+        call.await.map_err(|_| Unreachable)
     }
 
     /// Returns whether there is a connection to a peer, or one is made within a time.
@@ -309,7 +301,7 @@
                         version,
                     });
                 }
-                Err(RpcError::DeadlineExceeded) => return Err(Unreachable::NoAnswer),
+                Err(RpcError::DeadlineExceeded) => return Err(Unreachable),
                 Err(_) => {}
             }
         }
@@ -324,8 +316,8 @@
         let connecting = control_stream::connect(address, self.counters.clone());
         let connected = timeout(GREET_TIMEOUT, connecting).await;
         let transport = connected
-            .map_err(|_| Unreachable::NotConnected)?
-            .map_err(|_| Unreachable::NotConnected)?;
+            .map_err(|_| Unreachable)?
+            .map_err(|_| Unreachable)?;
         Ok(FleetClient::new(client::Config::default(), transport).spawn())
     }
 
--- a/crates/relay/src/peers/greeting.rs
+++ b/crates/relay/src/peers/greeting.rs
@@ -77,19 +77,11 @@
 /// Greets a peer, and applies the greeting that it replies with.
 async fn greet_peer(context: &Arc<Context>, address: SocketAddr) {
     let message = message(context);
-    let reply = context.peers.greet(address, message).await;
-    // A peer that accepts connections but answers late is busy, as in the first second
-    // after a start of the whole fleet. It still dispatches.
-    if !matches!(reply, Err(Unreachable::NoAnswer)) {
-        let now = context.now();
-        let mut state = context.state();
-        state.discovery().record_call(address, reply.is_ok(), now);
-    }
-    match reply {
+    match context.peers.greet(address, message).await {
         Ok(Reply::Heartbeat(reply)) => apply_heartbeat(context, reply),
         Ok(Reply::Exchange(reply)) => apply_exchange(context, reply, None),
         Ok(Reply::Greeting(reply)) => apply_greeting(context, reply, None, None),
-        Err(_) => {}
+        Err(Unreachable) => {}
     }
 }
 
@@ -174,7 +166,6 @@
     let relayed = others.filter_map(|member| state.members().update_relayed(member.into(), now));
     for change in direct.into_iter().chain(relayed.collect::<Vec<_>>()) {
         if let MemberChange::Found(name) = change {
-            state.discovery().record_found(now);
             log::info!(member:% = name; "a peer was discovered");
         }
     }
--- a/crates/relay/src/peers/reclaim.rs
+++ b/crates/relay/src/peers/reclaim.rs
@@ -41,6 +41,6 @@
         let limit = with_timeout(GREET_TIMEOUT);
         let client = connection.client;
         let call = client.set_reclaimable(limit, service, handles, is_reclaimable);
-        call.await.map_err(|_| Unreachable::NoAnswer)
+        call.await.map_err(|_| Unreachable)
     }
 }
--- a/crates/relay/src/stages/dispatch.rs
+++ b/crates/relay/src/stages/dispatch.rs
@@ -2,24 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use gooseberry_kernel::name;
 use gooseberry_kernel::stage::group::Group;
 use gooseberry_wire::fleet::Unmade;
-use tokio::time::sleep;
 
 use crate::context::Context;
 use crate::dispatcher::GroupOutput;
 use crate::dispatcher::ResultOwner;
 
-/// How long a seed that may not have started yet may take to accept a connection: some round
-/// trips. A connection to a machine that starts meanwhile is made anew, since a lost packet
-/// is sent again only after a second.
-const SEED_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long to wait before a seed that has not started is tried again.
-const SEED_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// The output of a group and the dispatcher that ran it; `None` is this daemon.
 pub(super) type RunResult = Result<(GroupOutput, Option<SocketAddr>), Unmade>;
 
@@ -45,10 +36,6 @@
         let Some(dispatcher) = next else {
             return (index, Err(Unmade::Elsewhere));
         };
-        if !has_started(context, dispatcher).await && context.now() < group.deadline {
-            sleep(SEED_RETRY_DELAY).await;
-            continue;
-        }
         tried.push(dispatcher);
         let result = match dispatcher {
             None => Ok(context
@@ -85,11 +72,6 @@
             }
             Ok(Err(why)) => return (index, Err(why)),
             Err(_) => {
-                if let Some(address) = dispatcher {
-                    let now = context.now();
-                    let mut state = context.state();
-                    state.discovery().record_call(address, false, now);
-                }
                 log::warn!(
                     request:% = group.attempt,
                     service:% = service,
@@ -103,19 +85,3 @@
         }
     }
 }
-
-/// Returns false if a dispatcher is a seed that may start soon and cannot be reached yet.
-async fn has_started(context: &Context, dispatcher: Option<SocketAddr>) -> bool {
-    let Some(address) = dispatcher else {
-        return true;
-    };
-    let may_start_late = {
-        let now = context.now();
-        context.state().discovery().may_start_late(address, now)
-    };
-    !may_start_late
-        || context
-            .peers
-            .connects_within(address, SEED_CONNECT_TIMEOUT)
-            .await
-}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -27,7 +27,6 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::assignment;
 use gooseberry_kernel::fleet::detour::Detours;
-use gooseberry_kernel::fleet::discovery::Discovery;
 use gooseberry_kernel::fleet::fetch::Fetches;
 use gooseberry_kernel::fleet::membership;
 use gooseberry_kernel::fleet::replica::Replica;
@@ -91,8 +90,8 @@
 pub struct State {
     /// The failure domain of this daemon.
     domain: name::Domain,
-    /// Which seeds answer, and whether the peers have been discovered.
-    discovery: Discovery,
+    /// Whether there are addresses at which this daemon finds its peers.
+    has_seeds: bool,
     /// The copy of the store.
     replica: Replica,
     /// The settings in force.
@@ -237,7 +236,7 @@
     pub fn new(boot: &Boot, incarnation: u64) -> Self {
         Self {
             domain: boot.domain.clone(),
-            discovery: Discovery::new(&boot.seeds, boot.peer_address),
+            has_seeds: boot.seeds.iter().any(|seed| *seed != boot.peer_address),
             replica: Replica::default(),
             routing_table: None,
             targets: TargetRegistry::default(),
@@ -284,18 +283,6 @@
         &mut self.members
     }
 
-    /// Returns which seeds answer, and whether the peers have been discovered.
-    pub fn discovery(&mut self) -> &mut Discovery {
-        &mut self.discovery
-    }
-
-    /// Returns whether the daemon at an address may still answer a call: it is live, or
-    /// a seed whose state is not known yet.
-    #[must_use]
-    pub fn may_answer(&self, address: SocketAddr, now: Millis) -> bool {
-        self.members.is_live(address, now) || self.discovery.is_awaited(address, now)
-    }
-
     /// Returns the requests that may have crashed targets.
     pub fn suspects(&mut self) -> &mut Suspects {
         &mut self.suspects
--- a/crates/relay/src/state/placement.rs
+++ b/crates/relay/src/state/placement.rs
@@ -43,11 +43,11 @@
         let group = placement::group_of_request(need.affinity, need.draw, groups);
         let role = placement::role(&need.service.name, group);
         let live = self.members.live(now);
-        let me = self.members.me();
-        let reaches = |member: &MemberState| self.reaches(member, &need.service.name);
-        let order = assignment::dispatchers(&role, me, &live, &self.discovery, reaches, now);
-        let first = order.first().copied()?;
-        let placer = (first != me.address).then_some(first);
+        let first = assignment::dispatcher(&role, &live, |member| {
+            self.reaches(member, &need.service.name)
+        });
+        let first = first?;
+        let placer = (first.name != self.members.me().name).then_some(first.address);
         Some(Assignment { group, placer })
     }
 
--- a/crates/relay/src/state/share.rs
+++ b/crates/relay/src/state/share.rs
@@ -3,7 +3,6 @@
 use std::cell::OnceCell;
 
 use gooseberry_kernel::clock::Millis;
-use gooseberry_kernel::fleet::discovery::PEER_DISCOVERY_TIME;
 use gooseberry_kernel::fleet::membership::Membership;
 use gooseberry_kernel::fleet::share::Place;
 use gooseberry_kernel::name;
@@ -22,6 +21,8 @@
 /// How many requests a second a cold target gets from a daemon that has just
 /// started and cannot compute its share, as it does not know its peers yet.
 const COLD_SHARE_BEFORE_DISCOVERY: usize = 1;
+/// How long after its start a daemon has discovered its peers.
+const PEER_DISCOVERY_TIME: Millis = Millis(3_000);
 
 /// What the parts of one daemon are computed from.
 pub(super) struct Shares<'a> {
@@ -86,11 +87,9 @@
         Some(retry_budget::slack_share(limits, &place))
     }
 
-    /// Returns whether this daemon surely knows the size of the fleet. A discovery that
-    /// ends early suffices for an assignment, but not for a part of a limit: parts that are
-    /// computed from too few members exceed the limit.
+    /// Returns whether this daemon has discovered its peers.
     fn is_fleet_known(&self) -> bool {
-        !self.state.discovery.has_seeds() || self.now >= PEER_DISCOVERY_TIME
+        !self.state.has_seeds || self.now >= PEER_DISCOVERY_TIME
     }
 
     fn me(&self) -> &name::Member {
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -58,16 +58,20 @@
     pub fn dispatchers(&self, service: &name::Service, now: Millis) -> Vec<Option<SocketAddr>> {
         let me = self.members.me();
         let live = self.members.live(now);
-        let reaches = |member: &membership::MemberState| self.reaches(member, service);
-        let order = assignment::dispatchers(service, me, &live, &self.discovery, reaches, now);
-        let address = |address: SocketAddr| (address != me.address).then_some(address);
-        order.into_iter().map(address).collect()
+        let order =
+            assignment::dispatcher_order(service, &live, |member| self.reaches(member, service));
+        let addresses = order.into_iter();
+        let address =
+            |member: &membership::MemberState| (member.name != me.name).then_some(member.address);
+        addresses.map(address).collect()
     }
 
     /// Returns whether this daemon is the first choice as dispatcher of a service.
     #[must_use]
     pub fn is_first_dispatcher(&self, service: &name::Service, now: Millis) -> bool {
-        self.dispatchers(service, now).first() == Some(&None)
+        let live = self.members.live(now);
+        let first = assignment::dispatcher(service, &live, |member| self.reaches(member, service));
+        first.is_some_and(|member| member.name == self.members.me().name)
     }
 
     /// Records how long pieces wait at the dispatcher of a service.
