--- a/crates/kernel/src/stage.rs
+++ b/crates/kernel/src/stage.rs
@@ -4,12 +4,10 @@
 //! - [`group`] describes the queued pieces of one request at one stage.
 //! - [`batch_queue`] queues the pieces of all requests at one stage service and
 //!   decides which of them go into the next call.
-//! - [`pace`] learns which targets are slow.
 //! - [`result_tracker`] accounts for the results that targets keep.
 
 pub mod batch_queue;
 pub mod group;
-pub mod pace;
 pub mod plan;
 pub mod result_tracker;
 
--- a/crates/kernel/src/stage/batch_queue.rs
+++ b/crates/kernel/src/stage/batch_queue.rs
@@ -18,25 +18,21 @@
 //! targets gone. Later groups are not refused, since the earlier calls of their
 //! request have already been spent.
 
-mod call;
-mod choice;
 mod wait_estimate;
 
+use std::cmp::Reverse;
+
 use crate::clock::Millis;
 use crate::derive::scalar;
+use crate::derive::value;
 use crate::name;
 use crate::request::deadline_admission::RETRY_AFTER_BURST;
 use crate::request::deadline_admission::retry_after;
 use crate::request::routing_table::BatchSpec;
-pub use crate::stage::batch_queue::call::BatchCall;
-pub use crate::stage::batch_queue::call::CallPart;
-pub use crate::stage::batch_queue::call::ExpiredGroup;
-pub use crate::stage::batch_queue::call::ExpiryReason;
-pub use crate::stage::batch_queue::call::StageTarget;
-pub use crate::stage::batch_queue::call::TargetReport;
 use crate::stage::group::Group;
-use crate::stage::pace::Paces;
-use crate::stage::pace::Sample;
+use crate::stage::locality::is_preferred_domain;
+use crate::stage::locality::may_run_on;
+use crate::stage::locality::required_bytes;
 use crate::stage::piece_rate::PieceRate;
 use crate::stage::result_tracker::ResultTracker;
 
@@ -46,15 +42,77 @@
 /// How long a target gets no call after it had no memory for results or no free
 /// call slot; about as long as a call takes to end.
 pub const TARGET_PAUSE: Millis = Millis(250);
-/// How long a target is held free for a call whose memory is being freed there. Freeing
-/// takes some milliseconds; a target that does not answer is not held any longer.
-const RECLAIM_HOLD: Millis = Millis(200);
 
 scalar! {
     /// Identifies a group in its queue.
     pub struct Ticket(pub u64);
 }
 
+value! {
+    /// A group that was dropped from the queue.
+    pub struct ExpiredGroup {
+        /// The ticket of the group.
+        pub ticket: Ticket,
+        /// The request that it belongs to.
+        pub attempt: name::Attempt,
+        /// Why it was dropped.
+        pub reason: ExpiryReason,
+        /// The expected wait of a late group when this one was dropped.
+        pub late_wait: Millis,
+    }
+
+    /// Why a group was dropped.
+    pub enum ExpiryReason {
+        /// It can't be computed before its deadline.
+        Late,
+        /// Its inputs have expired and would have to be computed again.
+        Gone,
+        /// The queue is too long; there may be capacity after this time.
+        Full(Millis),
+    }
+
+    /// A target that can get calls.
+    pub struct StageTarget {
+        /// The name of the target.
+        pub name: name::Target,
+        /// Its failure domain.
+        pub domain: name::Domain,
+        /// Whether recent calls to it have failed.
+        pub is_avoided: bool,
+    }
+
+    /// The state that a target reports about itself.
+    pub struct TargetReport {
+        /// The name of the target.
+        pub target: name::Target,
+        /// Lower bound of the memory that its results take, in bytes, including
+        /// those of the call in flight.
+        pub kept_bytes: u64,
+        /// Whether it works on a call or has one waiting.
+        pub is_busy: bool,
+    }
+
+    /// The pieces of one group in a call.
+    pub struct CallPart {
+        /// The ticket of the group.
+        pub ticket: Ticket,
+        /// The group, with only the pieces that the call computes.
+        pub group: Group,
+    }
+
+    /// A call to be sent now.
+    pub struct BatchCall {
+        /// The target that gets it.
+        pub target: name::Target,
+        /// The failure domain of the target.
+        pub domain: name::Domain,
+        /// The groups that it computes, in this order.
+        pub parts: Vec<CallPart>,
+        /// When the call is expected to end.
+        pub expected_end: Millis,
+    }
+}
+
 #[derive(Clone, Debug)]
 struct WaitingGroup {
     ticket: Ticket,
@@ -76,12 +134,7 @@
     in_flight: Vec<InFlightCall>,
     /// Targets that get no call, and until when.
     paused: Vec<(name::Target, Millis)>,
-    /// Targets at which results are freed for the next call, and until when they are held.
-    held: Vec<(name::Target, Millis)>,
-    /// Number of results that were reclaimed since it was last asked for.
-    reclaimed: usize,
     results: ResultTracker,
-    paces: Paces,
     /// Rate of the arriving pieces that were on time.
     arrivals: PieceRate,
     /// Rate of the pieces that were sent.
@@ -193,30 +246,66 @@
         });
         self.results.remove_expired(now);
         self.paused.retain(|(_, until)| *until > now);
-        self.held.retain(|(_, until)| *until > now);
         expired
     }
 
-    /// Records that the call in flight at a target has ended.
-    pub fn finish_call(&mut self, target: &name::Target) {
-        self.in_flight.retain(|call| call.target != *target);
-    }
-
-    /// Learns the pace of a target from a call to it, of which it computed this number of
-    /// pieces.
-    pub fn record_pace(
+    /// Builds the next call, if a target is free and groups wait.
+    pub fn next_call(
         &mut self,
-        target: &name::Target,
-        computed: usize,
-        sample: Sample,
+        targets: &[StageTarget],
         spec: &BatchSpec,
         now: Millis,
-    ) {
-        let computed = u32::try_from(computed).unwrap_or(u32::MAX);
-        if computed > 0 {
-            let expected = spec.call_duration(computed);
-            self.paces.record(target, expected, sample, now);
+    ) -> Option<BatchCall> {
+        if self.waiting.is_empty() {
+            return None;
         }
+        let is_free = |candidate: &&StageTarget| !self.is_unavailable(&candidate.name);
+        let with_free_bytes = |candidate| (candidate, self.free_bytes(candidate, spec, now));
+        let free: Vec<(&StageTarget, u64)> = targets
+            .iter()
+            .filter(is_free)
+            .map(with_free_bytes)
+            .collect();
+        let is_any_healthy = targets.iter().any(|candidate| !candidate.is_avoided);
+        let mut order = self.by_urgency(spec, now);
+        if (self.calls_built + 1).is_multiple_of(OLDEST_FIRST_EVERY_CALLS) {
+            order.sort_by_key(|index| self.waiting[*index].queued_at);
+        }
+        // The results of the first group may not fit into the memory of any
+        // target that it may run on. The other groups are then tried, so that
+        // no target stays idle.
+        for first in &order {
+            let group = &self.waiting[*first].group;
+            let suitable = free.iter().filter(|(candidate, free_bytes)| {
+                let is_healthy = !(is_any_healthy && candidate.is_avoided);
+                let has_memory = *free_bytes >= required_bytes(group, spec);
+                is_healthy && has_memory && may_run_on(group, candidate, targets, spec, now)
+            });
+            let key = |(candidate, free_bytes): &&(&StageTarget, u64)| {
+                let is_preferred_domain = is_preferred_domain(group, candidate);
+                (
+                    is_preferred_domain,
+                    *free_bytes,
+                    Reverse(candidate.name.clone()),
+                )
+            };
+            let Some((candidate, free_bytes)) = suitable.max_by_key(key).copied() else {
+                continue;
+            };
+            let may_run_on = |group: &Group| may_run_on(group, candidate, targets, spec, now);
+            let order = order
+                .iter()
+                .copied()
+                .filter(|index| may_run_on(&self.waiting[*index].group));
+            let order: Vec<usize> = order.collect();
+            return Some(self.build_call(candidate, *first, &order, free_bytes, spec, now));
+        }
+        None
+    }
+
+    /// Records that the call in flight at a target has ended.
+    pub fn finish_call(&mut self, target: &name::Target) {
+        self.in_flight.retain(|call| call.target != *target);
     }
 
     /// Sends no call to a target for [`TARGET_PAUSE`], since it had no memory
@@ -249,18 +338,6 @@
         found.is_some_and(|waiting| waiting.group.pieces.len() == pieces)
     }
 
-    /// Records that the free of some results of a target has ended.
-    pub fn finish_free(&mut self, target: &name::Target, handles: &[name::Handle], now: Millis) {
-        self.results.remove_freed(handles, now);
-        self.held.retain(|(held, _)| held != target);
-    }
-
-    /// Returns the number of results that were reclaimed for calls since the last time; they
-    /// are freed at their targets at once, since calls wait for their memory.
-    pub fn take_reclaimed(&mut self) -> usize {
-        std::mem::take(&mut self.reclaimed)
-    }
-
     /// Returns the tracker of the results that targets keep.
     pub fn results(&mut self) -> &mut ResultTracker {
         &mut self.results
@@ -275,14 +352,93 @@
             .sum()
     }
 
-    fn is_unavailable(&self, target: &name::Target) -> bool {
-        self.is_paused(target) || self.in_flight.iter().any(|call| call.target == *target)
+    fn build_call(
+        &mut self,
+        candidate: &StageTarget,
+        first: usize,
+        order: &[usize],
+        mut free_bytes: u64,
+        spec: &BatchSpec,
+        now: Millis,
+    ) -> BatchCall {
+        let max_pieces = usize::try_from(spec.max_pieces.max(1)).unwrap_or(usize::MAX);
+        let mut parts: Vec<CallPart> = Vec::new();
+        let (mut count, mut bytes) = (0, 0);
+        let rest = order.iter().filter(|index| **index != first);
+        for index in std::iter::once(&first).chain(rest) {
+            let waiting = &mut self.waiting[*index];
+            let group = &mut waiting.group;
+            let fitting =
+                usize::try_from(free_bytes / group.result_bytes.max(1)).unwrap_or(usize::MAX);
+            let limit = fitting.min(max_pieces - count);
+            // A group is split only if it would not fit into any call.
+            let fits_whole = limit >= group.pieces.len();
+            if limit == 0 || !(fits_whole || parts.is_empty()) {
+                continue;
+            }
+            let taken: Vec<u32> = group
+                .pieces
+                .drain(..limit.min(group.pieces.len()))
+                .collect();
+            let size = group.result_bytes.saturating_mul(taken.len() as u64);
+            free_bytes = free_bytes.saturating_sub(size);
+            bytes = size.saturating_add(bytes);
+            count += taken.len();
+            let part = Group {
+                pieces: taken,
+                ..group.clone()
+            };
+            parts.push(CallPart {
+                ticket: waiting.ticket,
+                group: part,
+            });
+            if count >= max_pieces {
+                break;
+            }
+        }
+        for part in &parts {
+            self.sent.record(&part.group, now);
+        }
+        self.waiting
+            .retain(|waiting| !waiting.group.pieces.is_empty());
+        if self.waiting.is_empty() {
+            self.empty_at = now;
+        }
+        self.calls_built += 1;
+        let expected_end = now + spec.call_duration(u32::try_from(count).unwrap_or(u32::MAX));
+        self.in_flight.push(InFlightCall {
+            target: candidate.name.clone(),
+            bytes,
+            expected_end,
+        });
+        BatchCall {
+            target: candidate.name.clone(),
+            domain: candidate.domain.clone(),
+            parts,
+            expected_end,
+        }
+    }
+
+    /// Returns the indexes of the waiting groups, most urgent first.
+    fn by_urgency(&self, spec: &BatchSpec, now: Millis) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_key(|index| {
+            let group = &self.waiting[*index].group;
+            let count = u32::try_from(group.pieces.len()).unwrap_or(u32::MAX);
+            let is_late = now + spec.call_duration(count) > group.on_time_deadline;
+            let end = if is_late {
+                group.deadline.min(group.inputs_expire_at)
+            } else {
+                group.on_time_deadline
+            };
+            (is_late, group.rank, end)
+        });
+        order
     }
 
-    /// Returns whether a target gets no call for some time, or is held for one.
-    fn is_paused(&self, target: &name::Target) -> bool {
-        let mut paused = self.paused.iter().chain(&self.held);
-        paused.any(|(paused, _)| paused == target)
+    fn is_unavailable(&self, target: &name::Target) -> bool {
+        let is_paused = self.paused.iter().any(|(paused, _)| paused == target);
+        is_paused || self.in_flight.iter().any(|call| call.target == *target)
     }
 
     fn free_bytes(&self, candidate: &StageTarget, spec: &BatchSpec, now: Millis) -> u64 {
--- a/crates/kernel/src/stage/result_tracker.rs
+++ b/crates/kernel/src/stage/result_tracker.rs
@@ -33,8 +33,6 @@
     enum State {
         /// Some stage or the final run will read it.
         Needed,
-        /// Its reader has surely fetched it, and needs it again only if a piece fails.
-        Reclaimable,
         /// No longer needed; its target has not been told yet.
         Freed,
         /// The free is being sent to its target.
@@ -42,19 +40,6 @@
     }
 }
 
-impl State {
-    /// Returns whether its target keeps the result until it is told otherwise.
-    fn is_kept(&self) -> bool {
-        matches!(self, Self::Needed | Self::Reclaimable)
-    }
-}
-
-impl TrackedResult {
-    fn is_reclaimable_at(&self, target: &name::Target, now: Millis) -> bool {
-        self.target == *target && self.state == State::Reclaimable && self.expires_at > now
-    }
-}
-
 /// The mean lifetime that is assumed until the first result is freed: about the
 /// duration of one call of the next stage.
 const LIFETIME_DEFAULT: Millis = Millis(500);
@@ -112,7 +97,7 @@
         let mut unknown = Vec::new();
         for handle in handles {
             match self.find(handle) {
-                Ok(index) if self.results[index].state.is_kept() => {
+                Ok(index) if self.results[index].state == State::Needed => {
                     self.results[index].state = State::Freed;
                 }
                 Ok(_) => {}
@@ -145,64 +130,12 @@
     /// since the daemons have ended. Returns the number of results.
     pub fn free_read_by(&mut self, readers: &[Process]) -> usize {
         let needed = self.results.iter_mut();
-        let needed = needed.filter(|result| result.state.is_kept());
+        let needed = needed.filter(|result| result.state == State::Needed);
         let has_ended = |reader: Process| readers.contains(&reader);
         let orphaned = needed.filter(|result| result.reader.is_some_and(has_ended));
         orphaned.map(|result| result.state = State::Freed).count()
     }
 
-    /// Marks results as reclaimable or as needed again. Returns whether all of them are
-    /// still kept at their targets.
-    pub fn set_reclaimable(
-        &mut self,
-        handles: &[name::Handle],
-        is_reclaimable: bool,
-        now: Millis,
-    ) -> bool {
-        let mut are_kept = true;
-        for handle in handles {
-            match self.find(handle).map(|index| &mut self.results[index]) {
-                Ok(result) if result.state.is_kept() && result.expires_at > now => {
-                    result.state = if is_reclaimable {
-                        State::Reclaimable
-                    } else {
-                        State::Needed
-                    };
-                }
-                Ok(_) | Err(_) => are_kept = false,
-            }
-        }
-        are_kept
-    }
-
-    /// Returns the memory that reclaimable results take at a target, in bytes.
-    #[must_use]
-    pub fn reclaimable_bytes(&self, target: &name::Target, now: Millis) -> u64 {
-        let results = self.results.iter();
-        let reclaimable = results.filter(|result| result.is_reclaimable_at(target, now));
-        reclaimable.map(|result| result.bytes).sum()
-    }
-
-    /// Marks reclaimable results of a target as to be freed, the oldest first, until they
-    /// have this number of bytes: the calls that read the oldest ones end first. Returns the
-    /// number of results.
-    pub fn reclaim(&mut self, target: &name::Target, bytes: u64, now: Millis) -> usize {
-        let results = self.results.iter_mut();
-        let reclaimable = results.filter(|result| result.is_reclaimable_at(target, now));
-        let mut reclaimable: Vec<&mut TrackedResult> = reclaimable.collect();
-        reclaimable.sort_by_key(|result| result.created_at);
-        let (mut count, mut sum) = (0, 0);
-        for result in reclaimable {
-            if sum >= bytes {
-                break;
-            }
-            result.state = State::Freed;
-            sum += result.bytes;
-            count += 1;
-        }
-        count
-    }
-
     /// Returns the results that are to be freed now, by target.
     pub fn take_freed(&mut self) -> Vec<(name::Target, Vec<name::Handle>)> {
         let mut by_target: Vec<(name::Target, Vec<name::Handle>)> = Vec::new();
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -20,7 +20,6 @@
 mod membership;
 mod mirror;
 mod notice;
-mod pace;
 mod part_quarantine;
 mod placement;
 mod placement_groups;
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -9,11 +9,9 @@
 //!
 //! - `service_dispatch` holds the queue of one service and the groups in it.
 //! - `call` sends one call and distributes its results to the groups.
-//! - `inputs` marks the inputs of running calls as reclaimable.
 //! - `result_memory` queries the memory use of targets, and frees results there.
 
 mod call;
-mod inputs;
 mod result_memory;
 mod service_dispatch;
 
@@ -42,7 +40,6 @@
 use crate::dispatcher::result_memory::free_at_target;
 use crate::dispatcher::result_memory::query_usage;
 pub(crate) use crate::dispatcher::result_memory::release_results;
-use crate::dispatcher::result_memory::send_freed;
 use crate::dispatcher::service_dispatch::PendingGroup;
 use crate::dispatcher::service_dispatch::ServiceDispatch;
 use crate::dispatcher::service_dispatch::dispatch_of;
@@ -145,7 +142,6 @@
                 input_owners,
                 origin,
                 are_inputs_freed: false,
-                are_inputs_marked: false,
                 reply,
             });
             ticket
@@ -185,27 +181,6 @@
         }
     }
 
-    /// Marks results that this daemon dispatched as reclaimable, or as needed again. Returns
-    /// whether all of them are still kept.
-    pub fn set_reclaimable(
-        &self,
-        context: &Arc<Context>,
-        service: &name::Service,
-        handles: &[name::Handle],
-        is_reclaimable: bool,
-    ) -> bool {
-        let now = context.now();
-        let are_kept = {
-            let mut services = self.lock();
-            let results = dispatch_of(&mut services, service).queue.results();
-            results.set_reclaimable(handles, is_reclaimable, now)
-        };
-        if is_reclaimable {
-            self.send_due_calls(context, service);
-        }
-        are_kept
-    }
-
     /// Returns how long pieces wait at each service for which groups wait at this
     /// daemon.
     pub fn waits(&self, context: &Context, now: Millis) -> Vec<ServiceWait> {
@@ -293,13 +268,6 @@
             let service = service.clone();
             tokio::spawn(async move { run_call(&context, &service, spec, call).await });
         }
-        let reclaimed = dispatch.queue.take_reclaimed();
-        drop(services);
-        if reclaimed > 0 {
-            context.metrics.stage_event("reclaimed", reclaimed);
-            log::info!(service:% = service, results = reclaimed; "inputs of running calls are reclaimed, as a call lacks their memory");
-            send_freed(context);
-        }
     }
 
     /// Does the periodic work of every service.
@@ -348,6 +316,35 @@
         }
     }
 
+    /// Tells targets which of their results are freed.
+    fn send_freed(&self, context: &Arc<Context>) {
+        let mut freed = Vec::new();
+        for dispatch in self.lock().iter_mut() {
+            for (target, handles) in dispatch.queue.results().take_freed() {
+                freed.push((dispatch.service.clone(), target, handles));
+            }
+        }
+        for (service, target, handles) in freed {
+            let now = context.now();
+            if !context.state().try_take_call(&target, now) {
+                // The target keeps these results until they expire, and so does the queue.
+                continue;
+            }
+            let address = context.state().address(&target);
+            let context = context.clone();
+            tokio::spawn(async move {
+                if let Some(address) = address {
+                    free_at_target(&context, target, address, &handles).await;
+                }
+                let mut services = context.dispatcher.lock();
+                dispatch_of(&mut services, &service)
+                    .queue
+                    .results()
+                    .remove_freed(&handles, context.now());
+            });
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<ServiceDispatch>> {
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -360,7 +357,7 @@
     loop {
         ticks.tick().await;
         context.dispatcher.tick(&context);
-        send_freed(&context);
+        context.dispatcher.send_freed(&context);
     }
 }
 
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -9,10 +9,7 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::stage::batch_queue::BatchCall;
-use gooseberry_kernel::stage::batch_queue::CallPart;
-use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
-use gooseberry_kernel::stage::pace::Sample;
 use gooseberry_platform::stage_call;
 use gooseberry_platform::stage_call::PieceResult;
 use gooseberry_wire::fleet::Unmade;
@@ -21,20 +18,27 @@
 
 use crate::context::Context;
 use crate::dispatcher::ResultOwner;
-use crate::dispatcher::inputs::keep_inputs;
-use crate::dispatcher::inputs::release_inputs;
 use crate::dispatcher::result_memory::query_usage;
+use crate::dispatcher::result_memory::release_results;
+use crate::dispatcher::service_dispatch::PendingGroup;
 use crate::dispatcher::service_dispatch::ServiceDispatch;
 use crate::dispatcher::service_dispatch::dispatch_of;
 use crate::exchange::Callee;
 use crate::exchange::Exchange;
 use crate::link;
 
+/// The constant part of a call's timeout, added to a multiple of its expected
+/// duration.
+const CALL_TIMEOUT_SLACK: Millis = Millis(300);
+
+/// The timeout of a call as a multiple of its expected duration, without the
+/// constant part.
+const CALL_TIMEOUT_FACTOR: u64 = 3;
 /// The largest response to a stage call, in bytes.
 pub(super) const RESPONSE_MAX_BYTES: usize = 1 << 20;
-/// How long after a call was sent its target has surely fetched the inputs, at the expected
-/// pace: fetching those of a full call takes about 20 ms.
-const INPUTS_FETCHED_AFTER: Millis = Millis(120);
+/// How long after a call was sent its target has surely fetched the inputs:
+/// fetching those of a full call takes about 20 ms.
+const INPUTS_FETCHED_AFTER: Duration = Duration::from_millis(120);
 
 /// The outcome of a call as a whole.
 pub(super) enum CallOutcome {
@@ -54,8 +58,6 @@
     call: BatchCall,
 ) {
     let sent = context.now();
-    let inputs_fetched_after = call.pace.stretch(INPUTS_FETCHED_AFTER);
-    let inputs_fetched_after = Duration::from_millis(inputs_fetched_after.0);
     let outcome = {
         let sending = send_call(context, &call);
         let sending = link::watch_silence(context, service, &call.target, sending);
@@ -64,7 +66,7 @@
         tokio::pin!(link_lost);
         loop {
             tokio::select! {
-                outcome = timeout(inputs_fetched_after, sending.as_mut()) => match outcome {
+                outcome = timeout(INPUTS_FETCHED_AFTER, sending.as_mut()) => match outcome {
                     Ok(outcome) => break outcome,
                     Err(_) => release_inputs(context, service, &call),
                 },
@@ -94,21 +96,9 @@
         pieces = count,
         expected_ms = (call.expected_end - sent).0,
         took_ms = (now - sent).0,
-        pace:% = call.pace,
         detail:%;
         "stage call {label}"
     );
-    let (computed, sample) = match &outcome {
-        CallOutcome::Answered(piece_results) => {
-            let results = piece_results.iter();
-            let computed = results.filter(|result| matches!(result, PieceResult::Handle(_)));
-            (computed.count(), Some(Sample::Answered(now - sent)))
-        }
-        CallOutcome::Failed(_) if now - sent >= call.timeout => {
-            (count, Some(Sample::GivenUp(now - sent)))
-        }
-        CallOutcome::Refused | CallOutcome::Failed(_) => (0, None),
-    };
     record_health(context, &call.target, &outcome, now);
     if matches!(outcome, CallOutcome::Failed(_)) {
         link::check_after_failure(context, service, &call.target);
@@ -116,30 +106,21 @@
     let dispatcher = &context.dispatcher;
     let target = call.target.clone();
     let is_cut_off = context.state().detour(service, &[], 0, now).is_some();
-    let applied = {
+    let is_full = {
         let mut services = dispatcher.lock();
         let dispatch = dispatch_of(&mut services, service);
-        dispatch.record_call_end(&call.target, computed, sample, &spec, now);
+        dispatch.record_call_end(&call.target);
         if matches!(outcome, CallOutcome::Refused) {
             dispatch.queue.pause_target(&call.target, now);
         }
         if is_cut_off && matches!(outcome, CallOutcome::Failed(_)) {
             dispatch.give_back(call);
-            Applied::default()
+            false
         } else {
             apply_outcome(dispatch, call, outcome, spec, now)
         }
     };
-    context.metrics.stage_event("retried", applied.retried);
-    for (ticket, owners) in applied.to_keep {
-        tokio::spawn(keep_inputs(
-            context.clone(),
-            service.clone(),
-            ticket,
-            owners,
-        ));
-    }
-    if applied.is_full {
+    if is_full {
         query_usage(context, service, spec, &[target]).await;
     }
     dispatcher.send_due_calls(context, service);
@@ -164,6 +145,56 @@
     counts.collect::<Vec<_>>().join(", ").into()
 }
 
+/// Releases the inputs of a call that is still running, as its target must have
+/// fetched them by now, if other groups may be waiting for their memory.
+///
+/// A target fetches the inputs when it starts on a call. That is as soon as the
+/// call arrives, unless another daemon has calls at the target too; in that
+/// case the inputs are released only after the group has completed. So are
+/// those of a group whose pieces are split over several calls, and those whose
+/// service has no backlog: with its inputs, a piece that fails can be retried.
+pub(super) fn release_inputs(context: &Arc<Context>, service: &name::Service, call: &BatchCall) {
+    let mut input_owners = Vec::new();
+    for part in &call.parts {
+        let is_unsplit = |pending: &&mut PendingGroup| {
+            let all = pending.wanted.len();
+            pending.ticket == part.ticket && all == part.group.pieces.len()
+        };
+        let owners = {
+            let mut services = context.dispatcher.lock();
+            let dispatch = dispatch_of(&mut services, service);
+            if !dispatch.is_sole_dispatcher_at(&call.target) {
+                return;
+            }
+            let pending = dispatch.pending.iter_mut().find(is_unsplit);
+            pending.map_or_else(Vec::new, |pending| pending.input_owners.clone())
+        };
+        if !owners.iter().any(|owner| has_backlog(context, owner)) {
+            continue;
+        }
+        let mut services = context.dispatcher.lock();
+        let dispatch = dispatch_of(&mut services, service);
+        if let Some(pending) = dispatch.pending.iter_mut().find(is_unsplit) {
+            pending.are_inputs_freed = true;
+            input_owners.append(&mut pending.input_owners);
+        }
+    }
+    for owner in input_owners {
+        release_results(context, owner);
+    }
+}
+
+/// Returns whether groups wait at the service that computed some results.
+fn has_backlog(context: &Context, owner: &ResultOwner) -> bool {
+    if owner.address == context.boot.peer_address {
+        let mut services = context.dispatcher.lock();
+        let queue = &dispatch_of(&mut services, &owner.service).queue;
+        return queue.waiting_pieces() > 0;
+    }
+    let now = context.now();
+    context.state().has_backlog(&owner.service, now)
+}
+
 /// Records whether the target of a call is reachable.
 pub(super) fn record_health(
     context: &Context,
@@ -179,61 +210,27 @@
     }
 }
 
-/// What is left to do for the outcome of a call.
-#[derive(Default)]
-pub(super) struct Applied {
-    /// Whether the target lacked memory for results.
-    is_full: bool,
-    /// The number of pieces that are tried again.
-    retried: usize,
-    /// The owners at which inputs are to be marked as needed again, by group.
-    to_keep: Vec<(Ticket, Vec<ResultOwner>)>,
-}
-
-impl Applied {
-    fn requeue(
-        &mut self,
-        dispatch: &mut ServiceDispatch,
-        part: CallPart,
-        counts_as_try: bool,
-        now: Millis,
-    ) {
-        let (ticket, count) = (part.ticket, part.group.pieces.len());
-        let owners = dispatch.requeue(ticket, part.group, counts_as_try, now);
-        if dispatch
-            .pending
-            .iter()
-            .any(|pending| pending.ticket == ticket)
-        {
-            self.retried += count;
-        }
-        if !owners.is_empty() {
-            self.to_keep.push((ticket, owners));
-        }
-    }
-}
-
 /// Distributes the outcome of a call to its groups, and queues failed pieces
-/// again.
+/// again; returns whether the target lacked memory for results.
 pub(super) fn apply_outcome(
     dispatch: &mut ServiceDispatch,
     call: BatchCall,
     outcome: CallOutcome,
     spec: BatchSpec,
     now: Millis,
-) -> Applied {
-    let mut applied = Applied::default();
+) -> bool {
     let target = call.target.clone();
     let mut piece_results = match outcome {
         CallOutcome::Answered(piece_results) => piece_results.into_iter(),
         CallOutcome::Refused | CallOutcome::Failed(_) => {
             let counts_as_try = matches!(outcome, CallOutcome::Failed(_));
             for part in call.parts {
-                applied.requeue(dispatch, part, counts_as_try, now);
+                dispatch.requeue(part.ticket, part.group, counts_as_try, now);
             }
-            return applied;
+            return false;
         }
     };
+    let mut is_full = false;
     for part in call.parts {
         let group = part.group;
         // A target without free memory is not a failure; it does not count as a
@@ -257,7 +254,7 @@
                 PieceResult::Gone => dispatch.complete(part.ticket, Err(Unmade::Gone)),
                 PieceResult::NoMemory => {
                     dispatch.queue.pause_target(&target, now);
-                    applied.is_full = true;
+                    is_full = true;
                     missing.push(*piece);
                 }
                 PieceResult::Error => {
@@ -268,17 +265,14 @@
         }
         if !missing.is_empty() {
             let pieces = missing;
-            let part = CallPart {
-                ticket: part.ticket,
-                group: Group { pieces, ..group },
-            };
-            applied.requeue(dispatch, part, has_failed, now);
+            dispatch.requeue(part.ticket, Group { pieces, ..group }, has_failed, now);
         }
     }
-    applied
+    is_full
 }
 
-/// Sends one call and waits for its response, within its timeout.
+/// Sends one call and waits for its response, within a timeout derived from its
+/// expected duration.
 pub(super) async fn send_call(context: &Arc<Context>, call: &BatchCall) -> CallOutcome {
     let now = context.now();
     let Some(address) = context.state().address(&call.target) else {
@@ -293,7 +287,8 @@
         Err(error) => return CallOutcome::Failed(format!("{error:#}")),
     };
     let count = call.parts.iter().map(|part| part.group.pieces.len()).sum();
-    let limit = call.timeout;
+    let expected = call.expected_end - now;
+    let limit = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK;
     let exchanged = timeout(Duration::from_millis(limit.0), async {
         let mut exchange = Exchange::begin(context, &callee, request).await?;
         let status = exchange.status;
--- a/crates/relay/src/dispatcher/result_memory.rs
+++ b/crates/relay/src/dispatcher/result_memory.rs
@@ -110,36 +110,6 @@
     });
 }
 
-/// Tells targets which of their results are freed.
-pub(super) fn send_freed(context: &Arc<Context>) {
-    let mut freed = Vec::new();
-    for dispatch in context.dispatcher.lock().iter_mut() {
-        for (target, handles) in dispatch.queue.results().take_freed() {
-            freed.push((dispatch.service.clone(), target, handles));
-        }
-    }
-    for (service, target, handles) in freed {
-        let now = context.now();
-        if !context.state().try_take_call(&target, now) {
-            // The target keeps these results until they expire, and so does the queue.
-            continue;
-        }
-        let address = context.state().address(&target);
-        let context = context.clone();
-        let target_name = target.clone();
-        tokio::spawn(async move {
-            if let Some(address) = address {
-                free_at_target(&context, target, address, &handles).await;
-            }
-            let now = context.now();
-            dispatch_of(&mut context.dispatcher.lock(), &service)
-                .queue
-                .finish_free(&target_name, &handles, now);
-            context.dispatcher.send_due_calls(&context, &service);
-        });
-    }
-}
-
 /// Tells a target to free results.
 pub(super) async fn free_at_target(
     context: &Arc<Context>,
--- a/crates/relay/src/dispatcher/service_dispatch.rs
+++ b/crates/relay/src/dispatcher/service_dispatch.rs
@@ -5,12 +5,10 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::membership::Process;
 use gooseberry_kernel::name;
-use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::stage::batch_queue::BatchCall;
 use gooseberry_kernel::stage::batch_queue::BatchQueue;
 use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
-use gooseberry_kernel::stage::pace::Sample;
 use gooseberry_wire::fleet::Unmade;
 use tokio::sync::oneshot;
 
@@ -43,14 +41,12 @@
     /// How many of its calls have failed.
     pub(super) tries: u32,
     /// The owners of inputs that only this group reads; taken once the inputs
-    /// are released to a daemon of a former build.
+    /// are released.
     pub(super) input_owners: Vec<ResultOwner>,
     /// The daemon that handles the request.
     pub(super) origin: Process,
     /// Whether the inputs have been released while the call was running.
     pub(super) are_inputs_freed: bool,
-    /// Whether the inputs are marked as reclaimable while the call runs.
-    pub(super) are_inputs_marked: bool,
     /// Completes the waiting future.
     pub(super) reply: oneshot::Sender<GroupResult>,
 }
@@ -107,20 +103,9 @@
         was_first && !is_first
     }
 
-    /// Records that a call to a target has ended. The pace of the target shows only in calls
-    /// that did not wait there for those of another daemon.
-    pub(super) fn record_call_end(
-        &mut self,
-        target: &name::Target,
-        computed: usize,
-        sample: Option<Sample>,
-        spec: &BatchSpec,
-        now: Millis,
-    ) {
+    /// Records that a call to a target has ended.
+    pub(super) fn record_call_end(&mut self, target: &name::Target) {
         self.queue.finish_call(target);
-        if let Some(sample) = sample.filter(|_| self.is_sole_dispatcher_at(target)) {
-            self.queue.record_pace(target, computed, sample, spec, now);
-        }
         if let Err(index) = self.drained.binary_search(target) {
             self.drained.insert(index, target.clone());
         }
@@ -260,21 +245,20 @@
     }
 
     /// Queues failed pieces again, unless the group has had all its tries or its
-    /// inputs have been released. Returns the owners at which the inputs are to be marked
-    /// as needed again.
+    /// inputs have been released.
     pub(super) fn requeue(
         &mut self,
         ticket: Ticket,
         group: Group,
         counts_as_try: bool,
         now: Millis,
-    ) -> Vec<ResultOwner> {
+    ) {
         let Some(pending) = self
             .pending
             .iter_mut()
             .find(|pending| pending.ticket == ticket)
         else {
-            return Vec::new();
+            return;
         };
         pending.tries += u32::from(counts_as_try);
         if pending.are_inputs_freed {
@@ -283,11 +267,7 @@
             self.complete(ticket, Err(Unmade::Failed));
         } else {
             self.queue.requeue(ticket, group, now);
-            if std::mem::take(&mut pending.are_inputs_marked) {
-                return pending.input_owners.clone();
-            }
         }
-        Vec::new()
     }
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -36,7 +36,6 @@
     rate_limited: IntCounterVec,
     queue: Queue,
     pieces: IntCounterVec,
-    stage_events: IntCounterVec,
     store: IntCounterVec,
     store_era: IntGauge,
     peer_fetches: IntCounterVec,
@@ -93,11 +92,6 @@
             "Pieces that this daemon dispatched, by what became of them.",
             &["end"],
         )?;
-        let stage_events = counters(
-            "gooseberry_relay_stage_events_total",
-            "Pieces retried with the same inputs, and inputs reclaimed for other calls.",
-            &["event"],
-        )?;
         let store = counters(
             "gooseberry_relay_store_calls_total",
             "Calls to the platform's store.",
@@ -117,7 +111,13 @@
             "Requests sent through peers, or taken from peers, by what became of them.",
             &["direction", "end"],
         )?;
-        let latency = latency_histogram(&registry)?;
+        let options = HistogramOpts::new(
+            "gooseberry_relay_seconds",
+            "Time from the head of a request to a point of its answer; the point gap is the longest gap between two events.",
+        );
+        let latency =
+            HistogramVec::new(options.buckets(BUCKETS_SECS.to_vec()), &["form", "point"])?;
+        registry.register(Box::new(latency.clone()))?;
         let connections = IntCounter::new(
             "gooseberry_relay_target_connections_total",
             "Connections that were made to targets.",
@@ -141,7 +141,6 @@
             rate_limited,
             queue,
             pieces,
-            stage_events,
             store,
             store_era,
             peer_fetches,
@@ -202,13 +201,6 @@
         self.pieces.with_label_values(&[end]).inc_by(count);
     }
 
-    /// Counts pieces that were `retried` with the same inputs, or inputs that were
-    /// `reclaimed` for other calls.
-    pub fn stage_event(&self, event: &str, count: usize) {
-        let count = u64::try_from(count).unwrap_or(u64::MAX);
-        self.stage_events.with_label_values(&[event]).inc_by(count);
-    }
-
     /// Counts a call to the store; `end` says how it ended.
     pub fn store_call(&self, end: &str) {
         self.store.with_label_values(&[end]).inc();
@@ -260,13 +252,3 @@
         Ok(text)
     }
 }
-
-fn latency_histogram(registry: &Registry) -> anyhow::Result<HistogramVec> {
-    let options = HistogramOpts::new(
-        "gooseberry_relay_seconds",
-        "Time from the head of a request to a point of its answer; the point gap is the longest gap between two events.",
-    );
-    let latency = HistogramVec::new(options.buckets(BUCKETS_SECS.to_vec()), &["form", "point"])?;
-    registry.register(Box::new(latency.clone()))?;
-    Ok(latency)
-}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -5,13 +5,11 @@
 //! - `greeting` exchanges greetings.
 //! - `fetch` fetches the store's contents from peers.
 //! - `placement` asks placers for engines and reports to them.
-//! - `reclaim` marks results at the daemon that dispatched them.
 //! - `server` answers the calls of peers.
 
 mod fetch;
 mod greeting;
 mod placement;
-mod reclaim;
 mod server;
 
 use std::net::SocketAddr;
@@ -258,12 +256,6 @@
         call.await.map_err(|_| Unreachable)
     }
 
-    /// Returns whether there is a connection to a peer, or one is made within a time.
-    pub async fn connects_within(&self, address: SocketAddr, limit: Duration) -> bool {
-        let connected = timeout(limit, self.connection(address)).await;
-        matches!(connected, Ok(Ok(_)))
-    }
-
     /// Returns the client of a peer, and connects to the peer if there is none.
     async fn client(&self, address: SocketAddr) -> Result<FleetClient, Unreachable> {
         Ok(self.connection(address).await?.client)
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -192,17 +192,4 @@
             .dispatcher
             .free(&self.context, &service, &handles);
     }
-    async fn set_reclaimable(
-        self,
-        _: context::Context,
-        service: CompactString,
-        handles: Vec<CompactString>,
-        is_reclaimable: bool,
-    ) -> bool {
-        let handles = handles.iter().map(|handle| name::Handle::new(handle));
-        let handles: Vec<name::Handle> = handles.collect();
-        let service = name::Service::new(&service);
-        let dispatcher = &self.context.dispatcher;
-        dispatcher.set_reclaimable(&self.context, &service, &handles, is_reclaimable)
-    }
 }
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -1,10 +1,7 @@
 //! Runs the stages of a request in the order of their dependencies, and
 //! releases each result once its last reader has read it.
-//!
-//! - `dispatch` sends the pieces of a stage to the dispatchers of its service.
-
-mod dispatch;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures::StreamExt;
@@ -25,10 +22,10 @@
 use gooseberry_wire::fleet::Unmade;
 
 use crate::context::Context;
+use crate::dispatcher::GroupOutput;
 use crate::dispatcher::ResultOwner;
 use crate::dispatcher::release_results;
 use crate::request::Job;
-use crate::stages::dispatch::run_group;
 use crate::state::State;
 
 /// How often all stages are run at most: a second time if results were lost, for
@@ -207,6 +204,81 @@
     Ok(results)
 }
 
+/// The output of a group and the dispatcher that ran it; `None` is this daemon.
+type RunResult = Result<(GroupOutput, Option<SocketAddr>), Unmade>;
+
+/// Sends one group to the dispatchers of its service, in their order, until one
+/// of them accepts it; returns the index of the stage and the result.
+async fn run_group(
+    context: &Arc<Context>,
+    index: usize,
+    group: (name::Service, Group),
+    input_owners: Vec<ResultOwner>,
+) -> (usize, RunResult) {
+    let (service, group) = group;
+    let started = context.now();
+    let own_process = context.state().members().process();
+    // The order is looked up before each try: a dispatcher that returns
+    // `Elsewhere` does so because the order has changed.
+    let mut tried: Vec<Option<SocketAddr>> = Vec::new();
+    loop {
+        let order = context.state().dispatchers(&service, context.now());
+        let next = order
+            .into_iter()
+            .find(|candidate| !tried.contains(candidate));
+        let Some(dispatcher) = next else {
+            return (index, Err(Unmade::Elsewhere));
+        };
+        tried.push(dispatcher);
+        let result = match dispatcher {
+            None => Ok(context
+                .dispatcher
+                .run_group(
+                    context,
+                    &service,
+                    group.clone(),
+                    input_owners.clone(),
+                    own_process,
+                )
+                .await),
+            Some(address) => {
+                context
+                    .peers
+                    .run_group(context, address, &service, &group, &input_owners)
+                    .await
+            }
+        };
+        match result {
+            Ok(Err(Unmade::Elsewhere)) => {}
+            Ok(Ok(output)) => {
+                let now = context.now();
+                log::info!(
+                    request:% = group.attempt,
+                    stage = index,
+                    service:% = service,
+                    pieces = group.pieces.len(),
+                    took_ms = (now - started).0,
+                    spare_ms = (group.on_time_deadline - now).0;
+                    "stage completed"
+                );
+                return (index, Ok((output, dispatcher)));
+            }
+            Ok(Err(why)) => return (index, Err(why)),
+            Err(_) => {
+                log::warn!(
+                    request:% = group.attempt,
+                    service:% = service,
+                    dispatcher:? = dispatcher;
+                    "the dispatcher is unreachable; trying the next one"
+                );
+            }
+        }
+        if group.deadline <= context.now() {
+            return (index, Err(Unmade::Late));
+        }
+    }
+}
+
 /// Returns the service of a stage and the group of its pieces, whose deadlines
 /// leave time for the stages after it and for the request itself.
 fn group(
--- a/crates/relay/tests/direct/fleet.rs
+++ b/crates/relay/tests/direct/fleet.rs
@@ -11,7 +11,6 @@
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
-use gooseberry_relay::dispatcher::ResultOwner;
 use gooseberry_runtime::control_stream;
 use gooseberry_wire::fleet::FleetClient;
 use gooseberry_wire::fleet::Greeting;
@@ -81,24 +80,6 @@
     }
 }
 
-/// A piece is tried again only if the daemon that dispatched its inputs says that it still
-/// keeps them.
-#[tokio::test]
-async fn results_that_a_peer_does_not_keep_are_not_taken_for_kept() {
-    let platform = TestPlatform::start().await;
-    let first = platform.daemon(1, &[]).await;
-    let second = platform.daemon(2, &[peer_address(&first)]).await;
-    let owner = ResultOwner {
-        service: name::Service::new("first"),
-        address: peer_address(&first),
-        handles: vec![name::Handle::new("unknown")],
-    };
-    let peers = &second.context().peers;
-    assert_eq!(peers.set_reclaimable(&owner, false).await, Ok(false));
-    first.kill().await;
-    assert!(peers.set_reclaimable(&owner, false).await.is_err());
-}
-
 /// Sends a request through a daemon that is not the dispatcher of its first stage, kills
 /// the dispatcher once a target of `busy` has got a request, and checks that the answer
 /// is whole. Returns the daemons that are left.
--- a/crates/relay/tests/direct/former_heartbeats.rs
+++ b/crates/relay/tests/direct/former_heartbeats.rs
@@ -11,7 +11,6 @@
 use gooseberry_platform_standin::partition::Gateway;
 use gooseberry_platform_standin::partition::Partition;
 use gooseberry_platform_standin::target::Target;
-use gooseberry_relay::dispatcher::ResultOwner;
 use gooseberry_runtime::control_stream;
 use gooseberry_wire::fleet::Changes;
 use gooseberry_wire::fleet::Contents;
@@ -214,25 +213,3 @@
     let service = name::Service::new("plain");
     assert_eq!(state.detour(&service, &[], 0, now), None);
 }
-
-/// A former build closes the connection on a call that it lacks, and every other call on it
-/// would fail.
-#[tokio::test]
-async fn a_daemon_of_the_former_build_is_not_asked_to_mark_results() {
-    let platform = TestPlatform::start().await;
-    let former = start_former().await;
-    let daemon = platform.daemon(1, &[former.address]).await;
-    let owner = ResultOwner {
-        service: name::Service::new("first"),
-        address: former.address,
-        handles: vec![name::Handle::new("handle")],
-    };
-    let peers = &daemon.context().peers;
-    for is_reclaimable in [true, false] {
-        assert_eq!(
-            peers.set_reclaimable(&owner, is_reclaimable).await,
-            Ok(true)
-        );
-    }
-    assert_eq!(peers.free(&owner).await, Ok(()));
-}
--- a/crates/relay/tests/direct/placer_standin.rs
+++ b/crates/relay/tests/direct/placer_standin.rs
@@ -154,16 +154,6 @@
         Vec::new()
     }
 
-    async fn set_reclaimable(
-        self,
-        _: context::Context,
-        _: CompactString,
-        _: Vec<CompactString>,
-        _: bool,
-    ) -> bool {
-        false
-    }
-
     async fn finished(self, _: context::Context, reports: Vec<Finish>) {
         self.reports.lock().expect("not poisoned").extend(reports);
     }
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -223,10 +223,14 @@
     assert_eq!(query_count(), queries);
 }
 
-/// Has both targets of the second stage end a call: inputs are released early only at
-/// those that have.
-async fn warm_up_second_stage(platform: &TestPlatform, daemon: &Daemon) {
-    let address = client_address(daemon);
+/// A stage reads its inputs when its call begins, and their memory is free for
+/// others then. If no other group needs it and a piece fails later in that call,
+/// only that piece must be computed again, and not the inputs of its group.
+#[tokio::test]
+async fn a_piece_that_fails_late_is_retried_with_the_same_inputs() {
+    let (platform, daemon) = start_one().await;
+    let address = client_address(&daemon);
+    // Inputs are released early only at targets that have ended a call.
     let has_idle_target = || {
         let mut targets = platform.second.iter();
         targets.any(|target| target.received().is_empty())
@@ -241,103 +245,39 @@
         });
         futures::future::join_all(sends).await;
     }
-}
-
-/// Guards against lost inputs: a stage reads them when its call begins, and their memory
-/// could be free for others then. If a piece fails late in that call, only that piece must be
-/// computed again, and not the inputs of its group, also if other groups wait meanwhile at
-/// the service that computed them.
-#[tokio::test]
-async fn a_piece_that_fails_late_is_retried_with_the_same_inputs() {
-    for backlog in [0, 3] {
-        let (platform, daemon) = start_one().await;
-        let address = client_address(&daemon);
-        warm_up_second_stage(&platform, &daemon).await;
-        for target in &platform.second {
-            target.clear_modes();
-            target.queue_modes(&[Mode::UnmadeAfter(300, "error")]);
-        }
+    let calls_before = [
+        stage_calls(&platform.first).len(),
+        stage_calls(&platform.second).len(),
+    ];
+    for target in &platform.second {
+        target.clear_modes();
+        target.queue_modes(&[Mode::UnmadeAfter(300, "error")]);
+    }
+    let waiting = tokio::spawn(async move {
         let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
-        let attempt = client.attempt.clone();
-        let calls = |targets: &[Target; 2]| {
-            let calls = stage_calls(targets).into_iter();
-            let of_attempt = calls.filter(|call| {
-                let body = String::from_utf8_lossy(&call.body).into_owned();
-                body.contains(&format!("\"{attempt}\""))
-            });
-            of_attempt.count()
-        };
-        let waiting = tokio::spawn(async move { client.send(address).await.expect("an answer") });
-        wait_until("the second stage has its call", || {
-            calls(&platform.second) == 1
-        })
-        .await;
-        for target in &platform.second {
-            target.clear_modes();
-        }
-        for target in &platform.first {
-            target.queue_modes(&[Mode::Delayed(350)]);
-        }
-        let sends = (0..backlog).map(|_| async move {
-            let client = ClientRequest::new("/long/").with_stage_pieces("8");
-            client.send(address).await.expect("an answer")
-        });
-        futures::future::join_all(sends).await;
-        let answer = waiting.await.expect("the task did not panic");
-        assert_eq!((answer.status, answer.is_complete), (200, true));
-        assert_eq!(
-            (calls(&platform.first), calls(&platform.second)),
-            (1, 2),
-            "{backlog}"
-        );
-        let text = daemon.context().metrics.text().expect("it can be encoded");
-        let retried = "gooseberry_relay_stage_events_total{event=\"retried\"} 1\n";
-        assert!(String::from_utf8_lossy(&text).contains(retried));
+        client.send(address).await.expect("an answer")
+    });
+    wait_until("the second stage has its call", || {
+        stage_calls(&platform.second).len() > calls_before[1]
+    })
+    .await;
+    for target in &platform.second {
+        target.clear_modes();
     }
+    let answer = waiting.await.expect("the task did not panic");
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(stage_calls(&platform.first).len(), calls_before[0] + 1);
+    assert_eq!(stage_calls(&platform.second).len(), calls_before[1] + 2);
 }
 
-/// Guards against targets that became slow and get calls that are given up again and again.
-/// Each call is expected to take 41 ms and was given up after 423 ms.
+/// The first calls of a dispatcher that replaces another one wait at the targets
+/// behind the other's calls. Their inputs must not be released before the target
+/// has started on them. Those of later calls are released while the call runs if
+/// their memory may be needed, that is, if other groups wait at their service.
 #[tokio::test]
-async fn calls_to_slow_targets_are_given_up_only_until_their_pace_is_known() {
+async fn inputs_are_released_early_only_by_a_sole_dispatcher() {
     let (platform, daemon) = start_one().await;
-    for target in &platform.first {
-        target.queue_modes(&[Mode::Delayed(500); 40]);
-    }
-    let mut calls_of_request = Vec::new();
-    for _ in 0..10 {
-        let before = stage_calls(&platform.first).len();
-        let client = ClientRequest::new("/long/").with_stage_pieces("1");
-        let answer = answer_to(&client, &daemon).await;
-        let calls = stage_calls(&platform.first).len() - before;
-        calls_of_request.push((answer.status, calls));
-        if calls_of_request.ends_with(&[(200, 1)]) {
-            return;
-        }
-    }
-    panic!("all requests had calls that were given up: {calls_of_request:?}");
-}
-
-/// Settings with which a target of the service `first` has no memory for the results of a
-/// full call of `/long/` beside the result that the second stage of `/staged/` reads.
-fn with_short_memory() -> String {
-    let settings = SETTINGS.replacen("\"headroom_mb\": 10", "\"headroom_mb\": 1", 1);
-    let first_stage = "\"stages\": [{\"service\": \"first\", \"after\": [], \"bytes\": ";
-    let settings = settings.replace(
-        &format!("{first_stage}1000}},"),
-        &format!("{first_stage}900000}},"),
-    );
-    settings.replace(
-        &format!("{first_stage}1000}}]"),
-        &format!("{first_stage}20000}}]"),
-    )
-}
-
-/// Sends a request of which the second stage takes 400 ms, and meanwhile this number of other
-/// requests, each with a full call for the targets of the first stage. Returns whether its input was freed while
-/// the second stage ran.
-async fn is_input_freed_early(platform: &TestPlatform, daemon: &Daemon, backlog: usize) -> bool {
-    let address = client_address(daemon);
+    let address = client_address(&daemon);
     let freed_count = || {
         let freed = platform
             .first
@@ -353,72 +293,50 @@
         });
         freed_count() == pieces.sum::<usize>()
     };
-    wait_until("the former results are freed", all_freed).await;
-    let before = stage_calls(&platform.second).len();
-    for target in &platform.second {
-        target.clear_modes();
-        target.queue_modes(&[Mode::Delayed(400)]);
-    }
-    let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
-    let attempt = client.attempt.clone();
-    let waiting = tokio::spawn(async move { client.send(address).await.expect("an answer") });
-    wait_until("the second stage has its call", || {
-        stage_calls(&platform.second).len() > before
-    })
-    .await;
-    let freed_before = freed_count();
-    // The pieces for which no target is free, or has memory, wait.
-    for target in &platform.first {
-        target.clear_modes();
-        target.queue_modes(&[Mode::Delayed(350)]);
-    }
-    let backlog = (0..backlog).map(|_| async move {
-        let client = ClientRequest::new("/long/").with_stage_pieces("8");
-        client.send(address).await.expect("an answer")
-    });
-    let backlog = tokio::spawn(futures::future::join_all(backlog));
-    wait_until("the input is freed", || freed_count() > freed_before).await;
-    // An input that is freed after the call has ended is freed at the same time
-    // as the request is sent to its engine.
-    sleep(Duration::from_millis(100)).await;
-    let is_early = platform.runs(&attempt) == 0;
-    let answer = waiting.await.expect("the task did not panic");
-    assert_eq!((answer.status, answer.is_complete), (200, true));
-    for answer in backlog.await.expect("the task did not panic") {
-        assert_eq!((answer.status, answer.is_complete), (200, true));
-    }
-    is_early
-}
-
-/// The first calls of a dispatcher that replaces another one wait at the targets
-/// behind the other's calls. Their inputs must not be freed before the target
-/// has started on them. Those of later calls are freed while the call runs if another call
-/// needs their memory.
-#[tokio::test]
-async fn inputs_are_freed_early_only_by_a_sole_dispatcher_and_for_a_call_without_room() {
-    let platform = TestPlatform::start().await;
-    platform.store.put("op/config", &with_short_memory());
-    let daemon = platform.daemon(1, &[]).await;
-    let mut freed_early = Vec::new();
+    let mut released_early = Vec::new();
     for _ in 0..40 {
-        freed_early.push(is_input_freed_early(&platform, &daemon, 2).await);
-        if freed_early.ends_with(&[true]) {
+        wait_until("the former results are freed", all_freed).await;
+        let before = stage_calls(&platform.second).len();
+        for target in &platform.second {
+            target.clear_modes();
+            target.queue_modes(&[Mode::Delayed(400)]);
+        }
+        let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
+        let attempt = client.attempt.clone();
+        let waiting = tokio::spawn(async move { client.send(address).await.expect("an answer") });
+        wait_until("the second stage has its call", || {
+            stage_calls(&platform.second).len() > before
+        })
+        .await;
+        let freed_before = freed_count();
+        // Two full calls keep both targets of the first stage busy, and the pieces
+        // of a third request wait.
+        for target in &platform.first {
+            target.clear_modes();
+            target.queue_modes(&[Mode::Delayed(350)]);
+        }
+        let backlog = (0..3).map(|_| async move {
+            let client = ClientRequest::new("/long/").with_stage_pieces("8");
+            client.send(address).await.expect("an answer")
+        });
+        let backlog = tokio::spawn(futures::future::join_all(backlog));
+        wait_until("the input is freed", || freed_count() > freed_before).await;
+        // An input that is freed after the call has ended is freed at the same time
+        // as the request is sent to its engine.
+        sleep(Duration::from_millis(100)).await;
+        released_early.push(platform.runs(&attempt) == 0);
+        let answer = waiting.await.expect("the task did not panic");
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        for answer in backlog.await.expect("the task did not panic") {
+            assert_eq!((answer.status, answer.is_complete), (200, true));
+        }
+        if released_early.ends_with(&[true]) {
             break;
         }
     }
     assert!(
-        !freed_early[0],
+        !released_early[0],
         "another daemon's calls may still be running"
     );
-    assert_eq!(freed_early.last(), Some(&true), "{freed_early:?}");
-}
-
-/// Guards against the release of inputs only because groups wait at their service: if a
-/// piece failed then, the stages of its request ran a second time.
-#[tokio::test]
-async fn inputs_stay_while_there_is_room_for_the_calls_that_wait() {
-    let (platform, daemon) = start_one().await;
-    for _ in 0..8 {
-        assert!(!is_input_freed_early(&platform, &daemon, 3).await);
-    }
+    assert_eq!(released_early.last(), Some(&true), "{released_early:?}");
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,7 +4,6 @@
 //! duration that remains or has passed. Bincode tells fields, variants and calls
 //! apart by their order alone, so their order is part of the protocol.
 //!
-//! - `group` converts groups of pieces.
 //! - `heartbeat` has what daemons say of their links to targets.
 //! - `origin` has where streams began.
 //! - `part_evidence` has what is known of parts of prompts that crash targets.
@@ -13,7 +12,6 @@
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
 
-mod group;
 mod heartbeat;
 pub mod ledger;
 mod origin;
@@ -30,6 +28,7 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::deadline_admission;
 use gooseberry_kernel::request::routing_table::Rank;
+use gooseberry_kernel::stage::group;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -87,13 +86,6 @@
     /// Returns what the daemon knows of the engines of a group that it chooses, or has chosen
     /// from until lately. It is made only of daemons of version 3.
     async fn ledger(service: CompactString, group: u32) -> Vec<EngineSummary>;
-    /// Marks results that the daemon dispatched as reclaimable, or as needed again; returns
-    /// whether all of them are still kept. It is made only of daemons of version 3.
-    async fn set_reclaimable(
-        service: CompactString,
-        handles: Vec<CompactString>,
-        is_reclaimable: bool,
-    ) -> bool;
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
@@ -329,3 +321,71 @@
         }
     }
 }
+
+impl Group {
+    /// Encodes a group for the daemon that dispatches the calls of its service.
+    /// `keepers` is left empty.
+    #[must_use]
+    pub fn new(
+        service: &name::Service,
+        group: &group::Group,
+        asker: membership::Process,
+        now: Millis,
+    ) -> Self {
+        Self {
+            service: service.as_str().into(),
+            asker: asker.into(),
+            attempt: group.attempt.as_str().into(),
+            stage: u32::try_from(group.stage).unwrap_or(u32::MAX),
+            pieces: group.pieces.clone(),
+            source: match &group.source {
+                group::Source::Key(key) => Source::Key(key.clone()),
+                group::Source::Inputs(handles) => {
+                    let handles = handles.iter().map(|handle| handle.as_str().into());
+                    Source::Inputs(handles.collect())
+                }
+            },
+            bytes: group.result_bytes,
+            rank: group.rank.0,
+            on_time_ms: (group.on_time_deadline - now).0,
+            until_ms: (group.deadline - now).0,
+            inputs_until_ms: (group.inputs_expire_at - now).0,
+            near: group.preferred_domain.as_ref().map(|preferred| Near {
+                domain: preferred.domain.as_str().into(),
+                bytes: preferred.transfer_bytes,
+            }),
+            is_first: group.is_first,
+            late_tail_ms: group.late_extra.0,
+            keepers: Vec::new(),
+        }
+    }
+
+    /// Decodes the group; its durations become times on this process's clock.
+    #[must_use]
+    pub fn decode(self, now: Millis) -> (name::Service, group::Group) {
+        let group = group::Group {
+            attempt: name::Attempt::new(&self.attempt),
+            stage: usize::try_from(self.stage).unwrap_or(usize::MAX),
+            pieces: self.pieces,
+            source: match self.source {
+                Source::Key(key) => group::Source::Key(key),
+                Source::Inputs(handles) => {
+                    let handles = handles.iter().map(|handle| name::Handle::new(handle));
+                    group::Source::Inputs(handles.collect())
+                }
+            },
+            result_bytes: self.bytes,
+            rank: Rank(self.rank),
+            on_time_deadline: now + Millis(self.on_time_ms),
+            deadline: now + Millis(self.until_ms),
+            inputs_expire_at: now + Millis(self.inputs_until_ms),
+            preferred_domain: self.near.map(|near| group::PreferredDomain {
+                domain: name::Domain::new(&near.domain),
+                transfer_bytes: near.bytes,
+            }),
+            is_first: self.is_first,
+            late_extra: Millis(self.late_tail_ms),
+        };
+        (name::Service::new(&self.service), group)
+    }
+}
