Tests: streams after the loss of all daemons while versions change (failing, listed)

Cause, by reading: a daemon that has just started takes one listed version for proof that no other one served, and knows no origins. In the first test 12 of 12 streams of a version that has left go on at the other one (ORDER); in the second 0 of 12 go on though targets of their version serve (LOST). Engines of the stand-in list the prompt parts that they keep.

--- a/crates/relay/tests/direct/versions.rs
+++ b/crates/relay/tests/direct/versions.rs
@@ -32,6 +32,11 @@
         engines
     }
 
+    fn remove(&self, platform: &TestPlatform, index: usize) {
+        let (target, _) = &self.all[index];
+        platform.store.remove(&format!("servers/{}", target.name));
+    }
+
     fn list(&self, platform: &TestPlatform, index: usize, state: &str) {
         let (target, version) = &self.all[index];
         let entry = target.entry("engine", "z-1", state);
@@ -71,7 +76,7 @@
 fn request(number: usize) -> ClientRequest {
     ClientRequest::new("/resume/")
         .with_stage_pieces("")
-        .with("Prompt-Prefix", &format!("a{number}:50,bb:50"))
+        .with("Prompt-Prefix", &format!("a{number}:50,b{number}:50"))
         .body(&format!("prompt {number}"))
 }
 
@@ -202,3 +207,42 @@
     let (same, other) = resume(&engines, &daemon, &attempts).await;
     assert_eq!((same, other), (STREAMS - count, 0));
 }
+
+/// All daemons are lost, and the last targets of the version that began the streams have
+/// left by the time they are back, so that they find targets of one version alone.
+#[tokio::test]
+async fn a_started_daemon_does_not_take_the_listed_version_for_the_one_that_began_a_stream() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    engines.remove(&platform, 1);
+    engines.remove(&platform, 3);
+    let lost = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&lost, 8)).await;
+    let attempts = broken_streams(&engines, &lost).await;
+    lost.kill().await;
+    for (index, state) in [(1, "ready"), (3, "ready")] {
+        engines.list(&platform, index, state);
+    }
+    engines.remove(&platform, 0);
+    engines.remove(&platform, 2);
+    let started = platform.unready_daemon(2, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&started, 8)).await;
+    let (same, other) = resume(&engines, &started, &attempts).await;
+    assert_eq!((same, other), (0, 0));
+}
+
+/// All daemons are lost while targets of two versions serve. What the targets have in
+/// memory shows which of them began a stream.
+#[tokio::test]
+async fn streams_go_on_at_their_version_after_all_daemons_were_lost() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let lost = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
+    let attempts = broken_streams(&engines, &lost).await;
+    lost.kill().await;
+    let started = platform.unready_daemon(2, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
+    let (same, other) = resume(&engines, &started, &attempts).await;
+    assert_eq!((same, other), (STREAMS, 0));
+}
