Streams resume after the loss of all daemons where their targets still hold them

Cause: a daemon that has just started took one listed version for proof that no other one had served, and knew no origins.

Change: one version is proof only for a daemon that has known each change of the list for as long as a stream may last, with a copy that the store confirms (stream_origin). Else it asks the daemon that has run longest, and that one the targets (stream_trace): a target that holds the last part of the prompt, with as many tokens more as the client has received events, wrote the stream. Two versions that do: refused. One survey serves all streams, and is repeated at most once a second.

Two tests changed: the one with Last-Event-Id alone resumed a stream that never began, which no daemon may go on with now; it breaks a stream off first. The version of the calls is 4.

--- a/crates/kernel/src/fleet/replica.rs
+++ b/crates/kernel/src/fleet/replica.rs
@@ -53,6 +53,9 @@
         /// Whether the replica has passed on to a later era, so that values may be older
         /// than those before.
         pub is_return: bool,
+        /// Whether entries may have come and gone that the replica did not get, since the
+        /// contents were those of one moment.
+        pub has_gap: bool,
     }
 }
 
@@ -253,6 +256,7 @@
     /// Merges changes of the replica's era.
     fn merge(&mut self, changes: Changes) -> Update {
         let rewritten = self.rewritten(&changes);
+        let has_gap = changes.is_whole;
         let keys = self.mirror.apply(changes);
         let through = self.mirror.through();
         let era = self.era;
@@ -262,6 +266,7 @@
             keys,
             rewritten,
             is_return: false,
+            has_gap,
         }
     }
 
@@ -278,6 +283,7 @@
             keys: self.mirror.replace(mirror),
             rewritten: Vec::new(),
             is_return,
+            has_gap: true,
         }
     }
 
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -5,7 +5,8 @@
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
-//!   decides at which targets a broken one may go on.
+//!   decides at which targets a broken one may go on. [`stream_trace`] finds where it began
+//!   if no daemon knows any more.
 //! - [`part_quarantine`] finds parts of prompts that crash targets.
 //! - [`punctuality`] decides whether an answer is on time.
 //! - [`demand`] is what a request asks of an engine, in tokens.
@@ -23,4 +24,5 @@
 pub mod retry_budget;
 pub mod routing_table;
 pub mod stream_origin;
+pub mod stream_trace;
 pub mod wait_queue;
--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -5,11 +5,16 @@
 //! a stream mostly does so at another daemon, and the former one may be lost. Each
 //! daemon therefore tells a few others where its streams began. These backups are
 //! chosen by the attempt alone, so that every daemon finds them.
+//!
+//! If all of them are lost, one listed version proves nothing: targets of another one may
+//! have left just before. A daemon takes it for proof only once it has seen the list for as
+//! long as a stream may last.
 
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
 use crate::derive::value;
+use crate::fleet::assignment::CONFIRMATION_AGE_MAX;
 use crate::fleet::membership::MemberState;
 use crate::hash;
 use crate::name;
@@ -33,13 +38,22 @@
         pub version: name::Version,
     }
 
+    /// What a daemon knows of the versions at which a stream may have begun.
+    pub struct Versions {
+        /// Those of the service's targets that serve now, or that the daemon has seen serve
+        /// within [`MEMORY`], sorted.
+        pub seen: Vec<name::Version>,
+        /// Whether no target of another version can have served within [`MEMORY`].
+        pub is_complete: bool,
+    }
+
     /// Where a stream may go on.
     pub enum Resumption {
-        /// At any target: all targets of the service are of one version.
+        /// At any target: all targets of the service were of one version.
         Anywhere,
         /// At targets like the one that began it.
         At(Origin),
-        /// Several versions serve, and it is not known which one began it.
+        /// Several versions may have served, and it is not known which one began it.
         Unknown,
     }
 
@@ -96,17 +110,46 @@
     }
 }
 
-/// Decides where a stream may go on. `versions` are those of the service's targets
-/// that serve now or did so while the stream may have begun.
+/// Decides where a stream may go on.
 #[must_use]
-pub fn resumption(origin: Option<&Origin>, versions: &[name::Version]) -> Resumption {
+pub fn resumption(origin: Option<&Origin>, versions: &Versions) -> Resumption {
     match origin {
         Some(origin) => Resumption::At(origin.clone()),
-        None if versions.len() <= 1 => Resumption::Anywhere,
+        None if versions.is_complete && versions.seen.len() <= 1 => Resumption::Anywhere,
         None => Resumption::Unknown,
     }
 }
 
+/// Returns whether a daemon has seen all targets that served within [`MEMORY`].
+/// `listed_since` is from when on it knows each change of the list, and `confirmed_age` how
+/// long ago the platform's store confirmed its copy of the list.
+#[must_use]
+pub fn has_seen_all(
+    listed_since: Option<Millis>,
+    confirmed_age: Option<Millis>,
+    now: Millis,
+) -> bool {
+    let is_long_enough = listed_since.is_some_and(|since| since + MEMORY <= now);
+    let is_current = confirmed_age.is_some_and(|age| age <= CONFIRMATION_AGE_MAX);
+    is_long_enough && is_current
+}
+
+/// Returns the members in the order in which they are asked about a stream that no backup
+/// knows. Those that have run longest have seen most; those that shut down or do not reach
+/// the service's targets go last.
+#[must_use]
+pub fn witnesses<'a>(
+    members: &[&'a MemberState],
+    reaches: impl Fn(&MemberState) -> bool,
+) -> Vec<&'a MemberState> {
+    let mut order = members.to_vec();
+    order.sort_by_key(|member| {
+        let goes_last = member.is_leaving || !reaches(member);
+        (goes_last, member.incarnation)
+    });
+    order
+}
+
 /// Returns the first `count` backups of an attempt, without `me`, in the order in which
 /// they are chosen.
 #[must_use]
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -37,4 +37,5 @@
 mod startup;
 mod store_readers;
 mod stream_origin;
+mod stream_trace;
 mod wait_queue;
--- a/crates/kernel/tests/direct/stream_origin.rs
+++ b/crates/kernel/tests/direct/stream_origin.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::request::stream_origin::Resumption;
+use gooseberry_kernel::request::stream_origin::Versions;
 
 fn origin(version: &str) -> Origin {
     Origin {
@@ -30,24 +31,60 @@
     }
 }
 
+fn versions(seen: &[&str], is_complete: bool) -> Versions {
+    Versions {
+        seen: seen
+            .iter()
+            .map(|version| name::Version::new(version))
+            .collect(),
+        is_complete,
+    }
+}
+
 #[test]
-fn a_stream_goes_on_where_it_began_or_where_versions_do_not_differ() {
-    let versions = ["v1", "v2"].map(name::Version::new);
+fn a_stream_goes_on_where_it_began_or_where_versions_did_not_differ() {
     let known = origin("v1");
-    let at_known = Resumption::At(known.clone());
-    assert_eq!(
-        stream_origin::resumption(Some(&known), &versions[..1]),
-        at_known
-    );
-    assert_eq!(stream_origin::resumption(Some(&known), &versions), at_known);
-    assert_eq!(
-        stream_origin::resumption(None, &versions[..1]),
-        Resumption::Anywhere
-    );
-    assert_eq!(
-        stream_origin::resumption(None, &versions),
-        Resumption::Unknown
-    );
+    for is_complete in [true, false] {
+        for seen in [&["v1"][..], &["v1", "v2"]] {
+            let resumption = stream_origin::resumption(Some(&known), &versions(seen, is_complete));
+            assert_eq!(resumption, Resumption::At(known.clone()));
+        }
+    }
+    let unknown =
+        |seen: &[&str], is_complete| stream_origin::resumption(None, &versions(seen, is_complete));
+    assert_eq!(unknown(&["v1"], true), Resumption::Anywhere);
+    assert_eq!(unknown(&["v1", "v2"], true), Resumption::Unknown);
+    // Another version may have served before the daemon knew the list.
+    assert_eq!(unknown(&["v1"], false), Resumption::Unknown);
+    assert_eq!(unknown(&["v1", "v2"], false), Resumption::Unknown);
+}
+
+/// A daemon has seen all versions only once it has known the list for as long as a stream
+/// may last, and only while the store confirms its copy.
+#[test]
+fn a_started_or_cut_off_daemon_has_not_seen_all_versions() {
+    let fresh = Some(Millis(200));
+    let start = Millis(500);
+    let has_seen_all = |age, now| stream_origin::has_seen_all(Some(start), age, now);
+    assert!(!stream_origin::has_seen_all(None, fresh, start + MEMORY));
+    assert!(!has_seen_all(fresh, start));
+    assert!(!has_seen_all(fresh, start + MEMORY - Millis(1)));
+    assert!(has_seen_all(fresh, start + MEMORY));
+    assert!(!has_seen_all(Some(Millis(1_300)), start + MEMORY));
+    assert!(!has_seen_all(None, start + MEMORY));
+}
+
+#[test]
+fn the_daemon_that_has_run_longest_is_asked_first() {
+    let mut all: Vec<MemberState> = (0..4).map(member).collect();
+    for (member, incarnation) in all.iter_mut().zip([40, 10, 20, 30]) {
+        member.incarnation = incarnation;
+    }
+    all[1].is_leaving = true;
+    let view: Vec<&MemberState> = all.iter().collect();
+    let order = stream_origin::witnesses(&view, |member| member.incarnation != 20);
+    let order: Vec<u64> = order.iter().map(|member| member.incarnation).collect();
+    assert_eq!(order, [30, 40, 10, 20]);
 }
 
 #[test]
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -54,6 +54,8 @@
     pub reply_memory: BodyMemory,
     /// Notified when a check of a link to a service has reached a target or has ended.
     pub link_changed: Notify,
+    /// Notified when targets have been asked which streams they hold.
+    pub survey_ended: Notify,
     state: Mutex<State>,
 }
 
@@ -76,6 +78,7 @@
             metrics,
             shutdown: Shutdown::default(),
             link_changed: Notify::new(),
+            survey_ended: Notify::new(),
             body_memory: BodyMemory::new(boot.memory_bytes / BODY_MEMORY_DIVISOR),
             reply_memory: BodyMemory::new(boot.memory_bytes / REPLY_MEMORY_DIVISOR),
             boot,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -25,6 +25,8 @@
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::stream_origin::Origin;
+use gooseberry_kernel::request::stream_trace::Finding;
+use gooseberry_kernel::request::stream_trace::Trace;
 use gooseberry_kernel::stage::group;
 use gooseberry_runtime::control_stream;
 use gooseberry_runtime::control_stream::Counters;
@@ -51,6 +53,8 @@
 /// How long it may take to connect to a peer, and how long a peer may take to
 /// answer a greeting or to free results.
 const GREET_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a peer may take to find the version of a stream: it may have to ask targets.
+const TRACE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a peer may take to return changes of the store or chunks of its values.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(CALL_TIMEOUT.0);
 /// How long a peer may take to answer any call. The RPC library panics for deadlines that
@@ -66,6 +70,8 @@
 const HEARTBEAT_VERSION: u32 = 2;
 /// The version from which on peers have the calls `place` and `finished`.
 const PLACEMENT_VERSION: u32 = 3;
+/// The version from which on peers have the call `stream_version`.
+const TRACE_VERSION: u32 = 4;
 /// The version of peers that do not have the call that asks for it.
 const FORMER_VERSION: u32 = 0;
 /// The error of a call to a peer that did not answer.
@@ -199,6 +205,30 @@
         Ok(origin.map(Into::into))
     }
 
+    /// Asks a peer at which version of a service the stream of an attempt began.
+    ///
+    /// # Errors
+    /// Returns [`Unreachable`] if the peer does not answer, or does not have the call.
+    pub async fn stream_version(
+        &self,
+        address: SocketAddr,
+        service: &name::Service,
+        attempt: &name::Attempt,
+        trace: Option<&Trace>,
+    ) -> Result<Finding, Unreachable> {
+        let Connection {
+            client, version, ..
+        } = self.connection(address).await?;
+        if version < TRACE_VERSION {
+            return Err(Unreachable);
+        }
+        let limit = with_timeout(TRACE_TIMEOUT);
+        let (service, attempt) = (service.as_str().into(), attempt.as_str().into());
+        let call = client.stream_version(limit, service, attempt, trace.map(Into::into));
+        let finding = call.await.map_err(|_| Unreachable)?;
+        Ok(finding.into())
+    }
+
     async fn greet(&self, address: SocketAddr, message: Heartbeat) -> Result<Reply, Unreachable> {
         let Connection {
             client, version, ..
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -12,6 +12,7 @@
 use gooseberry_wire::fleet::Contents;
 use gooseberry_wire::fleet::ContentsRequest;
 use gooseberry_wire::fleet::Exchange;
+use gooseberry_wire::fleet::Finding;
 use gooseberry_wire::fleet::Fleet;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
@@ -19,6 +20,7 @@
 use gooseberry_wire::fleet::Made;
 use gooseberry_wire::fleet::Origin;
 use gooseberry_wire::fleet::PROTOCOL_VERSION;
+use gooseberry_wire::fleet::Trace;
 use gooseberry_wire::fleet::Unmade;
 use gooseberry_wire::fleet::ledger::EngineSummary;
 use gooseberry_wire::fleet::placement::FINISHES_MAX;
@@ -38,6 +40,7 @@
 use crate::peers::greeting::apply_greeting;
 use crate::peers::greeting::apply_heartbeat;
 use crate::peers::greeting::message;
+use crate::resumption;
 
 /// Accepts connections of peers and answers their calls, for as long as the
 /// process runs.
@@ -182,6 +185,19 @@
         summaries.iter().map(Into::into).collect()
     }
 
+    async fn stream_version(
+        self,
+        _: context::Context,
+        service: CompactString,
+        attempt: CompactString,
+        trace: Option<Trace>,
+    ) -> Finding {
+        let (service, attempt) = (name::Service::new(&service), name::Attempt::new(&attempt));
+        let trace = trace.map(Into::into);
+        let found = resumption::find_version(&self.context, &service, &attempt, trace.as_ref());
+        found.await.into()
+    }
+
     async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
         let handles: Vec<name::Handle> = handles
             .iter()
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -1,5 +1,9 @@
 //! Finds out where a stream that a client resumes may go on, and tells others where
 //! streams begin.
+//!
+//! - `survey` asks targets which streams they hold, if no daemon knows.
+
+mod survey;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,20 +19,30 @@
 use gooseberry_kernel::request::stream_origin::BACKUPS_ASKED;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::request::stream_origin::Resumption;
+use gooseberry_kernel::request::stream_trace::Finding;
+use gooseberry_kernel::request::stream_trace::Trace;
 
 use crate::context::Context;
 use crate::request::Job;
+pub use crate::resumption::survey::Holder;
+
+/// How many daemons are asked about a stream that no backup knows: the one that has seen
+/// most, and another one if it does not answer.
+const WITNESSES_ASKED: usize = 2;
 
 /// Restricts a stream that a client resumes to targets of the service and version
 /// that began it.
 ///
 /// # Errors
-/// Returns a refusal if it is not known where the stream began and versions differ, or
-/// if its route no longer allows that service.
-pub async fn restrict(context: &Context, mut job: Job) -> Result<Job, Failure> {
-    if !job.route.is_resumable || job.head.resumed_after.is_none() {
+/// Returns a refusal if it cannot be found out where the stream began, or if its route no
+/// longer allows that service.
+pub async fn restrict(context: &Arc<Context>, mut job: Job) -> Result<Job, Failure> {
+    if !job.route.is_resumable {
         return Ok(job);
     }
+    let Some(last_event) = job.head.resumed_after.clone() else {
+        return Ok(job);
+    };
     let versions = context.state().versions(&job.service.name, context.now());
     let mut origin = None;
     if let Some(attempt) = &job.head.resumed_attempt {
@@ -37,6 +51,9 @@
             origin = ask_backups(context, attempt).await;
         }
     }
+    if stream_origin::resumption(origin.as_ref(), &versions) == Resumption::Unknown {
+        origin = ask_witnesses(context, &job, &last_event).await;
+    }
     match stream_origin::resumption(origin.as_ref(), &versions) {
         Resumption::Anywhere => {}
         Resumption::At(origin) => {
@@ -51,7 +68,8 @@
             log::info!(
                 request:% = job.head.attempt,
                 resumes:% = job.head.resumed_attempt.unwrap_or_default(),
-                versions:? = versions;
+                versions:? = versions.seen,
+                are_all_seen = versions.is_complete;
                 "refused: it is not known at which version the stream began"
             );
             return Err(Kind::NoTarget.into());
@@ -60,6 +78,77 @@
     Ok(job)
 }
 
+/// Asks other daemons, and through them the targets, where a stream began that no backup
+/// knows.
+async fn ask_witnesses(context: &Arc<Context>, job: &Job, last_event: &str) -> Option<Origin> {
+    let began = context.now();
+    let service = &job.service.name;
+    let attempt = job.head.resumed_attempt.clone().unwrap_or_default();
+    let demand = job.head.demand.as_ref();
+    let trace = demand.and_then(|demand| Trace::new(&job.head.prompt_parts, demand, last_event));
+    let witnesses = context.state().witnesses(service, began);
+    let mut finding = Finding::Unanswered;
+    // This daemon asks the targets itself if the others do not answer.
+    for witness in witnesses.into_iter().take(WITNESSES_ASKED).chain([None]) {
+        let answer = match witness {
+            Some(peer) => {
+                let call = context
+                    .peers
+                    .stream_version(peer, service, &attempt, trace.as_ref());
+                call.await
+            }
+            None => Ok(find_version(context, service, &attempt, trace.as_ref()).await),
+        };
+        log::info!(
+            request:% = job.head.attempt,
+            resumes:% = attempt,
+            witness:? = witness,
+            part:? = trace.as_ref().map(|trace| &trace.last_part),
+            tokens_min:? = trace.as_ref().map(|trace| trace.tokens_min),
+            finding:? = answer,
+            took_ms = (context.now() - began).0;
+            "asked where a stream began"
+        );
+        finding = answer.unwrap_or(Finding::Unanswered);
+        if finding != Finding::Unanswered {
+            break;
+        }
+    }
+    match finding {
+        Finding::Version(version) => Some(Origin {
+            service: service.clone(),
+            version,
+        }),
+        Finding::Ambiguous | Finding::NotFound | Finding::Unanswered => None,
+    }
+}
+
+/// Returns at which version of a service the stream of an attempt began, as far as this
+/// daemon or the targets know.
+pub(crate) async fn find_version(
+    context: &Arc<Context>,
+    service: &name::Service,
+    attempt: &name::Attempt,
+    trace: Option<&Trace>,
+) -> Finding {
+    let now = context.now();
+    let (origin, versions) = {
+        let mut state = context.state();
+        let origin = state.origins().get(attempt).cloned();
+        (origin, state.versions(service, now))
+    };
+    let origin = origin.filter(|origin| origin.service == *service);
+    match (stream_origin::resumption(origin.as_ref(), &versions), trace) {
+        (Resumption::At(origin), _) => Finding::Version(origin.version),
+        (Resumption::Anywhere, _) => match versions.seen.into_iter().next() {
+            Some(version) => Finding::Version(version),
+            None => Finding::NotFound,
+        },
+        (Resumption::Unknown, Some(trace)) => survey::find(context, service, trace).await,
+        (Resumption::Unknown, None) => Finding::NotFound,
+    }
+}
+
 /// Records where the stream of a request began, here and at the backups.
 pub fn record(context: &Arc<Context>, job: &Job, origin: &Origin) {
     let head = &job.head;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -9,12 +9,14 @@
 //! - `share` computes this daemon's parts of limits of the whole fleet.
 //! - `queue` holds the requests that wait for a place at a target.
 //! - `link` knows which services this daemon reaches.
+//! - `resumption` knows at which versions streams may have begun.
 //! - `stage` knows the dispatchers and targets of stage services, and how long
 //!   pieces wait at them.
 
 mod link;
 pub mod placement;
 mod queue;
+mod resumption;
 mod share;
 mod stage;
 mod store;
@@ -46,6 +48,7 @@
 use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::request::stream_origin::Origins;
+use gooseberry_kernel::request::stream_trace::Surveys;
 use gooseberry_kernel::target::brittleness::Brittleness;
 use gooseberry_kernel::target::cold_rate::ColdRateLimiter;
 use gooseberry_kernel::target::health::Health;
@@ -118,6 +121,8 @@
     parts: PartQuarantine,
     /// Where streams began.
     origins: Origins,
+    /// Which streams targets hold.
+    surveys: Surveys,
     /// The load of targets, sorted by target.
     usages: Vec<TargetUsage>,
     /// The requests that wait for a place, sorted by service.
@@ -129,6 +134,9 @@
     /// the longest deadline that clients of its route have sent.
     prior_waits: PriorWaitEstimator,
     store_status: StoreStatus,
+    /// From when on this daemon knows each change of the store's contents; `None` before
+    /// it has them.
+    listed_since: Option<Millis>,
     /// When the store last confirmed to any daemon that this daemon's copy of it
     /// is complete.
     confirmed_at: Option<Millis>,
@@ -261,11 +269,13 @@
             suspects: Suspects::default(),
             parts: PartQuarantine::default(),
             origins: Origins::default(),
+            surveys: Surveys::default(),
             usages: Vec::new(),
             queues: Vec::new(),
             stage_waits: Vec::new(),
             prior_waits: PriorWaitEstimator::default(),
             store_status: StoreStatus::default(),
+            listed_since: None,
             confirmed_at: None,
             startup: Startup::default(),
             fetches: Fetches::default(),
@@ -310,6 +320,11 @@
         &mut self.origins
     }
 
+    /// Returns which streams targets hold, as they have said.
+    pub fn surveys(&mut self) -> &mut Surveys {
+        &mut self.surveys
+    }
+
     /// Returns the health of targets, as calls to them show.
     pub fn health(&mut self) -> &mut Health {
         &mut self.health
@@ -351,6 +366,7 @@
         self.parts.expire(now);
         self.brittleness.expire(now);
         self.origins.expire(now);
+        self.surveys.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
         let table = self.routing_table.as_ref();
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -185,6 +185,9 @@
     pub fn apply_contents(&mut self, contents: Contents, source: &str, now: Millis) {
         let former = self.replica.position();
         let update = self.replica.apply(contents);
+        if update.has_gap {
+            self.listed_since = Some(now);
+        }
         if update.is_return {
             self.begin_era(former, source, now);
         }
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -50,13 +50,6 @@
         self.targets.all().len()
     }
 
-    /// Returns the software versions of a service's targets that serve now or did so
-    /// while a stream of now may have begun.
-    #[must_use]
-    pub fn versions(&self, service: &name::Service, now: Millis) -> Vec<name::Version> {
-        self.targets.versions(service, now)
-    }
-
     /// Records an answer in which a target says that it leaves. Returns whether it is
     /// listed and this is the first such answer.
     pub fn record_leaving(&mut self, target: &name::Target, now: Millis) -> bool {
--- a/crates/relay/tests/direct/placement.rs
+++ b/crates/relay/tests/direct/placement.rs
@@ -31,6 +31,9 @@
 use crate::platform::is_ready_with;
 use crate::platform::wait_until;
 
+/// The version of the calls of a build that has none of placement.
+const BEFORE_PLACEMENT: u32 = 2;
+
 /// Starts a platform whose engines are few-slot ones, so that they are chosen by cost: two
 /// more than that of other tests has.
 async fn start_platform() -> (TestPlatform, Vec<Target>) {
@@ -161,7 +164,7 @@
 
 #[tokio::test]
 async fn a_placer_of_the_former_build_is_not_asked() {
-    let (_platform, _engines, daemon, placer) = start(PROTOCOL_VERSION - 1).await;
+    let (_platform, _engines, daemon, placer) = start(BEFORE_PLACEMENT).await;
     placer.name_target("engine-1");
     complete_answer_to(&stream_request(), &daemon).await;
     assert_eq!(placer.asked().len(), 0);
--- a/crates/relay/tests/direct/placer_standin.rs
+++ b/crates/relay/tests/direct/placer_standin.rs
@@ -14,6 +14,7 @@
 use gooseberry_wire::fleet::Contents;
 use gooseberry_wire::fleet::ContentsRequest;
 use gooseberry_wire::fleet::Exchange;
+use gooseberry_wire::fleet::Finding;
 use gooseberry_wire::fleet::Fleet;
 use gooseberry_wire::fleet::Greeting;
 use gooseberry_wire::fleet::Group;
@@ -21,6 +22,7 @@
 use gooseberry_wire::fleet::Made;
 use gooseberry_wire::fleet::Member;
 use gooseberry_wire::fleet::Origin;
+use gooseberry_wire::fleet::Trace;
 use gooseberry_wire::fleet::Unmade;
 use gooseberry_wire::fleet::ledger::EngineSummary;
 use gooseberry_wire::fleet::placement::Finish;
@@ -154,6 +156,16 @@
         Vec::new()
     }
 
+    async fn stream_version(
+        self,
+        _: context::Context,
+        _: CompactString,
+        _: CompactString,
+        _: Option<Trace>,
+    ) -> Finding {
+        Finding::Unanswered
+    }
+
     async fn finished(self, _: context::Context, reports: Vec<Finish>) {
         self.reports.lock().expect("not poisoned").extend(reports);
     }
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -169,9 +169,16 @@
 
 #[tokio::test]
 async fn a_client_that_sends_last_event_id_gets_the_remaining_events() {
-    let (_platform, daemon) = start_one().await;
+    let (platform, daemon) = start_one().await;
+    queue_mode(&platform, Mode::DisconnectWithin(4));
+    let broken = ClientRequest::new("/resume/").with_stage_pieces("");
+    let answer = answer_to(&broken, &daemon).await;
+    assert!(!answer.is_complete);
+    assert!(answer.body.ends_with("event 3\n\n"), "{}", answer.body);
     let client = ClientRequest::new("/resume/").with_stage_pieces("");
-    let client = client.with("Last-Event-Id", "3");
+    let client = client
+        .with("Last-Event-Id", "3")
+        .with("Resumes", &broken.attempt);
     let answer = answer_to(&client, &daemon).await;
     assert!(answer.is_complete);
     assert!(answer.body.starts_with("id: 4\n"), "{}", answer.body);
--- a/crates/relay/tests/direct/versions.rs
+++ b/crates/relay/tests/direct/versions.rs
@@ -1,9 +1,12 @@
 //! Streams of a service whose targets run several versions of their software.
 
+use std::time::Duration;
+
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
+use tokio::time::Instant;
 
 use crate::platform::TestPlatform;
 use crate::platform::client_address;
@@ -80,8 +83,8 @@
         .body(&format!("prompt {number}"))
 }
 
-/// Sends streams that all break off after two events; returns their attempts.
-async fn broken_streams(engines: &Engines, daemon: &Daemon) -> Vec<String> {
+/// Sends streams that all break off after two events; returns their numbers and attempts.
+async fn broken_streams(engines: &Engines, daemon: &Daemon) -> Vec<(usize, String)> {
     engines.break_streams(2 * STREAMS);
     let mut attempts = Vec::new();
     for number in 0..STREAMS {
@@ -89,7 +92,7 @@
         let answer = client.send(client_address(daemon)).await;
         let answer = answer.expect("an answer");
         assert_eq!((answer.status, answer.is_complete), (200, false));
-        attempts.push(client.attempt);
+        attempts.push((number, client.attempt));
     }
     engines.clear_modes();
     attempts
@@ -97,10 +100,10 @@
 
 /// Resumes each stream, and returns how many went on at a target of their version,
 /// and how many at one of another version.
-async fn resume(engines: &Engines, daemon: &Daemon, attempts: &[String]) -> (usize, usize) {
+async fn resume(engines: &Engines, daemon: &Daemon, streams: &[(usize, String)]) -> (usize, usize) {
     let (mut same, mut other) = (0, 0);
-    for (number, attempt) in attempts.iter().enumerate() {
-        let client = request(number)
+    for (number, attempt) in streams {
+        let client = request(*number)
             .with("Last-Event-Id", "2")
             .with("Resumes", attempt);
         let answer = client.send(client_address(daemon)).await;
@@ -125,7 +128,7 @@
     let engines = Engines::start(&platform).await;
     let daemon = platform.unready_daemon(1, &[]).await;
     wait_until("the daemon is ready", || is_ready_with(&daemon, 10)).await;
-    for attempt in broken_streams(&engines, &daemon).await {
+    for (_, attempt) in broken_streams(&engines, &daemon).await {
         let versions = engines.versions(&attempt);
         assert_eq!(versions.len(), 2, "{attempt}");
         assert_eq!(versions[0], versions[1], "{attempt}");
@@ -201,7 +204,7 @@
     .await;
     let began_at_first = attempts
         .iter()
-        .filter(|attempt| engines.versions(attempt)[0] == "v1");
+        .filter(|(_, attempt)| engines.versions(attempt)[0] == "v1");
     let count = began_at_first.count();
     assert!((1..STREAMS).contains(&count), "{count}");
     let (same, other) = resume(&engines, &daemon, &attempts).await;
@@ -246,3 +249,61 @@
     let (same, other) = resume(&engines, &started, &attempts).await;
     assert_eq!((same, other), (STREAMS, 0));
 }
+
+/// The targets have run out of memory for the streams: these are refused, and nothing runs.
+#[tokio::test]
+async fn streams_without_a_trace_are_refused_after_all_daemons_were_lost() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let lost = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
+    let attempts = broken_streams(&engines, &lost).await;
+    lost.kill().await;
+    for number in 0..STREAMS {
+        for (target, _) in &engines.all {
+            target.forget_part(&format!("b{number}"));
+        }
+    }
+    let started = platform.unready_daemon(2, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
+    let began = Instant::now();
+    let (same, other) = resume(&engines, &started, &attempts).await;
+    assert_eq!((same, other), (0, 0));
+    assert!(
+        began.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+/// Of a fleet all of whose daemons were started again, one asks the targets for all of
+/// them.
+#[tokio::test]
+async fn a_fleet_asks_its_targets_once_which_streams_they_hold() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let lost = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
+    let attempts = broken_streams(&engines, &lost).await;
+    lost.kill().await;
+    let first = platform.unready_daemon(1, &[]).await;
+    let seeds = [first.context().boot.peer_address];
+    let others = [2, 3].map(|number| platform.unready_daemon(number, &seeds));
+    let others = futures::future::join_all(others).await;
+    for daemon in others.iter().chain([&first]) {
+        wait_until("the daemons know each other", || {
+            let now = daemon.context().now();
+            let members = daemon.context().state().members().live(now).len();
+            members == 3 && is_ready_with(daemon, 10)
+        })
+        .await;
+    }
+    let (early, late) = attempts.split_at(STREAMS / 2);
+    for (daemon, attempts) in others.iter().zip([early, late]) {
+        let (same, other) = resume(&engines, daemon, attempts).await;
+        assert_eq!((same, other), (attempts.len(), 0));
+    }
+    for (target, _) in &engines.all {
+        assert_eq!(target.list_requests(), 1);
+    }
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -11,6 +11,7 @@
 //! - `placement` has requests to the daemon that chooses engines, and reports to it.
 //! - `rate_limit` has the rate limits of targets.
 //! - `replica` has the contents of the platform's store.
+//! - `stream_trace` has questions about the versions at which streams began.
 
 mod heartbeat;
 pub mod ledger;
@@ -19,6 +20,7 @@
 pub mod placement;
 mod rate_limit;
 mod replica;
+mod stream_trace;
 
 use std::net::SocketAddr;
 
@@ -48,6 +50,8 @@
 pub use crate::fleet::replica::ContentsRequest;
 pub use crate::fleet::replica::Entry;
 pub use crate::fleet::replica::Outline;
+pub use crate::fleet::stream_trace::Finding;
+pub use crate::fleet::stream_trace::Trace;
 
 /// The service that each daemon offers its peers.
 #[tarpc::service]
@@ -86,11 +90,18 @@
     /// Returns what the daemon knows of the engines of a group that it chooses, or has chosen
     /// from until lately. It is made only of daemons of version 3.
     async fn ledger(service: CompactString, group: u32) -> Vec<EngineSummary>;
+    /// Returns at which version of a service the stream of an attempt began, as far as the
+    /// daemon or the targets know. It is made only of daemons of version 4.
+    async fn stream_version(
+        service: CompactString,
+        attempt: CompactString,
+        trace: Option<Trace>,
+    ) -> Finding;
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
 /// that have it.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// A heartbeat with membership state, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/wire/src/fleet/stream_trace.rs
@@ -0,0 +1,73 @@
+//! Questions about the version at which a stream began.
+
+use compact_str::CompactString;
+use gooseberry_kernel::name;
+use gooseberry_kernel::request::stream_trace;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What a stream has left at the target that wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trace {
+    /// The last part of its prompt.
+    pub last_part: CompactString,
+    /// The fewest tokens that the target holds of this part.
+    pub tokens_min: u32,
+    /// The most tokens that the target holds of this part.
+    pub tokens_max: u32,
+}
+
+/// What a daemon finds out about a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Finding {
+    /// It began at this version.
+    Version(CompactString),
+    /// Targets of several versions hold it.
+    Ambiguous,
+    /// No target holds it.
+    NotFound,
+    /// No target has answered.
+    Unanswered,
+}
+
+impl From<&stream_trace::Trace> for Trace {
+    fn from(trace: &stream_trace::Trace) -> Self {
+        Self {
+            last_part: trace.last_part.clone(),
+            tokens_min: trace.tokens_min,
+            tokens_max: trace.tokens_max,
+        }
+    }
+}
+
+impl From<Trace> for stream_trace::Trace {
+    fn from(trace: Trace) -> Self {
+        Self {
+            last_part: trace.last_part,
+            tokens_min: trace.tokens_min,
+            tokens_max: trace.tokens_max,
+        }
+    }
+}
+
+impl From<stream_trace::Finding> for Finding {
+    fn from(finding: stream_trace::Finding) -> Self {
+        match finding {
+            stream_trace::Finding::Version(version) => Self::Version(version.as_str().into()),
+            stream_trace::Finding::Ambiguous => Self::Ambiguous,
+            stream_trace::Finding::NotFound => Self::NotFound,
+            stream_trace::Finding::Unanswered => Self::Unanswered,
+        }
+    }
+}
+
+impl From<Finding> for stream_trace::Finding {
+    fn from(finding: Finding) -> Self {
+        match finding {
+            Finding::Version(version) => Self::Version(name::Version::new(&version)),
+            Finding::Ambiguous => Self::Ambiguous,
+            Finding::NotFound => Self::NotFound,
+            Finding::Unanswered => Self::Unanswered,
+        }
+    }
+}
