A survey of targets reads the runs that they report, too

Their reports are some hundred milliseconds old and still name the runs, with the attempt. Change: a survey asks each target for its report first, then for its parts.

--- a/crates/kernel/src/request/stream_trace.rs
+++ b/crates/kernel/src/request/stream_trace.rs
@@ -1,10 +1,15 @@
-//! What streams have left in the memory of the targets that wrote them.
+//! What streams have left at the targets that wrote them.
 //!
 //! After all daemons were lost at once, nobody knows at which software version the streams
-//! began that their clients resume. The targets still do: an engine keeps the prompts that it
-//! has read, and what it has written with their last part. A target that holds the last part
-//! of a prompt with as many tokens more as the client has received events is one that wrote
-//! the stream.
+//! began that their clients resume. The targets still do. An engine names the requests that it
+//! works on, as of some hundred milliseconds ago, and so also those that it has just dropped
+//! with their connections. It keeps the prompts that it has read, and what it has written
+//! with their last part, if the connection has only gone silent. So a target wrote a stream
+//!
+//! - if it has made events for the attempt that the client names, or
+//! - if it holds the last part of the prompt with as many tokens more as the client has
+//!   received events. One that has only read the prompt may have done so for an attempt that
+//!   brought none.
 //!
 //! The load is a whole fleet's streams, resumed by their clients within a few seconds, at
 //! any daemon. A [`Survey`] asks each target of a service once for all of them, and is
@@ -24,6 +29,14 @@
 pub const SURVEY_AGE_MAX: Millis = Millis(1_000);
 
 value! {
+    /// A request that a target works on.
+    pub struct Run {
+        /// The attempt.
+        pub attempt: name::Attempt,
+        /// How many events the target has made.
+        pub events: u32,
+    }
+
     /// A part of a prompt that a target holds in memory.
     pub struct HeldPart {
         /// The id of the part.
@@ -32,13 +45,31 @@
         pub tokens: u32,
     }
 
+    /// What a target says of its work.
+    pub struct Memory {
+        /// The version of its software.
+        pub version: name::Version,
+        /// The requests that it works on.
+        pub runs: Vec<Run>,
+        /// The parts of prompts that it holds.
+        pub parts: Vec<HeldPart>,
+    }
+
     /// What a stream has left at the target that wrote it.
     pub struct Trace {
-        /// The last part of its prompt, which no other request has.
-        pub last_part: CompactString,
-        /// The fewest tokens that the target holds of this part.
+        /// The attempt that brought its first event.
+        pub attempt: name::Attempt,
+        /// What is held of its prompt, if that is known.
+        pub part: Option<PartTrace>,
+    }
+
+    /// What the target that wrote a stream holds of its prompt.
+    pub struct PartTrace {
+        /// The last part, which no other request has.
+        pub id: CompactString,
+        /// The fewest tokens of this part.
         pub tokens_min: u32,
-        /// The most tokens that the target holds of this part.
+        /// The most tokens of this part.
         pub tokens_max: u32,
     }
 
@@ -63,26 +94,20 @@
         /// The running survey must be waited for.
         Wait,
     }
-
-    /// A part of a prompt at one target.
-    struct Holding {
-        part: HeldPart,
-        /// The index of the target's version.
-        version: usize,
-    }
 }
 
-impl Trace {
-    /// Returns what a stream has left whose client has received the event with the id
-    /// `last_event`; `None` if its prompt is unknown. Each event has a token at least.
+impl PartTrace {
+    /// Returns what is held of the prompt of a stream whose client has received the event
+    /// with the id `last_event`; `None` if the prompt is unknown. Each event has a token at
+    /// least.
     #[must_use]
     pub fn new(parts: &[CompactString], demand: &Demand, last_event: &str) -> Option<Self> {
-        let last_part = parts.last().filter(|id| !id.is_empty())?;
+        let id = parts.last().filter(|id| !id.is_empty())?;
         let read = demand.parts.last()?.tokens;
         // Ids that are no numbers do not count the events.
         let events = last_event.trim().parse().unwrap_or(1).max(1);
         Some(Self {
-            last_part: last_part.clone(),
+            id: id.clone(),
             tokens_min: read.saturating_add(events),
             tokens_max: read.saturating_add(demand.max_output_tokens),
         })
@@ -93,15 +118,35 @@
     }
 }
 
-/// What the targets of one service hold, as they said when they were last asked.
+impl Memory {
+    fn sort(&mut self) {
+        self.runs.sort_by(|a, b| a.attempt.cmp(&b.attempt));
+        self.parts.sort_by(|a, b| a.id.cmp(&b.id));
+    }
+
+    /// Returns whether the target has written the stream with this trace. The memory is
+    /// sorted.
+    fn shows(&self, trace: &Trace) -> bool {
+        let run = self
+            .runs
+            .binary_search_by(|run| run.attempt.cmp(&trace.attempt));
+        let has_made_events = run.is_ok_and(|index| self.runs[index].events > 0);
+        let is_held = trace.part.as_ref().is_some_and(|known| {
+            let part = self.parts.binary_search_by(|part| part.id.cmp(&known.id));
+            part.is_ok_and(|index| known.matches(&self.parts[index]))
+        });
+        has_made_events || is_held
+    }
+}
+
+/// What the targets of one service said when they were last asked.
 #[derive(Clone, Debug)]
 struct Survey {
     service: name::Service,
     begun: Millis,
     is_running: bool,
-    versions: Vec<name::Version>,
-    /// Sorted by the id of the part.
-    holdings: Vec<Holding>,
+    /// What each target says that has answered.
+    memories: Vec<Memory>,
 }
 
 /// The surveys of one daemon, sorted by service.
@@ -120,8 +165,7 @@
                 service: service.clone(),
                 begun: now,
                 is_running: true,
-                versions: Vec::new(),
-                holdings: Vec::new(),
+                memories: Vec::new(),
             };
             self.surveys.insert(index, survey);
             return Step::Begin;
@@ -142,24 +186,14 @@
         Step::Begin
     }
 
-    /// Ends a survey, with what each target that has answered holds.
-    pub fn end(&mut self, service: &name::Service, answers: Vec<(name::Version, Vec<HeldPart>)>) {
-        let Ok(index) = self.find(service) else {
-            return;
-        };
-        let survey = &mut self.surveys[index];
-        survey.is_running = false;
-        survey.versions = answers.iter().map(|(version, _)| version.clone()).collect();
-        survey.versions.sort_unstable();
-        survey.versions.dedup();
-        survey.holdings.clear();
-        for (version, parts) in answers {
-            let version = survey.versions.partition_point(|known| *known < version);
-            let holdings = parts.into_iter().map(|part| Holding { part, version });
-            survey.holdings.extend(holdings);
+    /// Ends a survey, with what each target says that has answered.
+    pub fn end(&mut self, service: &name::Service, mut memories: Vec<Memory>) {
+        memories.iter_mut().for_each(Memory::sort);
+        if let Ok(index) = self.find(service) {
+            let survey = &mut self.surveys[index];
+            survey.is_running = false;
+            survey.memories = memories;
         }
-        let by_id = |holding: &Holding| holding.part.id.clone();
-        survey.holdings.sort_by_cached_key(by_id);
     }
 
     /// Forgets the surveys that are older than any stream.
@@ -176,23 +210,17 @@
 
 impl Survey {
     fn finding(&self, trace: &Trace) -> Finding {
-        if self.versions.is_empty() {
+        if self.memories.is_empty() {
             return Finding::Unanswered;
         }
-        let id = &trace.last_part;
-        let start = self.holdings.partition_point(|one| one.part.id < *id);
-        let of_part = self.holdings[start..].iter();
-        let of_part = of_part.take_while(|one| one.part.id == *id);
-        let mut versions: Vec<usize> = of_part
-            .filter(|one| trace.matches(&one.part))
-            .map(|one| one.version)
-            .collect();
-        versions.sort_unstable();
-        versions.dedup();
-        match versions[..] {
-            [] => Finding::NotFound,
-            [version] => Finding::Version(self.versions[version].clone()),
-            _ => Finding::Ambiguous,
+        let showing = self.memories.iter().filter(|memory| memory.shows(trace));
+        let mut versions = showing.map(|memory| &memory.version);
+        match versions.next() {
+            None => Finding::NotFound,
+            Some(first) if versions.all(|version| version == first) => {
+                Finding::Version(first.clone())
+            }
+            Some(_) => Finding::Ambiguous,
         }
     }
 }
--- a/crates/kernel/tests/direct/stream_trace.rs
+++ b/crates/kernel/tests/direct/stream_trace.rs
@@ -1,7 +1,5 @@
 //! The search for the versions of streams after all daemons were lost.
 
-use std::collections::BTreeMap;
-
 use compact_str::CompactString;
 use compact_str::format_compact;
 use gooseberry_kernel::clock::Millis;
@@ -10,6 +8,9 @@
 use gooseberry_kernel::request::stream_origin::MEMORY;
 use gooseberry_kernel::request::stream_trace::Finding;
 use gooseberry_kernel::request::stream_trace::HeldPart;
+use gooseberry_kernel::request::stream_trace::Memory;
+use gooseberry_kernel::request::stream_trace::PartTrace;
+use gooseberry_kernel::request::stream_trace::Run;
 use gooseberry_kernel::request::stream_trace::SURVEY_AGE_MAX;
 use gooseberry_kernel::request::stream_trace::Step;
 use gooseberry_kernel::request::stream_trace::Surveys;
@@ -20,36 +21,53 @@
 /// The largest number of tokens of an answer.
 const WRITTEN_MAX: u32 = 80;
 
-fn trace(id: &str, last_event: &str) -> Option<Trace> {
+fn part_trace(id: &str, last_event: &str) -> Option<PartTrace> {
     let parts = [("shared", 700), (id, READ)];
     let demand = Demand::new(1_000, &parts, WRITTEN_MAX, None).expect("it is usable");
     let ids: Vec<CompactString> = parts
         .iter()
         .map(|(id, _)| CompactString::from(*id))
         .collect();
-    Trace::new(&ids, &demand, last_event)
+    PartTrace::new(&ids, &demand, last_event)
 }
 
+/// The trace of a stream whose attempt has the name of its prompt's last part.
 fn trace_of(id: &str, last_event: &str) -> Trace {
-    trace(id, last_event).expect("the prompt is known")
+    Trace {
+        attempt: name::Attempt::new(id),
+        part: part_trace(id, last_event),
+    }
 }
 
-fn held(id: &str, tokens: u32) -> HeldPart {
-    HeldPart {
-        id: id.into(),
-        tokens,
+fn memory(version: &str, parts: &[(&str, u32)], runs: &[(&str, u32)]) -> Memory {
+    let part = |(id, tokens): &(&str, u32)| HeldPart {
+        id: CompactString::from(*id),
+        tokens: *tokens,
+    };
+    let run = |(attempt, events): &(&str, u32)| Run {
+        attempt: name::Attempt::new(attempt),
+        events: *events,
+    };
+    Memory {
+        version: name::Version::new(version),
+        runs: runs.iter().map(run).collect(),
+        parts: parts.iter().map(part).collect(),
     }
 }
 
-/// Returns what is found of a stream if targets of these versions hold these parts.
-fn finding(trace: &Trace, answers: &[(&str, HeldPart)]) -> Finding {
+/// A target that holds these tokens of the part "mine", beside other parts.
+fn holder(version: &str, tokens: u32) -> Memory {
+    let parts = [("shared", 700), ("mine", tokens), ("another", READ + 30)];
+    memory(version, &parts, &[("another", 9)])
+}
+
+/// Returns what is found of a stream if targets say this.
+fn finding(trace: &Trace, memories: &[Memory]) -> Finding {
     let service = name::Service::new("engine");
     let mut surveys = Surveys::default();
     assert_eq!(surveys.step(&service, trace, Millis(0)), Step::Begin);
     assert_eq!(surveys.step(&service, trace, Millis(5)), Step::Wait);
-    let answers = answers.iter();
-    let answers = answers.map(|(version, part)| (name::Version::new(version), vec![part.clone()]));
-    surveys.end(&service, answers.collect());
+    surveys.end(&service, memories.to_vec());
     match surveys.step(&service, trace, Millis(10)) {
         Step::Ended(finding) => finding,
         step => panic!("{step:?}"),
@@ -63,14 +81,11 @@
 #[test]
 fn the_targets_that_hold_a_stream_are_of_the_version_that_began_it() {
     let stream = trace_of("mine", "12");
-    let at_v1 = ("v1", held("mine", READ + 30));
-    let other = ("v2", held("another", READ + 30));
-    assert_eq!(
-        finding(&stream, &[at_v1.clone(), other.clone()]),
-        version("v1")
-    );
-    let again = ("v1", held("mine", READ + 12));
-    assert_eq!(finding(&stream, &[at_v1.clone(), again]), version("v1"));
+    let other = memory("v2", &[("another", READ + 30)], &[]);
+    let found = finding(&stream, &[holder("v1", READ + 30), other.clone()]);
+    assert_eq!(found, version("v1"));
+    let found = finding(&stream, &[holder("v1", READ + 30), holder("v1", READ + 12)]);
+    assert_eq!(found, version("v1"));
     assert_eq!(finding(&stream, &[other]), Finding::NotFound);
     assert_eq!(finding(&stream, &[]), Finding::Unanswered);
 }
@@ -81,35 +96,51 @@
 fn a_target_that_has_only_read_a_prompt_did_not_write_its_stream() {
     let stream = trace_of("mine", "12");
     for tokens in [READ - 100, READ, READ + 11, READ + WRITTEN_MAX + 1] {
-        let read = ("v2", held("mine", tokens));
-        assert_eq!(
-            finding(&stream, std::slice::from_ref(&read)),
-            Finding::NotFound
-        );
-        let written = ("v1", held("mine", READ + 12));
-        assert_eq!(finding(&stream, &[read, written]), version("v1"));
+        let reader = holder("v2", tokens);
+        let found = finding(&stream, std::slice::from_ref(&reader));
+        assert_eq!(found, Finding::NotFound);
+        let found = finding(&stream, &[reader, holder("v1", READ + 12)]);
+        assert_eq!(found, version("v1"));
     }
 }
 
+/// The connections of the daemons were closed: the targets have dropped what they had
+/// written, and their reports still name the runs.
+#[test]
+fn a_target_that_has_made_events_for_the_attempt_wrote_its_stream() {
+    let stream = trace_of("mine", "12");
+    let dropped = |version, events| memory(version, &[("mine", READ - 7)], &[("mine", events)]);
+    assert_eq!(finding(&stream, &[dropped("v1", 11)]), version("v1"));
+    let found = finding(&stream, &[dropped("v1", 11), dropped("v2", 0)]);
+    assert_eq!(found, version("v1"));
+    assert_eq!(finding(&stream, &[dropped("v2", 0)]), Finding::NotFound);
+    let unknown_prompt = Trace {
+        part: None,
+        ..stream
+    };
+    assert_eq!(finding(&unknown_prompt, &[dropped("v1", 1)]), version("v1"));
+}
+
 #[test]
 fn a_stream_that_two_versions_may_have_written_goes_on_at_none() {
     let stream = trace_of("mine", "12");
-    let both = [
-        ("v1", held("mine", READ + 40)),
-        ("v2", held("mine", READ + 20)),
-    ];
-    assert_eq!(finding(&stream, &both), Finding::Ambiguous);
+    let run = memory("v2", &[], &[("mine", 3)]);
+    for second in [holder("v2", READ + 20), run] {
+        let found = finding(&stream, &[holder("v1", READ + 40), second]);
+        assert_eq!(found, Finding::Ambiguous);
+    }
 }
 
 #[test]
 fn a_stream_without_a_known_prompt_has_no_trace() {
-    assert_eq!(trace("", "12"), None);
+    assert_eq!(part_trace("", "12"), None);
     let demand = Demand::new(1_000, &[], WRITTEN_MAX, None).expect("it is usable");
-    assert_eq!(Trace::new(&[], &demand, "12"), None);
-    assert_eq!(Trace::new(&["mine".into()], &demand, "12"), None);
+    assert_eq!(PartTrace::new(&[], &demand, "12"), None);
+    assert_eq!(PartTrace::new(&["mine".into()], &demand, "12"), None);
     // An id that does not count the events still shows that one was received.
     for last_event in ["", "x12", "0", "-3"] {
-        assert_eq!(trace_of("mine", last_event).tokens_min, READ + 1);
+        let trace = part_trace("mine", last_event);
+        assert_eq!(trace.map(|part| part.tokens_min), Some(READ + 1));
     }
 }
 
@@ -124,10 +155,13 @@
     let id = |stream: u64| format_compact!("part-{stream}");
     let version_of = |stream: u64| format_compact!("v{}", stream % 2);
     let is_lost = |stream: u64| stream % 10 == 9;
-    let mut held_by: BTreeMap<CompactString, Vec<HeldPart>> = BTreeMap::new();
+    let mut memories = [memory("v0", &[], &[]), memory("v1", &[], &[])];
     for stream in (0..STREAMS).filter(|stream| !is_lost(*stream)) {
-        let part = held(&id(stream), READ + 20);
-        held_by.entry(version_of(stream)).or_default().push(part);
+        let part = HeldPart {
+            id: id(stream),
+            tokens: READ + 20,
+        };
+        memories[usize::from(stream % 2 == 1)].parts.push(part);
     }
     let mut surveys = Surveys::default();
     let mut begun = 0;
@@ -138,10 +172,7 @@
     for now in 0..8_000 {
         if running_until == Some(now) {
             running_until = None;
-            let answers = held_by.iter();
-            let answers =
-                answers.map(|(version, parts)| (name::Version::new(version), parts.clone()));
-            surveys.end(&service, answers.collect());
+            surveys.end(&service, memories.to_vec());
         }
         if now % 12 == 0 && now / 12 < STREAMS {
             waiting.push((now / 12, now));
@@ -184,8 +215,7 @@
     assert_eq!(surveys.step(&service, &stream, Millis(0)), Step::Begin);
     surveys.expire(MEMORY);
     assert_eq!(surveys.step(&service, &stream, MEMORY), Step::Wait);
-    let answer = (name::Version::new("v1"), vec![held("mine", READ + 1)]);
-    surveys.end(&service, vec![answer]);
+    surveys.end(&service, vec![holder("v1", READ + 1)]);
     assert_eq!(
         surveys.step(&service, &stream, MEMORY),
         Step::Ended(version("v1"))
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -205,7 +205,7 @@
         Ok(origin.map(Into::into))
     }
 
-    /// Asks a peer at which version of a service the stream of an attempt began.
+    /// Asks a peer at which version of a service the stream with this trace began.
     ///
     /// # Errors
     /// Returns [`Unreachable`] if the peer does not answer, or does not have the call.
@@ -213,8 +213,7 @@
         &self,
         address: SocketAddr,
         service: &name::Service,
-        attempt: &name::Attempt,
-        trace: Option<&Trace>,
+        trace: &Trace,
     ) -> Result<Finding, Unreachable> {
         let Connection {
             client, version, ..
@@ -223,8 +222,7 @@
             return Err(Unreachable);
         }
         let limit = with_timeout(TRACE_TIMEOUT);
-        let (service, attempt) = (service.as_str().into(), attempt.as_str().into());
-        let call = client.stream_version(limit, service, attempt, trace.map(Into::into));
+        let call = client.stream_version(limit, service.as_str().into(), trace.into());
         let finding = call.await.map_err(|_| Unreachable)?;
         Ok(finding.into())
     }
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -189,13 +189,11 @@
         self,
         _: context::Context,
         service: CompactString,
-        attempt: CompactString,
-        trace: Option<Trace>,
+        trace: Trace,
     ) -> Finding {
-        let (service, attempt) = (name::Service::new(&service), name::Attempt::new(&attempt));
-        let trace = trace.map(Into::into);
-        let found = resumption::find_version(&self.context, &service, &attempt, trace.as_ref());
-        found.await.into()
+        let service = name::Service::new(&service);
+        let finding = resumption::find_version(&self.context, &service, &trace.into()).await;
+        finding.into()
     }
 
     async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -20,6 +20,7 @@
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::request::stream_origin::Resumption;
 use gooseberry_kernel::request::stream_trace::Finding;
+use gooseberry_kernel::request::stream_trace::PartTrace;
 use gooseberry_kernel::request::stream_trace::Trace;
 
 use crate::context::Context;
@@ -83,28 +84,24 @@
 async fn ask_witnesses(context: &Arc<Context>, job: &Job, last_event: &str) -> Option<Origin> {
     let began = context.now();
     let service = &job.service.name;
-    let attempt = job.head.resumed_attempt.clone().unwrap_or_default();
     let demand = job.head.demand.as_ref();
-    let trace = demand.and_then(|demand| Trace::new(&job.head.prompt_parts, demand, last_event));
+    let trace = Trace {
+        attempt: job.head.resumed_attempt.clone().unwrap_or_default(),
+        part: demand.and_then(|demand| PartTrace::new(&job.head.prompt_parts, demand, last_event)),
+    };
     let witnesses = context.state().witnesses(service, began);
     let mut finding = Finding::Unanswered;
     // This daemon asks the targets itself if the others do not answer.
     for witness in witnesses.into_iter().take(WITNESSES_ASKED).chain([None]) {
         let answer = match witness {
-            Some(peer) => {
-                let call = context
-                    .peers
-                    .stream_version(peer, service, &attempt, trace.as_ref());
-                call.await
-            }
-            None => Ok(find_version(context, service, &attempt, trace.as_ref()).await),
+            Some(peer) => context.peers.stream_version(peer, service, &trace).await,
+            None => Ok(find_version(context, service, &trace).await),
         };
         log::info!(
             request:% = job.head.attempt,
-            resumes:% = attempt,
+            resumes:% = trace.attempt,
             witness:? = witness,
-            part:? = trace.as_ref().map(|trace| &trace.last_part),
-            tokens_min:? = trace.as_ref().map(|trace| trace.tokens_min),
+            part:? = trace.part,
             finding:? = answer,
             took_ms = (context.now() - began).0;
             "asked where a stream began"
@@ -123,29 +120,27 @@
     }
 }
 
-/// Returns at which version of a service the stream of an attempt began, as far as this
+/// Returns at which version of a service the stream with this trace began, as far as this
 /// daemon or the targets know.
 pub(crate) async fn find_version(
     context: &Arc<Context>,
     service: &name::Service,
-    attempt: &name::Attempt,
-    trace: Option<&Trace>,
+    trace: &Trace,
 ) -> Finding {
     let now = context.now();
     let (origin, versions) = {
         let mut state = context.state();
-        let origin = state.origins().get(attempt).cloned();
+        let origin = state.origins().get(&trace.attempt).cloned();
         (origin, state.versions(service, now))
     };
     let origin = origin.filter(|origin| origin.service == *service);
-    match (stream_origin::resumption(origin.as_ref(), &versions), trace) {
-        (Resumption::At(origin), _) => Finding::Version(origin.version),
-        (Resumption::Anywhere, _) => match versions.seen.into_iter().next() {
+    match stream_origin::resumption(origin.as_ref(), &versions) {
+        Resumption::At(origin) => Finding::Version(origin.version),
+        Resumption::Anywhere => match versions.seen.into_iter().next() {
             Some(version) => Finding::Version(version),
             None => Finding::NotFound,
         },
-        (Resumption::Unknown, Some(trace)) => survey::find(context, service, trace).await,
-        (Resumption::Unknown, None) => Finding::NotFound,
+        Resumption::Unknown => survey::find(context, service, trace).await,
     }
 }
 
--- a/crates/relay/src/resumption/survey.rs
+++ b/crates/relay/src/resumption/survey.rs
@@ -1,4 +1,4 @@
-//! Asks the targets of a service which streams they hold in memory.
+//! Asks the targets of a service which streams they have written.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,26 +6,29 @@
 
 use anyhow::Context as _;
 use anyhow::ensure;
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::stream_trace::Finding;
-use gooseberry_kernel::request::stream_trace::HeldPart;
+use gooseberry_kernel::request::stream_trace::Memory;
 use gooseberry_kernel::request::stream_trace::Step;
 use gooseberry_kernel::request::stream_trace::Trace;
 use gooseberry_platform::prompt_memory;
+use http::Request;
 use http::StatusCode;
+use http_body_util::Full;
 use tokio::time::timeout;
 
 use crate::context::Context;
 use crate::exchange::Callee;
 use crate::exchange::Exchange;
 
-/// How long a target may take to list what it holds. Engines answer between two steps, in
+/// How long a target may take to answer both calls. Engines answer between two steps, in
 /// some ten milliseconds; a client waits for the answer.
-const LIST_TIMEOUT: Duration = Duration::from_millis(500);
-/// The largest list, in bytes. An entry has some thirty.
-const LIST_MAX_BYTES: usize = 1 << 20;
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest answer, in bytes. An entry has some thirty.
+const ANSWER_MAX_BYTES: usize = 1 << 20;
 /// How many targets are asked at the same time, which bounds the memory of their replies.
 const CALLS_MAX: usize = 32;
 
@@ -40,7 +43,7 @@
     pub version: name::Version,
 }
 
-/// Searches a stream in the memory of a service's targets.
+/// Searches a stream in what a service's targets say.
 pub(super) async fn find(
     context: &Arc<Context>,
     service: &name::Service,
@@ -74,30 +77,48 @@
         service:% = service,
         asked,
         answered = answers.len(),
-        parts = answers.iter().map(|(_, parts)| parts.len()).sum::<usize>(),
+        runs = answers.iter().map(|memory| memory.runs.len()).sum::<usize>(),
+        parts = answers.iter().map(|memory| memory.parts.len()).sum::<usize>(),
         took_ms = (context.now() - begun).0;
-        "asked targets which streams they hold"
+        "asked targets which streams they have written"
     );
     context.state().surveys().end(&service, answers);
     context.survey_ended.notify_waiters();
 }
 
-/// Returns the version of a target and what it holds, if it answers.
-async fn ask(context: &Arc<Context>, holder: Holder) -> Option<(name::Version, Vec<HeldPart>)> {
-    let listed = timeout(LIST_TIMEOUT, list(context, &holder)).await;
-    let listed = listed.context("no answer in time").flatten();
-    match listed {
-        Ok(parts) => Some((holder.version, parts)),
+/// Returns what a target says, if it answers.
+async fn ask(context: &Arc<Context>, holder: Holder) -> Option<Memory> {
+    let answered = timeout(ANSWER_TIMEOUT, read_memory(context, &holder)).await;
+    match answered.context("no answer in time").flatten() {
+        Ok(memory) => Some(memory),
         Err(error) => {
-            log::debug!(target:% = holder.name; "a target did not list what it holds: {error:#}");
+            log::debug!(target:% = holder.name; "a target did not say which streams it has written: {error:#}");
             None
         }
     }
 }
 
-async fn list(context: &Arc<Context>, holder: &Holder) -> anyhow::Result<Vec<HeldPart>> {
+/// Reads what a target says. Its report comes first, since it soon no longer names the runs
+/// that have ended with their connections.
+async fn read_memory(context: &Arc<Context>, holder: &Holder) -> anyhow::Result<Memory> {
+    let host = holder.address.to_string();
+    let runs = prompt_memory::runs_request(&host, &holder.name)?;
+    let runs = prompt_memory::read_runs(&call(context, holder, runs).await?)?;
+    let parts = prompt_memory::list_request(&host, &holder.name)?;
+    let parts = prompt_memory::read_list(&call(context, holder, parts).await?)?;
+    Ok(Memory {
+        version: holder.version.clone(),
+        runs,
+        parts,
+    })
+}
+
+async fn call(
+    context: &Arc<Context>,
+    holder: &Holder,
+    request: Request<Full<Bytes>>,
+) -> anyhow::Result<Bytes> {
     let callee = Callee::of_stage(holder.name.clone(), holder.address);
-    let request = prompt_memory::list_request(&holder.address.to_string(), &holder.name)?;
     let exchange = Exchange::begin(context, &callee, request).await;
     let mut exchange = exchange.map_err(|error| anyhow::anyhow!("{error}"))?;
     ensure!(
@@ -106,8 +127,8 @@
         exchange.status
     );
     let mut memory = context.reply_memory.reply();
-    let body = exchange.read_all(LIST_MAX_BYTES, &mut memory).await;
+    let body = exchange.read_all(ANSWER_MAX_BYTES, &mut memory).await;
     let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
     exchange.release(context, None);
-    prompt_memory::read_list(&body)
+    Ok(body)
 }
--- a/crates/relay/tests/direct/placer_standin.rs
+++ b/crates/relay/tests/direct/placer_standin.rs
@@ -156,13 +156,7 @@
         Vec::new()
     }
 
-    async fn stream_version(
-        self,
-        _: context::Context,
-        _: CompactString,
-        _: CompactString,
-        _: Option<Trace>,
-    ) -> Finding {
+    async fn stream_version(self, _: context::Context, _: CompactString, _: Trace) -> Finding {
         Finding::Unanswered
     }
 
--- a/crates/relay/tests/direct/versions.rs
+++ b/crates/relay/tests/direct/versions.rs
@@ -7,6 +7,7 @@
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
 use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::platform::TestPlatform;
 use crate::platform::client_address;
@@ -250,6 +251,42 @@
     assert_eq!((same, other), (STREAMS, 0));
 }
 
+/// The connections of the killed daemons were closed, so the targets have dropped their
+/// streams. They still say which ones they worked on.
+#[tokio::test]
+async fn streams_that_were_dropped_with_their_daemons_go_on_at_their_version() {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let lost = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
+    for (target, _) in &engines.all {
+        target.queue_modes(&[Mode::PauseBefore(3, 10_000); STREAMS]);
+    }
+    let clients: Vec<ClientRequest> = (0..STREAMS).map(request).collect();
+    let address = client_address(&lost);
+    let answers = clients.iter().map(|client| client.send(address));
+    let answers = futures::future::join_all(answers);
+    let killing = async {
+        wait_until("all streams have begun", || {
+            let began = |client: &ClientRequest| !engines.versions(&client.attempt).is_empty();
+            clients.iter().all(began)
+        })
+        .await;
+        sleep(Duration::from_millis(300)).await;
+        lost.kill().await;
+    };
+    let (answers, ()) = futures::future::join(answers, killing).await;
+    for answer in answers {
+        assert!(answer.expect("an answer").body.ends_with("event 2\n\n"));
+    }
+    engines.clear_modes();
+    let streams = clients.into_iter().map(|client| client.attempt).enumerate();
+    let started = platform.unready_daemon(2, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
+    let (same, other) = resume(&engines, &started, &streams.collect::<Vec<_>>()).await;
+    assert_eq!((same, other), (STREAMS, 0));
+}
+
 /// The targets have run out of memory for the streams: these are refused, and nothing runs.
 #[tokio::test]
 async fn streams_without_a_trace_are_refused_after_all_daemons_were_lost() {
@@ -264,6 +301,8 @@
             target.forget_part(&format!("b{number}"));
         }
     }
+    // The targets no longer name the runs, either.
+    sleep(Duration::from_secs(1)).await;
     let started = platform.unready_daemon(2, &[]).await;
     wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
     let began = Instant::now();
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -90,13 +90,9 @@
     /// Returns what the daemon knows of the engines of a group that it chooses, or has chosen
     /// from until lately. It is made only of daemons of version 3.
     async fn ledger(service: CompactString, group: u32) -> Vec<EngineSummary>;
-    /// Returns at which version of a service the stream of an attempt began, as far as the
+    /// Returns at which version of a service the stream with this trace began, as far as the
     /// daemon or the targets know. It is made only of daemons of version 4.
-    async fn stream_version(
-        service: CompactString,
-        attempt: CompactString,
-        trace: Option<Trace>,
-    ) -> Finding;
+    async fn stream_version(service: CompactString, trace: Trace) -> Finding;
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
--- a/crates/wire/src/fleet/stream_trace.rs
+++ b/crates/wire/src/fleet/stream_trace.rs
@@ -9,11 +9,20 @@
 /// What a stream has left at the target that wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Trace {
-    /// The last part of its prompt.
-    pub last_part: CompactString,
-    /// The fewest tokens that the target holds of this part.
+    /// The attempt that brought its first event.
+    pub attempt: CompactString,
+    /// What is held of its prompt, if that is known.
+    pub part: Option<PartTrace>,
+}
+
+/// What the target that wrote a stream holds of its prompt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartTrace {
+    /// The last part.
+    pub id: CompactString,
+    /// The fewest tokens of this part.
     pub tokens_min: u32,
-    /// The most tokens that the target holds of this part.
+    /// The most tokens of this part.
     pub tokens_max: u32,
 }
 
@@ -33,9 +42,12 @@
 impl From<&stream_trace::Trace> for Trace {
     fn from(trace: &stream_trace::Trace) -> Self {
         Self {
-            last_part: trace.last_part.clone(),
-            tokens_min: trace.tokens_min,
-            tokens_max: trace.tokens_max,
+            attempt: trace.attempt.as_str().into(),
+            part: trace.part.as_ref().map(|part| PartTrace {
+                id: part.id.clone(),
+                tokens_min: part.tokens_min,
+                tokens_max: part.tokens_max,
+            }),
         }
     }
 }
@@ -43,9 +55,12 @@
 impl From<Trace> for stream_trace::Trace {
     fn from(trace: Trace) -> Self {
         Self {
-            last_part: trace.last_part,
-            tokens_min: trace.tokens_min,
-            tokens_max: trace.tokens_max,
+            attempt: name::Attempt::new(&trace.attempt),
+            part: trace.part.map(|part| stream_trace::PartTrace {
+                id: part.id,
+                tokens_min: part.tokens_min,
+                tokens_max: part.tokens_max,
+            }),
         }
     }
 }
