Stages of streams that go on come first

Cause: after a loss of power clients notice it 9 s later and all at once, with 1 to 3 s left.

Change (stage::urgency): the stages of a stream that goes on where it is known to have begun have the first rank, and an answer is due no later than its client leaves.

--- a/crates/kernel/src/stage.rs
+++ b/crates/kernel/src/stage.rs
@@ -5,11 +5,13 @@
 //! - [`batch_queue`] queues the pieces of all requests at one stage service and
 //!   decides which of them go into the next call.
 //! - [`result_tracker`] accounts for the results that targets keep.
+//! - [`urgency`] decides how urgent the stages of a request are.
 
 pub mod batch_queue;
 pub mod group;
 pub mod plan;
 pub mod result_tracker;
+pub mod urgency;
 
 mod locality;
 mod piece_rate;
--- /dev/null
+++ b/crates/kernel/src/stage/urgency.rs
@@ -0,0 +1,24 @@
+//! How urgent the stages of a request are.
+//!
+//! The load is that of the clients of a whole fleet whose machines lost power. Their
+//! connections go silent, so they notice it seconds later and all at the same moment, and
+//! come back with a few seconds left, beside the usual load. A stream that was broken off is
+//! worth what its client has already received, and the client has no time for another
+//! attempt, so its stages go before those of other requests.
+
+use crate::clock::Millis;
+use crate::request::routing_table::Rank;
+
+/// Returns the priority of a request's stages. A stream goes first that goes on where it is
+/// known to have begun; a client's word alone gives no priority.
+#[must_use]
+pub fn stage_rank(rank: Rank, goes_on: bool) -> Rank {
+    if goes_on { Rank::default() } else { rank }
+}
+
+/// Returns by when an answer must begin that is due at `due`: a client that leaves before
+/// that gets nothing out of it.
+#[must_use]
+pub fn on_time_by(due: Millis, leaves_at: Millis) -> Millis {
+    due.min(leaves_at)
+}
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -38,4 +38,5 @@
 mod store_readers;
 mod stream_origin;
 mod stream_trace;
+mod urgency;
 mod wait_queue;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -22,6 +22,7 @@
 use gooseberry_kernel::request::routing_table::ServiceKind;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
+use gooseberry_kernel::stage::urgency;
 use gooseberry_platform::client;
 use gooseberry_platform::client::Head;
 use http::Request;
@@ -77,6 +78,11 @@
 }
 
 impl Job {
+    /// Returns the priority of its stages.
+    pub fn stage_rank(&self) -> Rank {
+        urgency::stage_rank(self.rank, self.origin.is_some())
+    }
+
     /// Returns the `form` label of logs and metrics: a plain response or a stream.
     #[must_use]
     pub fn form(&self) -> &'static str {
@@ -284,9 +290,10 @@
         waited_ms = waited.0;
         "request admitted"
     );
+    let begin_by = deadline.min(arrived + route.first_byte_timeout());
     Ok(Job {
-        on_time_by: arrived + (route.objective - waited),
-        begin_by: deadline.min(arrived + route.first_byte_timeout()),
+        on_time_by: urgency::on_time_by(arrived + (route.objective - waited), begin_by),
+        begin_by,
         head,
         body,
         memory,
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -79,7 +79,7 @@
         let estimate = |index| {
             let planned = plan.stage(index)?;
             Some(StageEstimate {
-                wait: state.wait(&planned.service, job.rank, now),
+                wait: state.wait(&planned.service, job.stage_rank(), now),
                 late_wait: state.late_wait(&planned.service, now),
                 spec: state.batch_spec(&planned.service)?,
                 pieces: planned.pieces,
@@ -294,7 +294,7 @@
     let Some(planned) = plan.stage(index) else {
         unreachable!("a plan begins only its own stages");
     };
-    let wait = |service: &name::Service| state.wait(service, job.rank, now);
+    let wait = |service: &name::Service| state.wait(service, job.stage_rank(), now);
     let on_time_downstream = downstream_time(&state, plan, index, &wait) + FIRST_BYTE_OVERHEAD;
     let late_wait = |service: &name::Service| state.late_wait(service, now);
     let late_extra =
@@ -311,7 +311,7 @@
         pieces: (0..planned.pieces).collect(),
         source,
         result_bytes: planned.result_bytes,
-        rank: job.rank,
+        rank: job.stage_rank(),
         on_time_deadline: (job.on_time_by - on_time_downstream).max(now),
         deadline: (job.begin_by - on_time_downstream).max(now),
         inputs_expire_at: inputs_expire_at(planned, outputs),
