gooseberryctl losses: how the requests of some logs ended, and why

Each request is counted once, so that the counts of a route add up to its requests; stage work is attributed to the requests of its calls.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -12,7 +12,8 @@
 //! - [`fleet`] runs a fleet of a given size; [`slope`] measures how the cost of
 //!   a daemon grows with it, from the resources that [`usage`] reads.
 //! - [`bounds`] are the limits on the results that detect regressions.
-//! - [`story`] collects the log lines that concern one request.
+//! - [`story`] collects the log lines that concern one request; [`loss`] counts how all of
+//!   them ended.
 //! - [`bench_command`], [`load_command`] and [`slope_command`] are the
 //!   subcommands with these names.
 //!
@@ -40,6 +41,7 @@
 pub mod fleet;
 pub mod load;
 pub mod load_command;
+pub mod loss;
 pub mod operators_client;
 pub mod plot;
 pub mod report;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -19,6 +19,7 @@
 use gooseberryctl::load;
 use gooseberryctl::load::Plan;
 use gooseberryctl::load_command;
+use gooseberryctl::loss::Losses;
 use gooseberryctl::report;
 use gooseberryctl::score;
 use gooseberryctl::slope_command;
@@ -164,6 +165,26 @@
         #[bpaf(positional("LOG"), some("expected a log, or - for standard input"))]
         logs: Vec<PathBuf>,
     },
+    /// Show how the requests that logs name ended, and why those without an answer did
+    ///
+    ///
+    /// The counts of each route add up to its requests. The last row is the stage work
+    /// that was done for them, in seconds.
+    ///
+    ///
+    /// Examples:
+    ///   gooseberryctl losses daemon-1.log daemon-2.log
+    ///   collect-logs | gooseberryctl losses -
+    /// Exit codes:
+    ///   0  the table was printed
+    ///   1  a log could not be read
+    ///   5  no line names a request
+    #[bpaf(command)]
+    Losses {
+        /// Logs of daemons, or - for standard input
+        #[bpaf(positional("LOG"), some("expected a log, or - for standard input"))]
+        logs: Vec<PathBuf>,
+    },
     /// Run an example site on the loopback interface, under load
     #[bpaf(command)]
     Demo {
@@ -230,6 +251,7 @@
             show_explanation(daemon, query, json).await
         }
         Command::Story { request, logs } => show_story(&request, &logs),
+        Command::Losses { logs } => show_losses(&logs),
         Command::Demo {
             site,
             rate,
@@ -296,7 +318,7 @@
     }
 }
 
-fn show_story(request: &str, logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
+fn read_logs(logs: &[PathBuf]) -> anyhow::Result<Vec<Line>> {
     let mut lines = Vec::new();
     for log in logs {
         let bytes = check::read(log)?;
@@ -304,6 +326,21 @@
         let text = String::from_utf8_lossy(&bytes);
         lines.extend(text.lines().filter_map(|line| Line::read(line, &name)));
     }
+    Ok(lines)
+}
+
+fn show_losses(logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
+    let losses = Losses::count(&read_logs(logs)?);
+    if losses.requests() == 0 {
+        eprintln!("gooseberryctl: no line names a request");
+        return Ok(ExitCode::from(NOT_FOUND));
+    }
+    print!("{losses}");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn show_story(request: &str, logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
+    let lines = read_logs(logs)?;
     let story = Story::find(&lines, request);
     if story.lines.is_empty() {
         eprintln!("gooseberryctl: no line names the request {request}");
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -85,15 +85,33 @@
     /// Returns whether the line names the request, alone or in a list.
     #[must_use]
     pub fn names(&self, request: &str) -> bool {
+        self.requests().any(|value| value == request)
+    }
+
+    /// Returns the requests that the line names, alone or in a list.
+    pub fn requests(&self) -> impl Iterator<Item = &str> {
         let values = self.text.split_whitespace().filter_map(|word| {
             let (field, value) = word.split_once('=')?;
             ["request", "requests"].contains(&field).then_some(value)
         });
-        let mut values = values.flat_map(|value| value.trim_matches('"').split(','));
-        values.any(|value| value == request)
+        values.flat_map(|value| value.trim_matches('"').split(','))
+    }
+
+    /// Returns the message without the module that wrote it, its fields, and values in
+    /// brackets.
+    #[must_use]
+    pub fn message(&self) -> String {
+        let (_, message) = self.text.split_once(": ").unwrap_or(("", &self.text));
+        let words = message.split_whitespace();
+        let words: Vec<&str> = words.take_while(|word| !word.contains('=')).collect();
+        let message = words.join(" ");
+        let end = message.find('(').unwrap_or(message.len());
+        message[..end].trim_end().to_owned()
     }
 
-    fn field(&self, name: &str) -> Option<&str> {
+    /// Returns the value of a field, if the line has it.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Option<&str> {
         let words = self.text.split_whitespace();
         let mut pairs = words.filter_map(|word| word.split_once('='));
         pairs
