A request whose stage has no target is refused at once

What cannot be served is refused at once. Change: admission counts the targets of each stage's service that take work, now or after a pause; a relay test that failed first (3 s until the refusal), a kernel test. No gain is claimed beyond the refusal at once.

--- a/crates/kernel/src/request/deadline_admission.rs
+++ b/crates/kernel/src/request/deadline_admission.rs
@@ -5,6 +5,9 @@
 //! the stage services (see [`crate::stage::batch_queue`]) and are a few hundred
 //! milliseconds old, so a request is refused only if it misses its deadline by
 //! a clear margin.
+//!
+//! While a service has no target at all, such as when the last ones leave or their failure
+//! domain is taken out, no estimate holds: every request that needs it is refused at once.
 
 use crate::clock::Millis;
 use crate::derive::scalar;
@@ -92,6 +95,17 @@
     needed <= left
 }
 
+/// Decides whether to admit a request by how many targets the services of its stages have.
+/// Waiting for one to come would only keep its client from coming back later.
+#[must_use]
+pub fn decide_by_targets(targets: impl IntoIterator<Item = usize>) -> Decision {
+    if targets.into_iter().any(|targets| targets == 0) {
+        Decision::Refuse(RETRY_AFTER_BURST)
+    } else {
+        Decision::Admit
+    }
+}
+
 /// Decides whether to admit a request.
 ///
 /// `stages` is the longest chain of stages, `on_time_left` the time until the
--- a/crates/kernel/src/stage/plan.rs
+++ b/crates/kernel/src/stage/plan.rs
@@ -91,6 +91,11 @@
         self.stages.get(index)
     }
 
+    /// Returns the stages that are computed for the request.
+    pub fn included(&self) -> impl Iterator<Item = &PlannedStage> {
+        self.stages.iter().filter(|stage| stage.pieces > 0)
+    }
+
     /// Marks the stages that can start now as started, and returns their
     /// indexes.
     pub fn start_ready(&mut self) -> Vec<usize> {
--- a/crates/kernel/tests/direct/deadline_admission.rs
+++ b/crates/kernel/tests/direct/deadline_admission.rs
@@ -121,3 +121,12 @@
         left
     ));
 }
+
+/// The last targets of the second of three services leave.
+#[test]
+fn refuses_request_that_needs_a_service_without_targets() {
+    let decide = |targets: [usize; 3]| deadline_admission::decide_by_targets(targets);
+    assert_eq!(decide([5, 1, 3]), Decision::Admit);
+    assert_eq!(decide([5, 0, 3]), Decision::Refuse(Millis(5_000)));
+    assert_eq!(deadline_admission::decide_by_targets([]), Decision::Admit);
+}
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -1,5 +1,9 @@
 //! Runs the stages of a request in the order of their dependencies, and
 //! releases each result once its last reader has read it.
+//!
+//! - `admission` refuses requests whose stages cannot be computed in time.
+
+mod admission;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,10 +14,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
-use gooseberry_kernel::request::deadline_admission;
-use gooseberry_kernel::request::deadline_admission::Decision;
 use gooseberry_kernel::request::deadline_admission::FIRST_BYTE_OVERHEAD;
-use gooseberry_kernel::request::deadline_admission::StageEstimate;
 use gooseberry_kernel::stage::group::Group;
 use gooseberry_kernel::stage::group::PreferredDomain;
 use gooseberry_kernel::stage::group::Source;
@@ -26,6 +27,7 @@
 use crate::dispatcher::ResultOwner;
 use crate::dispatcher::release_results;
 use crate::request::Job;
+pub use crate::stages::admission::admit;
 use crate::state::State;
 
 /// How often all stages are run at most: a second time if results were lost, for
@@ -66,49 +68,6 @@
     }
 }
 
-/// Admission control: decides whether the stages can be completed in time,
-/// given how long pieces wait at each of their services.
-///
-/// # Errors
-/// Returns a refusal with the time after which the client may retry.
-pub fn admit(context: &Context, job: &Job, plan: &Plan) -> Result<(), Failure> {
-    let now = context.now();
-    let estimates: Vec<StageEstimate> = {
-        let state = context.state();
-        let chain = plan.longest_chain().into_iter();
-        let estimate = |index| {
-            let planned = plan.stage(index)?;
-            Some(StageEstimate {
-                wait: state.wait(&planned.service, job.stage_rank(), now),
-                late_wait: state.late_wait(&planned.service, now),
-                spec: state.batch_spec(&planned.service)?,
-                pieces: planned.pieces,
-            })
-        };
-        chain.filter_map(estimate).collect()
-    };
-    match deadline_admission::decide(&estimates, job.on_time_by - now, job.begin_by - now) {
-        Decision::Admit => Ok(()),
-        Decision::Refuse(retry_after) => {
-            let waits: Vec<u64> = estimates.iter().map(|estimate| estimate.wait.0).collect();
-            let late: Vec<u64> = estimates
-                .iter()
-                .map(|estimate| estimate.late_wait.0)
-                .collect();
-            log::info!(
-                request:% = job.head.attempt,
-                waits_ms:? = waits,
-                late_waits_ms:? = late,
-                on_time_ms = (job.on_time_by - now).0,
-                left_ms = (job.begin_by - now).0,
-                retry_ms = retry_after.0;
-                "refused at admission: the stages cannot complete in time"
-            );
-            Err(Failure::from(Kind::QueueFull).with_retry_after(retry_after))
-        }
-    }
-}
-
 /// Runs all stages and returns their final results. `run_domain` is where the
 /// request itself is expected to run.
 ///
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -42,6 +42,13 @@
         targets.collect()
     }
 
+    /// Returns how many targets of a service take work, now or after a pause that they
+    /// asked for.
+    #[must_use]
+    pub fn staying_count(&self, service: &name::Service, now: Millis) -> usize {
+        self.targets.staying(service, &self.taken_out, now).count()
+    }
+
     /// Returns the settings of a stage service, such as the size of a call and
     /// the memory for results; `None` if the service has no stages or is unknown.
     #[must_use]
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -7,6 +7,7 @@
 use gooseberry_platform_standin::target::ReceivedRequest;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::platform::SETTINGS;
@@ -340,3 +341,33 @@
     );
     assert_eq!(released_early.last(), Some(&true), "{released_early:?}");
 }
+
+/// The last targets of a service leave. Requests that need it were admitted and waited for
+/// as long as their route allows, with the work of their earlier stages done.
+#[tokio::test]
+async fn a_request_whose_stage_has_no_target_is_refused_at_once() {
+    let (platform, daemon) = start_one().await;
+    for target in &platform.second {
+        platform.list_target(target, "second", "draining");
+    }
+    wait_until("the targets leave", || {
+        let service = gooseberry_kernel::name::Service::new("second");
+        let now = daemon.context().now();
+        daemon
+            .context()
+            .state()
+            .stage_targets(&service, now)
+            .is_empty()
+    })
+    .await;
+    let client = ClientRequest::new("/staged/").with_stage_pieces("2,3");
+    let began = Instant::now();
+    let answer = answer_to(&client, &daemon).await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("Retry-After"), "5.000");
+    assert!(began.elapsed() < Duration::from_millis(500));
+    assert!(stage_calls(&platform.first).is_empty());
+    // Requests that do not need the service are served.
+    let client = ClientRequest::new("/staged/").with_stage_pieces("2,0");
+    complete_answer_to(&client, &daemon).await;
+}
