--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -4,13 +4,14 @@
 //!
 //!     SOAK_SEEDS=100..150 cargo test --release -p gooseberryd --test soak -- --ignored --nocapture
 //!
-//! `SOAK_PROGRAM` names another program than the daemon of this build, such as a script that
-//! starts a former build on some instances.
+//! `SOAK_FORMER` names the daemon of a former build. Each daemon then changes between the two
+//! builds whenever it is started, so that all mixtures of them serve together.
 
 #![allow(missing_docs, clippy::unwrap_used)]
 
-use std::path::Path;
+use std::path::PathBuf;
 
+use gooseberry_soak::process::Builds;
 use gooseberry_soak::run;
 
 /// The seeds that CI runs, and the faults they find:
@@ -22,12 +23,13 @@
 const SEEDS: [u64; 2] = [201, 203];
 
 async fn run_seeds(seeds: impl Iterator<Item = u64>) {
-    let program = std::env::var("SOAK_PROGRAM");
-    let program = program.unwrap_or_else(|_| env!("CARGO_BIN_EXE_gooseberryd").to_owned());
-    let binary = Path::new(&program);
+    let builds = Builds {
+        present: env!("CARGO_BIN_EXE_gooseberryd").into(),
+        former: std::env::var_os("SOAK_FORMER").map(PathBuf::from),
+    };
     let mut failed = Vec::new();
     for seed in seeds {
-        let report = run(binary, seed).await.unwrap();
+        let report = run(&builds, seed).await.unwrap();
         let count = report.violations.len();
         println!(
             "seed {seed}: {} requests, {} served, {count} breaches, {:?}",
