A watch without a change keeps a list of versions current

A daemon that reads the store for itself is confirmed every 1.5 s without changes, so with a bound of 1.2 s it would have asked targets for streams of a single version now and then.

--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -14,13 +14,16 @@
 
 use crate::clock::Millis;
 use crate::derive::value;
-use crate::fleet::assignment::CONFIRMATION_AGE_MAX;
+use crate::fleet::assignment::WATCH_TIMEOUT;
 use crate::fleet::membership::MemberState;
 use crate::hash;
 use crate::name;
 
 /// How long an origin is remembered. It is longer than clients wait for a stream.
 pub const MEMORY: Millis = Millis(30_000);
+/// How old the store's last confirmation may be for a daemon to know all versions: a watch
+/// without a change, and half a second for a slow answer.
+const LIST_AGE_MAX: Millis = Millis(WATCH_TIMEOUT.0 + 500);
 /// Number of other daemons that keep an origin.
 pub const BACKUPS: usize = 2;
 /// Number of daemons that are asked for an origin. Two daemons differ in the order of
@@ -130,7 +133,7 @@
     now: Millis,
 ) -> bool {
     let is_long_enough = listed_since.is_some_and(|since| since + MEMORY <= now);
-    let is_current = confirmed_age.is_some_and(|age| age <= CONFIRMATION_AGE_MAX);
+    let is_current = confirmed_age.is_some_and(|age| age <= LIST_AGE_MAX);
     is_long_enough && is_current
 }
 
