--- a/crates/kernel/src/request/stream_trace.rs
+++ b/crates/kernel/src/request/stream_trace.rs
@@ -65,7 +65,7 @@
 
     /// What the target that wrote a stream holds of its prompt.
     pub struct PartTrace {
-        /// The last part, which no other request has.
+        /// The last part, which belongs to the request or its session alone.
         pub id: CompactString,
         /// The fewest tokens of this part.
         pub tokens_min: u32,
