--- a/crates/kernel/src/request/stream_trace.rs
+++ b/crates/kernel/src/request/stream_trace.rs
@@ -12,7 +12,7 @@
 //!   brought none.
 //!
 //! The load is a whole fleet's streams, resumed by their clients within a few seconds, at
-//! any daemon. A [`Survey`] asks each target of a service once for all of them, and is
+//! any daemon. A survey ([`Surveys`]) asks each target of a service once for all of them, and is
 //! repeated at most once in [`SURVEY_AGE_MAX`] for streams of which it has shown nothing.
 
 use compact_str::CompactString;
