Tests: a play whose slow store was later than the daemon waits does not count

It now plays the case again if no answer had come by then, at most five times, and fails if it never came in time; a 200 before the limit, or after an answer, fails at once as before.

--- a/crates/relay/tests/direct/restarts.rs
+++ b/crates/relay/tests/direct/restarts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gooseberry_kernel::fleet::startup::CONFIRMATION_WAIT;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::partition::Gateway;
 use gooseberry_platform_standin::partition::Partition;
@@ -17,6 +18,9 @@
 use crate::platform::unused_ip;
 use crate::platform::wait_until;
 
+/// How often the case of a slow store is played, at most, until its answer comes in time.
+const PLAYS_MAX: usize = 5;
+
 /// Starts a proxy of the store, which daemons may be cut off from.
 fn store_gateway(platform: &TestPlatform) -> Gateway {
     let address = (unused_ip(), 8_100).into();
@@ -58,15 +62,31 @@
     let before = platform.plain[0].received().len();
     // Its own reads of the store take longer than a call to the peer.
     let slow = store_gateway(&platform);
-    slow.set(Partition::Silent);
     let seed = stale.context().boot.peer_address;
-    let fresh = start_daemon(2, &[seed], slow.address).await;
-    let (status, ()) = futures::future::join(first_status(&fresh), async {
-        sleep(Duration::from_millis(900)).await;
-        slow.set(Partition::None);
-    })
-    .await;
-    assert_eq!(status, 401);
+    let mut plays = Vec::new();
+    // The store answers some 100 ms before the daemon stops waiting for it. On a busy machine
+    // it may be too late, and what peers have is then the best there is: not the case here.
+    let (fresh, status) = loop {
+        slow.set(Partition::Silent);
+        let fresh = start_daemon(2, &[seed], slow.address).await;
+        let (status, ()) = futures::future::join(first_status(&fresh), async {
+            sleep(Duration::from_millis(900)).await;
+            slow.set(Partition::None);
+        })
+        .await;
+        let now = fresh.context().now();
+        let is_confirmed = fresh.context().state().confirmed_age(now).is_some();
+        plays.push((status, now, is_confirmed));
+        if is_confirmed || now < CONFIRMATION_WAIT {
+            break (fresh, status);
+        }
+        assert!(
+            plays.len() < PLAYS_MAX,
+            "the store was always late: {plays:?}"
+        );
+        fresh.kill().await;
+    };
+    assert_eq!(status, 401, "{plays:?}");
     for _ in 0..20 {
         assert_eq!(
             answer_to(&ClientRequest::new("/read/"), &fresh)
