Tests: a target that was silent for two objectives may have run a request

Traced: with one reply of the stand-in delayed to 350 ms in place of 150 ms, which is over the two objectives (300 ms) after which a request is tried elsewhere, the test fails with the same answer in a quiet run. There is no place for the second try, and 502 is right, as the target may have run it. The test allows one such answer, only for a request that the target has received, and checks the same of 504, which it did not before.

--- a/crates/relay/tests/direct/queue.rs
+++ b/crates/relay/tests/direct/queue.rs
@@ -205,12 +205,16 @@
     let sent = (0..60).map(|_| spawn(&daemon, "/read/"));
     let answers = join_all(sent.collect::<Vec<_>>()).await;
     let answers = answers.into_iter().flatten().flatten();
-    let (mut served, mut refused, mut cut) = (0, 0, 0);
+    let (mut served, mut refused, mut cut, mut silent) = (0, 0, 0, 0);
     for answer in answers {
+        let had_target = platform.runs(answer.header("Attempt-Id")) > 0;
         match answer.status {
             200 => served += 1,
             // The target had it when its time ended.
-            504 => cut += 1,
+            504 if had_target => cut += 1,
+            // The target took longer than two objectives, as on a busy machine, and there was
+            // no place for a second try: it may have run.
+            502 if had_target => silent += 1,
             _ => {
                 let has_time = !answer.header("Retry-After").is_empty();
                 assert_eq!((answer.status, has_time), (503, true));
@@ -218,8 +222,8 @@
             }
         }
     }
-    assert_eq!(served + refused + cut, 60);
-    assert!(cut <= 1, "{cut}");
+    assert_eq!(served + refused + cut + silent, 60);
+    assert!(cut <= 1 && silent <= 1, "{cut}, {silent}");
     // Ten fit into the 1.5 s of the route.
     assert!(served >= 7, "{served} after {:?}", begun.elapsed());
     let early = metric(
