--- a/crates/relay/tests/direct/restarts.rs
+++ b/crates/relay/tests/direct/restarts.rs
@@ -59,14 +59,14 @@
 async fn a_restarted_daemon_does_not_use_what_a_peer_still_has_of_a_withdrawn_key() {
     let platform = TestPlatform::start().await;
     let (_gateway, stale) = start_stale_peer(&platform).await;
-    let before = platform.plain[0].received().len();
     // Its own reads of the store take longer than a call to the peer.
     let slow = store_gateway(&platform);
     let seed = stale.context().boot.peer_address;
     let mut plays = Vec::new();
-    // The store answers some 100 ms before the daemon stops waiting for it. On a busy machine
-    // it may be too late, and what peers have is then the best there is: not the case here.
-    let (fresh, status) = loop {
+    // The store answers some 100 ms before the daemon stops waiting for it. If it is later, what
+    // peers have is the best there is, which is not the case here.
+    let (fresh, status, before) = loop {
+        let before = platform.plain[0].received().len();
         slow.set(Partition::Silent);
         let fresh = start_daemon(2, &[seed], slow.address).await;
         let (status, ()) = futures::future::join(first_status(&fresh), async {
@@ -78,7 +78,7 @@
         let is_confirmed = fresh.context().state().confirmed_age(now).is_some();
         plays.push((status, now, is_confirmed));
         if is_confirmed || now < CONFIRMATION_WAIT {
-            break (fresh, status);
+            break (fresh, status, before);
         }
         assert!(
             plays.len() < PLAYS_MAX,
