--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -78,9 +78,18 @@
     }
 }
 
-/// Ends the program since the case could not run.
+/// The processes of daemons that have not been ended yet.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the program since the case could not run, and the daemons that it started.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    if let Ok(running) = RUNNING.lock() {
+        for id in running.iter() {
+            let kill = format!("kill -KILL {id}");
+            Command::new("sh").arg("-c").arg(kill).status().ok();
+        }
+    }
     std::process::exit(NOT_RUN)
 }
 
@@ -453,6 +462,9 @@
                 .stderr(errors)
                 .spawn();
             let child = child.unwrap_or_else(|error| cannot_run(&format!("target/release/gooseberryd: {error}")));
+            if let Ok(mut running) = RUNNING.lock() {
+                running.push(child.id());
+            }
             Daemon { name: (*name).to_owned(), front: (ip, ports[0]).into(), ready: (ip, ports[1]).into(), child }
         }).collect()
     }
@@ -520,6 +532,9 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
+        if let Ok(mut running) = RUNNING.lock() {
+            running.retain(|id| *id != self.child.id());
+        }
         self.child.kill().ok();
         self.child.wait().ok();
     }
