Logs say where a resumed stream may go on, and why

One line now names the decision with its inputs and their age, one the version of the target whose first event is passed on, and a warning is logged if a stream goes on at another version than the one that began it. No decision changes.

--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -74,20 +74,33 @@
 }
 
 impl Origins {
-    /// Records where the stream of an attempt began.
-    pub fn record(&mut self, attempt: &name::Attempt, origin: Origin, now: Millis) {
+    /// Records where the stream of an attempt began. Returns the former record if it says
+    /// something else.
+    pub fn record(
+        &mut self,
+        attempt: &name::Attempt,
+        origin: Origin,
+        now: Millis,
+    ) -> Option<Origin> {
         let record = Record {
             attempt: attempt.clone(),
             origin,
             since: now,
         };
-        match self.find(attempt) {
-            Ok(index) => self.records[index] = record,
-            Err(index) => self.records.insert(index, record),
-        }
+        let former = match self.find(attempt) {
+            Ok(index) => {
+                let former = std::mem::replace(&mut self.records[index], record);
+                Some(former.origin).filter(|former| *former != self.records[index].origin)
+            }
+            Err(index) => {
+                self.records.insert(index, record);
+                None
+            }
+        };
         if self.records.len() > COUNT_MAX {
             self.drop_oldest();
         }
+        former
     }
 
     /// Returns where the stream of an attempt began, if this daemon knows.
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -255,6 +255,14 @@
             service: self.job.service.name.clone(),
             version: started.version.clone(),
         };
+        log::info!(
+            request:% = self.job.head.attempt,
+            resumes:% = self.job.head.resumed_attempt.clone().unwrap_or_default(),
+            target:% = started.exchange.callee.target,
+            service:% = origin.service,
+            target_version:% = origin.version;
+            "the first event of an answer is passed on"
+        );
         if self.job.route.is_resumable {
             resumption::record(&self.context, &self.job, &origin);
         }
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -104,12 +104,8 @@
     }
 
     async fn back_up_origin(self, _: context::Context, attempt: CompactString, origin: Origin) {
-        let now = self.context.now();
         let attempt = name::Attempt::new(&attempt);
-        self.context
-            .state()
-            .origins()
-            .record(&attempt, origin.into(), now);
+        resumption::record_here(&self.context, &attempt, &origin.into(), "peer");
     }
 
     async fn origin(self, _: context::Context, attempt: CompactString) -> Option<Origin> {
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -44,18 +44,45 @@
     let Some(last_event) = job.head.resumed_after.clone() else {
         return Ok(job);
     };
-    let versions = context.state().versions(&job.service.name, context.now());
+    let began = context.now();
+    let (versions, listed_age, confirmed_age) = {
+        let state = context.state();
+        let versions = state.versions(&job.service.name, began);
+        (
+            versions,
+            state.listed_age(began),
+            state.confirmed_age(began),
+        )
+    };
     let mut origin = None;
+    let mut source = "list";
     if let Some(attempt) = &job.head.resumed_attempt {
         origin = context.state().origins().get(attempt).cloned();
+        source = "record";
         if stream_origin::resumption(origin.as_ref(), &versions) == Resumption::Unknown {
             origin = ask_backups(context, attempt).await;
+            source = "backup";
         }
     }
     if stream_origin::resumption(origin.as_ref(), &versions) == Resumption::Unknown {
         origin = ask_witnesses(context, &job, &last_event).await;
+        source = "witness";
     }
-    match stream_origin::resumption(origin.as_ref(), &versions) {
+    let resumption = stream_origin::resumption(origin.as_ref(), &versions);
+    log::info!(
+        request:% = job.head.attempt,
+        resumes:% = job.head.resumed_attempt.clone().unwrap_or_default(),
+        last_event:% = last_event,
+        resumption:? = resumption,
+        source = if origin.is_some() { source } else { "list" },
+        versions:? = versions.seen,
+        are_all_seen = versions.is_complete,
+        listed_ms:? = listed_age.map(|age| age.0),
+        confirmed_ms:? = confirmed_age.map(|age| age.0),
+        took_ms = (context.now() - began).0;
+        "decided where a stream may go on"
+    );
+    match resumption {
         Resumption::Anywhere => {}
         Resumption::At(origin) => {
             let table = context.state().routing_table().cloned();
@@ -150,9 +177,7 @@
     let attempt = head.resumed_attempt.as_ref().unwrap_or(&head.attempt);
     let now = context.now();
     let backups = backups(context, attempt, BACKUPS, now);
-    let mut state = context.state();
-    state.origins().record(attempt, origin.clone(), now);
-    drop(state);
+    record_here(context, attempt, origin, "own");
     for backup in backups {
         let (context, attempt, origin) = (context.clone(), attempt.clone(), origin.clone());
         tokio::spawn(async move {
@@ -167,6 +192,29 @@
     }
 }
 
+/// Records where the stream of an attempt began; `source` is who says so.
+pub(crate) fn record_here(
+    context: &Context,
+    attempt: &name::Attempt,
+    origin: &Origin,
+    source: &str,
+) {
+    let now = context.now();
+    let former = context
+        .state()
+        .origins()
+        .record(attempt, origin.clone(), now);
+    if let Some(former) = former {
+        log::warn!(
+            request:% = attempt,
+            source,
+            version:% = origin.version,
+            former_version:% = former.version;
+            "a stream goes on at another version than the one that began it"
+        );
+    }
+}
+
 /// Asks the backups of an attempt where its stream began; the first one that knows
 /// decides.
 async fn ask_backups(context: &Context, attempt: &name::Attempt) -> Option<Origin> {
--- a/crates/relay/src/state/resumption.rs
+++ b/crates/relay/src/state/resumption.rs
@@ -25,6 +25,13 @@
         }
     }
 
+    /// Returns for how long this daemon has known each change of the list of targets; `None`
+    /// before it has the list.
+    #[must_use]
+    pub fn listed_age(&self, now: Millis) -> Option<Millis> {
+        self.listed_since.map(|since| now - since)
+    }
+
     /// Returns the targets at which a stream of a service may go on, but for those that limit
     /// their rate: what they take is left for requests.
     #[must_use]
