--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -31,4 +31,5 @@
 mod store_return;
 mod streams;
 mod unframed_answers;
+mod version_evidence;
 mod versions;
