A stream that waits no longer goes on at a version that joins meanwhile

Callers saw: a stream that they took up again went on with events of another software version than the one that began it (ORDER).

Cause: if a daemon knew one version of a service, it decided that the stream may go on anywhere, and forgot which version that was. The request then ran its stages and waited for a target, for seconds under load; targets of a newer version that joined meanwhile were picked like any other.

Why it works: what was proved is that the stream began at this one version, so that is what the request is bound to until it is sent. There is no decision any more that leaves the version open. As such a stream is known to have begun somewhere, its stages now come first here as they do where versions differ.

--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -52,9 +52,7 @@
 
     /// Where a stream may go on.
     pub enum Resumption {
-        /// At any target: all targets of the service were of one version.
-        Anywhere,
-        /// At targets like the one that began it.
+        /// At targets like the one that began it, also if others join before it is sent.
         At(Origin),
         /// Several versions may have served, and it is not known which one began it.
         Unknown,
@@ -126,13 +124,20 @@
     }
 }
 
-/// Decides where a stream may go on.
+/// Decides where a stream of a service may go on.
 #[must_use]
-pub fn resumption(origin: Option<&Origin>, versions: &Versions) -> Resumption {
-    match origin {
-        Some(origin) => Resumption::At(origin.clone()),
-        None if versions.is_complete && versions.seen.len() <= 1 => Resumption::Anywhere,
-        None => Resumption::Unknown,
+pub fn resumption(
+    origin: Option<&Origin>,
+    service: &name::Service,
+    versions: &Versions,
+) -> Resumption {
+    match (origin, versions.seen.as_slice()) {
+        (Some(origin), _) => Resumption::At(origin.clone()),
+        (None, [version]) if versions.is_complete => Resumption::At(Origin {
+            service: service.clone(),
+            version: version.clone(),
+        }),
+        (None, _) => Resumption::Unknown,
     }
 }
 
--- a/crates/kernel/tests/direct/stream_origin.rs
+++ b/crates/kernel/tests/direct/stream_origin.rs
@@ -42,17 +42,20 @@
 }
 
 #[test]
-fn a_stream_goes_on_where_it_began_or_where_versions_did_not_differ() {
+fn a_stream_goes_on_at_the_version_that_began_it_or_at_the_only_one_that_served() {
     let known = origin("v1");
     for is_complete in [true, false] {
         for seen in [&["v1"][..], &["v1", "v2"]] {
-            let resumption = stream_origin::resumption(Some(&known), &versions(seen, is_complete));
+            let versions = versions(seen, is_complete);
+            let resumption = stream_origin::resumption(Some(&known), &known.service, &versions);
             assert_eq!(resumption, Resumption::At(known.clone()));
         }
     }
-    let unknown =
-        |seen: &[&str], is_complete| stream_origin::resumption(None, &versions(seen, is_complete));
-    assert_eq!(unknown(&["v1"], true), Resumption::Anywhere);
+    let unknown = |seen: &[&str], is_complete| {
+        stream_origin::resumption(None, &known.service, &versions(seen, is_complete))
+    };
+    assert_eq!(unknown(&["v1"], true), Resumption::At(known.clone()));
+    assert_eq!(unknown(&[], true), Resumption::Unknown);
     assert_eq!(unknown(&["v1", "v2"], true), Resumption::Unknown);
     // Another version may have served before the daemon knew the list.
     assert_eq!(unknown(&["v1"], false), Resumption::Unknown);
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -59,16 +59,20 @@
     if let Some(attempt) = &job.head.resumed_attempt {
         origin = context.state().origins().get(attempt).cloned();
         source = "record";
-        if stream_origin::resumption(origin.as_ref(), &versions) == Resumption::Unknown {
+        if stream_origin::resumption(origin.as_ref(), &job.service.name, &versions)
+            == Resumption::Unknown
+        {
             origin = ask_backups(context, attempt).await;
             source = "backup";
         }
     }
-    if stream_origin::resumption(origin.as_ref(), &versions) == Resumption::Unknown {
+    if stream_origin::resumption(origin.as_ref(), &job.service.name, &versions)
+        == Resumption::Unknown
+    {
         origin = ask_witnesses(context, &job, &last_event).await;
         source = "witness";
     }
-    let resumption = stream_origin::resumption(origin.as_ref(), &versions);
+    let resumption = stream_origin::resumption(origin.as_ref(), &job.service.name, &versions);
     log::info!(
         request:% = job.head.attempt,
         resumes:% = job.head.resumed_attempt.clone().unwrap_or_default(),
@@ -83,7 +87,6 @@
         "decided where a stream may go on"
     );
     match resumption {
-        Resumption::Anywhere => {}
         Resumption::At(origin) => {
             let table = context.state().routing_table().cloned();
             let service = table.and_then(|table| table.service(&origin.service).cloned());
@@ -161,12 +164,8 @@
         (origin, state.versions(service, now))
     };
     let origin = origin.filter(|origin| origin.service == *service);
-    match stream_origin::resumption(origin.as_ref(), &versions) {
+    match stream_origin::resumption(origin.as_ref(), service, &versions) {
         Resumption::At(origin) => Finding::Version(origin.version),
-        Resumption::Anywhere => match versions.seen.into_iter().next() {
-            Some(version) => Finding::Version(version),
-            None => Finding::NotFound,
-        },
         Resumption::Unknown => survey::find(context, service, trace).await,
     }
 }
