One listed version counts as proof only if the store was asked after the client came back

Callers saw: a stream that broke off at a target of a new software version was taken up at a daemon that was behind for a moment, and went on at the former version (ORDER).

Cause: a daemon that knew one version of a service did not ask where a stream had begun. It took its list for complete if the store had confirmed it within the last 2 s. Targets that joined since were unknown to it. The age was also counted from when an answer or a greeting was read, so that a daemon that stood still, or whose link held bytes up, took old ones for new. The class of the fault: what is not known is taken for what is not there, and knowledge is dated by when it came in.

The test of has_seen_all went with the function; in its place three tests check the same conditions, and that a list that was asked for before the client came back is no proof, however soon it was read.

Why it works: a stream that cannot have begun before it was resumed can only have begun at a target that was listed by then. So the daemon asks those that keep origins first, also if it knows one version alone, and takes the list for proof only after an answer to a question that it asked the store after the client had come back. Before targets are asked what they hold, the list is brought up to date in the same way. The whole search ends after 2 s; it had no limit.

--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -7,23 +7,22 @@
 //! chosen by the attempt alone, so that every daemon finds them.
 //!
 //! If all of them are lost, one listed version proves nothing: targets of another one may
-//! have left just before. A daemon takes it for proof only once it has seen the list for as
-//! long as a stream may last.
+//! have left just before, or may have joined since the list was read. A daemon takes it for
+//! proof only once it has seen the list for as long as a stream may last, and only if it asked
+//! the store after the client came back. How old a copy is cannot be told from when it was
+//! read: a daemon that stood still reads old answers.
 
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::derive::scalar;
 use crate::derive::value;
-use crate::fleet::assignment::WATCH_TIMEOUT;
 use crate::fleet::membership::MemberState;
 use crate::hash;
 use crate::name;
 
 /// How long an origin is remembered. It is longer than clients wait for a stream.
 pub const MEMORY: Millis = Millis(30_000);
-/// How old the store's last confirmation may be for a daemon to know all versions: a watch
-/// without a change, and half a second for a slow answer.
-const LIST_AGE_MAX: Millis = Millis(WATCH_TIMEOUT.0 + 500);
 /// Number of other daemons that keep an origin.
 pub const BACKUPS: usize = 2;
 /// Number of daemons that are asked for an origin. Two daemons differ in the order of
@@ -32,6 +31,20 @@
 /// The largest number of origins that a daemon remembers; the oldest are dropped.
 const COUNT_MAX: usize = 20_000;
 
+scalar! {
+    /// What shows where a stream began.
+    pub enum Evidence {
+        /// This daemon's own memory.
+        Record,
+        /// That of a daemon that keeps it for others.
+        Backup,
+        /// A current list with targets of one version alone.
+        List,
+        /// What another daemon, or this one, has found out by asking the targets.
+        Witness,
+    }
+}
+
 value! {
     /// Where a stream began.
     pub struct Origin {
@@ -41,21 +54,16 @@
         pub version: name::Version,
     }
 
-    /// What a daemon knows of the versions at which a stream may have begun.
+    /// What a daemon's list of targets says of the versions at which streams may have begun.
     pub struct Versions {
         /// Those of the service's targets that serve now, or that the daemon has seen serve
         /// within [`MEMORY`], sorted.
         pub seen: Vec<name::Version>,
-        /// Whether no target of another version can have served within [`MEMORY`].
-        pub is_complete: bool,
-    }
-
-    /// Where a stream may go on.
-    pub enum Resumption {
-        /// At targets like the one that began it, also if others join before it is sent.
-        At(Origin),
-        /// Several versions may have served, and it is not known which one began it.
-        Unknown,
+        /// From when on the daemon knows each change of the list; `None` before it has it.
+        pub listed_since: Option<Millis>,
+        /// When the daemon asked for the last changes that are in the list; `None` if it never
+        /// did.
+        pub asked_at: Option<Millis>,
     }
 
     struct Record {
@@ -124,35 +132,39 @@
     }
 }
 
-/// Decides where a stream of a service may go on.
-#[must_use]
-pub fn resumption(
-    origin: Option<&Origin>,
-    service: &name::Service,
-    versions: &Versions,
-) -> Resumption {
-    match (origin, versions.seen.as_slice()) {
-        (Some(origin), _) => Resumption::At(origin.clone()),
-        (None, [version]) if versions.is_complete => Resumption::At(Origin {
-            service: service.clone(),
-            version: version.clone(),
-        }),
-        (None, _) => Resumption::Unknown,
+impl Evidence {
+    /// Returns the text for logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::Backup => "backup",
+            Self::List => "list",
+            Self::Witness => "witness",
+        }
     }
 }
 
-/// Returns whether a daemon has seen all targets that served within [`MEMORY`].
-/// `listed_since` is from when on it knows each change of the list, and `confirmed_age` how
-/// long ago the platform's store confirmed its copy of the list.
-#[must_use]
-pub fn has_seen_all(
-    listed_since: Option<Millis>,
-    confirmed_age: Option<Millis>,
-    now: Millis,
-) -> bool {
-    let is_long_enough = listed_since.is_some_and(|since| since + MEMORY <= now);
-    let is_current = confirmed_age.is_some_and(|age| age <= LIST_AGE_MAX);
-    is_long_enough && is_current
+impl Versions {
+    /// Returns the only version at which a stream may have begun that a client resumed at a
+    /// time of this daemon's clock; `None` if there may be another one.
+    #[must_use]
+    pub fn only_one(&self, resumed_at: Millis) -> Option<&name::Version> {
+        let is_current = self.asked_at.is_some_and(|at| at >= resumed_at);
+        self.only_one_if_current(resumed_at).filter(|_| is_current)
+    }
+
+    /// Returns the version that would be the only one if the list is current.
+    #[must_use]
+    pub fn only_one_if_current(&self, resumed_at: Millis) -> Option<&name::Version> {
+        let [version] = self.seen.as_slice() else {
+            return None;
+        };
+        let is_long_enough = self
+            .listed_since
+            .is_some_and(|since| since + MEMORY <= resumed_at);
+        Some(version).filter(|_| is_long_enough)
+    }
 }
 
 /// Returns the members in the order in which they are asked about a stream that no backup
--- a/crates/kernel/tests/direct/stream_origin.rs
+++ b/crates/kernel/tests/direct/stream_origin.rs
@@ -9,7 +9,6 @@
 use gooseberry_kernel::request::stream_origin::MEMORY;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::request::stream_origin::Origins;
-use gooseberry_kernel::request::stream_origin::Resumption;
 use gooseberry_kernel::request::stream_origin::Versions;
 
 fn origin(version: &str) -> Origin {
@@ -31,52 +30,52 @@
     }
 }
 
-fn versions(seen: &[&str], is_complete: bool) -> Versions {
+const RESUMED_AT: Millis = Millis(100_000);
+
+/// A list that is known since `listed_since` and that was asked for at `asked_at`.
+fn versions(seen: &[&str], listed_since: Option<Millis>, asked_at: Option<Millis>) -> Versions {
+    let seen = seen.iter().map(|version| name::Version::new(version));
     Versions {
-        seen: seen
-            .iter()
-            .map(|version| name::Version::new(version))
-            .collect(),
-        is_complete,
+        seen: seen.collect(),
+        listed_since,
+        asked_at,
     }
 }
 
 #[test]
-fn a_stream_goes_on_at_the_version_that_began_it_or_at_the_only_one_that_served() {
-    let known = origin("v1");
-    for is_complete in [true, false] {
-        for seen in [&["v1"][..], &["v1", "v2"]] {
-            let versions = versions(seen, is_complete);
-            let resumption = stream_origin::resumption(Some(&known), &known.service, &versions);
-            assert_eq!(resumption, Resumption::At(known.clone()));
-        }
-    }
-    let unknown = |seen: &[&str], is_complete| {
-        stream_origin::resumption(None, &known.service, &versions(seen, is_complete))
+fn one_of_several_versions_is_not_taken_for_that_of_a_stream() {
+    let only_one = |seen: &[&str]| {
+        let versions = versions(seen, Some(Millis(500)), Some(RESUMED_AT));
+        versions.only_one(RESUMED_AT).cloned()
+    };
+    assert_eq!(only_one(&["v1"]), Some(name::Version::new("v1")));
+    assert_eq!(only_one(&["v1", "v2"]), None);
+    assert_eq!(only_one(&[]), None);
+}
+
+#[test]
+fn a_started_daemon_does_not_take_its_list_for_all_versions() {
+    let only_one = |listed_since| {
+        let versions = versions(&["v1"], listed_since, Some(RESUMED_AT));
+        versions.only_one(RESUMED_AT).is_some()
     };
-    assert_eq!(unknown(&["v1"], true), Resumption::At(known.clone()));
-    assert_eq!(unknown(&[], true), Resumption::Unknown);
-    assert_eq!(unknown(&["v1", "v2"], true), Resumption::Unknown);
-    // Another version may have served before the daemon knew the list.
-    assert_eq!(unknown(&["v1"], false), Resumption::Unknown);
-    assert_eq!(unknown(&["v1", "v2"], false), Resumption::Unknown);
+    let listed_long_enough = RESUMED_AT - MEMORY;
+    assert!(only_one(Some(listed_long_enough)));
+    assert!(!only_one(Some(listed_long_enough + Millis(1))));
+    assert!(!only_one(None));
 }
 
-/// A daemon has seen all versions only once it has known the list for as long as a stream
-/// may last, and only while the store confirms its copy.
+/// A version may have joined since the list was asked for, however soon it was read.
 #[test]
-fn a_started_or_cut_off_daemon_has_not_seen_all_versions() {
-    let fresh = Some(Millis(200));
-    let start = Millis(500);
-    let has_seen_all = |age, now| stream_origin::has_seen_all(Some(start), age, now);
-    assert!(!stream_origin::has_seen_all(None, fresh, start + MEMORY));
-    assert!(!has_seen_all(fresh, start));
-    assert!(!has_seen_all(fresh, start + MEMORY - Millis(1)));
-    assert!(has_seen_all(fresh, start + MEMORY));
-    // A watch without a change confirms the list after 1.5 s.
-    assert!(has_seen_all(Some(Millis(1_600)), start + MEMORY));
-    assert!(!has_seen_all(Some(Millis(2_100)), start + MEMORY));
-    assert!(!has_seen_all(None, start + MEMORY));
+fn a_list_from_before_a_client_came_back_is_not_taken_for_all_versions() {
+    let only_one = |asked_at| {
+        let versions = versions(&["v1"], Some(Millis(500)), asked_at);
+        let is_candidate = versions.only_one_if_current(RESUMED_AT).is_some();
+        (is_candidate, versions.only_one(RESUMED_AT).is_some())
+    };
+    assert_eq!(only_one(Some(RESUMED_AT)), (true, true));
+    assert_eq!(only_one(Some(RESUMED_AT - Millis(1))), (true, false));
+    assert_eq!(only_one(None), (true, false));
 }
 
 #[test]
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -19,6 +19,7 @@
 use crate::pool::Pool;
 use crate::shutdown::Shutdown;
 use crate::state::State;
+use crate::store_check::Checker;
 
 /// Request bodies may take one part in this many of the daemon's memory; the rest
 /// is for connections, which take a few tens of kilobytes each.
@@ -42,6 +43,8 @@
     pub dispatcher: Dispatcher,
     /// The groups of engines that this daemon chooses from.
     pub placer: Placer,
+    /// Asks the platform's store whether this daemon's copy is current.
+    pub(crate) store_checker: Checker,
     /// What this daemon knows of the placers that it asks.
     pub asker: Asker,
     /// The metrics of this process.
@@ -74,6 +77,7 @@
             peers: Peers::new(metrics.control_bytes()),
             dispatcher: Dispatcher::default(),
             placer: Placer::default(),
+            store_checker: Checker::new(boot.store_address),
             asker: Asker::default(),
             metrics,
             shutdown: Shutdown::default(),
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -6,9 +6,13 @@
 mod survey;
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
+use futures::future;
+use futures::future::Either;
 use futures::stream::FuturesUnordered;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
@@ -17,11 +21,13 @@
 use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::request::stream_origin::BACKUPS;
 use gooseberry_kernel::request::stream_origin::BACKUPS_ASKED;
+use gooseberry_kernel::request::stream_origin::Evidence;
 use gooseberry_kernel::request::stream_origin::Origin;
-use gooseberry_kernel::request::stream_origin::Resumption;
 use gooseberry_kernel::request::stream_trace::Finding;
 use gooseberry_kernel::request::stream_trace::PartTrace;
 use gooseberry_kernel::request::stream_trace::Trace;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::context::Context;
 use crate::request::Job;
@@ -30,6 +36,11 @@
 /// How many daemons are asked about a stream that no backup knows: the one that has seen
 /// most, and another one if it does not answer.
 const WITNESSES_ASKED: usize = 2;
+/// How long the backups alone are asked. Live ones answer within some milliseconds.
+const BACKUPS_FIRST: Duration = Duration::from_millis(50);
+/// How long the search for the origin of a stream may take. Clients give a stream up that
+/// sends nothing for longer.
+const SEARCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Restricts a stream that a client resumes to targets of the service and version
 /// that began it.
@@ -45,73 +56,114 @@
         return Ok(job);
     };
     let began = context.now();
-    let (versions, listed_age, confirmed_age) = {
+    let search = find_origin(context, &job, &last_event, began);
+    let found = timeout(SEARCH_TIMEOUT, search).await.unwrap_or_default();
+    log_decision(context, &job, found.as_ref(), began);
+    let (origin, _) = found.ok_or(Kind::NoTarget)?;
+    let table = context.state().routing_table().cloned();
+    let service = table.and_then(|table| table.service(&origin.service).cloned());
+    let mut shares = job.route.shares.iter();
+    let is_allowed = shares.any(|share| share.service == origin.service);
+    job.service = service.filter(|_| is_allowed).ok_or(Kind::NoTarget)?;
+    job.origin = Some(origin);
+    Ok(job)
+}
+
+/// Logs whether it was found out where a stream began, with what this daemon knows of the
+/// versions.
+fn log_decision(context: &Context, job: &Job, found: Option<&(Origin, Evidence)>, began: Millis) {
+    let now = context.now();
+    let (versions, confirmed_age) = {
         let state = context.state();
-        let versions = state.versions(&job.service.name, began);
-        (
-            versions,
-            state.listed_age(began),
-            state.confirmed_age(began),
-        )
+        let versions = state.versions(&job.service.name, now);
+        (versions, state.confirmed_age(now))
     };
-    let mut origin = None;
-    let mut source = "list";
-    if let Some(attempt) = &job.head.resumed_attempt {
-        origin = context.state().origins().get(attempt).cloned();
-        source = "record";
-        if stream_origin::resumption(origin.as_ref(), &job.service.name, &versions)
-            == Resumption::Unknown
-        {
-            origin = ask_backups(context, attempt).await;
-            source = "backup";
-        }
-    }
-    if stream_origin::resumption(origin.as_ref(), &job.service.name, &versions)
-        == Resumption::Unknown
-    {
-        origin = ask_witnesses(context, &job, &last_event).await;
-        source = "witness";
-    }
-    let resumption = stream_origin::resumption(origin.as_ref(), &job.service.name, &versions);
     log::info!(
         request:% = job.head.attempt,
         resumes:% = job.head.resumed_attempt.clone().unwrap_or_default(),
-        last_event:% = last_event,
-        resumption:? = resumption,
-        source = if origin.is_some() { source } else { "list" },
+        last_event:% = job.head.resumed_after.clone().unwrap_or_default(),
+        service:% = job.service.name,
+        version:% = found.map(|(origin, _)| origin.version.clone()).unwrap_or_default(),
+        evidence:% = found.map_or("none", |(_, evidence)| evidence.label()),
         versions:? = versions.seen,
-        are_all_seen = versions.is_complete,
-        listed_ms:? = listed_age.map(|age| age.0),
+        listed_ms:? = versions.listed_since.map(|since| (now - since).0),
+        asked_ms:? = versions.asked_at.map(|at| (now - at).0),
         confirmed_ms:? = confirmed_age.map(|age| age.0),
-        took_ms = (context.now() - began).0;
-        "decided where a stream may go on"
+        took_ms = (now - began).0;
+        "searched where a stream began"
     );
-    match resumption {
-        Resumption::At(origin) => {
-            let table = context.state().routing_table().cloned();
-            let service = table.and_then(|table| table.service(&origin.service).cloned());
-            let mut shares = job.route.shares.iter();
-            let is_allowed = shares.any(|share| share.service == origin.service);
-            job.service = service.filter(|_| is_allowed).ok_or(Kind::NoTarget)?;
-            job.origin = Some(origin);
-        }
-        Resumption::Unknown => {
-            log::info!(
-                request:% = job.head.attempt,
-                resumes:% = job.head.resumed_attempt.unwrap_or_default(),
-                versions:? = versions.seen,
-                are_all_seen = versions.is_complete;
-                "refused: it is not known at which version the stream began"
-            );
-            return Err(Kind::NoTarget.into());
+}
+
+/// Finds out where the stream began that a request resumes. The daemons that keep it are
+/// asked before what lists and targets show.
+async fn find_origin(
+    context: &Arc<Context>,
+    job: &Job,
+    last_event: &str,
+    resumed_at: Millis,
+) -> Option<(Origin, Evidence)> {
+    let attempt = job.head.resumed_attempt.as_ref();
+    let known = attempt.and_then(|attempt| context.state().origins().get(attempt).cloned());
+    if let Some(origin) = known {
+        return Some((origin, Evidence::Record));
+    }
+    let backups = pin!(async {
+        let origin = ask_backups(context, attempt?).await?;
+        Some((origin, Evidence::Backup))
+    });
+    let traces = pin!(async {
+        if attempt.is_some() {
+            sleep(BACKUPS_FIRST).await;
         }
+        find_traces(context, job, last_event, resumed_at).await
+    });
+    match future::select(backups, traces).await {
+        Either::Left((Some(found), _)) | Either::Right((Some(found), _)) => Some(found),
+        Either::Left((None, traces)) => traces.await,
+        Either::Right((None, backups)) => backups.await,
     }
-    Ok(job)
 }
 
-/// Asks other daemons, and through them the targets, where a stream began that no backup
-/// knows.
-async fn ask_witnesses(context: &Arc<Context>, job: &Job, last_event: &str) -> Option<Origin> {
+/// Finds out where a stream began that no daemon remembers.
+async fn find_traces(
+    context: &Arc<Context>,
+    job: &Job,
+    last_event: &str,
+    resumed_at: Millis,
+) -> Option<(Origin, Evidence)> {
+    let service = &job.service.name;
+    let origin_at = |version| Origin {
+        service: service.clone(),
+        version,
+    };
+    if let Some(version) = only_version(context, service, resumed_at).await {
+        return Some((origin_at(version), Evidence::List));
+    }
+    let version = ask_witnesses(context, job, last_event).await?;
+    Some((origin_at(version), Evidence::Witness))
+}
+
+/// Returns the only version of a service at which a stream may have begun that a client
+/// resumed at this time; `None` if there may be another one.
+async fn only_version(
+    context: &Arc<Context>,
+    service: &name::Service,
+    resumed_at: Millis,
+) -> Option<name::Version> {
+    let versions = context.state().versions(service, resumed_at);
+    versions.only_one_if_current(resumed_at)?;
+    context.store_checker.bring_up_to(context, resumed_at).await;
+    let versions = context.state().versions(service, context.now());
+    versions.only_one(resumed_at).cloned()
+}
+
+/// Asks other daemons, and through them the targets, at which version a stream began that no
+/// backup knows.
+async fn ask_witnesses(
+    context: &Arc<Context>,
+    job: &Job,
+    last_event: &str,
+) -> Option<name::Version> {
     let began = context.now();
     let service = &job.service.name;
     let demand = job.head.demand.as_ref();
@@ -142,10 +194,7 @@
         }
     }
     match finding {
-        Finding::Version(version) => Some(Origin {
-            service: service.clone(),
-            version,
-        }),
+        Finding::Version(version) => Some(version),
         Finding::Ambiguous | Finding::NotFound | Finding::Unanswered => None,
     }
 }
@@ -157,16 +206,17 @@
     service: &name::Service,
     trace: &Trace,
 ) -> Finding {
-    let now = context.now();
-    let (origin, versions) = {
-        let mut state = context.state();
-        let origin = state.origins().get(&trace.attempt).cloned();
-        (origin, state.versions(service, now))
-    };
-    let origin = origin.filter(|origin| origin.service == *service);
-    match stream_origin::resumption(origin.as_ref(), service, &versions) {
-        Resumption::At(origin) => Finding::Version(origin.version),
-        Resumption::Unknown => survey::find(context, service, trace).await,
+    let resumed_at = context.now();
+    let origin = context.state().origins().get(&trace.attempt).cloned();
+    if let Some(origin) = origin.filter(|origin| origin.service == *service) {
+        return Finding::Version(origin.version);
+    }
+    // The target that wrote the stream may not be listed here yet.
+    context.store_checker.bring_up_to(context, resumed_at).await;
+    let versions = context.state().versions(service, context.now());
+    match versions.only_one(resumed_at) {
+        Some(version) => Finding::Version(version.clone()),
+        None => survey::find(context, service, trace).await,
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,8 +10,7 @@
 //! - `queue` holds the requests that wait for a place at a target.
 //! - `link` knows which services this daemon reaches.
 //! - `resumption` knows at which versions streams may have begun.
-//! - `stage` knows the dispatchers and targets of stage services, and how long
-//!   pieces wait at them.
+//! - `stage` knows the dispatchers and targets of stage services, and the waits there.
 
 mod link;
 pub mod placement;
@@ -76,6 +75,8 @@
     lost_at: Option<Millis>,
     /// When the last outage ended that was long enough for entries to expire.
     back_at: Option<Millis>,
+    /// When the store was last asked on demand for all changes.
+    asked_at: Option<Millis>,
 }
 
 /// The load of a target, as far as this daemon knows.
@@ -137,8 +138,7 @@
     /// From when on this daemon knows each change of the store's contents; `None` before
     /// it has them.
     listed_since: Option<Millis>,
-    /// When the store last confirmed to any daemon that this daemon's copy of it
-    /// is complete.
+    /// When it was last read that the store had confirmed this daemon's copy to any daemon.
     confirmed_at: Option<Millis>,
     /// Whether the daemon may serve with its copy of the store.
     startup: Startup,
--- a/crates/relay/src/state/resumption.rs
+++ b/crates/relay/src/state/resumption.rs
@@ -11,27 +11,17 @@
 use crate::state::State;
 
 impl State {
-    /// Returns the software versions of a service at which a stream of now may have begun,
-    /// as far as this daemon knows.
+    /// Returns what this daemon's list says of the software versions of a service at which
+    /// streams may have begun.
     #[must_use]
     pub fn versions(&self, service: &name::Service, now: Millis) -> Versions {
         Versions {
             seen: self.targets.versions(service, now),
-            is_complete: stream_origin::has_seen_all(
-                self.listed_since,
-                self.confirmed_age(now),
-                now,
-            ),
+            listed_since: self.listed_since,
+            asked_at: self.asked_at(),
         }
     }
 
-    /// Returns for how long this daemon has known each change of the list of targets; `None`
-    /// before it has the list.
-    #[must_use]
-    pub fn listed_age(&self, now: Millis) -> Option<Millis> {
-        self.listed_since.map(|since| now - since)
-    }
-
     /// Returns the targets at which a stream of a service may go on, but for those that limit
     /// their rate: what they take is left for requests.
     #[must_use]
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -43,6 +43,24 @@
         self.confirmed_at.map(|at| now - at)
     }
 
+    /// Returns when this daemon asked the store for the last contents that its copy has for
+    /// certain; `None` if it never did.
+    #[must_use]
+    pub fn asked_at(&self) -> Option<Millis> {
+        self.store_status.asked_at
+    }
+
+    /// Records that the store has answered a question with its contents through this
+    /// position, and that they were merged. Returns false if the copy is of another era.
+    pub fn record_answer(&mut self, through: Position, asked_at: Millis) -> bool {
+        let own = self.replica.position();
+        let is_merged = own.era == through.era && own >= through;
+        if is_merged {
+            self.store_status.asked_at = self.store_status.asked_at.max(Some(asked_at));
+        }
+        is_merged
+    }
+
     /// Records that the store confirmed a peer's copy `age` ago. This counts for
     /// this daemon only if its own copy is at least as recent as the peer's, and not if
     /// the peer has that of an earlier era.
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -94,7 +94,7 @@
 
 /// Checks the era that the store names against that of the daemon's copy, which peers may
 /// know to be a later one. Changes of another era do not continue the copy.
-fn check_era(
+pub(crate) fn check_era(
     read: anyhow::Result<WatchResult>,
     named: Option<Era>,
     known: Position,
@@ -134,7 +134,7 @@
 
 /// Applies changes that were read. Returns whether to greet peers at once: there
 /// is something new, and the fleet is too large for all to read the store.
-fn apply(context: &Context, contents: Contents, now: Millis) -> bool {
+pub(crate) fn apply(context: &Context, contents: Contents, now: Millis) -> bool {
     let mut state = context.state();
     let before = state.replica().position();
     state.record_store_result(true, now);
