--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -80,33 +80,33 @@
 }
 
 impl Origins {
-    /// Records where the stream of an attempt began. Returns the former record if it says
-    /// something else.
+    /// Records where the stream of an attempt began. The first record holds; it is returned
+    /// if a later one says something else.
     pub fn record(
         &mut self,
         attempt: &name::Attempt,
         origin: Origin,
         now: Millis,
-    ) -> Option<Origin> {
-        let record = Record {
-            attempt: attempt.clone(),
-            origin,
-            since: now,
-        };
-        let former = match self.find(attempt) {
+    ) -> Option<&Origin> {
+        if self.records.len() >= COUNT_MAX {
+            self.drop_oldest();
+        }
+        match self.find(attempt) {
             Ok(index) => {
-                let former = std::mem::replace(&mut self.records[index], record);
-                Some(former.origin).filter(|former| *former != self.records[index].origin)
+                let record = &mut self.records[index];
+                record.since = now;
+                Some(&record.origin).filter(|first| **first != origin)
             }
             Err(index) => {
+                let record = Record {
+                    attempt: attempt.clone(),
+                    origin,
+                    since: now,
+                };
                 self.records.insert(index, record);
                 None
             }
-        };
-        if self.records.len() > COUNT_MAX {
-            self.drop_oldest();
         }
-        former
     }
 
     /// Returns where the stream of an attempt began, if this daemon knows.
--- a/crates/kernel/tests/direct/stream_origin.rs
+++ b/crates/kernel/tests/direct/stream_origin.rs
@@ -91,6 +91,20 @@
     assert_eq!(order, [30, 40, 10, 20]);
 }
 
+#[test]
+fn a_late_record_does_not_change_where_a_stream_began() {
+    let mut origins = Origins::default();
+    let attempt = name::Attempt::new("a");
+    assert_eq!(origins.record(&attempt, origin("v1"), Millis(0)), None);
+    assert_eq!(origins.record(&attempt, origin("v1"), Millis(10)), None);
+    let first = origins.record(&attempt, origin("v2"), Millis(20)).cloned();
+    assert_eq!(first, Some(origin("v1")));
+    assert_eq!(origins.get(&attempt), Some(&origin("v1")));
+    // The stream still runs, so it is remembered from then on.
+    origins.expire(Millis(10) + MEMORY);
+    assert_eq!(origins.get(&attempt), Some(&origin("v1")));
+}
+
 #[test]
 fn origins_are_forgotten_after_their_time() {
     let mut origins = Origins::default();
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -249,16 +249,13 @@
     source: &str,
 ) {
     let now = context.now();
-    let former = context
-        .state()
-        .origins()
-        .record(attempt, origin.clone(), now);
-    if let Some(former) = former {
+    let mut state = context.state();
+    if let Some(first) = state.origins().record(attempt, origin.clone(), now) {
         log::warn!(
             request:% = attempt,
             source,
             version:% = origin.version,
-            former_version:% = former.version;
+            first_version:% = first.version;
             "a stream goes on at another version than the one that began it"
         );
     }
