A booked request is not sent to a target that has started again

Callers saw: a stream that they took up again went on with events of another software version (ORDER), if its target limits its rate and starts again as another version while the stream waits for its turn.

Cause: a request that was booked at a target was sent to it if a target of that name was still usable. The version, the run and the address were those of the time of the booking.

Evidence: a_booked_stream_is_not_sent_to_a_target_that_has_changed_its_version failed in 1 of 1 runs before (its run at the target was seen) and passes.

Why it works: the booking holds for the run that was picked. If that is no longer listed as it was, a target is picked anew, with all that the request needs.

--- a/crates/relay/src/state/pick.rs
+++ b/crates/relay/src/state/pick.rs
@@ -87,6 +87,15 @@
     }
 }
 
+impl PickedTarget {
+    /// Returns whether a listed target is the one that was picked, in the same run.
+    #[must_use]
+    pub fn is_still(&self, target: &Target) -> bool {
+        let listed = Self::from(target);
+        (&self.run, &self.version, self.address) == (&listed.run, &listed.version, listed.address)
+    }
+}
+
 impl From<&Target> for PickedTarget {
     fn from(target: &Target) -> Self {
         Self {
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -136,12 +136,12 @@
     }
 
     /// Counts a request as in flight at the target at which it was booked; returns
-    /// false if the target no longer takes it.
+    /// false if the target no longer takes it, or has started again since.
     pub fn begin_booked(&mut self, picked: &PickedTarget, service: &Service, now: Millis) -> bool {
         let fleet_size = self.members.fleet_size(now);
         let shares = self.shares(fleet_size, now);
         let mut usable = self.targets.usable(&service.name, &self.taken_out, now);
-        let listed = usable.find(|listed| listed.target.name == picked.target);
+        let listed = usable.find(|listed| picked.is_still(&listed.target));
         let has_room = listed.is_some_and(|listed| self.has_room(listed, service, &shares));
         drop(usable);
         if has_room {
--- a/crates/relay/tests/direct/rate_limits.rs
+++ b/crates/relay/tests/direct/rate_limits.rs
@@ -4,6 +4,7 @@
 
 use gooseberry_kernel::name;
 use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
 use tokio::time::Instant;
@@ -11,7 +12,9 @@
 
 use crate::platform::SETTINGS;
 use crate::platform::TestPlatform;
+use crate::platform::answer_to;
 use crate::platform::client_address;
+use crate::platform::is_ready_with;
 use crate::platform::wait_until;
 
 /// The limit of the targets in the tests, in requests a second.
@@ -197,3 +200,29 @@
         assert!(got <= 3 * COLD_ALLOWED, "{got} requests in about 2.5 s");
     }
 }
+
+#[tokio::test]
+async fn a_booked_stream_is_not_sent_to_a_target_that_has_changed_its_version() {
+    let platform = TestPlatform::start().await;
+    let [limited, other] = &platform.engines;
+    platform.store.remove(&format!("servers/{}", other.name));
+    let daemon = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 7)).await;
+    limited.add_headers(&[("Server-Limit", "1")]);
+    limited.queue_modes(&[Mode::DisconnectWithin(3)]);
+    let stream = || ClientRequest::new("/resume/").with_stage_pieces("");
+    let broken = stream();
+    assert!(!answer_to(&broken, &daemon).await.is_complete);
+    let resumed = stream()
+        .with("Last-Event-Id", "2")
+        .with("Resumes", &broken.attempt);
+    let changing = async {
+        sleep(Duration::from_millis(200)).await;
+        let entry = limited.entry("engine", "z-1", "ready");
+        let entry = entry.replace("\"v1\"", "\"v2\"");
+        platform.store.put("servers/engine-1", &entry);
+    };
+    let (answer, ()) = futures::future::join(answer_to(&resumed, &daemon), changing).await;
+    assert_eq!(platform.runs(&resumed.attempt), 0, "{answer:?}");
+    assert_eq!(answer.status, 503);
+}
