Events that step back in their stream are not passed on

Callers would have seen: an event again, or one from the beginning of a stream of which they had more (ORDER, "a number went back"), if a target sends an event twice or does not go on after Last-Event-Id.

Cause: ids of events were remembered, to resume after the last one, and never compared. Whatever a target sent was passed on.

That the operators' cases were of this kind is not shown.

Why it works: ids increase, so an event whose number is not greater than the last one cannot be the next. Such a stream counts as broken after the last event in order: it goes on at another target if its route allows that, and ends as broken else. Ids that are no numbers are not compared.

--- a/crates/kernel/tests/direct/event_buffer.rs
+++ b/crates/kernel/tests/direct/event_buffer.rs
@@ -1,7 +1,7 @@
 use compact_str::CompactString;
 use gooseberry_kernel::request::event_buffer::EVENT_MAX_BYTES;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
-use gooseberry_kernel::request::event_buffer::EventTooLong;
+use gooseberry_kernel::request::event_buffer::Fault;
 
 #[test]
 fn forwards_only_complete_events_for_any_chunking() {
@@ -53,7 +53,7 @@
     let mut events = EventBuffer::default();
     assert_eq!(
         events.push(&vec![b'x'; EVENT_MAX_BYTES + 1]),
-        Err(EventTooLong)
+        Err(Fault::TooLong)
     );
 }
 
@@ -73,3 +73,39 @@
         assert_eq!(events.complete(), complete, "{text}");
     }
 }
+
+#[test]
+fn events_that_step_back_are_not_forwarded_for_any_chunking() {
+    let sound = b"id: 3\ndata: a\n\ndata: b\n\nid: 10\n\n";
+    let text = [&sound[..], b"event: x\nid: 9\ndata: c\n\nid: 11\n\n"].concat();
+    arbtest::arbtest(|draw| {
+        let mut events = EventBuffer::after(Some("2".into()));
+        let mut forwarded = Vec::new();
+        let mut rest = &text[..];
+        while !rest.is_empty() {
+            let length = draw.int_in_range(1..=rest.len())?;
+            let (part, after) = rest.split_at(length);
+            match events.push(part) {
+                Ok(complete) => forwarded.extend(complete),
+                Err(fault) => assert_eq!(fault, Fault::OutOfOrder),
+            }
+            rest = after;
+        }
+        assert_eq!(forwarded, sound);
+        assert!(!events.is_at_event_boundary());
+        assert_eq!(events.last_id().map(CompactString::as_str), Some("10"));
+        events.discard_partial();
+        let next = events.push(b"id: 11\n\n").expect("it is in order");
+        assert_eq!(next, b"id: 11\n\n");
+        Ok(())
+    })
+    .budget_ms(200);
+}
+
+#[test]
+fn ids_that_are_no_numbers_have_no_order() {
+    let mut events = EventBuffer::after(Some("b".into()));
+    let text = b"id: a\n\nid: 7\n\nid: x3\n\nid: 1\n\n";
+    assert_eq!(events.push(text), Ok(text.to_vec()));
+    assert_eq!(events.push(b"id: 1\n\n"), Err(Fault::OutOfOrder));
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -63,9 +63,11 @@
     job: Job,
     plan: Option<Plan>,
 ) -> Result<Response<ResponseBody>, Failure> {
-    let job_origin = job.origin.clone();
-    let event_memory = context.reply_memory.reply();
+    let resumed_after = job.head.resumed_after.clone();
+    let events = EventBuffer::after(resumed_after.filter(|_| job.route.is_resumable));
     let forwarder = Forwarder {
+        event_memory: context.reply_memory.reply(),
+        origin: job.origin.clone(),
         context,
         job,
         plan,
@@ -75,13 +77,11 @@
         placed: None,
         tried: Vec::new(),
         tried_detours: Vec::new(),
-        origin: job_origin,
         sends: 0,
         last_send: None,
         retry_allowed_at: None,
         possible_runs: 0,
-        events: EventBuffer::default(),
-        event_memory,
+        events,
         current: None,
         comments: Vec::new(),
         pause: Pause::default(),
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -172,7 +172,7 @@
         left: Millis,
     ) -> Request<Full<Bytes>> {
         let job = &self.job;
-        let resumed_after = self.events.last_id().or(job.head.resumed_after.as_ref());
+        let resumed_after = self.events.last_id();
         let results = self.results.as_ref();
         let parameters = CallParameters {
             target,
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use futures::stream;
 use gooseberry_kernel::clock::Millis;
-use gooseberry_kernel::request::event_buffer::EventTooLong;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::target::placement::End;
 use http::Response;
@@ -105,7 +104,7 @@
                         }
                         Ok(_) if self.event_memory.grow(self.held_bytes()) => continue,
                         Ok(_) => "there is no memory for an event".to_owned(),
-                        Err(EventTooLong) => "an event is too long".to_owned(),
+                        Err(fault) => fault.to_string(),
                     }
                 }
                 Ok(None) if self.is_cut_before_first_event() => {
--- a/crates/relay/tests/direct/broken_answers.rs
+++ b/crates/relay/tests/direct/broken_answers.rs
@@ -73,6 +73,43 @@
     }
 }
 
+#[tokio::test]
+async fn an_event_that_steps_back_in_its_stream_is_not_passed_on() {
+    let events = |ids: &[u32]| {
+        let events = ids.iter().map(|id| format!("id: {id}\ndata: a\n\n"));
+        let events: String = events.collect();
+        let length = events.len();
+        format!("Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n{events}\r\n0\r\n\r\n")
+    };
+    for ids in [&[3, 4, 4, 5][..], &[3, 4, 1], &[3, 4, 3, 9]] {
+        let target = bytes(&events(ids));
+        let resumed = ClientRequest::new("/resume/").with_stage_pieces("");
+        for request in [stream(), resumed] {
+            let answer = answer_of("engine", request, target).await;
+            assert_eq!((answer.status, answer.is_complete), (200, false), "{ids:?}");
+            assert_eq!(
+                answer.body, "id: 3\ndata: a\n\nid: 4\ndata: a\n\n",
+                "{ids:?}"
+            );
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_target_that_does_not_go_on_after_the_last_event_of_a_client_is_no_answer() {
+    let target = "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: ab\n\n\r\n0\r\n\r\n";
+    let (platform, daemon) = start_with("engine", bytes(target)).await;
+    let broken = ClientRequest::new("/resume/").with_stage_pieces("");
+    assert_eq!(answer_to(&broken, &daemon).await.status, 200);
+    let resumed = ClientRequest::new("/resume/")
+        .with_stage_pieces("")
+        .with("Last-Event-Id", "1")
+        .with("Resumes", &broken.attempt);
+    let answer = answer_to(&resumed, &daemon).await;
+    assert!(matches!(answer.status, 502 | 504), "{answer:?}");
+    drop(platform);
+}
+
 fn check_broken(answer: &Answer, has_event: bool, rest: &str) {
     if has_event {
         let found = (answer.status, answer.is_complete);
