A resumed stream is not taken for a late request in its stages

Cause: the objective of a stream counts from its client's first attempt. One that comes back has passed it, so its groups counted as late: they went after all groups that could be on time, whatever their rank, and were dropped if the estimate for late groups said so, with seconds left.

Evidence: streams_that_come_back_after_their_objective_... plays the queue of a stage beside 0.85 and more of its capacity: as late requests fewer than 15 of 30 go on, now 27 or more, and no more others are lost than are gained.

Why it works: a stream that goes on is of use until its client leaves, so that is the time its stages and its wait for a target are ordered by. How late it is for its client is measured as before.

--- a/crates/kernel/src/stage/urgency.rs
+++ b/crates/kernel/src/stage/urgency.rs
@@ -16,6 +16,15 @@
     if goes_on { Rank::default() } else { rank }
 }
 
+/// Returns by when an answer must begin to be of use, if it is on time until `on_time_by` and
+/// its client leaves at `leaves_at`. The objective of a stream that goes on counts from its
+/// first attempt and has often passed. What its client lacks is the rest, so it is not taken
+/// for a late request, which only gets what others leave.
+#[must_use]
+pub fn useful_by(on_time_by: Millis, leaves_at: Millis, goes_on: bool) -> Millis {
+    if goes_on { leaves_at } else { on_time_by }
+}
+
 /// Returns by when an answer must begin that is due at `due`: a client that leaves before
 /// that gets nothing out of it.
 #[must_use]
--- a/crates/kernel/tests/direct/urgency.rs
+++ b/crates/kernel/tests/direct/urgency.rs
@@ -87,6 +87,17 @@
     Arrival { at, group }
 }
 
+/// A stream whose client has waited for longer than the objective and has 5 to 6 s left.
+fn resumed_late(number: u64, counts_as_late: bool) -> Arrival {
+    let at = Millis(RETURN + number * 2);
+    let leaves_at = at + Millis(5_000 + number * 33);
+    let due = urgency::useful_by(at, leaves_at, !counts_as_late);
+    let rank = urgency::stage_rank(RANKS[2], true);
+    let mut group = group(&format!("resumed-{number}"), rank, due, leaves_at);
+    group.is_first = false;
+    Arrival { at, group }
+}
+
 fn play(mut arrivals: Vec<Arrival>) -> Answered {
     let targets = (0..TARGETS).map(|index| StageTarget {
         name: name::Target::new(&format!("t-{index}")),
@@ -155,6 +166,24 @@
     }
 }
 
+/// The streams are at their second stage. As late requests they get what new ones leave.
+#[test]
+fn streams_that_come_back_after_their_objective_are_not_lost_to_new_requests() {
+    for interval in [38, 34, 30] {
+        let both = |counts_as_late| {
+            let usual = (0..USUAL).map(|number| usual(number, interval));
+            let resumed = (0..RESUMED).map(|number| resumed_late(number, counts_as_late));
+            play(usual.chain(resumed).collect())
+        };
+        let (useful, late) = (both(false), both(true));
+        assert!(useful.resumed >= 27, "{useful:?}, {late:?}");
+        assert!(late.resumed < 15, "{useful:?}, {late:?}");
+        let lost = late.usual.saturating_sub(useful.usual);
+        let gained = useful.resumed - late.resumed;
+        assert!(lost <= gained, "{useful:?}, {late:?}");
+    }
+}
+
 #[test]
 fn only_a_stream_whose_beginning_is_known_goes_first() {
     assert_eq!(urgency::stage_rank(Rank(4), false), Rank(4));
--- a/crates/relay/src/forward/placement.rs
+++ b/crates/relay/src/forward/placement.rs
@@ -26,7 +26,7 @@
             due: self.answer_due(),
             rank: self.job.rank,
             workspace: self.job.workspace.as_ref(),
-            on_time_by: self.job.on_time_by.max(self.resumed_by()),
+            on_time_by: self.job.useful_by().max(self.resumed_by()),
             work: self.job.work(),
         }
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -83,6 +83,12 @@
         urgency::stage_rank(self.rank, self.origin.is_some())
     }
 
+    /// Returns by when its answer must begin to be of use.
+    #[must_use]
+    pub fn useful_by(&self) -> Millis {
+        urgency::useful_by(self.on_time_by, self.begin_by, self.origin.is_some())
+    }
+
     /// Returns the `form` label of logs and metrics: a plain response or a stream.
     #[must_use]
     pub fn form(&self) -> &'static str {
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -271,7 +271,7 @@
         source,
         result_bytes: planned.result_bytes,
         rank: job.stage_rank(),
-        on_time_deadline: (job.on_time_by - on_time_downstream).max(now),
+        on_time_deadline: (job.useful_by() - on_time_downstream).max(now),
         deadline: (job.begin_by - on_time_downstream).max(now),
         inputs_expire_at: inputs_expire_at(planned, outputs),
         preferred_domain: preferred_domain(plan, index, planned, outputs, run_domain),
--- a/crates/relay/src/stages/admission.rs
+++ b/crates/relay/src/stages/admission.rs
@@ -33,7 +33,7 @@
         };
         chain.filter_map(estimate).collect()
     };
-    match deadline_admission::decide(&estimates, job.on_time_by - now, job.begin_by - now) {
+    match deadline_admission::decide(&estimates, job.useful_by() - now, job.begin_by - now) {
         Decision::Admit => Ok(()),
         Decision::Refuse(retry_after) => {
             let waits: Vec<u64> = estimates.iter().map(|estimate| estimate.wait.0).collect();
@@ -45,7 +45,7 @@
                 request:% = job.head.attempt,
                 waits_ms:? = waits,
                 late_waits_ms:? = late,
-                on_time_ms = (job.on_time_by - now).0,
+                on_time_ms = (job.useful_by() - now).0,
                 left_ms = (job.begin_by - now).0,
                 retry_ms = retry_after.0;
                 "refused at admission: the stages cannot complete in time"
