Soak: releases of engines while daemons are out of step

Daemons that have known the list for half a minute stand still or are cut off from the store while engines of a newer version join. Streams break, and their clients resume them at other daemons with Last-Event-Id and Resumes. What a client receives over its attempts has to be one stream of one version.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -4,14 +4,21 @@
 //!
 //!     SOAK_SEEDS=100..150 cargo test --release -p gooseberryd --test soak -- --ignored --nocapture
 //!
+//! and with releases of engines, by `SOAK_DAEMONS` daemons:
+//!
+//!     SOAK_SEEDS=1..20 SOAK_DAEMONS=5 cargo test -p gooseberryd --test soak -- \
+//!         --ignored --nocapture releases
+//!
 //! `SOAK_FORMER` names the daemon of a former build. Each daemon then changes between the two
 //! builds whenever it is started, so that all mixtures of them serve together.
 
 #![allow(missing_docs, clippy::unwrap_used)]
 
+use std::ops::Range;
 use std::path::PathBuf;
 
 use gooseberry_soak::process::Builds;
+use gooseberry_soak::release;
 use gooseberry_soak::run;
 
 /// The seeds that CI runs, and the faults they find:
@@ -22,14 +29,26 @@
 /// - 203: has found no fault yet; it has faults of every kind one after another.
 const SEEDS: [u64; 2] = [201, 203];
 
-async fn run_seeds(seeds: impl Iterator<Item = u64>) {
+/// What is run with each seed.
+enum Scenario {
+    /// Faults of all kinds.
+    Faults,
+    /// Releases of engines, with this number of daemons.
+    Releases(u8),
+}
+
+async fn run_seeds(scenario: Scenario, seeds: impl Iterator<Item = u64>) {
     let builds = Builds {
         present: env!("CARGO_BIN_EXE_gooseberryd").into(),
         former: std::env::var_os("SOAK_FORMER").map(PathBuf::from),
     };
     let mut failed = Vec::new();
     for seed in seeds {
-        let report = run(&builds, seed).await.unwrap();
+        let report = match scenario {
+            Scenario::Faults => run(&builds, seed).await,
+            Scenario::Releases(daemons) => release::run(&builds, seed, daemons).await,
+        };
+        let report = report.unwrap();
         let count = report.violations.len();
         println!(
             "seed {seed}: {} requests, {} served, {count} breaches, {:?}",
@@ -48,13 +67,24 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_faults() {
-    run_seeds(SEEDS.into_iter()).await;
+    run_seeds(Scenario::Faults, SEEDS.into_iter()).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "runs the seeds that SOAK_SEEDS names, such as 100..150"]
 async fn seeds_from_the_environment() {
+    run_seeds(Scenario::Faults, seeds_to_run()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "runs the seeds that SOAK_SEEDS names, with SOAK_DAEMONS daemons"]
+async fn releases_from_the_environment() {
+    let daemons = std::env::var("SOAK_DAEMONS").unwrap();
+    run_seeds(Scenario::Releases(daemons.parse().unwrap()), seeds_to_run()).await;
+}
+
+fn seeds_to_run() -> Range<u64> {
     let seeds = std::env::var("SOAK_SEEDS").unwrap();
     let (from, until) = seeds.split_once("..").unwrap();
-    run_seeds(from.parse().unwrap()..until.parse().unwrap()).await;
+    from.parse().unwrap()..until.parse().unwrap()
 }
