--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -29,6 +29,11 @@
 /// - 203: has found no fault yet; it has faults of every kind one after another.
 const SEEDS: [u64; 2] = [201, 203];
 
+/// The seed with which CI runs releases: it joined streams of two versions at a daemon that
+/// had just gone on after standing still.
+const RELEASE_SEED: u64 = 23;
+const RELEASE_DAEMONS: u8 = 12;
+
 /// What is run with each seed.
 enum Scenario {
     /// Faults of all kinds.
@@ -70,6 +75,12 @@
     run_seeds(Scenario::Faults, SEEDS.into_iter()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_go_on_at_their_version_while_daemons_are_out_of_step() {
+    let seeds = std::iter::once(RELEASE_SEED);
+    run_seeds(Scenario::Releases(RELEASE_DAEMONS), seeds).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "runs the seeds that SOAK_SEEDS names, such as 100..150"]
 async fn seeds_from_the_environment() {
