Requests reach another server through an odd entry whose name a call cannot state

What callers would have seen: an answer of a server of another service.

Cause: such a name is no header value, so the call went without Expect-Instance, which any server runs; or receivers remove its spaces, and it is the name of another server.

The other tests show what held before: deep nesting, numbers beyond their range, fields of other types or twice, values that are no base64 or no UTF-8, and keys of 200 bytes or with special characters neither end the reading of the store nor add calls; they name no target, and a corrected entry is used again. No request was lost to port 0, either.

--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod former_placements;
 mod malformed;
 mod notices;
+mod odd_entries;
 mod partitions;
 mod pauses;
 mod placement;
--- /dev/null
+++ b/crates/relay/tests/direct/odd_entries.rs
@@ -0,0 +1,130 @@
+//! Entries that another writer left among those of the targets: the daemon follows the list,
+//! and uses the targets of the other entries.
+
+use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::store::Store;
+use gooseberry_relay::daemon::Daemon;
+
+use crate::platform::TestPlatform;
+use crate::platform::answer_to;
+use crate::platform::complete_answer_to;
+use crate::platform::is_ready_with;
+use crate::platform::start_one;
+use crate::platform::wait_until;
+
+/// Writes odd values under a key, the last of which stays.
+fn put_odd_values(store: &Store, key: &str) {
+    let nested = format!("{}{}", "[".repeat(1_000_000), "]".repeat(1_000_000));
+    let fields = "\"service\":\"plain\",\"zone\":\"z-1\",\"state\":\"ready\"";
+    let address = "\"address\":\"127.0.0.1:8080\"";
+    for value in [
+        nested.clone(),
+        format!("{{{fields},\"address\":{nested}}}"),
+        format!("{{{fields},{address},\"cold_left_ms\":1e400}}"),
+        format!("{{{fields},{address},\"born\":18446744073709551616}}"),
+        format!("{{{fields},\"address\":\"127.0.0.1:99999999\"}}"),
+        format!("{{{fields},\"address\":\"127.0.0.1:0\"}}"),
+    ] {
+        store.put(key, &value);
+    }
+    for encoded in ["/////w==", "not base64", "=", ""] {
+        store.put_encoded(key, encoded);
+    }
+}
+
+fn has_read(platform: &TestPlatform, daemon: &Daemon) -> bool {
+    let state = daemon.context().state();
+    state.replica().position().revision.0 == platform.store.revision()
+}
+
+#[tokio::test]
+async fn the_list_is_followed_past_odd_entries() {
+    let (platform, daemon) = start_one().await;
+    let store = &platform.store;
+    let longest = format!("servers/{}", "y".repeat(192));
+    for is_full_read in [false, true] {
+        let calls = store.call_count();
+        for key in [
+            "servers/0",
+            "servers/\u{e9}%",
+            "servers/x\n\"",
+            "servers/",
+            &longest,
+        ] {
+            put_odd_values(store, key);
+        }
+        // A change on either side of the odd entries.
+        for (target, service) in [
+            (&platform.engines[0], "plain"),
+            (&platform.plain[1], "other"),
+        ] {
+            platform.list_target(target, service, "ready");
+        }
+        if is_full_read {
+            store.compact_history();
+        }
+        wait_until("the entries are read", || has_read(&platform, &daemon)).await;
+        let calls = store.call_count() - calls;
+        assert!(calls <= 20, "{calls} calls");
+        assert!(is_ready_with(&daemon, 8), "the odd entries name no target");
+        for _ in 0..4 {
+            complete_answer_to(&ClientRequest::new("/read/"), &daemon).await;
+        }
+    }
+    assert_eq!(platform.plain[1].received().len(), 0);
+}
+
+#[tokio::test]
+async fn a_target_is_used_again_when_its_odd_entry_is_corrected() {
+    let (platform, daemon) = start_one().await;
+    for _ in 0..3 {
+        put_odd_values(&platform.store, "servers/plain-1");
+        wait_until("the entry names no target", || is_ready_with(&daemon, 7)).await;
+        let before = platform.plain[0].received().len();
+        for _ in 0..10 {
+            complete_answer_to(&ClientRequest::new("/once/"), &daemon).await;
+        }
+        assert_eq!(platform.plain[0].received().len(), before);
+        platform.list_target(&platform.plain[0], "plain", "ready");
+        wait_until("the target is listed again", || is_ready_with(&daemon, 8)).await;
+    }
+}
+
+/// A server runs a request without `Expect-Instance` also if it is meant for another.
+#[tokio::test]
+async fn no_request_goes_to_a_target_that_it_cannot_name() {
+    let (platform, daemon) = start_one().await;
+    let entry = platform.engines[0].entry("plain", "z-1", "ready");
+    for name in ["engine-1 ", "odd\u{1}", "odd\n"] {
+        platform.store.put(&format!("servers/{name}"), &entry);
+    }
+    platform.store.put("servers/last", "{}");
+    wait_until("the entries are read", || has_read(&platform, &daemon)).await;
+    for _ in 0..10 {
+        complete_answer_to(&ClientRequest::new("/read/"), &daemon).await;
+    }
+    let received = platform.engines[0].received();
+    let at_other = received.iter().filter(|request| request.path == "/read/");
+    assert_eq!(at_other.count(), 0, "requests reached another target");
+}
+
+/// Held before such entries were left out: nothing is sent where no connection opens.
+#[tokio::test]
+async fn no_request_is_lost_to_an_address_that_no_target_has() {
+    let (platform, daemon) = start_one().await;
+    for address in ["127.0.0.1:0", "224.0.0.1:80", "255.255.255.255:80"] {
+        let address = address.parse().expect("an address");
+        let entry = platform.plain[0].entry_at(address, "plain", "z-1", "ready");
+        platform.store.put(&format!("servers/{address}"), &entry);
+    }
+    wait_until("the entries are read", || has_read(&platform, &daemon)).await;
+    let mut statuses = Vec::new();
+    for _ in 0..20 {
+        statuses.push(
+            answer_to(&ClientRequest::new("/once/"), &daemon)
+                .await
+                .status,
+        );
+    }
+    assert_eq!(statuses, [200; 20]);
+}
