Owner path: one odd target ends the reading of the list, one odd report that of all

What callers would have seen: from the first list with an odd target on, no daemon that reads the platform learned of any later change, so that calls went to targets that had left and none to new ones. With one odd load report no owner learned that a target had become cold.

Cause: list and reports were decoded as a whole.

The entries are now split without being read (serde_json's raw values, which may be nested to any depth), and then read one by one.

A list with an odd daemon is still refused as a whole, which a test now states: the owners follow from the daemons of a revision, and builds that differ in which daemons they can read would see different owners under one revision. Targets decide no owner.

--- a/crates/connectors/src/platform.rs
+++ b/crates/connectors/src/platform.rs
@@ -14,6 +14,7 @@
 use gooseberry_kernel::published_list::PublishedList;
 use gooseberry_kernel::published_list::Revision;
 use gooseberry_kernel::settings::Tree;
+use gooseberry_wire::entries::Entries;
 use gooseberry_wire::header;
 use gooseberry_wire::platform;
 use http::StatusCode;
@@ -55,7 +56,8 @@
         self.calls.load(Ordering::Relaxed)
     }
 
-    /// Long-polls for a list newer than `after`; `None` if there is none in time.
+    /// Long-polls for a list newer than `after`; `None` if there is none in time. Targets
+    /// that cannot be used are left out.
     ///
     /// # Errors
     /// Returns an error if the platform cannot be reached or answers with
@@ -68,10 +70,21 @@
         let Some(body) = self.long_poll("/v1/list", after, wait).await? else {
             return Ok(None);
         };
-        let decoded: platform::List =
-            serde_json::from_slice(&body).context("the platform's answer is not a list")?;
-        let list =
-            PublishedList::try_from(decoded).context("the platform's list has an invalid id")?;
+        // One entry with bytes that are no text would make all unreadable.
+        let text = String::from_utf8_lossy(&body);
+        let decoded: platform::UncheckedList =
+            serde_json::from_str(&text).context("the platform's answer is not a list")?;
+        let (list, faults) = decoded
+            .check()
+            .context("the platform's list has an invalid id")?;
+        if let Some(first) = faults.first() {
+            log::warn!(
+                revision = list.revision.0,
+                targets = faults.len(),
+                first = first.as_str();
+                "targets of the list cannot be used"
+            );
+        }
         Ok(Some(list))
     }
 
@@ -94,13 +107,16 @@
     /// # Errors
     /// Returns an error if the platform cannot be reached or answers with
     /// something that is not load reports.
-    pub async fn loads(&self, domain: &id::Domain) -> anyhow::Result<platform::Loads> {
+    pub async fn loads(&self, domain: &id::Domain) -> anyhow::Result<Entries<platform::Load>> {
         let path = format!("/v1/loads?domain={domain}");
         let (head, body) = self.get(&path, Millis::ZERO).await?;
         if head.status != StatusCode::OK {
             bail!("the platform answered {} at {path}", head.status);
         }
-        serde_json::from_slice(&body).context("the platform's answer is not load reports")
+        let text = String::from_utf8_lossy(&body);
+        let decoded: platform::UncheckedLoads =
+            serde_json::from_str(&text).context("the platform's answer is not load reports")?;
+        Ok(decoded.loads)
     }
 
     async fn long_poll(
--- a/crates/daemon/src/platform_reader.rs
+++ b/crates/daemon/src/platform_reader.rs
@@ -11,6 +11,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::cold_reports;
 use gooseberry_kernel::node::Node;
+use gooseberry_wire::entries::Entries;
 use gooseberry_wire::platform::Load;
 use tokio::sync::watch;
 
@@ -100,11 +101,15 @@
 
 async fn read_load_reports(context: &Context) -> anyhow::Result<()> {
     let asked_at = context.clock.now();
-    let loads = context.platform.loads(&context.local.domain).await?;
+    let mut loads = context.platform.loads(&context.local.domain).await?;
     let is_cold = |load: &Load| load.is_cold && load.age_ms < cold_reports::REPORT_TTL.0;
-    let cold = loads.loads.into_iter().filter(is_cold);
-    let reports = cold.map(cold_reports::ColdReport::try_from);
-    let reports = reports.collect::<Result<_, _>>()?;
+    loads.readable.retain(is_cold);
+    let reports: Entries<cold_reports::ColdReport> = loads.convert();
+    if let Some(first) = reports.faults.first() {
+        let count = reports.faults.len();
+        log::debug!(reports = count, first = first.as_str(); "load reports cannot be used");
+    }
+    let reports = reports.readable;
     context
         .node
         .tell(Message::ReadColdTargets(reports, asked_at));
--- a/crates/daemon/tests/single/main.rs
+++ b/crates/daemon/tests/single/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod idempotency_keys;
 mod metrics;
+mod odd_entries;
 mod outcome;
 mod panics;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`header`]: the HTTP headers that clients, daemons and targets use.
 //! - [`platform`]: the list, settings and load reports that the platform
 //!   publishes, as JSON.
+//! - [`entries`]: lists whose entries several writers leave, as JSON.
 //! - [`operators`]: the status and explanations that a daemon returns to
 //!   operators, as JSON.
 //! - [`control`]: the messages between daemons, over tarpc.
@@ -31,6 +32,7 @@
 
 pub mod control;
 pub mod detour;
+pub mod entries;
 pub mod fleet;
 pub mod header;
 pub mod operators;
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -13,6 +13,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::entries::Entries;
+
 /// The header with the revision that the platform serves, in replies that say
 /// that nothing is newer than the revision asked for.
 pub const REVISION: &str = "gooseberry-revision";
@@ -68,6 +70,20 @@
     pub targets: Vec<Target>,
 }
 
+/// The list in an answer of the platform, in which any target may be malformed.
+///
+/// A malformed daemon makes the whole list malformed: builds that differ in which they can
+/// read would see other members under one revision, and so other owners.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct UncheckedList {
+    /// Its revision.
+    pub revision: u64,
+    /// The daemons.
+    pub instances: Vec<Instance>,
+    /// The targets.
+    pub targets: Entries<Target>,
+}
+
 /// One document of the settings.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
@@ -108,6 +124,13 @@
     pub loads: Vec<Load>,
 }
 
+/// The load reports in an answer of the platform, any of which may be malformed.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct UncheckedLoads {
+    /// One report per target.
+    pub loads: Entries<Load>,
+}
+
 impl TryFrom<Load> for cold_reports::ColdReport {
     type Error = id::Invalid;
 
@@ -203,6 +226,24 @@
     }
 }
 
+impl UncheckedList {
+    /// Returns the list of the daemons and the usable targets, and why each of the other
+    /// targets is not usable.
+    ///
+    /// # Errors
+    /// Returns an error if the id of a daemon is invalid.
+    pub fn check(self) -> Result<(published_list::PublishedList, Vec<CompactString>), id::Invalid> {
+        let members = self.instances.into_iter().map(TryInto::try_into);
+        let targets = self.targets.convert();
+        let list = published_list::PublishedList::new(
+            published_list::Revision(self.revision),
+            members.collect::<Result<_, _>>()?,
+            targets.readable,
+        );
+        Ok((list, targets.faults))
+    }
+}
+
 impl From<&published_list::PublishedList> for List {
     fn from(list: &published_list::PublishedList) -> Self {
         Self {
