One item of the store that cannot be read ends the reading of all

What callers would have seen: a daemon that no longer follows the store, while that says nothing is wrong: servers that left still get requests, new settings are not in force, and a daemon that starts serves nobody.

Cause: pages and watch replies were decoded as a whole. An item without a key, with a key that is no text, or with a value of another type failed each call; each full read and each watch was then repeated for as long as the item was there.

--- a/crates/relay/tests/direct/odd_entries.rs
+++ b/crates/relay/tests/direct/odd_entries.rs
@@ -128,3 +128,26 @@
     }
     assert_eq!(statuses, [200; 20]);
 }
+
+/// A daemon that retries the whole answer again and again learns of no change.
+#[tokio::test]
+async fn the_list_is_followed_past_an_item_that_is_none() {
+    let (platform, daemon) = start_one().await;
+    for is_full_read in [false, true] {
+        for odd in [
+            r#"{"value": ""}"#,
+            r#"{"key": 5}"#,
+            r#"{"key": "x", "value": [[]]}"#,
+        ] {
+            platform.store.put_odd_item(odd);
+        }
+        platform.list_target(&platform.plain[0], "other", "ready");
+        if is_full_read {
+            platform.store.compact_history();
+        }
+        wait_until("the items are read", || has_read(&platform, &daemon)).await;
+        assert!(is_ready_with(&daemon, 8), "the odd items name no target");
+    }
+    let second = platform.daemon(2, &[]).await;
+    complete_answer_to(&ClientRequest::new("/once/"), &second).await;
+}
