A log line quotes an odd entry in full, and 4096 such lines may wait

What operators would have seen: memory of the daemon that grows by gigabytes while its output is read slowly, since the queue of lines is bounded by their number only. An entry whose `state` or other field is a text of a megabyte is quoted in the warning that it cannot be used, each time that another writer writes it.

The message and each field of a line are now cut after 4096 characters, in the one place that formats all lines.

--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -58,6 +58,23 @@
     assert_eq!(line, expected);
 }
 
+/// The queue of lines is bounded by their number, so each has to be bounded, too.
+#[test]
+fn a_line_stays_short_whatever_it_quotes() {
+    let text = "\u{e9}".repeat(1 << 20);
+    let fields = [("target", log::kv::Value::from(text.as_str()))];
+    for format in [logs::format_text, logs::format_json] {
+        let mut record = Record::builder();
+        record.key_values(&fields);
+        let line = format(
+            &record.args(format_args!("unknown state `{text}`")).build(),
+            7,
+        );
+        assert!(line.len() < 20_000, "{} bytes", line.len());
+        assert!(line.contains("unknown state `\u{e9}\u{e9}"));
+    }
+}
+
 /// Returns addresses that no other test uses: the loopback address is derived
 /// from the process id, and the ports are below the ephemeral range.
 fn addresses() -> [SocketAddr; 4] {
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -34,9 +34,12 @@
     "gooseberry_relay",
     "gooseberry_connectors",
 ];
-/// The capacity of the queue to standard output, in lines; about a megabyte.
+/// The capacity of the queue to standard output, in lines; usually about a megabyte.
 const QUEUE_MAX_LINES: usize = 4096;
 
+/// The most characters of a message or a field. They may quote what other processes sent.
+const VALUE_MAX_CHARS: usize = 4096;
+
 /// The number of lines dropped since the last report of drops in the log.
 static DROPPED_UNREPORTED: AtomicU64 = AtomicU64::new(0);
 /// The number of lines dropped since the start.
@@ -126,7 +129,7 @@
 #[must_use]
 pub fn format_text(record: &Record<'_>, time_ms: u64) -> String {
     let mut line = format!("{time_ms} {:5} {}:", record.level(), record.target());
-    let message = record.args().to_string();
+    let message = bounded(record.args().to_string());
     // Escapes control characters, so that a message stays on one line.
     let printable = message.chars().flat_map(|character| {
         let is_control = character.is_control();
@@ -150,15 +153,27 @@
     line.insert("time_ms".to_owned(), json!(time_ms));
     line.insert("level".to_owned(), json!(record.level().as_str()));
     line.insert("target".to_owned(), json!(record.target()));
-    line.insert("message".to_owned(), json!(record.args().to_string()));
+    line.insert(
+        "message".to_owned(),
+        json!(bounded(record.args().to_string())),
+    );
     serde_json::Value::Object(line).to_string()
 }
 
+/// Cuts a text that is too long for a line.
+fn bounded(mut text: String) -> String {
+    if let Some((end, _)) = text.char_indices().nth(VALUE_MAX_CHARS) {
+        text.truncate(end);
+        text.push_str("...");
+    }
+    text
+}
+
 struct TextFields(String);
 
 impl<'kvs> VisitSource<'kvs> for TextFields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = value.to_string();
+        let value = bounded(value.to_string());
         let is_plain = value
             .chars()
             .all(|character| character.is_ascii_graphic() && character != '"');
@@ -179,7 +194,7 @@
         let boolean = value.to_bool().map(serde_json::Value::from);
         let json_value = number
             .or(boolean)
-            .unwrap_or_else(|| value.to_string().into());
+            .unwrap_or_else(|| bounded(value.to_string()).into());
         self.0.insert(key.to_string(), json_value);
         Ok(())
     }
