A limit that was named under an odd `born` displaces that of the server's run

What callers would have seen: a server in need that gets more than its Server-Limit. If another writer gives the entry of a server a far later `born` for a moment, and an answer names a limit meanwhile, the observation of that "run" goes before that of the true one in each merge, so that the limit doesn't hold at the daemons that were told of it, for as long as any daemon passes it on. Shown in the kernel only; no fleet has been seen in this state.

Before the fix, in the same test:

a_limit_of_the_listed_run_holds_against_that_of_a_later_one: assertion `left == right` failed, left: None, right: Some(Rate(1000))

What is known of the listed run now goes before what is known of others, in both directions. Between other runs, and for targets that are not listed, the order stays.

--- a/crates/kernel/src/target/rate_limit.rs
+++ b/crates/kernel/src/target/rate_limit.rs
@@ -159,14 +159,18 @@
         })
     }
 
-    /// Merges what a peer has observed; returns what has changed.
-    pub fn merge(&mut self, observation: Observation) -> Option<Change> {
-        if let Ok(index) = self.find(&observation.target) {
-            let known = &self.limits[index].observation;
-            let known = (known.started, known.seen_at);
-            if known >= (observation.started, observation.seen_at) {
-                return None;
-            }
+    /// Merges what a peer has observed; returns what has changed. What is known of the
+    /// listed run, which started at `listed`, goes before what is known of others: an entry
+    /// of another writer may have stated any start.
+    pub fn merge(&mut self, observation: Observation, listed: Option<u64>) -> Option<Change> {
+        let rank = |observation: &Observation| {
+            let is_listed = Some(observation.started) == listed;
+            (is_listed, observation.started, observation.seen_at)
+        };
+        if let Ok(index) = self.find(&observation.target)
+            && rank(&self.limits[index].observation) >= rank(&observation)
+        {
+            return None;
         }
         self.apply(observation)
     }
--- a/crates/kernel/tests/direct/extremes.rs
+++ b/crates/kernel/tests/direct/extremes.rs
@@ -110,12 +110,13 @@
         let mut parts = PartQuarantine::default();
         for _ in 0..draw.int_in_range(1..=8)? {
             let now = time(draw)?;
-            limits.merge(Observation {
+            let observation = Observation {
                 target: target.name.clone(),
                 started: draw.int_in_range(0..=2)?,
                 rate: draw.arbitrary::<bool>()?.then_some(Rate(number(draw)?)),
                 seen_at: now - time(draw)?,
-            });
+            };
+            limits.merge(observation, draw.arbitrary()?);
             let share = limits.rate(&target);
             limits.set_share(&target.name, share, now);
             let _ = limits.next_send(&target, share, now).is_due(now);
--- a/crates/kernel/tests/direct/rate_limit.rs
+++ b/crates/kernel/tests/direct/rate_limit.rs
@@ -141,28 +141,43 @@
     assert_eq!(limits.rate(&target(1)), None);
 }
 
-#[test]
-fn a_limit_that_a_peer_tells_of_holds_unless_older_news() {
-    let told = |rate: Option<Rate>, started, seen_at| Observation {
+fn told(rate: Option<Rate>, started: u64, seen_at: u64) -> Observation {
+    Observation {
         target: name::Target::new("t"),
         started,
         rate,
         seen_at: Millis(seen_at),
-    };
+    }
+}
+
+#[test]
+fn a_limit_that_a_peer_tells_of_holds_unless_older_news() {
     let mut limits = RateLimits::default();
-    let named = limits.merge(told(Some(Rate(1_000)), 1, 500));
+    let named = limits.merge(told(Some(Rate(1_000)), 1, 500), None);
     assert_eq!(named, Some(Change::Named(Rate(1_000))));
-    assert_eq!(limits.merge(told(None, 1, 400)), None);
-    assert_eq!(limits.merge(told(None, 0, 900)), None);
+    assert_eq!(limits.merge(told(None, 1, 400), None), None);
+    assert_eq!(limits.merge(told(None, 0, 900), None), None);
     assert_eq!(limits.rate(&target(1)), Some(Rate(1_000)));
-    assert_eq!(limits.merge(told(None, 1, 600)), Some(Change::Ended));
+    assert_eq!(limits.merge(told(None, 1, 600), None), Some(Change::Ended));
     // What has ended is still passed on, and outweighs older news.
     assert_eq!(limits.for_greeting(), [told(None, 1, 600)]);
-    assert_eq!(limits.merge(told(Some(Rate(1_000)), 1, 500)), None);
+    assert_eq!(limits.merge(told(Some(Rate(1_000)), 1, 500), None), None);
     limits.expire(|_| true, Millis(600_000));
     assert!(limits.for_greeting().is_empty());
 }
 
+/// An odd entry may have stated for a moment that the target started in the far future.
+#[test]
+fn a_limit_of_the_listed_run_holds_against_that_of_a_later_one() {
+    let mut limits = RateLimits::default();
+    let [limit, odd] = [1, u64::MAX].map(|started| told(Some(Rate(1_000)), started, 500));
+    limits.merge(odd.clone(), Some(u64::MAX));
+    limits.merge(limit, Some(1));
+    assert_eq!(limits.rate(&target(1)), Some(Rate(1_000)));
+    limits.merge(odd, Some(1));
+    assert_eq!(limits.rate(&target(1)), Some(Rate(1_000)));
+}
+
 #[test]
 fn a_limit_of_zero_lets_a_request_through_now_and_then() {
     let mut limits = RateLimits::default();
--- a/crates/relay/src/state/share.rs
+++ b/crates/relay/src/state/share.rs
@@ -193,7 +193,9 @@
     pub fn merge_rate_limits(&mut self, observations: impl IntoIterator<Item = Observation>) {
         for observation in observations {
             let target = observation.target.clone();
-            if let Some(change) = self.rate_limits.merge(observation) {
+            let listed = self.targets.get(&target);
+            let started = listed.map(|listed| listed.target.started);
+            if let Some(change) = self.rate_limits.merge(observation, started) {
                 log::info!(target:% = target, change:?; "a peer tells of a change of a target's rate limit");
             }
         }
