--- a/crates/wire/src/entries.rs
+++ b/crates/wire/src/entries.rs
@@ -21,6 +21,15 @@
     pub faults: Vec<CompactString>,
 }
 
+impl<T> Default for Entries<T> {
+    fn default() -> Self {
+        Self {
+            readable: Vec::new(),
+            faults: Vec::new(),
+        }
+    }
+}
+
 impl<T> Entries<T> {
     /// Converts the entries. Those that cannot be converted join the unreadable ones.
     #[must_use]
@@ -38,8 +47,8 @@
         faults: Vec<CompactString>,
     ) -> Self {
         let mut collected = Self {
-            readable: Vec::new(),
             faults,
+            ..Self::default()
         };
         for entry in entries {
             match entry {
