--- a/crates/relay/tests/direct/odd_entries.rs
+++ b/crates/relay/tests/direct/odd_entries.rs
@@ -9,7 +9,9 @@
 use crate::platform::answer_to;
 use crate::platform::complete_answer_to;
 use crate::platform::is_ready_with;
+use crate::platform::start_daemon;
 use crate::platform::start_one;
+use crate::platform::unused_ip;
 use crate::platform::wait_until;
 
 /// Writes odd values under a key, the last of which stays.
@@ -151,3 +153,24 @@
     let second = platform.daemon(2, &[]).await;
     complete_answer_to(&ClientRequest::new("/once/"), &second).await;
 }
+
+#[tokio::test]
+async fn odd_entries_that_a_peer_passes_on_do_not_stop_its_changes() {
+    let (platform, daemon) = start_one().await;
+    let peer = daemon.context().boot.peer_address;
+    let unreachable = (unused_ip(), 1).into();
+    let follower = start_daemon(2, &[peer], unreachable).await;
+    wait_until("the follower is ready", || is_ready_with(&follower, 8)).await;
+    for number in 0..5 {
+        put_odd_values(&platform.store, &format!("servers/{number}"));
+        let nested = "[".repeat(1_000_000);
+        platform
+            .store
+            .put(&format!("servers/deep-{number}"), &nested);
+    }
+    platform.list_target(&platform.engines[0], "plain", "draining");
+    platform.store.remove("servers/plain-2");
+    wait_until("the entries are read", || has_read(&platform, &follower)).await;
+    wait_until("the changes are known", || is_ready_with(&follower, 7)).await;
+    complete_answer_to(&ClientRequest::new("/read/"), &follower).await;
+}
