--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -33,4 +33,5 @@
 mod streams;
 mod unframed_answers;
 mod version_evidence;
+mod version_review;
 mod versions;
