What the targets of an old list hold no longer shows where a stream began

Callers would have seen: a stream that goes on at another version (ORDER), if its client's first attempt ran at the former version without reaching the client, the second one at a newer version, and the client came back at a daemon that is cut off; or, on a route that is split over services, one that goes on at another service.

Cause: the result of the question to the store was not used. A daemon that is cut off asked the targets that it knew, and one of them held the prompt. A witness that knew a stream of another service looked for its only version here.

The second was found by reading.

Why it works: a daemon that may be cut off from all others takes only the run of the named attempt for evidence, not its prompt, and asks the other daemons if it finds none.

--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -41,6 +41,7 @@
 use crate::peers::greeting::apply_heartbeat;
 use crate::peers::greeting::message;
 use crate::resumption;
+use crate::resumption::Asker;
 
 /// Accepts connections of peers and answers their calls, for as long as the
 /// process runs.
@@ -188,7 +189,8 @@
         trace: Trace,
     ) -> Finding {
         let service = name::Service::new(&service);
-        let finding = resumption::find_version(&self.context, &service, &trace.into()).await;
+        let trace = trace.into();
+        let finding = resumption::find_version(&self.context, &service, &trace, Asker::Peer).await;
         finding.into()
     }
 
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -177,7 +177,7 @@
     for witness in witnesses.into_iter().take(WITNESSES_ASKED).chain([None]) {
         let answer = match witness {
             Some(peer) => context.peers.stream_version(peer, service, &trace).await,
-            None => Ok(find_version(context, service, &trace).await),
+            None => Ok(find_version(context, service, &trace, Asker::Own).await),
         };
         log::info!(
             request:% = job.head.attempt,
@@ -199,24 +199,48 @@
     }
 }
 
+/// Who asks a daemon where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Asker {
+    /// A peer, with which this daemon is in contact.
+    Peer,
+    /// This daemon itself, which may be cut off from all others.
+    Own,
+}
+
 /// Returns at which version of a service the stream with this trace began, as far as this
 /// daemon or the targets know.
 pub(crate) async fn find_version(
     context: &Arc<Context>,
     service: &name::Service,
     trace: &Trace,
+    asker: Asker,
 ) -> Finding {
     let resumed_at = context.now();
     let origin = context.state().origins().get(&trace.attempt).cloned();
-    if let Some(origin) = origin.filter(|origin| origin.service == *service) {
-        return Finding::Version(origin.version);
+    match origin {
+        Some(origin) if origin.service == *service => return Finding::Version(origin.version),
+        // It began at another service of its route.
+        Some(_) => return Finding::NotFound,
+        None => {}
     }
     // The target that wrote the stream may not be listed here yet.
-    context.store_checker.bring_up_to(context, resumed_at).await;
+    let is_current = context.store_checker.bring_up_to(context, resumed_at).await;
     let versions = context.state().versions(service, context.now());
-    match versions.only_one(resumed_at) {
-        Some(version) => Finding::Version(version.clone()),
-        None => survey::find(context, service, trace).await,
+    if let Some(version) = versions.only_one(resumed_at) {
+        return Finding::Version(version.clone());
+    }
+    if is_current || asker == Asker::Peer {
+        return survey::find(context, service, trace).await;
+    }
+    // A target that is not listed may hold the same prompt, but not the same run.
+    let run = Trace {
+        part: None,
+        ..trace.clone()
+    };
+    match survey::find(context, service, &run).await {
+        Finding::NotFound => Finding::Unanswered,
+        finding => finding,
     }
 }
 
