A version that came and went between two reads of the list counts as seen

Callers would have seen: a stream that goes on at another version (ORDER), if the target that began it joined and left while their daemon was cut off.

Cause: of several changes of an entry only the last one took effect, and a removal of a target that was never listed had none. Its version was unknown, so the list seemed to have had one version all the time.

Why it works: the versions of entries that are replaced within what was read are remembered like those that were listed. If only the removal is left, as in what peers pass on, the list counts as complete only from then on.

--- a/crates/kernel/src/fleet/mirror.rs
+++ b/crates/kernel/src/fleet/mirror.rs
@@ -176,6 +176,12 @@
         entry.value.as_deref()
     }
 
+    /// Returns whether a key has an entry or the tombstone of one.
+    #[must_use]
+    pub fn has_seen(&self, key: &str) -> bool {
+        self.find(key).is_ok()
+    }
+
     /// Returns the existing keys with this prefix, in order.
     pub fn keys<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a str> {
         let start = self.entries.partition_point(|entry| *entry.key < *prefix);
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -178,7 +178,8 @@
         self.remember_version(gone, now);
     }
 
-    fn remember_version(&mut self, former: Target, now: Millis) {
+    /// Remembers the version of a target that has served and does so no more.
+    pub fn remember_version(&mut self, former: Target, now: Millis) {
         self.former_versions.retain(|one| {
             let is_same = one.service == former.service && one.version == former.version;
             one.until > now && !is_same
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -202,6 +202,7 @@
     /// the peer that sent it.
     pub fn apply_contents(&mut self, contents: Contents, source: &str, now: Millis) {
         let former = self.replica.position();
+        self.remember_passed_versions(&contents, now);
         let update = self.replica.apply(contents);
         if update.has_gap {
             self.listed_since = Some(now);
@@ -219,6 +220,29 @@
         self.hand_out_all(now);
     }
 
+    /// Remembers the versions of targets that came and went within these contents. A removal
+    /// alone does not say of which version the target was.
+    fn remember_passed_versions(&mut self, contents: &Contents, now: Millis) {
+        let entries = &contents.changes.entries;
+        for (index, entry) in entries.iter().enumerate() {
+            let Some(name) = entry.key.strip_prefix(target_entry::KEY_PREFIX) else {
+                continue;
+            };
+            match &entry.value {
+                Some(value) => {
+                    let mut later = entries[index + 1..].iter();
+                    if later.any(|later| later.key == entry.key)
+                        && let Ok(target) = target_entry::decode(name, value)
+                    {
+                        self.targets.remember_version(target, now);
+                    }
+                }
+                None if self.replica.mirror().has_seen(&entry.key) => {}
+                None => self.listed_since = Some(now),
+            }
+        }
+    }
+
     /// Keeps in force what was withdrawn before the store came back from an older copy,
     /// and targets usable that the copy may lack.
     fn begin_era(&mut self, former: Position, source: &str, now: Millis) {
