Requests share no connection with calls that have no id

What callers saw: a request that must not run twice was answered 503 though its target ran it (REFUSED), or ran at a second target too (TWICE), after a target had sent its refusal of a stage call once more, late. A copy of a stage answer with results cost a request a 502.

Cause: the pool knew connections by their target only. A stage call's connection went back to it after an answer of any status, and the next request could get it. The copy names no attempt, so that a 503 with `Not-Executed`, or a 421, counted as that request's own.

Why it works: a connection has a lane.

--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -43,6 +43,7 @@
 use crate::http_server::ResponseBody;
 use crate::link;
 use crate::pool::IDLE_MAX;
+use crate::pool::Lane;
 use crate::state::Need;
 use crate::state::PickedTarget;
 
@@ -183,6 +184,7 @@
     let callee = Callee {
         target: target.clone(),
         address: picked.address,
+        lane: Lane::Requests,
         idle_max: if call.runs_once {
             RUN_ONCE_IDLE_MAX
         } else {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::exchange::notice::record_notice_of_peer;
 use crate::exchange::pending_reply::PendingReply;
 use crate::pool::IDLE_MAX;
+use crate::pool::Lane;
 
 /// How long it may take to connect to a target.
 ///
@@ -86,6 +87,8 @@
     pub target: name::Target,
     /// The address on which it listens.
     pub address: SocketAddr,
+    /// The calls whose connections it may use.
+    pub lane: Lane,
     /// How long a pooled connection may have been idle.
     pub idle_max: Millis,
     /// Whether the request must not run twice. A new connection is then checked
@@ -102,6 +105,7 @@
         Self {
             target,
             address,
+            lane: Lane::Calls,
             idle_max: IDLE_MAX,
             runs_once: false,
             is_detour: false,
@@ -146,7 +150,7 @@
         // is cloned to be sent again over a new one.
         let pooled = context
             .pool
-            .take(&callee.target, callee.idle_max, context.now());
+            .take(&callee.target, callee.lane, callee.idle_max, context.now());
         let is_pooled = pooled.is_some();
         let retry_request = is_pooled.then(|| request.clone());
         let connection = match pooled {
@@ -277,9 +281,10 @@
             if connection.ready().await.is_ok() {
                 let now = context.now();
                 let count_max = context.state().idle_connections(&callee.target, now);
+                let (target, lane) = (&callee.target, callee.lane);
                 context
                     .pool
-                    .put(&callee.target, connection, keep_alive, count_max, now);
+                    .put(target, lane, connection, keep_alive, count_max, now);
             }
         });
     }
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -30,6 +30,7 @@
 use crate::forward::deadline_passed;
 use crate::link;
 use crate::pool::IDLE_MAX;
+use crate::pool::Lane;
 use crate::stages;
 use crate::state::PickedTarget;
 
@@ -195,6 +196,7 @@
         let callee = Callee {
             target: picked.target.clone(),
             address: picked.address,
+            lane: Lane::Requests,
             idle_max: if is_repeatable {
                 IDLE_MAX
             } else {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -2,6 +2,10 @@
 //!
 //! Connections are looked up by the target's name and not by its address: the
 //! address of a target that is gone may soon belong to another one.
+//!
+//! A faulty target may send a reply twice, and the second copy comes where the reply to the
+//! next call on the connection is expected. It must not be taken for that reply, so only
+//! calls of one [`Lane`] follow one another on a connection.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,10 +20,21 @@
 /// How long an idle connection is kept at most.
 pub const IDLE_MAX: Millis = Millis(20_000);
 
+/// The calls that may use a connection one after the other, by what tells their replies
+/// apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// Requests of clients: a reply names its attempt.
+    Requests,
+    /// Calls of this daemon's own, which have no id.
+    Calls,
+}
+
 /// A connection that no call is using.
 #[derive(Debug)]
 struct IdleConnection {
     target: name::Target,
+    lane: Lane,
     http_connection: HttpConnection,
     /// When it became idle.
     since: Millis,
@@ -34,18 +49,21 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection to a target that has been idle for
-    /// at most `idle_max`.
+    /// Takes the most recently used connection to a target for calls of a lane that has
+    /// been idle for at most `idle_max`.
     pub fn take(
         &self,
         target: &name::Target,
+        lane: Lane,
         idle_max: Millis,
         now: Millis,
     ) -> Option<HttpConnection> {
         let mut idle = self.lock();
         idle.retain(|connection| !connection.http_connection.is_closed() && connection.until > now);
         let is_usable = |connection: &IdleConnection| {
-            connection.target == *target && connection.since + idle_max >= now
+            connection.target == *target
+                && connection.lane == lane
+                && connection.since + idle_max >= now
         };
         let index = idle.iter().rposition(is_usable)?;
         Some(idle.remove(index).http_connection)
@@ -57,6 +75,7 @@
     pub fn put(
         &self,
         target: &name::Target,
+        lane: Lane,
         http_connection: HttpConnection,
         keep_alive: Option<Millis>,
         count_max: usize,
@@ -77,6 +96,7 @@
         }
         idle.push(IdleConnection {
             target: target.clone(),
+            lane,
             http_connection,
             since: now,
             until: now + keep_alive.min(IDLE_MAX),
