Owner path: a connection on which another call's answer came is not used again

What callers saw: after one late second copy of an answer, each later call on its connection failed (502, outcome unknown), though the target ran it, until the connection ended.

Cause: `Client::call` discards an answer that echoes another attempt, but hyper's pool reads a short body to its end and keeps the connection. The answer to that call is still to come, and meets the next one. Nothing was mixed or counted as not run, since the echo is compared.

Evidence: connectors/tests/late_copies.rs, six calls in turn, one copy as the second call of a connection comes; the numbers of the calls that failed:

left: [2, 3, 4, 5, 6] right: [2, 4, 6]

Why it works: the connection is poisoned, so that the pool hands it out no more. `process::results` still passes.

--- a/crates/connectors/src/target.rs
+++ b/crates/connectors/src/target.rs
@@ -28,6 +28,7 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::capture_connection;
 
 use crate::connector;
 use crate::deadline_body::DeadlineBody;
@@ -87,12 +88,21 @@
     ///
     /// There is no time limit; the caller sets one.
     pub async fn call(&self, call: &Call) -> Reply {
-        let Some(request) = build_request(call) else {
+        let Some(mut request) = build_request(call) else {
             return Reply::failed(Kind::Internal.into(), TargetSignal::Refused(None));
         };
         let is_late = request.body().late_flag();
+        let connection = capture_connection(&mut request);
         match self.http.request(request).await {
-            Ok(response) => read_reply(call, response).await,
+            Ok(response) => {
+                if !is_echoed(call, response.headers()) {
+                    // The reply to this call is still to come.
+                    if let Some(connected) = &*connection.connection_metadata() {
+                        connected.poison();
+                    }
+                }
+                read_reply(call, response).await
+            }
             Err(_) if is_late.load(Ordering::Acquire) => {
                 Reply::failed(Kind::NoRight.into(), TargetSignal::NotSent)
             }
@@ -134,8 +144,7 @@
 async fn read_reply(call: &Call, response: http::Response<Incoming>) -> Reply {
     let (head, body) = response.into_parts();
     let report = read_report(&head.headers);
-    let echoed: Option<id::Attempt> = header::read(&head.headers, header::ATTEMPT);
-    if echoed != Some(call.attempt) {
+    if !is_echoed(call, &head.headers) {
         let mut reply = Reply::failed(Kind::TargetFailed.into(), TargetSignal::Foreign);
         reply.is_foreign = true;
         return reply;
@@ -160,6 +169,11 @@
     }
 }
 
+/// Returns whether a reply belongs to a call.
+fn is_echoed(call: &Call, headers: &HeaderMap) -> bool {
+    header::read(headers, header::ATTEMPT) == Some(call.attempt)
+}
+
 fn refusal(headers: &HeaderMap, report: Option<ReportedState>) -> Reply {
     let mut failure = Failure::from(Kind::TargetFailed);
     let outcome = header::read(headers, header::OUTCOME);
