A connection is kept only after an answer that no other can be taken for

What callers saw: 200 for requests that ran with the stage results of other requests (MIXED), dozens after two late copies of answers.

Cause: a second copy was looked for only among stage answers with handles, but the connection went back to the pool after any answer: one without handles, a 503, a 500, one of another length, one that could not be parsed, and those to reports, frees and surveys. A copy of such an answer was taken for the next one, and all later answers of the channel moved by one. Results were then known by their number only.

Why it works: a stage call's connection is kept only after an answer with handles, of which no two are the same, so that its copy is recognised by any later call of the lane. Calls whose answers have nothing of the kind get a connection of their own, which is closed after them.

Reports, frees and surveys that fail are logged with the target's name.

--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -184,7 +184,7 @@
     let callee = Callee {
         target: target.clone(),
         address: picked.address,
-        lane: Lane::Requests,
+        lane: Some(Lane::Requests),
         idle_max: if call.runs_once {
             RUN_ONCE_IDLE_MAX
         } else {
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -304,12 +304,15 @@
             .flatten()
             .flatten()
             .any(|result| matches!(result, PieceResult::Handle(_)));
-        // No two results have the same handle, so a copy has those of other pieces.
-        if has_handles && !exchange.record_unique_reply(&body) {
-            let why = "a second copy of an earlier reply came".to_owned();
-            return Err(crate::exchange::Error::Broken(why));
+        // No two results have the same handle, so a copy has those of other pieces. A copy
+        // of a reply without any could not be told from the reply to the next call.
+        if has_handles {
+            if !exchange.record_unique_reply(&body) {
+                let why = "a second copy of an earlier reply came".to_owned();
+                return Err(crate::exchange::Error::Broken(why));
+            }
+            exchange.release(context, None);
         }
-        exchange.release(context, None);
         Ok::<_, crate::exchange::Error>((status, piece_results))
     });
     match exchanged.await {
--- a/crates/relay/src/dispatcher/result_memory.rs
+++ b/crates/relay/src/dispatcher/result_memory.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Context as _;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::stage::batch_queue::TargetReport;
@@ -15,8 +16,8 @@
 use crate::dispatcher::ResultOwner;
 use crate::dispatcher::call::RESPONSE_MAX_BYTES;
 use crate::dispatcher::service_dispatch::dispatch_of;
+use crate::exchange;
 use crate::exchange::Callee;
-use crate::exchange::Exchange;
 
 /// How long a target may take to report its memory use.
 const USAGE_QUERY_TIMEOUT: Duration = Duration::from_millis(200);
@@ -58,21 +59,22 @@
     target: &name::Target,
 ) -> Option<TargetReport> {
     let address = context.state().address(target)?;
-    let callee = Callee::of_stage(target.clone(), address);
     if context.state().has_rate_limit(target) {
         return None;
     }
     let request = stage_call::memory_report_request(&address.to_string(), target).ok()?;
     let query = timeout(USAGE_QUERY_TIMEOUT, async {
-        let mut exchange = Exchange::begin(context, &callee, request).await.ok()?;
-        let body = exchange
-            .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
-            .await
-            .ok()?;
-        exchange.release(context, None);
-        stage_call::read_memory_report(&body).ok()
+        let callee = Callee::of_call(target.clone(), address);
+        let body = exchange::call_alone(context, &callee, request, RESPONSE_MAX_BYTES).await?;
+        stage_call::read_memory_report(&body)
     });
-    let report = query.await.ok().flatten()?;
+    let report = match query.await.context("no reply in time").flatten() {
+        Ok(report) => report,
+        Err(error) => {
+            log::info!(target:% = target; "a target did not report its memory use: {error:#}");
+            return None;
+        }
+    };
     Some(TargetReport {
         target: target.clone(),
         kept_bytes: spec.result_capacity_bytes.saturating_sub(report.free_bytes),
@@ -117,21 +119,14 @@
     address: SocketAddr,
     handles: &[name::Handle],
 ) {
-    let callee = Callee::of_stage(target, address);
+    let callee = Callee::of_call(target, address);
     let Ok(request) = stage_call::free_request(handles, &address.to_string(), &callee.target)
     else {
         return;
     };
-    let freed = timeout(FREE_TIMEOUT, async {
-        let mut exchange = Exchange::begin(context, &callee, request).await?;
-        exchange
-            .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
-            .await?;
-        exchange.release(context, None);
-        Ok::<_, crate::exchange::Error>(())
-    });
-    // Results that are not freed expire at their target.
-    if !matches!(freed.await, Ok(Ok(()))) {
-        log::debug!(target:% = callee.target, results = handles.len(); "the target did not free the results; they will expire there");
+    let freeing = exchange::call_alone(context, &callee, request, RESPONSE_MAX_BYTES);
+    let freed = timeout(FREE_TIMEOUT, freeing).await;
+    if let Err(error) = freed.context("no reply in time").flatten() {
+        log::info!(target:% = callee.target, results = handles.len(); "the target did not free the results, which expire there: {error:#}");
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::ensure;
 use bytes::Bytes;
 use gooseberry_connectors::http_connection;
 use gooseberry_connectors::http_connection::HttpConnection;
@@ -87,8 +88,9 @@
     pub target: name::Target,
     /// The address on which it listens.
     pub address: SocketAddr,
-    /// The calls whose connections it may use.
-    pub lane: Lane,
+    /// The calls whose connections it may use. `None` if nothing tells its reply from a
+    /// copy of an earlier one: it gets a new connection, which no other call uses after it.
+    pub lane: Option<Lane>,
     /// How long a pooled connection may have been idle.
     pub idle_max: Millis,
     /// Whether the request must not run twice. A new connection is then checked
@@ -99,13 +101,24 @@
 }
 
 impl Callee {
-    /// Returns a target of a stage service; calls to it may be repeated.
+    /// Returns a target of a stage service that is called for pieces; such calls may be
+    /// repeated.
     #[must_use]
     pub fn of_stage(target: name::Target, address: SocketAddr) -> Self {
+        Self {
+            lane: Some(Lane::Pieces),
+            ..Self::of_call(target, address)
+        }
+    }
+
+    /// Returns a target that is told or asked something; such calls may be repeated, and
+    /// their replies do not say to which call they belong.
+    #[must_use]
+    pub fn of_call(target: name::Target, address: SocketAddr) -> Self {
         Self {
             target,
             address,
-            lane: Lane::Calls,
+            lane: None,
             idle_max: IDLE_MAX,
             runs_once: false,
             is_detour: false,
@@ -117,7 +130,7 @@
     pub fn of_detour(target: name::Target, peer: SocketAddr) -> Self {
         Self {
             is_detour: true,
-            ..Self::of_stage(target, peer)
+            ..Self::of_call(target, peer)
         }
     }
 }
@@ -148,9 +161,11 @@
     ) -> Result<Self, Error> {
         // A pooled connection may have been closed by the target, so the request
         // is cloned to be sent again over a new one.
-        let pooled = context
-            .pool
-            .take(&callee.target, callee.lane, callee.idle_max, context.now());
+        let pooled = callee.lane.and_then(|lane| {
+            let now = context.now();
+            let pool = &context.pool;
+            pool.take(&callee.target, lane, callee.idle_max, now)
+        });
         let is_pooled = pooled.is_some();
         let retry_request = is_pooled.then(|| request.clone());
         let connection = match pooled {
@@ -263,15 +278,20 @@
         Ok(whole.into())
     }
 
-    /// Returns the connection to the pool; the reply must have been read whole.
-    /// `keep_alive` is how long the target keeps idle connections, if it says so.
+    /// Returns the connection to the pool. The reply must have been read whole, and it must
+    /// differ from those that may follow on the connection by what its lane names: a second
+    /// copy may come in place of the next reply. `keep_alive` is how long the target keeps
+    /// idle connections, if it says so.
     pub fn release(self, context: &Arc<Context>, keep_alive: Option<Millis>) {
         let Self {
             callee,
             mut connection,
             ..
         } = self;
-        if callee.is_detour || connection.recorded_replies() >= RECORDED_REPLIES_MAX {
+        let Some(lane) = callee.lane else {
+            return;
+        };
+        if connection.recorded_replies() >= RECORDED_REPLIES_MAX {
             return;
         }
         let context = context.clone();
@@ -281,7 +301,7 @@
             if connection.ready().await.is_ok() {
                 let now = context.now();
                 let count_max = context.state().idle_connections(&callee.target, now);
-                let (target, lane) = (&callee.target, callee.lane);
+                let target = &callee.target;
                 context
                     .pool
                     .put(target, lane, connection, keep_alive, count_max, now);
@@ -290,6 +310,23 @@
     }
 }
 
+/// Makes a call whose reply does not say to which call it belongs, and returns the body of
+/// at most `max_bytes`. Its connection is closed then.
+pub(crate) async fn call_alone(
+    context: &Arc<Context>,
+    callee: &Callee,
+    request: Request<Full<Bytes>>,
+    max_bytes: usize,
+) -> anyhow::Result<Bytes> {
+    let exchange = Exchange::begin(context, callee, request).await;
+    let mut exchange = exchange.map_err(|error| anyhow::anyhow!("{error}"))?;
+    let status = exchange.status;
+    ensure!(status == StatusCode::OK, "status {status}");
+    let mut memory = context.reply_memory.reply();
+    let body = exchange.read_all(max_bytes, &mut memory).await;
+    body.map_err(|error| anyhow::anyhow!("{error}"))
+}
+
 /// Checks that the target has not asked for a pause since it was chosen.
 fn check_not_paused(context: &Context, target: &name::Target) -> Result<(), Error> {
     match context.state().paused_until(target, context.now()) {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -196,7 +196,7 @@
         let callee = Callee {
             target: picked.target.clone(),
             address: picked.address,
-            lane: Lane::Requests,
+            lane: Some(Lane::Requests),
             idle_max: if is_repeatable {
                 IDLE_MAX
             } else {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,7 +5,8 @@
 //!
 //! A faulty target may send a reply twice, and the second copy comes where the reply to the
 //! next call on the connection is expected. It must not be taken for that reply, so only
-//! calls of one [`Lane`] follow one another on a connection.
+//! calls of one [`Lane`] follow one another on a connection, and only after a reply that
+//! can be told from all that may follow it.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -26,8 +27,8 @@
 pub enum Lane {
     /// Requests of clients: a reply names its attempt.
     Requests,
-    /// Calls of this daemon's own, which have no id.
-    Calls,
+    /// Calls for pieces: a reply with results has handles that no other reply has.
+    Pieces,
 }
 
 /// A connection that no call is using.
--- a/crates/relay/src/resumption/survey.rs
+++ b/crates/relay/src/resumption/survey.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use anyhow::ensure;
-use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
 use gooseberry_kernel::name;
@@ -15,14 +13,11 @@
 use gooseberry_kernel::request::stream_trace::Step;
 use gooseberry_kernel::request::stream_trace::Trace;
 use gooseberry_platform::prompt_memory;
-use http::Request;
-use http::StatusCode;
-use http_body_util::Full;
 use tokio::time::timeout;
 
 use crate::context::Context;
+use crate::exchange;
 use crate::exchange::Callee;
-use crate::exchange::Exchange;
 
 /// How long a target may take to answer both calls. Engines answer between two steps, in
 /// some ten milliseconds; a client waits for the answer.
@@ -92,7 +87,7 @@
     match answered.context("no answer in time").flatten() {
         Ok(memory) => Some(memory),
         Err(error) => {
-            log::debug!(target:% = holder.name; "a target did not say which streams it has written: {error:#}");
+            log::info!(target:% = holder.name; "a target did not say which streams it has written: {error:#}");
             None
         }
     }
@@ -103,32 +98,15 @@
 async fn read_memory(context: &Arc<Context>, holder: &Holder) -> anyhow::Result<Memory> {
     let host = holder.address.to_string();
     let runs = prompt_memory::runs_request(&host, &holder.name)?;
-    let runs = prompt_memory::read_runs(&call(context, holder, runs).await?)?;
+    let callee = Callee::of_call(holder.name.clone(), holder.address);
+    let runs = exchange::call_alone(context, &callee, runs, ANSWER_MAX_BYTES).await?;
+    let runs = prompt_memory::read_runs(&runs)?;
     let parts = prompt_memory::list_request(&host, &holder.name)?;
-    let parts = prompt_memory::read_list(&call(context, holder, parts).await?)?;
+    let parts = exchange::call_alone(context, &callee, parts, ANSWER_MAX_BYTES).await?;
+    let parts = prompt_memory::read_list(&parts)?;
     Ok(Memory {
         version: holder.version.clone(),
         runs,
         parts,
     })
 }
-
-async fn call(
-    context: &Arc<Context>,
-    holder: &Holder,
-    request: Request<Full<Bytes>>,
-) -> anyhow::Result<Bytes> {
-    let callee = Callee::of_stage(holder.name.clone(), holder.address);
-    let exchange = Exchange::begin(context, &callee, request).await;
-    let mut exchange = exchange.map_err(|error| anyhow::anyhow!("{error}"))?;
-    ensure!(
-        exchange.status == StatusCode::OK,
-        "status {}",
-        exchange.status
-    );
-    let mut memory = context.reply_memory.reply();
-    let body = exchange.read_all(ANSWER_MAX_BYTES, &mut memory).await;
-    let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
-    exchange.release(context, None);
-    Ok(body)
-}
--- a/crates/relay/tests/direct/repeated_answers.rs
+++ b/crates/relay/tests/direct/repeated_answers.rs
@@ -194,6 +194,76 @@
 
 const REPORT: &str = "{\"waiting\": 0, \"busy\": false, \"free_mb\": 9}";
 
+/// Answers to the first call to a path, of which no request may be told apart.
+fn indistinct_answers() -> Vec<(&'static str, String)> {
+    let run = "/v1/stage-run";
+    let failed = |reason: &str| {
+        let items = vec![format!("{{\"reason\": \"{reason}\"}}"); 8].join(",");
+        (
+            run,
+            answer("200 OK", "", &format!("{{\"items\": [{items}]}}")),
+        )
+    };
+    let handles =
+        "{\"items\": [{\"handle\": \"h/1\"},{\"handle\": \"h/2\"},{\"handle\": \"h/3\"}]}";
+    let full = |status: &str| (run, answer(status, "Not-Executed: 1\r\n", "full"));
+    vec![
+        failed("error"),
+        failed("late"),
+        failed("room"),
+        full("503 Service Unavailable"),
+        full("429 Too Many Requests"),
+        full("421 Misdirected Request"),
+        (run, answer("500 Internal Server Error", "", "")),
+        (run, answer("200 OK", "", "{}")),
+        (run, answer("200 OK", "", handles)),
+        ("/v1/report", answer("200 OK", "", REPORT)),
+        (
+            "/v1/report",
+            answer("503 Service Unavailable", "Not-Executed: 1\r\n", ""),
+        ),
+        ("/v1/stage-free", answer("200 OK", "", "{}")),
+        (
+            "/v1/stage-free",
+            answer("503 Service Unavailable", "Not-Executed: 1\r\n", ""),
+        ),
+    ]
+}
+
+/// Has some requests run at a time, each with a full call, and returns how many ran and how
+/// many of those were given results of others.
+async fn count_mixed(path: &'static str, first: String) -> (usize, usize) {
+    let target = late_copier("twice-1", path, first).await;
+    let (platform, daemon) = start_with("first", SETTINGS, &[&target]).await;
+    let sending = (0..12).map(async |number| {
+        sleep(WORK / 2 * number).await;
+        let key = format!("key-{number}");
+        let client = ClientRequest::new("/long/").with_stage_pieces("8");
+        answer_to(&client.clone().with("Piece-Key", &key), &daemon).await;
+        (client.attempt, format!("{}/{key}/", target.address))
+    });
+    let own = join_all(sending).await;
+    let runs: Vec<_> = platform.engines.iter().flat_map(Target::received).collect();
+    let mixed = runs.iter().filter(|run| {
+        let is_own = |(attempt, _): &&(String, String)| run.header("Attempt-Id") == attempt;
+        let mut handles = run.header("Inputs").split(',');
+        let own = own.iter().find(is_own);
+        own.is_none_or(|(_, own)| handles.any(|handle| !handle.starts_with(own)))
+    });
+    (runs.len(), mixed.count())
+}
+
+#[tokio::test]
+async fn no_request_gets_the_results_of_another_after_a_copy_of_an_indistinct_answer() {
+    let cases = indistinct_answers();
+    let counts = cases
+        .iter()
+        .map(|(path, first)| count_mixed(path, first.clone()));
+    let counts = join_all(counts).await;
+    let is_sound = |(ran, mixed): &(usize, usize)| *ran > 0 && *mixed == 0;
+    assert!(counts.iter().all(is_sound), "{counts:?}");
+}
+
 /// Settings by which the plain service also computes the pieces of a stage.
 fn shared_service() -> String {
     let pieces = "\"pieces\": {\"slots\": 1, \"queue\": 2, \"batch\": 8, \"call_ms\": 40, \
