A connection that fails without a call is logged with its target

Bytes that follow an answer, or come while a connection is idle, end the connection; the log had that at trace level only, with the address. It is logged once for each connection, with the target's name.

--- a/crates/connectors/src/http_connection.rs
+++ b/crates/connectors/src/http_connection.rs
@@ -67,6 +67,15 @@
     /// # Errors
     /// Returns an error if the connection is not made within the limit.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        Self::open_to(&address.to_string(), address, limit).await
+    }
+
+    /// Connects to a server, whose name is logged if the connection fails while no call
+    /// waits for a reply.
+    ///
+    /// # Errors
+    /// Returns an error if the connection is not made within the limit.
+    pub async fn open_to(server: &str, address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let connecting = timeout(limit, TcpStream::connect(address));
         let stream = connecting
             .await
@@ -80,9 +89,10 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
+        let server = server.to_owned();
         let running = tokio::spawn(async move {
             if let Err(error) = connection.await {
-                log::trace!("a connection to {address} failed: {error}");
+                log::info!(server:%, address:%; "a connection failed, and is closed: {error}");
             }
         });
         Ok(Self {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -351,7 +351,8 @@
 
 async fn open(context: &Context, callee: &Callee) -> Result<HttpConnection, Error> {
     context.metrics.connection();
-    let opened = HttpConnection::open(callee.address, CONNECT_TIMEOUT).await;
+    let (name, address) = (callee.target.as_str(), callee.address);
+    let opened = HttpConnection::open_to(name, address, CONNECT_TIMEOUT).await;
     opened.map_err(|error| Error::NotSent(error.to_string()))
 }
 
