Calls that free results keep their connections

Nothing in a reply to such a call is used, so that a copy of an earlier one does no harm among them: they get a lane of their own.

--- a/crates/relay/src/dispatcher/result_memory.rs
+++ b/crates/relay/src/dispatcher/result_memory.rs
@@ -18,6 +18,7 @@
 use crate::dispatcher::service_dispatch::dispatch_of;
 use crate::exchange;
 use crate::exchange::Callee;
+use crate::pool::Lane;
 
 /// How long a target may take to report its memory use.
 const USAGE_QUERY_TIMEOUT: Duration = Duration::from_millis(200);
@@ -65,7 +66,7 @@
     let request = stage_call::memory_report_request(&address.to_string(), target).ok()?;
     let query = timeout(USAGE_QUERY_TIMEOUT, async {
         let callee = Callee::of_call(target.clone(), address);
-        let body = exchange::call_alone(context, &callee, request, RESPONSE_MAX_BYTES).await?;
+        let body = exchange::call(context, &callee, request, RESPONSE_MAX_BYTES).await?;
         stage_call::read_memory_report(&body)
     });
     let report = match query.await.context("no reply in time").flatten() {
@@ -119,12 +120,15 @@
     address: SocketAddr,
     handles: &[name::Handle],
 ) {
-    let callee = Callee::of_call(target, address);
+    let callee = Callee {
+        lane: Some(Lane::Frees),
+        ..Callee::of_call(target, address)
+    };
     let Ok(request) = stage_call::free_request(handles, &address.to_string(), &callee.target)
     else {
         return;
     };
-    let freeing = exchange::call_alone(context, &callee, request, RESPONSE_MAX_BYTES);
+    let freeing = exchange::call(context, &callee, request, RESPONSE_MAX_BYTES);
     let freed = timeout(FREE_TIMEOUT, freeing).await;
     if let Err(error) = freed.context("no reply in time").flatten() {
         log::info!(target:% = callee.target, results = handles.len(); "the target did not free the results, which expire there: {error:#}");
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -311,8 +311,8 @@
 }
 
 /// Makes a call whose reply does not say to which call it belongs, and returns the body of
-/// at most `max_bytes`. Its connection is closed then.
-pub(crate) async fn call_alone(
+/// at most `max_bytes`. Its connection is closed then, unless the call has a lane.
+pub(crate) async fn call(
     context: &Arc<Context>,
     callee: &Callee,
     request: Request<Full<Bytes>>,
@@ -324,7 +324,9 @@
     ensure!(status == StatusCode::OK, "status {status}");
     let mut memory = context.reply_memory.reply();
     let body = exchange.read_all(max_bytes, &mut memory).await;
-    body.map_err(|error| anyhow::anyhow!("{error}"))
+    let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
+    exchange.release(context, None);
+    Ok(body)
 }
 
 /// Checks that the target has not asked for a pause since it was chosen.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -29,6 +29,8 @@
     Requests,
     /// Calls for pieces: a reply with results has handles that no other reply has.
     Pieces,
+    /// Calls that free results: nothing in a reply is used.
+    Frees,
 }
 
 /// A connection that no call is using.
--- a/crates/relay/src/resumption/survey.rs
+++ b/crates/relay/src/resumption/survey.rs
@@ -99,10 +99,10 @@
     let host = holder.address.to_string();
     let runs = prompt_memory::runs_request(&host, &holder.name)?;
     let callee = Callee::of_call(holder.name.clone(), holder.address);
-    let runs = exchange::call_alone(context, &callee, runs, ANSWER_MAX_BYTES).await?;
+    let runs = exchange::call(context, &callee, runs, ANSWER_MAX_BYTES).await?;
     let runs = prompt_memory::read_runs(&runs)?;
     let parts = prompt_memory::list_request(&host, &holder.name)?;
-    let parts = exchange::call_alone(context, &callee, parts, ANSWER_MAX_BYTES).await?;
+    let parts = exchange::call(context, &callee, parts, ANSWER_MAX_BYTES).await?;
     let parts = prompt_memory::read_list(&parts)?;
     Ok(Memory {
         version: holder.version.clone(),
