Daemons of the former build are not asked what they take for proof

During an upgrade, the daemon that has run longest is asked first where a stream began, and that is one of the former build. Found by the review, by reading. Only daemons of version 5 are asked; those that keep origins are asked in all builds.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -71,8 +71,9 @@
 const HEARTBEAT_VERSION: u32 = 2;
 /// The version from which on peers have the calls `place` and `finished`.
 const PLACEMENT_VERSION: u32 = 3;
-/// The version from which on peers have the call `stream_version`.
-const TRACE_VERSION: u32 = 4;
+/// The version from which on peers may be asked for `stream_version`: those of version 4 take
+/// an old list for proof.
+const TRACE_VERSION: u32 = 5;
 /// The version of peers that do not have the call that asks for it.
 const FORMER_VERSION: u32 = 0;
 /// The error of a call to a peer that did not answer.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -91,13 +91,14 @@
     /// from until lately. It is made only of daemons of version 3.
     async fn ledger(service: CompactString, group: u32) -> Vec<EngineSummary>;
     /// Returns at which version of a service the stream with this trace began, as far as the
-    /// daemon or the targets know. It is made only of daemons of version 4.
+    /// daemon or the targets know. It is made only of daemons of version 5: those of version 4
+    /// take an old list for proof.
     async fn stream_version(service: CompactString, trace: Trace) -> Finding;
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
 /// that have it.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// A heartbeat with membership state, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
