Requests that wait for their turn under a rate limit are answered at a stop

What callers saw: a daemon that was stopped while requests waited for their turn under the rate limits of all targets ended 7.7 s after SIGTERM and closed their connections without an answer, though they had been sent to no target.

The cause: each wait before a request is sent had to look at the shutdown by itself, and `Pick::Booked` slept without doing so. The waits now go through `Shutdown::wait_unsent`, which ends them with a refusal 300 ms before the end: the turn under a rate limit, the queue of a service, and the stages. The turn is the only one that changes.

Other waits, by reading: the placer is asked for at most 40 ms. The search for the origin of a stream takes up to 2 s, and a stream is admitted during a shutdown only if its objective and 4.2 s are left. A body that is not whole and a request that a target has are still cut at the end.

The requests whose turn is in the last 300 ms are refused like those in the queue. In the ordinary run the new test failed before:

tests/direct/rate_limits.rs:272: expect("an answer") rate_limits::a_stop_answers_all_that_wait_for_their_turn_under_a_rate_limit test result: FAILED. 1 passed; 1 failed

--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -67,10 +67,9 @@
         };
         let running_stages = stages::run(context, job, plan, domain.as_ref());
         let time_limit = Duration::from_millis((end - now).0);
-        let results = tokio::select! {
-            results = timeout(time_limit, running_stages) => results.map_err(|_| Failure::from(Kind::QueueFull))?,
-            () = context.shutdown.wait_until_unsent_refused() => Err(Kind::ShuttingDown.into()),
-        };
+        let running_stages = timeout(time_limit, running_stages);
+        let results = context.shutdown.wait_unsent(running_stages).await?;
+        let results = results.map_err(|_| Failure::from(Kind::QueueFull))?;
         self.results = Some(results?);
         self.preferred_domain = domain;
         Ok(())
--- a/crates/relay/src/forward/pick.rs
+++ b/crates/relay/src/forward/pick.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::request::routing_table::ServiceKind;
 use gooseberry_kernel::request::wait_queue::Ticket;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::context::Context;
 use crate::state::Admission;
@@ -60,7 +61,8 @@
             }
             Pick::Booked(picked, at) => {
                 context.metrics.rate_limited("booked");
-                sleep(Duration::from_millis((at - now).0)).await;
+                let turn = sleep(Duration::from_millis((at - now).0));
+                context.shutdown.wait_unsent(turn).await?;
                 let now = context.now();
                 let mut state = context.state();
                 if state.begin_booked(&picked, need.service, now) {
@@ -102,12 +104,12 @@
     if seat.must_sweep {
         tokio::spawn(sweep(context.clone(), need.service.name.clone()));
     }
-    let failure = tokio::select! {
-        biased;
-        () = seat.wake.notified() => None,
-        () = sleep(Duration::from_millis((deadline - entered).0)) => Some(Kind::TooLate),
-        // The process ends before these requests could be served.
-        () = context.shutdown.wait_until_unsent_refused() => Some(Kind::ShuttingDown),
+    let time_limit = Duration::from_millis((deadline - entered).0);
+    let woken = timeout(time_limit, seat.wake.notified());
+    let failure = match context.shutdown.wait_unsent(woken).await {
+        Ok(Ok(())) => None,
+        Ok(Err(_)) => Some(Kind::TooLate),
+        Err(failure) => Some(failure.kind),
     };
     // A place that came too late goes to the next request.
     let is_too_late = context.now() >= deadline;
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -1,5 +1,7 @@
 //! Tells the requests of a daemon that is shutting down how much time is left.
 
+use gooseberry_kernel::answer::Failure;
+use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use tokio::sync::watch;
 
@@ -38,12 +40,20 @@
         *self.ends_at.borrow()
     }
 
-    /// Waits until requests that have not been sent to a target must be refused.
-    pub async fn wait_until_unsent_refused(&self) {
+    /// Waits for something that a request needs before it is sent to a target.
+    ///
+    /// # Errors
+    /// Returns [`Kind::ShuttingDown`] once such requests must be refused, since the daemon
+    /// would end before they could be served.
+    pub async fn wait_unsent<T>(&self, wait: impl Future<Output = T>) -> Result<T, Failure> {
         let mut refuses_unsent = self.refuses_unsent.subscribe();
-        // The sender lives as long as this value, so the wait cannot fail.
-        let _ = refuses_unsent
-            .wait_for(|refuses_unsent| *refuses_unsent)
-            .await;
+        tokio::select! {
+            biased;
+            output = wait => Ok(output),
+            // The sender lives as long as this value, so this cannot fail.
+            _ = refuses_unsent.wait_for(|refuses_unsent| *refuses_unsent) => {
+                Err(Kind::ShuttingDown.into())
+            }
+        }
     }
 }
--- a/crates/relay/tests/direct/rate_limits.rs
+++ b/crates/relay/tests/direct/rate_limits.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use gooseberry_kernel::name;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -15,6 +17,7 @@
 use crate::platform::answer_to;
 use crate::platform::client_address;
 use crate::platform::is_ready_with;
+use crate::platform::wait_for_status;
 use crate::platform::wait_until;
 
 /// The limit of the targets in the tests, in requests a second.
@@ -226,3 +229,48 @@
     assert_eq!(platform.runs(&resumed.attempt), 0, "{answer:?}");
     assert_eq!(answer.status, 503);
 }
+
+/// Guards against a stop that cuts the requests that wait for their turn.
+#[tokio::test]
+async fn a_stop_answers_all_that_wait_for_their_turn_under_a_rate_limit() {
+    let platform = TestPlatform::start().await;
+    let patient = r#""routes": [
+    {"name": "r-patient", "host": "a.example", "prefix": "/patient/", "kind": "idempotent",
+     "timeout_ms": 20000, "target_latency_ms": 5000, "service": "plain", "max_attempts": 1},"#;
+    let settings = SETTINGS.replacen("\"routes\": [", patient, 1);
+    platform.store.put("op/config", &settings);
+    let daemon = platform.daemon(1, &[]).await;
+    for target in &platform.plain {
+        target.add_headers(&[("Server-Limit", "0.5")]);
+    }
+    let context = daemon.context();
+    wait_for_status(&daemon, || ClientRequest::new("/patient/"), 200).await;
+    let booked = || {
+        let text = context.metrics.text().expect("it is encoded");
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let name = "gooseberry_relay_rate_limited_total{end=\"booked\"} ";
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(0, |value| value.parse::<u32>().expect("it is a count"))
+    };
+    let mut sent = Vec::new();
+    while booked() < 4 {
+        let client = ClientRequest::new("/patient/").with("Deadline-Ms", "15000");
+        let address = client_address(&daemon);
+        sent.push(tokio::spawn(async move { client.send(address).await }));
+        sleep(Duration::from_millis(20)).await;
+        assert!(sent.len() < 100, "no request waits for its turn");
+    }
+    daemon.shut_down().await;
+    assert!(sent.iter().all(JoinHandle::is_finished));
+    let mut refused = 0;
+    for answer in join_all(sent).await {
+        let answer = answer.expect("no panic").expect("an answer");
+        let status = answer.status;
+        assert!(
+            matches!(status, 200 | 503) && answer.is_complete,
+            "{answer:?}"
+        );
+        refused += usize::from(status == 503);
+    }
+    assert!(refused > 0, "all had their turn before the end");
+}
