--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -68,15 +68,19 @@
         };
         let running_stages = stages::run(context, job, plan, domain.as_ref());
         let time_limit = Duration::from_millis((end - now).0);
-        let results = tokio::select! {
-            results = timeout(time_limit, running_stages) => results.map_err(|_| Failure::from(Kind::QueueFull))?,
-            () = context.shutdown.wait_until_unsent_refused() => Err(Kind::ShuttingDown.into()),
-        };
+        let running_stages = timeout(time_limit, running_stages);
+        let results = context.shutdown.wait_unsent(running_stages).await?;
+        let results = results.map_err(|_| Failure::from(Kind::QueueFull))?;
         self.results = Some(results?);
         self.preferred_domain = domain;
         Ok(())
     }
 
+    /// Returns whether there are results for another target, or the stages may run for it.
+    pub(super) fn may_run_stages(&self) -> bool {
+        self.plan.is_none() || self.results.is_some() || self.stage_runs < STAGE_RUNS_MAX
+    }
+
     /// Sends the request until a target's reply begins.
     pub(super) async fn send(&mut self) -> Result<StartedReply, Failure> {
         let mut last_failure: Option<Failure> = None;
