--- a/crates/relay/tests/direct/version_review.rs
+++ b/crates/relay/tests/direct/stale_lists.rs
@@ -1,12 +1,11 @@
-//! Review of issue 45: orders of events in which the evidence of a stream's version fails.
+//! Streams that clients resume while their daemon's list of targets is old, or while the store
+//! is slow or silent.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gooseberry_kernel::name;
 use gooseberry_kernel::request::stream_origin::MEMORY;
 use gooseberry_platform_standin::client::ClientRequest;
-use gooseberry_platform_standin::partition::Gateway;
 use gooseberry_platform_standin::partition::Partition;
 use gooseberry_platform_standin::store::Mode as StoreMode;
 use gooseberry_platform_standin::target::Mode;
@@ -25,12 +24,9 @@
 use crate::platform::start_daemon;
 use crate::platform::unused_ip;
 use crate::platform::wait_until;
-
-fn usable_engines(daemon: &Daemon) -> usize {
-    let now = daemon.context().now();
-    let service = name::Service::new("engine");
-    daemon.context().state().stage_targets(&service, now).len()
-}
+use crate::version_evidence::lone_daemon;
+use crate::version_evidence::resumed;
+use crate::version_evidence::usable_engines;
 
 fn list_as(platform: &TestPlatform, target: &Target, version: &str, born: u64) {
     let entry = target.entry("engine", "z-1", "ready");
@@ -46,23 +42,6 @@
     of_attempt.count()
 }
 
-fn resumed(attempt: &str) -> ClientRequest {
-    ClientRequest::new("/resume/")
-        .with_stage_pieces("")
-        .with("Last-Event-Id", "2")
-        .with("Resumes", attempt)
-}
-
-/// Starts a daemon that no other one knows and that reads the store through a proxy.
-async fn lone_daemon(platform: &TestPlatform) -> (Daemon, Gateway) {
-    let address = SocketAddr::from((unused_ip(), 9_100));
-    let gateway = Gateway::start(address, platform.store.address);
-    let gateway = gateway.expect("the port is free");
-    let daemon = start_daemon(2, &[], gateway.address).await;
-    wait_until("the daemon is ready", || usable_engines(&daemon) == 2).await;
-    (daemon, gateway)
-}
-
 /// Begins a stream at one of these targets and breaks it off; returns its attempt.
 async fn broken_stream(targets: &[&Target], daemon: &Daemon) -> String {
     for target in targets {
@@ -99,7 +78,7 @@
         platform.list_target(engine, "engine", "ready");
     }
     store.set(Partition::None);
-    let client = resumed(&attempt);
+    let client = resumed("/resume/", &attempt);
     let answer = answer_to(&client, &behind).await;
     let older: usize = platform
         .engines
@@ -119,7 +98,7 @@
     store.set(Partition::Silent);
     list_as(&platform, first, "v2", 5);
     list_as(&platform, second, "v2", 5);
-    let client = resumed(&attempt);
+    let client = resumed("/resume/", &attempt);
     let answer = answer_to(&client, &behind).await;
     let newer = runs(first, &client.attempt) + runs(second, &client.attempt);
     assert_eq!(newer, 0, "{answer:?}");
@@ -152,7 +131,7 @@
     let before = platform.store.call_count();
     let mut answers = Vec::new();
     for number in 0..STREAMS {
-        let client = resumed(&format!("gone-{number}"));
+        let client = resumed("/resume/", &format!("gone-{number}"));
         let address = client_address(&daemon);
         answers.push(tokio::spawn(async move { client.send(address).await }));
         sleep(Duration::from_millis(10)).await;
@@ -264,7 +243,7 @@
     sleep(Duration::from_millis(MEMORY.0)).await;
     let mut answers = Vec::new();
     for number in 0..STREAMS {
-        let client = resumed(&format!("of-a-daemon-that-was-lost-{number}"));
+        let client = resumed("/resume/", &format!("of-a-daemon-that-was-lost-{number}"));
         let address = client_address(&daemon);
         answers.push(tokio::spawn(async move { client.send(address).await }));
         sleep(Duration::from_millis(10)).await;
--- a/crates/relay/tests/direct/version_evidence.rs
+++ b/crates/relay/tests/direct/version_evidence.rs
@@ -62,7 +62,7 @@
     }
 }
 
-fn usable_engines(daemon: &Daemon) -> usize {
+pub fn usable_engines(daemon: &Daemon) -> usize {
     let now = daemon.context().now();
     let service = name::Service::new("engine");
     daemon.context().state().stage_targets(&service, now).len()
@@ -72,7 +72,8 @@
     wait_until("the release is known", || usable_engines(daemon) == 1).await;
 }
 
-fn resumed(path: &str, attempt: &str) -> ClientRequest {
+/// Returns a request that resumes the stream of an attempt after two events.
+pub fn resumed(path: &str, attempt: &str) -> ClientRequest {
     ClientRequest::new(path)
         .with_stage_pieces(if path == "/long/" { "1" } else { "" })
         .with("Last-Event-Id", "2")
@@ -131,9 +132,9 @@
 }
 
 /// Starts a daemon that no other one knows and that reads the store through a proxy.
-async fn lone_daemon(release: &Release) -> (Daemon, Gateway) {
+pub async fn lone_daemon(platform: &TestPlatform) -> (Daemon, Gateway) {
     let address = SocketAddr::from((unused_ip(), 9_100));
-    let gateway = Gateway::start(address, release.platform.store.address);
+    let gateway = Gateway::start(address, platform.store.address);
     let gateway = gateway.expect("the port is free");
     let daemon = start_daemon(2, &[], gateway.address).await;
     wait_until("the daemon is ready", || usable_engines(&daemon) == 2).await;
@@ -143,7 +144,7 @@
 #[tokio::test]
 async fn a_daemon_that_is_cut_off_does_not_take_the_version_it_knows_for_that_of_a_stream() {
     let release = Release::prepare().await;
-    let (behind, store) = lone_daemon(&release).await;
+    let (behind, store) = lone_daemon(&release.platform).await;
     let attempt = stream_behind_a_cut(&release, &behind, &store).await;
     let client = resumed("/resume/", &attempt);
     let answer = answer_to(&client, &behind).await;
@@ -155,7 +156,7 @@
 #[tokio::test]
 async fn a_daemon_whose_list_is_behind_learns_of_a_version_before_it_resumes_its_streams() {
     let release = Release::prepare().await;
-    let (behind, store) = lone_daemon(&release).await;
+    let (behind, store) = lone_daemon(&release.platform).await;
     let attempt = stream_behind_a_cut(&release, &behind, &store).await;
     let client = resumed("/resume/", &attempt);
     // The connection of its watch stays silent for some time more.
