Log and count where the way of a resumed stream ends

The logs told that a stream broke off, not at which step going on with it failed: that failure became an error of the body, which nothing logs.

--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -243,15 +243,48 @@
             "a stream broke off: {why}"
         );
         if !may_resume {
-            return Err(io::Error::other("the stream broke off"));
+            return Err(self.give_up("not-allowed", "it may not be sent again"));
         }
-        let started = self.send().await;
-        let started = started.map_err(|failure| io::Error::other(failure.to_string()))?;
-        if !started.reply.status.is_success() {
-            return Err(io::Error::other("the stream could not be resumed"));
+        let sends = self.sends;
+        match self.send().await {
+            Ok(started) if started.reply.status.is_success() => {
+                self.context.metrics.resumption("resumed");
+                self.begin_reply(started);
+                Ok(())
+            }
+            Ok(started) => {
+                let target = &started.exchange.callee.target;
+                let why = format!("{target} answered with {}", started.reply.status);
+                Err(self.give_up("target-failed", &why))
+            }
+            Err(failure) if self.sends == sends => {
+                Err(self.give_up("not-sent", &failure.to_string()))
+            }
+            Err(failure) => Err(self.give_up("unanswered", &failure.to_string())),
         }
-        self.begin_reply(started);
-        Ok(())
+    }
+
+    /// Logs and counts that a stream does not go on, with what a change of the settings or a
+    /// shutdown would show. Returns the error that ends the answer.
+    fn give_up(&self, end: &str, why: &str) -> io::Error {
+        self.context.metrics.resumption(end);
+        let (version, is_leaving) = {
+            let state = self.context.state();
+            let version = state.routing_table().map(|table| table.version);
+            (version, state.is_leaving())
+        };
+        log::info!(
+            request:% = self.job.head.attempt,
+            end,
+            events = self.events.count(),
+            sends = self.sends,
+            stage_runs = self.stage_runs,
+            settings_version:? = version,
+            is_leaving,
+            left_ms = (self.job.deadline - self.context.now()).0;
+            "a stream is not resumed: {why}"
+        );
+        io::Error::other(why.to_owned())
     }
 
     /// Remembers where the stream began, for this daemon and for those at which its
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -32,6 +32,7 @@
     registry: Registry,
     requests: IntCounterVec,
     streams: IntCounterVec,
+    resumptions: IntCounterVec,
     retries: IntCounterVec,
     rate_limited: IntCounterVec,
     queue: Queue,
@@ -76,6 +77,11 @@
             "Complete streams by whether their first event, a gap or both were late.",
             &["late"],
         )?;
+        let resumptions = counters(
+            "gooseberry_relay_resumptions_total",
+            "Streams that broke off or paused, by whether another target went on with them, or why not.",
+            &["end"],
+        )?;
         let retries = counters(
             "gooseberry_relay_repeats_total",
             "Requests that were sent again, by reason.",
@@ -137,6 +143,7 @@
             registry,
             requests,
             streams,
+            resumptions,
             retries,
             rate_limited,
             queue,
@@ -173,6 +180,11 @@
         self.latency("stream", "gap", longest_gap);
     }
 
+    /// Counts a stream that broke off or paused; `end` says whether it goes on, or why not.
+    pub fn resumption(&self, end: &str) {
+        self.resumptions.with_label_values(&[end]).inc();
+    }
+
     /// Counts a request that is sent again.
     pub fn retry(&self, reason: &str) {
         self.retries.with_label_values(&[reason]).inc();
