--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -256,6 +256,48 @@
     assert_eq!(metric(&daemon, retries), 0);
 }
 
+/// Has the engine with a stream pause before event 3, and the other targets handle what they
+/// are sent then in this mode.
+async fn answer_of_paused(client: &ClientRequest, others: Mode) -> (TestPlatform, Answer) {
+    let (platform, daemon) = start_one().await;
+    queue_mode(&platform, Mode::PauseBefore(3, 1_900));
+    let set_others = async {
+        wait_until("an engine has the request", || {
+            platform.runs(&client.attempt) > 0
+        })
+        .await;
+        for target in platform.engines.iter().chain(&platform.first) {
+            target.clear_modes();
+            target.queue_modes(&[others; 8]);
+        }
+    };
+    let answer = tokio::join!(answer_to(client, &daemon), set_others).0;
+    (platform, answer)
+}
+
+/// Guards against streams that are closed for silence before another target has them.
+#[tokio::test]
+async fn a_paused_stream_that_the_next_target_does_not_take_goes_on_at_the_first() {
+    for mode in [Mode::NotRun, Mode::NoAnswer, Mode::Error, Mode::Unsigned] {
+        let client = ClientRequest::new("/resume/").with_stage_pieces("");
+        let (_, answer) = answer_of_paused(&client, mode).await;
+        assert_eq!(answer.body, all_events(), "{mode:?}");
+        assert!(answer.is_complete, "{mode:?}");
+    }
+}
+
+/// Guards against streams that are closed for silence before their stages have run again.
+#[tokio::test]
+async fn a_paused_stream_whose_stages_are_refused_goes_on_at_its_target() {
+    for mode in [Mode::Unmade("error"), Mode::NoAnswer] {
+        let client = ClientRequest::new("/long/").with_stage_pieces("1");
+        let (platform, answer) = answer_of_paused(&client, mode).await;
+        assert_eq!(answer.body, all_events(), "{mode:?}");
+        assert!(answer.is_complete, "{mode:?}");
+        assert_eq!(platform.runs(&client.attempt), 1);
+    }
+}
+
 /// Guards against a limit on silence after which a stream ends without a use to anyone.
 #[tokio::test]
 async fn a_stream_that_pauses_for_long_at_its_last_target_is_not_cut() {
