A paused stream is kept until another target has sent an event

Cause: after 1.5 s of silence the daemon closed the connection to the target and then ran the stages again, waited for a target and sent. Whatever refused the stream on this way ended the answer: a full stage queue, a target, the retry budget. Class: giving up what works before there is something better.

Why it works: the first connection is kept and read while the stages run and the stream is sent. The target that sends an event first goes on; the other connection is closed then. Events and ids come from one target at any moment, since each side has its own buffer until then. The retry is taken from the budget just before the send, and nothing that was not sent counts; searches that fail come at doubling intervals, or after the Retry-After of a refusal.

--- a/crates/kernel/src/request/retry_budget.rs
+++ b/crates/kernel/src/request/retry_budget.rs
@@ -49,6 +49,15 @@
     retries: u64,
 }
 
+/// What a retry is taken from.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    /// The ratio of the daemon's requests.
+    Ratio,
+    /// What it has saved up of the slack.
+    Slack(Allowance),
+}
+
 #[derive(Clone, Debug)]
 struct ServiceUsage {
     service: name::Service,
@@ -114,6 +123,32 @@
         slack_share: Option<Rate>,
         now: Millis,
     ) -> bool {
+        match self.source(service, slack_share, now) {
+            Some(Source::Ratio) => self.bucket(service, now).retries += 1,
+            Some(Source::Slack(slack)) => self.usage(service).slack = Some(slack.spent()),
+            None => return false,
+        }
+        true
+    }
+
+    /// Returns whether a retry to the service would be allowed now; counts nothing. The
+    /// parameters are those of [`RetryBudget::try_spend`].
+    pub fn has_left(
+        &mut self,
+        service: &name::Service,
+        slack_share: Option<Rate>,
+        now: Millis,
+    ) -> bool {
+        self.source(service, slack_share, now).is_some()
+    }
+
+    /// Returns what a retry would be taken from.
+    fn source(
+        &mut self,
+        service: &name::Service,
+        slack_share: Option<Rate>,
+        now: Millis,
+    ) -> Option<Source> {
         let newest = self.bucket_number(now);
         let oldest = newest.saturating_sub(KEPT_BUCKETS as u64 - 1);
         let oldest_of_requests = newest.saturating_sub(BUCKETS as u64 - 1);
@@ -132,14 +167,10 @@
             }
         }
         if retries < requests * limits.retries_per_thousand / 1000 {
-            self.bucket(service, now).retries += 1;
-            return true;
+            return Some(Source::Ratio);
         }
         let slack = slack.filter(|slack| slack.next_at(now) <= now);
-        if let Some(slack) = slack {
-            self.usage(service).slack = Some(slack.spent());
-        }
-        slack.is_some()
+        slack.map(Source::Slack)
     }
 
     /// Returns the services for which requests were counted.
--- a/crates/kernel/tests/direct/retry_budget.rs
+++ b/crates/kernel/tests/direct/retry_budget.rs
@@ -34,7 +34,12 @@
 
 fn spend_all(budget: &mut RetryBudget, service: &name::Service, share: Rate, now: Millis) -> usize {
     (0..1_000)
-        .take_while(|_| budget.try_spend(service, Some(share), now))
+        .take_while(|_| {
+            let has_left = budget.has_left(service, Some(share), now);
+            let is_spent = budget.try_spend(service, Some(share), now);
+            assert_eq!(is_spent, has_left);
+            is_spent
+        })
         .count()
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -9,14 +9,18 @@
 //! - `detour` sends the request through a peer if this daemon reaches no target.
 //! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
+//! - `retry` asks the retry budget.
 //! - `stream` passes on a stream of events, and resumes a broken one.
+//! - `successor` hands a paused stream over to another target.
 
 mod attempt;
 mod crash;
 mod detour;
 pub(crate) mod pick;
 mod placement;
+mod retry;
 mod stream;
+mod successor;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,13 +48,14 @@
 use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::exchange::Exchange;
+use crate::forward::pick::InFlightGuard;
+use crate::forward::retry::Retry;
 use crate::forward::stream::Pause;
 use crate::http_server;
 use crate::http_server::ResponseBody;
 use crate::placement::PlacedRequest;
 use crate::request::Job;
 use crate::stages::Results;
-use crate::state::PickedTarget;
 
 /// The largest response that is not a stream, in bytes; usual ones are a few
 /// kilobytes.
@@ -79,7 +84,8 @@
         tried_detours: Vec::new(),
         sends: 0,
         last_send: None,
-        retry_allowed_at: None,
+        retry: Retry::None,
+        is_sending: false,
         possible_runs: 0,
         events,
         current: None,
@@ -115,8 +121,10 @@
     sends: u32,
     /// The run of the target to which it was sent last, and when.
     last_send: Option<(Run, Millis)>,
-    /// When the retry budget allowed the next send, if it is a retry.
-    retry_allowed_at: Option<Millis>,
+    /// Whether the next send is a retry.
+    retry: Retry,
+    /// Whether it is being sent, and the reply has not begun.
+    is_sending: bool,
     /// How many targets may have run it.
     possible_runs: u32,
     /// The events of a stream that were passed on.
@@ -145,30 +153,6 @@
     _in_flight_guard: Option<InFlightGuard>,
 }
 
-/// Counts a request as in flight at its target until it is dropped.
-pub(crate) struct InFlightGuard {
-    context: Arc<Context>,
-    picked: PickedTarget,
-}
-
-impl InFlightGuard {
-    /// Creates the guard of a request that [`State::pick`](crate::state::State::pick) has
-    /// counted.
-    pub(crate) fn new(context: &Arc<Context>, picked: &PickedTarget) -> Self {
-        Self {
-            context: context.clone(),
-            picked: picked.clone(),
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let now = self.context.now();
-        self.context.state().record_request_end(&self.picked, now);
-    }
-}
-
 /// The outcome of sending a request to one target.
 enum SendOutcome {
     /// The target's reply has begun.
@@ -206,7 +190,7 @@
             };
             let status = started.reply.status;
             let head = reply_head(&started);
-            self.begin_reply(started);
+            self.begin_reply(*started);
             if self.job.route.form == ResponseForm::Stream && status.is_success() {
                 return match self.next_events().await {
                     Some(Ok(first)) => {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -10,7 +10,6 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
-use gooseberry_kernel::request::retry_budget::SEND_DELAY_MAX;
 use gooseberry_platform::target;
 use gooseberry_platform::target::CallParameters;
 use gooseberry_platform::target::Validity;
@@ -24,10 +23,10 @@
 use crate::exchange::Exchange;
 use crate::exchange::RUN_ONCE_IDLE_MAX;
 use crate::forward::Forwarder;
-use crate::forward::InFlightGuard;
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
 use crate::forward::deadline_passed;
+use crate::forward::pick::InFlightGuard;
 use crate::link;
 use crate::pool::IDLE_MAX;
 use crate::pool::Lane;
@@ -82,7 +81,7 @@
     }
 
     /// Sends the request until a target's reply begins.
-    pub(super) async fn send(&mut self) -> Result<StartedReply, Failure> {
+    pub(super) async fn send(&mut self) -> Result<Box<StartedReply>, Failure> {
         let mut last_failure: Option<Failure> = None;
         loop {
             self.ensure_stages()
@@ -105,15 +104,17 @@
                 self.abandon(&path);
                 return Err(self.quarantine_failure());
             }
+            self.is_sending = true;
             let outcome = match path {
                 Path::Direct(picked) => self.send_once(picked).await,
                 Path::Detour(peer) => self.send_by_detour(peer).await,
             };
+            self.is_sending = false;
             self.record_placed_outcome(&outcome);
             match outcome {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
-                    return Ok(*started);
+                    return Ok(started);
                 }
                 SendOutcome::InvalidRequest(failure) => return Err(self.unknown_if_run(failure)),
                 SendOutcome::NotRun(failure) => {
@@ -340,43 +341,6 @@
         limit.min(left)
     }
 
-    /// Returns whether one more target may run the request, and takes a retry
-    /// from the budget if so.
-    pub(super) fn may_run_again(&mut self, reason: &str) -> bool {
-        self.possible_runs < self.job.route.max_attempts && self.may_send_again(reason)
-    }
-
-    /// Returns whether the request may be sent once more, and takes a retry from
-    /// the budget if so.
-    pub(super) fn may_send_again(&mut self, reason: &str) -> bool {
-        let now = self.context.now();
-        if now >= self.job.deadline {
-            return false;
-        }
-        let is_allowed = self
-            .context
-            .state()
-            .try_take_retry(&self.job.service.name, now);
-        if is_allowed {
-            self.retry_allowed_at = Some(now);
-            self.context.metrics.retry(reason);
-        } else {
-            log::info!(request:% = self.job.head.attempt, reason; "the retry budget is used up");
-        }
-        is_allowed
-    }
-
-    /// Returns whether the request may be sent now, and counts it again in the retry
-    /// budget if it is a retry that has waited.
-    fn may_still_retry(&mut self) -> bool {
-        let now = self.context.now();
-        let allowed_at = self.retry_allowed_at;
-        let may_send =
-            allowed_at.is_none_or(|at| at + SEND_DELAY_MAX >= now || self.may_send_again("waited"));
-        self.retry_allowed_at = None;
-        may_send
-    }
-
     /// Marks a failure as of unknown outcome if a target may have run the
     /// request: the client may be told that it did not run only if none did.
     pub(super) fn unknown_if_run(&self, failure: Failure) -> Failure {
--- a/crates/relay/src/forward/pick.rs
+++ b/crates/relay/src/forward/pick.rs
@@ -141,6 +141,30 @@
     }
 }
 
+/// Counts a request as in flight at its target until it is dropped.
+pub(crate) struct InFlightGuard {
+    context: Arc<Context>,
+    picked: PickedTarget,
+}
+
+impl InFlightGuard {
+    /// Creates the guard of a request that [`State::pick`](crate::state::State::pick) has
+    /// counted.
+    pub(crate) fn new(context: &Arc<Context>, picked: &PickedTarget) -> Self {
+        Self {
+            context: context.clone(),
+            picked: picked.clone(),
+        }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let now = self.context.now();
+        self.context.state().record_request_end(&self.picked, now);
+    }
+}
+
 /// Looks through the queue of a service as long as requests wait there.
 async fn sweep(context: Arc<Context>, service: name::Service) {
     loop {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -25,8 +25,9 @@
 ///
 /// The longest pauses of a typical healthy target, while it reads long prompts, are
 /// below half of this.
-const STREAM_GAP_MAX: Millis = Millis(1_500);
-/// How often it is then looked up whether another target can take the stream.
+pub(super) const STREAM_GAP_MAX: Millis = Millis(1_500);
+/// How often it is then looked up whether another target can take the stream. The interval
+/// doubles with each search that fails, since a search may run the stages.
 const SUCCESSOR_CHECK_INTERVAL: Millis = Millis(500);
 
 /// The pause of a target's stream since its reply began or its last event came. Bytes that
@@ -38,6 +39,8 @@
     waited: Millis,
     /// After how long a wait another target is looked for.
     next_check: Millis,
+    /// How long to wait after a check that finds none.
+    check_interval: Millis,
 }
 
 impl Default for Pause {
@@ -45,10 +48,27 @@
         Self {
             waited: Millis::ZERO,
             next_check: STREAM_GAP_MAX,
+            check_interval: SUCCESSOR_CHECK_INTERVAL,
         }
     }
 }
 
+impl Pause {
+    /// Returns how long the target was waited for.
+    pub(super) fn waited(&self) -> Millis {
+        self.waited
+    }
+
+    /// Records that a search for another target, which took this long, found none, and by
+    /// when one may be found, if that is known.
+    pub(super) fn record_failed_search(&mut self, took: Millis, retry_after: Option<Millis>) {
+        self.waited = self.waited + took;
+        let delay = retry_after.unwrap_or_default().max(self.check_interval);
+        self.next_check = self.waited + delay;
+        self.check_interval = self.check_interval * 2;
+    }
+}
+
 /// Why there are no more bytes of a target's stream.
 enum Stop {
     /// It broke off, or its deadline has passed.
@@ -82,24 +102,12 @@
                     // The first byte shows that the target has read the results.
                     self.results = None;
                     let complete = self.events.complete();
-                    match self.events.push(&bytes) {
-                        Ok(events) if !events.is_empty() => {
-                            let count = self.events.complete() - complete;
-                            self.comments.extend_from_slice(&events);
-                            // Comments alone do not begin the response, since their target
-                            // may still fail to.
-                            if count > 0 || self.punctuality.first_at().is_some() {
-                                self.event_memory = self.context.reply_memory.reply();
-                                self.record_events(count);
-                                return Some(Ok(std::mem::take(&mut self.comments).into()));
-                            }
-                            if self.event_memory.grow(self.held_bytes()) {
-                                continue;
-                            }
-                            "there is no memory for comments".to_owned()
-                        }
-                        Ok(_) if self.event_memory.grow(self.held_bytes()) => continue,
-                        Ok(_) => "there is no memory for an event".to_owned(),
+                    let events = self.events.push(&bytes);
+                    let count = self.events.complete() - complete;
+                    match events.map(|events| self.release(&events, count)) {
+                        Ok(Ok(Some(events))) => return Some(Ok(events)),
+                        Ok(Ok(None)) => continue,
+                        Ok(Err(why)) => why,
                         Err(fault) => fault.to_string(),
                     }
                 }
@@ -113,12 +121,13 @@
                 Ok(None) => "the stream ended within an event".to_owned(),
                 Err(Stop::Broken(why)) => why,
                 // Silence ends a stream only if it can go on at another target.
-                Err(Stop::Paused) if self.has_successor() && self.may_resume() => {
-                    let why = format!("no event for {} ms", self.pause.waited);
-                    if let Err(error) = self.resume(&why, true).await {
-                        return Some(Err(error));
+                Err(Stop::Paused) if self.may_seek_successor() => {
+                    // Boxed, since few streams pause.
+                    match Box::pin(self.hand_over()).await {
+                        Ok(Some(events)) => return Some(Ok(events)),
+                        Ok(None) => continue,
+                        Err(why) => why,
                     }
-                    continue;
                 }
                 Err(Stop::Paused) => {
                     self.wait_on();
@@ -132,6 +141,24 @@
         }
     }
 
+    /// Returns the bytes that are to be passed on now, once a number of complete events has
+    /// been received with these.
+    pub(super) fn release(&mut self, bytes: &[u8], count: u64) -> Result<Option<Bytes>, String> {
+        self.comments.extend_from_slice(bytes);
+        // Comments alone do not begin the response, since their target may still fail to.
+        let may_pass_on = count > 0 || self.punctuality.first_at().is_some();
+        if !bytes.is_empty() && may_pass_on {
+            self.event_memory = self.context.reply_memory.reply();
+            self.record_events(count);
+            return Ok(Some(std::mem::take(&mut self.comments).into()));
+        }
+        if self.event_memory.grow(self.held_bytes()) {
+            Ok(None)
+        } else {
+            Err("there is no memory for an event".to_owned())
+        }
+    }
+
     /// Returns how many bytes of the stream wait to be passed on.
     fn held_bytes(&self) -> u64 {
         self.events.partial_bytes() + self.comments.len() as u64
@@ -206,9 +233,17 @@
         self.pause.next_check = self.pause.waited + SUCCESSOR_CHECK_INTERVAL;
     }
 
-    /// Returns whether another target can take the stream now; counts nothing.
-    fn has_successor(&self) -> bool {
+    /// Returns whether another target can take the stream now, as far as this is known;
+    /// counts nothing.
+    fn may_seek_successor(&self) -> bool {
         let now = self.context.now();
+        let may_send = self.job.route.is_resumable
+            && self.may_run_stages()
+            && self.possible_runs < self.job.route.max_attempts;
+        let service = &self.job.service.name;
+        if !may_send || !self.context.state().has_retry(service, now) {
+            return false;
+        }
         if self.detour(now).is_some() {
             return true;
         }
@@ -249,7 +284,7 @@
         match self.send().await {
             Ok(started) if started.reply.status.is_success() => {
                 self.context.metrics.resumption("resumed");
-                self.begin_reply(started);
+                self.begin_reply(*started);
                 Ok(())
             }
             Ok(started) => {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,9 +1,11 @@
 //! The metrics of the daemon, in the text format of Prometheus.
 //!
-//! - `placement` has those of placement, and `queue` those of requests that wait.
+//! - `placement` has those of placement, `queue` those of requests that wait, and `stream`
+//!   those of streams.
 
 mod placement;
 mod queue;
+mod stream;
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::fleet::replica::Era;
@@ -22,6 +24,7 @@
 
 use crate::metrics::placement::Placements;
 use crate::metrics::queue::Queue;
+use crate::metrics::stream::Streams;
 
 /// The upper bounds of the latency buckets, in seconds.
 const BUCKETS_SECS: [f64; 10] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.5, 5.0, 15.0];
@@ -31,8 +34,7 @@
 pub struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
-    streams: IntCounterVec,
-    resumptions: IntCounterVec,
+    streams: Streams,
     retries: IntCounterVec,
     rate_limited: IntCounterVec,
     queue: Queue,
@@ -72,16 +74,7 @@
             "Requests by how they ended.",
             &["form", "end"],
         )?;
-        let streams = counters(
-            "gooseberry_relay_streams_total",
-            "Complete streams by whether their first event, a gap or both were late.",
-            &["late"],
-        )?;
-        let resumptions = counters(
-            "gooseberry_relay_resumptions_total",
-            "Streams that broke off or paused, by whether another target went on with them, or why not.",
-            &["end"],
-        )?;
+        let streams = Streams::register(&registry)?;
         let retries = counters(
             "gooseberry_relay_repeats_total",
             "Requests that were sent again, by reason.",
@@ -143,7 +136,6 @@
             registry,
             requests,
             streams,
-            resumptions,
             retries,
             rate_limited,
             queue,
@@ -176,13 +168,13 @@
 
     /// Counts a complete stream, and records its longest gap.
     pub fn stream(&self, late: Lateness, longest_gap: Millis) {
-        self.streams.with_label_values(&[late.label()]).inc();
+        self.streams.complete(late);
         self.latency("stream", "gap", longest_gap);
     }
 
     /// Counts a stream that broke off or paused; `end` says whether it goes on, or why not.
     pub fn resumption(&self, end: &str) {
-        self.resumptions.with_label_values(&[end]).inc();
+        self.streams.resumption(end);
     }
 
     /// Counts a request that is sent again.
--- a/crates/relay/src/state/target.rs
+++ b/crates/relay/src/state/target.rs
@@ -212,6 +212,14 @@
         self.retry_budget.try_spend(service, share, now)
     }
 
+    /// Returns whether a retry is left in this daemon's share of the retry budget; takes
+    /// none.
+    pub fn has_retry(&mut self, service: &name::Service, now: Millis) -> bool {
+        let fleet_size = self.members.fleet_size(now);
+        let share = self.shares(fleet_size, now).of_retry_slack(service);
+        self.retry_budget.has_left(service, share, now)
+    }
+
     /// Returns how long a client has waited at least before this attempt, judged
     /// by the timeout that it sent.
     pub fn waited_at_least(&mut self, route: &name::Route, client_timeout: Millis) -> Millis {
