A stream that breaks off late gets its stages again

Cause: when the stages run a second time, their groups had the deadlines and the rank of the first run, which are those of the first event. After first_byte_timeout each group expires at once.

Why it works: the job itself records that its answer has begun. Stages, targets and the wait queue all read its deadline and its origin there, so that no place has to remember to ask.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -36,7 +36,6 @@
 use gooseberry_kernel::request::punctuality::Lateness;
 use gooseberry_kernel::request::punctuality::Punctuality;
 use gooseberry_kernel::request::routing_table::ResponseForm;
-use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_kernel::target::placement::End;
 use gooseberry_platform::target;
@@ -72,7 +71,6 @@
     let events = EventBuffer::after(resumed_after.filter(|_| job.route.is_resumable));
     let forwarder = Forwarder {
         event_memory: context.reply_memory.reply(),
-        origin: job.origin.clone(),
         context,
         job,
         plan,
@@ -115,8 +113,6 @@
     tried: Vec<name::Target>,
     /// The peers through which it is not sent again.
     tried_detours: Vec<SocketAddr>,
-    /// Where the stream began, if it may go on only at such targets.
-    origin: Option<Origin>,
     /// How often the request was sent.
     sends: u32,
     /// The run of the target to which it was sent last, and when.
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -60,7 +60,7 @@
         self.stage_runs += 1;
         let (context, job) = (&self.context, &self.job);
         let now = context.now();
-        let end = self.answer_due();
+        let end = self.job.begin_by;
         let domain = {
             let mut state = context.state();
             state.forecast_domain(self.need(&[]), now)
@@ -161,15 +161,6 @@
         }
     }
 
-    /// Returns when the answer must begin, or when it must be complete if it has begun.
-    pub(super) fn answer_due(&self) -> Millis {
-        if self.events.count() == 0 {
-            self.job.begin_by
-        } else {
-            self.job.deadline
-        }
-    }
-
     /// Returns the request as it is sent to a target; `left` is the time until its deadline.
     /// `target` is `None` if a peer picks it.
     pub(super) fn target_request(
--- a/crates/relay/src/forward/placement.rs
+++ b/crates/relay/src/forward/placement.rs
@@ -18,15 +18,15 @@
     pub(super) fn need<'a>(&'a self, tried: &'a [name::Target]) -> Need<'a> {
         Need {
             service: &self.job.service,
-            version: self.origin.as_ref().map(|origin| &origin.version),
+            version: self.job.origin.as_ref().map(|origin| &origin.version),
             affinity: self.job.head.shared_prefix_hash,
             preferred: None,
             tried,
             draw: self.job.draw(),
-            due: self.answer_due(),
+            due: self.job.begin_by,
             rank: self.job.rank,
             workspace: self.job.workspace.as_ref(),
-            on_time_by: self.job.useful_by().max(self.resumed_by()),
+            on_time_by: self.job.useful_by(),
             work: self.job.work(),
         }
     }
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -85,15 +85,6 @@
         self.current = Some(started);
     }
 
-    /// Returns when the answer must go on if it has begun; zero if it has not.
-    pub(super) fn resumed_by(&self) -> Millis {
-        if self.events.count() == 0 {
-            Millis::ZERO
-        } else {
-            self.job.deadline
-        }
-    }
-
     /// Returns the next complete events; `None` at the end of a complete stream.
     pub(super) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
         loop {
@@ -343,7 +334,7 @@
         if self.job.route.is_resumable {
             resumption::record(&self.context, &self.job, &origin);
         }
-        self.origin = Some(origin);
+        self.job.begin(origin);
     }
 
     /// Returns the response whose body passes on the stream, from its first
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -56,7 +56,7 @@
     pub route: Arc<Route>,
     /// The service whose targets run it.
     pub service: Arc<Service>,
-    /// Where the stream began that the request resumes, if it may go on only there.
+    /// Where the stream began that it resumes, or its own one: it may go on only there.
     pub origin: Option<Origin>,
     /// The workspace that its API key belongs to; `None` without a valid key.
     pub workspace: Option<name::Workspace>,
@@ -66,7 +66,7 @@
     pub arrived: Millis,
     /// When its response must begin to meet the route's latency objective.
     pub on_time_by: Millis,
-    /// When its response must begin to be of any use to the client.
+    /// When its response must begin, or go on if it has begun, to be of any use to the client.
     pub begin_by: Millis,
     /// When the whole response must be complete.
     pub deadline: Millis,
@@ -83,6 +83,13 @@
         urgency::stage_rank(self.rank, self.origin.is_some())
     }
 
+    /// Records where its answer has begun. The time limit on the first byte no longer holds,
+    /// and what the client lacks is the rest.
+    pub(crate) fn begin(&mut self, origin: Origin) {
+        self.origin = Some(origin);
+        self.begin_by = self.deadline;
+    }
+
     /// Returns by when its answer must begin to be of use.
     #[must_use]
     pub fn useful_by(&self) -> Millis {
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -10,6 +10,7 @@
 use gooseberry_relay::daemon::Daemon;
 use tokio::time::Instant;
 
+use crate::platform::SETTINGS;
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
 use crate::platform::start_one;
@@ -298,6 +299,34 @@
     }
 }
 
+/// Guards against stages of a stream that goes on being late by the time limit on its first event.
+#[tokio::test]
+async fn a_stream_that_breaks_off_late_gets_its_stages_again() {
+    let platform = TestPlatform::start().await;
+    let settings = SETTINGS.replace("\"target_latency_ms\": 2000", "\"target_latency_ms\": 400");
+    platform.store.put("op/config", &settings);
+    // The first event is due within 2.4 s, and the fifth comes after 3 s.
+    let interval = Duration::from_millis(600);
+    let engines = [
+        Target::start_engine("engine-1", "v1", STREAM_EVENTS, interval).await,
+        Target::start_engine("engine-2", "v1", STREAM_EVENTS, interval).await,
+    ];
+    for engine in &engines {
+        platform.list_target(engine, "engine", "ready");
+        engine.queue_modes(&[Mode::DisconnectWithin(STREAM_EVENTS)]);
+    }
+    let daemon = platform.daemon(1, &[]).await;
+    let client = ClientRequest::new("/long/").with_stage_pieces("1");
+    let clear_modes = async {
+        let is_sent = || engines.iter().any(|engine| !engine.received().is_empty());
+        wait_until("an engine has the request", is_sent).await;
+        engines.iter().for_each(Target::clear_modes);
+    };
+    let answer = tokio::join!(answer_to(&client, &daemon), clear_modes).0;
+    assert_eq!(answer.body.matches("id: ").count(), 5, "{}", answer.body);
+    assert!(answer.is_complete, "{}", answer.body);
+}
+
 /// Guards against a limit on silence after which a stream ends without a use to anyone.
 #[tokio::test]
 async fn a_stream_that_pauses_for_long_at_its_last_target_is_not_cut() {
