An event of a paused stream is not lost for want of memory

Cause: while another target is sought, an event of the paused one that completes beyond the 64 KiB for which no memory is reserved is received, its id is recorded, and then memory is asked for. If there is none, the event is dropped, and the stream is resumed after its id.

Why it works: memory is reserved only for what waits. A complete event is passed on at once, as in Forwarder::release, so a lack of memory is found before an id is recorded.

--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -47,7 +47,8 @@
             self.received.extend_from_slice(&events);
             self.count += self.events.complete() - complete;
             let held = self.events.partial_bytes() + self.received.len() as u64;
-            if !self.memory.grow(held) {
+            // A complete event is passed on at once.
+            if self.count == 0 && !self.memory.grow(held) {
                 return Err("there is no memory for an event".to_owned());
             }
         }
--- /dev/null
+++ b/crates/relay/tests/direct/hand_over.rs
@@ -0,0 +1,57 @@
+//! Paused streams, and what becomes of them at two targets at once.
+
+use std::time::Duration;
+
+use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::endless::Bytes;
+use gooseberry_platform_standin::endless::EndlessTarget;
+use gooseberry_platform_standin::target::Mode;
+
+use crate::platform::TestPlatform;
+use crate::platform::answer_to;
+use crate::platform::wait_until;
+
+/// Guards against an event that is complete but not passed on, since there is no memory for it.
+#[tokio::test]
+async fn a_paused_stream_that_goes_on_without_memory_lacks_no_event() {
+    let platform = TestPlatform::start().await;
+    for engine in &platform.engines {
+        platform.store.remove(&format!("servers/{}", engine.name));
+    }
+    // Only its last bytes exceed the part of a reply that needs no memory.
+    let long_event = format!("id: 3\ndata: {}\n\n", "x".repeat(64 << 10));
+    let bytes = Bytes {
+        first: "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\n\r\n\
+                id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n",
+        repeated: long_event.leak(),
+        pause: Duration::from_millis(1_900),
+    };
+    let first = EndlessTarget::start("long-1", bytes).await;
+    platform
+        .store
+        .put("servers/long-1", &first.entry("engine", "z-1"));
+    let daemon = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || {
+        daemon.context().state().is_ready()
+    })
+    .await;
+    let mut memory = daemon.context().reply_memory.reply();
+    let all = daemon.context().boot.memory_bytes / 16;
+    assert!(memory.grow(all + (64 << 10)));
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let add_other = async {
+        wait_until("the first engine has the request", || {
+            !first.sent().is_empty()
+        })
+        .await;
+        platform.engines[1].queue_modes(&[Mode::NotRunAfter(600)]);
+        platform.list_target(&platform.engines[1], "engine", "ready");
+    };
+    let answer = tokio::join!(answer_to(&client, &daemon), add_other).0;
+    let ids = answer.body.lines().filter(|line| line.starts_with("id:"));
+    let ids: Vec<&str> = ids.collect();
+    assert!(
+        ["id: 1", "id: 2", "id: 3", "id: 4", "id: 5"].starts_with(&ids),
+        "{ids:?}"
+    );
+}
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -13,6 +13,7 @@
 mod former_build;
 mod former_heartbeats;
 mod former_placements;
+mod hand_over;
 mod malformed;
 mod notices;
 mod odd_entries;
