A paused stream that ends too early is left to the target that has it

Callers saw (in a test): a paused stream that its target ended within an event was closed, while another target was about to go on with it (LOST).

Cause: the end of the paused stream ended the search, whether the stream was complete or not. The call to the other target was given up and counted as a run, so that the attempts of the route were used up when the stream was then found to be broken. Class: giving up what works before there is something better. An answer without length or chunks ends in this way when its target crashes; one that breaks off within chunks was an error and did not end the search.

Why it works: an end counts only if the stream may be complete there. Any other is a broken stream, for which the search goes on.

--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -15,6 +15,7 @@
 use http_body_util::StreamBody;
 use tokio::time::timeout;
 
+use crate::exchange::Exchange;
 use crate::forward::Forwarder;
 use crate::forward::StartedReply;
 use crate::http_server::ResponseBody;
@@ -102,7 +103,7 @@
                         Err(fault) => fault.to_string(),
                     }
                 }
-                Ok(None) if self.is_cut_before_first_event() => {
+                Ok(None) if self.is_current_cut_before_first_event() => {
                     "the connection ended before the first event".to_owned()
                 }
                 Ok(None) if self.events.is_at_event_boundary() => {
@@ -171,15 +172,18 @@
         }
     }
 
-    /// Returns whether a stream whose end shows only by that of its connection ended
-    /// before its first event. A target that crashes leaves the same bytes.
-    fn is_cut_before_first_event(&self) -> bool {
+    fn is_current_cut_before_first_event(&self) -> bool {
         let current = self.current.as_ref();
-        let is_unframed = current.is_some_and(|started| !started.exchange.is_framed());
+        current.is_some_and(|started| self.is_cut_before_first_event(&started.exchange))
+    }
+
+    /// Returns whether a stream whose end shows only by that of its connection is cut before
+    /// its first event, if it ends now. A target that crashes leaves the same bytes.
+    pub(super) fn is_cut_before_first_event(&self, exchange: &Exchange) -> bool {
         // A stream that is taken up after its last event has none left.
         let may_be_empty =
             self.punctuality.first_at().is_some() || self.job.head.resumed_after.is_some();
-        is_unframed && !may_be_empty
+        !exchange.is_framed() && !may_be_empty
     }
 
     /// Returns the next bytes of the current target's stream; `None` at its end.
--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -30,16 +30,21 @@
     received: Vec<u8>,
     /// How many events are complete in it.
     count: u64,
+    /// Whether the stream may be complete without an event.
+    may_be_empty: bool,
     memory: ReplyPermit,
 }
 
 impl Reading {
     /// Reads until an event is complete, or until the end of the stream.
+    ///
+    /// # Errors
+    /// Returns why the stream has broken off, if it has.
     async fn next_event(&mut self, exchange: &mut Exchange) -> Result<(), String> {
         while self.count == 0 {
             let bytes = exchange.next_chunk().await;
             let Some(bytes) = bytes.map_err(|error| error.to_string())? else {
-                return Ok(());
+                return self.check_end();
             };
             let complete = self.events.complete();
             let events = self.events.push(&bytes);
@@ -54,6 +59,17 @@
         }
         Ok(())
     }
+
+    /// Checks that the stream is complete if it ends now.
+    fn check_end(&self) -> Result<(), String> {
+        if !self.events.is_at_event_boundary() {
+            Err("the stream ended within an event".to_owned())
+        } else if !self.may_be_empty {
+            Err("the connection ended before the first event".to_owned())
+        } else {
+            Ok(())
+        }
+    }
 }
 
 /// The target of a paused stream, while another one is sought.
@@ -68,7 +84,7 @@
 
 /// What there is first when a stream is handed over.
 enum First<T> {
-    /// The paused target goes on, or its stream has ended.
+    /// The paused target goes on, or its stream is complete.
     Paused,
     /// The other target has come this far.
     Other(T),
@@ -106,6 +122,7 @@
         };
         let began = self.context.now();
         let unused = self.context.reply_memory.reply();
+        let may_be_empty = !self.is_cut_before_first_event(&started.exchange);
         let mut paused = PausedTarget {
             started,
             placed: self.placed.take(),
@@ -114,6 +131,7 @@
                 events: self.events.clone(),
                 received: std::mem::take(&mut self.comments),
                 count: 0,
+                may_be_empty,
                 memory: std::mem::replace(&mut self.event_memory, unused),
             },
             broken: None,
@@ -169,6 +187,7 @@
             events,
             received: Vec::new(),
             count: 0,
+            may_be_empty: other.exchange.is_framed(),
             memory: self.context.reply_memory.reply(),
         };
         let left = self.job.deadline - self.context.now();
--- a/crates/relay/tests/direct/hand_over.rs
+++ b/crates/relay/tests/direct/hand_over.rs
@@ -10,6 +10,17 @@
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
 use crate::platform::wait_until;
+use crate::streams::all_events;
+use crate::streams::answer_of_paused;
+
+/// Guards against a search that is given up when the paused target ends its stream too early.
+#[tokio::test]
+async fn a_paused_stream_that_ends_within_an_event_goes_on_at_the_target_that_has_it() {
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let first = Mode::EndWithin(3, 1_700);
+    let (_, answer) = answer_of_paused(&client, first, Mode::PauseBefore(3, 600)).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+}
 
 /// Guards against an event that is complete but not passed on, since there is no memory for it.
 #[tokio::test]
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -16,7 +16,8 @@
 use crate::platform::start_one;
 use crate::platform::wait_until;
 
-fn all_events() -> String {
+/// Returns a complete stream.
+pub fn all_events() -> String {
     let events = (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: event {event}\n\n"));
     events.collect()
 }
@@ -257,11 +258,17 @@
     assert_eq!(metric(&daemon, retries), 0);
 }
 
-/// Has the engine with a stream pause before event 3, and the other targets handle what they
-/// are sent then in this mode.
-async fn answer_of_paused(client: &ClientRequest, others: Mode) -> (TestPlatform, Answer) {
+const PAUSE: Mode = Mode::PauseBefore(3, 1_900);
+
+/// Has the engine with a stream handle it in the first mode, and the other targets handle what
+/// they are sent then in the second one.
+pub async fn answer_of_paused(
+    client: &ClientRequest,
+    first: Mode,
+    others: Mode,
+) -> (TestPlatform, Answer) {
     let (platform, daemon) = start_one().await;
-    queue_mode(&platform, Mode::PauseBefore(3, 1_900));
+    queue_mode(&platform, first);
     let set_others = async {
         wait_until("an engine has the request", || {
             platform.runs(&client.attempt) > 0
@@ -281,7 +288,7 @@
 async fn a_paused_stream_that_the_next_target_does_not_take_goes_on_at_the_first() {
     for mode in [Mode::NotRun, Mode::NoAnswer, Mode::Error, Mode::Unsigned] {
         let client = ClientRequest::new("/resume/").with_stage_pieces("");
-        let (_, answer) = answer_of_paused(&client, mode).await;
+        let (_, answer) = answer_of_paused(&client, PAUSE, mode).await;
         assert_eq!(answer.body, all_events(), "{mode:?}");
         assert!(answer.is_complete, "{mode:?}");
     }
@@ -292,7 +299,7 @@
 async fn a_paused_stream_whose_stages_are_refused_goes_on_at_its_target() {
     for mode in [Mode::Unmade("error"), Mode::NoAnswer] {
         let client = ClientRequest::new("/long/").with_stage_pieces("1");
-        let (platform, answer) = answer_of_paused(&client, mode).await;
+        let (platform, answer) = answer_of_paused(&client, PAUSE, mode).await;
         assert_eq!(answer.body, all_events(), "{mode:?}");
         assert!(answer.is_complete, "{mode:?}");
         assert_eq!(platform.runs(&client.attempt), 1);
