A stream that pauses after its last event ends at another target

Callers saw (in a test): a client had all events of a resumable stream and got no end, but a closed connection at the deadline (LOST); the sound target that had said that nothing was left was avoided.

Cause: a paused stream was handed over only to a target that sent an event. One that has none left ends its stream at once, which counted as a failure.

Why it works: a whole, framed answer without an event is complete, as for a stream that broke off. Without a frame it may be that of a target that crashed, and the paused one is kept.

--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -166,11 +166,12 @@
         )
     }
 
-    /// Waits for the first event of the other target.
+    /// Waits for the first event of the other target, or the end of a stream that has none
+    /// left.
     ///
     /// # Errors
-    /// Returns how the search has ended if it does not send one in time, or the paused target
-    /// goes on before.
+    /// Returns how the search has ended if neither comes in time, or the paused target goes on
+    /// before.
     async fn read_first_event(
         &mut self,
         paused: &mut PausedTarget,
@@ -198,7 +199,8 @@
             First::Other(outcome) => outcome,
         };
         match outcome {
-            Ok(Ok(())) if reading.count > 0 => Ok((other, reading)),
+            // It has sent an event, or there is none left.
+            Ok(Ok(())) => Ok((other, reading)),
             // It is all that is left.
             Err(_) if paused.broken.is_some() => Ok((other, reading)),
             _ => {
--- a/crates/relay/tests/direct/hand_over.rs
+++ b/crates/relay/tests/direct/hand_over.rs
@@ -6,6 +6,7 @@
 use gooseberry_platform_standin::endless::Bytes;
 use gooseberry_platform_standin::endless::EndlessTarget;
 use gooseberry_platform_standin::target::Mode;
+use gooseberry_platform_standin::target::STREAM_EVENTS;
 
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
@@ -13,6 +14,16 @@
 use crate::streams::all_events;
 use crate::streams::answer_of_paused;
 
+/// Guards against streams that are never ended though another target has said that they are
+/// complete.
+#[tokio::test]
+async fn a_stream_that_pauses_after_its_last_event_ends_at_another_target() {
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let first = Mode::PauseBefore(STREAM_EVENTS + 1, 60_000);
+    let (_, answer) = answer_of_paused(&client, first, Mode::Normal).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+}
+
 /// Guards against a search that is given up when the paused target ends its stream too early.
 #[tokio::test]
 async fn a_paused_stream_that_ends_within_an_event_goes_on_at_the_target_that_has_it() {
