The last target of a paused stream is not given up for silence

Callers saw (in a test): a resumable stream whose target fell silent for good was closed at its deadline, though the second target would have gone on after 1.9 s (LOST).

Cause: the second target was given up if it had sent no event 1.5 s after the head of its reply, also when no other one could be tried. It counted as a run, so the stream was left to the silent target alone. Class: giving up what works before there is something better, at the other of the two connections.

Why it works: both targets are waited for until one sends an event, and the second one is given up only if a third can take the stream.

--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -230,7 +230,7 @@
 
     /// Returns whether another target can take the stream now, as far as this is known;
     /// counts nothing.
-    fn may_seek_successor(&self) -> bool {
+    pub(super) fn may_seek_successor(&self) -> bool {
         let now = self.context.now();
         let may_send = self.job.route.is_resumable
             && self.may_run_stages()
--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -191,24 +191,25 @@
             may_be_empty: other.exchange.is_framed(),
             memory: self.context.reply_memory.reply(),
         };
-        let left = self.job.deadline - self.context.now();
-        let limit = Duration::from_millis(STREAM_GAP_MAX.min(left).0);
-        let next_event = timeout(limit, reading.next_event(&mut other.exchange));
-        let outcome = match paused.race(next_event).await {
-            First::Paused => return Err("not-needed"),
-            First::Other(outcome) => outcome,
-        };
-        match outcome {
-            // It has sent an event, or there is none left.
-            Ok(Ok(())) => Ok((other, reading)),
-            // It is all that is left.
-            Err(_) if paused.broken.is_some() => Ok((other, reading)),
-            _ => {
-                self.record_failure(&target);
-                self.end_placed(End::Broken);
-                Err("target-failed")
+        loop {
+            let left = self.job.deadline - self.context.now();
+            let limit = STREAM_GAP_MAX.min(left);
+            let next_event = reading.next_event(&mut other.exchange);
+            let next_event = timeout(Duration::from_millis(limit.0), next_event);
+            match paused.race(next_event).await {
+                First::Paused => return Err("not-needed"),
+                // It has sent an event, or there is none left.
+                First::Other(Ok(Ok(()))) => return Ok((other, reading)),
+                // It is all that is left.
+                First::Other(Err(_)) if paused.broken.is_some() => return Ok((other, reading)),
+                // Both are waited for until a third one can take the stream.
+                First::Other(Err(_)) if limit < left && !self.may_seek_successor() => {}
+                First::Other(Ok(Err(_)) | Err(_)) => break,
             }
         }
+        self.record_failure(&target);
+        self.end_placed(End::Broken);
+        Err("target-failed")
     }
 
     /// Closes the connection to the paused target, and goes on with the other one.
--- a/crates/relay/tests/direct/hand_over.rs
+++ b/crates/relay/tests/direct/hand_over.rs
@@ -14,6 +14,16 @@
 use crate::streams::all_events;
 use crate::streams::answer_of_paused;
 
+/// Guards against a target that is given up while it is the only one left for a stream.
+#[tokio::test]
+async fn a_paused_stream_goes_on_at_a_target_that_takes_long_to_begin() {
+    let client = ClientRequest::new("/long/").with_stage_pieces("1");
+    let first = Mode::PauseBefore(3, 60_000);
+    let (platform, answer) = answer_of_paused(&client, first, Mode::PauseBefore(3, 1_900)).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+    assert_eq!(platform.runs(&client.attempt), 2);
+}
+
 /// Guards against streams that are never ended though another target has said that they are
 /// complete.
 #[tokio::test]
