Streams go on only with replies that say they are streams

Callers of a resumable stream that had broken off got the text of an error in the middle of their stream, and the stream ended as if complete: the next target had answered with 200 and `text/plain`. The daemon took each success on a streaming route for events. It also gave up when the next target answered with an error, though a third one was allowed.

A reply that is to go on with a stream must be a success, and must not name another media type than that of events; else it counts as failed at its target, its connection is closed, and the next target is tried within the attempts and the retry budget. A client that resumes a stream gets an error for it, too.

Seen on with the tests' replies: both bodies of `text/plain` and the one of JSON stood in the client's stream, or were its answer (200), directly and through a peer; after a 500 the stream was cut though three attempts were allowed.

--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -4,6 +4,7 @@
 //! - [`retry_budget`] bounds how often requests are sent more than once.
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
+//! - [`continuation`] decides whether a reply begins a stream or goes on with it.
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
 //!   decides at which targets a broken one may go on. [`stream_trace`] finds where it began
 //!   if no daemon knows any more.
@@ -15,6 +16,7 @@
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
 //! schedules its stages. These modules read no clock and no socket.
 
+pub mod continuation;
 pub mod deadline_admission;
 pub mod demand;
 pub mod event_buffer;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod brittleness;
 mod chunks;
 mod cold_rate;
+mod continuation;
 mod cost;
 mod deadline_admission;
 mod demand;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -9,6 +9,7 @@
 //! - `detour` sends the request through a peer if this daemon reaches no target.
 //! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
+//! - `reply` says what a reply is used for, and returns the head that is passed on.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 
 mod attempt;
@@ -16,6 +17,7 @@
 mod detour;
 pub(crate) mod pick;
 mod placement;
+mod reply;
 mod stream;
 
 use std::net::SocketAddr;
@@ -27,6 +29,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::continuation::Use;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::request::punctuality::Lateness;
@@ -35,10 +38,8 @@
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_kernel::target::placement::End;
-use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
 use http::Response;
-use http::header::CONTENT_LENGTH;
 use tokio::time::timeout;
 
 use crate::body_memory::ReplyPermit;
@@ -205,9 +206,10 @@
                 (Err(failure), None) => return Err(failure),
             };
             let status = started.reply.status;
-            let head = reply_head(&started);
+            let reply_use = self.reply_use(&started.reply);
+            let head = reply::head(&started);
             self.begin_reply(started);
-            if self.job.route.form == ResponseForm::Stream && status.is_success() {
+            if reply_use == Use::Stream {
                 return match self.next_events().await {
                     Some(Ok(first)) => {
                         self.record_answer();
@@ -365,18 +367,6 @@
     Failure::from(Kind::DeadlinePassed).with_unknown_outcome()
 }
 
-/// Returns the head of the response: that of the reply, without the headers
-/// that are meant for this daemon.
-fn reply_head(started: &StartedReply) -> Response<()> {
-    let mut head = Response::new(());
-    *head.status_mut() = started.reply.status;
-    let mut headers = started.exchange.headers.clone();
-    target::remove_hop_by_hop_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    *head.headers_mut() = headers;
-    head
-}
-
 impl Drop for Forwarder {
     fn drop(&mut self) {
         if self.is_ended || self.punctuality.first_at().is_none() {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::continuation::Use;
 use gooseberry_kernel::request::retry_budget::SEND_DELAY_MAX;
 use gooseberry_platform::target;
 use gooseberry_platform::target::CallParameters;
@@ -298,6 +299,14 @@
         }
         let detail = format!("status {}", started.reply.status.as_u16());
         match started.reply.validity {
+            Validity::Whole if self.reply_use(&started.reply) == Use::Unusable => {
+                self.record_failure(&target);
+                let failure = Failure::from(Kind::TargetFailed).with_unknown_outcome();
+                (
+                    SendOutcome::MayHaveRun(failure),
+                    format!("{detail}, but not the rest of the stream"),
+                )
+            }
             Validity::Whole => {
                 if started.reply.status.is_server_error() {
                     self.record_failure(&target);
--- /dev/null
+++ b/crates/relay/tests/direct/continuations.rs
@@ -0,0 +1,139 @@
+//! Streams that break off, and next targets whose replies do not go on with them.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use gooseberry_platform_standin::client::Answer;
+use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::target::Mode;
+use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
+
+use crate::partitions::Fleet;
+use crate::platform::SETTINGS;
+use crate::platform::TestPlatform;
+use crate::platform::answer_to;
+use crate::platform::is_ready_with;
+use crate::platform::start_one;
+use crate::platform::wait_until;
+use crate::streams::all_events;
+
+/// Replies that go on with no stream.
+const NO_CONTINUATIONS: [Mode; 4] = [
+    Mode::Error,
+    Mode::Reply("text/plain", "engine failed: no memory\n\n"),
+    Mode::Reply("text/plain; charset=utf-8", "id: 3\ndata: event 3\n\n"),
+    Mode::Reply("application/json", "{\"error\": \"no memory\"}\n\n"),
+];
+
+/// Returns a request that differs from all others, since one whose streams break off
+/// several times is not sent any more.
+fn resumable() -> ClientRequest {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    ClientRequest::new(&format!("/resume/{number}")).with_stage_pieces("")
+}
+
+/// Has the first engine break its stream off after two events, and the next ones handle it
+/// in these modes.
+async fn answer_of_broken(daemon: &Daemon, engine: &Target, next: &[Mode]) -> Answer {
+    engine.clear_modes();
+    engine.queue_modes(&[Mode::DisconnectWithin(3)]);
+    engine.queue_modes(next);
+    answer_to(&resumable(), daemon).await
+}
+
+/// Has all engines share the queue of modes of the first one.
+fn share_modes(platform: &TestPlatform, more: &[Target]) -> Target {
+    let [first, second] = &platform.engines;
+    for engine in more.iter().chain([second]) {
+        engine.share_modes(first);
+    }
+    first.clone()
+}
+
+/// Guards against errors of targets in the middle of a stream.
+#[tokio::test]
+async fn a_reply_that_does_not_go_on_with_a_stream_is_not_passed_on() {
+    let fleet = Fleet::start().await;
+    let engine = share_modes(&fleet.platform, &[]);
+    fleet.cut_off_until_known(0).await;
+    // The first daemon sends through its peers.
+    for daemon in &fleet.daemons[..2] {
+        for mode in NO_CONTINUATIONS {
+            let answer = answer_of_broken(daemon, &engine, &[mode]).await;
+            let events = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n";
+            assert_eq!(answer.body, events, "{mode:?}");
+            assert!(!answer.is_complete, "{mode:?}");
+        }
+    }
+}
+
+/// Guards against streams that end though a third target would go on with them.
+#[tokio::test]
+async fn a_stream_goes_on_at_the_target_after_one_that_did_not_go_on_with_it() {
+    let platform = TestPlatform::start().await;
+    let third = Target::start("engine-3").await;
+    platform.list_target(&third, "engine", "ready");
+    let engine = share_modes(&platform, &[third]);
+    let settings = SETTINGS.replace("\"max_attempts\": 2", "\"max_attempts\": 3");
+    platform.store.put("op/config", &settings);
+    let daemon = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 9)).await;
+    for mode in NO_CONTINUATIONS {
+        let answer = answer_of_broken(&daemon, &engine, &[mode]).await;
+        assert_eq!(answer.body, all_events(), "{mode:?}");
+        assert!(answer.is_complete, "{mode:?}");
+    }
+}
+
+/// Returns the answer to a client that resumes a stream after its second event.
+async fn answer_to_resumed(daemon: &Daemon, broken: &ClientRequest) -> Answer {
+    let client = resumable().with("Last-Event-Id", "2");
+    answer_to(&client.with("Resumes", &broken.attempt), daemon).await
+}
+
+/// Guards against errors that a client takes for the rest of its stream.
+#[tokio::test]
+async fn a_client_that_resumes_gets_no_success_for_a_reply_that_does_not_go_on() {
+    let (platform, daemon) = start_one().await;
+    let engine = share_modes(&platform, &[]);
+    for mode in NO_CONTINUATIONS {
+        let broken = resumable();
+        engine.clear_modes();
+        engine.queue_modes(&[Mode::DisconnectWithin(3); 2]);
+        assert!(!answer_to(&broken, &daemon).await.is_complete);
+        engine.queue_modes(&[mode; 2]);
+        let answer = answer_to_resumed(&daemon, &broken).await;
+        assert!(matches!(answer.status, 500 | 502), "{mode:?}: {answer:?}");
+        // The next target goes on with it.
+        engine.clear_modes();
+        engine.queue_modes(&[mode]);
+        let answer = answer_to_resumed(&daemon, &broken).await;
+        let rest = "id: 3\ndata: event 3\n\nid: 4\ndata: event 4\n\nid: 5\ndata: event 5\n\n";
+        assert_eq!(
+            (answer.status, answer.body.as_str()),
+            (200, rest),
+            "{mode:?}"
+        );
+        assert!(answer.is_complete, "{mode:?}");
+    }
+}
+
+/// Guards against successes whose body is cut or torn as if it were a stream.
+#[tokio::test]
+async fn a_first_reply_that_is_no_stream_is_passed_on_whole() {
+    let (platform, daemon) = start_one().await;
+    let engine = share_modes(&platform, &[]);
+    for path in ["/stream/", "/resume/"] {
+        for body in ["", "{\"a\": 1}", "no line\n\nid: 1\n\nno end"] {
+            engine.queue_modes(&[Mode::Reply("application/json", body)]);
+            let client = ClientRequest::new(path).with_stage_pieces("");
+            let answer = answer_to(&client, &daemon).await;
+            assert_eq!((answer.status, answer.is_complete), (200, true), "{body:?}");
+            assert_eq!(answer.body, body);
+            assert_eq!(answer.header("Content-Type"), "application/json");
+            assert_eq!(platform.runs(&client.attempt), 1);
+        }
+    }
+}
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod broken_answers;
 mod changes;
 mod connections;
+mod continuations;
 mod detours;
 mod distribution;
 mod endless_answers;
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -15,7 +15,7 @@
 use crate::platform::start_one;
 use crate::platform::wait_until;
 
-fn all_events() -> String {
+pub fn all_events() -> String {
     let events = (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: event {event}\n\n"));
     events.collect()
 }
