Streams pass on only bytes that have the form of events

Callers found the head of another response, or the text of an error, in the middle of their stream, after a target had answered the resumed stream with a success and such bytes. The buffer of events looked for blank lines and ids only: whatever stood between was an event.

Each line must now be blank, a comment, a field of events, or a named value such as `weight-versions: 3`; lines between two blank ones must have a field of events; and a target that goes on with a stream whose events all have ids must begin with an id, since an error in the form of an event has none. Anything else is a fault, after which the stream goes on at another target or is cut. Within the reply of one target, events without an id stay allowed, such as a last `data: [DONE]`: they are that target's own. Lines may end with a CR alone, and a byte order mark is left out where it would fall into the middle of the answer.

A block with `retry` alone no longer counts as an event, as clients see none.

--- a/crates/kernel/tests/direct/event_buffer.rs
+++ b/crates/kernel/tests/direct/event_buffer.rs
@@ -109,3 +109,86 @@
     assert_eq!(events.push(text), Ok(text.to_vec()));
     assert_eq!(events.push(b"id: 1\n\n"), Err(Fault::OutOfOrder));
 }
+
+/// Returns what is forwarded of these bytes, and the fault that ends it.
+fn forward(events: &mut EventBuffer, text: &str) -> (String, Option<Fault>) {
+    let mut forwarded = Vec::new();
+    for byte in text.bytes() {
+        match events.push(&[byte]) {
+            Ok(complete) => forwarded.extend(complete),
+            Err(fault) => return (String::from_utf8_lossy(&forwarded).into(), Some(fault)),
+        }
+    }
+    (String::from_utf8_lossy(&forwarded).into(), None)
+}
+
+#[test]
+fn all_forms_of_events_are_forwarded() {
+    for (text, complete) in [
+        ("weight-versions: 3\nid: 1\ndata: a\n\n", 1),
+        ("\u{feff}id: 1\rdata\r\rid: 2\r\r", 2),
+        ("\u{feff}: wait\n\nid:1\nevent: x\nx_1.a:\n\n\n", 1),
+        ("retry: 100\n\nid: 1\n\r\nid: 2\r\n\n", 2),
+        ("data: HTTP/1.1 500 Error\nid\n\ndata: [DONE]\n\n", 2),
+    ] {
+        for mut events in [EventBuffer::default(), EventBuffer::after(Some("0".into()))] {
+            // The ids that follow a number are numbers.
+            if text.contains("id\n") && events.last_id().is_some() {
+                continue;
+            }
+            assert_eq!(forward(&mut events, text), (text.to_owned(), None));
+            assert!(events.is_at_event_boundary(), "{text:?}");
+            assert_eq!(events.complete(), complete, "{text:?}");
+        }
+    }
+}
+
+#[test]
+fn bytes_that_are_no_events_are_not_forwarded() {
+    let sound = "id: 1\ndata: a\n\n: wait\n\n";
+    for text in [
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Service: none\r\n",
+        "Content-Type: text/plain\r\n\r\n",
+        "error: no memory\n\n",
+        "engine failed\n\nid: 2\n\n",
+        "{\"error\": \"no memory\"}\n",
+        "id: 2\ndata: b\nengine failed\n\n",
+        "\u{feff}id: 2\n\n",
+    ] {
+        let mut events = EventBuffer::default();
+        let all = format!("{sound}{text}");
+        let found = forward(&mut events, &all);
+        // The fault of the last line shows at the next byte, or at the end of the reply.
+        assert_eq!(found.0, sound, "{text:?}");
+        assert!(!events.is_at_event_boundary(), "{text:?}");
+        assert_eq!(events.push(b"\n"), Err(Fault::Malformed), "{text:?}");
+    }
+}
+
+#[test]
+fn a_target_goes_on_with_an_event_that_has_an_id() {
+    let begun = |text: &str| {
+        let mut events = EventBuffer::default();
+        assert_eq!(forward(&mut events, text).1, None);
+        events.discard_partial();
+        events
+    };
+    let all_have_ids = begun("id: 1\n\nid: 2\n\n");
+    let not_all = begun("data: x\n\nid: 2\n\n");
+    let of_client = EventBuffer::after(Some("2".into()));
+    for (text, fault) in [
+        ("data: no memory\n\n", Some(Fault::WithoutId)),
+        ("id: none\ndata: a\n\n", Some(Fault::WithoutId)),
+        ("id\ndata: a\n\n", Some(Fault::WithoutId)),
+        ("retry: 9\n\ndata: a\nid: 3\n\ndata: [DONE]\n\n", None),
+    ] {
+        for mut events in [all_have_ids.clone(), of_client.clone()] {
+            assert_eq!(forward(&mut events, text).1, fault, "{text}");
+        }
+    }
+    assert_eq!(forward(&mut not_all.clone(), "data: y\n\n").1, None);
+    // A byte order mark would hide the first field from the client.
+    let marked = forward(&mut all_have_ids.clone(), "\u{feff}id: 3\n\n");
+    assert_eq!(marked, ("id: 3\n\n".to_owned(), None));
+}
--- a/crates/relay/tests/direct/continuations.rs
+++ b/crates/relay/tests/direct/continuations.rs
@@ -18,12 +18,20 @@
 use crate::platform::wait_until;
 use crate::streams::all_events;
 
+const EVENT_STREAM: &str = "text/event-stream";
 /// Replies that go on with no stream.
-const NO_CONTINUATIONS: [Mode; 4] = [
+const NO_CONTINUATIONS: [Mode; 8] = [
     Mode::Error,
     Mode::Reply("text/plain", "engine failed: no memory\n\n"),
     Mode::Reply("text/plain; charset=utf-8", "id: 3\ndata: event 3\n\n"),
     Mode::Reply("application/json", "{\"error\": \"no memory\"}\n\n"),
+    Mode::Reply("", "engine failed\n\n"),
+    Mode::Reply(
+        EVENT_STREAM,
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n",
+    ),
+    Mode::Reply(EVENT_STREAM, "error: no memory\n\n"),
+    Mode::Reply(EVENT_STREAM, "data: no memory\n\n"),
 ];
 
 /// Returns a request that differs from all others, since one whose streams break off
