Streams do not end with a reply that may have been cut before its first event

A stream had begun and broken off; the next target replied with 200 and no event, and the client saw its stream end as complete, without its rest. The check for a reply whose end shows only by that of its connection left out resumed streams, as one that is resumed after its last event has none left; and an empty reply of no media type counted as an empty stream.

A resumed stream now ends with a reply without an event only if the reply itself says where it ends (chunks or a length) and that it is a stream of events. A target that crashes as it begins to write, as parts of prompts cause, leaves the same bytes as an unframed reply that has no event left; nothing else tells the two apart: events hold several tokens each, so the largest number of tokens says nothing about the last event. The cost is that a stream that breaks off between its last event and its end, and is resumed at a target that frames nothing, is cut or answered with 502, though it has no event left.

Seen on: both the client of the broken stream and one that resumed it got a complete answer from a target that closed its connection after its head and a comment.

--- a/crates/kernel/src/request/event_buffer.rs
+++ b/crates/kernel/src/request/event_buffer.rs
@@ -27,6 +27,7 @@
 use compact_str::CompactString;
 
 use crate::derive::scalar;
+use crate::request::continuation::Content;
 
 /// The largest event that is buffered, in bytes; typical events have a few
 /// hundred bytes.
@@ -200,6 +201,16 @@
         self.partial.is_empty()
     }
 
+    /// Returns whether the reply of the current target ended before its first event, or may
+    /// have. If only the end of its connection ends a reply, one of a target that crashes
+    /// looks the same. A target that goes on after the last event of a stream has none
+    /// left, and says in a whole reply that this is a stream.
+    #[must_use]
+    pub fn is_cut_before_first_event(&self, is_framed: bool, content: Content) -> bool {
+        let is_known = self.is_new() || content == Content::Events;
+        self.reply.events == 0 && !(is_framed && is_known)
+    }
+
     /// Discards the incomplete event; the target that resumes the stream sends
     /// it again, as the first one of its reply.
     pub fn discard_partial(&mut self) {
@@ -273,6 +284,11 @@
         }
     }
 
+    /// Returns whether the stream has no event yet.
+    fn is_new(&self) -> bool {
+        self.complete == 0 && self.last_id.is_none()
+    }
+
     /// Removes the bytes up to `end` from those that are buffered, and returns them.
     fn take(&mut self, end: usize) -> Vec<u8> {
         let rest = self.partial.split_off(end);
--- a/crates/kernel/tests/direct/event_buffer.rs
+++ b/crates/kernel/tests/direct/event_buffer.rs
@@ -1,4 +1,5 @@
 use compact_str::CompactString;
+use gooseberry_kernel::request::continuation::Content;
 use gooseberry_kernel::request::event_buffer::EVENT_MAX_BYTES;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::event_buffer::Fault;
@@ -192,3 +193,28 @@
     let marked = forward(&mut all_have_ids.clone(), "\u{feff}id: 3\n\n");
     assert_eq!(marked, ("id: 3\n\n".to_owned(), None));
 }
+
+#[test]
+fn a_reply_without_an_event_ends_a_stream_only_if_it_is_known_to() {
+    use Content::Events;
+    use Content::Unknown;
+    let new = EventBuffer::default();
+    let mut begun = EventBuffer::default();
+    begun.push(b"id: 2\n\n").expect("it is in order");
+    assert!(!begun.is_cut_before_first_event(false, Unknown));
+    begun.discard_partial();
+    begun.push(b": wait\n\n").expect("it is a comment");
+    let of_client = EventBuffer::after(Some("2".into()));
+    for (events, is_framed, content, is_cut) in [
+        (&new, true, Unknown, false),
+        (&new, false, Events, true),
+        (&begun, true, Events, false),
+        (&begun, true, Unknown, true),
+        (&begun, false, Events, true),
+        (&of_client, true, Events, false),
+        (&of_client, false, Events, true),
+    ] {
+        let found = events.is_cut_before_first_event(is_framed, content);
+        assert_eq!(found, is_cut, "{events:?} {is_framed} {content:?}");
+    }
+}
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -153,15 +153,14 @@
         }
     }
 
-    /// Returns whether a stream whose end shows only by that of its connection ended
-    /// before its first event. A target that crashes leaves the same bytes.
+    /// Returns whether the current reply ended before its first event, or may have.
     fn is_cut_before_first_event(&self) -> bool {
         let current = self.current.as_ref();
-        let is_unframed = current.is_some_and(|started| !started.exchange.is_framed());
-        // A stream that is taken up after its last event has none left.
-        let may_be_empty =
-            self.punctuality.first_at().is_some() || self.job.head.resumed_after.is_some();
-        is_unframed && !may_be_empty
+        current.is_some_and(|started| {
+            let is_framed = started.exchange.is_framed();
+            let content = started.reply.content;
+            self.events.is_cut_before_first_event(is_framed, content)
+        })
     }
 
     /// Returns the next bytes of the current target's stream; `None` at its end.
--- a/crates/relay/tests/direct/continuations.rs
+++ b/crates/relay/tests/direct/continuations.rs
@@ -2,9 +2,12 @@
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use gooseberry_platform_standin::client::Answer;
 use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::endless::Bytes;
+use gooseberry_platform_standin::endless::EndlessTarget;
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::Target;
 use gooseberry_relay::daemon::Daemon;
@@ -20,12 +23,13 @@
 
 const EVENT_STREAM: &str = "text/event-stream";
 /// Replies that go on with no stream.
-const NO_CONTINUATIONS: [Mode; 8] = [
+const NO_CONTINUATIONS: [Mode; 9] = [
     Mode::Error,
     Mode::Reply("text/plain", "engine failed: no memory\n\n"),
     Mode::Reply("text/plain; charset=utf-8", "id: 3\ndata: event 3\n\n"),
     Mode::Reply("application/json", "{\"error\": \"no memory\"}\n\n"),
     Mode::Reply("", "engine failed\n\n"),
+    Mode::Reply("", ""),
     Mode::Reply(
         EVENT_STREAM,
         "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n",
@@ -128,6 +132,46 @@
     }
 }
 
+/// A target that crashes when it begins to write leaves the same bytes as one that has no
+/// event left, if only the end of the connection ends its reply.
+#[tokio::test]
+async fn a_stream_does_not_end_with_a_continuation_that_may_be_cut_before_its_first_event() {
+    let platform = TestPlatform::start().await;
+    let engine = Target::start_engine("slow", "v1", 5, Duration::from_millis(100)).await;
+    for other in &platform.engines {
+        platform.store.remove(&format!("servers/{}", other.name));
+    }
+    platform.list_target(&engine, "engine", "ready");
+    let daemon = platform.unready_daemon(1, &[]).await;
+    let bytes = Bytes {
+        first: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                Attempt-Id: {attempt}\r\nResponse-Seal: s\r\n\r\n: wait\n\n",
+        repeated: "",
+        pause: Duration::ZERO,
+    };
+    let unframed = EndlessTarget::start("unframed", bytes).await;
+    wait_until("the list is known", || is_ready_with(&daemon, 7)).await;
+    engine.queue_modes(&[Mode::DisconnectWithin(5)]);
+    let broken = resumable();
+    let list_unframed = async {
+        wait_until("the engine has the request", || {
+            !engine.received().is_empty()
+        })
+        .await;
+        let entry = unframed.entry("engine", "z-1");
+        platform.store.put("servers/unframed", &entry);
+    };
+    let answer = tokio::join!(answer_to(&broken, &daemon), list_unframed).0;
+    assert_eq!(unframed.sent().len(), 1);
+    assert!(answer.body.contains("id: 4\n"), "{answer:?}");
+    assert!(!answer.is_complete, "{answer:?}");
+    platform.store.remove("servers/slow");
+    wait_until("the engine has left", || is_ready_with(&daemon, 7)).await;
+    let answer = answer_to_resumed(&daemon, &broken).await;
+    assert_eq!(unframed.sent().len(), 2);
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
 /// Guards against successes whose body is cut or torn as if it were a stream.
 #[tokio::test]
 async fn a_first_reply_that_is_no_stream_is_passed_on_whole() {
@@ -145,3 +189,15 @@
         }
     }
 }
+
+/// A target that goes on after the last event of a stream has none left.
+#[tokio::test]
+async fn a_continuation_without_an_event_ends_a_stream_if_it_is_a_whole_one() {
+    let (platform, daemon) = start_one().await;
+    let engine = share_modes(&platform, &[]);
+    for media in [EVENT_STREAM, "Text/Event-Stream;charset=utf-8"] {
+        let empty = Mode::Reply(media, "");
+        let answer = answer_of_broken(&daemon, &engine, &[empty]).await;
+        assert!(answer.is_complete, "{media}");
+    }
+}
