Pass on the comments of a stream that ends without an event

Callers got an empty body where the target had sent comments and no event: what comes before the first event is held back, as its target may still fail, and was dropped at the end of the stream. It is now the body, in the memory that was reserved for it.

Seen on the parent: `: wait` and `retry: 9` were missing from a complete answer.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -24,7 +24,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
@@ -217,7 +216,12 @@
                         Ok(self.into_response(head, first))
                     }
                     Some(Err(_)) => Err(self.stream_failure()),
-                    None => Ok(head.map(|()| http_server::full_body(Bytes::new()))),
+                    None => {
+                        let comments = std::mem::take(&mut self.comments);
+                        let unused = self.context.reply_memory.reply();
+                        let memory = std::mem::replace(&mut self.event_memory, unused);
+                        Ok(head.map(|()| http_server::reserved_body(comments.into(), memory)))
+                    }
                 };
             }
             let is_final = !(self.job.route.is_repeatable() && status.is_server_error());
--- a/crates/relay/tests/direct/continuations.rs
+++ b/crates/relay/tests/direct/continuations.rs
@@ -172,19 +172,25 @@
     assert_eq!(answer.status, 502, "{answer:?}");
 }
 
-/// Guards against successes whose body is cut or torn as if it were a stream.
+/// Guards against successes whose body is cut or lost as it holds no event.
 #[tokio::test]
-async fn a_first_reply_that_is_no_stream_is_passed_on_whole() {
+async fn a_first_reply_without_an_event_is_passed_on_whole() {
     let (platform, daemon) = start_one().await;
     let engine = share_modes(&platform, &[]);
     for path in ["/stream/", "/resume/"] {
-        for body in ["", "{\"a\": 1}", "no line\n\nid: 1\n\nno end"] {
-            engine.queue_modes(&[Mode::Reply("application/json", body)]);
+        for (media, body) in [
+            ("application/json", ""),
+            ("application/json", "{\"a\": 1}"),
+            ("text/plain", "no line\n\nid: 1\n\nno end"),
+            (EVENT_STREAM, ""),
+            (EVENT_STREAM, ": wait\n\nretry: 9\n\n"),
+        ] {
+            engine.queue_modes(&[Mode::Reply(media, body)]);
             let client = ClientRequest::new(path).with_stage_pieces("");
             let answer = answer_to(&client, &daemon).await;
             assert_eq!((answer.status, answer.is_complete), (200, true), "{body:?}");
             assert_eq!(answer.body, body);
-            assert_eq!(answer.header("Content-Type"), "application/json");
+            assert_eq!(answer.header("Content-Type"), media);
             assert_eq!(platform.runs(&client.attempt), 1);
         }
     }
