--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -9,6 +9,7 @@
 //! - `detour` sends the request through a peer if this daemon reaches no target.
 //! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
+//! - `reply` says what a reply is used for, and returns the head that is passed on.
 //! - `retry` asks the retry budget.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 //! - `successor` hands a paused stream over to another target.
@@ -18,6 +19,7 @@
 mod detour;
 pub(crate) mod pick;
 mod placement;
+mod reply;
 mod retry;
 mod stream;
 mod successor;
@@ -26,11 +28,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::continuation::Use;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::request::punctuality::Lateness;
@@ -38,10 +40,8 @@
 use gooseberry_kernel::request::routing_table::ResponseForm;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_kernel::target::placement::End;
-use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
 use http::Response;
-use http::header::CONTENT_LENGTH;
 use tokio::time::timeout;
 
 use crate::body_memory::ReplyPermit;
@@ -185,9 +185,10 @@
                 (Err(failure), None) => return Err(failure),
             };
             let status = started.reply.status;
-            let head = reply_head(&started);
+            let reply_use = self.reply_use(&started.reply);
+            let head = reply::head(&started);
             self.begin_reply(*started);
-            if self.job.route.form == ResponseForm::Stream && status.is_success() {
+            if reply_use == Use::Stream {
                 return match self.next_events().await {
                     Some(Ok(first)) => {
                         self.record_answer();
@@ -195,7 +196,12 @@
                         Ok(self.into_response(head, first))
                     }
                     Some(Err(_)) => Err(self.stream_failure()),
-                    None => Ok(head.map(|()| http_server::full_body(Bytes::new()))),
+                    None => {
+                        let comments = std::mem::take(&mut self.comments);
+                        let unused = self.context.reply_memory.reply();
+                        let memory = std::mem::replace(&mut self.event_memory, unused);
+                        Ok(head.map(|()| http_server::reserved_body(comments.into(), memory)))
+                    }
                 };
             }
             let is_final = !(self.job.route.is_repeatable() && status.is_server_error());
@@ -345,18 +351,6 @@
     Failure::from(Kind::DeadlinePassed).with_unknown_outcome()
 }
 
-/// Returns the head of the response: that of the reply, without the headers
-/// that are meant for this daemon.
-fn reply_head(started: &StartedReply) -> Response<()> {
-    let mut head = Response::new(());
-    *head.status_mut() = started.reply.status;
-    let mut headers = started.exchange.headers.clone();
-    target::remove_hop_by_hop_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    *head.headers_mut() = headers;
-    head
-}
-
 impl Drop for Forwarder {
     fn drop(&mut self) {
         if self.is_ended || self.punctuality.first_at().is_none() {
--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::continuation::Content;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::target::placement::End;
@@ -30,8 +31,10 @@
     received: Vec<u8>,
     /// How many events are complete in it.
     count: u64,
-    /// Whether the stream may be complete without an event.
-    may_be_empty: bool,
+    /// Whether the reply itself says where it ends.
+    is_framed: bool,
+    /// What the reply says its body is.
+    content: Content,
     memory: ReplyPermit,
 }
 
@@ -64,7 +67,10 @@
     fn check_end(&self) -> Result<(), String> {
         if !self.events.is_at_event_boundary() {
             Err("the stream ended within an event".to_owned())
-        } else if !self.may_be_empty {
+        } else if self
+            .events
+            .is_cut_before_first_event(self.is_framed, self.content)
+        {
             Err("the connection ended before the first event".to_owned())
         } else {
             Ok(())
@@ -122,7 +128,7 @@
         };
         let began = self.context.now();
         let unused = self.context.reply_memory.reply();
-        let may_be_empty = !self.is_cut_before_first_event(&started.exchange);
+        let (is_framed, content) = (started.exchange.is_framed(), started.reply.content);
         let mut paused = PausedTarget {
             started,
             placed: self.placed.take(),
@@ -131,7 +137,8 @@
                 events: self.events.clone(),
                 received: std::mem::take(&mut self.comments),
                 count: 0,
-                may_be_empty,
+                is_framed,
+                content,
                 memory: std::mem::replace(&mut self.event_memory, unused),
             },
             broken: None,
@@ -188,7 +195,8 @@
             events,
             received: Vec::new(),
             count: 0,
-            may_be_empty: other.exchange.is_framed(),
+            is_framed: other.exchange.is_framed(),
+            content: other.reply.content,
             memory: self.context.reply_memory.reply(),
         };
         loop {
