A daemon that is cut off asks a peer again for a paused stream

Callers saw (in a test): a daemon that reached no engine had a stream through a peer, whose engine fell silent for good. The other peer passed on one refusal (503, not run), and the stream was closed at its deadline, though the engine had room 0.5 s later (LOST).

Cause: a search that sends nothing for good forgets the targets that refused it, but not the peers through which it asked. After one refusal by each peer no search was begun any more.

Why it works: peers are forgotten like targets, and searches still come at doubling intervals.

--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -136,7 +136,8 @@
             },
             broken: None,
         };
-        let (tried, stage_runs) = (self.tried.clone(), self.stage_runs);
+        let (tried, tried_detours) = (self.tried.clone(), self.tried_detours.clone());
+        let stage_runs = self.stage_runs;
         let (runs, sends) = (self.possible_runs, self.sends);
         self.retry = Retry::Pending("broken-stream");
         let (end, failure) = match paused.race(self.send()).await {
@@ -156,6 +157,7 @@
         }
         if self.possible_runs == runs {
             self.tried = tried;
+            self.tried_detours = tried_detours;
             self.stage_runs = stage_runs;
         }
         self.log_search(end, failure.as_ref(), &paused, began);
--- a/crates/relay/tests/direct/hand_over.rs
+++ b/crates/relay/tests/direct/hand_over.rs
@@ -8,6 +8,7 @@
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::STREAM_EVENTS;
 
+use crate::partitions::Fleet;
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
 use crate::platform::wait_until;
@@ -87,3 +88,27 @@
         "{ids:?}"
     );
 }
+
+/// Guards against peers that are not asked again after a refusal.
+#[tokio::test]
+async fn a_paused_stream_at_a_daemon_that_is_cut_off_is_tried_again_through_a_peer() {
+    let fleet = Fleet::start().await;
+    fleet.cut_off_until_known(0).await;
+    let platform = &fleet.platform;
+    for engine in &platform.engines {
+        engine.queue_modes(&[Mode::PauseBefore(3, 60_000)]);
+    }
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let refuse_once = async {
+        wait_until("an engine has the request", || {
+            platform.runs(&client.attempt) > 0
+        })
+        .await;
+        for engine in &platform.engines {
+            engine.clear_modes();
+            engine.queue_modes(&[Mode::NotRun]);
+        }
+    };
+    let answer = tokio::join!(answer_to(&client, &fleet.daemons[0]), refuse_once).0;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+}
