A client may read nothing for as long as it may be idle

What callers saw: an answer that no socket buffer holds was cut if its client read nothing for 2.5 s.

Cause: TCP_USER_TIMEOUT was set to 2.5 s on all connections. Linux counts bytes for which the other side has no room (a zero window) as unacknowledged, and fails the connection.

The limit on connections of clients (and of peers that detour) is now idle_timeout_ms of the settings, and 2.5 s at least: it bounds how long a client may stay idle. Connections to targets and the store keep 2.5 s. A client that vanishes without a reset is noticed later, since the user timeout also decides when keepalive probes give up.

--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -250,7 +250,9 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<ResponseBody>>,
 {
-    if let Err(error) = socket::set_options(&stream) {
+    // A client may take as long to read on as it may be idle.
+    let read_pause_max = Duration::from_millis(limits(&context).idle_timeout.0);
+    if let Err(error) = socket::set_slow_reader_options(&stream, read_pause_max) {
         log::debug!("the socket options of a connection could not be set: {error}");
     }
     let activity = Activity::new(context.clock);
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -27,6 +27,7 @@
 mod repeated_answers;
 mod restarts;
 mod retries;
+mod settings_changes;
 mod slow_link;
 mod stages;
 mod stale_lists;
--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -22,6 +22,19 @@
 /// # Errors
 /// Returns an error if the operating system rejects an option.
 pub fn set_options(stream: &TcpStream) -> io::Result<()> {
+    set_options_with(stream, TCP_USER_TIMEOUT)
+}
+
+/// Sets the options of a connection on which the other side may read nothing for a time.
+/// Bytes that it has no room for count as unacknowledged.
+///
+/// # Errors
+/// Returns an error if the operating system rejects an option.
+pub fn set_slow_reader_options(stream: &TcpStream, read_pause_max: Duration) -> io::Result<()> {
+    set_options_with(stream, TCP_USER_TIMEOUT.max(read_pause_max))
+}
+
+fn set_options_with(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -29,5 +42,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
