Lower limits of client connections hold for what begins after them

What callers saw: after a version with a lower idle_timeout_ms, a connection that had been idle for less than the former limit, which its client still went by, was closed under the next request.

Cause: each check of a connection went by the limits of that moment, also for idleness (and for a request head) that had begun under others.

Raised limits hold at once. The decisions are in kernel::request::client_timeouts.

The lead that RequestGuard::drop lowers in_progress before it sets idle_since cannot be shown: the guard is dropped in the task that checks the timeouts.

--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`routing_table`] holds the routes, services and API keys of the settings.
 //! - [`retry_budget`] bounds how often requests are sent more than once.
+//! - [`client_timeouts`] decides when a connection of a client is closed.
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
@@ -15,6 +16,7 @@
 //! [`crate::target`] picks the target of a request, and [`crate::stage`]
 //! schedules its stages. These modules read no clock and no socket.
 
+pub mod client_timeouts;
 pub mod deadline_admission;
 pub mod demand;
 pub mod event_buffer;
--- a/crates/kernel/src/request/routing_table.rs
+++ b/crates/kernel/src/request/routing_table.rs
@@ -221,6 +221,19 @@
     }
 }
 
+impl ClientLimits {
+    /// Returns the higher one of each limit.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            max_header_bytes: self.max_header_bytes.max(other.max_header_bytes),
+            max_body_bytes: self.max_body_bytes.max(other.max_body_bytes),
+            header_timeout: self.header_timeout.max(other.header_timeout),
+            idle_timeout: self.idle_timeout.max(other.idle_timeout),
+        }
+    }
+}
+
 impl RoutingTable {
     /// Sorts the lists that the lookups search; call it after filling the
     /// table.
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod batch_queue;
 mod brittleness;
 mod chunks;
+mod client_timeouts;
 mod cold_rate;
 mod cost;
 mod deadline_admission;
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::client_timeouts::TimeoutCheck;
 use gooseberry_kernel::request::routing_table::ClientLimits;
 use gooseberry_platform::client;
 use gooseberry_runtime::observed_stream::ObservedStream;
@@ -41,20 +41,12 @@
 
 use crate::activity::Activity;
 use crate::activity::RequestGuard;
-use crate::activity::TimeoutCheck;
 use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 
 /// The body of a response.
 pub type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
 
-/// The limits that apply until the first settings are known.
-const INITIAL_LIMITS: ClientLimits = ClientLimits {
-    max_header_bytes: 16 << 10,
-    max_body_bytes: 1 << 20,
-    header_timeout: Millis(3_000),
-    idle_timeout: Millis(15_000),
-};
 /// The smallest connection buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8 << 10;
 /// Client connections may use one part in this many of the daemon's connection
@@ -255,7 +247,7 @@
     if let Err(error) = socket::set_slow_reader_options(&stream, read_pause_max) {
         log::debug!("the socket options of a connection could not be set: {error}");
     }
-    let activity = Activity::new(context.clock);
+    let activity = Activity::new(context.clone());
     // Without chunks, the end of the connection is the end of a stream.
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
@@ -318,7 +310,7 @@
         if last_phase == Phase::Draining && activity.is_between_requests() {
             Pin::new(&mut connection).graceful_shutdown();
         }
-        match activity.check_timeouts(limits(&context)) {
+        match activity.check_timeouts() {
             TimeoutCheck::NotYet(left) => check_after = Duration::from_millis(left.0.max(1)),
             TimeoutCheck::Idle => {
                 Pin::new(&mut connection).graceful_shutdown();
@@ -340,12 +332,9 @@
     changed.map_or(Phase::Aborted, |phase| *phase)
 }
 
-/// Returns the limits in force.
+/// Returns the limits that clients may go by.
 fn limits(context: &Context) -> ClientLimits {
-    let state = context.state();
-    state
-        .routing_table()
-        .map_or(INITIAL_LIMITS, |table| table.limits)
+    context.state().client_limits(context.now())
 }
 
 /// Raises a counter by one until it is dropped.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -37,12 +37,14 @@
 use gooseberry_kernel::fleet::withdrawal::Withdrawals;
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine::Suspects;
+use gooseberry_kernel::request::client_timeouts::RecentLimits;
 use gooseberry_kernel::request::deadline_admission::ServiceWait;
 use gooseberry_kernel::request::part_quarantine::Part;
 use gooseberry_kernel::request::part_quarantine::PartQuarantine;
 use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::prior_wait::PriorWaitEstimator;
 use gooseberry_kernel::request::retry_budget::RetryBudget;
+use gooseberry_kernel::request::routing_table::ClientLimits;
 use gooseberry_kernel::request::routing_table::RoutingTable;
 use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::request::stream_trace::Surveys;
@@ -67,6 +69,14 @@
 /// peer.
 pub const STORE: &str = "store";
 
+/// The limits that apply until the first settings are known.
+const INITIAL_LIMITS: ClientLimits = ClientLimits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: 1 << 20,
+    header_timeout: Millis(3_000),
+    idle_timeout: Millis(15_000),
+};
+
 /// When the platform's store was reached, lost and reached again.
 #[derive(Clone, Copy, Debug, Default)]
 struct StoreStatus {
@@ -101,6 +111,8 @@
     replica: Replica,
     /// The settings in force.
     routing_table: Option<Arc<RoutingTable>>,
+    /// The limits of client connections.
+    client_limits: RecentLimits,
     targets: TargetRegistry,
     /// The failure domains that operators have taken out of service.
     taken_out: Vec<name::Domain>,
@@ -156,6 +168,7 @@
             has_seeds: boot.seeds.iter().any(|seed| *seed != boot.peer_address),
             replica: Replica::default(),
             routing_table: None,
+            client_limits: RecentLimits::new(INITIAL_LIMITS),
             targets: TargetRegistry::default(),
             taken_out: Vec::new(),
             held_out: Withdrawals::default(),
@@ -197,6 +210,12 @@
         self.routing_table.as_ref()
     }
 
+    /// Returns the limits that connections of clients may use up.
+    #[must_use]
+    pub fn client_limits(&self, now: Millis) -> ClientLimits {
+        self.client_limits.at(now)
+    }
+
     /// Returns the daemons of the fleet, this one included.
     pub fn members(&mut self) -> &mut membership::Membership {
         &mut self.members
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -273,7 +273,7 @@
     ) {
         let revision = self.replica.position().revision;
         if key == operator_settings::SETTINGS_KEY {
-            self.apply_settings(source, revision);
+            self.apply_settings(source, revision, now);
         } else if key.starts_with(operator_settings::DOMAIN_OUT_PREFIX) {
             self.update_taken_out(now);
             log::info!(domains:? = self.taken_out, source, revision = revision.0; "domains taken out");
@@ -307,7 +307,7 @@
 
     /// Puts the published settings in force, unless they are older than those in
     /// force, unusable or removed.
-    fn apply_settings(&mut self, source: &str, through: Revision) {
+    fn apply_settings(&mut self, source: &str, through: Revision, now: Millis) {
         let mirror = self.replica.mirror();
         let Some(bytes) = mirror.get(operator_settings::SETTINGS_KEY) else {
             log::warn!(source, revision = through.0; "the settings were removed from the store; the last ones stay in force");
@@ -331,6 +331,7 @@
                     revision = through.0;
                     "settings adopted"
                 );
+                self.client_limits.replace(table.limits, now);
                 self.routing_table = Some(Arc::new(table));
             }
             Err(error) => {
--- a/crates/relay/tests/direct/settings_changes.rs
+++ b/crates/relay/tests/direct/settings_changes.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gooseberry_connectors::http_connection::HttpConnection;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::store;
 use gooseberry_platform_standin::target::Mode;
@@ -19,7 +20,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::platform::SETTINGS;
 use crate::platform::TestPlatform;
@@ -195,6 +198,32 @@
     }
 }
 
+/// Guards against connections that are closed under clients which know the former limit.
+#[tokio::test]
+async fn a_lowered_idle_timeout_holds_for_what_becomes_idle_after_it() {
+    let (platform, daemon) = start_one().await;
+    let limits = |idle_ms: u64| json!({"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 500, "idle_timeout_ms": idle_ms});
+    publish(&platform, 2, |settings| settings["limits"] = limits(2_000));
+    wait_for_version(&daemon, 2).await;
+    let mut connection = HttpConnection::open(client_address(&daemon), Duration::from_secs(1))
+        .await
+        .expect("the daemon listens");
+    let opened = Instant::now();
+    let at = |ms| sleep_until(opened + Duration::from_millis(ms));
+    let mut served = Vec::new();
+    for (begin_ms, idle_ms) in [(0, 2_000), (1_300, 600), (2_800, 600)] {
+        at(begin_ms).await;
+        let answer = ClientRequest::new("/read/").send_on(&mut connection).await;
+        served.push(answer.map(|answer| answer.status));
+        let version = 3 + begin_ms;
+        publish(&platform, version, |settings| {
+            settings["limits"] = limits(idle_ms);
+        });
+        wait_for_version(&daemon, version).await;
+    }
+    assert_eq!(served, [Some(200); 3]);
+}
+
 /// Starts a server that answers each request with [`LARGE_ANSWER_BYTES`], and a client that
 /// has sent one and read nothing.
 async fn start_large_answer(daemon: &Daemon) -> (Arc<HttpServer>, TcpStream) {
