A request ends with the last byte that is sent

What callers saw: a client that read slowly could lose the end of its answer at a shutdown, and its connection counted as idle while bytes of the answer still waited in the daemon.

Cause: the request was counted until hyper dropped the response body, which is when the last bytes are in hyper's buffer, not when they are written.

That the loss at a shutdown follows was read, not played.

The body and its count are kept until the connection has been flushed, which hyper does once its buffer is empty.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -5,18 +5,36 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use gooseberry_kernel::request::client_timeouts::ClientTimeouts;
 use gooseberry_kernel::request::client_timeouts::TimeoutCheck;
 use gooseberry_runtime::observed_stream::ByteObserver;
 
 use crate::context::Context;
+use crate::http_server::ResponseBody;
 
 /// The activity of one connection.
 #[derive(Debug)]
 pub(crate) struct Activity {
     context: Arc<Context>,
-    timeouts: Mutex<ClientTimeouts>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    timeouts: ClientTimeouts,
+    /// The requests whose last bytes wait to be sent.
+    unsent: Vec<EndedRequest>,
+}
+
+/// A request whose response body has been read to its end, or was dropped before that. The
+/// body reserves the memory of its bytes.
+#[derive(Debug)]
+struct EndedRequest {
+    _body: Option<ResponseBody>,
+    _count: CountGuard,
 }
 
 impl Activity {
@@ -25,30 +43,38 @@
         let limits = context.state().client_limits(now);
         Arc::new(Self {
             context,
-            timeouts: Mutex::new(ClientTimeouts::new(limits, now)),
+            state: Mutex::new(State {
+                timeouts: ClientTimeouts::new(limits, now),
+                unsent: Vec::new(),
+            }),
         })
     }
 
-    /// Records that a request is in progress until the guard is dropped.
-    pub(crate) fn begin(self: &Arc<Self>) -> RequestGuard {
-        self.lock().begin();
-        RequestGuard(self.clone())
+    /// Records that a request is in progress until its guard is dropped and the bytes of
+    /// its response have been sent.
+    pub(crate) fn begin(self: &Arc<Self>, count: CountGuard) -> RequestGuard {
+        self.lock().timeouts.begin();
+        RequestGuard {
+            activity: self.clone(),
+            body: None,
+            count: Some(count),
+        }
     }
 
     /// Returns whether it has had a request and no byte of another one has been read.
     pub(crate) fn is_between_requests(&self) -> bool {
-        self.lock().is_between_requests()
+        self.lock().timeouts.is_between_requests()
     }
 
     /// Returns which timeout has passed, if any.
     pub(crate) fn check_timeouts(&self) -> TimeoutCheck {
         let now = self.context.now();
         let limits = self.context.state().client_limits(now);
-        self.lock().check(limits, now)
+        self.lock().timeouts.check(limits, now)
     }
 
-    fn lock(&self) -> MutexGuard<'_, ClientTimeouts> {
-        self.timeouts.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -56,21 +82,60 @@
     fn on_read(&self, bytes: usize) {
         if bytes > 0 {
             let now = self.context.now();
-            self.lock().record_bytes(now);
+            self.lock().timeouts.record_bytes(now);
         }
     }
 
     fn on_write(&self, _: usize) {}
+
+    fn on_flush(&self) {
+        let unsent = std::mem::take(&mut self.lock().unsent);
+        if unsent.is_empty() {
+            return;
+        }
+        let now = self.context.now();
+        let limits = self.context.state().client_limits(now);
+        let mut state = self.lock();
+        for _ in &unsent {
+            state.timeouts.end(limits, now);
+        }
+    }
 }
 
-/// Counts a request as in progress until it is dropped.
+/// Counts a request as in progress until it is dropped and the bytes of its response have
+/// been sent.
 #[derive(Debug)]
-pub(crate) struct RequestGuard(Arc<Activity>);
+pub(crate) struct RequestGuard {
+    activity: Arc<Activity>,
+    /// The body of its response, once there is one.
+    pub(crate) body: Option<ResponseBody>,
+    count: Option<CountGuard>,
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let now = self.0.context.now();
-        let limits = self.0.context.state().client_limits(now);
-        self.0.lock().end(limits, now);
+        if let Some(count) = self.count.take() {
+            self.activity.lock().unsent.push(EndedRequest {
+                _body: self.body.take(),
+                _count: count,
+            });
+        }
+    }
+}
+
+/// Raises a counter by one until it is dropped.
+#[derive(Debug)]
+pub(crate) struct CountGuard(Arc<AtomicUsize>);
+
+impl CountGuard {
+    pub(crate) fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -40,6 +40,7 @@
 use tokio::time::sleep;
 
 use crate::activity::Activity;
+use crate::activity::CountGuard;
 use crate::activity::RequestGuard;
 use crate::body_memory::ReplyPermit;
 use crate::context::Context;
@@ -253,7 +254,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         let is_1_1 = request.version() >= Version::HTTP_11;
         has_chunks.store(is_1_1, Ordering::Relaxed);
-        let (request_guard, count_guard) = (activity.begin(), CountGuard::new(&requests));
+        let mut request_guard = activity.begin(CountGuard::new(&requests));
         let response = handler(request);
         let context = context.clone();
         async move {
@@ -262,10 +263,9 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let track = |body| TrackedBody {
-                body,
-                _request_guard: request_guard,
-                _count_guard: count_guard,
+            let track = |body| {
+                request_guard.body = Some(body);
+                TrackedBody(request_guard)
             };
             Ok::<_, Infallible>(response.map(track))
         }
@@ -337,30 +337,9 @@
     context.state().client_limits(context.now())
 }
 
-/// Raises a counter by one until it is dropped.
+/// A response body that counts its request as in progress until it has been sent.
 #[derive(Debug)]
-struct CountGuard(Arc<AtomicUsize>);
-
-impl CountGuard {
-    fn new(count: &Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count.clone())
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A response body that counts its request as in progress until it is dropped.
-#[derive(Debug)]
-struct TrackedBody {
-    body: ResponseBody,
-    _request_guard: RequestGuard,
-    _count_guard: CountGuard,
-}
+struct TrackedBody(RequestGuard);
 
 impl Body for TrackedBody {
     type Data = Bytes;
@@ -370,14 +349,16 @@
         mut self: Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let body = self.0.body.as_mut();
+        body.map_or(Poll::Ready(None), |body| Pin::new(body).poll_frame(context))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.0.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let body = self.0.body.as_ref();
+        body.map_or_else(SizeHint::default, Body::size_hint)
     }
 }
--- a/crates/relay/tests/direct/settings_changes.rs
+++ b/crates/relay/tests/direct/settings_changes.rs
@@ -263,3 +263,15 @@
     sleep(Duration::from_secs(4)).await;
     assert_eq!(read_to_end(stream).await, LARGE_ANSWER_BYTES);
 }
+
+/// Guards against a shutdown that takes an answer as complete once its last byte is ready.
+#[tokio::test]
+async fn a_request_ends_with_the_last_byte_that_is_sent() {
+    let (_platform, daemon) = start_one().await;
+    let (server, stream) = start_large_answer(&daemon).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(server.requests(), 1);
+    server.drain();
+    assert_eq!(read_to_end(stream).await, LARGE_ANSWER_BYTES);
+    wait_until("the request has ended", || server.requests() == 0).await;
+}
--- a/crates/runtime/src/observed_stream.rs
+++ b/crates/runtime/src/observed_stream.rs
@@ -26,6 +26,9 @@
 
     /// Called after each successful write, with the bytes written.
     fn on_write(&self, bytes: usize);
+
+    /// Called after each successful flush. Buffers above this stream are empty then.
+    fn on_flush(&self) {}
 }
 
 impl<O: ByteObserver + ?Sized> ByteObserver for Arc<O> {
@@ -40,6 +43,10 @@
     fn on_write(&self, bytes: usize) {
         (**self).on_write(bytes);
     }
+
+    fn on_flush(&self) {
+        (**self).on_flush();
+    }
 }
 
 /// A TCP stream with its observer.
@@ -110,7 +117,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let polled = Pin::new(&mut self.stream).poll_flush(context);
+        if let Poll::Ready(Ok(())) = polled {
+            self.observer.on_flush();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
