A service that leaves the settings stays known to the requests admitted before

What callers saw: a request whose stages ran as a version took away the service of a stage was refused with 503, as was a stream whose stages would have run again.

Cause: a request holds its route and its own service from admission, but dispatchers looked up the stage's service in the settings in force: the next group was turned away (`Elsewhere`), waiting groups were never looked at again, and results of a service that was gone counted as expired at once. Peers that send a request for another daemon looked up its service likewise.

Evidence: stages_that_run_as_their_services_leave_the_settings_complete: 503 for 200 on.

State keeps a service that the settings no longer list for the longest timeout of the routes that could use it (kernel::request::retired_services). Routes still lead only to listed ones.

--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -1,6 +1,7 @@
 //! Decisions about one request on its way from the client to a target.
 //!
 //! - [`routing_table`] holds the routes, services and API keys of the settings.
+//! - [`retired_services`] holds the services of former settings for requests that go on.
 //! - [`retry_budget`] bounds how often requests are sent more than once.
 //! - [`client_timeouts`] decides when a connection of a client is closed.
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
@@ -23,6 +24,7 @@
 pub mod part_quarantine;
 pub mod prior_wait;
 pub mod punctuality;
+pub mod retired_services;
 pub mod retry_budget;
 pub mod routing_table;
 pub mod stream_origin;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -32,6 +32,7 @@
 mod rate_limit;
 mod registry;
 mod replica;
+mod retired_services;
 mod retry_budget;
 mod routing_table;
 mod selection;
--- a/crates/kernel/tests/direct/routing_table.rs
+++ b/crates/kernel/tests/direct/routing_table.rs
@@ -33,7 +33,7 @@
     }
 }
 
-fn table() -> RoutingTable {
+pub fn table() -> RoutingTable {
     let key = |text: &str, workspace| ApiKey {
         text: text.into(),
         workspace: name::Workspace::new(workspace),
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -112,7 +112,7 @@
     let (service, max_bytes) = {
         let state = context.state();
         let table = state.routing_table();
-        let service = table.and_then(|table| table.service(&service).cloned());
+        let service = state.service(&service).cloned();
         let max_bytes = table.map_or(0, |table| table.limits.max_body_bytes);
         (service, max_bytes)
     };
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -43,9 +43,11 @@
 use gooseberry_kernel::request::part_quarantine::PartQuarantine;
 use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::prior_wait::PriorWaitEstimator;
+use gooseberry_kernel::request::retired_services::RetiredServices;
 use gooseberry_kernel::request::retry_budget::RetryBudget;
 use gooseberry_kernel::request::routing_table::ClientLimits;
 use gooseberry_kernel::request::routing_table::RoutingTable;
+use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::request::stream_trace::Surveys;
 use gooseberry_kernel::target::brittleness::Brittleness;
@@ -111,6 +113,7 @@
     replica: Replica,
     /// The settings in force.
     routing_table: Option<Arc<RoutingTable>>,
+    retired_services: RetiredServices,
     /// The limits of client connections.
     client_limits: RecentLimits,
     targets: TargetRegistry,
@@ -168,6 +171,7 @@
             has_seeds: boot.seeds.iter().any(|seed| *seed != boot.peer_address),
             replica: Replica::default(),
             routing_table: None,
+            retired_services: RetiredServices::default(),
             client_limits: RecentLimits::new(INITIAL_LIMITS),
             targets: TargetRegistry::default(),
             taken_out: Vec::new(),
@@ -210,6 +214,15 @@
         self.routing_table.as_ref()
     }
 
+    /// Returns a service of the settings in force, or of former ones by which a request may
+    /// have been admitted.
+    #[must_use]
+    pub fn service(&self, name: &name::Service) -> Option<&Arc<Service>> {
+        let table = self.routing_table.as_ref();
+        let listed = table.and_then(|table| table.service(name));
+        listed.or_else(|| self.retired_services.get(name))
+    }
+
     /// Returns the limits that connections of clients may use up.
     #[must_use]
     pub fn client_limits(&self, now: Millis) -> ClientLimits {
@@ -295,6 +308,7 @@
         self.brittleness.expire(now);
         self.origins.expire(now);
         self.surveys.expire(now);
+        self.retired_services.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
         let table = self.routing_table.as_ref();
--- a/crates/relay/src/state/stage.rs
+++ b/crates/relay/src/state/stage.rs
@@ -50,10 +50,11 @@
     }
 
     /// Returns the settings of a stage service, such as the size of a call and
-    /// the memory for results; `None` if the service has no stages or is unknown.
+    /// the memory for results; `None` if the service has no stages or is unknown, also to
+    /// requests that were admitted before.
     #[must_use]
     pub fn batch_spec(&self, service: &name::Service) -> Option<BatchSpec> {
-        match self.routing_table.as_ref()?.service(service)?.kind {
+        match self.service(service)?.kind {
             ServiceKind::Stage(spec) => Some(spec),
             ServiceKind::Plain | ServiceKind::Engine(_) => None,
         }
--- a/crates/relay/src/state/store.rs
+++ b/crates/relay/src/state/store.rs
@@ -332,6 +332,9 @@
                     "settings adopted"
                 );
                 self.client_limits.replace(table.limits, now);
+                if let Some(former) = &self.routing_table {
+                    self.retired_services.replace(former, &table, now);
+                }
                 self.routing_table = Some(Arc::new(table));
             }
             Err(error) => {
--- a/crates/relay/tests/direct/settings_changes.rs
+++ b/crates/relay/tests/direct/settings_changes.rs
@@ -160,6 +160,33 @@
     assert_eq!(staged, events, "a stream whose stages ran");
 }
 
+/// Guards against stages that end with the entry of their service in the settings.
+#[tokio::test]
+async fn stages_that_run_as_their_services_leave_the_settings_complete() {
+    for service in ["first", "second"] {
+        let (platform, daemon) = start_one().await;
+        for target in platform.first.iter().chain(&platform.second) {
+            target.queue_modes(&[Mode::Delayed(300)]);
+        }
+        let client = ClientRequest::new("/staged/").with_stage_pieces("1,1");
+        let change = async {
+            wait_until("a stage runs", || {
+                let targets = platform.first.iter();
+                targets.map(|target| target.received().len()).sum::<usize>() > 0
+            })
+            .await;
+            publish(&platform, 2, |settings| {
+                settings["routes"] = json!([]);
+                let services = settings["services"].as_array_mut().expect("services");
+                services.retain(|entry| entry["name"] != service);
+            });
+        };
+        let (answer, ()) = tokio::join!(client.send(client_address(&daemon)), change);
+        let answer = answer.map(|answer| (answer.status, answer.is_complete));
+        assert_eq!(answer, Some((200, true)), "{service}");
+    }
+}
+
 /// Guards against streams that end with the entry of their target.
 #[tokio::test]
 async fn a_paused_stream_whose_target_leaves_goes_on() {
