Soak: silent targets beside changes of the settings and restarts in turn

Scenario Silences: a quarter of the streams and of the stage calls meet a silence of 1.0 to 1.9 s at a sound target; each step publishes four versions (idle timeout, connections, timeouts) 150 ms apart, and every third one restarts a daemon with SIGTERM. Besides the usual checks, no request that a target has run may end without an answer before the shortest timeout, and no stream before its last event.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -20,6 +20,7 @@
 use gooseberry_soak::process::Builds;
 use gooseberry_soak::release;
 use gooseberry_soak::run;
+use gooseberry_soak::silence;
 
 /// The seeds that CI runs, and the faults they find:
 ///
@@ -40,6 +41,8 @@
     Faults,
     /// Releases of engines, with this number of daemons.
     Releases(u8),
+    /// Silent targets beside changes and restarts.
+    Silences,
 }
 
 async fn run_seeds(scenario: Scenario, seeds: impl Iterator<Item = u64>) {
@@ -52,6 +55,7 @@
         let report = match scenario {
             Scenario::Faults => run(&builds, seed).await,
             Scenario::Releases(daemons) => release::run(&builds, seed, daemons).await,
+            Scenario::Silences => silence::run(&builds, seed).await,
         };
         let report = report.unwrap();
         let count = report.violations.len();
@@ -94,6 +98,12 @@
     run_seeds(Scenario::Releases(daemons.parse().unwrap()), seeds_to_run()).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "runs the seeds that SOAK_SEEDS names, such as 100..150"]
+async fn silences_from_the_environment() {
+    run_seeds(Scenario::Silences, seeds_to_run()).await;
+}
+
 fn seeds_to_run() -> Range<u64> {
     let seeds = std::env::var("SOAK_SEEDS").unwrap();
     let (from, until) = seeds.split_once("..").unwrap();
