Keep a silent target's exchange until another target has the answer

Clients got 504 or 502 from idempotent requests and from streams before their first event whose target was silent for twice the route's objective, though it would have answered well before the deadline: in the operators' record, `end=deadline-passed outcome=unknown took_ms=401` at an objective of 200 ms. A plain reply that paused within its body ended the same way.

Cause: the exchange was dropped at the time limit, and only then the retry budget was asked and another target sought, which may refuse, fail or be silent, or not be there.

Silence now begins a search (`forward::race`). Only when a target with room is found and the attempts and the budget allow it, the request is sent there, beside the first exchange. The answer that is whole first is passed on, and the others are closed; an error reply is passed on only if there is no better one. A target that refuses, fails or breaks off leaves the others to be waited for, until the deadline. For streams, two targets may not work on one request for 400 ms: the earlier exchange is closed when the other reply begins, or 200 ms after the second send, by when a refusal has come. A detour after a lost link is begun beside the exchange in the same way. Sends, `max_attempts` and the budget count as before; the budget is asked at the send, no longer before the wait for a target. Requests that must not run twice are unchanged. Plain replies are read in the race, so a broken one counts as retry reason `unanswered`, no longer as `broken`.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,21 +6,24 @@
 //! client is closed instead.
 //!
 //! - `attempt` picks targets and sends the request until a response begins.
+//! - `call` is one call of the request.
+//! - `race` sends the request, and once more while its target is silent.
 //! - `detour` sends the request through a peer if this daemon reaches no target.
 //! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 
 mod attempt;
+mod call;
 mod crash;
 mod detour;
 pub(crate) mod pick;
 mod placement;
+mod race;
 mod stream;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
@@ -39,7 +42,6 @@
 use gooseberry_platform::target::Reply;
 use http::Response;
 use http::header::CONTENT_LENGTH;
-use tokio::time::timeout;
 
 use crate::body_memory::ReplyPermit;
 use crate::context::Context;
@@ -52,10 +54,6 @@
 use crate::stages::Results;
 use crate::state::PickedTarget;
 
-/// The largest response that is not a stream, in bytes; usual ones are a few
-/// kilobytes.
-const PLAIN_MAX_BYTES: usize = 8 << 20;
-
 /// Runs the stages of a request, if it has any, forwards it to a target and
 /// returns the response.
 pub(crate) async fn run(
@@ -141,6 +139,9 @@
     reply: Reply,
     /// The version of the target's software.
     version: name::Version,
+    /// Its body and the memory for it, unless it is a stream. It has been read whole, so
+    /// that another target's reply can replace one that breaks off.
+    body: Option<(Bytes, ReplyPermit)>,
     /// Counts it as in flight, unless a peer does.
     _in_flight_guard: Option<InFlightGuard>,
 }
@@ -219,51 +220,26 @@
                 };
             }
             let is_final = !(self.job.route.is_repeatable() && status.is_server_error());
-            match self.read_plain().await {
-                Ok(body) if is_final || !self.may_run_again("target-failed") => {
-                    self.finish();
-                    return Ok(head.map(|()| body));
-                }
-                Ok(body) => error_reply = Some(head.map(|()| body)),
-                Err(failure) => {
-                    if !self.job.route.is_repeatable() || !self.may_run_again("broken") {
-                        return Err(failure);
-                    }
-                }
+            let body = self.take_body()?;
+            if is_final || !self.may_run_again("target-failed") {
+                self.finish();
+                return Ok(head.map(|()| body));
             }
+            error_reply = Some(head.map(|()| body));
             self.end_placed(End::Broken);
             self.current = None;
         }
     }
 
-    /// Reads a reply that is not a stream whole before any of it is passed on,
-    /// so that another target's can still replace it if it breaks off.
-    async fn read_plain(&mut self) -> Result<ResponseBody, Failure> {
-        let left = self.job.deadline - self.context.now();
-        let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs).0);
-        let Some(started) = self.current.as_mut() else {
-            return Err(Kind::Internal.into());
-        };
-        let callee = started.exchange.callee.clone();
-        let mut memory = self.context.reply_memory.reply();
-        let reading = started.exchange.read_all(PLAIN_MAX_BYTES, &mut memory);
-        match timeout(limit, reading).await {
-            Ok(Ok(body)) => {
-                self.punctuality.record_whole(self.context.now());
-                Ok(http_server::reserved_body(body, memory))
-            }
-            Ok(Err(_)) => {
-                self.end_placed(End::Broken);
-                self.record_failure(&callee.target);
-                self.record_broken_reply(&callee).await;
-                Err(Failure::from(Kind::TargetFailed).with_unknown_outcome())
-            }
-            Err(_) => {
-                self.end_placed(End::Broken);
-                self.record_failure(&callee.target);
-                Err(deadline_passed())
-            }
-        }
+    /// Returns the body of a reply that is not a stream.
+    fn take_body(&mut self) -> Result<ResponseBody, Failure> {
+        let whole = self
+            .current
+            .as_mut()
+            .and_then(|started| started.body.take());
+        let (body, memory) = whole.ok_or(Failure::from(Kind::Internal))?;
+        self.punctuality.record_whole(self.context.now());
+        Ok(http_server::reserved_body(body, memory))
     }
 
     /// Passes on the error reply of a target, since the retry got no reply.
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -19,30 +19,18 @@
 use http_body_util::Full;
 use tokio::time::timeout;
 
-use crate::exchange::Callee;
-use crate::exchange::Error;
-use crate::exchange::Exchange;
-use crate::exchange::RUN_ONCE_IDLE_MAX;
 use crate::forward::Forwarder;
-use crate::forward::InFlightGuard;
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
-use crate::forward::deadline_passed;
-use crate::link;
-use crate::pool::IDLE_MAX;
-use crate::pool::Lane;
 use crate::stages;
 use crate::state::PickedTarget;
 
-/// How long a request that may be retried waits for the head of a reply, and then for
-/// the rest of it, as a multiple of its route's latency objective.
-const REPLY_TIMEOUT_FACTOR: u64 = 2;
 /// How often the stages of a request are run: a second time if results are gone
 /// when the target reads them, or if its stream is resumed at another target.
 const STAGE_RUNS_MAX: u32 = 2;
 
 /// The way on which a request is sent.
-enum Path {
+pub(super) enum Path {
     /// To this target.
     Direct(PickedTarget),
     /// Through this peer, which picks the target.
@@ -105,11 +93,7 @@
                 self.abandon(&path);
                 return Err(self.quarantine_failure());
             }
-            let outcome = match path {
-                Path::Direct(picked) => self.send_once(picked).await,
-                Path::Detour(peer) => self.send_by_detour(peer).await,
-            };
-            self.record_placed_outcome(&outcome);
+            let outcome = self.send_once(path).await;
             match outcome {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
@@ -134,7 +118,7 @@
     }
 
     /// Releases the place of a request that is not sent after all.
-    fn abandon(&self, path: &Path) {
+    pub(super) fn abandon(&self, path: &Path) {
         if let Path::Direct(picked) = path {
             let mut state = self.context.state();
             state.record_request_end(picked, self.context.now());
@@ -142,7 +126,10 @@
     }
 
     /// Decides how the request is sent next, and waits until it may be.
-    async fn choose_path(&mut self, last_failure: Option<&Failure>) -> Result<Path, Failure> {
+    pub(super) async fn choose_path(
+        &mut self,
+        last_failure: Option<&Failure>,
+    ) -> Result<Path, Failure> {
         let now = self.context.now();
         if let Some(peer) = self.detour(now).filter(|_| now < self.job.deadline) {
             return Ok(Path::Detour(peer));
@@ -190,105 +177,6 @@
         target::request(&job.head, job.body.clone(), &parameters)
     }
 
-    /// Sends the request to one target and waits for the head of its reply.
-    pub(super) async fn send_once(&mut self, picked: PickedTarget) -> SendOutcome {
-        let now = self.context.now();
-        self.last_send = Some((picked.run, now));
-        let left = self.job.deadline - now;
-        let request = self.target_request(Some(&picked.target), left);
-        let is_repeatable = self.job.route.is_repeatable();
-        let callee = Callee {
-            target: picked.target.clone(),
-            address: picked.address,
-            lane: Some(Lane::Requests),
-            idle_max: if is_repeatable {
-                IDLE_MAX
-            } else {
-                RUN_ONCE_IDLE_MAX
-            },
-            runs_once: !is_repeatable,
-            is_detour: false,
-        };
-        // `State::pick` has counted the request as in flight at the target.
-        let in_flight_guard = InFlightGuard::new(&self.context, &picked);
-        let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
-        if let Some(placed) = &mut self.placed {
-            placed.record_send();
-        }
-        let exchange = Exchange::begin(&self.context, &callee, request);
-        let service = &self.job.service.name;
-        let exchange = link::watch_silence(&self.context, service, &picked.target, exchange);
-        let may_repeat = is_repeatable && self.possible_runs + 1 < self.job.route.max_attempts;
-        let begun = tokio::select! {
-            begun = timeout(limit, exchange) => {
-                begun.unwrap_or_else(|_| Err(Error::Silent("no reply in time".to_owned())))
-            }
-            () = link::until_detour(&self.context, service, &self.tried_detours), if may_repeat => {
-                Err(Error::Silent("the link to the service is down".to_owned()))
-            }
-        };
-        // A target that asked for a pause is sound, and may be picked again after it.
-        let is_paused = matches!(begun, Err(Error::Paused));
-        if !is_paused {
-            self.tried.push(picked.target.clone());
-        }
-        if begun.is_err() && !is_paused {
-            link::check_after_failure(&self.context, service, &picked.target);
-        }
-        let (outcome, detail) = match begun {
-            Err(Error::Silent(why)) => {
-                self.sends += 1;
-                self.record_failure(&picked.target);
-                (SendOutcome::MayHaveRun(deadline_passed()), why)
-            }
-            Err(Error::Paused) => {
-                let why = Error::Paused.to_string();
-                (SendOutcome::NotRun(Kind::QueueFull.into()), why)
-            }
-            Err(Error::NotSent(why)) => {
-                let now = self.context.now();
-                self.context
-                    .state()
-                    .health()
-                    .record_unreachable(&picked.target, now);
-                (SendOutcome::NotRun(Kind::NoTarget.into()), why)
-            }
-            Err(Error::Broken(why)) => {
-                self.sends += 1;
-                self.record_crash(&callee).await;
-                (
-                    SendOutcome::MayHaveRun(
-                        Failure::from(Kind::TargetFailed).with_unknown_outcome(),
-                    ),
-                    why,
-                )
-            }
-            Ok(exchange) => {
-                self.sends += 1;
-                let attempt = &self.job.head.attempt;
-                let reply = target::read_reply_head(exchange.status, &exchange.headers, attempt);
-                self.classify(StartedReply {
-                    exchange,
-                    reply,
-                    version: picked.version.clone(),
-                    _in_flight_guard: Some(in_flight_guard),
-                })
-            }
-        };
-        let label = outcome.label();
-        log::info!(
-            request:% = self.job.head.attempt,
-            target:% = picked.target,
-            target_version:% = picked.version,
-            send = self.sends,
-            left_ms = left.0,
-            took_ms = (self.context.now() - now).0,
-            detail;
-            "sent to a target: {label}"
-        );
-        outcome
-    }
-
     /// Derives the outcome from the head of a reply, and records the target's
     /// load and health.
     pub(super) fn classify(&mut self, started: StartedReply) -> (SendOutcome, String) {
@@ -307,12 +195,8 @@
                 (SendOutcome::Started(Box::new(started)), detail)
             }
             Validity::NotRun => match started.reply.status {
-                StatusCode::CONFLICT => {
-                    // A result is gone. The others are released, since all
-                    // stages are run again.
-                    self.results = None;
-                    (SendOutcome::NotRun(Kind::NoTarget.into()), detail)
-                }
+                // A result is gone.
+                StatusCode::CONFLICT => (SendOutcome::NotRun(Kind::NoTarget.into()), detail),
                 StatusCode::BAD_REQUEST => {
                     (SendOutcome::InvalidRequest(Kind::NoTarget.into()), detail)
                 }
@@ -329,17 +213,6 @@
         }
     }
 
-    /// Returns how long to wait for the head of a reply, or for the rest of one that is
-    /// not a stream: all the time that is left, unless another target could still be
-    /// tried. `runs` is how many targets may have run the request by then.
-    pub(super) fn reply_timeout(&self, left: Millis, runs: u32) -> Millis {
-        if !self.job.route.is_repeatable() || runs >= self.job.route.max_attempts {
-            return left;
-        }
-        let limit = self.job.route.objective * REPLY_TIMEOUT_FACTOR;
-        limit.min(left)
-    }
-
     /// Returns whether one more target may run the request, and takes a retry
     /// from the budget if so.
     pub(super) fn may_run_again(&mut self, reason: &str) -> bool {
@@ -368,7 +241,7 @@
 
     /// Returns whether the request may be sent now, and counts it again in the retry
     /// budget if it is a retry that has waited.
-    fn may_still_retry(&mut self) -> bool {
+    pub(super) fn may_still_retry(&mut self) -> bool {
         let now = self.context.now();
         let allowed_at = self.retry_allowed_at;
         let may_send =
--- a/crates/relay/src/forward/crash.rs
+++ b/crates/relay/src/forward/crash.rs
@@ -1,10 +1,13 @@
 //! Records targets that fail or crash, and does not send requests that may crash more.
 
+use std::sync::Arc;
+
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 
+use crate::context::Context;
 use crate::exchange::Callee;
 use crate::forward::Forwarder;
 use crate::link;
@@ -13,11 +16,7 @@
 impl Forwarder {
     /// Records a failed call, after which the target may be avoided for a while.
     pub(super) fn record_failure(&self, target: &name::Target) {
-        let now = self.context.now();
-        let until = self.context.state().health().record_failure(target, now);
-        if let Some(until) = until {
-            log::info!(target:% = target, for_ms = (until - now).0; "a target is avoided after failed calls");
-        }
+        record_failure(&self.context, target);
     }
 
     /// Records that a call to a target broke off, which the request may have caused: a
@@ -25,30 +24,23 @@
     pub(super) async fn record_crash(&self, callee: &Callee) {
         self.record_failure(&callee.target);
         let broke_at = self.context.now();
-        if self.is_fault_of_target(callee, broke_at).await {
-            self.record_suspect(&callee.target, broke_at);
-        }
-    }
-
-    /// Records that a reply which is not a stream broke off, which a part of the prompt may
-    /// have caused.
-    pub(super) async fn record_broken_reply(&self, callee: &Callee) {
-        let broke_at = self.context.now();
-        if self.is_fault_of_target(callee, broke_at).await {
-            self.record_part_crash(broke_at);
-        }
+        let (context, service) = (&self.context, &self.job.service.name);
+        let is_fault = is_fault_of_target(context, service, callee, broke_at).await;
+        self.record_judged_crash(&callee.target, is_fault, broke_at);
     }
 
-    /// Returns whether a call that broke off was the fault of its target. A peer that made
-    /// the call judges that itself, as long as the reply has not begun.
-    async fn is_fault_of_target(&self, callee: &Callee, broke_at: Millis) -> bool {
-        let (service, target) = (&self.job.service.name, &callee.target);
-        let is_fault = !callee.is_detour
-            && link::is_fault_of_target(&self.context, service, target, broke_at).await;
-        if !is_fault {
+    /// Records that a call to a target broke off, and whether that was the target's fault.
+    pub(super) fn record_judged_crash(
+        &self,
+        target: &name::Target,
+        is_fault: bool,
+        broke_at: Millis,
+    ) {
+        if is_fault {
+            self.record_suspect(target, broke_at);
+        } else {
             log::info!(request:% = self.job.head.attempt, target:% = target; "a call broke off, and its target is not known to be the cause; the request is no suspect");
         }
-        is_fault
     }
 
     /// Records that a target broke a call off at `broke_at`.
@@ -71,7 +63,7 @@
 
     /// Records that a target broke off the connection before the answer began, which a
     /// part of the prompt may have caused.
-    fn record_part_crash(&self, broke_at: Millis) {
+    pub(super) fn record_part_crash(&self, broke_at: Millis) {
         let Some((run, sent_at)) = self
             .last_send
             .filter(|_| self.punctuality.first_at().is_none())
@@ -114,3 +106,23 @@
         part.is_some()
     }
 }
+
+/// Records a failed call, after which the target may be avoided for a while.
+pub(super) fn record_failure(context: &Context, target: &name::Target) {
+    let now = context.now();
+    let until = context.state().health().record_failure(target, now);
+    if let Some(until) = until {
+        log::info!(target:% = target, for_ms = (until - now).0; "a target is avoided after failed calls");
+    }
+}
+
+/// Returns whether a call that broke off was the fault of its target. A peer that made
+/// the call judges that itself, as long as the reply has not begun.
+pub(super) async fn is_fault_of_target(
+    context: &Arc<Context>,
+    service: &name::Service,
+    callee: &Callee,
+    broke_at: Millis,
+) -> bool {
+    !callee.is_detour && link::is_fault_of_target(context, service, &callee.target, broke_at).await
+}
--- a/crates/relay/src/forward/detour.rs
+++ b/crates/relay/src/forward/detour.rs
@@ -6,9 +6,8 @@
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
-use gooseberry_kernel::name;
 use gooseberry_platform::target;
-use gooseberry_wire::detour::Call;
+use gooseberry_wire::detour as detour_message;
 use tokio::time::timeout;
 
 use crate::detour;
@@ -16,6 +15,9 @@
 use crate::forward::Forwarder;
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
+use crate::forward::call::Call;
+use crate::forward::call::Step;
+use crate::forward::call::Way;
 use crate::forward::deadline_passed;
 
 /// Through how many peers that reach targets a request is sent at most.
@@ -39,82 +41,89 @@
         state.is_link_down(&self.job.service.name)
     }
 
-    /// Sends the request to a peer, which sends it to a target, and waits for the head of
-    /// the reply.
-    pub(super) async fn send_by_detour(&mut self, peer: SocketAddr) -> SendOutcome {
+    /// Sends the request to a peer, which sends it to a target.
+    pub(super) fn begin_detour(&mut self, peer: SocketAddr) -> Call {
         let now = self.context.now();
-        self.last_send = None;
         let left = self.job.deadline - now;
         let request = self.target_request(None, left);
         let call = self.detour_call(now, left);
-        let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs + 1).0);
-        let sending = detour::send(&self.context, peer, request, &call);
-        let replied = timeout(limit, sending).await;
-        if let Ok(Reply::CutOff) = replied {
-            let mut state = self.context.state();
-            state.record_unreached_by(peer, &self.job.service.name);
-        } else {
-            self.tried_detours.push(peer);
+        self.tried_detours.push(peer);
+        let context = self.context.clone();
+        let next_step = async move {
+            let sending = detour::send(&context, peer, request, &call);
+            let limit = Duration::from_millis(left.0);
+            Step::Detoured(peer, timeout(limit, sending).await.ok())
+        };
+        Call {
+            way: Way::Detour(peer),
+            sent_at: now,
+            left,
+            placed: None,
+            last_send: None,
+            has_begun: false,
+            is_silence_recorded: false,
+            next_step: Box::pin(next_step),
         }
-        let (outcome, detail) = match replied {
-            Err(_) => {
+    }
+
+    /// Returns the reply of a call through a peer, or its outcome if there is none; `reply` is
+    /// `None` if the peer has said nothing until the deadline.
+    pub(super) fn end_detour(
+        &mut self,
+        peer: SocketAddr,
+        sent_at: Millis,
+        reply: Option<Reply>,
+    ) -> Result<StartedReply, (SendOutcome, String)> {
+        let outcome = match reply {
+            None => {
                 self.sends += 1;
-                let why = "no reply in time".into();
+                let why = "no reply in time".to_owned();
                 (SendOutcome::MayHaveRun(deadline_passed()), why)
             }
-            Ok(Reply::CutOff) => {
-                let why = "the peer reaches no target, either".into();
+            Some(Reply::CutOff) => {
+                self.tried_detours.retain(|tried| *tried != peer);
+                let mut state = self.context.state();
+                state.record_unreached_by(peer, &self.job.service.name);
+                let why = "the peer reaches no target, either".to_owned();
                 (SendOutcome::NotRun(Kind::NoTarget.into()), why)
             }
-            Ok(Reply::NotSent(why, retry_after)) => {
+            Some(Reply::NotSent(why, retry_after)) => {
                 let failure = match retry_after {
                     Some(delay) => Failure::from(Kind::QueueFull).with_retry_after(delay),
                     None => Kind::NoTarget.into(),
                 };
-                (SendOutcome::NotRun(failure), why)
+                (SendOutcome::NotRun(failure), why.into())
             }
-            Ok(Reply::Unknown(why, crash)) => {
+            Some(Reply::Unknown(why, crash)) => {
                 self.sends += 1;
                 if let Some(crash) = crash {
                     self.tried.push(crash.target.clone());
-                    self.last_send = Some((crash.run, now));
+                    self.last_send = Some((crash.run, sent_at));
                     self.record_suspect(&crash.target, self.context.now());
                 }
                 let failure = Failure::from(Kind::TargetFailed).with_unknown_outcome();
-                (SendOutcome::MayHaveRun(failure), why)
+                (SendOutcome::MayHaveRun(failure), why.into())
             }
-            Ok(Reply::Started(exchange, version)) => {
+            Some(Reply::Started(exchange, version)) => {
                 self.sends += 1;
                 self.tried.push(exchange.callee.target.clone());
                 let attempt = &self.job.head.attempt;
                 let reply = target::read_reply_head(exchange.status, &exchange.headers, attempt);
-                let (outcome, detail) = self.classify(StartedReply {
+                return Ok(StartedReply {
                     exchange: *exchange,
                     reply,
                     version,
+                    body: None,
                     _in_flight_guard: None,
                 });
-                (outcome, detail.into())
             }
         };
-        let label = outcome.label();
-        self.context.metrics.detour("sent", label);
-        log::info!(
-            request:% = self.job.head.attempt,
-            peer:% = peer,
-            target:% = self.tried.last().map_or("", name::Target::as_str),
-            send = self.sends,
-            left_ms = left.0,
-            took_ms = (self.context.now() - now).0,
-            detail:%;
-            "sent through a peer: {label}"
-        );
-        outcome
+        Err(outcome)
     }
 
-    fn detour_call(&self, now: Millis, left: Millis) -> Call {
+    fn detour_call(&self, now: Millis, left: Millis) -> detour_message::Call {
         let need = self.need(&self.tried);
-        Call {
+        detour_message::Call {
             attempt: self.job.head.attempt.as_str().into(),
             service: need.service.name.as_str().into(),
             version: need.version.map(|version| version.as_str().into()),
--- a/crates/relay/src/forward/placement.rs
+++ b/crates/relay/src/forward/placement.rs
@@ -6,7 +6,6 @@
 use gooseberry_platform::target::Load;
 
 use crate::forward::Forwarder;
-use crate::forward::SendOutcome;
 use crate::forward::pick;
 use crate::placement;
 use crate::placement::PlacedRequest;
@@ -48,17 +47,6 @@
         picked
     }
 
-    /// Records that the target that its placer has chosen does not answer the request.
-    pub(super) fn record_placed_outcome(&mut self, outcome: &SendOutcome) {
-        match outcome {
-            SendOutcome::Started(_) => {}
-            SendOutcome::NotRun(_) | SendOutcome::InvalidRequest(_) => {
-                self.end_placed(End::NotRun);
-            }
-            SendOutcome::MayHaveRun(_) => self.end_placed(End::Broken),
-        }
-    }
-
     /// Records how the request ended at the target that its placer has chosen, if that was
     /// not recorded before.
     pub(super) fn end_placed(&mut self, end: End) {
