Let the last try of a stage's group wait for its silent target

Clients whose stage targets all fell silent for 1.5 s were refused after about 1.3 s of the 8 s that they had: 503, "no target", though each target would have gone on.

Cause: a stage call ends after three times its expected duration and 300 ms. Its groups are then sent to the next target, and fail after three such calls, whether the calls failed or were only silent. The last call was given up though nothing could follow it.

The call of a group's last try now waits until the group's deadline. At the usual limit, the other groups of such a call are queued again as before, so that they do not wait with it; if results of theirs come after all, they are freed. Calls are as many as before.

Evidence: the new test failed before with 503 for 200, and passes now, beside the other tests of stages. No test has a call in which only some groups are in their last try.

--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -9,11 +9,13 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::stage::batch_queue::BatchCall;
+use gooseberry_kernel::stage::batch_queue::Ticket;
 use gooseberry_kernel::stage::group::Group;
 use gooseberry_platform::stage_call;
 use gooseberry_platform::stage_call::PieceResult;
 use gooseberry_wire::fleet::Unmade;
 use http::StatusCode;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::context::Context;
@@ -55,11 +57,21 @@
     context: &Arc<Context>,
     service: &name::Service,
     spec: BatchSpec,
-    call: BatchCall,
+    mut call: BatchCall,
 ) {
     let sent = context.now();
+    let last_try_until = {
+        let mut services = context.dispatcher.lock();
+        dispatch_of(&mut services, service).last_try_until(&call)
+    };
+    let limit = call_timeout(&call, sent);
+    let longest = last_try_until.map_or(limit, |until| limit.max(until - sent));
+    let mut requeued: Vec<Ticket> = Vec::new();
     let outcome = {
-        let sending = send_call(context, &call);
+        let silence = sleep(Duration::from_millis(limit.0));
+        tokio::pin!(silence);
+        let mut is_silent = longest == limit;
+        let sending = send_call(context, &call, longest);
         let sending = link::watch_silence(context, service, &call.target, sending);
         tokio::pin!(sending);
         let link_lost = link::until_detour(context, service, &[]);
@@ -73,6 +85,13 @@
                 () = link_lost.as_mut() => {
                     break CallOutcome::Failed("the link to the service is down".to_owned());
                 }
+                () = silence.as_mut(), if !is_silent => {
+                    is_silent = true;
+                    requeued = requeue_silent(context, service, &call, limit);
+                    if requeued.len() == call.parts.len() {
+                        break CallOutcome::Failed(format!("no response within {limit} ms"));
+                    }
+                }
             }
         }
     };
@@ -113,11 +132,14 @@
         if matches!(outcome, CallOutcome::Refused) {
             dispatch.queue.pause_target(&call.target, now);
         }
+        if !matches!(outcome, CallOutcome::Answered(_)) {
+            call.parts.retain(|part| !requeued.contains(&part.ticket));
+        }
         if is_cut_off && matches!(outcome, CallOutcome::Failed(_)) {
             dispatch.give_back(call);
             false
         } else {
-            apply_outcome(dispatch, call, outcome, spec, now)
+            apply_outcome(dispatch, call, &requeued, outcome, spec, now)
         }
     };
     if is_full {
@@ -126,6 +148,43 @@
     dispatcher.send_due_calls(context, service);
 }
 
+/// Returns how long a call may take until its pieces are sent to another target.
+fn call_timeout(call: &BatchCall, now: Millis) -> Millis {
+    (call.expected_end - now) * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK
+}
+
+/// Queues the groups of a call without a response again that may be sent to another target;
+/// returns them. The others are waited for: a sound target may be silent for a while.
+fn requeue_silent(
+    context: &Arc<Context>,
+    service: &name::Service,
+    call: &BatchCall,
+    limit: Millis,
+) -> Vec<Ticket> {
+    let now = context.now();
+    let requeued = {
+        let mut services = context.dispatcher.lock();
+        dispatch_of(&mut services, service).requeue_silent(call, now)
+    };
+    let mut state = context.state();
+    state.health().record_unreachable(&call.target, now);
+    drop(state);
+    link::check_after_failure(context, service, &call.target);
+    let kept = call.parts.iter();
+    let kept = kept.filter(|part| !requeued.contains(&part.ticket));
+    let kept: Vec<&str> = kept.map(|part| part.group.attempt.as_str()).collect();
+    log::info!(
+        requests:% = kept.join(","),
+        service:% = service,
+        target:% = call.target,
+        requeued = requeued.len(),
+        limit_ms = limit.0;
+        "a stage call is silent; groups in their last try wait for it"
+    );
+    context.dispatcher.send_due_calls(context, service);
+    requeued
+}
+
 /// Returns for the log how many pieces failed for each reason; empty if none
 /// did.
 fn failure_counts(piece_results: &[PieceResult]) -> CompactString {
@@ -211,10 +270,12 @@
 }
 
 /// Distributes the outcome of a call to its groups, and queues failed pieces
-/// again; returns whether the target lacked memory for results.
+/// again; returns whether the target lacked memory for results. The results of the groups
+/// that were queued again before are freed.
 pub(super) fn apply_outcome(
     dispatch: &mut ServiceDispatch,
     call: BatchCall,
+    requeued: &[Ticket],
     outcome: CallOutcome,
     spec: BatchSpec,
     now: Millis,
@@ -233,6 +294,7 @@
     let mut is_full = false;
     for part in call.parts {
         let group = part.group;
+        let is_requeued = requeued.contains(&part.ticket);
         // A target without free memory is not a failure; it does not count as a
         // try of the group, whose pieces wait in the queue again.
         let mut has_failed = false;
@@ -248,8 +310,13 @@
                         spec.result_ttl,
                         now,
                     );
+                    if is_requeued {
+                        results.free(&[handle]);
+                        continue;
+                    }
                     dispatch.record_piece(part.ticket, *piece, handle, &call.domain);
                 }
+                _ if is_requeued => {}
                 PieceResult::Late => dispatch.complete(part.ticket, Err(Unmade::Late)),
                 PieceResult::Gone => dispatch.complete(part.ticket, Err(Unmade::Gone)),
                 PieceResult::NoMemory => {
@@ -271,9 +338,12 @@
     is_full
 }
 
-/// Sends one call and waits for its response, within a timeout derived from its
-/// expected duration.
-pub(super) async fn send_call(context: &Arc<Context>, call: &BatchCall) -> CallOutcome {
+/// Sends one call and waits for its response for at most `limit`.
+pub(super) async fn send_call(
+    context: &Arc<Context>,
+    call: &BatchCall,
+    limit: Millis,
+) -> CallOutcome {
     let now = context.now();
     let Some(address) = context.state().address(&call.target) else {
         return CallOutcome::Refused;
@@ -287,8 +357,6 @@
         Err(error) => return CallOutcome::Failed(format!("{error:#}")),
     };
     let count = call.parts.iter().map(|part| part.group.pieces.len()).sum();
-    let expected = call.expected_end - now;
-    let limit = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK;
     let exchanged = timeout(Duration::from_millis(limit.0), async {
         let mut exchange = Exchange::begin(context, &callee, request).await?;
         let status = exchange.status;
--- a/crates/relay/src/dispatcher/service_dispatch.rs
+++ b/crates/relay/src/dispatcher/service_dispatch.rs
@@ -244,6 +244,38 @@
         }
     }
 
+    /// Returns until when the groups of a call are of use that have no other try after it;
+    /// `None` if there are none.
+    pub(super) fn last_try_until(&self, call: &BatchCall) -> Option<Millis> {
+        let last_tries = call
+            .parts
+            .iter()
+            .filter(|part| self.is_last_try(part.ticket));
+        last_tries.map(|part| part.group.deadline).max()
+    }
+
+    fn is_last_try(&self, ticket: Ticket) -> bool {
+        let mut pending = self.pending.iter();
+        let pending = pending.find(|pending| pending.ticket == ticket);
+        pending.is_some_and(|pending| pending.tries + 1 >= GROUP_TRIES_MAX)
+    }
+
+    /// Queues the groups of a call without a response again that may have another one, or
+    /// whose inputs have been released; returns them.
+    pub(super) fn requeue_silent(&mut self, call: &BatchCall, now: Millis) -> Vec<Ticket> {
+        let mut requeued = Vec::new();
+        for part in &call.parts {
+            let mut pending = self.pending.iter();
+            let pending = pending.find(|pending| pending.ticket == part.ticket);
+            let are_inputs_freed = pending.is_some_and(|pending| pending.are_inputs_freed);
+            if are_inputs_freed || !self.is_last_try(part.ticket) {
+                self.requeue(part.ticket, part.group.clone(), true, now);
+                requeued.push(part.ticket);
+            }
+        }
+        requeued
+    }
+
     /// Queues failed pieces again, unless the group has had all its tries or its
     /// inputs have been released.
     pub(super) fn requeue(
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -342,6 +342,18 @@
     assert_eq!(released_early.last(), Some(&true), "{released_early:?}");
 }
 
+/// A call of these pieces is expected to take about 40 ms.
+#[tokio::test]
+async fn a_stage_waits_for_a_silent_target_if_its_other_tries_are_used_up() {
+    let (platform, daemon) = start_one().await;
+    for target in &platform.first {
+        target.queue_modes(&[Mode::Delayed(1_500); 3]);
+    }
+    let client = ClientRequest::new("/staged/").with_stage_pieces("2,1");
+    complete_answer_to(&client, &daemon).await;
+    assert_eq!(stage_calls(&platform.first).len(), 3);
+}
+
 /// The last targets of a service leave. Requests that need it were admitted and waited for
 /// as long as their route allows, with the work of their earlier stages done.
 #[tokio::test]
