Test: a request goes on at its target if its detour is refused

Clients got 502 from a resumable stream whose target had it and would have answered: when the link to its service went down for new connections, the call was dropped for a detour, which the targets behind the peers refused.

--- a/crates/relay/tests/direct/detours.rs
+++ b/crates/relay/tests/direct/detours.rs
@@ -196,3 +196,33 @@
     });
     futures::future::join_all(sending).await;
 }
+
+/// Its connection lives on, and its target answers after 1.5 s.
+#[tokio::test]
+async fn a_request_goes_on_at_its_target_if_the_detour_is_refused() {
+    let fleet = Fleet::start().await;
+    let queue = |modes: &[Mode]| {
+        for engine in &fleet.platform.engines {
+            engine.clear_modes();
+            engine.queue_modes(modes);
+        }
+    };
+    queue(&[Mode::Delayed(1_500)]);
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let cutting_off = async {
+        wait_until("a target has the request", || {
+            fleet.platform.runs(&client.attempt) == 1
+        })
+        .await;
+        queue(&[Mode::NotRun; 20]);
+        fleet.cut_off(0, Partition::RefuseNew);
+    };
+    let sending = answer_to(&client, &fleet.daemons[0]);
+    let (answer, ()) = futures::future::join(sending, cutting_off).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(executed(&fleet.platform.engines, &client.attempt), 1);
+    assert!(
+        fleet.platform.runs(&client.attempt) > 1,
+        "no peer was asked"
+    );
+}
