Use the results of a silent stage call for groups that were not sent again

With one stage target left, a group that had shared the call of another one's last try was computed a second time, though the results had come while it still waited in the queue. Such results are now used.

--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -19,10 +19,8 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
-use crate::dispatcher::ResultOwner;
 use crate::dispatcher::result_memory::query_usage;
-use crate::dispatcher::result_memory::release_results;
-use crate::dispatcher::service_dispatch::PendingGroup;
+use crate::dispatcher::result_memory::release_inputs;
 use crate::dispatcher::service_dispatch::ServiceDispatch;
 use crate::dispatcher::service_dispatch::dispatch_of;
 use crate::exchange::Callee;
@@ -204,56 +202,6 @@
     counts.collect::<Vec<_>>().join(", ").into()
 }
 
-/// Releases the inputs of a call that is still running, as its target must have
-/// fetched them by now, if other groups may be waiting for their memory.
-///
-/// A target fetches the inputs when it starts on a call. That is as soon as the
-/// call arrives, unless another daemon has calls at the target too; in that
-/// case the inputs are released only after the group has completed. So are
-/// those of a group whose pieces are split over several calls, and those whose
-/// service has no backlog: with its inputs, a piece that fails can be retried.
-pub(super) fn release_inputs(context: &Arc<Context>, service: &name::Service, call: &BatchCall) {
-    let mut input_owners = Vec::new();
-    for part in &call.parts {
-        let is_unsplit = |pending: &&mut PendingGroup| {
-            let all = pending.wanted.len();
-            pending.ticket == part.ticket && all == part.group.pieces.len()
-        };
-        let owners = {
-            let mut services = context.dispatcher.lock();
-            let dispatch = dispatch_of(&mut services, service);
-            if !dispatch.is_sole_dispatcher_at(&call.target) {
-                return;
-            }
-            let pending = dispatch.pending.iter_mut().find(is_unsplit);
-            pending.map_or_else(Vec::new, |pending| pending.input_owners.clone())
-        };
-        if !owners.iter().any(|owner| has_backlog(context, owner)) {
-            continue;
-        }
-        let mut services = context.dispatcher.lock();
-        let dispatch = dispatch_of(&mut services, service);
-        if let Some(pending) = dispatch.pending.iter_mut().find(is_unsplit) {
-            pending.are_inputs_freed = true;
-            input_owners.append(&mut pending.input_owners);
-        }
-    }
-    for owner in input_owners {
-        release_results(context, owner);
-    }
-}
-
-/// Returns whether groups wait at the service that computed some results.
-fn has_backlog(context: &Context, owner: &ResultOwner) -> bool {
-    if owner.address == context.boot.peer_address {
-        let mut services = context.dispatcher.lock();
-        let queue = &dispatch_of(&mut services, &owner.service).queue;
-        return queue.waiting_pieces() > 0;
-    }
-    let now = context.now();
-    context.state().has_backlog(&owner.service, now)
-}
-
 /// Records whether the target of a call is reachable.
 pub(super) fn record_health(
     context: &Context,
@@ -270,8 +218,8 @@
 }
 
 /// Distributes the outcome of a call to its groups, and queues failed pieces
-/// again; returns whether the target lacked memory for results. The results of the groups
-/// that were queued again before are freed.
+/// again; returns whether the target lacked memory for results. Results of groups that were
+/// queued again before are used only if they have not been sent again.
 pub(super) fn apply_outcome(
     dispatch: &mut ServiceDispatch,
     call: BatchCall,
@@ -294,7 +242,11 @@
     let mut is_full = false;
     for part in call.parts {
         let group = part.group;
-        let is_requeued = requeued.contains(&part.ticket);
+        let mut is_requeued = requeued.contains(&part.ticket);
+        if is_requeued && dispatch.queue.has_waiting(part.ticket, group.pieces.len()) {
+            dispatch.queue.cancel(part.ticket);
+            is_requeued = false;
+        }
         // A target without free memory is not a failure; it does not count as a
         // try of the group, whose pieces wait in the queue again.
         let mut has_failed = false;
--- a/crates/relay/src/dispatcher/result_memory.rs
+++ b/crates/relay/src/dispatcher/result_memory.rs
@@ -8,6 +8,7 @@
 use anyhow::Context as _;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::routing_table::BatchSpec;
+use gooseberry_kernel::stage::batch_queue::BatchCall;
 use gooseberry_kernel::stage::batch_queue::TargetReport;
 use gooseberry_platform::stage_call;
 use tokio::time::timeout;
@@ -15,6 +16,7 @@
 use crate::context::Context;
 use crate::dispatcher::ResultOwner;
 use crate::dispatcher::call::RESPONSE_MAX_BYTES;
+use crate::dispatcher::service_dispatch::PendingGroup;
 use crate::dispatcher::service_dispatch::dispatch_of;
 use crate::exchange;
 use crate::exchange::Callee;
@@ -134,3 +136,53 @@
         log::info!(target:% = callee.target, results = handles.len(); "the target did not free the results, which expire there: {error:#}");
     }
 }
+
+/// Releases the inputs of a call that is still running, as its target must have
+/// fetched them by now, if other groups may be waiting for their memory.
+///
+/// A target fetches the inputs when it starts on a call. That is as soon as the
+/// call arrives, unless another daemon has calls at the target too; in that
+/// case the inputs are released only after the group has completed. So are
+/// those of a group whose pieces are split over several calls, and those whose
+/// service has no backlog: with its inputs, a piece that fails can be retried.
+pub(super) fn release_inputs(context: &Arc<Context>, service: &name::Service, call: &BatchCall) {
+    let mut input_owners = Vec::new();
+    for part in &call.parts {
+        let is_unsplit = |pending: &&mut PendingGroup| {
+            let all = pending.wanted.len();
+            pending.ticket == part.ticket && all == part.group.pieces.len()
+        };
+        let owners = {
+            let mut services = context.dispatcher.lock();
+            let dispatch = dispatch_of(&mut services, service);
+            if !dispatch.is_sole_dispatcher_at(&call.target) {
+                return;
+            }
+            let pending = dispatch.pending.iter_mut().find(is_unsplit);
+            pending.map_or_else(Vec::new, |pending| pending.input_owners.clone())
+        };
+        if !owners.iter().any(|owner| has_backlog(context, owner)) {
+            continue;
+        }
+        let mut services = context.dispatcher.lock();
+        let dispatch = dispatch_of(&mut services, service);
+        if let Some(pending) = dispatch.pending.iter_mut().find(is_unsplit) {
+            pending.are_inputs_freed = true;
+            input_owners.append(&mut pending.input_owners);
+        }
+    }
+    for owner in input_owners {
+        release_results(context, owner);
+    }
+}
+
+/// Returns whether groups wait at the service that computed some results.
+fn has_backlog(context: &Context, owner: &ResultOwner) -> bool {
+    if owner.address == context.boot.peer_address {
+        let mut services = context.dispatcher.lock();
+        let queue = &dispatch_of(&mut services, &owner.service).queue;
+        return queue.waiting_pieces() > 0;
+    }
+    let now = context.now();
+    context.state().has_backlog(&owner.service, now)
+}
--- a/crates/relay/tests/direct/stages.rs
+++ b/crates/relay/tests/direct/stages.rs
@@ -15,6 +15,7 @@
 use crate::platform::answer_to;
 use crate::platform::client_address;
 use crate::platform::complete_answer_to;
+use crate::platform::is_ready_with;
 use crate::platform::start_one;
 use crate::platform::wait_until;
 
@@ -354,6 +355,25 @@
     assert_eq!(stage_calls(&platform.first).len(), 3);
 }
 
+/// The second request shares the call of the first one's last try.
+#[tokio::test]
+async fn a_group_that_shares_a_silent_call_uses_its_results_unless_it_was_sent_again() {
+    let (platform, daemon) = start_one().await;
+    platform.store.remove("servers/first-2");
+    wait_until("one target is left", || is_ready_with(&daemon, 7)).await;
+    platform.first[0].queue_modes(&[Mode::Delayed(1_500); 3]);
+    let requests = [1, 2].map(|_| ClientRequest::new("/staged/").with_stage_pieces("2,1"));
+    let second = async {
+        wait_until("the second try is sent", || {
+            stage_calls(&platform.first).len() == 2
+        })
+        .await;
+        complete_answer_to(&requests[1], &daemon).await;
+    };
+    tokio::join!(complete_answer_to(&requests[0], &daemon), second);
+    assert_eq!(stage_calls(&platform.first).len(), 3);
+}
+
 /// The last targets of a service leave. Requests that need it were admitted and waited for
 /// as long as their route allows, with the work of their earlier stages done.
 #[tokio::test]
