Two targets have a paused stream at once for a moment only

Review of: the paused target and its successor could both work on a stream until the successor's first event, with a silent one until the deadline. A successor that has accepted the stream now gets 200 ms for an event; then the paused target is closed, as in race. A Retry-After of a stage queue no longer delays the next search, and a target that breaks off during one no longer holds up the event that has come.

--- a/crates/relay/src/forward/race.rs
+++ b/crates/relay/src/forward/race.rs
@@ -35,7 +35,7 @@
 /// How long two targets may have a stream at once. The second one refuses it within a round
 /// trip if it does; a closed call still lingers a little, and two targets may not work on a
 /// stream for 400 ms.
-const STREAM_OVERLAP_MAX: Millis = Millis(200);
+pub(super) const STREAM_OVERLAP_MAX: Millis = Millis(200);
 
 /// The calls of a request that are open, and how the others ended.
 struct Race {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -25,7 +25,7 @@
 ///
 /// The longest pauses of a typical healthy target, while it reads long prompts, are
 /// below half of this.
-pub(super) const STREAM_GAP_MAX: Millis = Millis(1_500);
+const STREAM_GAP_MAX: Millis = Millis(1_500);
 /// How often it is then looked up whether another target can take the stream. The interval
 /// doubles with each search that fails, since a search may run the stages.
 const SUCCESSOR_CHECK_INTERVAL: Millis = Millis(500);
@@ -59,12 +59,10 @@
         self.waited
     }
 
-    /// Records that a search for another target, which took this long, found none, and by
-    /// when one may be found, if that is known.
-    pub(super) fn record_failed_search(&mut self, took: Millis, retry_after: Option<Millis>) {
+    /// Records a search for another target, which took this long and found none.
+    pub(super) fn record_search(&mut self, took: Millis) {
         self.waited = self.waited + took;
-        let delay = retry_after.unwrap_or_default().max(self.check_interval);
-        self.next_check = self.waited + delay;
+        self.next_check = self.waited + self.check_interval;
         self.check_interval = self.check_interval * 2;
     }
 }
@@ -114,7 +112,7 @@
                 // Silence ends a stream only if it can go on at another target.
                 Err(Stop::Paused) if self.may_seek_successor() => {
                     // Boxed, since few streams pause.
-                    match Box::pin(self.hand_over()).await {
+                    match Box::pin(self.seek_successor()).await {
                         Ok(Some(events)) => return Some(Ok(events)),
                         Ok(None) => continue,
                         Err(why) => why,
@@ -225,7 +223,7 @@
 
     /// Returns whether another target can take the stream now, as far as this is known;
     /// counts nothing.
-    pub(super) fn may_seek_successor(&self) -> bool {
+    fn may_seek_successor(&self) -> bool {
         let now = self.context.now();
         let may_send = self.job.route.is_resumable
             && self.may_run_stages()
--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -2,7 +2,8 @@
 //!
 //! The paused target may be sound and go on, and the other one may refuse the stream, fail
 //! or be silent, too. The first connection is therefore kept and read until the other target
-//! has sent an event: whichever target sends one first goes on with the stream.
+//! has accepted the stream and had a moment to send an event: whichever target sends one first
+//! goes on with the stream.
 
 use std::time::Duration;
 
@@ -19,8 +20,8 @@
 use crate::exchange::Exchange;
 use crate::forward::Forwarder;
 use crate::forward::StartedReply;
+use crate::forward::race::STREAM_OVERLAP_MAX;
 use crate::forward::retry::Retry;
-use crate::forward::stream::STREAM_GAP_MAX;
 use crate::placement::PlacedRequest;
 
 /// A target's stream, read event by event.
@@ -122,7 +123,7 @@
     /// # Errors
     /// Returns why the stream has broken off, if its target broke it off meanwhile and no
     /// other one goes on with it.
-    pub(super) async fn hand_over(&mut self) -> Result<Option<Bytes>, String> {
+    pub(super) async fn seek_successor(&mut self) -> Result<Option<Bytes>, String> {
         let Some(started) = self.current.take() else {
             return Err("there is no connection".to_owned());
         };
@@ -150,7 +151,7 @@
         let (end, failure) = match paused.race(self.send()).await {
             First::Paused => ("not-needed", None),
             First::Other(Ok(other)) => match self.read_first_event(&mut paused, other).await {
-                Ok((other, reading)) => return self.switch_to(other, reading, paused).await,
+                Ok((other, reading)) => return self.switch_to(other, reading, paused),
                 Err(end) => (end, None),
             },
             First::Other(Err(failure)) if self.sends == sends => ("not-sent", Some(failure)),
@@ -168,19 +169,15 @@
             self.stage_runs = stage_runs;
         }
         self.log_search(end, failure.as_ref(), &paused, began);
-        self.keep(
-            paused,
-            failure.and_then(|failure| failure.retry_after),
-            began,
-        )
+        self.stay_at(paused, began)
     }
 
     /// Waits for the first event of the other target, or the end of a stream that has none
-    /// left.
+    /// left; not for long, since both targets work on the stream meanwhile.
     ///
     /// # Errors
-    /// Returns how the search has ended if neither comes in time, or the paused target goes on
-    /// before.
+    /// Returns how the search has ended if the other target breaks off, or the paused one goes
+    /// on before.
     async fn read_first_event(
         &mut self,
         paused: &mut PausedTarget,
@@ -201,21 +198,13 @@
             content: other.reply.content,
             memory: self.context.reply_memory.reply(),
         };
-        loop {
-            let left = self.job.deadline - self.context.now();
-            let limit = STREAM_GAP_MAX.min(left);
-            let next_event = reading.next_event(&mut other.exchange);
-            let next_event = timeout(Duration::from_millis(limit.0), next_event);
-            match paused.race(next_event).await {
-                First::Paused => return Err("not-needed"),
-                // It has sent an event, or there is none left.
-                First::Other(Ok(Ok(()))) => return Ok((other, reading)),
-                // It is all that is left.
-                First::Other(Err(_)) if paused.broken.is_some() => return Ok((other, reading)),
-                // Both are waited for until a third one can take the stream.
-                First::Other(Err(_)) if limit < left && !self.may_seek_successor() => {}
-                First::Other(Ok(Err(_)) | Err(_)) => break,
-            }
+        let limit = Duration::from_millis(STREAM_OVERLAP_MAX.0);
+        let next_event = timeout(limit, reading.next_event(&mut other.exchange));
+        match paused.race(next_event).await {
+            First::Paused => return Err("not-needed"),
+            // It has sent an event, has none left, or has accepted the stream and is waited for.
+            First::Other(Ok(Ok(())) | Err(_)) => return Ok((other, reading)),
+            First::Other(Ok(Err(_))) => {}
         }
         self.record_failure(&target);
         self.end_placed(End::Broken);
@@ -223,7 +212,7 @@
     }
 
     /// Closes the connection to the paused target, and goes on with the other one.
-    async fn switch_to(
+    fn switch_to(
         &mut self,
         other: Box<StartedReply>,
         reading: Reading,
@@ -233,7 +222,6 @@
         if let Some(placed) = &mut paused.placed {
             placed.record_end(End::Broken);
         }
-        let (is_broken, paused_send) = (paused.broken.is_some(), paused.last_send);
         drop(paused);
         self.context.metrics.resumption("resumed");
         log::info!(
@@ -245,13 +233,7 @@
             left_ms = (self.job.deadline - self.context.now()).0;
             "a paused stream goes on at another target"
         );
-        if is_broken {
-            let send = std::mem::replace(&mut self.last_send, paused_send);
-            self.record_crash(&callee).await;
-            self.last_send = send;
-        } else {
-            self.record_failure(&callee.target);
-        }
+        self.record_failure(&callee.target);
         self.begin_reply(*other);
         self.events = reading.events;
         self.event_memory = reading.memory;
@@ -262,12 +244,7 @@
     }
 
     /// Goes on with the paused target, which has gone on or is waited for.
-    fn keep(
-        &mut self,
-        paused: PausedTarget,
-        retry_after: Option<Millis>,
-        began: Millis,
-    ) -> Result<Option<Bytes>, String> {
+    fn stay_at(&mut self, paused: PausedTarget, began: Millis) -> Result<Option<Bytes>, String> {
         let reading = paused.reading;
         self.current = Some(paused.started);
         self.placed = paused.placed;
@@ -281,7 +258,7 @@
             self.results = None;
         }
         let took = self.context.now() - began;
-        self.pause.record_failed_search(took, retry_after);
+        self.pause.record_search(took);
         self.release(&reading.received, reading.count)
     }
 
@@ -305,7 +282,7 @@
             sends = self.sends,
             waited_ms = (self.pause.waited() + (now - began)).0,
             left_ms = (self.job.deadline - now).0;
-            "a paused stream stays at its target"
+            "no other target goes on with a paused stream"
         );
     }
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -56,7 +56,7 @@
     pub route: Arc<Route>,
     /// The service whose targets run it.
     pub service: Arc<Service>,
-    /// Where the stream began that it resumes, or its own one: it may go on only there.
+    /// Where its stream began, here or in an earlier attempt; it may go on only there.
     pub origin: Option<Origin>,
     /// The workspace that its API key belongs to; `None` without a valid key.
     pub workspace: Option<name::Workspace>,
