Cut streams at the end of a stop so that they do not look complete

Callers of HTTP/1.0, whose streams end with their connection, got a stream that looked complete when its daemon ended: the process left its connections to the system, which closes them in order.

Cause: only `kill` aborted the connections, a stop never did. Now the end of a stop aborts those that are left: streams without chunks are reset, chunked ones stay without their end. Both pass on whole events only, as before.

Evidence: `stops::a_stop_cuts_streams_after_an_event_and_does_not_end_them` failed before (both connections were still open after the stop), and passes. That the system's close looks complete is read from the code, not played with a process of the former build; a process of this one resets the HTTP/1.0 stream in 2 of 2 plays.

--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -324,6 +324,9 @@
         took_ms = (context.now() - begun).0;
         "stopped"
     );
+    // The end of the process would make streams whose end is that of their connection look
+    // complete.
+    server.abort();
     sleep(LOG_FLUSH_TIME).await;
 }
 
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -30,6 +30,7 @@
 mod slow_link;
 mod stages;
 mod stale_lists;
+mod stops;
 mod store_return;
 mod streams;
 mod unframed_answers;
--- /dev/null
+++ b/crates/relay/tests/direct/stops.rs
@@ -0,0 +1,88 @@
+//! What clients get from a daemon that stops.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gooseberry_platform_standin::client::Answer;
+use gooseberry_platform_standin::client::ClientRequest;
+use gooseberry_platform_standin::target::Mode;
+use gooseberry_relay::daemon::Daemon;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::platform::SETTINGS;
+use crate::platform::TestPlatform;
+use crate::platform::client_address;
+use crate::platform::is_ready_with;
+use crate::platform::wait_until;
+
+/// Starts a daemon whose targets accept this number of connections each, with two routes whose
+/// requests may last for longer than a stop, though their objective is short.
+async fn start(max_connections: u32) -> (TestPlatform, Daemon) {
+    let platform = TestPlatform::start().await;
+    let route = |name: &str, kind: &str| {
+        format!(
+            r#"{{"name": "r-{name}", "host": "a.example", "prefix": "/{name}/", "kind": "{kind}",
+     "timeout_ms": 20000, "target_latency_ms": 150, "priority": 2, "service": "plain",
+     "max_attempts": 1}},"#
+        )
+    };
+    let routes = [
+        route("slow", "non_idempotent"),
+        route("search", "idempotent"),
+    ]
+    .concat();
+    let settings = SETTINGS.replacen("\"routes\": [", &format!("\"routes\": [{routes}"), 1);
+    let limit = format!(r#""plain", "max_conns": {max_connections}}}"#);
+    let settings = settings.replacen(r#""plain", "max_conns": 100}"#, &limit, 1);
+    platform.store.put("op/config", &settings);
+    let second = &platform.plain[1];
+    platform.store.remove(&format!("servers/{}", second.name));
+    let daemon = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&daemon, 7)).await;
+    (platform, daemon)
+}
+
+fn client(path: &str) -> ClientRequest {
+    ClientRequest::new(path).with("Deadline-Ms", "15000")
+}
+
+fn spawn(client: &ClientRequest, address: SocketAddr) -> JoinHandle<Option<Answer>> {
+    let client = client.clone();
+    tokio::spawn(async move { client.send(address).await })
+}
+
+/// Guards against streams that look complete when a stop has cut them.
+#[tokio::test]
+async fn a_stop_cuts_streams_after_an_event_and_does_not_end_them() {
+    let (platform, daemon) = start(100).await;
+    for engine in &platform.engines {
+        engine.queue_modes(&[Mode::PauseBefore(3, 10_000); 2]);
+    }
+    let address = client_address(&daemon);
+    let chunked = spawn(&client("/stream/").with_stage_pieces(""), address);
+    let mut unframed = TcpStream::connect(address).await.expect("it listens");
+    let head = "POST /stream/ HTTP/1.0\r\nHost: a.example\r\nAttempt-Id: unframed\r\n\
+                X-Api-Key: key-1\r\nModel: m\r\nToken-Counts: 100,20\r\n\
+                Prompt-Prefix: aa:50,bb:50\r\nContent-Length: 0\r\n\r\n";
+    let written = unframed.write_all(head.as_bytes()).await;
+    written.expect("it reads");
+    let unframed = tokio::spawn(async move {
+        let mut answer = Vec::new();
+        let end = unframed.read_to_end(&mut answer).await;
+        (end, String::from_utf8_lossy(&answer).into_owned())
+    });
+    sleep(Duration::from_millis(200)).await;
+    daemon.shut_down().await;
+    assert!(chunked.is_finished() && unframed.is_finished());
+    let answer = chunked.await.expect("no panic").expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (200, false));
+    let (end, unframed) = unframed.await.expect("no panic");
+    assert!(end.is_err(), "it looks complete: {unframed}");
+    for body in [&answer.body, &unframed] {
+        assert!(body.ends_with("data: event 2\n\n"), "{body}");
+    }
+}
