Go by how long requests take now in a stop, and look again before each send

In a planned stop of one daemon, in calm, requests that came late in the grace were taken and sent to a target, and cut at the end of the grace, among them such as may not run twice.

Cause: whether a request can end in time was decided once, as its head came, and by its objective alone. With an objective of 150 ms, 3 s of work counted as 450 ms. A request that came before SIGTERM, or waited for its turn, was never looked at (again).

Change: the kernel keeps how long the requests of each route took in the last 30 to 60 s, in two windows of counts by power of two (`request::durations`), from arrival and from the first send. A request that may run once goes by the longest duration, also of those that still run; others by the ninth tenth. The objective stays the least for a request that arrives, and where fewer than 8 were measured. One whose deadline comes before the end is taken. `Shutdown` looks at this on arrival, while a request waits (body, stages, queue, booked turn), and directly before a send, when "not run" is still true; one log line names the inputs. A peer that sends a request for another daemon is told the expected duration (absent from a former build: 300 ms, as before).

Evidence: `stops::a_stop_refuses_requests_that_last_longer_than_it` (all 12 were taken) and `stops::a_stop_refuses_requests_whose_turn_comes_too_late` (both were sent) failed before, and pass.

--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -3,6 +3,7 @@
 //! - [`routing_table`] holds the routes, services and API keys of the settings.
 //! - [`retry_budget`] bounds how often requests are sent more than once.
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
+//! - [`durations`] remembers how long the requests of each route take.
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
 //!   decides at which targets a broken one may go on. [`stream_trace`] finds where it began
@@ -17,6 +18,7 @@
 
 pub mod deadline_admission;
 pub mod demand;
+pub mod durations;
 pub mod event_buffer;
 pub mod part_quarantine;
 pub mod prior_wait;
--- a/crates/kernel/src/request/deadline_admission.rs
+++ b/crates/kernel/src/request/deadline_admission.rs
@@ -13,9 +13,13 @@
 use crate::derive::scalar;
 use crate::derive::value;
 use crate::name;
+use crate::request::durations::Certainty;
+use crate::request::durations::Durations;
+use crate::request::durations::Span;
 use crate::request::routing_table::BatchSpec;
 use crate::request::routing_table::Rank;
 use crate::request::routing_table::ResponseForm;
+use crate::request::routing_table::Route;
 
 /// Time from the end of the last stage to the first byte of the answer:
 /// connecting to a target, sending the request and reading the start of its
@@ -36,6 +40,9 @@
 /// Duration of the longest streams after their first event: over a thousand
 /// tokens at some four milliseconds each.
 const STREAM_DURATION_MAX: Millis = Millis(4_200);
+/// How much longer than estimated a request may take at a daemon that is shutting down: a
+/// connection to its target may have to be opened, and a busy processor delays both ends.
+const ESTIMATE_MARGIN: Millis = Millis(200);
 /// Age at which a reported wait is ignored: its dispatcher no longer reports.
 pub const WAIT_AGE_MAX: Millis = Millis(2_000);
 
@@ -65,6 +72,14 @@
         pub pieces: u32,
     }
 
+    /// Until when a request is expected to take, as it is known before it is sent to a target.
+    pub struct Forecast {
+        /// How long it takes from now on.
+        pub duration: Millis,
+        /// When its client gets an answer at the latest.
+        pub deadline: Millis,
+    }
+
     /// The outcome of the admission check.
     pub enum Decision {
         /// The request is admitted.
@@ -82,17 +97,53 @@
     }
 }
 
-/// Returns whether a daemon that shuts down in `left` can finish a request.
-///
-/// A request that it cannot be expected to finish is refused, since another
-/// daemon can serve it.
-#[must_use]
-pub fn can_finish_before_shutdown(form: ResponseForm, objective: Millis, left: Millis) -> bool {
-    let needed = match form {
-        ResponseForm::Plain => objective * PLAIN_DURATION_OBJECTIVES,
-        ResponseForm::Stream => objective + STREAM_DURATION_MAX,
-    };
-    needed <= left
+impl Forecast {
+    /// Creates the forecast of a request of a route.
+    ///
+    /// One that has just arrived may still have to wait, so it takes what its objective lets
+    /// assume, or longer if others did. For one that is about to be sent, what was measured is
+    /// enough. If it may run only once, the longest measured duration counts.
+    #[must_use]
+    pub fn new(
+        route: &Route,
+        durations: &mut Durations,
+        span: Span,
+        deadline: Millis,
+        now: Millis,
+    ) -> Self {
+        let certainty = if route.is_repeatable() {
+            Certainty::Likely
+        } else {
+            Certainty::Highest
+        };
+        let assumed = match route.form {
+            ResponseForm::Plain => route.objective * PLAIN_DURATION_OBJECTIVES,
+            ResponseForm::Stream => route.objective + STREAM_DURATION_MAX,
+        };
+        let estimate = durations.estimate(&route.name, span, certainty, now);
+        let duration = estimate.map_or(assumed, |estimate| {
+            let measured = estimate.duration + ESTIMATE_MARGIN;
+            if estimate.is_firm && span == Span::Run {
+                measured
+            } else {
+                measured.max(assumed)
+            }
+        });
+        Self { duration, deadline }
+    }
+
+    /// Returns until when a daemon that gives its last answers at `end` may begin the request.
+    ///
+    /// A request that it cannot be expected to finish is refused, since another daemon can
+    /// serve it. One whose deadline comes before the end gets its answer in any case.
+    #[must_use]
+    pub fn last_start(self, end: Millis) -> Millis {
+        if self.deadline <= end {
+            end
+        } else {
+            end - self.duration
+        }
+    }
 }
 
 /// Decides whether to admit a request by how many targets the services of its stages have.
--- a/crates/kernel/tests/direct/deadline_admission.rs
+++ b/crates/kernel/tests/direct/deadline_admission.rs
@@ -1,10 +1,16 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::request::deadline_admission;
 use gooseberry_kernel::request::deadline_admission::Decision;
+use gooseberry_kernel::request::deadline_admission::Forecast;
 use gooseberry_kernel::request::deadline_admission::RETRY_AFTER_MIN;
 use gooseberry_kernel::request::deadline_admission::StageEstimate;
+use gooseberry_kernel::request::durations::Durations;
+use gooseberry_kernel::request::durations::Span;
 use gooseberry_kernel::request::routing_table::BatchSpec;
 use gooseberry_kernel::request::routing_table::ResponseForm;
+use gooseberry_kernel::request::routing_table::Route;
+
+use crate::routing_table::route;
 
 const SPEC: BatchSpec = BatchSpec {
     max_pieces: 14,
@@ -85,41 +91,81 @@
     assert_eq!(decide(&[stage(0)], 120), Decision::Refuse(Millis(300)));
 }
 
+/// Returns whether a daemon that shuts down in `left` may begin a request of this route.
+fn may_begin(route: &Route, durations: &mut Durations, span: Span, left: u64) -> bool {
+    let (now, deadline) = (Millis(100_000), Millis::NEVER);
+    let forecast = Forecast::new(route, durations, span, deadline, now);
+    now < forecast.last_start(now + Millis(left))
+}
+
+fn stream_route(objective: Millis) -> Route {
+    Route {
+        form: ResponseForm::Stream,
+        objective,
+        ..route("a.example", "/s/", &[])
+    }
+}
+
+fn plain_route(is_idempotent: bool) -> Route {
+    Route {
+        is_idempotent,
+        objective: Millis(150),
+        ..route("a.example", "/p/", &[])
+    }
+}
+
 #[test]
 fn shutting_down_daemon_admits_only_requests_that_can_finish() {
-    let objective = Millis(2_000);
-    assert!(deadline_admission::can_finish_before_shutdown(
-        ResponseForm::Stream,
-        objective,
-        Millis(7_000)
-    ));
-    assert!(!deadline_admission::can_finish_before_shutdown(
-        ResponseForm::Stream,
-        objective,
-        Millis(1_500)
-    ));
-    assert!(deadline_admission::can_finish_before_shutdown(
-        ResponseForm::Plain,
-        Millis(150),
-        Millis(1_500)
-    ));
-    assert!(!deadline_admission::can_finish_before_shutdown(
-        ResponseForm::Plain,
-        Millis(150),
-        Millis(200)
-    ));
+    let admits = |route: &Route, left| {
+        let mut nothing_known = Durations::default();
+        may_begin(route, &mut nothing_known, Span::Whole, left)
+    };
+    let stream = stream_route(Millis(2_000));
+    assert!(admits(&stream, 7_000));
+    assert!(!admits(&stream, 1_500));
+    assert!(admits(&plain_route(true), 1_500));
+    assert!(!admits(&plain_route(true), 200));
 }
 
 /// Guards against admitting a stream that the shutdown cuts: with 3.94 s left a
 /// stream was admitted that lasted four seconds after its first event.
 #[test]
 fn shutting_down_daemon_refuses_a_stream_that_would_be_cut() {
-    let (objective, left) = (Millis(1_400), Millis(3_940));
-    assert!(!deadline_admission::can_finish_before_shutdown(
-        ResponseForm::Stream,
-        objective,
-        left
-    ));
+    let stream = stream_route(Millis(1_400));
+    for span in [Span::Whole, Span::Run] {
+        assert!(!may_begin(&stream, &mut Durations::default(), span, 3_940));
+    }
+}
+
+/// Guards against admitting requests that take twenty objectives now.
+#[test]
+fn shutting_down_daemon_goes_by_how_long_requests_take_now() {
+    for is_idempotent in [false, true] {
+        let route = plain_route(is_idempotent);
+        let mut durations = Durations::default();
+        // All have waited for as long as they ran.
+        for number in 0..20 {
+            let sent = Millis(90_000 + 100 * number);
+            durations.begin(&route.name, sent);
+            let end = sent + Millis(3_000);
+            durations.end(&route.name, sent, Some(sent - Millis(3_000)), end);
+        }
+        for (span, needed) in [(Span::Whole, 6_200), (Span::Run, 3_200)] {
+            assert!(!may_begin(&route, &mut durations, span, needed));
+            assert!(may_begin(&route, &mut durations, span, needed + 1));
+        }
+    }
+}
+
+#[test]
+fn a_request_whose_deadline_comes_before_the_end_may_begin() {
+    let forecast = |deadline| Forecast {
+        duration: Millis(3_000),
+        deadline: Millis(deadline),
+    };
+    let end = Millis(10_000);
+    assert_eq!(forecast(10_000).last_start(end), end);
+    assert_eq!(forecast(10_001).last_start(end), Millis(7_000));
 }
 
 /// The last targets of the second of three services leave.
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod cost;
 mod deadline_admission;
 mod demand;
+mod durations;
 mod engine_simulation;
 mod event_buffer;
 mod extremes;
--- a/crates/kernel/tests/direct/routing_table.rs
+++ b/crates/kernel/tests/direct/routing_table.rs
@@ -10,7 +10,7 @@
 use gooseberry_kernel::request::routing_table::RoutingTable;
 use gooseberry_kernel::request::routing_table::Share;
 
-fn route(host: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+pub fn route(host: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
     let share = |(service, weight): &(&str, u32)| Share {
         service: name::Service::new(service),
         weight: *weight,
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -6,6 +6,9 @@
 use std::sync::PoisonError;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::deadline_admission::Forecast;
+use gooseberry_kernel::request::durations::Span;
+use gooseberry_kernel::request::routing_table::Route;
 use gooseberry_platform::boot::Boot;
 use gooseberry_runtime::clock::Clock;
 use tokio::sync::Notify;
@@ -80,7 +83,7 @@
             store_checker: Checker::new(boot.store_address),
             asker: Asker::default(),
             metrics,
-            shutdown: Shutdown::default(),
+            shutdown: Shutdown::new(clock),
             link_changed: Notify::new(),
             survey_ended: Notify::new(),
             body_memory: BodyMemory::new(boot.memory_bytes / BODY_MEMORY_DIVISOR),
@@ -95,6 +98,13 @@
         self.clock.now()
     }
 
+    /// Returns how long a request of a route is expected to take from now on.
+    #[must_use]
+    pub fn forecast(&self, route: &Route, span: Span, deadline: Millis) -> Forecast {
+        let now = self.now();
+        Forecast::new(route, self.state().durations(), span, deadline, now)
+    }
+
     /// Locks the daemon's view of the fleet, for one decision.
     ///
     /// No decision waits for anything, so the lock is held for microseconds.
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -50,9 +50,9 @@
 /// How long before the end of the platform's grace period the process stops
 /// serving by itself.
 const GRACE_MARGIN: Millis = Millis(600);
-/// How long before it stops serving the process refuses requests that have not
-/// been sent to a target yet, so that they still get a response.
-const REFUSE_UNSENT_BEFORE: Millis = Millis(300);
+/// How long before it stops serving the process answers all requests that have no answer yet,
+/// so that the answers are written before it ends.
+const LAST_ANSWERS_BEFORE: Millis = Millis(100);
 /// How often a shutdown checks whether requests and connections are left.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the last responses may take to be written.
@@ -284,7 +284,7 @@
     let begun = context.now();
     let end = begun + grace - GRACE_MARGIN;
     context.state().members().mark_leaving();
-    context.shutdown.set_end(end);
+    context.shutdown.set_end(end - LAST_ANSWERS_BEFORE);
     log::info!(
         requests = server.requests(),
         connections = server.connections(),
@@ -295,9 +295,6 @@
     loop {
         let now = context.now();
         let is_idle = server.requests() == 0 && context.dispatcher.is_idle();
-        if now + REFUSE_UNSENT_BEFORE >= end {
-            context.shutdown.refuse_unsent();
-        }
         if now >= end || (is_idle && now >= begun + LATE_CONNECTIONS_WAIT) {
             break;
         }
@@ -313,9 +310,6 @@
         if !is_answering && !is_serving {
             break;
         }
-        if now + REFUSE_UNSENT_BEFORE >= end {
-            context.shutdown.refuse_unsent();
-        }
         sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     log::info!(
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -10,6 +10,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::deadline_admission::Forecast;
 use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_platform::target;
@@ -50,6 +51,9 @@
 /// To how many targets a request is sent until one can be reached.
 const TARGETS_MAX: usize = 2;
 
+/// How long a request is expected to run whose peer does not say it: long enough that a target
+/// at which nothing waits has answered.
+const RUN_IF_UNKNOWN: Millis = Millis(300);
 /// The rank of a request whose peer does not say it, as it does only for engines: the
 /// middle one.
 const RANK_IF_UNKNOWN: Rank = Rank(4);
@@ -155,8 +159,16 @@
             on_time_by: due,
             work: u64::try_from(body.len()).unwrap_or(u64::MAX),
         };
-        let picked = pick::wait_for_target(context, &attempt, need, deadline).await;
+        let forecast = || Forecast {
+            duration: call.run_ms.map_or(RUN_IF_UNKNOWN, Millis),
+            deadline,
+        };
+        let picked = pick::wait_for_target(context, &attempt, need, deadline, forecast).await;
         let picked = picked.map_err(|failure| outcome_of(&failure))?;
+        if let Err(failure) = context.shutdown.check_unsent(&attempt, forecast) {
+            drop(InFlightGuard::new(context, &picked));
+            return Err(outcome_of(&failure));
+        }
         let left = deadline - context.now();
         match send(context, call, &picked, &parts, body.clone(), left).await {
             Err(outcome @ Outcome::NotSent { .. }) => last = outcome,
@@ -313,6 +325,7 @@
 fn outcome_of(failure: &Failure) -> Outcome {
     let why = match failure.kind {
         Kind::TooLate => "its deadline passed before a target took it",
+        Kind::ShuttingDown => "this daemon is shutting down",
         Kind::NoTarget => "the service has no target that takes it",
         _ => "all targets have asked for less work",
     };
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -10,6 +10,7 @@
 //! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
 //! - `stream` passes on a stream of events, and resumes a broken one.
+//! - `time_left` refuses what could not end before a daemon that is shutting down.
 
 mod attempt;
 mod crash;
@@ -17,6 +18,7 @@
 pub(crate) mod pick;
 mod placement;
 mod stream;
+mod time_left;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,6 +47,7 @@
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::forward::stream::Pause;
+use crate::forward::time_left::deadline_passed;
 use crate::http_server;
 use crate::http_server::ResponseBody;
 use crate::placement::PlacedRequest;
@@ -301,6 +304,7 @@
             return;
         };
         let target = exchange.callee.target.clone();
+        self.job.progress.record_answer(reply.status);
         self.end_placed(if reply.status.is_success() {
             End::Complete
         } else {
@@ -359,12 +363,6 @@
     }
 }
 
-/// Returns the failure of a request that a target may have run, but did not
-/// answer by the deadline.
-fn deadline_passed() -> Failure {
-    Failure::from(Kind::DeadlinePassed).with_unknown_outcome()
-}
-
 /// Returns the head of the response: that of the reply, without the headers
 /// that are meant for this daemon.
 fn reply_head(started: &StartedReply) -> Response<()> {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -69,7 +69,9 @@
         let running_stages = stages::run(context, job, plan, domain.as_ref());
         let time_limit = Duration::from_millis((end - now).0);
         let running_stages = timeout(time_limit, running_stages);
-        let results = context.shutdown.wait_unsent(running_stages).await?;
+        let (shutdown, attempt) = (&context.shutdown, &job.head.attempt);
+        let waiting = shutdown.wait_unsent(attempt, || self.forecast(), running_stages);
+        let results = waiting.await?;
         let results = results.map_err(|_| Failure::from(Kind::QueueFull))?;
         self.results = Some(results?);
         self.preferred_domain = domain;
@@ -105,11 +107,16 @@
                 self.abandon(&path);
                 return Err(self.quarantine_failure());
             }
+            if let Err(failure) = self.check_time_left() {
+                self.abandon(&path);
+                return Err(failure);
+            }
             let outcome = match path {
                 Path::Direct(picked) => self.send_once(picked).await,
                 Path::Detour(peer) => self.send_by_detour(peer).await,
             };
             self.record_placed_outcome(&outcome);
+            self.record_not_run(&outcome);
             match outcome {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
--- a/crates/relay/src/forward/detour.rs
+++ b/crates/relay/src/forward/detour.rs
@@ -128,6 +128,7 @@
             due_ms: (need.due - now).0,
             left_ms: left.0,
             runs_once: !self.job.route.is_repeatable(),
+            run_ms: Some(self.forecast().duration.0),
         }
     }
 }
--- a/crates/relay/src/forward/pick.rs
+++ b/crates/relay/src/forward/pick.rs
@@ -7,6 +7,7 @@
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::deadline_admission::Forecast;
 use gooseberry_kernel::request::routing_table::ServiceKind;
 use gooseberry_kernel::request::wait_queue::Ticket;
 use tokio::time::sleep;
@@ -25,7 +26,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Picks a target; while all of them are cold or full, or others that wait go first, waits
-/// for one until the deadline. The request then counts as in flight there.
+/// for one until the deadline, or until the daemon is expected to shut down before a request
+/// with this forecast ends. The request then counts as in flight there.
 ///
 /// # Errors
 /// Returns [`Kind::TooLate`] at the deadline, and another failure if no target takes the
@@ -35,6 +37,7 @@
     attempt: &name::Attempt,
     need: Need<'_>,
     deadline: Millis,
+    forecast: impl Fn() -> Forecast,
 ) -> Result<PickedTarget, Failure> {
     loop {
         let now = context.now();
@@ -44,7 +47,10 @@
         let admission = context.state().pick_or_wait(need, now);
         let pick = match admission {
             Admission::Decided(pick) => pick,
-            Admission::Waits(seat) => wait_in_queue(context, attempt, need, deadline, seat).await?,
+            Admission::Waits(seat) => {
+                let waiting = wait_in_queue(context, attempt, need, deadline, &forecast, seat);
+                waiting.await?
+            }
         };
         let now = context.now();
         match pick {
@@ -62,7 +68,10 @@
             Pick::Booked(picked, at) => {
                 context.metrics.rate_limited("booked");
                 let turn = sleep(Duration::from_millis((at - now).0));
-                context.shutdown.wait_unsent(turn).await?;
+                context
+                    .shutdown
+                    .wait_unsent(attempt, &forecast, turn)
+                    .await?;
                 let now = context.now();
                 let mut state = context.state();
                 if state.begin_booked(&picked, need.service, now) {
@@ -80,6 +89,7 @@
     attempt: &name::Attempt,
     need: Need<'_>,
     deadline: Millis,
+    forecast: impl Fn() -> Forecast,
     seat: Seat,
 ) -> Result<Pick, Failure> {
     let entered = context.now();
@@ -106,19 +116,14 @@
     }
     let time_limit = Duration::from_millis((deadline - entered).0);
     let woken = timeout(time_limit, seat.wake.notified());
-    let failure = match context.shutdown.wait_unsent(woken).await {
-        Ok(Ok(())) => None,
-        Ok(Err(_)) => Some(Kind::TooLate),
-        Err(failure) => Some(failure.kind),
-    };
+    let woken = context.shutdown.wait_unsent(attempt, forecast, woken).await;
+    if woken.is_err() {
+        waiting.end = "shutting-down";
+    }
     // A place that came too late goes to the next request.
-    let is_too_late = context.now() >= deadline;
-    if let Some(kind) = failure.or(is_too_late.then_some(Kind::TooLate)) {
-        waiting.end = match kind {
-            Kind::TooLate => "too-late",
-            _ => "shutting-down",
-        };
-        return Err(kind.into());
+    if woken?.is_err() || context.now() >= deadline {
+        waiting.end = "too-late";
+        return Err(Kind::TooLate.into());
     }
     let decision = context
         .state()
--- a/crates/relay/src/forward/placement.rs
+++ b/crates/relay/src/forward/placement.rs
@@ -42,7 +42,8 @@
             preferred: placed.as_ref().map(PlacedRequest::target),
             ..need
         };
-        let picked = pick::wait_for_target(context, &job.head.attempt, need, job.deadline).await;
+        let (attempt, forecast) = (&job.head.attempt, || self.forecast());
+        let picked = pick::wait_for_target(context, attempt, need, job.deadline, forecast).await;
         let chosen = picked.as_ref().ok().map(|picked| &picked.target);
         self.placed = placed.filter(|placed| placed.record_choice(chosen));
         picked
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod pool;
+pub mod progress;
 pub mod request;
 pub mod shutdown;
 pub mod stages;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -11,8 +11,8 @@
 use gooseberry_kernel::hash;
 use gooseberry_kernel::id;
 use gooseberry_kernel::name;
-use gooseberry_kernel::request::deadline_admission;
 use gooseberry_kernel::request::demand::Demand;
+use gooseberry_kernel::request::durations::Span;
 use gooseberry_kernel::request::part_quarantine::Part;
 use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::routing_table::Rank;
@@ -40,6 +40,7 @@
 use crate::forward;
 use crate::http_server;
 use crate::http_server::ResponseBody;
+use crate::progress::Progress;
 use crate::resumption;
 use crate::stages;
 
@@ -75,6 +76,8 @@
     /// Whether it has a part of its prompt that is in quarantine, and is sent once to find
     /// out whether targets still crash on it.
     pub is_trial: bool,
+    /// How far it has got.
+    pub progress: Progress,
 }
 
 impl Job {
@@ -236,13 +239,6 @@
             table.version,
         )
     };
-    if let Some(end) = context.shutdown.ends_at() {
-        let left = end - context.now();
-        if !deadline_admission::can_finish_before_shutdown(route.form, route.objective, left) {
-            return Err(Failure::from(Kind::ShuttingDown)
-                .with_retry_after(deadline_admission::RETRY_AFTER_MIN));
-        }
-    }
     let time_limit = head
         .client_timeout
         .unwrap_or(route.timeout)
@@ -251,11 +247,16 @@
     if time_limit == Millis::ZERO {
         return Err(Kind::TooLate.into());
     }
+    let forecast = |span| context.forecast(&route, span, deadline);
+    let shutdown = &context.shutdown;
+    shutdown.check_unsent(&head.attempt, || forecast(Span::Whole))?;
     // A body of unknown length reserves the maximum body size.
     let max_bytes = u64::try_from(limits.max_body_bytes).unwrap_or(u64::MAX);
     let size = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
     let memory = context.body_memory.acquire(size).ok_or(Kind::Overloaded)?;
-    let body = read_body(body, limits.max_body_bytes, time_limit).await?;
+    let reading = read_body(body, limits.max_body_bytes, time_limit);
+    let body = shutdown.wait_unsent(&head.attempt, || forecast(Span::Run), reading);
+    let body = body.await??;
     let digest = digest(&head, workspace.as_ref(), &body);
     let now = context.now();
     let mut state = context.state();
@@ -298,6 +299,7 @@
     );
     let begin_by = deadline.min(arrived + route.first_byte_timeout());
     Ok(Job {
+        progress: Progress::new(context, &route.name, arrived),
         on_time_by: urgency::on_time_by(arrived + (route.objective - waited), begin_by),
         begin_by,
         head,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -38,6 +38,7 @@
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine::Suspects;
 use gooseberry_kernel::request::deadline_admission::ServiceWait;
+use gooseberry_kernel::request::durations::Durations;
 use gooseberry_kernel::request::part_quarantine::Part;
 use gooseberry_kernel::request::part_quarantine::PartQuarantine;
 use gooseberry_kernel::request::part_quarantine::Verdict;
@@ -135,6 +136,8 @@
     /// Estimates how long a client has waited before its current attempt, from
     /// the longest deadline that clients of its route have sent.
     prior_waits: PriorWaitEstimator,
+    /// How long the requests of each route take now.
+    durations: Durations,
     store_status: StoreStatus,
     /// From when on this daemon knows each change of the store's contents; `None` before
     /// it has them.
@@ -183,6 +186,7 @@
             queues: Vec::new(),
             stage_waits: Vec::new(),
             prior_waits: PriorWaitEstimator::default(),
+            durations: Durations::default(),
             store_status: StoreStatus::default(),
             listed_since: None,
             confirmed_at: None,
@@ -234,6 +238,11 @@
         &mut self.surveys
     }
 
+    /// Returns how long the requests of each route take now.
+    pub fn durations(&mut self) -> &mut Durations {
+        &mut self.durations
+    }
+
     /// Returns the health of targets, as calls to them show.
     pub fn health(&mut self) -> &mut Health {
         &mut self.health
@@ -275,6 +284,7 @@
         self.parts.expire(now);
         self.brittleness.expire(now);
         self.origins.expire(now);
+        self.durations.expire(now);
         self.surveys.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
--- a/crates/relay/tests/direct/stops.rs
+++ b/crates/relay/tests/direct/stops.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::join;
+use futures::future::join_all;
 use gooseberry_platform_standin::client::Answer;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::target::Mode;
@@ -55,6 +57,58 @@
     tokio::spawn(async move { client.send(address).await })
 }
 
+/// Checks that an answer says truly that its request has not run.
+fn assert_refused(platform: &TestPlatform, client: &ClientRequest, answer: &Answer) {
+    assert_eq!((answer.status, answer.is_complete), (503, true));
+    assert!(!answer.header("Retry-After").is_empty());
+    assert_eq!(platform.runs(&client.attempt), 0);
+}
+
+/// Guards against requests that are taken late in a stop, since their objective is short, and
+/// then cut at their target.
+#[tokio::test]
+async fn a_stop_refuses_requests_that_last_longer_than_it() {
+    for path in ["/slow/", "/search/"] {
+        let (platform, daemon) = start(100).await;
+        platform.plain[0].queue_modes(&[Mode::Delayed(1_200); 20]);
+        let address = client_address(&daemon);
+        let sending = (0..12).map(async |number| {
+            sleep(Duration::from_millis(250 * number)).await;
+            let client = client(path);
+            (client.send(address).await.expect("an answer"), client)
+        });
+        let (answers, ()) = join(join_all(sending), daemon.shut_down()).await;
+        let is_served = |(answer, client): &(Answer, ClientRequest)| {
+            if answer.status != 200 {
+                assert_refused(&platform, client, answer);
+            }
+            answer.status == 200
+        };
+        let served = answers.iter().filter(|answer| is_served(answer)).count();
+        assert!((6..=9).contains(&served), "{path}: {served}");
+    }
+}
+
+/// Guards against requests that are admitted before a stop and sent when it is too late.
+#[tokio::test]
+async fn a_stop_refuses_requests_whose_turn_comes_too_late() {
+    let (platform, daemon) = start(1).await;
+    platform.plain[0].queue_modes(&[Mode::Delayed(2_500); 3]);
+    let address = client_address(&daemon);
+    let first = spawn(&client("/slow/"), address);
+    wait_until("the first one runs", || platform.plain_requests() == 1).await;
+    let clients = [client("/slow/"), client("/slow/")];
+    let waiting = clients.each_ref().map(|client| spawn(client, address));
+    sleep(Duration::from_millis(100)).await;
+    daemon.shut_down().await;
+    let first = first.await.expect("no panic").expect("an answer");
+    assert_eq!((first.status, first.is_complete), (200, true));
+    for (client, answer) in clients.iter().zip(waiting) {
+        let answer = answer.await.expect("no panic").expect("an answer");
+        assert_refused(&platform, client, &answer);
+    }
+}
+
 /// Guards against streams that look complete when a stop has cut them.
 #[tokio::test]
 async fn a_stop_cuts_streams_after_an_event_and_does_not_end_them() {
--- a/crates/wire/src/detour.rs
+++ b/crates/wire/src/detour.rs
@@ -39,6 +39,9 @@
     pub left_ms: u64,
     /// Whether it must not run twice.
     pub runs_once: bool,
+    /// How long it is expected to run, in milliseconds; `None` from a build that does not say.
+    #[serde(default)]
+    pub run_ms: Option<u64>,
 }
 
 /// What became of a request; it is sent with the target's reply, if there is one.
