Answer what a stopping daemon's targets still have before it ends

At the end of the grace, requests that a target still had, and bodies that were not whole, were cut with no answer at all.

Cause: the end of a stop had no answer for them; the process just ended. Streams that have begun go on until the process ends.

--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures::stream;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
@@ -45,6 +46,7 @@
 use crate::link;
 use crate::pool::IDLE_MAX;
 use crate::pool::Lane;
+use crate::progress::SentMark;
 use crate::state::Need;
 use crate::state::PickedTarget;
 
@@ -79,7 +81,12 @@
         return outcome_only(&not_sent("the call cannot be read", None));
     };
     let began = context.now();
-    let result = handle(&context, &call, parts, body).await;
+    let mark = SentMark::default();
+    let result = tokio::select! {
+        biased;
+        result = handle(&context, &call, parts, body, &mark) => result,
+        () = context.shutdown.ended() => Err(outcome_at_end(&mark)),
+    };
     let (response, label) = match result {
         Ok(passed) => (pass_on(passed), "passed on"),
         Err(outcome) => {
@@ -108,6 +115,7 @@
     call: &Call,
     mut parts: Parts,
     body: Incoming,
+    mark: &SentMark,
 ) -> Result<PassedReply, Outcome> {
     let arrived = context.now();
     let deadline = arrived + call.left();
@@ -170,8 +178,12 @@
             return Err(outcome_of(&failure));
         }
         let left = deadline - context.now();
+        mark.set(true);
         match send(context, call, &picked, &parts, body.clone(), left).await {
-            Err(outcome @ Outcome::NotSent { .. }) => last = outcome,
+            Err(outcome @ Outcome::NotSent { .. }) => {
+                mark.set(false);
+                last = outcome;
+            }
             result => return result,
         }
         tried.push(picked.target);
@@ -321,6 +333,20 @@
     }
 }
 
+/// Returns the outcome of a request that has no reply when this daemon ends.
+fn outcome_at_end(mark: &SentMark) -> Outcome {
+    let why = "the peer has ended";
+    if mark.may_have_run() {
+        Outcome::Unknown {
+            why: why.into(),
+            target: CompactString::default(),
+            crashed_run: None,
+        }
+    } else {
+        not_sent(why, None)
+    }
+}
+
 /// Returns the outcome of a request for which no target could be picked.
 fn outcome_of(failure: &Failure) -> Outcome {
     let why = match failure.kind {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -41,6 +41,7 @@
 use crate::http_server;
 use crate::http_server::ResponseBody;
 use crate::progress::Progress;
+use crate::progress::SentMark;
 use crate::resumption;
 use crate::stages;
 
@@ -160,7 +161,12 @@
         arrived,
         is_answered: false,
     };
-    let result = handle(&context, arrived, head, body).await;
+    let mark = SentMark::default();
+    let result = tokio::select! {
+        biased;
+        result = handle(&context, arrived, head, body, mark.clone()) => result,
+        () = context.shutdown.ended() => Err(mark.failure_at_end()),
+    };
     abandon_guard.is_answered = true;
     drop(abandon_guard);
     match result {
@@ -186,8 +192,9 @@
     arrived: Millis,
     head: Head,
     body: Incoming,
+    mark: SentMark,
 ) -> Result<Response<ResponseBody>, Failure> {
-    let job = admit(context, arrived, head, body).await?;
+    let job = admit(context, arrived, head, body, mark).await?;
     let job = resumption::restrict(context, job).await?;
     // Routes without stages ignore the client's numbers of pieces.
     let pieces = if job.route.stages.is_empty() {
@@ -214,6 +221,7 @@
     arrived: Millis,
     head: Head,
     body: Incoming,
+    mark: SentMark,
 ) -> Result<Job, Failure> {
     let (route, service, workspace, rank, limits, version) = {
         let state = context.state();
@@ -299,7 +307,7 @@
     );
     let begin_by = deadline.min(arrived + route.first_byte_timeout());
     Ok(Job {
-        progress: Progress::new(context, &route.name, arrived),
+        progress: Progress::new(context, &route.name, arrived, mark),
         on_time_by: urgency::on_time_by(arrived + (route.objective - waited), begin_by),
         begin_by,
         head,
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Waits until the last answers are given.
+    pub async fn ended(&self) {
+        let end = self.begun().await;
+        sleep(self.clock.until(end)).await;
+    }
+
     /// Waits until a shutdown begins, and returns when its last answers are given.
     async fn begun(&self) -> Millis {
         let mut end = self.end.subscribe();
--- a/crates/relay/tests/direct/detours.rs
+++ b/crates/relay/tests/direct/detours.rs
@@ -8,6 +8,7 @@
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::STREAM_EVENTS;
 use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -104,6 +105,26 @@
     assert_eq!(executed(&fleet.platform.plain, &client.attempt), 1);
 }
 
+/// Guards against peers that end without a word on the requests that their targets have.
+#[tokio::test]
+async fn a_request_whose_peers_stop_is_answered_and_is_not_called_unrun() {
+    let fleet = cut_fleet().await;
+    for engine in &fleet.platform.engines {
+        engine.queue_modes(&[Mode::NoAnswer; 4]);
+    }
+    let client = ClientRequest::new("/stream/").with_stage_pieces("");
+    let sending = client.send(client_address(&fleet.daemons[0]));
+    let stopping = async {
+        let has_run = || executed(&fleet.platform.engines, &client.attempt) == 1;
+        wait_until("a target has it", has_run).await;
+        futures::future::join_all(fleet.daemons[1..].iter().map(Daemon::shut_down)).await;
+    };
+    let (answer, ()) = futures::future::join(sending, stopping).await;
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (502, true));
+    assert_eq!(executed(&fleet.platform.engines, &client.attempt), 1);
+}
+
 #[tokio::test]
 async fn a_target_stops_when_the_client_of_a_detour_leaves() {
     let fleet = cut_fleet().await;
--- a/crates/relay/tests/direct/stops.rs
+++ b/crates/relay/tests/direct/stops.rs
@@ -109,6 +109,47 @@
     }
 }
 
+/// Guards against requests that are cut without an answer at the end of the grace.
+#[tokio::test]
+async fn a_stop_answers_what_its_targets_still_have() {
+    let (platform, daemon) = start(100).await;
+    platform.plain[0].queue_modes(&[Mode::Delayed(10_000); 2]);
+    for engine in &platform.engines {
+        engine.queue_modes(&[Mode::PauseBefore(1, 10_000); 4]);
+    }
+    let address = client_address(&daemon);
+    let stream = |path| client(path).with_stage_pieces("");
+    let clients = [
+        client("/slow/"),
+        client("/search/"),
+        stream("/stream/"),
+        stream("/resume/"),
+    ];
+    let sent = clients.each_ref().map(|client| spawn(client, address));
+    for client in &clients {
+        let has_begun = || platform.runs(&client.attempt) > 0;
+        wait_until("it has reached a target", has_begun).await;
+    }
+    let mut partial = TcpStream::connect(address).await.expect("it listens");
+    let head = "POST /slow/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: partial\r\n\
+                X-Api-Key: key-1\r\nContent-Length: 10\r\n\r\npart";
+    let written = partial.write_all(head.as_bytes()).await;
+    written.expect("it reads");
+    daemon.shut_down().await;
+    assert!(sent.iter().all(JoinHandle::is_finished));
+    for (client, answer) in clients.iter().zip(sent) {
+        let answer = answer.await.expect("no panic").expect("an answer");
+        // The status promises nothing.
+        assert!([502, 504].contains(&answer.status), "{}", answer.status);
+        assert!(answer.is_complete && platform.runs(&client.attempt) > 0);
+    }
+    let mut answer = [0; 1_000];
+    let count = partial.try_read(&mut answer).expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..count]);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(platform.runs("partial"), 0);
+}
+
 /// Guards against streams that look complete when a stop has cut them.
 #[tokio::test]
 async fn a_stop_cuts_streams_after_an_event_and_does_not_end_them() {
