--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -5,6 +5,7 @@
 //! - [`retry_budget`] bounds how often requests are sent more than once.
 //! - [`client_timeouts`] decides when a connection of a client is closed.
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
+//! - [`durations`] remembers how long the requests of each route take.
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
 //! - [`continuation`] decides whether a reply begins a stream or goes on with it.
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
@@ -22,6 +23,7 @@
 pub mod continuation;
 pub mod deadline_admission;
 pub mod demand;
+pub mod durations;
 pub mod event_buffer;
 pub mod part_quarantine;
 pub mod prior_wait;
--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod deadline_admission;
 mod demand;
+mod durations;
 mod engine_simulation;
 mod event_buffer;
 mod extremes;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -15,6 +15,7 @@
 //! - `retry` asks the retry budget.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 //! - `successor` hands a paused stream over to another target.
+//! - `time_left` refuses what could not end before a daemon that is shutting down.
 
 mod attempt;
 mod call;
@@ -27,6 +28,7 @@
 mod retry;
 mod stream;
 mod successor;
+mod time_left;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -53,6 +55,7 @@
 use crate::forward::pick::InFlightGuard;
 use crate::forward::retry::Retry;
 use crate::forward::stream::Pause;
+use crate::forward::time_left::deadline_passed;
 use crate::http_server;
 use crate::http_server::ResponseBody;
 use crate::placement::PlacedRequest;
@@ -264,6 +267,7 @@
             return;
         };
         let target = exchange.callee.target.clone();
+        self.job.progress.record_answer(reply.status);
         self.end_placed(if reply.status.is_success() {
             End::Complete
         } else {
@@ -322,12 +326,6 @@
     }
 }
 
-/// Returns the failure of a request that a target may have run, but did not
-/// answer by the deadline.
-fn deadline_passed() -> Failure {
-    Failure::from(Kind::DeadlinePassed).with_unknown_outcome()
-}
-
 impl Drop for Forwarder {
     fn drop(&mut self) {
         if self.is_ended || self.punctuality.first_at().is_none() {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -57,7 +57,9 @@
         let running_stages = stages::run(context, job, plan, domain.as_ref());
         let time_limit = Duration::from_millis((end - now).0);
         let running_stages = timeout(time_limit, running_stages);
-        let results = context.shutdown.wait_unsent(running_stages).await?;
+        let (shutdown, attempt) = (&context.shutdown, &job.head.attempt);
+        let waiting = shutdown.wait_unsent(attempt, || self.forecast(), running_stages);
+        let results = waiting.await?;
         let results = results.map_err(|_| Failure::from(Kind::QueueFull))?;
         self.results = Some(results?);
         self.preferred_domain = domain;
@@ -93,9 +95,14 @@
                 self.abandon(&path);
                 return Err(self.quarantine_failure());
             }
+            if let Err(failure) = self.check_time_left() {
+                self.abandon(&path);
+                return Err(failure);
+            }
             self.is_sending = true;
             let outcome = self.send_once(path).await;
             self.is_sending = false;
+            self.record_not_run(&outcome);
             match outcome {
                 SendOutcome::Started(started) => {
                     self.possible_runs += 1;
--- a/crates/relay/src/forward/detour.rs
+++ b/crates/relay/src/forward/detour.rs
@@ -18,7 +18,7 @@
 use crate::forward::call::Call;
 use crate::forward::call::Step;
 use crate::forward::call::Way;
-use crate::forward::deadline_passed;
+use crate::forward::time_left::deadline_passed;
 
 /// Through how many peers that reach targets a request is sent at most.
 const DETOURS_MAX: usize = 3;
@@ -137,6 +137,7 @@
             due_ms: (need.due - now).0,
             left_ms: left.0,
             runs_once: !self.job.route.is_repeatable(),
+            run_ms: Some(self.forecast().duration.0),
         }
     }
 }
--- a/crates/relay/src/forward/race.rs
+++ b/crates/relay/src/forward/race.rs
@@ -24,7 +24,7 @@
 use crate::forward::call::Call;
 use crate::forward::call::Step;
 use crate::forward::call::next_step;
-use crate::forward::deadline_passed;
+use crate::forward::time_left::deadline_passed;
 use crate::link;
 
 /// How long a reply may be silent, before its head and within its body, until another target
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -33,6 +33,7 @@
 mod slow_link;
 mod stages;
 mod stale_lists;
+mod stops;
 mod store_return;
 mod streams;
 mod unframed_answers;
