End streams that bring comments and no event

Callers saw a resumable stream wait for its target while that sent comments without end: before the first event all of them were kept, up to the whole memory for replies (each engine got 15 MB and more in; the pause of a stream counts only the time that is waited for bytes, of which there is none then), and between two events they were passed on to the client until the deadline.

Cause: only events were bounded, and comments are none. The event buffer now counts what has come since the last complete event and is none, and fails when that exceeds 64 KiB; the stream goes on at another target as after an event that is too long. It fails at the next bytes, so events that came before the comments are passed on.

--- a/crates/kernel/src/request/event_buffer.rs
+++ b/crates/kernel/src/request/event_buffer.rs
@@ -16,6 +16,10 @@
 /// hundred bytes.
 pub const EVENT_MAX_BYTES: usize = 1 << 20;
 
+/// The most bytes of comments and blank lines between two events; typical streams have a
+/// comment of a few bytes every few seconds.
+pub const FILLER_MAX_BYTES: usize = 64 << 10;
+
 /// The incomplete last event of a stream, and the last id and number of the
 /// complete events.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +28,8 @@
     last_id: Option<CompactString>,
     count: u64,
     complete: u64,
+    /// The size of what has come since the last complete event and is none.
+    filler_bytes: usize,
     /// Whether an event that steps back begins the buffered bytes.
     is_out_of_order: bool,
 }
@@ -33,6 +39,8 @@
     pub enum Fault {
         /// An event is larger than [`EVENT_MAX_BYTES`].
         TooLong,
+        /// There are more than [`FILLER_MAX_BYTES`] of comments between two events.
+        NoEvents,
         /// The id of an event is not greater than the one before.
         OutOfOrder,
     }
@@ -42,6 +50,7 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         out.write_str(match self {
             Self::TooLong => "an event is too long",
+            Self::NoEvents => "there are too many comments and no event",
             Self::OutOfOrder => "the id of an event is not greater than the one before",
         })
     }
@@ -61,12 +70,16 @@
     /// complete event that is in order.
     ///
     /// # Errors
-    /// Returns a [`Fault`] if the incomplete event exceeds [`EVENT_MAX_BYTES`], or if the
-    /// next event steps back.
+    /// Returns a [`Fault`] if the incomplete event exceeds [`EVENT_MAX_BYTES`], if there
+    /// were more than [`FILLER_MAX_BYTES`] without an event, or if the next event steps back.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Fault> {
         if self.is_out_of_order {
             return Err(Fault::OutOfOrder);
         }
+        // Only now, since events may have come before the last comments.
+        if self.filler_bytes > FILLER_MAX_BYTES {
+            return Err(Fault::NoEvents);
+        }
         // The blank line may start in the last three buffered bytes.
         let scan_start = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
@@ -121,6 +134,7 @@
     /// it again.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.filler_bytes = 0;
         self.is_out_of_order = false;
     }
 
@@ -148,6 +162,11 @@
             }
             if line.is_empty() {
                 self.complete += u64::from(has_field);
+                self.filler_bytes = if has_field {
+                    0
+                } else {
+                    self.filler_bytes + position - event_start
+                };
                 has_field = false;
                 event_start = position;
             } else {
--- a/crates/kernel/tests/direct/event_buffer.rs
+++ b/crates/kernel/tests/direct/event_buffer.rs
@@ -1,6 +1,7 @@
 use compact_str::CompactString;
 use gooseberry_kernel::request::event_buffer::EVENT_MAX_BYTES;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
+use gooseberry_kernel::request::event_buffer::FILLER_MAX_BYTES;
 use gooseberry_kernel::request::event_buffer::Fault;
 
 #[test]
@@ -109,3 +110,27 @@
     assert_eq!(events.push(text), Ok(text.to_vec()));
     assert_eq!(events.push(b"id: 1\n\n"), Err(Fault::OutOfOrder));
 }
+
+#[test]
+fn comments_without_end_are_a_fault_for_any_chunking() {
+    for filler in [&b": wait\n\n"[..], b"\n", b"\r\n", b":\n: a\r\n\r\n"] {
+        let times = FILLER_MAX_BYTES / filler.len();
+        for chunk in [1_000, FILLER_MAX_BYTES] {
+            let mut events = EventBuffer::default();
+            let mut forwarded = 0;
+            // Events in between make any number of comments sound.
+            let sound = [&filler.repeat(times / 2)[..], b"data: a\n\n"].concat();
+            for part in sound.repeat(4).chunks(chunk) {
+                forwarded += events.push(part).expect("it is sound").len();
+            }
+            let endless = filler.repeat(times * 2 + 2);
+            let result = endless
+                .chunks(chunk)
+                .find_map(|part| events.push(part).err());
+            assert_eq!(result, Some(Fault::NoEvents), "{filler:?}");
+            events.discard_partial();
+            assert_eq!(events.push(b"data: b\n\n"), Ok(b"data: b\n\n".to_vec()));
+            assert!(forwarded >= sound.len() * 3);
+        }
+    }
+}
