Bound what is read of a reply's framing

Callers saw nothing; the daemon read the size of a chunk without end, which is valid as long as its digits are zeros, at the target's full speed until the request's pause or deadline ended it. No memory was taken, only a processor.

Cause: the limit on the bytes of a head was lifted for the body.

Before: endless_answers::a_stream_goes_on_at_another_target_if_an_event_has_no_end failed with a chunk's size without end (15,548,504 bytes in 1.5 s, the bound is 10 MiB). A chunk extension without end passed before: hyper bounds it.

--- a/crates/connectors/src/http_connection.rs
+++ b/crates/connectors/src/http_connection.rs
@@ -17,7 +17,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -26,6 +25,7 @@
 use tokio::time::timeout;
 
 use crate::read_limit::ReadLimit;
+use crate::reply_body::ReplyBody;
 
 /// The largest head of a reply, in bytes; usual ones have a few hundred.
 const HEAD_MAX_BYTES: usize = 64 << 10;
@@ -139,17 +139,18 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<ReplyBody>, Error> {
         self.ready().await.map_err(Error::NotSent)?;
         // The head, and what follows it in the same buffer.
         self.read_limit.set(2 * HEAD_MAX_BYTES);
         let sending = self.sender.try_send_request(request);
-        let reply = sending.await;
-        self.read_limit.lift();
-        reply.map_err(|mut error| match error.take_message() {
-            Some(_) => Error::NotSent(io::Error::other(error.into_error())),
-            None => Error::Broken(error.into_error()),
-        })
+        match sending.await {
+            Ok(reply) => Ok(reply.map(|body| ReplyBody::new(body, self.read_limit.clone()))),
+            Err(mut error) => Err(match error.take_message() {
+                Some(_) => Error::NotSent(io::Error::other(error.into_error())),
+                None => Error::Broken(error.into_error()),
+            }),
+        }
     }
 }
 
--- a/crates/connectors/src/lib.rs
+++ b/crates/connectors/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http_client;
 pub mod http_connection;
 pub mod platform;
+pub mod reply_body;
 pub mod reranker;
 pub mod retriever;
 pub mod service;
--- a/crates/connectors/src/read_limit.rs
+++ b/crates/connectors/src/read_limit.rs
@@ -1,7 +1,7 @@
 //! A limit on the bytes that are read from a connection.
 //!
-//! A faulty target may send a head without end, or interim heads without end, each of
-//! which is valid by itself. Reading them would take a processor for as long as the
+//! A faulty target may send a head or framing without end, or interim heads without end,
+//! each of which is valid by itself. Reading them would take a processor for as long as the
 //! request may wait.
 
 use std::io;
@@ -25,11 +25,6 @@
     pub(crate) fn set(&self, bytes: usize) {
         self.0.store(bytes, Ordering::Relaxed);
     }
-
-    /// Allows any number of bytes from now on.
-    pub(crate) fn lift(&self) {
-        self.set(usize::MAX);
-    }
 }
 
 impl ByteObserver for ReadLimit {
@@ -37,7 +32,7 @@
         if self.0.load(Ordering::Relaxed) == 0 {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
-                "the reply's head is too long",
+                "the reply's head or framing is too long",
             ));
         }
         Ok(())
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use gooseberry_connectors::http_connection;
 use gooseberry_connectors::http_connection::HttpConnection;
+use gooseberry_connectors::reply_body::ReplyBody;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::hash;
 use gooseberry_kernel::name;
@@ -26,7 +27,6 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::time::sleep;
 
 use crate::body_memory::ReplyPermit;
@@ -145,7 +145,7 @@
     pub headers: HeaderMap,
     /// The target that was called.
     pub callee: Callee,
-    body: Incoming,
+    body: ReplyBody,
     connection: HttpConnection,
 }
 
@@ -204,7 +204,7 @@
         context: &Context,
         callee: Callee,
         parts: Parts,
-        body: Incoming,
+        body: ReplyBody,
         connection: HttpConnection,
     ) -> Self {
         record_notice_of_peer(context, &callee.target, parts.status, &parts.headers);
--- a/crates/relay/src/exchange/pending_reply.rs
+++ b/crates/relay/src/exchange/pending_reply.rs
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use gooseberry_connectors::http_connection;
 use gooseberry_connectors::http_connection::HttpConnection;
+use gooseberry_connectors::reply_body::ReplyBody;
 use gooseberry_kernel::name;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::runtime::Handle;
 use tokio::time::timeout;
 
@@ -26,7 +26,7 @@
 /// daemon gives the call up. A target that runs the request goes on for that long.
 const LINGER: Duration = Duration::from_millis(100);
 
-type Sent = Result<(HttpConnection, Response<Incoming>), http_connection::Error>;
+type Sent = Result<(HttpConnection, Response<ReplyBody>), http_connection::Error>;
 
 /// Waits for the head of a reply. If it is dropped before, what the target asks for in a
 /// reply that is on its way is still recorded, and the connection is closed then.
--- a/crates/relay/tests/direct/endless_answers.rs
+++ b/crates/relay/tests/direct/endless_answers.rs
@@ -48,6 +48,14 @@
     "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
     "X-Long: 0123456789abcdef\r\n",
 );
+const CHUNK_SIZE_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "0000000000000000000000000000000000000000000000000000000000000000",
+);
+const CHUNK_EXTENSION_WITHOUT_END: Bytes = endless(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+    LONG_LINE,
+);
 const NO_HTTP: Bytes = endless("", LONG_LINE);
 const SLOW_HEAD: Bytes = Bytes {
     pause: Duration::from_millis(10),
@@ -154,6 +162,8 @@
         REFUSAL_WITHOUT_END,
         CHUNKS_WITHOUT_END,
         TRAILERS_WITHOUT_END,
+        CHUNK_SIZE_WITHOUT_END,
+        CHUNK_EXTENSION_WITHOUT_END,
     ] {
         check("/read/", "plain-1", "plain", bytes, &[200]).await;
     }
@@ -168,14 +178,24 @@
 
 #[tokio::test]
 async fn a_stream_goes_on_at_another_target_if_an_event_has_no_end() {
-    for bytes in [HEAD_WITHOUT_END, INTERIM_HEADS, BODY_WITHOUT_END] {
+    for bytes in [
+        HEAD_WITHOUT_END,
+        INTERIM_HEADS,
+        BODY_WITHOUT_END,
+        CHUNK_SIZE_WITHOUT_END,
+    ] {
         check("/resume/", "engine-1", "engine", bytes, &[200]).await;
     }
 }
 
 #[tokio::test]
 async fn pieces_are_computed_by_another_target_if_a_reply_has_no_end() {
-    for bytes in [HEAD_WITHOUT_END, INTERIM_HEADS, BODY_WITHOUT_END] {
+    for bytes in [
+        HEAD_WITHOUT_END,
+        INTERIM_HEADS,
+        BODY_WITHOUT_END,
+        CHUNK_SIZE_WITHOUT_END,
+    ] {
         check("/staged/", "first-1", "first", bytes, &[200]).await;
     }
 }
