Divide the memory for replies among targets, and hold it until replies are sent

Callers of sound targets got 502 for replies of more than 64 KiB while faulty targets held events that never ended: the memory for replies was one pool, and two targets could take it all. And replies that clients were slow to read were counted only until they were handed to their connection, not until they were sent, so any number of them could be in memory.

Cause: the pool knew no targets, and a permit was tied to the body and not to its bytes. Each target may now take a quarter of what is left free (kernel::target::memory_share), so each one leaves four fifths of what was free before; the first 64 KiB of each reply are free as before. The permit belongs to the call, and goes with the bytes until the last copy of them is dropped. A reply that cannot be passed on is logged with request and target, and one that is too long is no longer taken for a crash.

--- a/crates/kernel/tests/direct/main.rs
+++ b/crates/kernel/tests/direct/main.rs
@@ -18,6 +18,7 @@
 mod link;
 mod load;
 mod membership;
+mod memory_share;
 mod mirror;
 mod notice;
 mod part_quarantine;
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -17,6 +17,7 @@
 use crate::placement::Asker;
 use crate::placement::Placer;
 use crate::pool::Pool;
+use crate::reply_memory::ReplyMemory;
 use crate::shutdown::Shutdown;
 use crate::state::State;
 use crate::store_check::Checker;
@@ -54,7 +55,7 @@
     /// The limit on the memory that request bodies take.
     pub body_memory: BodyMemory,
     /// The limit on the memory that the replies of targets take.
-    pub reply_memory: BodyMemory,
+    pub reply_memory: ReplyMemory,
     /// Notified when a check of a link to a service has reached a target or has ended.
     pub link_changed: Notify,
     /// Notified when targets have been asked which streams they hold.
@@ -84,7 +85,7 @@
             link_changed: Notify::new(),
             survey_ended: Notify::new(),
             body_memory: BodyMemory::new(boot.memory_bytes / BODY_MEMORY_DIVISOR),
-            reply_memory: BodyMemory::new(boot.memory_bytes / REPLY_MEMORY_DIVISOR),
+            reply_memory: ReplyMemory::new(boot.memory_bytes / REPLY_MEMORY_DIVISOR),
             boot,
         }))
     }
--- a/crates/relay/src/dispatcher/call.rs
+++ b/crates/relay/src/dispatcher/call.rs
@@ -292,9 +292,8 @@
     let exchanged = timeout(Duration::from_millis(limit.0), async {
         let mut exchange = Exchange::begin(context, &callee, request).await?;
         let status = exchange.status;
-        let body = exchange
-            .read_all(RESPONSE_MAX_BYTES, &mut context.reply_memory.reply())
-            .await?;
+        let body = exchange.read_all(RESPONSE_MAX_BYTES).await;
+        let body = body.map_err(|error| crate::exchange::Error::Broken(error.to_string()))?;
         let piece_results = match status {
             StatusCode::OK => Some(stage_call::read_results(&body, count)),
             _ => None,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -29,13 +29,13 @@
 use http_body_util::Full;
 use tokio::time::sleep;
 
-use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::exchange::notice::record_notice;
 use crate::exchange::notice::record_notice_of_peer;
 use crate::exchange::pending_reply::PendingReply;
 use crate::pool::IDLE_MAX;
 use crate::pool::Lane;
+use crate::reply_memory::ReplyPermit;
 
 /// How long it may take to connect to a target.
 ///
@@ -81,6 +81,27 @@
     }
 }
 
+/// Why a reply that has begun cannot be read whole.
+#[derive(Debug)]
+pub enum ReadError {
+    /// It ended early.
+    Broken(String),
+    /// It is longer than such replies may be.
+    TooLong,
+    /// Its target has no share of the memory left for it.
+    NoMemory,
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(why) => write!(out, "broken: {why}"),
+            Self::TooLong => out.write_str("the reply is too long"),
+            Self::NoMemory => out.write_str("there is no memory for the reply"),
+        }
+    }
+}
+
 /// The target of a call, and which connections the call may use.
 #[derive(Clone, Debug)]
 pub struct Callee {
@@ -145,6 +166,8 @@
     pub headers: HeaderMap,
     /// The target that was called.
     pub callee: Callee,
+    /// The memory for what is kept of the reply.
+    pub(crate) memory: ReplyPermit,
     body: ReplyBody,
     connection: HttpConnection,
 }
@@ -193,6 +216,7 @@
             status: parts.status,
             headers: parts.headers,
             callee: callee.clone(),
+            memory: context.reply_memory.reply(&callee.target),
             body,
             connection,
         })
@@ -211,6 +235,7 @@
         Self {
             status: parts.status,
             headers: parts.headers,
+            memory: context.reply_memory.reply(&callee.target),
             callee,
             body,
             connection,
@@ -255,27 +280,28 @@
         }
     }
 
-    /// Reads the whole reply, of at most `max_bytes`, into memory that `memory` reserves.
+    /// Reads the whole reply, of at most `max_bytes`. Its memory stays reserved until it is
+    /// dropped.
     ///
     /// # Errors
-    /// Returns [`Error::Broken`] if the reply ends early or is too large.
-    pub async fn read_all(
-        &mut self,
-        max_bytes: usize,
-        memory: &mut ReplyPermit,
-    ) -> Result<Bytes, Error> {
+    /// Returns a [`ReadError`] if the reply ends early or takes too much memory.
+    pub async fn read_all(&mut self, max_bytes: usize) -> Result<Bytes, ReadError> {
         let mut whole = Vec::new();
-        while let Some(bytes) = self.next_chunk().await? {
+        loop {
+            let chunk = self.next_chunk().await;
+            let chunk = chunk.map_err(|error| ReadError::Broken(error.to_string()))?;
+            let Some(bytes) = chunk else {
+                return Ok(self.memory.attach(whole));
+            };
             let size = whole.len() + bytes.len();
             if size > max_bytes {
-                return Err(Error::Broken("the reply is too large".to_owned()));
+                return Err(ReadError::TooLong);
             }
-            if !memory.grow(size as u64) {
-                return Err(Error::Broken("there is no memory for the reply".to_owned()));
+            if !self.memory.grow(size as u64) {
+                return Err(ReadError::NoMemory);
             }
             whole.extend_from_slice(&bytes);
         }
-        Ok(whole.into())
     }
 
     /// Returns the connection to the pool. The reply must have been read whole, and it must
@@ -322,8 +348,7 @@
     let mut exchange = exchange.map_err(|error| anyhow::anyhow!("{error}"))?;
     let status = exchange.status;
     ensure!(status == StatusCode::OK, "status {status}");
-    let mut memory = context.reply_memory.reply();
-    let body = exchange.read_all(max_bytes, &mut memory).await;
+    let body = exchange.read_all(max_bytes).await;
     let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
     exchange.release(context, None);
     Ok(body)
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -41,9 +41,9 @@
 use http::header::CONTENT_LENGTH;
 use tokio::time::timeout;
 
-use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::exchange::Exchange;
+use crate::exchange::ReadError;
 use crate::forward::stream::Pause;
 use crate::http_server;
 use crate::http_server::ResponseBody;
@@ -66,7 +66,6 @@
     let resumed_after = job.head.resumed_after.clone();
     let events = EventBuffer::after(resumed_after.filter(|_| job.route.is_resumable));
     let forwarder = Forwarder {
-        event_memory: context.reply_memory.reply(),
         origin: job.origin.clone(),
         context,
         job,
@@ -121,8 +120,6 @@
     possible_runs: u32,
     /// The events of a stream that were passed on.
     events: EventBuffer,
-    /// The memory for the event of which a part has been received.
-    event_memory: ReplyPermit,
     /// The reply that is being passed on.
     current: Option<StartedReply>,
     /// What the target has sent before the first event.
@@ -245,17 +242,20 @@
             return Err(Kind::Internal.into());
         };
         let callee = started.exchange.callee.clone();
-        let mut memory = self.context.reply_memory.reply();
-        let reading = started.exchange.read_all(PLAIN_MAX_BYTES, &mut memory);
+        let reading = started.exchange.read_all(PLAIN_MAX_BYTES);
         match timeout(limit, reading).await {
             Ok(Ok(body)) => {
                 self.punctuality.record_whole(self.context.now());
-                Ok(http_server::reserved_body(body, memory))
+                Ok(http_server::full_body(body))
             }
-            Ok(Err(_)) => {
+            Ok(Err(error)) => {
+                log::info!(request:% = self.job.head.attempt, target:% = callee.target; "a reply cannot be passed on: {error}");
                 self.end_placed(End::Broken);
                 self.record_failure(&callee.target);
-                self.record_broken_reply(&callee).await;
+                // One that has no end is no crash.
+                if matches!(error, ReadError::Broken(_)) {
+                    self.record_broken_reply(&callee).await;
+                }
                 Err(Failure::from(Kind::TargetFailed).with_unknown_outcome())
             }
             Err(_) => {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -89,16 +89,15 @@
                             // Comments alone do not begin the response, since their target
                             // may still fail to.
                             if count > 0 || self.punctuality.first_at().is_some() {
-                                self.event_memory = self.context.reply_memory.reply();
                                 self.record_events(count);
-                                return Some(Ok(std::mem::take(&mut self.comments).into()));
+                                return Some(Ok(self.take_events()));
                             }
-                            if self.event_memory.grow(self.held_bytes()) {
+                            if self.reserve_held() {
                                 continue;
                             }
                             "there is no memory for comments".to_owned()
                         }
-                        Ok(_) if self.event_memory.grow(self.held_bytes()) => continue,
+                        Ok(_) if self.reserve_held() => continue,
                         Ok(_) => "there is no memory for an event".to_owned(),
                         Err(fault) => fault.to_string(),
                     }
@@ -132,9 +131,21 @@
         }
     }
 
-    /// Returns how many bytes of the stream wait to be passed on.
-    fn held_bytes(&self) -> u64 {
-        self.events.partial_bytes() + self.comments.len() as u64
+    /// Reserves memory for what waits to be passed on; returns whether there is enough.
+    fn reserve_held(&mut self) -> bool {
+        let held = self.events.partial_bytes() + self.comments.len() as u64;
+        let current = self.current.as_mut();
+        current.is_some_and(|started| started.exchange.memory.grow(held))
+    }
+
+    /// Returns what is passed on now. Its memory stays reserved until it has been sent; for
+    /// the bytes that came last, there may be none.
+    fn take_events(&mut self) -> Bytes {
+        let events = std::mem::take(&mut self.comments);
+        match &mut self.current {
+            Some(started) => started.exchange.memory.attach(events),
+            None => events.into(),
+        }
     }
 
     /// Records that a number of complete events of the current target are passed on.
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -42,7 +42,6 @@
 use crate::activity::Activity;
 use crate::activity::RequestGuard;
 use crate::activity::TimeoutCheck;
-use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 
 /// The body of a response.
@@ -102,16 +101,6 @@
         .boxed_unsync()
 }
 
-/// Returns a body with these bytes as its whole content, whose memory stays reserved
-/// until it has been sent.
-pub fn reserved_body(bytes: Bytes, memory: ReplyPermit) -> ResponseBody {
-    let keep_reserved = move |frame| {
-        let _ = &memory;
-        frame
-    };
-    full_body(bytes).map_frame(keep_reserved).boxed_unsync()
-}
-
 impl HttpServer {
     /// Returns how many requests are in progress; one ends with the last byte
     /// of its response body.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod pool;
+pub mod reply_memory;
 pub mod request;
 pub mod shutdown;
 pub mod stages;
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod detours;
 mod distribution;
 mod endless_answers;
+mod endless_targets;
 mod fleet;
 mod former_build;
 mod former_heartbeats;
