--- a/crates/relay/src/store_check.rs
+++ b/crates/relay/src/store_check.rs
@@ -50,7 +50,7 @@
 /// What a decision does next.
 enum Step {
     Ended(bool),
-    Ask(Store),
+    Ask(Box<Store>),
     Wait,
 }
 
@@ -78,7 +78,7 @@
                 // The question is not the task of one client, who may leave.
                 Step::Ask(store) => {
                     let context = context.clone();
-                    tokio::spawn(async move { context.store_checker.ask(&context, store).await });
+                    tokio::spawn(async move { context.store_checker.ask(&context, *store).await });
                 }
                 Step::Wait => {}
             }
@@ -95,7 +95,8 @@
         if state.failed_at.is_some_and(|at| at + FAILURE_PAUSE > now) {
             return Step::Ended(false);
         }
-        state.store.take().map_or(Step::Wait, Step::Ask)
+        let store = state.store.take().map(Box::new);
+        store.map_or(Step::Wait, Step::Ask)
     }
 
     async fn ask(&self, context: &Arc<Context>, mut store: Store) {
--- a/crates/relay/tests/direct/endless_answers.rs
+++ b/crates/relay/tests/direct/endless_answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gooseberry_platform::store::Store;
 use gooseberry_platform_standin::client::Answer;
 use gooseberry_platform_standin::client::ClientRequest;
 use gooseberry_platform_standin::endless::Bytes;
@@ -39,6 +40,8 @@
 const READ_MAX: usize = 2 << 20;
 /// The most bytes that a client may get of an answer that has no end.
 const ANSWER_MAX: usize = 128 << 10;
+/// The most bytes that may be taken of an answer of the store that has no end.
+const STORE_READ_MAX: usize = 48 << 20;
 
 async fn send(daemon: &Daemon, path: &str) -> (Option<Answer>, Duration) {
     let mut request = ClientRequest::new(path);
@@ -194,3 +197,16 @@
         assert_eq!((answer.status, answer.is_complete), (200, true));
     }
 }
+
+#[tokio::test]
+async fn a_read_of_the_store_fails_if_its_answer_has_no_end() {
+    let bytes = Bytes {
+        pause: Duration::from_millis(10),
+        ..endless("HTTP/1.1 200 OK\r\n\r\n", "x".repeat(256 << 10).leak())
+    };
+    let store = EndlessTarget::start("store", bytes).await;
+    let read = Store::new(store.address).read_all().await;
+    assert!(read.is_err());
+    let sent = store.sent()[0];
+    assert!(sent.bytes < STORE_READ_MAX, "{sent:?}");
+}
