--- a/crates/kernel/src/request/event_buffer.rs
+++ b/crates/kernel/src/request/event_buffer.rs
@@ -33,6 +33,9 @@
 /// hundred bytes.
 pub const EVENT_MAX_BYTES: usize = 1 << 20;
 
+/// The most bytes of comments and blank lines between two events; typical streams have a
+/// comment of a few bytes every few seconds.
+pub const FILLER_MAX_BYTES: usize = 64 << 10;
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 /// The incomplete last event of a stream, and the last id and number of the
@@ -43,6 +46,8 @@
     last_id: Option<CompactString>,
     count: u64,
     complete: u64,
+    /// The size of what has come since the last complete event and is none.
+    filler_bytes: usize,
     /// What has been received from the current target.
     reply: Received,
     /// Why the buffered bytes are not passed on.
@@ -100,6 +105,8 @@
     pub enum Fault {
         /// An event is larger than [`EVENT_MAX_BYTES`].
         TooLong,
+        /// There are more than [`FILLER_MAX_BYTES`] of comments between two events.
+        NoEvents,
         /// The id of an event is not greater than the one before.
         OutOfOrder,
         /// Bytes have not the form of events.
@@ -113,6 +120,7 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         out.write_str(match self {
             Self::TooLong => "an event is too long",
+            Self::NoEvents => "there are too many comments and no event",
             Self::OutOfOrder => "the id of an event is not greater than the one before",
             Self::Malformed => "bytes do not have the form of events",
             Self::WithoutId => "the first event of a resumed stream has no id",
@@ -139,6 +147,10 @@
         if let Some(fault) = self.fault {
             return Err(fault);
         }
+        // Only now, since events may have come before the last comments.
+        if self.filler_bytes > FILLER_MAX_BYTES {
+            return Err(Fault::NoEvents);
+        }
         self.partial.extend_from_slice(bytes);
         let is_within_answer = self.complete > 0 && !self.reply.has_begun;
         if is_within_answer && self.partial.starts_with(BYTE_ORDER_MARK) {
@@ -148,8 +160,16 @@
         let mut searched = self.partial.len().saturating_sub(bytes.len() + 1);
         let mut end = 0;
         while let Some((line_end, next_line)) = self.find_line_end(searched) {
+            let complete = self.complete;
             match self.read_line(line_end) {
-                Ok(true) => end = next_line,
+                Ok(true) => {
+                    self.filler_bytes = if self.complete > complete {
+                        0
+                    } else {
+                        self.filler_bytes + next_line - end
+                    };
+                    end = next_line;
+                }
                 Ok(false) => {}
                 Err(fault) => {
                     self.fault = Some(fault);
@@ -215,6 +235,7 @@
     /// it again, as the first one of its reply.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.filler_bytes = 0;
         self.reply = Received::default();
         self.fault = None;
     }
--- a/crates/kernel/tests/direct/event_buffer.rs
+++ b/crates/kernel/tests/direct/event_buffer.rs
@@ -2,6 +2,7 @@
 use gooseberry_kernel::request::continuation::Content;
 use gooseberry_kernel::request::event_buffer::EVENT_MAX_BYTES;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
+use gooseberry_kernel::request::event_buffer::FILLER_MAX_BYTES;
 use gooseberry_kernel::request::event_buffer::Fault;
 
 #[test]
@@ -218,3 +219,27 @@
         assert_eq!(found, is_cut, "{events:?} {is_framed} {content:?}");
     }
 }
+
+#[test]
+fn comments_without_end_are_a_fault_for_any_chunking() {
+    for filler in [&b": wait\n\n"[..], b"\n", b"\r\n", b":\n: a\r\n\r\n"] {
+        let times = FILLER_MAX_BYTES / filler.len();
+        for chunk in [1_000, FILLER_MAX_BYTES] {
+            let mut events = EventBuffer::default();
+            let mut forwarded = 0;
+            // Events in between make any number of comments sound.
+            let sound = [&filler.repeat(times / 2)[..], b"data: a\n\n"].concat();
+            for part in sound.repeat(4).chunks(chunk) {
+                forwarded += events.push(part).expect("it is sound").len();
+            }
+            let endless = filler.repeat(times * 2 + 2);
+            let result = endless
+                .chunks(chunk)
+                .find_map(|part| events.push(part).err());
+            assert_eq!(result, Some(Fault::NoEvents), "{filler:?}");
+            events.discard_partial();
+            assert_eq!(events.push(b"data: b\n\n"), Ok(b"data: b\n\n".to_vec()));
+            assert!(forwarded >= sound.len() * 3);
+        }
+    }
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -49,7 +49,6 @@
 use gooseberry_platform::target::Reply;
 use http::Response;
 
-use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::forward::pick::InFlightGuard;
@@ -72,7 +71,6 @@
     let resumed_after = job.head.resumed_after.clone();
     let events = EventBuffer::after(resumed_after.filter(|_| job.route.is_resumable));
     let forwarder = Forwarder {
-        event_memory: context.reply_memory.reply(),
         context,
         job,
         plan,
@@ -127,8 +125,6 @@
     possible_runs: u32,
     /// The events of a stream that were passed on.
     events: EventBuffer,
-    /// The memory for the event of which a part has been received.
-    event_memory: ReplyPermit,
     /// The reply that is being passed on.
     current: Option<StartedReply>,
     /// What the target has sent before the first event.
@@ -147,9 +143,9 @@
     reply: Reply,
     /// The version of the target's software.
     version: name::Version,
-    /// Its body and the memory for it, unless it is a stream. It has been read whole, so
-    /// that another target's reply can replace one that breaks off.
-    body: Option<(Bytes, ReplyPermit)>,
+    /// Its body, unless it is a stream. It has been read whole, so that another target's
+    /// reply can replace one that breaks off.
+    body: Option<Bytes>,
     /// Counts it as in flight, unless a peer does.
     _in_flight_guard: Option<InFlightGuard>,
 }
@@ -203,9 +199,7 @@
                     Some(Err(_)) => Err(self.stream_failure()),
                     None => {
                         let comments = std::mem::take(&mut self.comments);
-                        let unused = self.context.reply_memory.reply();
-                        let memory = std::mem::replace(&mut self.event_memory, unused);
-                        Ok(head.map(|()| http_server::reserved_body(comments.into(), memory)))
+                        Ok(head.map(|()| http_server::full_body(comments.into())))
                     }
                 };
             }
@@ -227,9 +221,9 @@
             .current
             .as_mut()
             .and_then(|started| started.body.take());
-        let (body, memory) = whole.ok_or(Failure::from(Kind::Internal))?;
+        let body = whole.ok_or(Failure::from(Kind::Internal))?;
         self.punctuality.record_whole(self.context.now());
-        Ok(http_server::reserved_body(body, memory))
+        Ok(http_server::full_body(body))
     }
 
     /// Passes on the error reply of a target, since the retry got no reply.
--- a/crates/relay/src/forward/call.rs
+++ b/crates/relay/src/forward/call.rs
@@ -21,6 +21,7 @@
 use crate::exchange::Error;
 use crate::exchange::Exchange;
 use crate::exchange::RUN_ONCE_IDLE_MAX;
+use crate::exchange::ReadError;
 use crate::forward::Forwarder;
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
@@ -209,18 +210,26 @@
         let limit = Duration::from_millis((self.job.deadline - context.now()).0);
         Box::pin(async move {
             let callee = started.exchange.callee.clone();
-            let mut memory = context.reply_memory.reply();
-            let reading = started.exchange.read_all(PLAIN_MAX_BYTES, &mut memory);
+            let reading = started.exchange.read_all(PLAIN_MAX_BYTES);
             match timeout(limit, reading).await {
                 Ok(Ok(body)) => {
-                    started.body = Some((body, memory));
+                    started.body = Some(body);
                     Step::Read(started)
                 }
-                Ok(Err(error)) => {
+                Ok(Err(ReadError::Broken(why))) => {
                     drop(started);
-                    let why = error.to_string();
                     Step::ReadBroken(Break::judge(&context, &service, &callee, why).await)
                 }
+                Ok(Err(error @ (ReadError::TooLong | ReadError::NoMemory))) => {
+                    crash::record_failure(&context, &callee.target);
+                    // A reply without an end is no crash.
+                    Step::ReadBroken(Break {
+                        target: callee.target,
+                        why: error.to_string(),
+                        is_fault_of_target: false,
+                        at: context.now(),
+                    })
+                }
                 Err(_) => Step::ReadSilent(callee.target),
             }
         })
--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -16,7 +16,6 @@
 use gooseberry_kernel::target::placement::End;
 use tokio::time::timeout;
 
-use crate::body_memory::ReplyPermit;
 use crate::exchange::Exchange;
 use crate::forward::Forwarder;
 use crate::forward::StartedReply;
@@ -36,7 +35,6 @@
     is_framed: bool,
     /// What the reply says its body is.
     content: Content,
-    memory: ReplyPermit,
 }
 
 impl Reading {
@@ -57,7 +55,7 @@
             self.count += self.events.complete() - complete;
             let held = self.events.partial_bytes() + self.received.len() as u64;
             // A complete event is passed on at once.
-            if self.count == 0 && !self.memory.grow(held) {
+            if self.count == 0 && !exchange.memory.grow(held) {
                 return Err("there is no memory for an event".to_owned());
             }
         }
@@ -128,7 +126,6 @@
             return Err("there is no connection".to_owned());
         };
         let began = self.context.now();
-        let unused = self.context.reply_memory.reply();
         let (is_framed, content) = (started.exchange.is_framed(), started.reply.content);
         let mut paused = PausedTarget {
             started,
@@ -140,7 +137,6 @@
                 count: 0,
                 is_framed,
                 content,
-                memory: std::mem::replace(&mut self.event_memory, unused),
             },
             broken: None,
         };
@@ -196,7 +192,6 @@
             count: 0,
             is_framed: other.exchange.is_framed(),
             content: other.reply.content,
-            memory: self.context.reply_memory.reply(),
         };
         let limit = Duration::from_millis(STREAM_OVERLAP_MAX.0);
         let next_event = timeout(limit, reading.next_event(&mut other.exchange));
@@ -236,7 +231,6 @@
         self.record_failure(&callee.target);
         self.begin_reply(*other);
         self.events = reading.events;
-        self.event_memory = reading.memory;
         if reading.count > 0 {
             self.results = None;
         }
@@ -250,7 +244,6 @@
         self.placed = paused.placed;
         self.last_send = paused.last_send;
         self.events = reading.events;
-        self.event_memory = reading.memory;
         if let Some(why) = paused.broken {
             return Err(why);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod peers;
 pub mod pool;
 pub mod progress;
+pub mod reply_memory;
 pub mod request;
 pub mod shutdown;
 pub mod stages;
--- a/crates/relay/tests/direct/main.rs
+++ b/crates/relay/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod detours;
 mod distribution;
 mod endless_answers;
+mod endless_targets;
 mod fleet;
 mod former_build;
 mod former_heartbeats;
