Test 200 streams at once with events that have no end, and slow bodies

The memory test now sends 200 distinct requests for each kind of bytes, which reach the faulty targets, with events of 60 KiB and 900 KiB that go on slowly among the kinds.

--- a/crates/relay/tests/direct/endless_answers.rs
+++ b/crates/relay/tests/direct/endless_answers.rs
@@ -24,14 +24,15 @@
 use crate::endless_targets::LATER_BYTES;
 use crate::endless_targets::NO_HTTP;
 use crate::endless_targets::REFUSAL_WITHOUT_END;
+use crate::endless_targets::SLOW_BODY;
 use crate::endless_targets::SLOW_COMMENTS;
 use crate::endless_targets::SLOW_HEAD;
 use crate::endless_targets::TRAILERS_WITHOUT_END;
 use crate::endless_targets::endless;
+use crate::endless_targets::held_event;
 use crate::endless_targets::replace;
 use crate::endless_targets::replace_large;
 use crate::endless_targets::sound_answer;
-use crate::endless_targets::success;
 use crate::platform::TestPlatform;
 use crate::platform::client_address;
 use crate::platform::wait_until;
@@ -119,6 +120,7 @@
         TRAILERS_WITHOUT_END,
         CHUNK_SIZE_WITHOUT_END,
         CHUNK_EXTENSION_WITHOUT_END,
+        SLOW_BODY,
     ] {
         check("/read/", "plain-1", "plain", bytes, &[200]).await;
     }
@@ -126,7 +128,13 @@
 
 #[tokio::test]
 async fn a_request_that_must_not_run_twice_fails_in_time_if_an_answer_has_no_end() {
-    for bytes in [HEAD_WITHOUT_END, INTERIM_HEADS, BODY_WITHOUT_END, SLOW_HEAD] {
+    for bytes in [
+        HEAD_WITHOUT_END,
+        INTERIM_HEADS,
+        BODY_WITHOUT_END,
+        SLOW_HEAD,
+        SLOW_BODY,
+    ] {
         check("/once/", "plain-1", "plain", bytes, &[200, 502, 504]).await;
     }
 }
@@ -153,6 +161,7 @@
         INTERIM_HEADS,
         BODY_WITHOUT_END,
         CHUNK_SIZE_WITHOUT_END,
+        SLOW_BODY,
     ] {
         check("/staged/", "first-1", "first", bytes, &[200]).await;
     }
@@ -168,11 +177,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn faulty_targets_leave_memory_for_the_replies_of_sound_ones() {
     let platform = TestPlatform::start().await;
-    let held_event = format!("data: {}", "x".repeat(900 << 10));
-    let held_event = Bytes {
-        pause: Duration::from_millis(50),
-        ..endless(success("", &held_event), "x")
-    };
+    let held_event = held_event(900 << 10);
     let mut faulty = Vec::new();
     for name in ["engine-1", "engine-2"] {
         faulty.push(replace_large(&platform, name, "engine", held_event).await);
--- a/crates/relay/tests/direct/endless_targets.rs
+++ b/crates/relay/tests/direct/endless_targets.rs
@@ -66,6 +66,10 @@
     LONG_LINE,
 );
 
+pub const SLOW_BODY: Bytes = Bytes {
+    pause: Duration::from_millis(10),
+    ..BODY_WITHOUT_END
+};
 pub const LATER_BYTES: Bytes = Bytes {
     pause: Duration::from_millis(50),
     ..BYTES_AFTER_THE_ANSWER
@@ -114,6 +118,14 @@
     format!("{head}{headers}\r\n{body}").leak()
 }
 
+/// Returns a success with an event of this size, which goes on slowly and has no end.
+pub fn held_event(size: usize) -> Bytes {
+    Bytes {
+        pause: Duration::from_millis(50),
+        ..endless(success("", &format!("data: {}", "x".repeat(size))), "x")
+    }
+}
+
 /// Returns an answer of this size, which a sound target sends.
 pub fn sound_answer(size: usize) -> Bytes {
     let length = format!("Content-Length: {size}\r\n");
--- a/crates/relay/tests/memory/main.rs
+++ b/crates/relay/tests/memory/main.rs
@@ -21,7 +21,7 @@
 use crate::endless_targets::COMMENTS_WITHOUT_END;
 use crate::endless_targets::ERROR_WITHOUT_END;
 use crate::endless_targets::endless;
-use crate::endless_targets::replace;
+use crate::endless_targets::held_event;
 use crate::endless_targets::replace_large;
 use crate::endless_targets::sound_answer;
 use crate::endless_targets::success;
@@ -60,19 +60,32 @@
         COMMENTS_WITHOUT_END,
         COMMENTS_AFTER_AN_EVENT,
         CHUNK_SIZE_WITHOUT_END,
+        held_event(60 << 10),
+        held_event(900 << 10),
     ] {
         let platform = TestPlatform::start().await;
+        let mut targets = Vec::new();
         for name in ["engine-1", "engine-2"] {
-            replace(&platform, name, "engine", bytes).await;
+            targets.push(replace_large(&platform, name, "engine", bytes).await);
         }
         let daemon = platform.daemon(1, &[]).await;
         let before = resident_bytes();
         let address = client_address(&daemon);
-        let requests = (0..150).map(|_| {
-            tokio::spawn(async move { ClientRequest::new("/stream/").send(address).await })
+        let requests = (0..200).map(|number| {
+            let request = ClientRequest::new("/stream/").with("Model", "m");
+            let request = request.body(&format!("{number}"));
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(5 * number)).await;
+                request.send(address).await
+            })
         });
         let requests: Vec<_> = requests.collect();
         let most = peak_growth(&requests, before).await;
+        println!("{} MB for {:.150?}", most >> 20, bytes.first.get(..90));
+        println!(
+            "sent {}",
+            targets.iter().map(|t| t.sent().len()).sum::<usize>()
+        );
         assert!(most < INSTANCE_BYTES, "{} MB for {bytes:?}", most >> 20);
     }
 }
