A request is not suspected of crashing targets for bytes that cannot be passed on

Callers saw: after three replies with an error text in place of events, with comments without end or with an event for which there was no memory, their request was refused as one that crashes targets, and the shared parts of its prompt came under suspicion.

Cause: each end of a stream that was not complete was recorded as a crash of its target, also where the daemon itself had closed the connection.

Evidence: the test failed before (503 for 502 at the fourth request) and passes now, with the other tests of the module.

Why it works: the reason of a break says whether the connection ended, or its content cannot be used; only the first may be a crash. The target counts as failed in both cases.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,6 +6,7 @@
 //! client is closed instead.
 //!
 //! - `attempt` picks targets and sends the request until a response begins.
+//! - `breakage` is why a stream broke off.
 //! - `call` is one call of the request.
 //! - `race` sends the request, and once more while its target is silent.
 //! - `detour` sends the request through a peer if this daemon reaches no target.
@@ -18,6 +19,7 @@
 //! - `time_left` refuses what could not end before a daemon that is shutting down.
 
 mod attempt;
+mod breakage;
 mod call;
 mod crash;
 mod detour;
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -17,6 +17,7 @@
 
 use crate::forward::Forwarder;
 use crate::forward::StartedReply;
+use crate::forward::breakage::Breakage;
 use crate::http_server::ResponseBody;
 use crate::resumption;
 
@@ -69,8 +70,8 @@
 
 /// Why there are no more bytes of a target's stream.
 enum Stop {
-    /// It broke off, or its deadline has passed.
-    Broken(String),
+    /// It broke off.
+    Broken(Breakage),
     /// It has paused for so long that another target is looked for.
     Paused,
 }
@@ -96,26 +97,24 @@
                     match events.map(|events| self.release(&events, count)) {
                         Ok(Ok(Some(events))) => return Some(Ok(events)),
                         Ok(Ok(None)) => continue,
-                        Ok(Err(why)) => why,
-                        Err(fault) => fault.to_string(),
+                        Ok(Err(broken)) => broken,
+                        Err(fault) => fault.into(),
                     }
                 }
-                Ok(None) if self.is_cut_before_first_event() => {
-                    "the connection ended before the first event".to_owned()
-                }
+                Ok(None) if self.is_cut_before_first_event() => Breakage::before_first_event(),
                 Ok(None) if self.events.is_at_event_boundary() => {
                     self.finish();
                     return None;
                 }
-                Ok(None) => "the stream ended within an event".to_owned(),
-                Err(Stop::Broken(why)) => why,
+                Ok(None) => Breakage::within_event(),
+                Err(Stop::Broken(broken)) => broken,
                 // Silence ends a stream only if it can go on at another target.
                 Err(Stop::Paused) if self.may_seek_successor() => {
                     // Boxed, since few streams pause.
                     match Box::pin(self.seek_successor()).await {
                         Ok(Some(events)) => return Some(Ok(events)),
                         Ok(None) => continue,
-                        Err(why) => why,
+                        Err(broken) => broken,
                     }
                 }
                 Err(Stop::Paused) => {
@@ -132,7 +131,7 @@
 
     /// Returns the bytes that are to be passed on now, once a number of complete events has
     /// been received with these.
-    pub(super) fn release(&mut self, bytes: &[u8], count: u64) -> Result<Option<Bytes>, String> {
+    pub(super) fn release(&mut self, bytes: &[u8], count: u64) -> Result<Option<Bytes>, Breakage> {
         self.comments.extend_from_slice(bytes);
         // Comments alone do not begin the response, since their target may still fail to.
         let may_pass_on = count > 0 || self.punctuality.first_at().is_some();
@@ -143,7 +142,7 @@
         if self.reserve_held() {
             Ok(None)
         } else {
-            Err("there is no memory for an event".to_owned())
+            Err(Breakage::without_memory())
         }
     }
 
@@ -196,7 +195,8 @@
         let left = self.job.deadline - now;
         // Checked first, since a target may always have bytes ready.
         if left == Millis::ZERO {
-            return Err(Stop::Broken("the deadline has passed".to_owned()));
+            let why = "the deadline has passed".to_owned();
+            return Err(Stop::Broken(Breakage::Connection(why)));
         }
         let limit = if self.job.route.is_resumable {
             left.min(self.pause.next_check - self.pause.waited)
@@ -204,15 +204,18 @@
             left
         };
         let started = self.current.as_mut();
-        let started = started.ok_or_else(|| Stop::Broken("there is no connection".to_owned()))?;
+        let started = started.ok_or_else(|| Stop::Broken(Breakage::without_connection()))?;
         let exchange = &mut started.exchange;
         let chunk = timeout(Duration::from_millis(limit.0), exchange.next_chunk()).await;
         self.pause.waited = self.pause.waited + (self.context.now() - now);
         match chunk {
             Ok(Ok(bytes)) => Ok(bytes),
-            Ok(Err(error)) => Err(Stop::Broken(error.to_string())),
+            Ok(Err(error)) => Err(Stop::Broken(error.into())),
             Err(_) if limit < left => Err(Stop::Paused),
-            Err(_) => Err(Stop::Broken(format!("no data for {limit} ms"))),
+            Err(_) => {
+                let why = format!("no data for {limit} ms");
+                Err(Stop::Broken(Breakage::Connection(why)))
+            }
         }
     }
 
@@ -260,12 +263,14 @@
 
     /// Resumes a broken stream at another target after the last complete event,
     /// if the route and the retry budget allow it.
-    async fn resume(&mut self, why: &str, may_resume: bool) -> io::Result<()> {
-        let broken = self.current.take();
+    async fn resume(&mut self, broken: &Breakage, may_resume: bool) -> io::Result<()> {
+        let current = self.current.take();
         self.end_placed(End::Broken);
-        let callee = broken.map(|started| started.exchange.callee.clone());
-        if let Some(callee) = &callee {
-            self.record_crash(callee).await;
+        let callee = current.map(|started| started.exchange.callee.clone());
+        match (&callee, broken) {
+            (Some(callee), Breakage::Connection(_)) => self.record_crash(callee).await,
+            (Some(callee), Breakage::Content(_)) => self.record_failure(&callee.target),
+            (None, _) => {}
         }
         self.events.discard_partial();
         log::info!(
@@ -274,7 +279,7 @@
             events = self.events.count(),
             may_resume,
             left_ms = (self.job.deadline - self.context.now()).0;
-            "a stream broke off: {why}"
+            "a stream broke off: {broken}"
         );
         if !may_resume {
             return Err(self.give_up("not-allowed", "it may not be sent again"));
--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -19,6 +19,7 @@
 use crate::exchange::Exchange;
 use crate::forward::Forwarder;
 use crate::forward::StartedReply;
+use crate::forward::breakage::Breakage;
 use crate::forward::race::STREAM_OVERLAP_MAX;
 use crate::forward::retry::Retry;
 use crate::placement::PlacedRequest;
@@ -42,35 +43,34 @@
     ///
     /// # Errors
     /// Returns why the stream has broken off, if it has.
-    async fn next_event(&mut self, exchange: &mut Exchange) -> Result<(), String> {
+    async fn next_event(&mut self, exchange: &mut Exchange) -> Result<(), Breakage> {
         while self.count == 0 {
             let bytes = exchange.next_chunk().await;
-            let Some(bytes) = bytes.map_err(|error| error.to_string())? else {
+            let Some(bytes) = bytes? else {
                 return self.check_end();
             };
             let complete = self.events.complete();
-            let events = self.events.push(&bytes);
-            let events = events.map_err(|fault| fault.to_string())?;
+            let events = self.events.push(&bytes)?;
             self.received.extend_from_slice(&events);
             self.count += self.events.complete() - complete;
             let held = self.events.partial_bytes() + self.received.len() as u64;
             // A complete event is passed on at once.
             if self.count == 0 && !exchange.memory.grow(held) {
-                return Err("there is no memory for an event".to_owned());
+                return Err(Breakage::without_memory());
             }
         }
         Ok(())
     }
 
     /// Checks that the stream is complete if it ends now.
-    fn check_end(&self) -> Result<(), String> {
+    fn check_end(&self) -> Result<(), Breakage> {
         if !self.events.is_at_event_boundary() {
-            Err("the stream ended within an event".to_owned())
+            Err(Breakage::within_event())
         } else if self
             .events
             .is_cut_before_first_event(self.is_framed, self.content)
         {
-            Err("the connection ended before the first event".to_owned())
+            Err(Breakage::before_first_event())
         } else {
             Ok(())
         }
@@ -84,7 +84,7 @@
     last_send: Option<(Run, Millis)>,
     reading: Reading,
     /// Why its stream has broken off meanwhile, if it has.
-    broken: Option<String>,
+    broken: Option<Breakage>,
 }
 
 /// What there is first when a stream is handed over.
@@ -121,9 +121,9 @@
     /// # Errors
     /// Returns why the stream has broken off, if its target broke it off meanwhile and no
     /// other one goes on with it.
-    pub(super) async fn seek_successor(&mut self) -> Result<Option<Bytes>, String> {
+    pub(super) async fn seek_successor(&mut self) -> Result<Option<Bytes>, Breakage> {
         let Some(started) = self.current.take() else {
-            return Err("there is no connection".to_owned());
+            return Err(Breakage::without_connection());
         };
         let began = self.context.now();
         let (is_framed, content) = (started.exchange.is_framed(), started.reply.content);
@@ -212,7 +212,7 @@
         other: Box<StartedReply>,
         reading: Reading,
         mut paused: PausedTarget,
-    ) -> Result<Option<Bytes>, String> {
+    ) -> Result<Option<Bytes>, Breakage> {
         let callee = paused.started.exchange.callee.clone();
         if let Some(placed) = &mut paused.placed {
             placed.record_end(End::Broken);
@@ -238,7 +238,7 @@
     }
 
     /// Goes on with the paused target, which has gone on or is waited for.
-    fn stay_at(&mut self, paused: PausedTarget, began: Millis) -> Result<Option<Bytes>, String> {
+    fn stay_at(&mut self, paused: PausedTarget, began: Millis) -> Result<Option<Bytes>, Breakage> {
         let reading = paused.reading;
         self.current = Some(paused.started);
         self.placed = paused.placed;
@@ -270,7 +270,7 @@
             target:% = paused.started.exchange.callee.target,
             end,
             failure = failure.map(ToString::to_string).unwrap_or_default(),
-            broken = paused.broken.as_deref().unwrap_or_default(),
+            broken = paused.broken.as_ref().map(ToString::to_string).unwrap_or_default(),
             events = paused.reading.events.count(),
             sends = self.sends,
             waited_ms = (self.pause.waited() + (now - began)).0,
--- a/crates/relay/tests/direct/continuations.rs
+++ b/crates/relay/tests/direct/continuations.rs
@@ -207,3 +207,22 @@
         assert!(answer.is_complete, "{media}");
     }
 }
+
+/// Guards against requests that are refused since their targets sent bytes that are no events.
+#[tokio::test]
+async fn a_request_is_not_quarantined_for_what_its_targets_sent() {
+    let (platform, daemon) = start_one().await;
+    let error = Mode::Reply(EVENT_STREAM, "error: no memory\n\n");
+    let send = async || {
+        let client = ClientRequest::new("/resume/same").with_stage_pieces("");
+        answer_to(&client, &daemon).await.status
+    };
+    for _ in 0..4 {
+        for engine in &platform.engines {
+            engine.queue_modes(&[error; 2]);
+        }
+        assert_eq!(send().await, 502);
+        platform.engines.iter().for_each(Target::clear_modes);
+    }
+    assert_eq!(send().await, 200);
+}
