--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -9,6 +9,8 @@
 //!     SOAK_SEEDS=1..20 SOAK_DAEMONS=5 cargo test -p gooseberryd --test soak -- \
 //!         --ignored --nocapture releases
 //!
+//! and with silent targets, `silences` in place of `releases`.
+//!
 //! `SOAK_FORMER` names the daemon of a former build. Each daemon then changes between the two
 //! builds whenever it is started, so that all mixtures of them serve together.
 
@@ -35,6 +37,10 @@
 const RELEASE_SEED: u64 = 23;
 const RELEASE_DAEMONS: u8 = 12;
 
+/// The seed with which CI runs silent targets: it closed a paused stream before another target
+/// had it.
+const SILENCE_SEED: u64 = 1;
+
 /// What is run with each seed.
 enum Scenario {
     /// Faults of all kinds.
@@ -85,6 +91,11 @@
     run_seeds(Scenario::Releases(RELEASE_DAEMONS), seeds).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_targets_beside_changes_and_restarts_end_no_answer() {
+    run_seeds(Scenario::Silences, std::iter::once(SILENCE_SEED)).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "runs the seeds that SOAK_SEEDS names, such as 100..150"]
 async fn seeds_from_the_environment() {
