--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -5,7 +5,9 @@
 //! - [`retry_budget`] bounds how often requests are sent more than once.
 //! - [`client_timeouts`] decides when a connection of a client is closed.
 //! - [`deadline_admission`] refuses requests that cannot be served in time.
+//! - [`durations`] remembers how long the requests of each route take.
 //! - [`prior_wait`] estimates how long a retrying client has already waited.
+//! - [`continuation`] decides whether a reply begins a stream or goes on with it.
 //! - [`event_buffer`] forwards only complete events of a stream, and [`stream_origin`]
 //!   decides at which targets a broken one may go on. [`stream_trace`] finds where it began
 //!   if no daemon knows any more.
@@ -18,8 +20,10 @@
 //! schedules its stages. These modules read no clock and no socket.
 
 pub mod client_timeouts;
+pub mod continuation;
 pub mod deadline_admission;
 pub mod demand;
+pub mod durations;
 pub mod event_buffer;
 pub mod part_quarantine;
 pub mod prior_wait;
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -6,6 +6,9 @@
 use std::sync::PoisonError;
 
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::deadline_admission::Forecast;
+use gooseberry_kernel::request::durations::Span;
+use gooseberry_kernel::request::routing_table::Route;
 use gooseberry_platform::boot::Boot;
 use gooseberry_runtime::clock::Clock;
 use tokio::sync::Notify;
@@ -17,6 +20,7 @@
 use crate::placement::Asker;
 use crate::placement::Placer;
 use crate::pool::Pool;
+use crate::reply_memory::ReplyMemory;
 use crate::shutdown::Shutdown;
 use crate::state::State;
 use crate::store_check::Checker;
@@ -54,7 +58,7 @@
     /// The limit on the memory that request bodies take.
     pub body_memory: BodyMemory,
     /// The limit on the memory that the replies of targets take.
-    pub reply_memory: BodyMemory,
+    pub reply_memory: ReplyMemory,
     /// Notified when a check of a link to a service has reached a target or has ended.
     pub link_changed: Notify,
     /// Notified when targets have been asked which streams they hold.
@@ -80,11 +84,11 @@
             store_checker: Checker::new(boot.store_address),
             asker: Asker::default(),
             metrics,
-            shutdown: Shutdown::default(),
+            shutdown: Shutdown::new(clock),
             link_changed: Notify::new(),
             survey_ended: Notify::new(),
             body_memory: BodyMemory::new(boot.memory_bytes / BODY_MEMORY_DIVISOR),
-            reply_memory: BodyMemory::new(boot.memory_bytes / REPLY_MEMORY_DIVISOR),
+            reply_memory: ReplyMemory::new(boot.memory_bytes / REPLY_MEMORY_DIVISOR),
             boot,
         }))
     }
@@ -95,6 +99,13 @@
         self.clock.now()
     }
 
+    /// Returns how long a request of a route is expected to take from now on.
+    #[must_use]
+    pub fn forecast(&self, route: &Route, span: Span, deadline: Millis) -> Forecast {
+        let now = self.now();
+        Forecast::new(route, self.state().durations(), span, deadline, now)
+    }
+
     /// Locks the daemon's view of the fleet, for one decision.
     ///
     /// No decision waits for anything, so the lock is held for microseconds.
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures::stream;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::deadline_admission::Forecast;
 use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::request::routing_table::Rank;
 use gooseberry_platform::target;
@@ -44,12 +46,16 @@
 use crate::link;
 use crate::pool::IDLE_MAX;
 use crate::pool::Lane;
+use crate::progress::SentMark;
 use crate::state::Need;
 use crate::state::PickedTarget;
 
 /// To how many targets a request is sent until one can be reached.
 const TARGETS_MAX: usize = 2;
 
+/// How long a request is expected to run whose peer does not say it: long enough that a target
+/// at which nothing waits has answered.
+const RUN_IF_UNKNOWN: Millis = Millis(300);
 /// The rank of a request whose peer does not say it, as it does only for engines: the
 /// middle one.
 const RANK_IF_UNKNOWN: Rank = Rank(4);
@@ -75,7 +81,12 @@
         return outcome_only(&not_sent("the call cannot be read", None));
     };
     let began = context.now();
-    let result = handle(&context, &call, parts, body).await;
+    let mark = SentMark::default();
+    let result = tokio::select! {
+        biased;
+        result = handle(&context, &call, parts, body, &mark) => result,
+        () = context.shutdown.ended() => Err(outcome_at_end(&mark)),
+    };
     let (response, label) = match result {
         Ok(passed) => (pass_on(passed), "passed on"),
         Err(outcome) => {
@@ -104,6 +115,7 @@
     call: &Call,
     mut parts: Parts,
     body: Incoming,
+    mark: &SentMark,
 ) -> Result<PassedReply, Outcome> {
     let arrived = context.now();
     let deadline = arrived + call.left();
@@ -155,11 +167,23 @@
             on_time_by: due,
             work: u64::try_from(body.len()).unwrap_or(u64::MAX),
         };
-        let picked = pick::wait_for_target(context, &attempt, need, deadline).await;
+        let forecast = || Forecast {
+            duration: call.run_ms.map_or(RUN_IF_UNKNOWN, Millis),
+            deadline,
+        };
+        let picked = pick::wait_for_target(context, &attempt, need, deadline, forecast).await;
         let picked = picked.map_err(|failure| outcome_of(&failure))?;
+        if let Err(failure) = context.shutdown.check_unsent(&attempt, forecast) {
+            drop(InFlightGuard::new(context, &picked));
+            return Err(outcome_of(&failure));
+        }
         let left = deadline - context.now();
+        mark.set(true);
         match send(context, call, &picked, &parts, body.clone(), left).await {
-            Err(outcome @ Outcome::NotSent { .. }) => last = outcome,
+            Err(outcome @ Outcome::NotSent { .. }) => {
+                mark.set(false);
+                last = outcome;
+            }
             result => return result,
         }
         tried.push(picked.target);
@@ -309,10 +333,25 @@
     }
 }
 
+/// Returns the outcome of a request that has no reply when this daemon ends.
+fn outcome_at_end(mark: &SentMark) -> Outcome {
+    let why = "the peer has ended";
+    if mark.may_have_run() {
+        Outcome::Unknown {
+            why: why.into(),
+            target: CompactString::default(),
+            crashed_run: None,
+        }
+    } else {
+        not_sent(why, None)
+    }
+}
+
 /// Returns the outcome of a request for which no target could be picked.
 fn outcome_of(failure: &Failure) -> Outcome {
     let why = match failure.kind {
         Kind::TooLate => "its deadline passed before a target took it",
+        Kind::ShuttingDown => "this daemon is shutting down",
         Kind::NoTarget => "the service has no target that takes it",
         _ => "all targets have asked for less work",
     };
--- a/crates/relay/src/forward/placement.rs
+++ b/crates/relay/src/forward/placement.rs
@@ -6,7 +6,6 @@
 use gooseberry_platform::target::Load;
 
 use crate::forward::Forwarder;
-use crate::forward::SendOutcome;
 use crate::forward::pick;
 use crate::placement;
 use crate::placement::PlacedRequest;
@@ -42,23 +41,13 @@
             preferred: placed.as_ref().map(PlacedRequest::target),
             ..need
         };
-        let picked = pick::wait_for_target(context, &job.head.attempt, need, job.deadline).await;
+        let (attempt, forecast) = (&job.head.attempt, || self.forecast());
+        let picked = pick::wait_for_target(context, attempt, need, job.deadline, forecast).await;
         let chosen = picked.as_ref().ok().map(|picked| &picked.target);
         self.placed = placed.filter(|placed| placed.record_choice(chosen));
         picked
     }
 
-    /// Records that the target that its placer has chosen does not answer the request.
-    pub(super) fn record_placed_outcome(&mut self, outcome: &SendOutcome) {
-        match outcome {
-            SendOutcome::Started(_) => {}
-            SendOutcome::NotRun(_) | SendOutcome::InvalidRequest(_) => {
-                self.end_placed(End::NotRun);
-            }
-            SendOutcome::MayHaveRun(_) => self.end_placed(End::Broken),
-        }
-    }
-
     /// Records how the request ended at the target that its placer has chosen, if that was
     /// not recorded before.
     pub(super) fn end_placed(&mut self, end: End) {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -25,7 +25,7 @@
 ///
 /// The longest pauses of a typical healthy target, while it reads long prompts, are
 /// below half of this.
-pub(super) const STREAM_GAP_MAX: Millis = Millis(1_500);
+const STREAM_GAP_MAX: Millis = Millis(1_500);
 /// How often it is then looked up whether another target can take the stream. The interval
 /// doubles with each search that fails, since a search may run the stages.
 const SUCCESSOR_CHECK_INTERVAL: Millis = Millis(500);
@@ -59,12 +59,10 @@
         self.waited
     }
 
-    /// Records that a search for another target, which took this long, found none, and by
-    /// when one may be found, if that is known.
-    pub(super) fn record_failed_search(&mut self, took: Millis, retry_after: Option<Millis>) {
+    /// Records a search for another target, which took this long and found none.
+    pub(super) fn record_search(&mut self, took: Millis) {
         self.waited = self.waited + took;
-        let delay = retry_after.unwrap_or_default().max(self.check_interval);
-        self.next_check = self.waited + delay;
+        self.next_check = self.waited + self.check_interval;
         self.check_interval = self.check_interval * 2;
     }
 }
@@ -114,7 +112,7 @@
                 // Silence ends a stream only if it can go on at another target.
                 Err(Stop::Paused) if self.may_seek_successor() => {
                     // Boxed, since few streams pause.
-                    match Box::pin(self.hand_over()).await {
+                    match Box::pin(self.seek_successor()).await {
                         Ok(Some(events)) => return Some(Ok(events)),
                         Ok(None) => continue,
                         Err(why) => why,
@@ -139,20 +137,31 @@
         // Comments alone do not begin the response, since their target may still fail to.
         let may_pass_on = count > 0 || self.punctuality.first_at().is_some();
         if !bytes.is_empty() && may_pass_on {
-            self.event_memory = self.context.reply_memory.reply();
             self.record_events(count);
-            return Ok(Some(std::mem::take(&mut self.comments).into()));
+            return Ok(Some(self.take_events()));
         }
-        if self.event_memory.grow(self.held_bytes()) {
+        if self.reserve_held() {
             Ok(None)
         } else {
             Err("there is no memory for an event".to_owned())
         }
     }
 
-    /// Returns how many bytes of the stream wait to be passed on.
-    fn held_bytes(&self) -> u64 {
-        self.events.partial_bytes() + self.comments.len() as u64
+    /// Reserves memory for what waits to be passed on; returns whether there is enough.
+    fn reserve_held(&mut self) -> bool {
+        let held = self.events.partial_bytes() + self.comments.len() as u64;
+        let current = self.current.as_mut();
+        current.is_some_and(|started| started.exchange.memory.grow(held))
+    }
+
+    /// Returns what is passed on now. Its memory stays reserved until it has been sent; for
+    /// the bytes that came last, there may be none.
+    fn take_events(&mut self) -> Bytes {
+        let events = std::mem::take(&mut self.comments);
+        match &mut self.current {
+            Some(started) => started.exchange.memory.attach(events),
+            None => events.into(),
+        }
     }
 
     /// Records that a number of complete events of the current target are passed on.
@@ -171,15 +180,14 @@
         }
     }
 
-    /// Returns whether a stream whose end shows only by that of its connection ended
-    /// before its first event. A target that crashes leaves the same bytes.
+    /// Returns whether the current reply ended before its first event, or may have.
     fn is_cut_before_first_event(&self) -> bool {
         let current = self.current.as_ref();
-        let is_unframed = current.is_some_and(|started| !started.exchange.is_framed());
-        // A stream that is taken up after its last event has none left.
-        let may_be_empty =
-            self.punctuality.first_at().is_some() || self.job.head.resumed_after.is_some();
-        is_unframed && !may_be_empty
+        current.is_some_and(|started| {
+            let is_framed = started.exchange.is_framed();
+            let content = started.reply.content;
+            self.events.is_cut_before_first_event(is_framed, content)
+        })
     }
 
     /// Returns the next bytes of the current target's stream; `None` at its end.
--- a/crates/relay/src/forward/successor.rs
+++ b/crates/relay/src/forward/successor.rs
@@ -2,24 +2,25 @@
 //!
 //! The paused target may be sound and go on, and the other one may refuse the stream, fail
 //! or be silent, too. The first connection is therefore kept and read until the other target
-//! has sent an event: whichever target sends one first goes on with the stream.
+//! has accepted the stream and had a moment to send an event: whichever target sends one first
+//! goes on with the stream.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::continuation::Content;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::target::placement::End;
 use tokio::time::timeout;
 
-use crate::body_memory::ReplyPermit;
 use crate::exchange::Exchange;
 use crate::forward::Forwarder;
 use crate::forward::StartedReply;
+use crate::forward::race::STREAM_OVERLAP_MAX;
 use crate::forward::retry::Retry;
-use crate::forward::stream::STREAM_GAP_MAX;
 use crate::placement::PlacedRequest;
 
 /// A target's stream, read event by event.
@@ -30,16 +31,22 @@
     received: Vec<u8>,
     /// How many events are complete in it.
     count: u64,
-    memory: ReplyPermit,
+    /// Whether the reply itself says where it ends.
+    is_framed: bool,
+    /// What the reply says its body is.
+    content: Content,
 }
 
 impl Reading {
     /// Reads until an event is complete, or until the end of the stream.
+    ///
+    /// # Errors
+    /// Returns why the stream has broken off, if it has.
     async fn next_event(&mut self, exchange: &mut Exchange) -> Result<(), String> {
         while self.count == 0 {
             let bytes = exchange.next_chunk().await;
             let Some(bytes) = bytes.map_err(|error| error.to_string())? else {
-                return Ok(());
+                return self.check_end();
             };
             let complete = self.events.complete();
             let events = self.events.push(&bytes);
@@ -47,12 +54,27 @@
             self.received.extend_from_slice(&events);
             self.count += self.events.complete() - complete;
             let held = self.events.partial_bytes() + self.received.len() as u64;
-            if !self.memory.grow(held) {
+            // A complete event is passed on at once.
+            if self.count == 0 && !exchange.memory.grow(held) {
                 return Err("there is no memory for an event".to_owned());
             }
         }
         Ok(())
     }
+
+    /// Checks that the stream is complete if it ends now.
+    fn check_end(&self) -> Result<(), String> {
+        if !self.events.is_at_event_boundary() {
+            Err("the stream ended within an event".to_owned())
+        } else if self
+            .events
+            .is_cut_before_first_event(self.is_framed, self.content)
+        {
+            Err("the connection ended before the first event".to_owned())
+        } else {
+            Ok(())
+        }
+    }
 }
 
 /// The target of a paused stream, while another one is sought.
@@ -67,7 +89,7 @@
 
 /// What there is first when a stream is handed over.
 enum First<T> {
-    /// The paused target goes on, or its stream has ended.
+    /// The paused target goes on, or its stream is complete.
     Paused,
     /// The other target has come this far.
     Other(T),
@@ -99,12 +121,12 @@
     /// # Errors
     /// Returns why the stream has broken off, if its target broke it off meanwhile and no
     /// other one goes on with it.
-    pub(super) async fn hand_over(&mut self) -> Result<Option<Bytes>, String> {
+    pub(super) async fn seek_successor(&mut self) -> Result<Option<Bytes>, String> {
         let Some(started) = self.current.take() else {
             return Err("there is no connection".to_owned());
         };
         let began = self.context.now();
-        let unused = self.context.reply_memory.reply();
+        let (is_framed, content) = (started.exchange.is_framed(), started.reply.content);
         let mut paused = PausedTarget {
             started,
             placed: self.placed.take(),
@@ -113,17 +135,19 @@
                 events: self.events.clone(),
                 received: std::mem::take(&mut self.comments),
                 count: 0,
-                memory: std::mem::replace(&mut self.event_memory, unused),
+                is_framed,
+                content,
             },
             broken: None,
         };
-        let (tried, stage_runs) = (self.tried.clone(), self.stage_runs);
+        let (tried, tried_detours) = (self.tried.clone(), self.tried_detours.clone());
+        let stage_runs = self.stage_runs;
         let (runs, sends) = (self.possible_runs, self.sends);
         self.retry = Retry::Pending("broken-stream");
         let (end, failure) = match paused.race(self.send()).await {
             First::Paused => ("not-needed", None),
             First::Other(Ok(other)) => match self.read_first_event(&mut paused, other).await {
-                Ok((other, reading)) => return self.switch_to(other, reading, paused).await,
+                Ok((other, reading)) => return self.switch_to(other, reading, paused),
                 Err(end) => (end, None),
             },
             First::Other(Err(failure)) if self.sends == sends => ("not-sent", Some(failure)),
@@ -137,21 +161,19 @@
         }
         if self.possible_runs == runs {
             self.tried = tried;
+            self.tried_detours = tried_detours;
             self.stage_runs = stage_runs;
         }
         self.log_search(end, failure.as_ref(), &paused, began);
-        self.keep(
-            paused,
-            failure.and_then(|failure| failure.retry_after),
-            began,
-        )
+        self.stay_at(paused, began)
     }
 
-    /// Waits for the first event of the other target.
+    /// Waits for the first event of the other target, or the end of a stream that has none
+    /// left; not for long, since both targets work on the stream meanwhile.
     ///
     /// # Errors
-    /// Returns how the search has ended if it does not send one in time, or the paused target
-    /// goes on before.
+    /// Returns how the search has ended if the other target breaks off, or the paused one goes
+    /// on before.
     async fn read_first_event(
         &mut self,
         paused: &mut PausedTarget,
@@ -168,29 +190,24 @@
             events,
             received: Vec::new(),
             count: 0,
-            memory: self.context.reply_memory.reply(),
+            is_framed: other.exchange.is_framed(),
+            content: other.reply.content,
         };
-        let left = self.job.deadline - self.context.now();
-        let limit = Duration::from_millis(STREAM_GAP_MAX.min(left).0);
+        let limit = Duration::from_millis(STREAM_OVERLAP_MAX.0);
         let next_event = timeout(limit, reading.next_event(&mut other.exchange));
-        let outcome = match paused.race(next_event).await {
+        match paused.race(next_event).await {
             First::Paused => return Err("not-needed"),
-            First::Other(outcome) => outcome,
-        };
-        match outcome {
-            Ok(Ok(())) if reading.count > 0 => Ok((other, reading)),
-            // It is all that is left.
-            Err(_) if paused.broken.is_some() => Ok((other, reading)),
-            _ => {
-                self.record_failure(&target);
-                self.end_placed(End::Broken);
-                Err("target-failed")
-            }
+            // It has sent an event, has none left, or has accepted the stream and is waited for.
+            First::Other(Ok(Ok(())) | Err(_)) => return Ok((other, reading)),
+            First::Other(Ok(Err(_))) => {}
         }
+        self.record_failure(&target);
+        self.end_placed(End::Broken);
+        Err("target-failed")
     }
 
     /// Closes the connection to the paused target, and goes on with the other one.
-    async fn switch_to(
+    fn switch_to(
         &mut self,
         other: Box<StartedReply>,
         reading: Reading,
@@ -200,7 +217,6 @@
         if let Some(placed) = &mut paused.placed {
             placed.record_end(End::Broken);
         }
-        let (is_broken, paused_send) = (paused.broken.is_some(), paused.last_send);
         drop(paused);
         self.context.metrics.resumption("resumed");
         log::info!(
@@ -212,16 +228,9 @@
             left_ms = (self.job.deadline - self.context.now()).0;
             "a paused stream goes on at another target"
         );
-        if is_broken {
-            let send = std::mem::replace(&mut self.last_send, paused_send);
-            self.record_crash(&callee).await;
-            self.last_send = send;
-        } else {
-            self.record_failure(&callee.target);
-        }
+        self.record_failure(&callee.target);
         self.begin_reply(*other);
         self.events = reading.events;
-        self.event_memory = reading.memory;
         if reading.count > 0 {
             self.results = None;
         }
@@ -229,18 +238,12 @@
     }
 
     /// Goes on with the paused target, which has gone on or is waited for.
-    fn keep(
-        &mut self,
-        paused: PausedTarget,
-        retry_after: Option<Millis>,
-        began: Millis,
-    ) -> Result<Option<Bytes>, String> {
+    fn stay_at(&mut self, paused: PausedTarget, began: Millis) -> Result<Option<Bytes>, String> {
         let reading = paused.reading;
         self.current = Some(paused.started);
         self.placed = paused.placed;
         self.last_send = paused.last_send;
         self.events = reading.events;
-        self.event_memory = reading.memory;
         if let Some(why) = paused.broken {
             return Err(why);
         }
@@ -248,7 +251,7 @@
             self.results = None;
         }
         let took = self.context.now() - began;
-        self.pause.record_failed_search(took, retry_after);
+        self.pause.record_search(took);
         self.release(&reading.received, reading.count)
     }
 
@@ -272,7 +275,7 @@
             sends = self.sends,
             waited_ms = (self.pause.waited() + (now - began)).0,
             left_ms = (self.job.deadline - now).0;
-            "a paused stream stays at its target"
+            "no other target goes on with a paused stream"
         );
     }
 }
--- a/crates/relay/tests/direct/detours.rs
+++ b/crates/relay/tests/direct/detours.rs
@@ -8,6 +8,7 @@
 use gooseberry_platform_standin::target::Mode;
 use gooseberry_platform_standin::target::STREAM_EVENTS;
 use gooseberry_platform_standin::target::Target;
+use gooseberry_relay::daemon::Daemon;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -104,6 +105,26 @@
     assert_eq!(executed(&fleet.platform.plain, &client.attempt), 1);
 }
 
+/// Guards against peers that end without a word on the requests that their targets have.
+#[tokio::test]
+async fn a_request_whose_peers_stop_is_answered_and_is_not_called_unrun() {
+    let fleet = cut_fleet().await;
+    for engine in &fleet.platform.engines {
+        engine.queue_modes(&[Mode::NoAnswer; 4]);
+    }
+    let client = ClientRequest::new("/stream/").with_stage_pieces("");
+    let sending = client.send(client_address(&fleet.daemons[0]));
+    let stopping = async {
+        let has_run = || executed(&fleet.platform.engines, &client.attempt) == 1;
+        wait_until("a target has it", has_run).await;
+        futures::future::join_all(fleet.daemons[1..].iter().map(Daemon::shut_down)).await;
+    };
+    let (answer, ()) = futures::future::join(sending, stopping).await;
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (502, true));
+    assert_eq!(executed(&fleet.platform.engines, &client.attempt), 1);
+}
+
 #[tokio::test]
 async fn a_target_stops_when_the_client_of_a_detour_leaves() {
     let fleet = cut_fleet().await;
@@ -196,3 +217,33 @@
     });
     futures::future::join_all(sending).await;
 }
+
+/// Its connection lives on, and its target answers after 1.5 s.
+#[tokio::test]
+async fn a_request_goes_on_at_its_target_if_the_detour_is_refused() {
+    let fleet = Fleet::start().await;
+    let queue = |modes: &[Mode]| {
+        for engine in &fleet.platform.engines {
+            engine.clear_modes();
+            engine.queue_modes(modes);
+        }
+    };
+    queue(&[Mode::Delayed(1_500)]);
+    let client = ClientRequest::new("/resume/").with_stage_pieces("");
+    let cutting_off = async {
+        wait_until("a target has the request", || {
+            fleet.platform.runs(&client.attempt) == 1
+        })
+        .await;
+        queue(&[Mode::NotRun; 20]);
+        fleet.cut_off(0, Partition::RefuseNew);
+    };
+    let sending = answer_to(&client, &fleet.daemons[0]);
+    let (answer, ()) = futures::future::join(sending, cutting_off).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(executed(&fleet.platform.engines, &client.attempt), 1);
+    assert!(
+        fleet.platform.runs(&client.attempt) > 1,
+        "no peer was asked"
+    );
+}
