Stages of a stream that the daemon sends on keep the rank of its route

Callers saw: under overload, new requests were served a little less often, as the stages of each stream that paused or broke off went before theirs, also if its target then went on.

Why: only a client that has come back has no time for another attempt. The stages of the others are no longer late, which their rank did not decide.

--- a/crates/kernel/src/stage/urgency.rs
+++ b/crates/kernel/src/stage/urgency.rs
@@ -9,11 +9,12 @@
 use crate::clock::Millis;
 use crate::request::routing_table::Rank;
 
-/// Returns the priority of a request's stages. A stream goes first that goes on where it is
-/// known to have begun; a client's word alone gives no priority.
+/// Returns the priority of a request's stages. A stream goes first that its client takes up
+/// where it is known to have begun; a client's word alone gives no priority. One that the
+/// daemon itself sends on has its client still, and often its target, too.
 #[must_use]
-pub fn stage_rank(rank: Rank, goes_on: bool) -> Rank {
-    if goes_on { Rank::default() } else { rank }
+pub fn stage_rank(rank: Rank, is_taken_up: bool) -> Rank {
+    if is_taken_up { Rank::default() } else { rank }
 }
 
 /// Returns by when an answer must begin to be of use, if it is on time until `on_time_by` and
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -84,7 +84,8 @@
 impl Job {
     /// Returns the priority of its stages.
     pub fn stage_rank(&self) -> Rank {
-        urgency::stage_rank(self.rank, self.origin.is_some())
+        let is_taken_up = self.origin.is_some() && self.head.resumed_after.is_some();
+        urgency::stage_rank(self.rank, is_taken_up)
     }
 
     /// Records where its answer has begun. The time limit on the first byte no longer holds,
