--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -74,8 +74,7 @@
     pub deadline: Millis,
     /// Identifies the work that is asked for; equal for all attempts at it.
     pub digest: id::Digest,
-    /// Whether it has a part of its prompt that is in quarantine, and is sent once to find
-    /// out whether targets still crash on it.
+    /// Whether it is sent to find out if targets still crash on a part of its prompt.
     pub is_trial: bool,
     /// How far it has got.
     pub progress: Progress,
@@ -88,8 +87,7 @@
         urgency::stage_rank(self.rank, is_taken_up)
     }
 
-    /// Records where its answer has begun. The time limit on the first byte no longer holds,
-    /// and what the client lacks is the rest.
+    /// Records where its answer has begun. Only its deadline holds from then on.
     pub(crate) fn begin(&mut self, origin: Origin) {
         self.origin = Some(origin);
         self.begin_by = self.deadline;
