--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -10,6 +10,7 @@
 use gooseberry_relay::daemon::Daemon;
 use tokio::time::Instant;
 
+use crate::platform::SETTINGS;
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
 use crate::platform::start_one;
@@ -256,6 +257,76 @@
     assert_eq!(metric(&daemon, retries), 0);
 }
 
+/// Has the engine with a stream pause before event 3, and the other targets handle what they
+/// are sent then in this mode.
+async fn answer_of_paused(client: &ClientRequest, others: Mode) -> (TestPlatform, Answer) {
+    let (platform, daemon) = start_one().await;
+    queue_mode(&platform, Mode::PauseBefore(3, 1_900));
+    let set_others = async {
+        wait_until("an engine has the request", || {
+            platform.runs(&client.attempt) > 0
+        })
+        .await;
+        for target in platform.engines.iter().chain(&platform.first) {
+            target.clear_modes();
+            target.queue_modes(&[others; 8]);
+        }
+    };
+    let answer = tokio::join!(answer_to(client, &daemon), set_others).0;
+    (platform, answer)
+}
+
+/// Guards against streams that are closed for silence before another target has them.
+#[tokio::test]
+async fn a_paused_stream_that_the_next_target_does_not_take_goes_on_at_the_first() {
+    for mode in [Mode::NotRun, Mode::NoAnswer, Mode::Error, Mode::Unsigned] {
+        let client = ClientRequest::new("/resume/").with_stage_pieces("");
+        let (_, answer) = answer_of_paused(&client, mode).await;
+        assert_eq!(answer.body, all_events(), "{mode:?}");
+        assert!(answer.is_complete, "{mode:?}");
+    }
+}
+
+/// Guards against streams that are closed for silence before their stages have run again.
+#[tokio::test]
+async fn a_paused_stream_whose_stages_are_refused_goes_on_at_its_target() {
+    for mode in [Mode::Unmade("error"), Mode::NoAnswer] {
+        let client = ClientRequest::new("/long/").with_stage_pieces("1");
+        let (platform, answer) = answer_of_paused(&client, mode).await;
+        assert_eq!(answer.body, all_events(), "{mode:?}");
+        assert!(answer.is_complete, "{mode:?}");
+        assert_eq!(platform.runs(&client.attempt), 1);
+    }
+}
+
+/// Guards against stages of a stream that goes on being late by the time limit on its first event.
+#[tokio::test]
+async fn a_stream_that_breaks_off_late_gets_its_stages_again() {
+    let platform = TestPlatform::start().await;
+    let settings = SETTINGS.replace("\"target_latency_ms\": 2000", "\"target_latency_ms\": 400");
+    platform.store.put("op/config", &settings);
+    // The first event is due within 2.4 s, and the fifth comes after 3 s.
+    let interval = Duration::from_millis(600);
+    let engines = [
+        Target::start_engine("engine-1", "v1", STREAM_EVENTS, interval).await,
+        Target::start_engine("engine-2", "v1", STREAM_EVENTS, interval).await,
+    ];
+    for engine in &engines {
+        platform.list_target(engine, "engine", "ready");
+        engine.queue_modes(&[Mode::DisconnectWithin(STREAM_EVENTS)]);
+    }
+    let daemon = platform.daemon(1, &[]).await;
+    let client = ClientRequest::new("/long/").with_stage_pieces("1");
+    let clear_modes = async {
+        let is_sent = || engines.iter().any(|engine| !engine.received().is_empty());
+        wait_until("an engine has the request", is_sent).await;
+        engines.iter().for_each(Target::clear_modes);
+    };
+    let answer = tokio::join!(answer_to(&client, &daemon), clear_modes).0;
+    assert_eq!(answer.body.matches("id: ").count(), 5, "{}", answer.body);
+    assert!(answer.is_complete, "{}", answer.body);
+}
+
 /// Guards against a limit on silence after which a stream ends without a use to anyone.
 #[tokio::test]
 async fn a_stream_that_pauses_for_long_at_its_last_target_is_not_cut() {
