--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,31 +6,39 @@
 //! client is closed instead.
 //!
 //! - `attempt` picks targets and sends the request until a response begins.
+//! - `call` is one call of the request.
+//! - `race` sends the request, and once more while its target is silent.
 //! - `detour` sends the request through a peer if this daemon reaches no target.
 //! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
+//! - `reply` says what a reply is used for, and returns the head that is passed on.
 //! - `retry` asks the retry budget.
 //! - `stream` passes on a stream of events, and resumes a broken one.
 //! - `successor` hands a paused stream over to another target.
+//! - `time_left` refuses what could not end before a daemon that is shutting down.
 
 mod attempt;
+mod call;
 mod crash;
 mod detour;
 pub(crate) mod pick;
 mod placement;
+mod race;
+mod reply;
 mod retry;
 mod stream;
 mod successor;
+mod time_left;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use gooseberry_kernel::answer::Failure;
 use gooseberry_kernel::answer::Kind;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::continuation::Use;
 use gooseberry_kernel::request::event_buffer::EventBuffer;
 use gooseberry_kernel::request::part_quarantine::Run;
 use gooseberry_kernel::request::punctuality::Lateness;
@@ -38,28 +46,21 @@
 use gooseberry_kernel::request::routing_table::ResponseForm;
 use gooseberry_kernel::stage::plan::Plan;
 use gooseberry_kernel::target::placement::End;
-use gooseberry_platform::target;
 use gooseberry_platform::target::Reply;
 use http::Response;
-use http::header::CONTENT_LENGTH;
-use tokio::time::timeout;
 
-use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::forward::pick::InFlightGuard;
 use crate::forward::retry::Retry;
 use crate::forward::stream::Pause;
+use crate::forward::time_left::deadline_passed;
 use crate::http_server;
 use crate::http_server::ResponseBody;
 use crate::placement::PlacedRequest;
 use crate::request::Job;
 use crate::stages::Results;
 
-/// The largest response that is not a stream, in bytes; usual ones are a few
-/// kilobytes.
-const PLAIN_MAX_BYTES: usize = 8 << 20;
-
 /// Runs the stages of a request, if it has any, forwards it to a target and
 /// returns the response.
 pub(crate) async fn run(
@@ -70,7 +71,6 @@
     let resumed_after = job.head.resumed_after.clone();
     let events = EventBuffer::after(resumed_after.filter(|_| job.route.is_resumable));
     let forwarder = Forwarder {
-        event_memory: context.reply_memory.reply(),
         context,
         job,
         plan,
@@ -125,8 +125,6 @@
     possible_runs: u32,
     /// The events of a stream that were passed on.
     events: EventBuffer,
-    /// The memory for the event of which a part has been received.
-    event_memory: ReplyPermit,
     /// The reply that is being passed on.
     current: Option<StartedReply>,
     /// What the target has sent before the first event.
@@ -145,6 +143,9 @@
     reply: Reply,
     /// The version of the target's software.
     version: name::Version,
+    /// Its body, unless it is a stream. It has been read whole, so that another target's
+    /// reply can replace one that breaks off.
+    body: Option<Bytes>,
     /// Counts it as in flight, unless a peer does.
     _in_flight_guard: Option<InFlightGuard>,
 }
@@ -185,9 +186,10 @@
                 (Err(failure), None) => return Err(failure),
             };
             let status = started.reply.status;
-            let head = reply_head(&started);
+            let reply_use = self.reply_use(&started.reply);
+            let head = reply::head(&started);
             self.begin_reply(*started);
-            if self.job.route.form == ResponseForm::Stream && status.is_success() {
+            if reply_use == Use::Stream {
                 return match self.next_events().await {
                     Some(Ok(first)) => {
                         self.record_answer();
@@ -195,55 +197,33 @@
                         Ok(self.into_response(head, first))
                     }
                     Some(Err(_)) => Err(self.stream_failure()),
-                    None => Ok(head.map(|()| http_server::full_body(Bytes::new()))),
+                    None => {
+                        let comments = std::mem::take(&mut self.comments);
+                        Ok(head.map(|()| http_server::full_body(comments.into())))
+                    }
                 };
             }
             let is_final = !(self.job.route.is_repeatable() && status.is_server_error());
-            match self.read_plain().await {
-                Ok(body) if is_final || !self.may_run_again("target-failed") => {
-                    self.finish();
-                    return Ok(head.map(|()| body));
-                }
-                Ok(body) => error_reply = Some(head.map(|()| body)),
-                Err(failure) => {
-                    if !self.job.route.is_repeatable() || !self.may_run_again("broken") {
-                        return Err(failure);
-                    }
-                }
+            let body = self.take_body()?;
+            if is_final || !self.may_run_again("target-failed") {
+                self.finish();
+                return Ok(head.map(|()| body));
             }
+            error_reply = Some(head.map(|()| body));
             self.end_placed(End::Broken);
             self.current = None;
         }
     }
 
-    /// Reads a reply that is not a stream whole before any of it is passed on,
-    /// so that another target's can still replace it if it breaks off.
-    async fn read_plain(&mut self) -> Result<ResponseBody, Failure> {
-        let left = self.job.deadline - self.context.now();
-        let limit = Duration::from_millis(self.reply_timeout(left, self.possible_runs).0);
-        let Some(started) = self.current.as_mut() else {
-            return Err(Kind::Internal.into());
-        };
-        let callee = started.exchange.callee.clone();
-        let mut memory = self.context.reply_memory.reply();
-        let reading = started.exchange.read_all(PLAIN_MAX_BYTES, &mut memory);
-        match timeout(limit, reading).await {
-            Ok(Ok(body)) => {
-                self.punctuality.record_whole(self.context.now());
-                Ok(http_server::reserved_body(body, memory))
-            }
-            Ok(Err(_)) => {
-                self.end_placed(End::Broken);
-                self.record_failure(&callee.target);
-                self.record_broken_reply(&callee).await;
-                Err(Failure::from(Kind::TargetFailed).with_unknown_outcome())
-            }
-            Err(_) => {
-                self.end_placed(End::Broken);
-                self.record_failure(&callee.target);
-                Err(deadline_passed())
-            }
-        }
+    /// Returns the body of a reply that is not a stream.
+    fn take_body(&mut self) -> Result<ResponseBody, Failure> {
+        let whole = self
+            .current
+            .as_mut()
+            .and_then(|started| started.body.take());
+        let body = whole.ok_or(Failure::from(Kind::Internal))?;
+        self.punctuality.record_whole(self.context.now());
+        Ok(http_server::full_body(body))
     }
 
     /// Passes on the error reply of a target, since the retry got no reply.
@@ -281,6 +261,7 @@
             return;
         };
         let target = exchange.callee.target.clone();
+        self.job.progress.record_answer(reply.status);
         self.end_placed(if reply.status.is_success() {
             End::Complete
         } else {
@@ -339,24 +320,6 @@
     }
 }
 
-/// Returns the failure of a request that a target may have run, but did not
-/// answer by the deadline.
-fn deadline_passed() -> Failure {
-    Failure::from(Kind::DeadlinePassed).with_unknown_outcome()
-}
-
-/// Returns the head of the response: that of the reply, without the headers
-/// that are meant for this daemon.
-fn reply_head(started: &StartedReply) -> Response<()> {
-    let mut head = Response::new(());
-    *head.status_mut() = started.reply.status;
-    let mut headers = started.exchange.headers.clone();
-    target::remove_hop_by_hop_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    *head.headers_mut() = headers;
-    head
-}
-
 impl Drop for Forwarder {
     fn drop(&mut self) {
         if self.is_ended || self.punctuality.first_at().is_none() {
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gooseberry_kernel::clock::Millis;
+use gooseberry_kernel::request::client_timeouts::TimeoutCheck;
 use gooseberry_kernel::request::routing_table::ClientLimits;
 use gooseberry_platform::client;
 use gooseberry_runtime::observed_stream::ObservedStream;
@@ -40,21 +40,13 @@
 use tokio::time::sleep;
 
 use crate::activity::Activity;
+use crate::activity::CountGuard;
 use crate::activity::RequestGuard;
-use crate::activity::TimeoutCheck;
-use crate::body_memory::ReplyPermit;
 use crate::context::Context;
 
 /// The body of a response.
 pub type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
 
-/// The limits that apply until the first settings are known.
-const INITIAL_LIMITS: ClientLimits = ClientLimits {
-    max_header_bytes: 16 << 10,
-    max_body_bytes: 1 << 20,
-    header_timeout: Millis(3_000),
-    idle_timeout: Millis(15_000),
-};
 /// The smallest connection buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8 << 10;
 /// Client connections may use one part in this many of the daemon's connection
@@ -102,16 +94,6 @@
         .boxed_unsync()
 }
 
-/// Returns a body with these bytes as its whole content, whose memory stays reserved
-/// until it has been sent.
-pub fn reserved_body(bytes: Bytes, memory: ReplyPermit) -> ResponseBody {
-    let keep_reserved = move |frame| {
-        let _ = &memory;
-        frame
-    };
-    full_body(bytes).map_frame(keep_reserved).boxed_unsync()
-}
-
 impl HttpServer {
     /// Returns how many requests are in progress; one ends with the last byte
     /// of its response body.
@@ -250,16 +232,18 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<ResponseBody>>,
 {
-    if let Err(error) = socket::set_options(&stream) {
+    // A client may take as long to read on as it may be idle.
+    let read_pause_max = Duration::from_millis(limits(&context).idle_timeout.0);
+    if let Err(error) = socket::set_slow_reader_options(&stream, read_pause_max) {
         log::debug!("the socket options of a connection could not be set: {error}");
     }
-    let activity = Activity::new(context.clock);
+    let activity = Activity::new(context.clone());
     // Without chunks, the end of the connection is the end of a stream.
     let has_chunks = AtomicBool::new(true);
     let service = service_fn(|request: Request<Incoming>| {
         let is_1_1 = request.version() >= Version::HTTP_11;
         has_chunks.store(is_1_1, Ordering::Relaxed);
-        let (request_guard, count_guard) = (activity.begin(), CountGuard::new(&requests));
+        let mut request_guard = activity.begin(CountGuard::new(&requests));
         let response = handler(request);
         let context = context.clone();
         async move {
@@ -268,10 +252,9 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let track = |body| TrackedBody {
-                body,
-                _request_guard: request_guard,
-                _count_guard: count_guard,
+            let track = |body| {
+                request_guard.body = Some(body);
+                TrackedBody(request_guard)
             };
             Ok::<_, Infallible>(response.map(track))
         }
@@ -316,7 +299,7 @@
         if last_phase == Phase::Draining && activity.is_between_requests() {
             Pin::new(&mut connection).graceful_shutdown();
         }
-        match activity.check_timeouts(limits(&context)) {
+        match activity.check_timeouts() {
             TimeoutCheck::NotYet(left) => check_after = Duration::from_millis(left.0.max(1)),
             TimeoutCheck::Idle => {
                 Pin::new(&mut connection).graceful_shutdown();
@@ -338,38 +321,14 @@
     changed.map_or(Phase::Aborted, |phase| *phase)
 }
 
-/// Returns the limits in force.
+/// Returns the limits that clients may go by.
 fn limits(context: &Context) -> ClientLimits {
-    let state = context.state();
-    state
-        .routing_table()
-        .map_or(INITIAL_LIMITS, |table| table.limits)
+    context.state().client_limits(context.now())
 }
 
-/// Raises a counter by one until it is dropped.
+/// A response body that counts its request as in progress until it has been sent.
 #[derive(Debug)]
-struct CountGuard(Arc<AtomicUsize>);
-
-impl CountGuard {
-    fn new(count: &Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count.clone())
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A response body that counts its request as in progress until it is dropped.
-#[derive(Debug)]
-struct TrackedBody {
-    body: ResponseBody,
-    _request_guard: RequestGuard,
-    _count_guard: CountGuard,
-}
+struct TrackedBody(RequestGuard);
 
 impl Body for TrackedBody {
     type Data = Bytes;
@@ -379,14 +338,16 @@
         mut self: Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let body = self.0.body.as_mut();
+        body.map_or(Poll::Ready(None), |body| Pin::new(body).poll_frame(context))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.0.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let body = self.0.body.as_ref();
+        body.map_or_else(SizeHint::default, Body::size_hint)
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -37,13 +37,18 @@
 use gooseberry_kernel::fleet::withdrawal::Withdrawals;
 use gooseberry_kernel::name;
 use gooseberry_kernel::quarantine::Suspects;
+use gooseberry_kernel::request::client_timeouts::RecentLimits;
 use gooseberry_kernel::request::deadline_admission::ServiceWait;
+use gooseberry_kernel::request::durations::Durations;
 use gooseberry_kernel::request::part_quarantine::Part;
 use gooseberry_kernel::request::part_quarantine::PartQuarantine;
 use gooseberry_kernel::request::part_quarantine::Verdict;
 use gooseberry_kernel::request::prior_wait::PriorWaitEstimator;
+use gooseberry_kernel::request::retired_services::RetiredServices;
 use gooseberry_kernel::request::retry_budget::RetryBudget;
+use gooseberry_kernel::request::routing_table::ClientLimits;
 use gooseberry_kernel::request::routing_table::RoutingTable;
+use gooseberry_kernel::request::routing_table::Service;
 use gooseberry_kernel::request::stream_origin::Origins;
 use gooseberry_kernel::request::stream_trace::Surveys;
 use gooseberry_kernel::target::brittleness::Brittleness;
@@ -67,6 +72,14 @@
 /// peer.
 pub const STORE: &str = "store";
 
+/// The limits that apply until the first settings are known.
+const INITIAL_LIMITS: ClientLimits = ClientLimits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: 1 << 20,
+    header_timeout: Millis(3_000),
+    idle_timeout: Millis(15_000),
+};
+
 /// When the platform's store was reached, lost and reached again.
 #[derive(Clone, Copy, Debug, Default)]
 struct StoreStatus {
@@ -101,6 +114,9 @@
     replica: Replica,
     /// The settings in force.
     routing_table: Option<Arc<RoutingTable>>,
+    retired_services: RetiredServices,
+    /// The limits of client connections.
+    client_limits: RecentLimits,
     targets: TargetRegistry,
     /// The failure domains that operators have taken out of service.
     taken_out: Vec<name::Domain>,
@@ -135,6 +151,8 @@
     /// Estimates how long a client has waited before its current attempt, from
     /// the longest deadline that clients of its route have sent.
     prior_waits: PriorWaitEstimator,
+    /// How long the requests of each route take now.
+    durations: Durations,
     store_status: StoreStatus,
     /// From when on this daemon knows each change of the store's contents; `None` before
     /// it has them.
@@ -156,6 +174,8 @@
             has_seeds: boot.seeds.iter().any(|seed| *seed != boot.peer_address),
             replica: Replica::default(),
             routing_table: None,
+            retired_services: RetiredServices::default(),
+            client_limits: RecentLimits::new(INITIAL_LIMITS),
             targets: TargetRegistry::default(),
             taken_out: Vec::new(),
             held_out: Withdrawals::default(),
@@ -183,6 +203,7 @@
             queues: Vec::new(),
             stage_waits: Vec::new(),
             prior_waits: PriorWaitEstimator::default(),
+            durations: Durations::default(),
             store_status: StoreStatus::default(),
             listed_since: None,
             confirmed_at: None,
@@ -197,6 +218,21 @@
         self.routing_table.as_ref()
     }
 
+    /// Returns a service of the settings in force, or of former ones by which a request may
+    /// have been admitted.
+    #[must_use]
+    pub fn service(&self, name: &name::Service) -> Option<&Arc<Service>> {
+        let table = self.routing_table.as_ref();
+        let listed = table.and_then(|table| table.service(name));
+        listed.or_else(|| self.retired_services.get(name))
+    }
+
+    /// Returns the limits that connections of clients may use up.
+    #[must_use]
+    pub fn client_limits(&self, now: Millis) -> ClientLimits {
+        self.client_limits.at(now)
+    }
+
     /// Returns the daemons of the fleet, this one included.
     pub fn members(&mut self) -> &mut membership::Membership {
         &mut self.members
@@ -234,6 +270,11 @@
         &mut self.surveys
     }
 
+    /// Returns how long the requests of each route take now.
+    pub fn durations(&mut self) -> &mut Durations {
+        &mut self.durations
+    }
+
     /// Returns the health of targets, as calls to them show.
     pub fn health(&mut self) -> &mut Health {
         &mut self.health
@@ -275,7 +316,9 @@
         self.parts.expire(now);
         self.brittleness.expire(now);
         self.origins.expire(now);
+        self.durations.expire(now);
         self.surveys.expire(now);
+        self.retired_services.expire(now);
         let targets = &self.targets;
         self.health.retain(|target| targets.get(target).is_some());
         let table = self.routing_table.as_ref();
