--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod brittle;
 mod cold;
 mod entry;
+mod inputs;
 mod part;
 mod poison;
 mod takeup;
@@ -16,7 +17,8 @@
 
 /// Returns the case with this name.
 pub fn find(name: &str) -> Option<Run> {
-    let cases: [(&str, Run); 7] = [
+    let cases: [(&str, Run); 8] = [
+        ("inputs", inputs::run),
         ("part", part::run),
         ("poison", poison::run),
         ("takeup", takeup::run),
