--- a/review/standins-2/src/cases/inputs.rs
+++ b/review/standins-2/src/cases/inputs.rs
@@ -92,7 +92,8 @@
             .map(|item| format!("{}/{}", item.key, item.piece))
             .collect();
         let id = server.about().id;
-        self.record.add(format!("{id} gets a call for {}", names.join(" ")));
+        self.record
+            .add(format!("{id} gets a call for {}", names.join(" ")));
         let count = u32::try_from(items.len()).unwrap_or(1);
         let mut took = CALL + ITEM * count;
         let is_of = |item: &&Item, kind: &str| item.key.starts_with(kind);
@@ -136,7 +137,11 @@
             began.elapsed().as_millis(),
             answers.join(" ")
         ));
-        connection.answer("200 OK", json, &format!("{{\"items\":[{}]}}", answers.join(",")))
+        connection.answer(
+            "200 OK",
+            json,
+            &format!("{{\"items\":[{}]}}", answers.join(",")),
+        )
     }
 }
 
@@ -149,7 +154,10 @@
              Pieces: {pieces}\r\nPiece-Key: {key}\r\n",
             request.attempt
         );
-        record.add(format!("{}: sent, {key} with {pieces} pieces", request.attempt));
+        record.add(format!(
+            "{}: sent, {key} with {pieces} pieces",
+            request.attempt
+        ));
         let (answer, _) = request.send(front);
         record.add(format!(
             "{}: {key}: status {}, {} events, complete {}, {} ms",
@@ -205,7 +213,9 @@
                 for handle in request.header("Inputs").split(',') {
                     let made = made.lock().expect("not poisoned");
                     match made.get(handle) {
-                        Some((id, stage, piece)) if id == attempt && stage == "0" => got.push(*piece),
+                        Some((id, stage, piece)) if id == attempt && stage == "0" => {
+                            got.push(*piece)
+                        }
                         other => got.extend(other.map(|_| u32::MAX)),
                     }
                 }
@@ -223,7 +233,15 @@
             };
             let id = format!("i-{number}");
             let zone = zones[number];
-            Server::start(&store, &case.record, &id, "engine", zone, "v1", Arc::new(handler))
+            Server::start(
+                &store,
+                &case.record,
+                &id,
+                "engine",
+                zone,
+                "v1",
+                Arc::new(handler),
+            )
         })
         .collect();
     let folder = daemon::Folder::new();
@@ -244,7 +262,9 @@
         wait_until(700);
         requests.push(send(front, &format!("more-{round}"), 1, record));
         wait_until(3000);
-        let statuses = requests.into_iter().filter_map(|request| request.join().ok());
+        let statuses = requests
+            .into_iter()
+            .filter_map(|request| request.join().ok());
         served += statuses.filter(|status| *status == 200).count();
     }
     drop(daemons);
@@ -252,7 +272,10 @@
     for text in wrong.iter() {
         record.add(format!("WRONG INPUTS: {text}"));
     }
-    record.add(format!("{served} requests served, {} with wrong inputs", wrong.len()));
+    record.add(format!(
+        "{served} requests served, {} with wrong inputs",
+        wrong.len()
+    ));
     match wrong.len() {
         _ if served < 10 => Verdict::NotRun,
         0 => Verdict::Held,
--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -17,6 +18,14 @@
 
 use crate::http::Connection;
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// The daemons end with the script, also if that is killed.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// The grace of the site file, in seconds.
 pub const GRACE_S: u64 = 8;
 
@@ -144,15 +153,23 @@
         .append(true)
         .open(log)
         .expect("a log file");
-    Command::new(program)
+    let mut command = Command::new(program);
+    command
         .arg("--platform")
         .current_dir(root(program))
         .env("GOOSEBERRYARCH_BOOT", settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone().expect("a descriptor is free"))
-        .stderr(log)
-        .spawn()
-        .expect("the daemon's program can be started")
+        .stderr(log);
+    // SAFETY: between fork and exec, only one system call is made.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    let child = command.spawn();
+    child.expect("the daemon's program can be started")
 }
 
 impl Daemon {
