--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -6,6 +6,7 @@
 mod inputs;
 mod part;
 mod poison;
+mod route;
 mod takeup;
 mod versions;
 
@@ -17,7 +18,8 @@
 
 /// Returns the case with this name.
 pub fn find(name: &str) -> Option<Run> {
-    let cases: [(&str, Run); 8] = [
+    let cases: [(&str, Run); 9] = [
+        ("route", route::run),
         ("inputs", inputs::run),
         ("part", part::run),
         ("poison", poison::run),
