--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod brittle;
 mod cold;
 mod entry;
+mod forget;
 mod inputs;
 mod part;
 mod poison;
@@ -18,7 +19,8 @@
 
 /// Returns the case with this name.
 pub fn find(name: &str) -> Option<Run> {
-    let cases: [(&str, Run); 9] = [
+    let cases: [(&str, Run); 10] = [
+        ("forget", forget::run),
         ("route", route::run),
         ("inputs", inputs::run),
         ("part", part::run),
