--- a/review/standins-3/src/lost_daemons.rs
+++ b/review/standins-3/src/lost_daemons.rs
@@ -17,7 +17,7 @@
 const CONTACT: Duration = Duration::from_millis(3_000);
 const DEADLINE: Duration = Duration::from_secs(15);
 
-fn record(text: &mut String, start: Instant, streams: &[Stream]) {
+pub fn record(text: &mut String, start: Instant, streams: &[Stream]) {
     for stream in streams {
         writeln!(text, "stream with the prompt {}", stream.prompt).ok();
         for one in &stream.tries {
@@ -42,7 +42,7 @@
 }
 
 /// Sends a request with each prompt, 20 ms after one another.
-async fn all(
+pub async fn all(
     fronts: &[SocketAddr],
     path: &'static str,
     prompts: &[String],
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod kept_channels;
 mod lost_daemons;
+mod restarts;
 mod settings_file;
 mod site;
 mod stray_answers;
@@ -29,6 +30,7 @@
         "larger-heads" => kept_channels::larger_heads(trouble, &mut text).await,
         "store-moves" => settings_file::store_moves(trouble, &mut text).await,
         "bookings" => stray_answers::bookings(trouble, &mut text).await,
+        "in-turn" => restarts::in_turn(trouble, &mut text).await,
         _ => Err("no such case".into()),
     };
     let code = match run {
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -26,6 +26,9 @@
     {"name": "summary", "host": "a.example", "prefix": "/summary/", "kind": "streaming",
      "timeout_ms": 15000, "target_latency_ms": 2000, "priority": 0, "service": "engine",
      "max_attempts": 2, "target_gap_ms": 300, "resumable": true, "sticky": true},
+    {"name": "feed", "host": "a.example", "prefix": "/feed/", "kind": "streaming",
+     "timeout_ms": 15000, "target_latency_ms": 2000, "priority": 0, "service": "feed",
+     "max_attempts": 2, "target_gap_ms": 300, "resumable": true, "sticky": false},
     {"name": "book", "host": "a.example", "prefix": "/book/", "kind": "non_idempotent",
      "timeout_ms": 1200, "target_latency_ms": 150, "priority": 2, "service": "ledger",
      "max_attempts": 1, "sticky": false}
@@ -34,6 +37,8 @@
     {"name": "engine", "max_conns": 500, "cold_start_s": 0, "cold_per_s": 16,
      "health_path": "/health",
      "engine": {"slots": 128, "kv_capacity": 621712, "stride": 6, "kv_token_bytes": 18432}},
+    {"name": "feed", "max_conns": 300, "cold_start_s": 0, "cold_per_s": 0,
+     "health_path": "/health"},
     {"name": "ledger", "max_conns": 48, "cold_start_s": 0, "cold_per_s": 0,
      "health_path": "/health"}
   ],
--- a/review/standins-3/src/streams.rs
+++ b/review/standins-3/src/streams.rs
@@ -94,12 +94,15 @@
         number += 1;
         let mut request = ClientRequest::new(path)
             .with("Model", "m")
-            .with("Token-Counts", "200,400")
-            .with("Prompt-Prefix", prompt)
             .with("Deadline-Ms", &left.as_millis().to_string())
             .body(&format!("{prompt} {}", begun.elapsed().as_nanos()))
             // Four times the objective of the routes.
             .with_gap_limit(Duration::from_millis(8_000));
+        if !prompt.is_empty() {
+            request = request
+                .with("Token-Counts", "200,400")
+                .with("Prompt-Prefix", prompt);
+        }
         let id = request.attempt.clone();
         let after = began.is_some().then_some(last);
         if let Some(began) = &began {
