--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 program=target/review-3/release/gooseberry_review_3
 [ -x "$program" ] && [ -x target/release/gooseberryd ] || { echo "not built" >&2; exit 2; }
-exec timeout --kill-after=5 110 "$program" in-turn review/13
+exec timeout --kill-after=5 110 "$program" sessions review/13
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -188,6 +188,15 @@
         Ok(())
     }
 
+    /// Returns how much memory the process has.
+    pub fn memory_bytes(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let id = self
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -10,6 +10,7 @@
 mod site;
 mod stray_answers;
 mod streams;
+mod uploads;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
         "store-moves" => settings_file::store_moves(trouble, &mut text).await,
         "bookings" => stray_answers::bookings(trouble, &mut text).await,
         "in-turn" => restarts::in_turn(trouble, &mut text).await,
+        "uploads" => uploads::memory(trouble, &mut text).await,
         _ => Err("no such case".into()),
     };
     let code = match run {
--- a/review/standins-3/src/stray_answers.rs
+++ b/review/standins-3/src/stray_answers.rs
@@ -47,9 +47,9 @@
 
 /// Starts a server; `is_faulty` says whether it adds bytes. They come late, where the answer
 /// to the next request on the channel is expected.
-async fn server(name: &'static str, is_faulty: bool) -> ScriptedTarget {
+pub async fn server(name: &'static str, work: Duration, is_faulty: bool) -> ScriptedTarget {
     let answers = Arc::new(AtomicUsize::new(0));
-    ScriptedTarget::start_working(name, WORK, move |requests: &[ScriptedRequest]| {
+    ScriptedTarget::start_working(name, work, move |requests: &[ScriptedRequest]| {
         let Some(request) = requests.last() else {
             return (String::new(), String::new());
         };
@@ -66,7 +66,10 @@
 pub async fn bookings(trouble: bool, text: &mut String) -> Outcome {
     let start = Instant::now();
     let site = Site::start(&settings(1, 16_384), 5, Duration::from_millis(20)).await?;
-    let servers = [server("l-0", trouble).await, server("l-1", false).await];
+    let servers = [
+        server("l-0", WORK, trouble).await,
+        server("l-1", WORK, false).await,
+    ];
     for (number, server) in servers.iter().enumerate() {
         let entry = server.entry("ledger", &format!("z-{}", number + 1));
         let entry = entry.replacen('{', "{\"born\": 1790000000000, ", 1);
