resumption: an earlier answer of a session is not taken for its stream

Cause: a target that holds the last part of the prompt with enough tokens after it counted as the writer. That part belongs to the session, so a complete earlier answer leaves the same. The real writer had dropped the stream with its connection and holds the prompt alone. Evidence: the new log line 'compared what targets hold of a stream' names, for each target, what it holds.

Why the fix works: a held answer is contradicted by any target of another version that has read the prompt, and a prompt is read only with all its parts, which an earlier request of another kind does not have. Old surveys show nothing but runs named by their attempt. The whole prompt goes to the witness by a new call, trace_prompt (version 7); former builds are not asked.

A kernel test asserted that an answer wins over a reader of another version, which is this fault; it asserts the contrary now, with more cases. Another one used an answer where it is about the age of surveys; it uses a run now, since answers are no longer believed that long.

--- a/crates/kernel/src/request/stream_trace.rs
+++ b/crates/kernel/src/request/stream_trace.rs
@@ -7,11 +7,15 @@
 //! with their last part, if the connection has only gone silent. So a target wrote a stream
 //!
 //! - if it has made events for the attempt that the client names, or
-//! - if it holds the last part of the prompt with as many tokens more as the client has
-//!   received events. One that has only read the prompt may have done so for an attempt that
-//!   brought none, so that counts only where no other version can have served
+//! - if it holds the prompt with as many tokens more as the client has received events, and no
+//!   target of another version has read the prompt. Else one of the two may hold an earlier
+//!   answer of the same session, and the other one have dropped the stream with its connection.
+//!   A target that has only read the prompt may have done so for an attempt that brought no
+//!   event, so that counts only where no other version can have served
 //!   ([`Surveys::has_reader`]).
 //!
+//! The rule and what was weighed: [resumed-streams](../../../../docs/design/resumed-streams.md).
+//!
 //! The load is a whole fleet's streams, resumed by their clients within a few seconds, at
 //! any daemon. A survey ([`Surveys`]) asks each target of a service once for all of them, and is
 //! repeated at most once in [`SURVEY_AGE_MAX`] for streams of which it has shown nothing.
@@ -52,6 +56,8 @@
 
     /// What a target says of its work.
     pub struct Memory {
+        /// The target.
+        pub target: name::Target,
         /// The version of its software.
         pub version: name::Version,
         /// The requests that it works on.
@@ -72,6 +78,9 @@
     pub struct PartTrace {
         /// The last part, which belongs to the request or its session alone.
         pub id: CompactString,
+        /// The parts before it, but for those that are too short to be held. A session may ask
+        /// for answers to different prompts that end with the same part.
+        pub earlier: Vec<CompactString>,
         /// The tokens of this part that a target has read with the prompt.
         pub tokens_read: u32,
         /// The fewest tokens of this part.
@@ -80,6 +89,21 @@
         pub tokens_max: u32,
     }
 
+    /// What a target holds of a stream, for logs.
+    pub struct Holding {
+        /// The target.
+        pub target: name::Target,
+        /// The version of its software.
+        pub version: name::Version,
+        /// How many events it has made for the attempt, if it names it.
+        pub events: Option<u32>,
+        /// How many tokens it holds of the last part of the prompt, with those that were
+        /// written after it.
+        pub tokens: u32,
+        /// Whether it has read the whole prompt.
+        pub has_read: bool,
+    }
+
     /// What a survey shows of a stream.
     pub enum Finding {
         /// Targets of this version alone hold it.
@@ -110,11 +134,15 @@
     #[must_use]
     pub fn new(parts: &[CompactString], demand: &Demand, last_event: &str) -> Option<Self> {
         let id = parts.last().filter(|id| !id.is_empty())?;
-        let read = demand.parts.last()?.tokens;
+        let (last, earlier) = demand.parts.split_last()?;
+        let read = last.tokens;
+        let earlier = parts.iter().zip(earlier);
+        let earlier = earlier.filter(|(_, part)| part.tokens >= BLOCK_TOKENS);
         // Ids that are no numbers do not count the events.
         let events = last_event.trim().parse().unwrap_or(1).max(1);
         Some(Self {
             id: id.clone(),
+            earlier: earlier.map(|(id, _)| id.clone()).collect(),
             tokens_read: read,
             tokens_min: read.saturating_add(events),
             tokens_max: read.saturating_add(demand.max_output_tokens),
@@ -132,28 +160,55 @@
         self.parts.sort_by(|a, b| a.id.cmp(&b.id));
     }
 
-    /// Returns whether the target has read the prompt of the stream with this trace. The
+    fn part(&self, id: &CompactString) -> Option<&HeldPart> {
+        let index = self.parts.binary_search_by(|part| part.id.cmp(id)).ok()?;
+        Some(&self.parts[index])
+    }
+
+    /// Returns whether the target has read the whole prompt of the stream with this trace. The
     /// memory is sorted.
     fn has_read(&self, trace: &Trace) -> bool {
         trace.part.as_ref().is_some_and(|known| {
-            let held = self.parts.binary_search_by(|part| part.id.cmp(&known.id));
-            let held = held.map_or(0, |index| self.parts[index].tokens);
-            held > 0 && held.saturating_add(BLOCK_TOKENS) > known.tokens_read
+            let held = self.part(&known.id).map_or(0, |part| part.tokens);
+            held > 0
+                && held.saturating_add(BLOCK_TOKENS) > known.tokens_read
+                && known.earlier.iter().all(|id| self.part(id).is_some())
         })
     }
 
-    /// Returns whether the target has written the stream with this trace. The memory is
-    /// sorted.
-    fn shows(&self, trace: &Trace) -> bool {
+    /// Returns how many events the target has made for the attempt of the stream with this
+    /// trace, if it names it. The memory is sorted.
+    fn events(&self, trace: &Trace) -> Option<u32> {
         let run = self
             .runs
             .binary_search_by(|run| run.attempt.cmp(&trace.attempt));
-        let has_made_events = run.is_ok_and(|index| self.runs[index].events > 0);
-        let is_held = trace.part.as_ref().is_some_and(|known| {
-            let part = self.parts.binary_search_by(|part| part.id.cmp(&known.id));
-            part.is_ok_and(|index| known.matches(&self.parts[index]))
-        });
-        has_made_events || is_held
+        run.ok().map(|index| self.runs[index].events)
+    }
+
+    fn has_made_events(&self, trace: &Trace) -> bool {
+        self.events(trace).is_some_and(|events| events > 0)
+    }
+
+    /// Returns whether the target holds the prompt of the stream with this trace, with an
+    /// answer that is long enough to be the stream.
+    fn holds_answer(&self, trace: &Trace) -> bool {
+        self.has_read(trace)
+            && trace.part.as_ref().is_some_and(|known| {
+                let part = self.part(&known.id);
+                part.is_some_and(|part| known.matches(part))
+            })
+    }
+
+    fn holding(&self, trace: &Trace) -> Option<Holding> {
+        let part = trace.part.as_ref().and_then(|known| self.part(&known.id));
+        let events = self.events(trace);
+        (part.is_some() || events.is_some()).then(|| Holding {
+            target: self.target.clone(),
+            version: self.version.clone(),
+            events,
+            tokens: part.map_or(0, |part| part.tokens),
+            has_read: self.has_read(trace),
+        })
     }
 }
 
@@ -190,7 +245,8 @@
         };
         let survey = &mut self.surveys[index];
         let finding = survey.finding(trace);
-        if matches!(finding, Finding::Version(_)) {
+        // What else an old survey shows may have been contradicted since.
+        if matches!(finding, Finding::Version(_)) && survey.names_run(trace) {
             return Step::Ended(finding);
         }
         if survey.is_running {
@@ -223,20 +279,32 @@
         trace: &Trace,
         version: &name::Version,
     ) -> bool {
-        let memories = self
-            .find(service)
-            .map(|index| &self.surveys[index].memories);
-        let memories = memories.into_iter().flatten();
+        let memories = self.memories(service);
         let mut readers = memories.filter(|memory| memory.has_read(trace)).peekable();
         readers.peek().is_some() && readers.all(|reader| reader.version == *version)
     }
 
+    /// Returns what each target holds of a stream, by the last survey.
+    #[must_use]
+    pub fn holdings(&self, service: &name::Service, trace: &Trace) -> Vec<Holding> {
+        let memories = self.memories(service);
+        memories
+            .filter_map(|memory| memory.holding(trace))
+            .collect()
+    }
+
     /// Forgets the surveys that are older than any stream.
     pub fn expire(&mut self, now: Millis) {
         self.surveys
             .retain(|survey| survey.is_running || survey.begun + MEMORY > now);
     }
 
+    fn memories(&self, service: &name::Service) -> impl Iterator<Item = &Memory> {
+        let found = self.find(service).ok();
+        let survey = found.map(|index| &self.surveys[index]);
+        survey.into_iter().flat_map(|survey| &survey.memories)
+    }
+
     fn find(&self, service: &name::Service) -> Result<usize, usize> {
         self.surveys
             .binary_search_by(|survey| survey.service.cmp(service))
@@ -248,14 +316,29 @@
         if self.memories.is_empty() {
             return Finding::Unanswered;
         }
-        let showing = self.memories.iter().filter(|memory| memory.shows(trace));
-        let mut versions = showing.map(|memory| &memory.version);
-        match versions.next() {
-            None => Finding::NotFound,
-            Some(first) if versions.all(|version| version == first) => {
-                Finding::Version(first.clone())
-            }
-            Some(_) => Finding::Ambiguous,
+        let writers = self
+            .memories
+            .iter()
+            .filter(|memory| memory.has_made_events(trace) || memory.holds_answer(trace));
+        let mut versions = writers.map(|memory| &memory.version);
+        let Some(version) = versions.next() else {
+            return Finding::NotFound;
+        };
+        let has_other_writer = versions.any(|other| other != version);
+        let has_other_reader = || {
+            let mut readers = self.memories.iter().filter(|memory| memory.has_read(trace));
+            readers.any(|reader| reader.version != *version)
+        };
+        if has_other_writer || !self.names_run(trace) && has_other_reader() {
+            return Finding::Ambiguous;
         }
+        Finding::Version(version.clone())
+    }
+
+    /// Returns whether a target has made events for the attempt of the stream.
+    fn names_run(&self, trace: &Trace) -> bool {
+        self.memories
+            .iter()
+            .any(|memory| memory.has_made_events(trace))
     }
 }
--- a/crates/kernel/tests/direct/stream_trace.rs
+++ b/crates/kernel/tests/direct/stream_trace.rs
@@ -22,8 +22,11 @@
 const WRITTEN_MAX: u32 = 80;
 
 fn part_trace(id: &str, last_event: &str) -> Option<PartTrace> {
-    let parts = [("shared", 700), (id, READ)];
-    let demand = Demand::new(1_000, &parts, WRITTEN_MAX, None).expect("it is usable");
+    part_trace_of(&[("shared", 700), (id, READ)], last_event)
+}
+
+fn part_trace_of(parts: &[(&str, u32)], last_event: &str) -> Option<PartTrace> {
+    let demand = Demand::new(1_000, parts, WRITTEN_MAX, None).expect("it is usable");
     let ids: Vec<CompactString> = parts
         .iter()
         .map(|(id, _)| CompactString::from(*id))
@@ -49,6 +52,7 @@
         events: *events,
     };
     Memory {
+        target: name::Target::new(version),
         version: name::Version::new(version),
         runs: runs.iter().map(run).collect(),
         parts: parts.iter().map(part).collect(),
@@ -93,15 +97,57 @@
 /// A target of another version has read the prompt for an attempt that brought no event,
 /// and the one that wrote the stream has left.
 #[test]
-fn a_target_that_has_only_read_a_prompt_did_not_write_its_stream() {
+fn a_target_that_has_only_read_a_prompt_is_not_taken_for_its_writer() {
     let stream = trace_of("mine", "12");
     for tokens in [READ - 100, READ, READ + 11, READ + WRITTEN_MAX + 1] {
-        let reader = holder("v2", tokens);
-        let found = finding(&stream, std::slice::from_ref(&reader));
+        let found = finding(&stream, &[holder("v2", tokens)]);
+        assert_eq!(found, Finding::NotFound);
+    }
+}
+
+// An earlier answer of the session counted for the stream, though a target of another version
+// had read its prompt, and had dropped the stream with its connection.
+#[test]
+fn an_answer_is_contradicted_by_a_reader_of_another_version() {
+    let stream = trace_of("mine", "12");
+    let answer = holder("v1", READ + 12);
+    for tokens in [READ - 15, READ, READ + 11, READ + WRITTEN_MAX + 1] {
+        let readers = [holder("v2", tokens), answer.clone()];
+        assert_eq!(finding(&stream, &readers), Finding::Ambiguous);
+        let same_version = [holder("v1", tokens), answer.clone()];
+        assert_eq!(finding(&stream, &same_version), version("v1"));
+    }
+    // One that lacks a part of the prompt has not read it, and its answer is to another one.
+    let of_other_prompt = |tokens| memory("v2", &[("mine", tokens)], &[]);
+    for tokens in [READ - 16, READ, READ + 12] {
+        let others = [of_other_prompt(tokens), answer.clone()];
+        assert_eq!(finding(&stream, &others), version("v1"));
+        let found = finding(&stream, &[of_other_prompt(tokens)]);
         assert_eq!(found, Finding::NotFound);
-        let found = finding(&stream, &[reader, holder("v1", READ + 12)]);
-        assert_eq!(found, version("v1"));
     }
+    // Targets keep whole blocks, so a part that is shorter may be missing at a reader.
+    let mut short = stream.clone();
+    short.part = part_trace_of(&[("short", 15), ("mine", READ)], "12");
+    let found = finding(&short, &[of_other_prompt(READ), answer]);
+    assert_eq!(found, Finding::Ambiguous);
+}
+
+// An answer that a survey of some seconds ago showed was believed, though a target of another
+// version had written the stream since.
+#[test]
+fn an_old_survey_shows_nothing_but_runs() {
+    let service = name::Service::new("engine");
+    let now = Millis(5) + SURVEY_AGE_MAX;
+    let step = |memory| {
+        let mut surveys = Surveys::default();
+        let stream = trace_of("mine", "12");
+        surveys.step(&service, &stream, Millis(0));
+        surveys.end(&service, vec![memory]);
+        surveys.step(&service, &stream, now)
+    };
+    assert_eq!(step(holder("v1", READ + 12)), Step::Begin);
+    let run = memory("v1", &[], &[("mine", 3)]);
+    assert_eq!(step(run), Step::Ended(version("v1")));
 }
 
 // After a loss of all daemons, targets that keep no more than prompts were no proof at all.
@@ -130,7 +176,10 @@
 #[test]
 fn a_target_that_has_made_events_for_the_attempt_wrote_its_stream() {
     let stream = trace_of("mine", "12");
-    let dropped = |version, events| memory(version, &[("mine", READ - 7)], &[("mine", events)]);
+    let dropped = |version, events| {
+        let parts = [("shared", 700), ("mine", READ - 7)];
+        memory(version, &parts, &[("mine", events)])
+    };
     assert_eq!(finding(&stream, &[dropped("v1", 11)]), version("v1"));
     let found = finding(&stream, &[dropped("v1", 11), dropped("v2", 0)]);
     assert_eq!(found, version("v1"));
@@ -176,7 +225,7 @@
     let id = |stream: u64| format_compact!("part-{stream}");
     let version_of = |stream: u64| format_compact!("v{}", stream % 2);
     let is_lost = |stream: u64| stream % 10 == 9;
-    let mut memories = [memory("v0", &[], &[]), memory("v1", &[], &[])];
+    let mut memories = ["v0", "v1"].map(|version| memory(version, &[("shared", 700)], &[]));
     for stream in (0..STREAMS).filter(|stream| !is_lost(*stream)) {
         let part = HeldPart {
             id: id(stream),
@@ -236,7 +285,7 @@
     assert_eq!(surveys.step(&service, &stream, Millis(0)), Step::Begin);
     surveys.expire(MEMORY);
     assert_eq!(surveys.step(&service, &stream, MEMORY), Step::Wait);
-    surveys.end(&service, vec![holder("v1", READ + 1)]);
+    surveys.end(&service, vec![memory("v1", &[], &[("mine", 1)])]);
     assert_eq!(
         surveys.step(&service, &stream, MEMORY),
         Step::Ended(version("v1"))
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -53,7 +53,6 @@
 pub use crate::peers::server::serve;
 use crate::peers::versions::EXCHANGE_VERSION;
 use crate::peers::versions::HEARTBEAT_VERSION;
-use crate::peers::versions::PROMPT_TRACE_VERSION;
 use crate::peers::versions::TRACE_VERSION;
 
 /// How long it may take to connect to a peer, and how long a peer may take to
@@ -222,11 +221,7 @@
         }
         let limit = with_timeout(TRACE_TIMEOUT);
         let service = service.as_str().into();
-        let finding = if version < PROMPT_TRACE_VERSION {
-            client.stream_version(limit, service, trace.into()).await
-        } else {
-            client.trace_stream(limit, service, trace.into()).await
-        };
+        let finding = client.trace_prompt(limit, service, trace.into()).await;
         Ok(finding.map_err(|_| Unreachable)?.into())
     }
 
--- a/crates/relay/src/peers/server.rs
+++ b/crates/relay/src/peers/server.rs
@@ -24,6 +24,7 @@
 use gooseberry_wire::fleet::PromptTrace;
 use gooseberry_wire::fleet::Trace;
 use gooseberry_wire::fleet::Unmade;
+use gooseberry_wire::fleet::WholeTrace;
 use gooseberry_wire::fleet::ledger::EngineSummary;
 use gooseberry_wire::fleet::placement::FINISHES_MAX;
 use gooseberry_wire::fleet::placement::Finish;
@@ -210,6 +211,15 @@
         self.find_version(&service, &trace.into()).await
     }
 
+    async fn trace_prompt(
+        self,
+        _: context::Context,
+        service: CompactString,
+        trace: WholeTrace,
+    ) -> Finding {
+        self.find_version(&service, &trace.into()).await
+    }
+
     async fn free(self, _: context::Context, service: CompactString, handles: Vec<CompactString>) {
         let handles: Vec<name::Handle> = handles
             .iter()
--- a/crates/relay/src/peers/versions.rs
+++ b/crates/relay/src/peers/versions.rs
@@ -6,8 +6,6 @@
 pub(super) const HEARTBEAT_VERSION: u32 = 2;
 /// The version from which on peers have the calls `place` and `finished`.
 pub(super) const PLACEMENT_VERSION: u32 = 3;
-/// The version from which on peers may be asked for `stream_version`: those of version 4 take
-/// an old list for proof.
-pub(super) const TRACE_VERSION: u32 = 5;
-/// The version from which on peers have the call `trace_stream`.
-pub(super) const PROMPT_TRACE_VERSION: u32 = 6;
+/// The version from which on peers have the call `trace_prompt`. They are not asked by the calls
+/// that did this before: they take an old list, or an earlier answer, for proof.
+pub(super) const TRACE_VERSION: u32 = 7;
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -234,6 +234,7 @@
     }
     if is_current || asker == Asker::Peer {
         let finding = survey::find(context, service, trace).await;
+        log_holdings(context, service, trace, &finding);
         if finding != Finding::NotFound || !is_current {
             return finding;
         }
@@ -251,6 +252,19 @@
     }
 }
 
+/// Logs what decided where a stream began, by what targets hold.
+fn log_holdings(context: &Context, service: &name::Service, trace: &Trace, finding: &Finding) {
+    let holdings = context.state().surveys().holdings(service, trace);
+    log::info!(
+        resumes:% = trace.attempt,
+        service:% = service,
+        part:? = trace.part,
+        holdings:?,
+        finding:?;
+        "compared what targets hold of a stream"
+    );
+}
+
 /// Returns the version of a stream that no target shows any more, if a target of it has read
 /// the stream's prompt and the store's history shows that no other version has served.
 async fn only_one_in_history(
--- a/crates/relay/src/resumption/survey.rs
+++ b/crates/relay/src/resumption/survey.rs
@@ -105,6 +105,7 @@
     let parts = exchange::call(context, &callee, parts, ANSWER_MAX_BYTES).await?;
     let parts = prompt_memory::read_list(&parts)?;
     Ok(Memory {
+        target: holder.name.clone(),
         version: holder.version.clone(),
         runs,
         parts,
--- a/crates/relay/tests/direct/former_placements.rs
+++ b/crates/relay/tests/direct/former_placements.rs
@@ -45,7 +45,7 @@
     let transport = transport.expect("the daemon listens");
     let peer = FleetClient::new(client::Config::default(), transport).spawn();
     let version = peer.protocol_version(context::current()).await;
-    assert_eq!(version.expect("a reply"), 6);
+    assert_eq!(version.expect("a reply"), 7);
     let message = heartbeat("former", (unused_ip(), 8003).into(), 250, 1);
     let reply = peer.heartbeat(context::current(), message).await;
     let reply = reply.expect("a reply");
--- a/crates/relay/tests/direct/lost_daemons.rs
+++ b/crates/relay/tests/direct/lost_daemons.rs
@@ -92,3 +92,51 @@
     let resumed = cases.map(|(trace, has_read)| resume_elsewhere(trace, has_read));
     assert_eq!(futures::future::join_all(resumed).await, [(0, 0); 3]);
 }
+
+/// The parts of the prompt before the session's own part, in an earlier request of the session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Earlier {
+    /// Those of another kind of request.
+    Other,
+    /// The same.
+    Same,
+}
+
+/// Returns how many streams of two versions go on at theirs, and how many at the other one, of
+/// sessions whose earlier answers are held by targets of both versions in turn.
+async fn resume_after_answers(earlier: Earlier) -> (usize, usize) {
+    let platform = TestPlatform::start().await;
+    let engines = Engines::start(&platform).await;
+    let first_part = match earlier {
+        Earlier::Other => "s",
+        Earlier::Same => "a",
+    };
+    for number in 0..STREAMS {
+        let (target, _) = &engines.all[number % 2];
+        let client = request(number)
+            .with(
+                "Prompt-Prefix",
+                &format!("{first_part}{number}:50,b{number}:50"),
+            )
+            .with("Expect-Instance", &target.name);
+        let answer = client.send(target.address).await.expect("an answer");
+        assert!(answer.is_complete);
+    }
+    let lost = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
+    let streams = dropped_streams(&engines, lost).await;
+    sleep(RUNS_FORGOTTEN).await;
+    let started = platform.unready_daemon(2, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
+    resume(&engines, &started, &streams).await
+}
+
+// A target that held an earlier answer of the session, with the tokens of some other stream, was
+// taken for the writer, while the one that had written the stream held no more than its prompt.
+#[tokio::test]
+async fn an_earlier_answer_of_a_session_is_not_taken_for_its_stream() {
+    let resumed = [Earlier::Other, Earlier::Same].map(resume_after_answers);
+    for (_, other) in futures::future::join_all(resumed).await {
+        assert_eq!(other, 0);
+    }
+}
--- a/crates/relay/tests/direct/placer_standin.rs
+++ b/crates/relay/tests/direct/placer_standin.rs
@@ -25,6 +25,7 @@
 use gooseberry_wire::fleet::PromptTrace;
 use gooseberry_wire::fleet::Trace;
 use gooseberry_wire::fleet::Unmade;
+use gooseberry_wire::fleet::WholeTrace;
 use gooseberry_wire::fleet::ledger::EngineSummary;
 use gooseberry_wire::fleet::placement::Finish;
 use gooseberry_wire::fleet::placement::NotPlaced;
@@ -165,6 +166,10 @@
         Finding::Unanswered
     }
 
+    async fn trace_prompt(self, _: context::Context, _: CompactString, _: WholeTrace) -> Finding {
+        Finding::Unanswered
+    }
+
     async fn finished(self, _: context::Context, reports: Vec<Finish>) {
         self.reports.lock().expect("not poisoned").extend(reports);
     }
--- a/crates/relay/tests/direct/versions.rs
+++ b/crates/relay/tests/direct/versions.rs
@@ -24,7 +24,7 @@
 }
 
 impl Engines {
-    async fn start(platform: &TestPlatform) -> Self {
+    pub async fn start(platform: &TestPlatform) -> Self {
         let [first, second] = platform.engines.clone();
         let third = Target::start("engine-3").await;
         let fourth = Target::start("engine-4").await;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -53,6 +53,7 @@
 pub use crate::fleet::stream_trace::Finding;
 pub use crate::fleet::stream_trace::PromptTrace;
 pub use crate::fleet::stream_trace::Trace;
+pub use crate::fleet::stream_trace::WholeTrace;
 
 /// The service that each daemon offers its peers.
 #[tarpc::service]
@@ -92,17 +93,19 @@
     /// from until lately. It is made only of daemons of version 3.
     async fn ledger(service: CompactString, group: u32) -> Vec<EngineSummary>;
     /// Returns at which version of a service the stream with this trace began, as far as the
-    /// daemon or the targets know. It is made only of daemons of version 5: those of version 4
-    /// take an old list for proof.
+    /// daemon or the targets know. Only former builds make this call and the next one.
     async fn stream_version(service: CompactString, trace: Trace) -> Finding;
     /// Like `stream_version`, with how much of the prompt a target has read that wrote the
-    /// stream. It is made only of daemons of version 6.
+    /// stream.
     async fn trace_stream(service: CompactString, trace: PromptTrace) -> Finding;
+    /// Like `trace_stream`, with all parts of the prompt. It is made only of daemons of version 7:
+    /// those before take an earlier answer of a session for a stream.
+    async fn trace_prompt(service: CompactString, trace: WholeTrace) -> Finding;
 }
 
 /// The version of the calls. Each call after `protocol_version` is made only of daemons
 /// that have it.
-pub const PROTOCOL_VERSION: u32 = 6;
+pub const PROTOCOL_VERSION: u32 = 7;
 
 /// A heartbeat with membership state, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/wire/src/fleet/stream_trace.rs
+++ b/crates/wire/src/fleet/stream_trace.rs
@@ -25,6 +25,15 @@
     pub tokens_read: u32,
 }
 
+/// A [`PromptTrace`] with what was added to it since.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WholeTrace {
+    /// The trace of the last part.
+    pub last: PromptTrace,
+    /// The parts before the last one that targets hold.
+    pub earlier: Vec<CompactString>,
+}
+
 /// What the target that wrote a stream holds of its prompt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartTrace {
@@ -71,6 +80,26 @@
     }
 }
 
+impl From<&stream_trace::Trace> for WholeTrace {
+    fn from(trace: &stream_trace::Trace) -> Self {
+        let part = trace.part.as_ref();
+        Self {
+            last: trace.into(),
+            earlier: part.map_or_else(Vec::new, |part| part.earlier.clone()),
+        }
+    }
+}
+
+impl From<WholeTrace> for stream_trace::Trace {
+    fn from(whole: WholeTrace) -> Self {
+        let mut trace = Self::from(whole.last);
+        if let Some(part) = &mut trace.part {
+            part.earlier = whole.earlier;
+        }
+        trace
+    }
+}
+
 impl From<PromptTrace> for stream_trace::Trace {
     fn from(traced: PromptTrace) -> Self {
         let mut trace = Self::from(traced.trace);
@@ -87,6 +116,7 @@
             attempt: name::Attempt::new(&trace.attempt),
             part: trace.part.map(|part| stream_trace::PartTrace {
                 id: part.id,
+                earlier: Vec::new(),
                 // Former builds do not say it, and take what was written for proof alone.
                 tokens_read: part.tokens_min,
                 tokens_min: part.tokens_min,
