resumption: streams go on beside two versions once all others are ruled out

Cause: targets then hold nothing of a stream but its prompt, and who has read a prompt was asked only if a single version had been seen. Evidence: the survey was answered by all targets, and 'compared what targets hold of a stream' has the writer as the only reader.

Why the fix works: a prompt proves the version if all others are ruled out: each listed target of another version has said, in its listed run, that it has not read it, and none has left since the stream can have begun, by the list or the store's history. Departures of runs are now told from changes of entries, and runs in the history that are still listed from those that left. With one version this is the former rule.

--- a/crates/kernel/src/request/routing_table.rs
+++ b/crates/kernel/src/request/routing_table.rs
@@ -199,6 +199,28 @@
         /// When it started, as its entry in the platform's list says.
         pub started: u64,
     }
+
+    /// One run of a target, from its start to its end.
+    pub struct Incarnation {
+        /// The target.
+        pub target: name::Target,
+        /// When it started, as its entry in the platform's list says.
+        pub started: u64,
+        /// The version of its software.
+        pub version: name::Version,
+    }
+}
+
+impl Target {
+    /// Returns the run that is listed.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            target: self.name.clone(),
+            started: self.started,
+            version: self.version.clone(),
+        }
+    }
 }
 
 impl Rank {
--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -57,11 +57,21 @@
         pub version: name::Version,
     }
 
+    /// A version of which a run of a target has left the list.
+    pub struct Departure {
+        /// The version.
+        pub version: name::Version,
+        /// When the last one left at the latest.
+        pub at: Millis,
+    }
+
     /// What a daemon's list of targets says of the versions at which streams may have begun.
     pub struct Versions {
         /// Those of the service's targets that serve now, or that the daemon has seen serve
         /// within [`MEMORY`], sorted.
         pub seen: Vec<name::Version>,
+        /// The versions of the service's targets that have left within [`MEMORY`].
+        pub left: Vec<Departure>,
         /// From when on the daemon knows each change of the list; `None` before it has it.
         pub listed_since: Option<Millis>,
         /// When the daemon asked for the last changes that are in the list; `None` if it never
@@ -160,19 +170,27 @@
         self.only_one_if_current(resumed_at).filter(|_| is_current)
     }
 
-    /// Returns the only version at which a stream may have begun that lasts `stream_max` at
-    /// most, by the list and the store's history before it. It is proof only together with what
-    /// a target holds of the stream.
+    /// Returns whether no target of another version has left at which a stream may have begun that
+    /// a client resumed at a time and that lasts `stream_max` at most. It is proof only together
+    /// with what targets hold of the stream.
     #[must_use]
-    pub fn only_one_in_history(
+    pub fn only_left(
         &self,
+        version: &name::Version,
         resumed_at: Millis,
         stream_max: Millis,
-    ) -> Option<&name::Version> {
+    ) -> bool {
         let is_current = self.asked_at.is_some_and(|at| at >= resumed_at);
-        let history = self.history.filter(|_| is_current)?;
-        let is_covered = history.covers(resumed_at, stream_max);
-        self.only_seen().filter(|_| is_covered)
+        let has_seen_all = self
+            .listed_since
+            .is_some_and(|since| since + stream_max <= resumed_at);
+        let is_covered = self
+            .history
+            .is_some_and(|history| history.covers(resumed_at, stream_max));
+        let mut left = self.left.iter();
+        is_current
+            && (has_seen_all || is_covered)
+            && left.all(|left| left.version == *version || left.at + stream_max < resumed_at)
     }
 
     /// Returns the version that would be the only one if the list is current.
--- a/crates/kernel/src/request/stream_trace.rs
+++ b/crates/kernel/src/request/stream_trace.rs
@@ -11,8 +11,8 @@
 //!   target of another version has read the prompt. Else one of the two may hold an earlier
 //!   answer of the same session, and the other one have dropped the stream with its connection.
 //!   A target that has only read the prompt may have done so for an attempt that brought no
-//!   event, so that counts only where no other version can have served
-//!   ([`Surveys::has_reader`]).
+//!   event, so that counts only if all targets of other versions are ruled out
+//!   ([`Surveys::only_reader`]).
 //!
 //! The rule and what was weighed: [resumed-streams](../../../../docs/design/resumed-streams.md).
 //!
@@ -26,6 +26,7 @@
 use crate::derive::value;
 use crate::name;
 use crate::request::demand::Demand;
+use crate::request::routing_table::Incarnation;
 use crate::request::stream_origin::MEMORY;
 
 /// How old a survey may be to show that no target holds a stream. A client that resumes a
@@ -56,10 +57,8 @@
 
     /// What a target says of its work.
     pub struct Memory {
-        /// The target.
-        pub target: name::Target,
-        /// The version of its software.
-        pub version: name::Version,
+        /// The run of the target.
+        pub incarnation: Incarnation,
         /// The requests that it works on.
         pub runs: Vec<Run>,
         /// The parts of prompts that it holds.
@@ -104,6 +103,15 @@
         pub has_read: bool,
     }
 
+    /// What is known if targets of a single version have read the prompt of a stream.
+    pub struct Reader {
+        /// The version.
+        pub version: name::Version,
+        /// The listed targets of other versions that may have written the stream, since they have
+        /// not said what they hold, or do not hold what is as short as the end of the prompt.
+        pub undecided: Vec<name::Target>,
+    }
+
     /// What a survey shows of a stream.
     pub enum Finding {
         /// Targets of this version alone hold it.
@@ -155,6 +163,10 @@
 }
 
 impl Memory {
+    fn version(&self) -> &name::Version {
+        &self.incarnation.version
+    }
+
     fn sort(&mut self) {
         self.runs.sort_by(|a, b| a.attempt.cmp(&b.attempt));
         self.parts.sort_by(|a, b| a.id.cmp(&b.id));
@@ -203,8 +215,8 @@
         let part = trace.part.as_ref().and_then(|known| self.part(&known.id));
         let events = self.events(trace);
         (part.is_some() || events.is_some()).then(|| Holding {
-            target: self.target.clone(),
-            version: self.version.clone(),
+            target: self.incarnation.target.clone(),
+            version: self.incarnation.version.clone(),
             events,
             tokens: part.map_or(0, |part| part.tokens),
             has_read: self.has_read(trace),
@@ -270,18 +282,31 @@
         }
     }
 
-    /// Returns whether targets of this version alone have read the prompt of a stream, by the
-    /// last survey.
+    /// Returns the only version whose targets have read the prompt of a stream, by the last
+    /// survey. `listed` are the targets of the service that are listed now; one that has started
+    /// again since the survey has not said what it holds.
     #[must_use]
-    pub fn has_reader(
+    pub fn only_reader(
         &self,
         service: &name::Service,
         trace: &Trace,
-        version: &name::Version,
-    ) -> bool {
-        let memories = self.memories(service);
-        let mut readers = memories.filter(|memory| memory.has_read(trace)).peekable();
-        readers.peek().is_some() && readers.all(|reader| reader.version == *version)
+        listed: &[Incarnation],
+    ) -> Option<Reader> {
+        let part = trace.part.as_ref()?;
+        let mut readers = self.memories(service).filter(|one| one.has_read(trace));
+        let version = readers.next()?.version().clone();
+        if readers.any(|reader| *reader.version() != version) {
+            return None;
+        }
+        let is_kept = part.tokens_read >= BLOCK_TOKENS;
+        let is_decided = |listed: &Incarnation| {
+            let mut memories = self.memories(service);
+            is_kept && memories.any(|memory| memory.incarnation == *listed)
+        };
+        let others = listed.iter().filter(|one| one.version != version);
+        let undecided = others.filter(|other| !is_decided(other));
+        let undecided = undecided.map(|other| other.target.clone()).collect();
+        Some(Reader { version, undecided })
     }
 
     /// Returns what each target holds of a stream, by the last survey.
@@ -320,14 +345,14 @@
             .memories
             .iter()
             .filter(|memory| memory.has_made_events(trace) || memory.holds_answer(trace));
-        let mut versions = writers.map(|memory| &memory.version);
+        let mut versions = writers.map(Memory::version);
         let Some(version) = versions.next() else {
             return Finding::NotFound;
         };
         let has_other_writer = versions.any(|other| other != version);
         let has_other_reader = || {
             let mut readers = self.memories.iter().filter(|memory| memory.has_read(trace));
-            readers.any(|reader| reader.version != *version)
+            readers.any(|reader| reader.version() != version)
         };
         if has_other_writer || !self.names_run(trace) && has_other_reader() {
             return Finding::Ambiguous;
--- a/crates/kernel/src/request/version_history.rs
+++ b/crates/kernel/src/request/version_history.rs
@@ -9,13 +9,14 @@
 //!
 //! The store may have dropped its history early, which cannot be told from its answers. The
 //! history is therefore proof only together with a target that has read the stream's prompt
-//! ([`Surveys::has_reader`](crate::request::stream_trace::Surveys::has_reader)).
+//! ([`Surveys::only_reader`](crate::request::stream_trace::Surveys::only_reader)).
 
 use crate::clock::Millis;
 use crate::derive::scalar;
 use crate::derive::value;
 use crate::fleet::mirror::Revision;
 use crate::name;
+use crate::request::routing_table::Incarnation;
 
 value! {
     /// A change of a target's entry.
@@ -31,8 +32,8 @@
 
     /// The entry of a target.
     pub enum Entry {
-        /// It names a target of a service, with the version of its software.
-        Target(name::Service, name::Version),
+        /// It names a run of a target of a service.
+        Target(name::Service, Incarnation),
         /// It names no target to use.
         Unusable,
         /// It was removed.
@@ -113,24 +114,24 @@
     }
 }
 
-/// Returns the service and version of each target that the changes show, which are in the
-/// order of their revisions.
+/// Returns the service and each run of a target that the changes show, which are in the order of
+/// their revisions.
 ///
 /// # Errors
 /// Returns a target whose version before its first change is unknown.
-pub fn versions(changes: &[Change]) -> Result<Vec<(name::Service, name::Version)>, name::Target> {
-    let mut versions = Vec::new();
+pub fn runs(changes: &[Change]) -> Result<Vec<(name::Service, Incarnation)>, name::Target> {
+    let mut runs = Vec::new();
     for (index, change) in changes.iter().enumerate() {
         let mut earlier = changes[..index].iter();
         let is_first = !earlier.any(|earlier| earlier.target == change.target);
         if is_first && !change.is_past_known {
             return Err(change.target.clone());
         }
-        if let Entry::Target(service, version) = &change.entry {
-            versions.push((service.clone(), version.clone()));
+        if let Entry::Target(service, run) = &change.entry {
+            runs.push((service.clone(), run.clone()));
         }
     }
-    versions.sort_unstable();
-    versions.dedup();
-    Ok(versions)
+    runs.sort_by(|(_, a), (_, b)| (&a.target, a.started).cmp(&(&b.target, b.started)));
+    runs.dedup();
+    Ok(runs)
 }
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -17,6 +17,7 @@
 use crate::name;
 use crate::request::routing_table::Target;
 use crate::request::stream_origin;
+use crate::request::stream_origin::Departure;
 use crate::target::notice::Notices;
 
 /// How long after an outage a lapsed target may be listed again.
@@ -60,7 +61,7 @@
 struct FormerVersion {
     service: name::Service,
     version: name::Version,
-    until: Millis,
+    at: Millis,
 }
 
 /// One run of a target: its name, and when it started.
@@ -99,7 +100,12 @@
                 let was_leaving = self.targets[index].target.is_leaving;
                 let former = std::mem::replace(&mut self.targets[index], listed);
                 let former = former.target;
-                self.remember_version(former.service, former.version, now);
+                let listed = &self.targets[index].target;
+                let is_same_run = run_of(listed) == run_of(&former)
+                    && (&listed.service, &listed.version) == (&former.service, &former.version);
+                if !is_same_run {
+                    self.remember_version(former.service, former.version, now);
+                }
                 if is_leaving && !was_leaving {
                     Change::Leaving
                 } else {
@@ -164,7 +170,7 @@
     pub fn versions(&self, service: &name::Service, now: Millis) -> Vec<name::Version> {
         let listed = self.targets.iter().map(|listed| &listed.target);
         let listed = listed.map(|target| (&target.service, &target.version));
-        let former = self.former_versions.iter().filter(|one| one.until > now);
+        let former = self.recently_left(now);
         let former = former.map(|one| (&one.service, &one.version));
         let of_service = listed.chain(former).filter(|(of, _)| *of == service);
         let mut versions: Vec<_> = of_service.map(|(_, version)| version.clone()).collect();
@@ -173,6 +179,24 @@
         versions
     }
 
+    /// Returns the versions of a service's targets of which a run has left within
+    /// [`stream_origin::MEMORY`].
+    #[must_use]
+    pub fn departures(&self, service: &name::Service, now: Millis) -> Vec<Departure> {
+        let left = self.recently_left(now);
+        let of_service = left.filter(|one| one.service == *service);
+        let departures = of_service.map(|one| Departure {
+            version: one.version.clone(),
+            at: one.at,
+        });
+        departures.collect()
+    }
+
+    fn recently_left(&self, now: Millis) -> impl Iterator<Item = &FormerVersion> {
+        let former = self.former_versions.iter();
+        former.filter(move |one| one.at + stream_origin::MEMORY > now)
+    }
+
     fn remember_removed(&mut self, gone: Target, now: Millis) {
         self.removed.retain(|(_, at)| *at + REMOVED_MEMORY > now);
         self.removed.push((run_of(&gone), now));
@@ -188,12 +212,12 @@
     ) {
         self.former_versions.retain(|one| {
             let is_same = one.service == service && one.version == version;
-            one.until > now && !is_same
+            one.at + stream_origin::MEMORY > now && !is_same
         });
         self.former_versions.push(FormerVersion {
             service,
             version,
-            until: now + stream_origin::MEMORY,
+            at: now,
         });
     }
 
--- a/crates/kernel/tests/direct/stream_origin.rs
+++ b/crates/kernel/tests/direct/stream_origin.rs
@@ -4,9 +4,11 @@
 use gooseberry_kernel::fleet::membership::MemberState;
 use gooseberry_kernel::fleet::mirror::Revision;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::routing_table::Incarnation;
 use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::request::stream_origin::BACKUPS;
 use gooseberry_kernel::request::stream_origin::BACKUPS_ASKED;
+use gooseberry_kernel::request::stream_origin::Departure;
 use gooseberry_kernel::request::stream_origin::MEMORY;
 use gooseberry_kernel::request::stream_origin::Origin;
 use gooseberry_kernel::request::stream_origin::Origins;
@@ -43,19 +45,28 @@
     let seen = seen.iter().map(|version| name::Version::new(version));
     Versions {
         seen: seen.collect(),
+        left: Vec::new(),
         listed_since,
         asked_at,
         history: None,
     }
 }
 
+fn incarnation(target: &str, version: &str) -> Incarnation {
+    Incarnation {
+        target: name::Target::new(target),
+        started: 5,
+        version: name::Version::new(version),
+    }
+}
+
 /// A change of the entry of a target of the service "engine"; the version is empty if the entry
 /// was removed, and "?" if it cannot be used.
 fn change(target: &str, is_past_known: bool, version: &str) -> Change {
     let entry = match version {
         "" => Entry::Removed,
         "?" => Entry::Unusable,
-        version => Entry::Target(name::Service::new("engine"), name::Version::new(version)),
+        version => Entry::Target(name::Service::new("engine"), incarnation(target, version)),
     };
     Change {
         target: name::Target::new(target),
@@ -104,8 +115,8 @@
 #[test]
 fn a_history_that_leaves_a_version_out_names_none() {
     let shown = |changes: &[Change]| {
-        let versions = version_history::versions(changes).ok()?;
-        let versions = versions.into_iter().map(|(_, version)| version.to_string());
+        let runs = version_history::runs(changes).ok()?;
+        let versions = runs.into_iter().map(|(_, run)| run.version.to_string());
         Some(versions.collect::<Vec<_>>().join(" "))
     };
     let v1 = || change("a", true, "v1");
@@ -130,18 +141,42 @@
         ended: RESUMED_AT + Millis(100),
         reach: Millis(20_000),
     };
-    let only_one = |seen, asked_at, stream_max| {
+    let v1 = name::Version::new("v1");
+    let only_left = |asked_at, stream_max| {
         let versions = Versions {
             history: Some(reading),
-            ..versions(seen, Some(Millis(500)), Some(asked_at))
+            ..versions(&["v1", "v2"], Some(Millis(99_500)), Some(asked_at))
+        };
+        versions.only_left(&v1, RESUMED_AT, Millis(stream_max))
+    };
+    assert!(only_left(RESUMED_AT, 19_900));
+    assert!(!only_left(RESUMED_AT, 19_901));
+    assert!(!only_left(RESUMED_AT - Millis(1), 19_900));
+}
+
+// A stream whose version is listed no more must not go on at another one that has read its prompt.
+#[test]
+fn a_target_that_has_left_may_have_written_a_stream() {
+    const STREAM_MAX: Millis = Millis(17_000);
+    let v1 = name::Version::new("v1");
+    let only_left = |left: &[(&str, Millis)], listed_since| {
+        let left = left.iter().map(|(version, at)| Departure {
+            version: name::Version::new(version),
+            at: *at,
+        });
+        let versions = Versions {
+            left: left.collect(),
+            ..versions(&["v1", "v2"], listed_since, Some(RESUMED_AT))
         };
-        let version = versions.only_one_in_history(RESUMED_AT, Millis(stream_max));
-        version.is_some()
+        versions.only_left(&v1, RESUMED_AT, STREAM_MAX)
     };
-    assert!(only_one(&["v1"], RESUMED_AT, 19_900));
-    assert!(!only_one(&["v1"], RESUMED_AT, 19_901));
-    assert!(!only_one(&["v1"], RESUMED_AT - Millis(1), 19_900));
-    assert!(!only_one(&["v1", "v2"], RESUMED_AT, 19_900));
+    let begun = RESUMED_AT - STREAM_MAX;
+    assert!(only_left(&[], Some(begun)));
+    assert!(!only_left(&[], Some(begun + Millis(1))));
+    assert!(!only_left(&[], None));
+    assert!(only_left(&[("v1", RESUMED_AT)], Some(begun)));
+    assert!(!only_left(&[("v1", begun), ("v2", begun)], Some(begun)));
+    assert!(only_left(&[("v2", begun - Millis(1))], Some(begun)));
 }
 
 #[test]
--- a/crates/kernel/tests/direct/stream_trace.rs
+++ b/crates/kernel/tests/direct/stream_trace.rs
@@ -5,6 +5,7 @@
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_kernel::request::demand::Demand;
+use gooseberry_kernel::request::routing_table::Incarnation;
 use gooseberry_kernel::request::stream_origin::MEMORY;
 use gooseberry_kernel::request::stream_trace::Finding;
 use gooseberry_kernel::request::stream_trace::HeldPart;
@@ -42,6 +43,15 @@
     }
 }
 
+/// A run of the target that is named like its version.
+fn incarnation(version: &str) -> Incarnation {
+    Incarnation {
+        target: name::Target::new(version),
+        started: 5,
+        version: name::Version::new(version),
+    }
+}
+
 fn memory(version: &str, parts: &[(&str, u32)], runs: &[(&str, u32)]) -> Memory {
     let part = |(id, tokens): &(&str, u32)| HeldPart {
         id: CompactString::from(*id),
@@ -52,8 +62,7 @@
         events: *events,
     };
     Memory {
-        target: name::Target::new(version),
-        version: name::Version::new(version),
+        incarnation: incarnation(version),
         runs: runs.iter().map(run).collect(),
         parts: parts.iter().map(part).collect(),
     }
@@ -155,20 +164,34 @@
 fn the_readers_of_a_prompt_are_told_by_their_version() {
     let stream = trace_of("mine", "12");
     let service = name::Service::new("engine");
-    let has_reader = |memories: &[Memory]| {
+    let reader_in = |stream: &Trace, memories: &[Memory], listed: &[Incarnation]| {
         let mut surveys = Surveys::default();
-        surveys.step(&service, &stream, Millis(0));
+        surveys.step(&service, stream, Millis(0));
         surveys.end(&service, memories.to_vec());
-        surveys.has_reader(&service, &stream, &name::Version::new("v1"))
+        let reader = surveys.only_reader(&service, stream, listed)?;
+        let undecided: Vec<_> = reader.undecided.iter().map(ToString::to_string).collect();
+        Some((reader.version.to_string(), undecided.join(" ")))
     };
+    let listed = ["v1", "v2"].map(incarnation);
+    let reader = |memories: &[Memory]| reader_in(&stream, memories, &listed);
+    let v1 = |undecided: &str| Some(("v1".to_owned(), undecided.to_owned()));
     // Engines keep whole blocks of 16 tokens.
-    assert!(has_reader(&[
-        holder("v1", READ - 15),
-        holder("v2", READ - 16)
-    ]));
-    assert!(!has_reader(&[holder("v1", READ - 16)]));
-    assert!(!has_reader(&[holder("v1", READ), holder("v2", READ - 15)]));
-    assert!(!has_reader(&[]));
+    let both = [holder("v1", READ - 15), holder("v2", READ - 16)];
+    assert_eq!(reader(&both), v1(""));
+    assert_eq!(reader(&[holder("v1", READ - 16)]), None);
+    assert_eq!(reader(&[holder("v1", READ), holder("v2", READ - 15)]), None);
+    assert_eq!(reader(&[]), None);
+    // One of another version has not answered, has started again, or keeps no part so short.
+    assert_eq!(reader(&both[..1]), v1("v2"));
+    let mut again = listed.clone();
+    again[1].started += 1;
+    assert_eq!(reader_in(&stream, &both, &again), v1("v2"));
+    let mut short = stream.clone();
+    short.part = part_trace_of(&[("shared", 700), ("mine", 15)], "12");
+    let short_parts = [holder("v1", 15), memory("v2", &[("shared", 700)], &[])];
+    assert_eq!(reader_in(&short, &short_parts, &listed), v1("v2"));
+    // Others of the same version need not be ruled out.
+    assert_eq!(reader_in(&stream, &both[..1], &listed[..1]), v1(""));
 }
 
 /// The connections of the daemons were closed: the targets have dropped what they had
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -238,7 +238,7 @@
         if finding != Finding::NotFound || !is_current {
             return finding;
         }
-        let version = only_one_in_history(context, service, trace, resumed_at).await;
+        let version = rule_out_others(context, service, trace, resumed_at).await;
         return version.map_or(finding, Finding::Version);
     }
     // A target that is not listed may hold the same prompt, but not the same run.
@@ -265,47 +265,42 @@
     );
 }
 
-/// Returns the version of a stream that no target shows any more, if a target of it has read
-/// the stream's prompt and the store's history shows that no other version has served.
-async fn only_one_in_history(
+/// Returns the version of a stream whose prompt targets of that version alone have read, if no
+/// target of another version can have written it: neither one that is listed nor one that has
+/// left.
+async fn rule_out_others(
     context: &Arc<Context>,
     service: &name::Service,
     trace: &Trace,
     resumed_at: Millis,
 ) -> Option<name::Version> {
-    let seen = context.state().versions(service, context.now());
-    let version = seen.only_seen()?;
-    if !context
-        .state()
-        .surveys()
-        .has_reader(service, trace, version)
-    {
-        return None;
-    }
     let stream_max = context.state().stream_timeout(service)? + context.boot.leaving_time;
-    let only_one = || {
-        let versions = context.state().versions(service, context.now());
-        versions
-            .only_one_in_history(resumed_at, stream_max)
-            .cloned()
+    let look = || {
+        let mut state = context.state();
+        let listed = state.incarnations(service);
+        let reader = state.surveys().only_reader(service, trace, &listed)?;
+        let versions = state.versions(service, context.now());
+        let is_only_left = versions.only_left(&reader.version, resumed_at, stream_max);
+        Some((reader, is_only_left))
     };
-    let mut found = only_one();
-    if found.is_none() {
+    let (mut reader, mut is_only_left) = look()?;
+    if reader.undecided.is_empty() && !is_only_left {
         context.history_reader.read(context).await;
-        found = only_one();
+        (reader, is_only_left) = look()?;
     }
-    // The list may have changed meanwhile.
-    found = found.filter(|found| found == version);
+    let is_proved = reader.undecided.is_empty() && is_only_left;
     log::info!(
         resumes:% = trace.attempt,
         service:% = service,
-        version:% = version,
-        is_only_one = found.is_some(),
+        version:% = reader.version,
+        undecided:? = reader.undecided,
+        is_only_left,
+        is_proved,
         stream_max_ms = stream_max.0,
         took_ms = (context.now() - resumed_at).0;
-        "asked the store's history for the versions that have served"
+        "looked for targets of other versions that may have written a stream"
     );
-    found
+    is_proved.then_some(reader.version)
 }
 
 /// Records where the stream of a request began, here and at the backups.
--- a/crates/relay/src/resumption/survey.rs
+++ b/crates/relay/src/resumption/survey.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use anyhow::ensure;
 use futures::StreamExt;
 use futures::stream;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::routing_table::Incarnation;
 use gooseberry_kernel::request::stream_trace::Finding;
 use gooseberry_kernel::request::stream_trace::Memory;
 use gooseberry_kernel::request::stream_trace::Step;
@@ -30,12 +32,10 @@
 /// A target that is asked.
 #[derive(Clone, Debug)]
 pub struct Holder {
-    /// Its name.
-    pub name: name::Target,
+    /// Its run, as the list has it.
+    pub incarnation: Incarnation,
     /// The address on which it listens.
     pub address: SocketAddr,
-    /// The version of its software.
-    pub version: name::Version,
 }
 
 /// Searches a stream in what a service's targets say.
@@ -87,26 +87,35 @@
     match answered.context("no answer in time").flatten() {
         Ok(memory) => Some(memory),
         Err(error) => {
-            log::info!(target:% = holder.name; "a target did not say which streams it has written: {error:#}");
+            log::info!(target:% = holder.incarnation.target; "a target did not say which streams it has written: {error:#}");
             None
         }
     }
 }
 
 /// Reads what a target says. Its report comes first, since it soon no longer names the runs
-/// that have ended with their connections.
+/// that have ended with their connections. A target that has started again does not say what
+/// the listed run has held.
 async fn read_memory(context: &Arc<Context>, holder: &Holder) -> anyhow::Result<Memory> {
     let host = holder.address.to_string();
-    let runs = prompt_memory::runs_request(&host, &holder.name)?;
-    let callee = Callee::of_call(holder.name.clone(), holder.address);
-    let runs = exchange::call(context, &callee, runs, ANSWER_MAX_BYTES).await?;
-    let runs = prompt_memory::read_runs(&runs)?;
-    let parts = prompt_memory::list_request(&host, &holder.name)?;
+    let Incarnation {
+        target, started, ..
+    } = &holder.incarnation;
+    let request = prompt_memory::runs_request(&host, target)?;
+    let callee = Callee::of_call(target.clone(), holder.address);
+    let report = exchange::call(context, &callee, request, ANSWER_MAX_BYTES).await?;
+    let told = prompt_memory::read_start(&report)?.filter(|_| *started > 0);
+    ensure!(
+        told.is_none_or(|told| told == *started),
+        "it has started again, at {}",
+        told.unwrap_or_default()
+    );
+    let runs = prompt_memory::read_runs(&report)?;
+    let parts = prompt_memory::list_request(&host, target)?;
     let parts = exchange::call(context, &callee, parts, ANSWER_MAX_BYTES).await?;
     let parts = prompt_memory::read_list(&parts)?;
     Ok(Memory {
-        target: holder.name.clone(),
-        version: holder.version.clone(),
+        incarnation: holder.incarnation.clone(),
         runs,
         parts,
     })
--- a/crates/relay/src/state/resumption.rs
+++ b/crates/relay/src/state/resumption.rs
@@ -4,6 +4,8 @@
 
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
+use gooseberry_kernel::request::routing_table::Incarnation;
+use gooseberry_kernel::request::routing_table::Target;
 use gooseberry_kernel::request::stream_origin;
 use gooseberry_kernel::request::stream_origin::Versions;
 use gooseberry_kernel::request::version_history;
@@ -20,6 +22,7 @@
     pub fn versions(&self, service: &name::Service, now: Millis) -> Versions {
         Versions {
             seen: self.targets.versions(service, now),
+            left: self.targets.departures(service, now),
             listed_since: self.listed_since,
             asked_at: self.asked_at(),
             // Changes after the reading are known only if the list has had no gap since.
@@ -44,17 +47,23 @@
 
     /// Records what a reading of the store's history has shown.
     pub fn record_history(&mut self, reading: Reading, changes: &[Change]) {
-        let versions = version_history::versions(changes);
+        let runs = version_history::runs(changes);
         log::info!(
             changes = changes.len(),
-            versions:? = versions,
+            runs = runs.as_ref().map_or(0, Vec::len),
+            unknown:? = runs.as_ref().err(),
             took_ms = (reading.ended - reading.begun).0;
             "read the store's history of targets"
         );
-        self.history = versions.is_ok().then_some(reading);
-        for (service, version) in versions.into_iter().flatten() {
-            self.targets
-                .remember_version(service, version, reading.ended);
+        self.history = runs.is_ok().then_some(reading);
+        for (service, run) in runs.into_iter().flatten() {
+            let is_listed = self.targets.get(&run.target).is_some_and(|listed| {
+                listed.target.service == service && listed.target.incarnation() == run
+            });
+            if !is_listed {
+                self.targets
+                    .remember_version(service, run.version, reading.ended);
+            }
         }
     }
 
@@ -71,13 +80,20 @@
         let usable = self.targets.usable(service, &self.taken_out, now);
         let unlimited = usable.filter(|listed| !self.has_rate_limit(&listed.target.name));
         let holders = unlimited.map(|listed| Holder {
-            name: listed.target.name.clone(),
+            incarnation: listed.target.incarnation(),
             address: listed.target.address,
-            version: listed.target.version.clone(),
         });
         holders.collect()
     }
 
+    /// Returns the runs of all targets of a service that are listed, also if they take no work.
+    #[must_use]
+    pub fn incarnations(&self, service: &name::Service) -> Vec<Incarnation> {
+        let listed = self.targets.all().iter().map(|listed| &listed.target);
+        let of_service = listed.filter(|target| target.service == *service);
+        of_service.map(Target::incarnation).collect()
+    }
+
     /// Returns the daemons that are asked about a stream that no backup knows, in order;
     /// `None` stands for this daemon.
     #[must_use]
--- a/crates/relay/tests/direct/lost_daemons.rs
+++ b/crates/relay/tests/direct/lost_daemons.rs
@@ -50,9 +50,10 @@
     Nothing,
 }
 
-/// Returns how many streams went on whose version has left, at the other one that is listed.
-/// If `has_read`, its target has read their prompts for attempts that brought no event.
-async fn resume_elsewhere(trace: Trace, has_read: bool) -> (usize, usize) {
+/// Returns how many streams went on after `leaving` of the two targets of their version have left,
+/// at theirs, and at the other one that is listed. If `has_read`, its target has read their prompts
+/// for attempts that brought no event.
+async fn resume_elsewhere(trace: Trace, has_read: bool, leaving: usize) -> (usize, usize) {
     let platform = TestPlatform::start().await;
     let (mut engines, streams) = lose_streams(&platform).await;
     let newer = Target::start("engine-3").await;
@@ -66,7 +67,7 @@
     if trace == Trace::Removals {
         platform.store.compact_history();
     }
-    for engine in &platform.engines {
+    for engine in &platform.engines[..leaving] {
         platform.store.remove(&format!("servers/{}", engine.name));
     }
     let entry = newer.entry("engine", "z-1", "ready");
@@ -77,20 +78,35 @@
     }
     engines.all.push((newer, "v2"));
     let started = platform.unready_daemon(2, &[]).await;
-    wait_until("the daemon is ready", || is_ready_with(&started, 7)).await;
+    wait_until("the daemon is ready", || {
+        is_ready_with(&started, 9 - leaving)
+    })
+    .await;
     resume(&engines, &started, &streams).await
 }
 
-// One listed version is no proof: streams of another one that has left must not go on there.
+// One listed version is no proof: streams of another one that has left must not go on there. The
+// same holds beside another target of their version.
 #[tokio::test]
 async fn streams_of_a_version_that_left_do_not_go_on_at_the_only_one_listed() {
     let cases = [
-        (Trace::Changes, true),
-        (Trace::Removals, true),
-        (Trace::Nothing, false),
+        (Trace::Changes, true, 2),
+        (Trace::Removals, true, 2),
+        (Trace::Nothing, false, 2),
+        (Trace::Changes, true, 1),
+        (Trace::Removals, true, 1),
     ];
-    let resumed = cases.map(|(trace, has_read)| resume_elsewhere(trace, has_read));
-    assert_eq!(futures::future::join_all(resumed).await, [(0, 0); 3]);
+    let resumed =
+        cases.map(|(trace, has_read, leaving)| resume_elsewhere(trace, has_read, leaving));
+    assert_eq!(futures::future::join_all(resumed).await, [(0, 0); 5]);
+}
+
+/// Starts two engines of each of two versions, none of which has been of another version or has
+/// left as far as the store's history tells.
+async fn two_versions(platform: &TestPlatform) -> Engines {
+    let engines = Engines::start(platform).await;
+    platform.store.compact_history();
+    engines
 }
 
 /// The parts of the prompt before the session's own part, in an earlier request of the session.
@@ -106,7 +122,7 @@
 /// sessions whose earlier answers are held by targets of both versions in turn.
 async fn resume_after_answers(earlier: Earlier) -> (usize, usize) {
     let platform = TestPlatform::start().await;
-    let engines = Engines::start(&platform).await;
+    let engines = two_versions(&platform).await;
     let first_part = match earlier {
         Earlier::Other => "s",
         Earlier::Same => "a",
@@ -136,7 +152,23 @@
 #[tokio::test]
 async fn an_earlier_answer_of_a_session_is_not_taken_for_its_stream() {
     let resumed = [Earlier::Other, Earlier::Same].map(resume_after_answers);
-    for (_, other) in futures::future::join_all(resumed).await {
-        assert_eq!(other, 0);
-    }
+    let [other_parts, same_parts] = futures::future::join_all(resumed).await[..] else {
+        unreachable!("there are two cases");
+    };
+    assert_eq!(other_parts, (STREAMS, 0));
+    assert_eq!(same_parts.1, 0);
+}
+
+// Beside two listed versions no stream went on whose targets kept nothing but its prompt.
+#[tokio::test]
+async fn streams_of_two_versions_go_on_after_all_daemons_were_lost() {
+    let platform = TestPlatform::start().await;
+    let engines = two_versions(&platform).await;
+    let lost = platform.unready_daemon(1, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
+    let streams = dropped_streams(&engines, lost).await;
+    sleep(RUNS_FORGOTTEN).await;
+    let started = platform.unready_daemon(2, &[]).await;
+    wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
+    assert_eq!(resume(&engines, &started, &streams).await, (STREAMS, 0));
 }
