resumption: leaving targets are asked which streams they hold

Cause: a survey asked only targets that take new work. Clients notice a loss of power some eight seconds later, and by then the targets of the former version are leaving.

Why the fix works: such a target serves for some seconds and still holds what it wrote, and the stream goes on at another one of its version.

The relay test failed before: 0 of 12; now 12 of 12.

--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -283,7 +283,7 @@
         now: Millis,
     ) -> impl Iterator<Item = &'a RegisteredTarget> + 'a {
         let staying = self.staying(service, taken_out, now);
-        staying.filter(move |listed| self.notices.paused_until(&listed.target, now).is_none())
+        staying.filter(move |listed| !self.is_paused(&listed.target, now))
     }
 
     /// Returns the targets of a service that take new work now or after a pause that
@@ -293,17 +293,45 @@
         service: &'a name::Service,
         taken_out: &'a [name::Domain],
         now: Millis,
+    ) -> impl Iterator<Item = &'a RegisteredTarget> + 'a {
+        let serving = self.serving(service, taken_out, now);
+        serving.filter(move |listed| {
+            let target = &listed.target;
+            let is_leaving = target.is_leaving || self.notices.is_leaving(target, now);
+            !is_leaving && !self.withdrawals.is_held(&run_of(target), now)
+        })
+    }
+
+    /// Returns the targets of a service that may be asked for what they know: those that are
+    /// listed, also if they leave, want no pause, and are in no failure domain that is taken out.
+    pub fn reachable<'a>(
+        &'a self,
+        service: &'a name::Service,
+        taken_out: &'a [name::Domain],
+        now: Millis,
+    ) -> impl Iterator<Item = &'a RegisteredTarget> + 'a {
+        let serving = self.serving(service, taken_out, now);
+        serving.filter(move |listed| !self.is_paused(&listed.target, now))
+    }
+
+    /// Returns the targets of a service that are listed and whose failure domain is not taken out.
+    fn serving<'a>(
+        &'a self,
+        service: &'a name::Service,
+        taken_out: &'a [name::Domain],
+        now: Millis,
     ) -> impl Iterator<Item = &'a RegisteredTarget> + 'a {
         self.targets.iter().filter(move |listed| {
             let target = &listed.target;
             let is_current = listed.lapse_ends.is_none_or(|at| at > now);
-            let is_leaving = target.is_leaving || self.notices.is_leaving(target, now);
-            let is_leaving = is_leaving || self.withdrawals.is_held(&run_of(target), now);
-            let accepts_work = !is_leaving && !taken_out.contains(&target.domain);
-            target.service == *service && is_current && accepts_work
+            target.service == *service && is_current && !taken_out.contains(&target.domain)
         })
     }
 
+    fn is_paused(&self, target: &Target, now: Millis) -> bool {
+        self.notices.paused_until(target, now).is_some()
+    }
+
     fn find(&self, name: &name::Target) -> Result<usize, usize> {
         self.targets
             .binary_search_by(|listed| listed.target.name.cmp(name))
--- a/crates/relay/src/resumption/survey.rs
+++ b/crates/relay/src/resumption/survey.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// Asks each target of a service that a stream may go on at.
+/// Asks each target of a service that may hold a stream.
 async fn run(context: Arc<Context>, service: name::Service) {
     let begun = context.now();
     let holders = context.state().holders(&service, begun);
--- a/crates/relay/src/state/resumption.rs
+++ b/crates/relay/src/state/resumption.rs
@@ -73,12 +73,13 @@
         self.store_status.back_at
     }
 
-    /// Returns the targets at which a stream of a service may go on, but for those that limit
-    /// their rate: what they take is left for requests.
+    /// Returns the targets of a service that may hold streams and are asked, also those that leave:
+    /// their streams go on at others of their version. Those that limit their rate are left out:
+    /// what they take is left for requests.
     #[must_use]
     pub fn holders(&self, service: &name::Service, now: Millis) -> Vec<Holder> {
-        let usable = self.targets.usable(service, &self.taken_out, now);
-        let unlimited = usable.filter(|listed| !self.has_rate_limit(&listed.target.name));
+        let reachable = self.targets.reachable(service, &self.taken_out, now);
+        let unlimited = reachable.filter(|listed| !self.has_rate_limit(&listed.target.name));
         let holders = unlimited.map(|listed| Holder {
             incarnation: listed.target.incarnation(),
             address: listed.target.address,
--- a/crates/relay/tests/direct/lost_daemons.rs
+++ b/crates/relay/tests/direct/lost_daemons.rs
@@ -159,16 +159,32 @@
     assert_eq!(same_parts.1, 0);
 }
 
-// Beside two listed versions no stream went on whose targets kept nothing but its prompt.
-#[tokio::test]
-async fn streams_of_two_versions_go_on_after_all_daemons_were_lost() {
+/// Returns how many streams of two versions go on at theirs, and how many at the other one, after
+/// these targets have said that they leave.
+async fn resume_beside_leaving(leaving: &[usize]) -> (usize, usize) {
     let platform = TestPlatform::start().await;
     let engines = two_versions(&platform).await;
     let lost = platform.unready_daemon(1, &[]).await;
     wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
     let streams = dropped_streams(&engines, lost).await;
+    for index in leaving {
+        engines.list(&platform, *index, "draining");
+    }
     sleep(RUNS_FORGOTTEN).await;
     let started = platform.unready_daemon(2, &[]).await;
     wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
-    assert_eq!(resume(&engines, &started, &streams).await, (STREAMS, 0));
+    resume(&engines, &started, &streams).await
+}
+
+// Beside two listed versions no stream went on whose targets kept nothing but its prompt.
+#[tokio::test]
+async fn streams_of_two_versions_go_on_after_all_daemons_were_lost() {
+    assert_eq!(resume_beside_leaving(&[]).await, (STREAMS, 0));
+}
+
+// Targets that were leaving were not asked what they hold, so their streams did not go on at others
+// of their version.
+#[tokio::test]
+async fn streams_of_leaving_targets_go_on_at_others_of_their_version() {
+    assert_eq!(resume_beside_leaving(&[0, 1]).await, (STREAMS, 0));
 }
--- a/crates/relay/tests/direct/versions.rs
+++ b/crates/relay/tests/direct/versions.rs
@@ -41,7 +41,7 @@
         platform.store.remove(&format!("servers/{}", target.name));
     }
 
-    fn list(&self, platform: &TestPlatform, index: usize, state: &str) {
+    pub fn list(&self, platform: &TestPlatform, index: usize, state: &str) {
         let (target, version) = &self.all[index];
         let entry = target.entry("engine", "z-1", state);
         let entry = entry.replace("\"v1\"", &format!("\"{version}\""));
