resumption: a target that does not say when it started proves nothing

Cause: no answer in time took the same branch as an answer without a start, so the store's list counted, which has the new entry only a heartbeat later. Targets that have just started are the slow ones. Evidence: the log line of the check, why='no answer in time' is_proved=true. A second target beside a silent one was not checked at all (by reading).

Why the fix works: without an answer the run is not proved, and the next target is tried. Both searches choose their target through choose_proved_path. The list still counts for targets that answer and do not say it, or whose entry has nothing to compare with.

--- a/crates/kernel/tests/direct/registry.rs
+++ b/crates/kernel/tests/direct/registry.rs
@@ -102,6 +102,18 @@
     registry.upsert(second("a"), Millis(40_000));
     assert_eq!(versions(&registry, 40_000), ["v1", "v2"]);
     assert_eq!(versions(&registry, 70_000), ["v2"]);
+    let left = |registry: &TargetRegistry| registry.departures(&service, Millis(41_000));
+    assert_eq!(left(&registry).len(), 1);
+    // An entry that changes in the same run is no departure.
+    let mut leaving = TargetRegistry::default();
+    for is_leaving in [false, true] {
+        let entry = Target {
+            is_leaving,
+            ..target("a")
+        };
+        leaving.upsert(entry, Millis(41_000));
+    }
+    assert!(left(&leaving).is_empty());
     assert!(
         registry
             .versions(&name::Service::new("t"), Millis(0))
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -310,14 +310,25 @@
     request: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> anyhow::Result<Bytes> {
+    let (status, body) = answer(context, callee, request, max_bytes).await?;
+    ensure!(status == StatusCode::OK, "status {status}");
+    Ok(body)
+}
+
+/// Makes such a call, and returns the status of its reply, too.
+pub(crate) async fn answer(
+    context: &Arc<Context>,
+    callee: &Callee,
+    request: Request<Full<Bytes>>,
+    max_bytes: usize,
+) -> anyhow::Result<(StatusCode, Bytes)> {
     let exchange = Exchange::begin(context, callee, request).await;
     let mut exchange = exchange.map_err(|error| anyhow::anyhow!("{error}"))?;
     let status = exchange.status;
-    ensure!(status == StatusCode::OK, "status {status}");
     let body = exchange.read_all(max_bytes).await;
     let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
     exchange.release(context, None);
-    Ok(body)
+    Ok((status, body))
 }
 
 /// Checks that the target has not asked for a pause since it was chosen.
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -80,7 +80,7 @@
             self.ensure_stages()
                 .await
                 .map_err(|failure| self.unknown_if_run(failure))?;
-            let path = match self.choose_path(last_failure.as_ref()).await {
+            let path = match self.choose_proved_path(last_failure.as_ref()).await {
                 Ok(path) => path,
                 Err(failure) => {
                     let failure = self.unknown_if_run(failure);
@@ -88,16 +88,6 @@
                     return Err(last_failure.unwrap_or(failure));
                 }
             };
-            if let Path::Direct(picked) = &path
-                && self.is_going_on()
-                && !run_check::keep_if_listed_run(&self.context, &self.job.head.attempt, picked)
-                    .await
-            {
-                self.end_placed(End::NotRun);
-                self.tried.push(picked.target.clone());
-                last_failure = Some(self.unknown_if_run(Kind::NoTarget.into()));
-                continue;
-            }
             if !self.may_still_retry() {
                 self.abandon(&path);
                 let failure = last_failure.unwrap_or(Kind::QueueFull.into());
@@ -151,11 +141,32 @@
         }
     }
 
-    /// Decides how the request is sent next, and waits until it may be.
-    pub(super) async fn choose_path(
+    /// Decides how the request is sent next, and waits until it may be. A stream goes on only at a
+    /// target whose run is proved.
+    pub(super) async fn choose_proved_path(
         &mut self,
         last_failure: Option<&Failure>,
     ) -> Result<Path, Failure> {
+        let unproved = Failure::from(Kind::NoTarget);
+        let mut last_failure = last_failure;
+        loop {
+            let path = self.choose_path(last_failure).await?;
+            let Path::Direct(picked) = &path else {
+                return Ok(path);
+            };
+            let (context, attempt) = (&self.context, &self.job.head.attempt);
+            if !self.is_going_on() || run_check::keep_if_listed_run(context, attempt, picked).await
+            {
+                return Ok(path);
+            }
+            self.tried.push(picked.target.clone());
+            self.end_placed(End::NotRun);
+            last_failure = Some(&unproved);
+        }
+    }
+
+    /// Decides how the request is sent next, and waits until it may be.
+    async fn choose_path(&mut self, last_failure: Option<&Failure>) -> Result<Path, Failure> {
         let now = self.context.now();
         if let Some(peer) = self.detour(now).filter(|_| now < self.job.deadline) {
             return Ok(Path::Detour(peer));
--- a/crates/relay/src/forward/race.rs
+++ b/crates/relay/src/forward/race.rs
@@ -120,6 +120,10 @@
         let may_detour = may_search && is_direct && !race.has_lost_link;
         let (context, service) = (self.context.clone(), self.job.service.name.clone());
         let tried_detours = self.tried_detours.clone();
+        if is_searching {
+            // A search that another event has interrupted may have left one.
+            self.end_placed(End::NotRun);
+        }
         let until = |at: Millis| sleep(Duration::from_millis((at - now).0));
         tokio::select! {
             biased;
@@ -127,7 +131,7 @@
             () = until(race.overlap_end.unwrap_or(now)), if race.overlap_end.is_some() => {
                 Event::OverlapEnd
             }
-            path = self.choose_path(None), if is_searching => Event::Searched(path),
+            path = self.choose_proved_path(None), if is_searching => Event::Searched(path),
             () = until(search_at), if may_search => Event::Silent,
             () = link::until_detour(&context, &service, &tried_detours), if may_detour => {
                 Event::LinkLost
--- a/crates/relay/src/resumption/run_check.rs
+++ b/crates/relay/src/resumption/run_check.rs
@@ -2,19 +2,21 @@
 //!
 //! A target may start again under its name as another software version, and the list says so
 //! only once the store has the new entry and the daemon has read it. A stream that went on there
-//! would be joined of two versions. So the target is asked when it started. If it does not say,
-//! the list counts if the store confirms it, but not just after the store was away: a target
-//! writes its entry again some time after the store's return.
+//! would be joined of two versions. So the target is asked when it started. One that does not
+//! answer is not proved: it may have just started, which makes it slow, and its new entry comes
+//! later still. If it answers and does not say, the list counts if the store confirms it, but not
+//! just after the store was away: a target writes its entry again some time after its return.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context as _;
-use compact_str::CompactString;
+use anyhow::bail;
 use compact_str::format_compact;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::name;
 use gooseberry_platform::prompt_memory;
+use http::StatusCode;
 use tokio::time::timeout;
 
 use crate::context::Context;
@@ -53,21 +55,25 @@
     picked: &PickedTarget,
 ) -> bool {
     let began = context.now();
-    let (told, why) = match read_start(context, picked).await {
-        Ok(told) => (told, CompactString::default()),
-        Err(error) => (None, format_compact!("{error}")),
-    };
-    let is_proved = match told {
-        Some(started) if picked.started > 0 => started == picked.started,
-        _ => is_confirmed_by_store(context, picked, began).await,
+    let answer = read_start(context, picked).await;
+    let is_proved = match &answer {
+        // The list has no start to compare with.
+        _ if picked.started == 0 => is_confirmed_by_store(context, picked, began).await,
+        Ok(Some(started)) => *started == picked.started,
+        Ok(None) => is_confirmed_by_store(context, picked, began).await,
+        Err(_) => false,
     };
+    let why = answer
+        .as_ref()
+        .err()
+        .map(|error| format_compact!("{error}"));
     log::info!(
         request:% = attempt,
         target:% = picked.target,
         version:% = picked.version,
         listed_start = picked.started,
-        told_start:? = told,
-        why:%,
+        told_start:? = answer.as_ref().ok(),
+        why:% = why.unwrap_or_default(),
         is_proved,
         took_ms = (context.now() - began).0;
         "checked the run of a target that a stream may go on at"
@@ -92,16 +98,23 @@
     !has_returned && state.is_listed_run(picked)
 }
 
-/// Asks a target when it started; `None` if its report does not say so. What a target with a
-/// rate limit takes is left for requests.
+/// Asks a target when it started; `None` if it does not say so. What a target with a rate limit
+/// takes is left for requests.
 async fn read_start(context: &Arc<Context>, picked: &PickedTarget) -> anyhow::Result<Option<u64>> {
     if context.state().has_rate_limit(&picked.target) {
         return Ok(None);
     }
     let request = prompt_memory::runs_request(&picked.address.to_string(), &picked.target)?;
     let callee = Callee::of_call(picked.target.clone(), picked.address);
-    let report = exchange::call(context, &callee, request, REPORT_MAX_BYTES);
-    let report = timeout(ANSWER_TIMEOUT, report).await;
-    let report = report.context("no answer in time").flatten()?;
-    prompt_memory::read_start(&report)
+    let answer = exchange::answer(context, &callee, request, REPORT_MAX_BYTES);
+    let answer = timeout(ANSWER_TIMEOUT, answer).await;
+    let (status, report) = answer.context("no answer in time").flatten()?;
+    match status {
+        StatusCode::OK => prompt_memory::read_start(&report),
+        // It has no such report.
+        StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED | StatusCode::NOT_IMPLEMENTED => {
+            Ok(None)
+        }
+        status => bail!("status {status}"),
+    }
 }
--- a/crates/relay/tests/direct/stale_lists.rs
+++ b/crates/relay/tests/direct/stale_lists.rs
@@ -106,6 +106,31 @@
     assert_eq!(newer, 0, "{answer:?}");
 }
 
+// A target that was too slow to say when it had started counted as the run that the store listed.
+#[tokio::test]
+async fn a_stream_does_not_go_on_at_a_target_that_does_not_say_when_it_started() {
+    let platform = TestPlatform::start().await;
+    for target in &platform.engines {
+        target.set_born(1);
+        let address = slow_proxy(target.address, Duration::from_millis(300)).await;
+        let entry = target.entry_at(address, "engine", "z-1", "ready");
+        let entry = entry.replacen('{', "{\"born\": 1, ", 1);
+        let key = format!("servers/{}", target.name);
+        platform.store.put(&key, &entry);
+    }
+    let daemon = platform.daemon(1, &[]).await;
+    let [first, second] = &platform.engines;
+    let attempt = broken_stream(&[first, second], &daemon).await;
+    for target in &platform.engines {
+        target.set_born(2);
+    }
+    let client = resumed("/resume/", &attempt);
+    let answer = answer_to(&client, &daemon).await;
+    let newer = runs(first, &client.attempt) + runs(second, &client.attempt);
+    assert_eq!(newer, 0, "{answer:?}");
+    assert_eq!(answer.status, 503);
+}
+
 /// Lists engines of two versions, so that one version alone is no evidence.
 async fn mixed_engines(platform: &TestPlatform) -> Vec<Target> {
     let newer = vec![
@@ -214,19 +239,20 @@
     assert_eq!(served, attempts.len());
 }
 
-/// Starts a proxy of the store whose answers take this much longer.
-async fn slow_store(store: SocketAddr, delay: Duration) -> SocketAddr {
+/// Starts a proxy of the store or a target whose answers take this much longer.
+async fn slow_proxy(server: SocketAddr, delay: Duration) -> SocketAddr {
     let address = SocketAddr::from((unused_ip(), 9_100));
     let listener = TcpListener::bind(address).await.expect("the port is free");
     tokio::spawn(async move {
         while let Ok((daemon, _)) = listener.accept().await {
-            let store = TcpStream::connect(store).await.expect("the store listens");
-            let (mut from_store, mut to_store) = store.into_split();
+            let server = TcpStream::connect(server).await;
+            let server = server.expect("the server listens");
+            let (mut from_server, mut to_server) = server.into_split();
             let (mut from_daemon, mut to_daemon) = daemon.into_split();
-            tokio::spawn(async move { tokio::io::copy(&mut from_daemon, &mut to_store).await });
+            tokio::spawn(async move { tokio::io::copy(&mut from_daemon, &mut to_server).await });
             tokio::spawn(async move {
                 let mut bytes = vec![0; 1 << 16];
-                while let Ok(count @ 1..) = from_store.read(&mut bytes).await {
+                while let Ok(count @ 1..) = from_server.read(&mut bytes).await {
                     sleep(delay).await;
                     if to_daemon.write_all(&bytes[..count]).await.is_err() {
                         return;
@@ -242,7 +268,7 @@
 async fn streams_of_the_only_version_go_on_while_the_store_is_slow() {
     const STREAMS: usize = 50;
     let platform = TestPlatform::start().await;
-    let store = slow_store(platform.store.address, Duration::from_millis(300)).await;
+    let store = slow_proxy(platform.store.address, Duration::from_millis(300)).await;
     let daemon = start_daemon(2, &[], store).await;
     wait_until("the daemon is ready", || usable_engines(&daemon) == 2).await;
     sleep(Duration::from_millis(MEMORY.0)).await;
