--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -315,7 +315,8 @@
     Ok(body)
 }
 
-/// Makes such a call, and returns the status of its reply, too.
+/// Makes such a call, and returns the status of its reply, too. The body is read only if that is
+/// 200, else it is empty.
 pub(crate) async fn answer(
     context: &Arc<Context>,
     callee: &Callee,
@@ -325,6 +326,9 @@
     let exchange = Exchange::begin(context, callee, request).await;
     let mut exchange = exchange.map_err(|error| anyhow::anyhow!("{error}"))?;
     let status = exchange.status;
+    if status != StatusCode::OK {
+        return Ok((status, Bytes::new()));
+    }
     let body = exchange.read_all(max_bytes).await;
     let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
     exchange.release(context, None);
