--- a/crates/kernel/src/request/stream_origin.rs
+++ b/crates/kernel/src/request/stream_origin.rs
@@ -71,7 +71,7 @@
         /// within [`MEMORY`], sorted.
         pub seen: Vec<name::Version>,
         /// The versions of the service's targets that have left within [`MEMORY`].
-        pub left: Vec<Departure>,
+        pub departures: Vec<Departure>,
         /// From when on the daemon knows each change of the list; `None` before it has it.
         pub listed_since: Option<Millis>,
         /// When the daemon asked for the last changes that are in the list; `None` if it never
@@ -174,7 +174,7 @@
     /// a client resumed at a time and that lasts `stream_max` at most. It is proof only together
     /// with what targets hold of the stream.
     #[must_use]
-    pub fn only_left(
+    pub fn excludes_departed(
         &self,
         version: &name::Version,
         resumed_at: Millis,
@@ -187,10 +187,10 @@
         let is_covered = self
             .history
             .is_some_and(|history| history.covers(resumed_at, stream_max));
-        let mut left = self.left.iter();
-        is_current
-            && (has_seen_all || is_covered)
-            && left.all(|left| left.version == *version || left.at + stream_max < resumed_at)
+        let mut departures = self.departures.iter();
+        let is_irrelevant =
+            |one: &Departure| one.version == *version || one.at + stream_max < resumed_at;
+        is_current && (has_seen_all || is_covered) && departures.all(is_irrelevant)
     }
 
     /// Returns the version that would be the only one if the list is current.
--- a/crates/kernel/src/target/registry.rs
+++ b/crates/kernel/src/target/registry.rs
@@ -304,7 +304,7 @@
 
     /// Returns the targets of a service that may be asked for what they know: those that are
     /// listed, also if they leave, want no pause, and are in no failure domain that is taken out.
-    pub fn reachable<'a>(
+    pub fn queryable<'a>(
         &'a self,
         service: &'a name::Service,
         taken_out: &'a [name::Domain],
--- a/crates/kernel/tests/direct/stream_origin.rs
+++ b/crates/kernel/tests/direct/stream_origin.rs
@@ -45,7 +45,7 @@
     let seen = seen.iter().map(|version| name::Version::new(version));
     Versions {
         seen: seen.collect(),
-        left: Vec::new(),
+        departures: Vec::new(),
         listed_since,
         asked_at,
         history: None,
@@ -142,16 +142,16 @@
         reach: Millis(20_000),
     };
     let v1 = name::Version::new("v1");
-    let only_left = |asked_at, stream_max| {
+    let excludes_departed = |asked_at, stream_max| {
         let versions = Versions {
             history: Some(reading),
             ..versions(&["v1", "v2"], Some(Millis(99_500)), Some(asked_at))
         };
-        versions.only_left(&v1, RESUMED_AT, Millis(stream_max))
+        versions.excludes_departed(&v1, RESUMED_AT, Millis(stream_max))
     };
-    assert!(only_left(RESUMED_AT, 19_900));
-    assert!(!only_left(RESUMED_AT, 19_901));
-    assert!(!only_left(RESUMED_AT - Millis(1), 19_900));
+    assert!(excludes_departed(RESUMED_AT, 19_900));
+    assert!(!excludes_departed(RESUMED_AT, 19_901));
+    assert!(!excludes_departed(RESUMED_AT - Millis(1), 19_900));
 }
 
 // A stream whose version is listed no more must not go on at another one that has read its prompt.
@@ -159,24 +159,27 @@
 fn a_target_that_has_left_may_have_written_a_stream() {
     const STREAM_MAX: Millis = Millis(17_000);
     let v1 = name::Version::new("v1");
-    let only_left = |left: &[(&str, Millis)], listed_since| {
+    let excludes_departed = |left: &[(&str, Millis)], listed_since| {
         let left = left.iter().map(|(version, at)| Departure {
             version: name::Version::new(version),
             at: *at,
         });
         let versions = Versions {
-            left: left.collect(),
+            departures: left.collect(),
             ..versions(&["v1", "v2"], listed_since, Some(RESUMED_AT))
         };
-        versions.only_left(&v1, RESUMED_AT, STREAM_MAX)
+        versions.excludes_departed(&v1, RESUMED_AT, STREAM_MAX)
     };
     let begun = RESUMED_AT - STREAM_MAX;
-    assert!(only_left(&[], Some(begun)));
-    assert!(!only_left(&[], Some(begun + Millis(1))));
-    assert!(!only_left(&[], None));
-    assert!(only_left(&[("v1", RESUMED_AT)], Some(begun)));
-    assert!(!only_left(&[("v1", begun), ("v2", begun)], Some(begun)));
-    assert!(only_left(&[("v2", begun - Millis(1))], Some(begun)));
+    assert!(excludes_departed(&[], Some(begun)));
+    assert!(!excludes_departed(&[], Some(begun + Millis(1))));
+    assert!(!excludes_departed(&[], None));
+    assert!(excludes_departed(&[("v1", RESUMED_AT)], Some(begun)));
+    assert!(!excludes_departed(
+        &[("v1", begun), ("v2", begun)],
+        Some(begun)
+    ));
+    assert!(excludes_departed(&[("v2", begun - Millis(1))], Some(begun)));
 }
 
 #[test]
--- a/crates/kernel/tests/direct/stream_trace.rs
+++ b/crates/kernel/tests/direct/stream_trace.rs
@@ -141,24 +141,6 @@
     assert_eq!(found, Finding::Ambiguous);
 }
 
-// An answer that a survey of some seconds ago showed was believed, though a target of another
-// version had written the stream since.
-#[test]
-fn an_old_survey_shows_nothing_but_runs() {
-    let service = name::Service::new("engine");
-    let now = Millis(5) + SURVEY_AGE_MAX;
-    let step = |memory| {
-        let mut surveys = Surveys::default();
-        let stream = trace_of("mine", "12");
-        surveys.step(&service, &stream, Millis(0));
-        surveys.end(&service, vec![memory]);
-        surveys.step(&service, &stream, now)
-    };
-    assert_eq!(step(holder("v1", READ + 12)), Step::Begin);
-    let run = memory("v1", &[], &[("mine", 3)]);
-    assert_eq!(step(run), Step::Ended(version("v1")));
-}
-
 // After a loss of all daemons, targets that keep no more than prompts were no proof at all.
 #[test]
 fn the_readers_of_a_prompt_are_told_by_their_version() {
@@ -313,6 +295,14 @@
         surveys.step(&service, &stream, MEMORY),
         Step::Ended(version("v1"))
     );
-    surveys.expire(MEMORY);
-    assert_eq!(surveys.step(&service, &stream, MEMORY), Step::Begin);
+    // An old one shows nothing but runs: another target may have written a stream since.
+    surveys.end(&service, vec![holder("v1", READ + 1)]);
+    let step = surveys.step(&service, &stream, MEMORY);
+    assert_eq!(step, Step::Begin);
+    surveys.end(&service, vec![holder("v1", READ + 1)]);
+    let step = surveys.step(&service, &stream, MEMORY + SURVEY_AGE_MAX);
+    assert_eq!(step, Step::Ended(version("v1")));
+    surveys.expire(MEMORY + MEMORY);
+    let step = surveys.step(&service, &stream, MEMORY + MEMORY);
+    assert_eq!(step, Step::Begin);
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -310,14 +310,14 @@
     request: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> anyhow::Result<Bytes> {
-    let (status, body) = answer(context, callee, request, max_bytes).await?;
+    let (status, body) = call_with_status(context, callee, request, max_bytes).await?;
     ensure!(status == StatusCode::OK, "status {status}");
     Ok(body)
 }
 
 /// Makes such a call, and returns the status of its reply, too. The body is read only if that is
 /// 200, else it is empty.
-pub(crate) async fn answer(
+pub(crate) async fn call_with_status(
     context: &Arc<Context>,
     callee: &Callee,
     request: Request<Full<Bytes>>,
--- a/crates/relay/src/resumption.rs
+++ b/crates/relay/src/resumption.rs
@@ -280,21 +280,22 @@
         let listed = state.incarnations(service);
         let reader = state.surveys().only_reader(service, trace, &listed)?;
         let versions = state.versions(service, context.now());
-        let is_only_left = versions.only_left(&reader.version, resumed_at, stream_max);
-        Some((reader, is_only_left))
+        let are_departed_excluded =
+            versions.excludes_departed(&reader.version, resumed_at, stream_max);
+        Some((reader, are_departed_excluded))
     };
-    let (mut reader, mut is_only_left) = look()?;
-    if reader.undecided.is_empty() && !is_only_left {
+    let (mut reader, mut are_departed_excluded) = look()?;
+    if reader.undecided.is_empty() && !are_departed_excluded {
         context.history_reader.read(context).await;
-        (reader, is_only_left) = look()?;
+        (reader, are_departed_excluded) = look()?;
     }
-    let is_proved = reader.undecided.is_empty() && is_only_left;
+    let is_proved = reader.undecided.is_empty() && are_departed_excluded;
     log::info!(
         resumes:% = trace.attempt,
         service:% = service,
         version:% = reader.version,
         undecided:? = reader.undecided,
-        is_only_left,
+        are_departed_excluded,
         is_proved,
         stream_max_ms = stream_max.0,
         took_ms = (context.now() - resumed_at).0;
--- a/crates/relay/src/resumption/run_check.rs
+++ b/crates/relay/src/resumption/run_check.rs
@@ -106,7 +106,7 @@
     }
     let request = prompt_memory::runs_request(&picked.address.to_string(), &picked.target)?;
     let callee = Callee::of_call(picked.target.clone(), picked.address);
-    let answer = exchange::answer(context, &callee, request, REPORT_MAX_BYTES);
+    let answer = exchange::call_with_status(context, &callee, request, REPORT_MAX_BYTES);
     let answer = timeout(ANSWER_TIMEOUT, answer).await;
     let (status, report) = answer.context("no answer in time").flatten()?;
     match status {
--- a/crates/relay/src/state/resumption.rs
+++ b/crates/relay/src/state/resumption.rs
@@ -22,7 +22,7 @@
     pub fn versions(&self, service: &name::Service, now: Millis) -> Versions {
         Versions {
             seen: self.targets.versions(service, now),
-            left: self.targets.departures(service, now),
+            departures: self.targets.departures(service, now),
             listed_since: self.listed_since,
             asked_at: self.asked_at(),
             // Changes after the reading are known only if the list has had no gap since.
@@ -78,8 +78,8 @@
     /// what they take is left for requests.
     #[must_use]
     pub fn holders(&self, service: &name::Service, now: Millis) -> Vec<Holder> {
-        let reachable = self.targets.reachable(service, &self.taken_out, now);
-        let unlimited = reachable.filter(|listed| !self.has_rate_limit(&listed.target.name));
+        let queryable = self.targets.queryable(service, &self.taken_out, now);
+        let unlimited = queryable.filter(|listed| !self.has_rate_limit(&listed.target.name));
         let holders = unlimited.map(|listed| Holder {
             incarnation: listed.target.incarnation(),
             address: listed.target.address,
--- a/crates/relay/tests/direct/lost_daemons.rs
+++ b/crates/relay/tests/direct/lost_daemons.rs
@@ -101,39 +101,21 @@
     assert_eq!(futures::future::join_all(resumed).await, [(0, 0); 5]);
 }
 
-/// Starts two engines of each of two versions, none of which has been of another version or has
-/// left as far as the store's history tells.
-async fn two_versions(platform: &TestPlatform) -> Engines {
-    let engines = Engines::start(platform).await;
-    platform.store.compact_history();
-    engines
-}
-
-/// The parts of the prompt before the session's own part, in an earlier request of the session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Earlier {
-    /// Those of another kind of request.
-    Other,
-    /// The same.
-    Same,
-}
-
-/// Returns how many streams of two versions go on at theirs, and how many at the other one, of
-/// sessions whose earlier answers are held by targets of both versions in turn.
-async fn resume_after_answers(earlier: Earlier) -> (usize, usize) {
+/// Has streams of two versions lose all daemons, and returns how many go on at theirs, and how many
+/// at the other one. If `earlier` is the first part of a prompt, targets of both versions in turn
+/// hold an earlier answer of each stream's session to such a prompt. The targets `leaving` say that
+/// they leave meanwhile.
+async fn resume_at_two_versions(earlier: Option<&str>, leaving: &[usize]) -> (usize, usize) {
     let platform = TestPlatform::start().await;
-    let engines = two_versions(&platform).await;
-    let first_part = match earlier {
-        Earlier::Other => "s",
-        Earlier::Same => "a",
-    };
-    for number in 0..STREAMS {
+    let engines = Engines::start(&platform).await;
+    // No target has been of another version, as far as the store's history tells.
+    platform.store.compact_history();
+    for number in (0..STREAMS).filter(|_| earlier.is_some()) {
         let (target, _) = &engines.all[number % 2];
+        let first_part = earlier.unwrap_or_default();
+        let prompt = format!("{first_part}{number}:50,b{number}:50");
         let client = request(number)
-            .with(
-                "Prompt-Prefix",
-                &format!("{first_part}{number}:50,b{number}:50"),
-            )
+            .with("Prompt-Prefix", &prompt)
             .with("Expect-Instance", &target.name);
         let answer = client.send(target.address).await.expect("an answer");
         assert!(answer.is_complete);
@@ -141,32 +123,6 @@
     let lost = platform.unready_daemon(1, &[]).await;
     wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
     let streams = dropped_streams(&engines, lost).await;
-    sleep(RUNS_FORGOTTEN).await;
-    let started = platform.unready_daemon(2, &[]).await;
-    wait_until("the daemon is ready", || is_ready_with(&started, 10)).await;
-    resume(&engines, &started, &streams).await
-}
-
-// A target that held an earlier answer of the session, with the tokens of some other stream, was
-// taken for the writer, while the one that had written the stream held no more than its prompt.
-#[tokio::test]
-async fn an_earlier_answer_of_a_session_is_not_taken_for_its_stream() {
-    let resumed = [Earlier::Other, Earlier::Same].map(resume_after_answers);
-    let [other_parts, same_parts] = futures::future::join_all(resumed).await[..] else {
-        unreachable!("there are two cases");
-    };
-    assert_eq!(other_parts, (STREAMS, 0));
-    assert_eq!(same_parts.1, 0);
-}
-
-/// Returns how many streams of two versions go on at theirs, and how many at the other one, after
-/// these targets have said that they leave.
-async fn resume_beside_leaving(leaving: &[usize]) -> (usize, usize) {
-    let platform = TestPlatform::start().await;
-    let engines = two_versions(&platform).await;
-    let lost = platform.unready_daemon(1, &[]).await;
-    wait_until("the daemon is ready", || is_ready_with(&lost, 10)).await;
-    let streams = dropped_streams(&engines, lost).await;
     for index in leaving {
         engines.list(&platform, *index, "draining");
     }
@@ -179,12 +135,23 @@
 // Beside two listed versions no stream went on whose targets kept nothing but its prompt.
 #[tokio::test]
 async fn streams_of_two_versions_go_on_after_all_daemons_were_lost() {
-    assert_eq!(resume_beside_leaving(&[]).await, (STREAMS, 0));
+    assert_eq!(resume_at_two_versions(None, &[]).await, (STREAMS, 0));
 }
 
 // Targets that were leaving were not asked what they hold, so their streams did not go on at others
 // of their version.
 #[tokio::test]
 async fn streams_of_leaving_targets_go_on_at_others_of_their_version() {
-    assert_eq!(resume_beside_leaving(&[0, 1]).await, (STREAMS, 0));
+    assert_eq!(resume_at_two_versions(None, &[0, 1]).await, (STREAMS, 0));
+}
+
+// A target that held an earlier answer of the session, with the tokens of some other stream, was
+// taken for the writer, while the one that had written the stream held no more than its prompt.
+#[tokio::test]
+async fn an_earlier_answer_of_a_session_is_not_taken_for_its_stream() {
+    let to_other_prompts = resume_at_two_versions(Some("s"), &[]);
+    let to_same_prompts = resume_at_two_versions(Some("a"), &[]);
+    let (other, same) = futures::future::join(to_other_prompts, to_same_prompts).await;
+    assert_eq!(other, (STREAMS, 0));
+    assert_eq!(same.1, 0);
 }
