Soak: targets that break streams off or refuse requests, beside silences, changes and stops

The scene of the record with real processes: three stages, resumable routes, changes of settings, stops in turn, silences, full stages, and engines and stages that break off or refuse. SOAK_DAEMON names the daemon that runs, so that two builds can be compared.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -9,10 +9,12 @@
 //!     SOAK_SEEDS=1..20 SOAK_DAEMONS=5 cargo test -p gooseberryd --test soak -- \
 //!         --ignored --nocapture releases
 //!
-//! and with silent targets, `silences` in place of `releases`.
+//! and with silent targets, `silences` in place of `releases`; with targets that also break
+//! streams off, `breaks`.
 //!
 //! `SOAK_FORMER` names the daemon of a former build. Each daemon then changes between the two
-//! builds whenever it is started, so that all mixtures of them serve together.
+//! builds whenever it is started, so that all mixtures of them serve together. `SOAK_DAEMON`
+//! names the daemon that runs in place of this build.
 
 #![allow(missing_docs, clippy::unwrap_used)]
 
@@ -23,6 +25,7 @@
 use gooseberry_soak::release;
 use gooseberry_soak::run;
 use gooseberry_soak::silence;
+use gooseberry_soak::silence::Trouble;
 
 /// The seeds that CI runs, and the faults they find:
 ///
@@ -47,13 +50,14 @@
     Faults,
     /// Releases of engines, with this number of daemons.
     Releases(u8),
-    /// Silent targets beside changes and restarts.
-    Silences,
+    /// Targets in trouble beside changes and restarts.
+    Targets(Trouble),
 }
 
 async fn run_seeds(scenario: Scenario, seeds: impl Iterator<Item = u64>) {
     let builds = Builds {
-        present: env!("CARGO_BIN_EXE_gooseberryd").into(),
+        present: std::env::var_os("SOAK_DAEMON")
+            .map_or(env!("CARGO_BIN_EXE_gooseberryd").into(), PathBuf::from),
         former: std::env::var_os("SOAK_FORMER").map(PathBuf::from),
     };
     let mut failed = Vec::new();
@@ -61,7 +65,7 @@
         let report = match scenario {
             Scenario::Faults => run(&builds, seed).await,
             Scenario::Releases(daemons) => release::run(&builds, seed, daemons).await,
-            Scenario::Silences => silence::run(&builds, seed).await,
+            Scenario::Targets(trouble) => silence::run(&builds, seed, trouble).await,
         };
         let report = report.unwrap();
         let count = report.violations.len();
@@ -93,7 +97,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_targets_beside_changes_and_restarts_end_no_answer() {
-    run_seeds(Scenario::Silences, std::iter::once(SILENCE_SEED)).await;
+    let scenario = Scenario::Targets(Trouble::Silence);
+    run_seeds(scenario, std::iter::once(SILENCE_SEED)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -112,7 +117,13 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "runs the seeds that SOAK_SEEDS names, such as 100..150"]
 async fn silences_from_the_environment() {
-    run_seeds(Scenario::Silences, seeds_to_run()).await;
+    run_seeds(Scenario::Targets(Trouble::Silence), seeds_to_run()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "runs the seeds that SOAK_SEEDS names, such as 100..150"]
+async fn breaks_from_the_environment() {
+    run_seeds(Scenario::Targets(Trouble::Breaks), seeds_to_run()).await;
 }
 
 fn seeds_to_run() -> Range<u64> {
