relay: one log line for each answer that ends early

AnswerRecord goes with a request from its head to the last byte that is flushed. If the answer ends before, it logs the id, the reason, the step that failed, the versions of the settings at admission and now, and whether the daemon stops.

--- a/crates/ctl/src/loss.rs
+++ b/crates/ctl/src/loss.rs
@@ -110,7 +110,10 @@
             "request refused" | "request answered with the error reply of its first target" => {
                 Some(Self::Failed)
             }
-            "a stream ended before its last event was passed on" => Some(Self::Cut),
+            // Former builds have the second text.
+            "an answer ended early" | "a stream ended before its last event was passed on" => {
+                Some(Self::Cut)
+            }
             "the client disconnected before the response began" => Some(Self::Left),
             _ => None,
         }
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -55,10 +55,12 @@
 }
 
 async fn run_seeds(scenario: Scenario, seeds: impl Iterator<Item = u64>) {
+    let program = |name| std::env::var_os(name).map(PathBuf::from);
+    let (other, former) = (program("SOAK_DAEMON"), program("SOAK_FORMER"));
     let builds = Builds {
-        present: std::env::var_os("SOAK_DAEMON")
-            .map_or(env!("CARGO_BIN_EXE_gooseberryd").into(), PathBuf::from),
-        former: std::env::var_os("SOAK_FORMER").map(PathBuf::from),
+        log_early_ends: other.is_none() && former.is_none(),
+        present: other.unwrap_or(env!("CARGO_BIN_EXE_gooseberryd").into()),
+        former,
     };
     let mut failed = Vec::new();
     for seed in seeds {
--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -12,6 +12,7 @@
 use gooseberry_kernel::request::client_timeouts::TimeoutCheck;
 use gooseberry_runtime::observed_stream::ByteObserver;
 
+use crate::answer_record::Delivery;
 use crate::context::Context;
 use crate::http_server::ResponseBody;
 
@@ -35,6 +36,9 @@
 struct EndedRequest {
     _body: Option<ResponseBody>,
     _count: CountGuard,
+    /// Whether the body was read to its end.
+    is_read: bool,
+    delivery: Option<Delivery>,
 }
 
 impl Activity {
@@ -57,6 +61,8 @@
         RequestGuard {
             activity: self.clone(),
             body: None,
+            is_read: false,
+            delivery: None,
             count: Some(count),
         }
     }
@@ -89,16 +95,20 @@
     fn on_write(&self, _: usize) {}
 
     fn on_flush(&self) {
-        let unsent = std::mem::take(&mut self.lock().unsent);
+        let mut unsent = std::mem::take(&mut self.lock().unsent);
         if unsent.is_empty() {
             return;
         }
         let now = self.context.now();
         let limits = self.context.state().client_limits(now);
         let mut state = self.lock();
-        for _ in &unsent {
+        for ended in &mut unsent {
             state.timeouts.end(limits, now);
+            if let Some(delivery) = ended.delivery.as_mut().filter(|_| ended.is_read) {
+                delivery.complete();
+            }
         }
+        drop(state);
     }
 }
 
@@ -109,6 +119,10 @@
     activity: Arc<Activity>,
     /// The body of its response, once there is one.
     pub(crate) body: Option<ResponseBody>,
+    /// Whether its response body was read to its end, or has no bytes to send.
+    pub(crate) is_read: bool,
+    /// Logs if its answer ends early.
+    pub(crate) delivery: Option<Delivery>,
     count: Option<CountGuard>,
 }
 
@@ -118,6 +132,8 @@
             self.activity.lock().unsent.push(EndedRequest {
                 _body: self.body.take(),
                 _count: count,
+                is_read: self.is_read,
+                delivery: self.delivery.take(),
             });
         }
     }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,8 +13,9 @@
 //! - `placement` picks the target that a placer has chosen.
 //! - `crash` records targets that fail, and requests that may crash them.
 //! - `reply` says what a reply is used for, and returns the head that is passed on.
+//! - `resume` resumes a stream that its target has broken off.
 //! - `retry` asks the retry budget.
-//! - `stream` passes on a stream of events, and resumes a broken one.
+//! - `stream` passes on a stream of events.
 //! - `successor` hands a paused stream over to another target.
 //! - `time_left` refuses what could not end before a daemon that is shutting down.
 
@@ -27,6 +28,7 @@
 mod placement;
 mod race;
 mod reply;
+mod resume;
 mod retry;
 mod stream;
 mod successor;
@@ -51,6 +53,8 @@
 use gooseberry_platform::target::Reply;
 use http::Response;
 
+use crate::answer_record::Step;
+use crate::answer_record::StreamFacts;
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::forward::pick::InFlightGuard;
@@ -86,6 +90,7 @@
         last_send: None,
         retry: Retry::None,
         is_sending: false,
+        step: Step::Stages,
         possible_runs: 0,
         events,
         current: None,
@@ -123,6 +128,8 @@
     retry: Retry,
     /// Whether it is being sent, and the reply has not begun.
     is_sending: bool,
+    /// How far the current way to a target has got.
+    step: Step,
     /// How many targets may have run it.
     possible_runs: u32,
     /// The events of a stream that were passed on.
@@ -329,15 +336,12 @@
         }
         let now = self.context.now();
         self.context.metrics.request(self.job.form(), "cut");
-        log::info!(
-            request:% = self.job.head.attempt,
-            sends = self.sends,
-            events = self.events.count(),
-            longest_gap_ms = self.punctuality.longest_gap().0,
-            gap_target = self.punctuality.gap_target().map_or("", name::Target::as_str),
-            silent_ms = (now - self.punctuality.last_at().unwrap_or(now)).0,
-            took_ms = (now - self.job.arrived).0;
-            "a stream ended before its last event was passed on"
-        );
+        self.job.record.record_stream(StreamFacts {
+            events: self.events.count(),
+            sends: self.sends,
+            silent: now - self.punctuality.last_at().unwrap_or(now),
+            longest_gap: self.punctuality.longest_gap(),
+            gap_target: self.punctuality.gap_target().cloned(),
+        });
     }
 }
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -20,6 +20,7 @@
 use http_body_util::Full;
 use tokio::time::timeout;
 
+use crate::answer_record::Step;
 use crate::forward::Forwarder;
 use crate::forward::SendOutcome;
 use crate::forward::StartedReply;
@@ -77,9 +78,11 @@
     pub(super) async fn send(&mut self) -> Result<Box<StartedReply>, Failure> {
         let mut last_failure: Option<Failure> = None;
         loop {
+            self.step = Step::Stages;
             self.ensure_stages()
                 .await
                 .map_err(|failure| self.unknown_if_run(failure))?;
+            self.step = Step::Pick;
             let path = match self.choose_proved_path(last_failure.as_ref()).await {
                 Ok(path) => path,
                 Err(failure) => {
@@ -101,6 +104,7 @@
                 self.abandon(&path);
                 return Err(failure);
             }
+            self.step = Step::Send;
             self.is_sending = true;
             let outcome = self.send_once(path).await;
             self.is_sending = false;
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -1,5 +1,4 @@
-//! Passes a stream of events on to the client, event by event, and resumes a
-//! broken stream at another target.
+//! Passes a stream of events on to the client, event by event.
 
 use std::io;
 use std::time::Duration;
@@ -8,7 +7,6 @@
 use futures::stream;
 use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::request::stream_origin::Origin;
-use gooseberry_kernel::target::placement::End;
 use http::Response;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -254,78 +252,6 @@
         !state.is_link_down(&self.job.service.name) && state.has_free_target(need, now)
     }
 
-    /// Returns whether the stream may go on at another target, and takes a retry from the
-    /// budget if so.
-    fn may_resume(&mut self) -> bool {
-        let may_send = self.job.route.is_resumable && self.may_run_stages();
-        may_send && self.may_run_again("broken-stream")
-    }
-
-    /// Resumes a broken stream at another target after the last complete event,
-    /// if the route and the retry budget allow it.
-    async fn resume(&mut self, broken: &Breakage, may_resume: bool) -> io::Result<()> {
-        let current = self.current.take();
-        self.end_placed(End::Broken);
-        let callee = current.map(|started| started.exchange.callee.clone());
-        match (&callee, broken) {
-            (Some(callee), Breakage::Connection(_)) => self.record_crash(callee).await,
-            (Some(callee), Breakage::Content(_)) => self.record_failure(&callee.target),
-            (None, _) => {}
-        }
-        self.events.discard_partial();
-        log::info!(
-            request:% = self.job.head.attempt,
-            target:? = callee.map(|callee| callee.target),
-            events = self.events.count(),
-            may_resume,
-            left_ms = (self.job.deadline - self.context.now()).0;
-            "a stream broke off: {broken}"
-        );
-        if !may_resume {
-            return Err(self.give_up("not-allowed", "it may not be sent again"));
-        }
-        let sends = self.sends;
-        match self.send().await {
-            Ok(started) if started.reply.status.is_success() => {
-                self.context.metrics.resumption("resumed");
-                self.begin_reply(*started);
-                Ok(())
-            }
-            Ok(started) => {
-                let target = &started.exchange.callee.target;
-                let why = format!("{target} answered with {}", started.reply.status);
-                Err(self.give_up("target-failed", &why))
-            }
-            Err(failure) if self.sends == sends => {
-                Err(self.give_up("not-sent", &failure.to_string()))
-            }
-            Err(failure) => Err(self.give_up("unanswered", &failure.to_string())),
-        }
-    }
-
-    /// Logs and counts that a stream does not go on, with what a change of the settings or a
-    /// shutdown would show. Returns the error that ends the answer.
-    fn give_up(&self, end: &str, why: &str) -> io::Error {
-        self.context.metrics.resumption(end);
-        let (version, is_leaving) = {
-            let state = self.context.state();
-            let version = state.routing_table().map(|table| table.version);
-            (version, state.is_leaving())
-        };
-        log::info!(
-            request:% = self.job.head.attempt,
-            end,
-            events = self.events.count(),
-            sends = self.sends,
-            stage_runs = self.stage_runs,
-            settings_version:? = version,
-            is_leaving,
-            left_ms = (self.job.deadline - self.context.now()).0;
-            "a stream is not resumed: {why}"
-        );
-        io::Error::other(why.to_owned())
-    }
-
     /// Remembers where the stream began, for this daemon and for those at which its
     /// client may resume it.
     pub(super) fn record_origin(&mut self) {
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -19,6 +19,7 @@
 use gooseberry_runtime::observed_stream::ObservedStream;
 use gooseberry_runtime::socket;
 use http::HeaderValue;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -42,6 +43,7 @@
 use crate::activity::Activity;
 use crate::activity::CountGuard;
 use crate::activity::RequestGuard;
+use crate::answer_record::AnswerRecord;
 use crate::context::Context;
 
 /// The body of a response.
@@ -243,6 +245,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         let is_1_1 = request.version() >= Version::HTTP_11;
         has_chunks.store(is_1_1, Ordering::Relaxed);
+        let is_head = request.method() == Method::HEAD;
         let mut request_guard = activity.begin(CountGuard::new(&requests));
         let response = handler(request);
         let context = context.clone();
@@ -252,7 +255,11 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let track = |body| {
+            let record = response.extensions_mut().remove::<AnswerRecord>();
+            request_guard.delivery = record.map(AnswerRecord::into_delivery);
+            let track = |body: ResponseBody| {
+                // A response to HEAD has a body that is not sent.
+                request_guard.is_read = is_head || body.is_end_stream();
                 request_guard.body = Some(body);
                 TrackedBody(request_guard)
             };
@@ -338,8 +345,14 @@
         mut self: Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let body = self.0.body.as_mut();
-        body.map_or(Poll::Ready(None), |body| Pin::new(body).poll_frame(context))
+        let Some(body) = self.0.body.as_mut() else {
+            return Poll::Ready(None);
+        };
+        let frame = Pin::new(&mut *body).poll_frame(context);
+        // The end of a body of a known length may not be asked for.
+        let is_read = matches!(frame, Poll::Ready(None)) || body.is_end_stream();
+        self.0.is_read |= is_read;
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod store_watch;
 
 mod activity;
+mod answer_record;
 mod detour;
 mod forward;
 mod link;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -35,6 +35,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::answer_record::AnswerRecord;
 use crate::body_memory;
 use crate::context::Context;
 use crate::forward;
@@ -78,6 +79,8 @@
     pub is_trial: bool,
     /// How far it has got.
     pub progress: Progress,
+    /// What is known of its answer.
+    pub record: AnswerRecord,
 }
 
 impl Job {
@@ -168,14 +171,15 @@
         is_answered: false,
     };
     let mark = SentMark::default();
+    let record = AnswerRecord::new(&context, &attempt, arrived);
     let result = tokio::select! {
         biased;
-        result = handle(&context, arrived, head, body, mark.clone()) => result,
+        result = handle(&context, &record, head, body, mark.clone()) => result,
         () = context.shutdown.ended() => Err(mark.failure_at_end()),
     };
     abandon_guard.is_answered = true;
     drop(abandon_guard);
-    match result {
+    let mut response = match result {
         Ok(response) => response,
         Err(failure) => {
             log::info!(
@@ -189,18 +193,20 @@
             context.metrics.request("refused", failure.kind.row().label);
             refuse(&failure, Some(&attempt))
         }
-    }
+    };
+    response.extensions_mut().insert(record);
+    response
 }
 
 /// Admits a request, plans its stages and forwards it.
 async fn handle(
     context: &Arc<Context>,
-    arrived: Millis,
+    record: &AnswerRecord,
     head: Head,
     body: Incoming,
     mark: SentMark,
 ) -> Result<Response<ResponseBody>, Failure> {
-    let job = admit(context, arrived, head, body, mark).await?;
+    let job = admit(context, record, head, body, mark).await?;
     let job = resumption::restrict(context, job).await?;
     // Routes without stages ignore the client's numbers of pieces.
     let pieces = if job.route.stages.is_empty() {
@@ -224,11 +230,12 @@
 /// shutdown or is in quarantine.
 async fn admit(
     context: &Arc<Context>,
-    arrived: Millis,
+    record: &AnswerRecord,
     head: Head,
     body: Incoming,
     mark: SentMark,
 ) -> Result<Job, Failure> {
+    let arrived = record.arrived();
     let (route, service, workspace, rank, limits, version) = {
         let state = context.state();
         let table = state.usable_table().ok_or(Kind::NotReady)?;
@@ -253,6 +260,7 @@
             table.version,
         )
     };
+    record.record_admission(version);
     let time_limit = head
         .client_timeout
         .unwrap_or(route.timeout)
@@ -264,10 +272,7 @@
     let forecast = |span| context.forecast(&route, span, deadline);
     let shutdown = &context.shutdown;
     shutdown.check_unsent(&head.attempt, || forecast(Span::Whole))?;
-    // A body of unknown length reserves the maximum body size.
-    let max_bytes = u64::try_from(limits.max_body_bytes).unwrap_or(u64::MAX);
-    let size = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
-    let memory = context.body_memory.acquire(size).ok_or(Kind::Overloaded)?;
+    let memory = reserve_memory(context, &body, limits.max_body_bytes)?;
     let reading = read_body(body, limits.max_body_bytes, time_limit);
     let body = shutdown.wait_unsent(&head.attempt, || forecast(Span::Run), reading);
     let body = body.await??;
@@ -295,8 +300,8 @@
     // response is due that much earlier.
     let waited = head
         .client_timeout
-        .map(|client_timeout| state.waited_at_least(&route.name, client_timeout));
-    let waited = waited.unwrap_or_default();
+        .map(|client_timeout| state.waited_at_least(&route.name, client_timeout))
+        .unwrap_or_default();
     drop(state);
     log::info!(
         request:% = head.attempt,
@@ -328,6 +333,7 @@
         deadline,
         digest,
         is_trial,
+        record: record.clone(),
     })
 }
 
@@ -341,6 +347,18 @@
     ids.map(|id| Part::of(&service.name, id)).collect()
 }
 
+/// Reserves the memory of a request body; that of the longest one if its length is unknown.
+fn reserve_memory(
+    context: &Context,
+    body: &Incoming,
+    max_bytes: usize,
+) -> Result<body_memory::BodyPermit, Failure> {
+    let max_bytes = u64::try_from(max_bytes).unwrap_or(u64::MAX);
+    let size = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
+    let memory = context.body_memory.acquire(size);
+    memory.ok_or_else(|| Kind::Overloaded.into())
+}
+
 /// Reads a request body of at most `max_bytes`.
 async fn read_body(body: Incoming, max_bytes: usize, time_limit: Millis) -> Result<Bytes, Failure> {
     if usize::try_from(body.size_hint().lower()).map_or(true, |lower| lower > max_bytes) {
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Returns whether the last answers have been given.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let end = *self.end.borrow();
+        end.is_some_and(|end| end <= self.clock.now())
+    }
+
     /// Waits until the last answers are given.
     pub async fn ended(&self) {
         let end = self.begun().await;
