forward: a broken stream goes on until its deadline

Cause: resume() sent once. A refusal of a stage queue or a target, a retry budget that was used up, a second run of the stages, or the failure of the second target ended the answer: giving up what has begun at the first refusal.

Once it has run at max_attempts targets it may go back to those that have begun to write it, since that adds no target; also through a peer (field only of a detour, absent for former builds). Quarantine still ends it, and a stream without an event is answered as before. Stages of a begun answer have no limit of two runs. A target that a stream came back to names its attempt twice: the run with most events counts.

--- a/crates/kernel/src/request/stream_trace.rs
+++ b/crates/kernel/src/request/stream_trace.rs
@@ -188,13 +188,13 @@
         })
     }
 
-    /// Returns how many events the target has made for the attempt of the stream with this
-    /// trace, if it names it. The memory is sorted.
+    /// Returns how many events the target has made at most in a run of the attempt of the stream
+    /// with this trace, if it names any: a stream may have come back to it. The memory is sorted.
     fn events(&self, trace: &Trace) -> Option<u32> {
-        let run = self
-            .runs
-            .binary_search_by(|run| run.attempt.cmp(&trace.attempt));
-        run.ok().map(|index| self.runs[index].events)
+        let first = self.runs.partition_point(|run| run.attempt < trace.attempt);
+        let runs = self.runs[first..].iter();
+        let runs = runs.take_while(|run| run.attempt == trace.attempt);
+        runs.map(|run| run.events).max()
     }
 
     fn has_made_events(&self, trace: &Trace) -> bool {
--- a/crates/relay/src/answer_record.rs
+++ b/crates/relay/src/answer_record.rs
@@ -18,8 +18,6 @@
     Deadline,
     /// Its target broke off, and its route does not allow another one.
     NotAllowed,
-    /// Its target broke off, and no other one went on with it.
-    NotResumed,
     /// The daemon has stopped.
     Stopped,
     /// The connection to the client has ended.
@@ -86,7 +84,6 @@
         match self {
             Self::Deadline => "deadline",
             Self::NotAllowed => "not-allowed",
-            Self::NotResumed => "not-resumed",
             Self::Stopped => "stopped",
             Self::ClientLeft => "client-left",
         }
--- a/crates/relay/src/detour/server.rs
+++ b/crates/relay/src/detour/server.rs
@@ -153,6 +153,10 @@
     let version = call.version.as_deref().map(name::Version::new);
     let tried = call.tried.iter().map(|target| name::Target::new(target));
     let mut tried: Vec<name::Target> = tried.collect();
+    let only = call.only.as_ref().map(|only| {
+        let only = only.iter().map(|target| name::Target::new(target));
+        only.collect::<Vec<_>>()
+    });
     let mut last = not_sent("no target takes it", None);
     for _ in 0..TARGETS_MAX {
         let need = Need {
@@ -161,6 +165,7 @@
             affinity: call.affinity,
             preferred: None,
             tried: &tried,
+            only: only.as_deref(),
             draw: call.draw,
             due,
             rank: rank.unwrap_or(RANK_IF_UNKNOWN),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -86,6 +86,8 @@
         placed: None,
         tried: Vec::new(),
         tried_detours: Vec::new(),
+        writers: Vec::new(),
+        is_limited_to_writers: false,
         sends: 0,
         last_send: None,
         retry: Retry::None,
@@ -120,6 +122,10 @@
     tried: Vec<name::Target>,
     /// The peers through which it is not sent again.
     tried_detours: Vec<SocketAddr>,
+    /// The targets whose replies were passed on, or begun to be.
+    writers: Vec<name::Target>,
+    /// Whether it may be sent only to these.
+    is_limited_to_writers: bool,
     /// How often the request was sent.
     sends: u32,
     /// The run of the target to which it was sent last, and when.
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -28,8 +28,8 @@
 use crate::stages;
 use crate::state::PickedTarget;
 
-/// How often the stages of a request are run: a second time if results are gone
-/// when the target reads them, or if its stream is resumed at another target.
+/// How often the stages of a request are run before its answer begins: a second time if results
+/// are gone when the target reads them. A begun answer has no such limit, as it has its deadline.
 const STAGE_RUNS_MAX: u32 = 2;
 
 /// The way on which a request is sent.
@@ -43,12 +43,12 @@
 impl Forwarder {
     /// Runs the stages unless their results exist already.
     pub(super) async fn ensure_stages(&mut self) -> Result<(), Failure> {
+        if !self.may_run_stages() {
+            return Err(Kind::NoTarget.into());
+        }
         let Some(plan) = self.plan.as_ref().filter(|_| self.results.is_none()) else {
             return Ok(());
         };
-        if self.stage_runs >= STAGE_RUNS_MAX {
-            return Err(Kind::NoTarget.into());
-        }
         self.stage_runs += 1;
         let (context, job) = (&self.context, &self.job);
         let now = context.now();
@@ -71,7 +71,10 @@
 
     /// Returns whether there are results for another target, or the stages may run for it.
     pub(super) fn may_run_stages(&self) -> bool {
-        self.plan.is_none() || self.results.is_some() || self.stage_runs < STAGE_RUNS_MAX
+        self.plan.is_none()
+            || self.results.is_some()
+            || self.stage_runs < STAGE_RUNS_MAX
+            || self.punctuality.first_at().is_some()
     }
 
     /// Sends the request until a target's reply begins.
--- a/crates/relay/src/forward/detour.rs
+++ b/crates/relay/src/forward/detour.rs
@@ -133,6 +133,10 @@
                 .iter()
                 .map(|target| target.as_str().into())
                 .collect(),
+            only: need.only.map(|only| {
+                let only = only.iter().map(|target| target.as_str().into());
+                only.collect()
+            }),
             draw: need.draw,
             due_ms: (need.due - now).0,
             left_ms: left.0,
--- a/crates/relay/src/forward/placement.rs
+++ b/crates/relay/src/forward/placement.rs
@@ -21,6 +21,7 @@
             affinity: self.job.head.shared_prefix_hash,
             preferred: None,
             tried,
+            only: self.is_limited_to_writers.then_some(&self.writers),
             draw: self.job.draw(),
             due: self.job.begin_by,
             rank: self.job.rank,
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -79,6 +79,11 @@
     pub(super) fn begin_reply(&mut self, started: StartedReply) {
         self.pause = Pause::default();
         self.comments.clear();
+        self.is_limited_to_writers = false;
+        let target = &started.exchange.callee.target;
+        if !self.writers.contains(target) {
+            self.writers.push(target.clone());
+        }
         self.current = Some(started);
     }
 
@@ -120,8 +125,8 @@
                     continue;
                 }
             };
-            let may_resume = self.may_resume();
-            if let Err(error) = self.resume(&broken, may_resume).await {
+            // Boxed, since few streams break off.
+            if let Err(error) = Box::pin(self.resume(&broken)).await {
                 return Some(Err(error));
             }
         }
--- a/crates/relay/src/state/pick.rs
+++ b/crates/relay/src/state/pick.rs
@@ -42,6 +42,8 @@
     pub preferred: Option<&'a name::Target>,
     /// The targets that are left out.
     pub tried: &'a [name::Target],
+    /// The only targets that may get it, if not all may.
+    pub only: Option<&'a [name::Target]>,
     /// The request's random number.
     pub draw: u64,
     /// By when the request must be sent to be of any use.
@@ -79,13 +81,14 @@
 
 impl Need<'_> {
     /// Returns whether the request may be sent to a target: the target has the version that
-    /// it needs and was not tried.
+    /// it needs, is allowed and was not tried.
     #[must_use]
     pub fn fits(&self, target: &Target) -> bool {
         let is_version = self
             .version
             .is_none_or(|version| target.version == *version);
-        is_version && !self.tried.contains(&target.name)
+        let is_allowed = self.only.is_none_or(|only| only.contains(&target.name));
+        is_version && is_allowed && !self.tried.contains(&target.name)
     }
 }
 
--- a/crates/relay/src/state/queue.rs
+++ b/crates/relay/src/state/queue.rs
@@ -54,6 +54,7 @@
     affinity: Option<u64>,
     preferred: Option<name::Target>,
     tried: Vec<name::Target>,
+    only: Option<Vec<name::Target>>,
     draw: u64,
     due: Millis,
     rank: Rank,
@@ -110,6 +111,7 @@
             affinity: need.affinity,
             preferred: need.preferred.cloned(),
             tried: need.tried.to_vec(),
+            only: need.only.map(<[_]>::to_vec),
             draw: need.draw,
             due: need.due,
             rank: need.rank,
@@ -126,6 +128,7 @@
             affinity: self.affinity,
             preferred: self.preferred.as_ref(),
             tried: &self.tried,
+            only: self.only.as_deref(),
             draw: self.draw,
             due: self.due,
             rank: self.rank,
@@ -136,7 +139,7 @@
     }
 
     fn needs_same_targets(&self, other: &Self) -> bool {
-        self.version == other.version && self.tried == other.tried
+        self.version == other.version && self.tried == other.tried && self.only == other.only
     }
 }
 
--- a/crates/relay/tests/direct/queue.rs
+++ b/crates/relay/tests/direct/queue.rs
@@ -131,6 +131,7 @@
             service: &service,
             version: None,
             affinity: None,
+            only: None,
             tried: &[],
             draw: 1,
             due: now + Millis(5_000),
--- a/crates/wire/src/detour.rs
+++ b/crates/wire/src/detour.rs
@@ -31,6 +31,9 @@
     pub affinity: Option<u64>,
     /// The targets that are left out.
     pub tried: Vec<CompactString>,
+    /// The only targets that may get it, if not all may; all may by a build that does not say.
+    #[serde(default)]
+    pub only: Option<Vec<CompactString>>,
     /// The request's random number.
     pub draw: u64,
     /// Time within which it must be sent to be of any use, in milliseconds.
