resumption: targets that are silent when asked which streams they hold are asked again

The first answers still decide after 500 ms what they show; silent targets are asked once more, for up to 900 ms, and what the first answers do not show waits for them. A peer has 1.6 s for the search instead of 1.2 s; the whole search still has 2 s.

--- a/crates/kernel/src/request/stream_trace.rs
+++ b/crates/kernel/src/request/stream_trace.rs
@@ -229,11 +229,22 @@
 struct Survey {
     service: name::Service,
     begun: Millis,
-    is_running: bool,
-    /// What each target says that has answered.
+    progress: Progress,
+    /// What each target says that has answered; in the last survey until this one has answers.
     memories: Vec<Memory>,
 }
 
+/// How far a survey is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// No answers are known.
+    Begun,
+    /// Those that came in time are known, and the silent targets are asked again.
+    Late,
+    /// It has ended.
+    Ended,
+}
+
 /// The surveys of one daemon, sorted by service.
 #[derive(Clone, Debug, Default)]
 pub struct Surveys {
@@ -249,7 +260,7 @@
             let survey = Survey {
                 service: service.clone(),
                 begun: now,
-                is_running: true,
+                progress: Progress::Begun,
                 memories: Vec::new(),
             };
             self.surveys.insert(index, survey);
@@ -258,27 +269,40 @@
         let survey = &mut self.surveys[index];
         let finding = survey.finding(trace);
         // What else an old survey shows may have been contradicted since.
-        if matches!(finding, Finding::Version(_)) && survey.names_run(trace) {
+        let is_current = survey.progress == Progress::Late;
+        if matches!(finding, Finding::Version(_)) && (is_current || survey.names_run(trace)) {
             return Step::Ended(finding);
         }
-        if survey.is_running {
+        if survey.progress != Progress::Ended {
             return Step::Wait;
         }
         if survey.begun + SURVEY_AGE_MAX >= now {
             return Step::Ended(finding);
         }
-        survey.is_running = true;
+        survey.progress = Progress::Begun;
         survey.begun = now;
         Step::Begin
     }
 
-    /// Ends a survey, with what each target says that has answered.
-    pub fn end(&mut self, service: &name::Service, mut memories: Vec<Memory>) {
+    /// Records what targets say. The first answers of a survey replace those of the last one;
+    /// those of targets that were silent then are added. A sound target may be silent for a
+    /// second, so what the first ones do not show is waited for.
+    pub fn record(&mut self, service: &name::Service, mut memories: Vec<Memory>) {
         memories.iter_mut().for_each(Memory::sort);
         if let Ok(index) = self.find(service) {
             let survey = &mut self.surveys[index];
-            survey.is_running = false;
-            survey.memories = memories;
+            if survey.progress != Progress::Late {
+                survey.progress = Progress::Late;
+                survey.memories.clear();
+            }
+            survey.memories.extend(memories);
+        }
+    }
+
+    /// Ends a survey.
+    pub fn end(&mut self, service: &name::Service) {
+        if let Ok(index) = self.find(service) {
+            self.surveys[index].progress = Progress::Ended;
         }
     }
 
@@ -321,7 +345,7 @@
     /// Forgets the surveys that are older than any stream.
     pub fn expire(&mut self, now: Millis) {
         self.surveys
-            .retain(|survey| survey.is_running || survey.begun + MEMORY > now);
+            .retain(|survey| survey.progress != Progress::Ended || survey.begun + MEMORY > now);
     }
 
     fn memories(&self, service: &name::Service) -> impl Iterator<Item = &Memory> {
--- a/crates/kernel/tests/direct/stream_trace.rs
+++ b/crates/kernel/tests/direct/stream_trace.rs
@@ -80,7 +80,8 @@
     let mut surveys = Surveys::default();
     assert_eq!(surveys.step(&service, trace, Millis(0)), Step::Begin);
     assert_eq!(surveys.step(&service, trace, Millis(5)), Step::Wait);
-    surveys.end(&service, memories.to_vec());
+    surveys.record(&service, memories.to_vec());
+    surveys.end(&service);
     match surveys.step(&service, trace, Millis(10)) {
         Step::Ended(finding) => finding,
         step => panic!("{step:?}"),
@@ -149,7 +150,8 @@
     let reader_in = |stream: &Trace, memories: &[Memory], listed: &[Incarnation]| {
         let mut surveys = Surveys::default();
         surveys.step(&service, stream, Millis(0));
-        surveys.end(&service, memories.to_vec());
+        surveys.record(&service, memories.to_vec());
+        surveys.end(&service);
         let reader = surveys.only_reader(&service, stream, listed)?;
         let undecided: Vec<_> = reader.undecided.iter().map(ToString::to_string).collect();
         Some((reader.version.to_string(), undecided.join(" ")))
@@ -247,7 +249,8 @@
     for now in 0..8_000 {
         if running_until == Some(now) {
             running_until = None;
-            surveys.end(&service, memories.to_vec());
+            surveys.record(&service, memories.to_vec());
+            surveys.end(&service);
         }
         if now % 12 == 0 && now / 12 < STREAMS {
             waiting.push((now / 12, now));
@@ -290,16 +293,19 @@
     assert_eq!(surveys.step(&service, &stream, Millis(0)), Step::Begin);
     surveys.expire(MEMORY);
     assert_eq!(surveys.step(&service, &stream, MEMORY), Step::Wait);
-    surveys.end(&service, vec![memory("v1", &[], &[("mine", 1)])]);
+    surveys.record(&service, vec![memory("v1", &[], &[("mine", 1)])]);
+    surveys.end(&service);
     assert_eq!(
         surveys.step(&service, &stream, MEMORY),
         Step::Ended(version("v1"))
     );
     // An old one shows nothing but runs: another target may have written a stream since.
-    surveys.end(&service, vec![holder("v1", READ + 1)]);
+    surveys.record(&service, vec![holder("v1", READ + 1)]);
+    surveys.end(&service);
     let step = surveys.step(&service, &stream, MEMORY);
     assert_eq!(step, Step::Begin);
-    surveys.end(&service, vec![holder("v1", READ + 1)]);
+    surveys.record(&service, vec![holder("v1", READ + 1)]);
+    surveys.end(&service);
     let step = surveys.step(&service, &stream, MEMORY + SURVEY_AGE_MAX);
     assert_eq!(step, Step::Ended(version("v1")));
     surveys.expire(MEMORY + MEMORY);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -59,8 +59,8 @@
 /// answer a greeting or to free results.
 const GREET_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a peer may take to find the version of a stream: it may have to wait for the
-/// store, and then for targets.
-const TRACE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// store, and then for targets that are silent for a while.
+const TRACE_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// How long a peer may take to return changes of the store or chunks of its values.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(CALL_TIMEOUT.0);
 /// How long a peer may take to answer any call. The RPC library panics for deadlines that
--- a/crates/relay/src/resumption/survey.rs
+++ b/crates/relay/src/resumption/survey.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
 use anyhow::ensure;
 use futures::StreamExt;
 use futures::stream;
@@ -24,6 +23,9 @@
 /// How long a target may take to answer both calls. Engines answer between two steps, in
 /// some ten milliseconds; a client waits for the answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long those are waited for that were silent, when they are asked again: sound targets may
+/// be silent for a second or so, and clients wait for two.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// The largest answer, in bytes. An entry has some thirty.
 const ANSWER_MAX_BYTES: usize = 1 << 20;
 /// How many targets are asked at the same time, which bounds the memory of their replies.
@@ -65,32 +67,73 @@
     let begun = context.now();
     let holders = context.state().holders(&service, begun);
     let asked = holders.len();
-    let calls = holders.into_iter().map(|holder| ask(&context, holder));
+    let calls = holders
+        .into_iter()
+        .map(|holder| ask(&context, holder, ANSWER_TIMEOUT));
     let answers = stream::iter(calls).buffer_unordered(CALLS_MAX);
-    let answers: Vec<_> = answers.filter_map(std::future::ready).collect().await;
+    let mut memories = Vec::new();
+    let mut silent = Vec::new();
+    for answer in answers.collect::<Vec<_>>().await {
+        match answer {
+            Answer::Memory(memory) => memories.push(memory),
+            Answer::Silent(holder) => silent.push(holder),
+            Answer::Failed => {}
+        }
+    }
     log::info!(
         service:% = service,
         asked,
-        answered = answers.len(),
-        runs = answers.iter().map(|memory| memory.runs.len()).sum::<usize>(),
-        parts = answers.iter().map(|memory| memory.parts.len()).sum::<usize>(),
+        answered = memories.len(),
+        silent = silent.len(),
+        runs = memories.iter().map(|memory| memory.runs.len()).sum::<usize>(),
+        parts = memories.iter().map(|memory| memory.parts.len()).sum::<usize>(),
         took_ms = (context.now() - begun).0;
         "asked targets which streams they have written"
     );
-    context.state().surveys().end(&service, answers);
+    context.state().surveys().record(&service, memories);
+    context.survey_ended.notify_waiters();
+    let calls = silent
+        .into_iter()
+        .map(|holder| ask(&context, holder, LATE_ANSWER_TIMEOUT));
+    let mut answers = stream::iter(calls).buffer_unordered(CALLS_MAX);
+    while let Some(answer) = answers.next().await {
+        if let Answer::Memory(memory) = answer {
+            log::info!(
+                service:% = service,
+                target:% = memory.incarnation.target,
+                took_ms = (context.now() - begun).0;
+                "a silent target said later which streams it has written"
+            );
+            context.state().surveys().record(&service, vec![memory]);
+            context.survey_ended.notify_waiters();
+        }
+    }
+    context.state().surveys().end(&service);
     context.survey_ended.notify_waiters();
 }
 
-/// Returns what a target says, if it answers.
-async fn ask(context: &Arc<Context>, holder: Holder) -> Option<Memory> {
-    let answered = timeout(ANSWER_TIMEOUT, read_memory(context, &holder)).await;
-    match answered.context("no answer in time").flatten() {
-        Ok(memory) => Some(memory),
-        Err(error) => {
-            log::info!(target:% = holder.incarnation.target; "a target did not say which streams it has written: {error:#}");
-            None
+/// What comes of asking a target.
+enum Answer {
+    /// What it says.
+    Memory(Memory),
+    /// It did not answer in time.
+    Silent(Holder),
+    /// It cannot be reached, or its answer cannot be read.
+    Failed,
+}
+
+/// Asks a target which streams it has written.
+async fn ask(context: &Arc<Context>, holder: Holder, limit: Duration) -> Answer {
+    let error = match timeout(limit, read_memory(context, &holder)).await {
+        Ok(Ok(memory)) => return Answer::Memory(memory),
+        Ok(Err(error)) => error,
+        Err(_) => {
+            log::info!(target:% = holder.incarnation.target; "a target did not say in time which streams it has written");
+            return Answer::Silent(holder);
         }
-    }
+    };
+    log::info!(target:% = holder.incarnation.target; "a target did not say which streams it has written: {error:#}");
+    Answer::Failed
 }
 
 /// Reads what a target says. Its report comes first, since it soon no longer names the runs
--- a/crates/relay/tests/direct/lost_daemons.rs
+++ b/crates/relay/tests/direct/lost_daemons.rs
@@ -155,3 +155,23 @@
     assert_eq!(other, (STREAMS, 0));
     assert_eq!(same.1, 0);
 }
+
+/// Guards against streams that are refused as the target that holds them is silent for a second.
+#[tokio::test]
+async fn a_stream_whose_holder_is_silent_for_a_second_goes_on_after_all_daemons_were_lost() {
+    let platform = TestPlatform::start().await;
+    let [first, second] = platform.engines.clone();
+    let engines = Engines {
+        all: vec![(first, "v1"), (second, "v2")],
+    };
+    engines.list(&platform, 1, "ready");
+    let lost = platform.daemon(1, &[]).await;
+    let streams = dropped_streams(&engines, lost).await;
+    let started = platform.daemon(2, &[]).await;
+    platform.engines[0].fall_silent(Duration::from_secs(1));
+    let is_held = |(_, attempt): &(usize, String)| engines.versions(attempt) == ["v1"];
+    let held: Vec<_> = streams.into_iter().filter(is_held).collect();
+    assert!(!held.is_empty());
+    let resumed = resume(&engines, &started, &held).await;
+    assert_eq!(resumed, (held.len(), 0));
+}
