Owner path: requests without an answer get one at the end of a shutdown

Callers saw a closed connection (client error SendRequest) for requests that ran as the limit of a shutdown was reached, or on a second signal: the ports were closed under them.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -5,6 +5,7 @@
 use gooseberry_connectors::platform;
 use gooseberry_connectors::target;
 use gooseberry_kernel::settings::Local;
+use tokio::sync::watch;
 
 use crate::actor::Handle;
 use crate::clock::Clock;
@@ -31,4 +32,15 @@
     pub running_keys: RunningKeys,
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// Whether the process ends, so that all requests are answered now.
+    pub is_ending: watch::Sender<bool>,
+}
+
+impl Context {
+    /// Waits until all requests must be answered, since the process ends.
+    pub async fn ending(&self) {
+        let mut is_ending = self.is_ending.subscribe();
+        // The sender lives as long as this value, so this cannot fail.
+        is_ending.wait_for(|is_ending| *is_ending).await.ok();
+    }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,6 +13,7 @@
 use anyhow::Context as _;
 use gooseberry_connectors::platform;
 use gooseberry_connectors::target;
+use gooseberry_kernel::clock::Millis;
 use gooseberry_kernel::drain::Phase;
 use gooseberry_kernel::node::Identity;
 use gooseberry_kernel::node::Node;
@@ -49,6 +50,8 @@
 /// How long the ports stay open after the goodbye, so that the peers and the
 /// load balancer stop using this daemon first.
 const GOODBYE_GRACE: Duration = Duration::from_millis(200);
+/// How long before the end of a shutdown all requests that have no answer get one.
+const LAST_ANSWERS_BEFORE: Millis = Millis(200);
 /// How long a port may take to write its last answers and close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -186,7 +189,7 @@
     /// Begins a graceful shutdown; a second call ends it at once and cuts what
     /// is still in progress.
     pub fn begin_shut_down(&self) {
-        let limit = self.context.local.shutdown_limit;
+        let limit = self.context.local.shutdown_limit - LAST_ANSWERS_BEFORE;
         self.context.node.tell(Message::ShutDown(limit));
         self.callers.set_phase(server::Phase::Closing);
     }
@@ -206,6 +209,9 @@
                 Phase::Done => break,
                 Phase::LimitReached => {
                     let in_progress = self.in_progress().await;
+                    self.context.is_ending.send_replace(true);
+                    let limit = Duration::from_millis(LAST_ANSWERS_BEFORE.0);
+                    tokio::time::timeout(limit, self.callers.close()).await.ok();
                     self.stop();
                     return ShutdownOutcome::Cut(in_progress);
                 }
@@ -291,6 +297,7 @@
         targets: target::Client::default(),
         running_keys: RunningKeys::default(),
         metrics,
+        is_ending: watch::Sender::new(false),
     })
 }
 
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -112,7 +112,13 @@
     let (head, mut body) = request.into_parts();
     request_log.is_body_read = body.is_end_stream();
     let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
-    let mut answer = match handle(&context, &head, &mut body, &mut request_log).await {
+    let result = tokio::select! {
+        biased;
+        result = handle(&context, &head, &mut body, &mut request_log) => Some(result),
+        () = context.ending() => None,
+    };
+    let result = result.unwrap_or_else(|| Err(failure_at_end(&request_log)));
+    let mut answer = match result {
         Ok(answer) => answer,
         Err(failure) => {
             let failure = match request_head::is_first_attempt(&head.headers) {
@@ -129,6 +135,23 @@
     answer
 }
 
+/// Returns the failure of a request that has no answer when the process ends. Before its
+/// admission it has not run.
+fn failure_at_end(request_log: &RequestLog<'_>) -> Failure {
+    let failure = Failure::from(Kind::ShuttingDown);
+    let has_run = request_log.names.is_some();
+    log::info!(
+        request:% = request_log.request,
+        has_run;
+        "a request is answered without a result, as the process ends"
+    );
+    if has_run {
+        failure.with_unknown_outcome()
+    } else {
+        failure
+    }
+}
+
 async fn handle(
     context: &Arc<Context>,
     request: &Parts,
--- a/crates/daemon/tests/process/shutdown.rs
+++ b/crates/daemon/tests/process/shutdown.rs
@@ -77,6 +77,7 @@
     shut_down(&fleet, async {}).await;
 }
 
+/// Guards against requests that are cut without an answer at the end of a shutdown.
 #[tokio::test]
 async fn a_second_signal_ends_at_once_and_says_what_was_cut() {
     let fleet = start().await;
@@ -102,9 +103,8 @@
         .await;
     };
     let (answer, ()) = tokio::join!(fleet.send(0, &call), signals);
-    // The cut request may still be answered that its outcome is unknown.
     let is_unknown = |answer: &CallerAnswer| answer.outcome() == "unknown";
-    assert!(answer.as_ref().map_or(true, is_unknown), "{answer:?}");
+    assert!(answer.as_ref().is_ok_and(is_unknown), "{answer:?}");
     assert_eq!(fleet.daemons[0].exit_code(), Some(3));
     let is_logged = async || fleet.daemons[0].log().contains("the shutdown cut 1");
     wait_until("the log says what was cut", is_logged).await;
--- a/crates/relay/tests/direct/stops.rs
+++ b/crates/relay/tests/direct/stops.rs
@@ -181,3 +181,33 @@
         assert!(body.ends_with("data: event 2\n\n"), "{body}");
     }
 }
+
+/// Guards against answers that are cut at a stop as their clients read slowly.
+#[tokio::test]
+async fn a_stop_waits_for_clients_that_read_slowly() {
+    let (platform, daemon) = start(100).await;
+    let text: &str = "x".repeat(3 << 20).leak();
+    platform.plain[0].queue_modes(&[Mode::Reply("text/plain", text)]);
+    let mut client = TcpStream::connect(client_address(&daemon))
+        .await
+        .expect("it listens");
+    let request = "POST /search/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: slow\r\n\
+                   X-Api-Key: key-1\r\nDeadline-Ms: 15000\r\nContent-Length: 0\r\n\r\n";
+    client
+        .write_all(request.as_bytes())
+        .await
+        .expect("it reads");
+    let mut answer = vec![0; 1];
+    client.read_exact(&mut answer).await.expect("an answer");
+    let reading = async {
+        sleep(Duration::from_millis(2_900)).await;
+        client.read_to_end(&mut answer).await.expect("it is whole");
+    };
+    join(reading, daemon.shut_down()).await;
+    assert!(
+        answer.starts_with(b"HTTP/1.1 200"),
+        "{}",
+        String::from_utf8_lossy(&answer[..200.min(answer.len())])
+    );
+    assert!(answer.ends_with(text.as_bytes()), "{}", answer.len());
+}
