--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -44,6 +44,10 @@
 /// had it.
 const SILENCE_SEED: u64 = 1;
 
+/// The seed with which CI runs targets that also break streams off: these were given up at the
+/// first refusal.
+const BREAKS_SEED: u64 = 1;
+
 /// What is run with each seed.
 enum Scenario {
     /// Faults of all kinds.
@@ -103,6 +107,12 @@
     run_seeds(scenario, std::iter::once(SILENCE_SEED)).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn targets_that_break_off_beside_changes_and_restarts_end_no_answer() {
+    let scenario = Scenario::Targets(Trouble::Breaks);
+    run_seeds(scenario, std::iter::once(BREAKS_SEED)).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "runs the seeds that SOAK_SEEDS names, such as 100..150"]
 async fn seeds_from_the_environment() {
--- a/crates/relay/tests/direct/hand_over.rs
+++ b/crates/relay/tests/direct/hand_over.rs
@@ -12,8 +12,10 @@
 use crate::partitions::Fleet;
 use crate::platform::TestPlatform;
 use crate::platform::answer_to;
+use crate::platform::start_one;
 use crate::platform::wait_until;
 use crate::streams::all_events;
+use crate::streams::answer_beside;
 use crate::streams::answer_of_paused;
 
 /// Guards against a target that is given up while it is the only one left for a stream.
@@ -26,6 +28,19 @@
     assert_eq!(platform.runs(&client.attempt), 2);
 }
 
+/// Guards against streams that end as the second target fails, for which the first one was left.
+#[tokio::test]
+async fn a_paused_stream_goes_on_after_the_next_target_has_accepted_it_and_failed() {
+    let (platform, daemon) = start_one().await;
+    platform.engines[1].share_modes(&platform.engines[0]);
+    let client = ClientRequest::new("/long/").with_stage_pieces("1");
+    let client = client.with("Deadline-Ms", "8000");
+    let first = Mode::PauseBefore(3, 60_000);
+    let others = [Mode::EndWithin(3, 400), Mode::Normal];
+    let answer = answer_beside(&platform, &daemon, &client, first, &others).await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+}
+
 /// Guards against streams that are never ended though another target has said that they are
 /// complete.
 #[tokio::test]
--- a/crates/relay/tests/direct/streams.rs
+++ b/crates/relay/tests/direct/streams.rs
@@ -273,7 +273,7 @@
 
 /// Has the engine with a stream handle it in the first mode, and each target of engines and
 /// stages handle what it is sent then in the other ones, one after the other.
-async fn answer_beside(
+pub async fn answer_beside(
     platform: &TestPlatform,
     daemon: &Daemon,
     client: &ClientRequest,
