--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -50,7 +50,8 @@
 /// How long the ports stay open after the goodbye, so that the peers and the
 /// load balancer stop using this daemon first.
 const GOODBYE_GRACE: Duration = Duration::from_millis(200);
-/// How long before the end of a shutdown all requests that have no answer get one.
+/// How long before the end of a shutdown all requests that have no answer get one; half of a
+/// shorter shutdown.
 const LAST_ANSWERS_BEFORE: Millis = Millis(200);
 /// How long a port may take to write its last answers and close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -189,11 +190,18 @@
     /// Begins a graceful shutdown; a second call ends it at once and cuts what
     /// is still in progress.
     pub fn begin_shut_down(&self) {
-        let limit = self.context.local.shutdown_limit - LAST_ANSWERS_BEFORE;
+        let limit = self.context.local.shutdown_limit;
+        let limit = limit - self.last_answers_before();
         self.context.node.tell(Message::ShutDown(limit));
         self.callers.set_phase(server::Phase::Closing);
     }
 
+    /// Returns how long before the end of a shutdown the last requests are answered.
+    fn last_answers_before(&self) -> Millis {
+        let limit = self.context.local.shutdown_limit;
+        LAST_ANSWERS_BEFORE.min(Millis(limit.0 / 2))
+    }
+
     /// Shuts down; requests that end within the configured limit are not cut.
     pub async fn shut_down(&self) -> ShutdownOutcome {
         self.begin_shut_down();
@@ -210,7 +218,7 @@
                 Phase::LimitReached => {
                     let in_progress = self.in_progress().await;
                     self.context.is_ending.send_replace(true);
-                    let limit = Duration::from_millis(LAST_ANSWERS_BEFORE.0);
+                    let limit = Duration::from_millis(self.last_answers_before().0);
                     tokio::time::timeout(limit, self.callers.close()).await.ok();
                     self.stop();
                     return ShutdownOutcome::Cut(in_progress);
