--- a/crates/relay/tests/direct/stops.rs
+++ b/crates/relay/tests/direct/stops.rs
@@ -204,10 +204,6 @@
         client.read_to_end(&mut answer).await.expect("it is whole");
     };
     join(reading, daemon.shut_down()).await;
-    assert!(
-        answer.starts_with(b"HTTP/1.1 200"),
-        "{}",
-        String::from_utf8_lossy(&answer[..200.min(answer.len())])
-    );
+    assert!(answer.starts_with(b"HTTP/1.1 200"));
     assert!(answer.ends_with(text.as_bytes()), "{}", answer.len());
 }
